--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,6 @@
+export default {
+  files: ['packages/*/dist/__tests__/*.test.js'],
+  timeout: '120s',
+  concurrency: 4,
+  workerThreads: false,
+};
--- /dev/null
+++ b/packages/common/src/utils/systemClock.ts
@@ -0,0 +1,19 @@
+import { performance } from 'node:perf_hooks';
+
+import type { Clock } from '../types/clock.js';
+
+/**
+ * Creates the clock of the operating system.
+ *
+ * @returns clock backed by `Date`, `performance` and `setTimeout`
+ */
+export function createSystemClock(): Clock {
+  return {
+    wallMilliseconds: () => Date.now(),
+    monotonicMilliseconds: () => performance.now(),
+    setTimer(callback, delayMilliseconds) {
+      const timer = setTimeout(callback, delayMilliseconds);
+      return () => clearTimeout(timer);
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/types/peerMethods.ts
@@ -0,0 +1,204 @@
+import type {
+  Configuration,
+  ConfigurationRoot,
+  FinishedTask,
+  InteractiveRequest,
+  InteractiveResponse,
+  JobRequest,
+  JobView,
+  Resources,
+  RunningTask,
+  StartResult,
+  TaskAttempt,
+  TaskStart,
+} from '@chicorybend/common';
+
+import type { PartitionLoad } from './partition.js';
+
+/** Parameters of a heartbeat. */
+export interface Heartbeat {
+  readonly incarnation: string;
+  readonly membershipVersion: number;
+  readonly configurationRevision: number;
+  /** Age of the sender's last confirmation of the configuration against the store, in milliseconds. */
+  readonly freshnessAgeMilliseconds: number;
+  readonly isDraining: boolean;
+  /** Partitions that the sender serves. */
+  readonly owned: readonly { partition: number; epoch: number }[];
+  readonly loads: readonly PartitionLoad[];
+}
+
+/** Answer to a heartbeat: the same facts about the receiver. */
+export type HeartbeatReply = Heartbeat;
+
+/** An interactive request on its way to its partition. */
+export interface ForwardedRequest {
+  readonly partition: number;
+  readonly requestId: string;
+  readonly team: string;
+  /** Present on non-idempotent requests: a UUID version 7. */
+  readonly idempotencyKey: string | null;
+  readonly bodyHash: string;
+  readonly request: InteractiveRequest;
+  /** True on the overflow hop: execute here or refuse, without deduplication. */
+  readonly isOverflow: boolean;
+}
+
+/** A reservation at the owner of a worker's partition. */
+export interface Reservation {
+  readonly reservationId: string;
+  readonly taskId: string;
+  readonly workerId: string;
+  readonly workerPartition: number;
+  readonly workerEpoch: number;
+  readonly rack: string;
+}
+
+/** Asks the owner of a partition for room on its workers. */
+export interface ReserveRequest {
+  readonly workerPartition: number;
+  readonly jobPartition: number;
+  readonly team: string;
+  readonly taskIds: readonly string[];
+  readonly resources: Resources;
+  /** All tasks or none. */
+  readonly isAllOrNothing: boolean;
+  /** Racks that hold other replicas already; avoided where possible. */
+  readonly avoidRacks: readonly string[];
+  /** Workers on which the job has failed; not used. */
+  readonly avoidWorkers: readonly string[];
+  readonly ttlMilliseconds: number;
+}
+
+/** A start of a reserved task. */
+export interface ReservedStart {
+  readonly reservationId: string;
+  readonly workerId: string;
+  readonly start: TaskStart;
+}
+
+/** What the owner of a worker's partition knows about an execution. */
+export type ExecutionState =
+  | { readonly kind: 'running'; readonly running: RunningTask }
+  | { readonly kind: 'finished'; readonly finished: FinishedTask }
+  /** The worker was sealed at the present epoch and neither runs nor has finished it. */
+  | { readonly kind: 'absent' }
+  /** The worker is silent; the execution may go on until its lease lapses. */
+  | { readonly kind: 'silent' }
+  /** The worker is silent and every lease that it could hold has lapsed, or it restarted. */
+  | { readonly kind: 'lapsed' };
+
+/** An execution that ended, on its way to the owner of its job. */
+export interface TaskEvent {
+  readonly jobPartition: number;
+  readonly workerId: string;
+  readonly event:
+    | { readonly kind: 'finished'; readonly finished: FinishedTask }
+    | { readonly kind: 'lapsed'; readonly attempt: TaskAttempt };
+}
+
+/** One row of a usage report. */
+export interface UsageRow {
+  readonly team: string;
+  readonly queue: string;
+  /** Start of the hour, in milliseconds since the Unix epoch. */
+  readonly hour: number;
+  readonly processorSeconds: number;
+  readonly memoryByteSeconds: number;
+  readonly acceleratorSeconds: number;
+  readonly tasks: number;
+}
+
+/** State of a worker as its partition's owner sees it. */
+export interface WorkerView {
+  readonly workerId: string;
+  readonly partition: number;
+  readonly state: 'unsealed' | 'live' | 'silent' | 'leaving' | 'quarantined';
+  readonly capacity: Resources;
+  readonly free: Resources;
+  readonly runningTasks: number;
+}
+
+/** State of a daemon as it sees itself. */
+export interface DaemonView {
+  readonly daemonId: string;
+  readonly state: string;
+  readonly dataCentre: string;
+  readonly apiAddress: string;
+  readonly partitions: readonly number[];
+  readonly configurationRevision: number;
+  readonly isFresh: boolean;
+  readonly counters: Readonly<Record<string, number>>;
+}
+
+/** Calls between daemons, as JSON-RPC 2.0 methods. */
+export interface PeerMethods {
+  'membership.heartbeat': { params: Heartbeat; result: HeartbeatReply };
+  /** How long the receiver has heard nothing from a member, in milliseconds. */
+  'membership.silence': {
+    params: { daemonId: string; incarnation: string };
+    result: { membershipVersion: number; silentMilliseconds: number };
+  };
+  'ownership.handover': {
+    params: { partition: number; epoch: number; state: Readonly<Record<string, unknown>> };
+    result: { accepted: boolean };
+  };
+  'configuration.announce': { params: { revokedKeys: readonly string[] }; result: object };
+  'configuration.changed': { params: { revision: number }; result: { revision: number } };
+  'configuration.read': {
+    params: object;
+    result: { root: ConfigurationRoot | null; configuration: Configuration | null };
+  };
+  'request.execute': { params: ForwardedRequest; result: InteractiveResponse };
+  'job.submit': {
+    params: {
+      partition: number;
+      team: string;
+      idempotencyKey: string;
+      bodyHash: string;
+      request: JobRequest;
+    };
+    result: { jobId: string };
+  };
+  'job.read': { params: { jobId: string; team: string }; result: JobView };
+  /** Waits until the job has ended, or answers with its present state after the wait. */
+  'job.wait': {
+    params: { jobId: string; team: string; waitMilliseconds: number };
+    result: JobView;
+  };
+  'job.cancel': { params: { jobId: string; team: string }; result: JobView };
+  'job.list': { params: { partition: number; team: string | null }; result: readonly JobView[] };
+  'worker.reserve': { params: ReserveRequest; result: readonly Reservation[] };
+  'worker.release': {
+    params: { workerPartition: number; reservationIds: readonly string[] };
+    result: object;
+  };
+  'worker.start': {
+    params: { workerPartition: number; starts: readonly ReservedStart[] };
+    result: readonly StartResult[];
+  };
+  'worker.stop': {
+    params: {
+      workerPartition: number;
+      mode: 'stop' | 'checkpoint' | 'throttle';
+      workerId: string;
+      tasks: readonly TaskAttempt[];
+    };
+    result: { affected: readonly TaskAttempt[] };
+  };
+  'worker.lookup': {
+    params: { workerPartition: number; workerId: string; attempt: TaskAttempt };
+    result: ExecutionState;
+  };
+  'worker.list': { params: { partition: number }; result: readonly WorkerView[] };
+  /** Told until answered; the answer means that the event is durable and may be acknowledged. */
+  'task.event': { params: TaskEvent; result: object };
+  /** Asks a partition to give up idle units of a team's upper limit. */
+  'allotment.return': {
+    params: { partition: number; team: string; dimension: 'tasks' | 'requests' };
+    result: { returned: number };
+  };
+  'usage.read': { params: { partition: number }; result: readonly UsageRow[] };
+  'daemon.read': { params: object; result: DaemonView };
+  'daemon.drain': { params: object; result: object };
+}
--- /dev/null
+++ b/packages/decisions/src/index.ts
@@ -0,0 +1,2 @@
+/** Placeholder entry. */
+export {};
--- /dev/null
+++ b/prettier.config.mjs
@@ -0,0 +1,6 @@
+export default {
+  singleQuote: true,
+  trailingComma: 'all',
+  printWidth: 100,
+  proseWrap: 'preserve',
+};
