--- /dev/null
+++ b/packages/decisions/src/types/workerPool.ts
@@ -0,0 +1,77 @@
+import type { Resources } from '@chicorybend/common';
+
+/** A worker that may run tasks. */
+export interface PoolWorker {
+  readonly workerId: string;
+  readonly dataCentre: string;
+  readonly rack: string;
+  readonly capacity: Resources;
+}
+
+/** What is to be placed. */
+export interface PlacementRequest {
+  /** What each task needs. */
+  readonly resources: Resources;
+  /** Racks to avoid where another one has room. */
+  readonly avoidRacks: readonly string[];
+  /** Workers not to use. */
+  readonly avoidWorkers: readonly string[];
+}
+
+/** Free amounts of a pool. */
+export interface PoolTotals {
+  /** Sum over the schedulable workers. */
+  readonly freeTotal: Resources;
+  /** Largest free amount on any one worker, per dimension. */
+  readonly freeLargest: Resources;
+  readonly capacityTotal: Resources;
+}
+
+/** Capacity of a set of workers, kept incrementally. Placing does not allocate. */
+export interface WorkerPool {
+  /** Adds a worker, or changes its capacity and place; allocations stay. */
+  upsert(worker: PoolWorker): void;
+  /** Removes a worker and its allocations. */
+  remove(workerId: string): void;
+  /** Allows or forbids new placements on a worker. A new worker is schedulable. */
+  setSchedulable(workerId: string, isSchedulable: boolean): void;
+  /**
+   * Charges resources to a worker.
+   *
+   * @throws InvariantError (`no-overcommit`) if the worker's capacity would be exceeded
+   */
+  allocate(workerId: string, resources: Resources): void;
+  /** Charges resources that a worker was found using, even past its capacity. */
+  adopt(workerId: string, resources: Resources): void;
+  /** Gives charged resources back. */
+  release(workerId: string, resources: Resources): void;
+  /** @returns free resources of a worker, or null if it is not in the pool */
+  freeOf(workerId: string): Resources | null;
+  /** @returns a worker with room for one task, or null */
+  place(request: PlacementRequest): string | null;
+  /** @returns a worker for each of `count` tasks placed together, or null if they do not all fit */
+  placeAll(request: PlacementRequest, count: number): readonly string[] | null;
+  /** @returns workers for as many of `count` tasks as fit */
+  placeSome(request: PlacementRequest, count: number): readonly string[];
+  /**
+   * Tells why a task can never run on the pool, even when it is empty.
+   *
+   * @returns reason naming each dimension that does not fit, or null
+   */
+  explainNeverFits(resources: Resources, count: number): string | null;
+  totals(): PoolTotals;
+  /** @returns number of workers */
+  size(): number;
+}
+
+/** Scores workers that have room; varies by deployment. */
+export interface PlacementPolicy {
+  readonly name: string;
+  /**
+   * @param free free resources of the worker
+   * @param capacity capacity of the worker
+   * @param resources what the task needs
+   * @returns score; the highest wins
+   */
+  score(free: Resources, capacity: Resources, resources: Resources): number;
+}
