--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -41,6 +41,10 @@
       'no-continue': 'off',
       '@typescript-eslint/default-param-last': 'off',
       'no-bitwise': 'off',
+      // Background loops are started without waiting for them.
+      'no-void': ['error', { allowAsStatement: true }],
+      // State records are changed in place by the factory that owns them.
+      'no-param-reassign': ['error', { props: false }],
       'no-console': 'error',
       // Functions close over state that is declared further down in the same factory.
       'no-use-before-define': 'off',
--- /dev/null
+++ b/packages/daemon/src/__tests__/ownership.test.ts
@@ -0,0 +1,165 @@
+import { startStoreStandIn } from '@chicorybend/standins';
+import type { StoreStandIn } from '@chicorybend/standins';
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+
+import {
+  findOverlaps,
+  isFullyServed,
+  startTestNode,
+  startTestNodes,
+  waitUntil,
+} from './ownershipFixture.js';
+import type { ActingInterval, TestNode } from './ownershipFixture.js';
+
+const PARTITIONS = 12;
+/** Urgent work starts within 6.4 s, so a partition must be served again before that. */
+const URGENT_START_MILLISECONDS = 6_400;
+const SETTLE_MILLISECONDS = 15_000;
+
+interface Cell {
+  readonly store: StoreStandIn;
+  readonly nodes: TestNode[];
+  readonly intervals: ActingInterval[];
+}
+
+async function startCell(t: ExecutionContext, count: number): Promise<Cell> {
+  const store = await startStoreStandIn();
+  const intervals: ActingInterval[] = [];
+  const nodes = await startTestNodes(store, count, PARTITIONS, intervals);
+  t.teardown(async () => {
+    await Promise.all(nodes.map((node) => node.kill()));
+    await store.close();
+  });
+  const settled = await waitUntil(() => isFullyServed(nodes, PARTITIONS), SETTLE_MILLISECONDS);
+  t.not(settled, null, 'every partition is served');
+  return { store, nodes, intervals };
+}
+
+function assertOneOwner(t: ExecutionContext, cell: Cell): void {
+  t.deepEqual(findOverlaps(cell.intervals), []);
+}
+
+test('six daemons that start together serve each partition once, evenly', async (t) => {
+  const cell = await startCell(t, 6);
+  const even = await waitUntil(
+    () => cell.nodes.every((node) => node.ownership.owned().length === 2),
+    SETTLE_MILLISECONDS,
+  );
+  t.not(even, null);
+  assertOneOwner(t, cell);
+});
+
+test('the partitions of a killed daemon are taken over within the time of an urgent start', async (t) => {
+  const cell = await startCell(t, 4);
+  await waitUntil(() => cell.nodes.every((node) => node.ownership.owned().length === 3), 15_000);
+  const [victim, ...others] = cell.nodes;
+  await victim?.kill();
+  const gap = await waitUntil(() => isFullyServed(others, PARTITIONS), SETTLE_MILLISECONDS);
+  t.log(`takeover after ${gap?.toFixed(0)} ms`);
+  t.true(gap !== null && gap < URGENT_START_MILLISECONDS);
+  assertOneOwner(t, cell);
+});
+
+test('an outage of the store for all neither stops the owners nor makes two', async (t) => {
+  const cell = await startCell(t, 4);
+  await waitUntil(() => cell.nodes.every((node) => node.ownership.owned().length === 3), 15_000);
+  cell.store.faults.isDown = true;
+  await waitUntil(() => false, 8_000);
+  t.true(isFullyServed(cell.nodes, PARTITIONS));
+  t.true(cell.nodes.every((node) => node.membership.mayAct()));
+  cell.store.faults.isDown = false;
+  await waitUntil(() => false, 4_000);
+  t.true(isFullyServed(cell.nodes, PARTITIONS));
+  t.true(cell.nodes.every((node) => node.counters.read('partitions.taken-over') === 0));
+  assertOneOwner(t, cell);
+});
+
+test('a daemon cut off from its peers keeps its partitions through its session at the store', async (t) => {
+  const cell = await startCell(t, 4);
+  await waitUntil(() => cell.nodes.every((node) => node.ownership.owned().length === 3), 15_000);
+  const [isolated] = cell.nodes;
+  isolated?.setIsolated(true);
+  await waitUntil(() => false, 6_000);
+  t.is(isolated?.ownership.owned().length, 3);
+  assertOneOwner(t, cell);
+});
+
+test('a daemon cut off from store and peers stops acting before another one takes over', async (t) => {
+  const store = await startStoreStandIn();
+  const intervals: ActingInterval[] = [];
+  const others = await startTestNodes(store, 3, PARTITIONS, intervals);
+  const ownStore = await startStoreProxy(store);
+  const isolated = await startTestNode({
+    daemonId: 'entry-9',
+    storeAddress: ownStore.address,
+    partitionCount: PARTITIONS,
+    intervals,
+  });
+  t.teardown(async () => {
+    await Promise.all([...others, isolated].map((node) => node.kill()));
+    await ownStore.close();
+    await store.close();
+  });
+  await waitUntil(() => isolated.ownership.owned().length === 3, 20_000);
+  ownStore.cut();
+  isolated.setIsolated(true);
+  const gap = await waitUntil(() => isFullyServed(others, PARTITIONS), SETTLE_MILLISECONDS);
+  t.true(gap !== null && gap < URGENT_START_MILLISECONDS, `gap ${gap}`);
+  t.false(isolated.membership.mayAct());
+  t.deepEqual(findOverlaps(intervals), []);
+});
+
+test('a drained daemon hands its partitions over without a takeover', async (t) => {
+  const cell = await startCell(t, 3);
+  await waitUntil(() => cell.nodes.every((node) => node.ownership.owned().length === 4), 15_000);
+  const [leaving, ...others] = cell.nodes;
+  t.true(await leaving?.ownership.drain(10_000));
+  t.not(await waitUntil(() => isFullyServed(others, PARTITIONS), 3_000), null);
+  t.true(others.every((node) => node.counters.read('partitions.taken-over') === 0));
+  assertOneOwner(t, cell);
+});
+
+interface StoreProxy {
+  readonly address: string;
+  cut(): void;
+  close(): Promise<void>;
+}
+
+/** Forwards connections to the store until it is cut. */
+async function startStoreProxy(store: StoreStandIn): Promise<StoreProxy> {
+  const { createServer, connect } = await import('node:net');
+  const target = new URL(store.address);
+  let isCut = false;
+  const sockets = new Set<import('node:net').Socket>();
+  const server = createServer((socket) => {
+    if (isCut) {
+      socket.destroy();
+      return;
+    }
+    const upstream = connect(Number(target.port), target.hostname);
+    [socket, upstream].forEach((end) => {
+      sockets.add(end);
+      end.on('error', () => end.destroy());
+      end.on('close', () => sockets.delete(end));
+    });
+    socket.pipe(upstream).pipe(socket);
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as import('node:net').AddressInfo;
+  return {
+    address: `http://127.0.0.1:${port}`,
+    cut() {
+      isCut = true;
+      sockets.forEach((socket) => socket.destroy());
+    },
+    async close() {
+      sockets.forEach((socket) => socket.destroy());
+      await new Promise((resolve) => {
+        server.close(resolve);
+      });
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/core/allotmentLedger.ts
@@ -0,0 +1,174 @@
+import { assertInvariant } from '@chicorybend/common';
+
+import type { LimitDimension } from '../types/allotment.js';
+
+/** Names of what upper limits count. */
+export const LIMIT_DIMENSIONS = ['tasks', 'requests'] as const;
+
+/** Units of each dimension. */
+export type LimitUnits = Readonly<Record<LimitDimension, number>>;
+
+/** A partition's part of a team's upper limit. */
+export interface AllotmentPart extends LimitUnits {
+  /** Epoch of the owner that may use the part; an owner of another epoch must take it over first. */
+  readonly epoch: number;
+}
+
+/** Value of the store key `allotments/<team>`. */
+export interface AllotmentLedger {
+  readonly limits: LimitUnits;
+  readonly parts: Readonly<Record<string, AllotmentPart>>;
+}
+
+const NO_PART: AllotmentPart = { tasks: 0, requests: 0, epoch: 0 };
+/** A grant takes this part of what is unassigned, so that later ones find something too. */
+const GRANT_FRACTION = 1 / 8;
+
+/**
+ * @param ledger ledger of a team
+ * @param dimension what is counted
+ * @returns units that partitions hold together
+ */
+export function sumParts(ledger: AllotmentLedger, dimension: LimitDimension): number {
+  return Object.values(ledger.parts).reduce((sum, part) => sum + part[dimension], 0);
+}
+
+/**
+ * @param ledger ledger of a team
+ * @param partition partition number
+ * @returns the partition's part
+ */
+export function partOf(ledger: AllotmentLedger, partition: number): AllotmentPart {
+  return ledger.parts[String(partition)] ?? NO_PART;
+}
+
+function withPart(
+  ledger: AllotmentLedger,
+  partition: number,
+  part: AllotmentPart,
+): AllotmentLedger {
+  return { ...ledger, parts: { ...ledger.parts, [String(partition)]: part } };
+}
+
+/** The sum of the parts grows only while it stays within the limit. */
+function assertWithinLimits(before: AllotmentLedger, after: AllotmentLedger): void {
+  LIMIT_DIMENSIONS.forEach((dimension) => {
+    const sum = sumParts(after, dimension);
+    assertInvariant(
+      sum <= Math.max(after.limits[dimension], sumParts(before, dimension)),
+      'upper-limit',
+      () => `${sum} ${dimension} assigned of ${after.limits[dimension]}`,
+    );
+  });
+}
+
+/**
+ * Creates the ledger of a team. Requests are split equally at once, because an interactive request cannot wait for
+ * a grant; tasks are granted on demand.
+ *
+ * @param limits upper limits of the team
+ * @param partitionCount number of partitions
+ * @returns the ledger
+ */
+export function createLedger(limits: LimitUnits, partitionCount: number): AllotmentLedger {
+  const share = Math.floor(limits.requests / partitionCount);
+  const remainder = limits.requests % partitionCount;
+  const parts = Object.fromEntries(
+    Array.from({ length: partitionCount }, (_, partition) => [
+      String(partition),
+      { tasks: 0, requests: share + (partition < remainder ? 1 : 0), epoch: 0 },
+    ]),
+  );
+  return { limits, parts };
+}
+
+/**
+ * Takes a part over for the owner of an epoch, so that writes of a former owner no longer match.
+ *
+ * @param ledger ledger of a team
+ * @param partition partition number
+ * @param epoch epoch of the new owner
+ * @returns the ledger with the part taken over
+ */
+export function takeOverPart(
+  ledger: AllotmentLedger,
+  partition: number,
+  epoch: number,
+): AllotmentLedger {
+  return withPart(ledger, partition, { ...partOf(ledger, partition), epoch });
+}
+
+/**
+ * Grants units to a partition from what is unassigned.
+ *
+ * @param ledger ledger of a team
+ * @param partition partition number
+ * @param dimension what is counted
+ * @param needed units that are needed at least
+ * @returns the ledger with the grant, or null if fewer than the needed units are unassigned
+ */
+export function grantUnits(
+  ledger: AllotmentLedger,
+  partition: number,
+  dimension: LimitDimension,
+  needed: number,
+): AllotmentLedger | null {
+  const unassigned = ledger.limits[dimension] - sumParts(ledger, dimension);
+  if (unassigned < needed) return null;
+  const granted = Math.max(needed, Math.floor(unassigned * GRANT_FRACTION));
+  const part = partOf(ledger, partition);
+  const after = withPart(ledger, partition, { ...part, [dimension]: part[dimension] + granted });
+  assertWithinLimits(ledger, after);
+  return after;
+}
+
+/**
+ * Gives units of a partition back.
+ *
+ * @param ledger ledger of a team
+ * @param partition partition number
+ * @param dimension what is counted
+ * @param kept units that the partition keeps
+ * @returns the ledger, or null if the partition holds no more than that
+ */
+export function returnUnits(
+  ledger: AllotmentLedger,
+  partition: number,
+  dimension: LimitDimension,
+  kept: number,
+): AllotmentLedger | null {
+  const part = partOf(ledger, partition);
+  if (part[dimension] <= kept) return null;
+  return withPart(ledger, partition, { ...part, [dimension]: kept });
+}
+
+/**
+ * Sets the limits of a team. Parts stay; their owners shrink them where the sum is over a limit.
+ *
+ * @param ledger ledger of a team
+ * @param limits new limits
+ * @returns the ledger with the new limits
+ */
+export function setLimits(ledger: AllotmentLedger, limits: LimitUnits): AllotmentLedger {
+  return { ...ledger, limits };
+}
+
+/**
+ * Computes how many units a partition may have in use: its part, or its portion of the limit while the parts are
+ * over the limit.
+ *
+ * @param ledger ledger of a team
+ * @param partition partition number
+ * @param dimension what is counted
+ * @returns usable units
+ */
+export function usableUnits(
+  ledger: AllotmentLedger,
+  partition: number,
+  dimension: LimitDimension,
+): number {
+  const part = partOf(ledger, partition)[dimension];
+  const sum = sumParts(ledger, dimension);
+  const limit = ledger.limits[dimension];
+  return sum <= limit ? part : Math.floor((part * limit) / sum);
+}
--- /dev/null
+++ b/packages/daemon/src/core/allotments.ts
@@ -0,0 +1,342 @@
+import { createFailure, Err, Ok, sleep } from '@chicorybend/common';
+import type { Clock, Counters, StoreClient } from '@chicorybend/common';
+
+import type { Allotments, LimitDimension } from '../types/allotment.js';
+import type { ConfigurationView } from '../types/configurationView.js';
+import type {
+  PartitionDirectory,
+  PartitionLease,
+  PartitionOpening,
+  PartitionService,
+} from '../types/partition.js';
+import type { PeerLink } from '../types/peer.js';
+import {
+  createLedger,
+  grantUnits,
+  LIMIT_DIMENSIONS,
+  partOf,
+  returnUnits,
+  setLimits,
+  sumParts,
+  takeOverPart,
+  usableUnits,
+} from './allotmentLedger.js';
+import type { AllotmentLedger } from './allotmentLedger.js';
+
+/** Prefix of the ledgers' keys. */
+export const ALLOTMENT_PREFIX = 'allotments/';
+const MAINTENANCE_INTERVAL_MILLISECONDS = 1_000;
+/** Units idle for this long are given back, in milliseconds. */
+const IDLE_AFTER_MILLISECONDS = 5_000;
+/** Idle units that a partition keeps. */
+const IDLE_RESERVE = 2;
+const RETRY_AFTER_MILLISECONDS = 100;
+const RETURN_CALL_DEADLINE_MILLISECONDS = 500;
+const UPDATE_ATTEMPTS = 5;
+const RETURN_CANDIDATES = 3;
+
+/** What the allotments need. */
+export interface AllotmentsOptions {
+  readonly directory: PartitionDirectory;
+  readonly configuration: ConfigurationView;
+  readonly link: PeerLink;
+  readonly store: StoreClient;
+  readonly clock: Clock;
+  readonly counters: Counters;
+  /** Source of random numbers in [0, 1). */
+  readonly random: () => number;
+}
+
+/** Allotments and the service that opens them with each partition. */
+export interface AllotmentService {
+  readonly allotments: Allotments;
+  readonly service: PartitionService;
+  start(): void;
+  stop(): void;
+}
+
+interface TeamUse {
+  readonly team: string;
+  /** Ledger as last read or written. */
+  ledger: AllotmentLedger | null;
+  readonly used: Record<LimitDimension, number>;
+  /** Monotonic time of the last charge, in milliseconds. */
+  chargedAt: number;
+  isRequesting: boolean;
+  /** End of the last change of the ledger; changes of one team run one after the other. */
+  lastChange: Promise<unknown>;
+}
+
+interface PartitionUse {
+  readonly lease: PartitionLease;
+  readonly teams: Map<string, TeamUse>;
+}
+
+/**
+ * Creates this daemon's parts of the teams' upper limits. The parts of all partitions never sum to more than the
+ * limit; each is charged before work starts and given back when the work has certainly ended.
+ *
+ * @param options collaborators
+ * @returns the allotments
+ */
+export function createAllotments(options: AllotmentsOptions): AllotmentService {
+  const { directory, configuration, link, store, clock, counters } = options;
+  const partitions = new Map<number, PartitionUse>();
+  let isStopped = false;
+
+  function useOf(partition: number, team: string): TeamUse | null {
+    const entry = partitions.get(partition);
+    if (!entry) return null;
+    const existing = entry.teams.get(team);
+    if (existing) return existing;
+    const created: TeamUse = {
+      team,
+      ledger: null,
+      used: { tasks: 0, requests: 0 },
+      chargedAt: clock.monotonicMilliseconds(),
+      isRequesting: false,
+      lastChange: Promise.resolve(),
+    };
+    entry.teams.set(team, created);
+    return created;
+  }
+
+  function limitsOf(team: string) {
+    return configuration.current()?.teams[team]?.limits ?? null;
+  }
+
+  /** Units that may be in use now; none before the part was taken over at the present epoch. */
+  function usable(entry: PartitionUse, use: TeamUse, dimension: LimitDimension): number {
+    const { partition, epoch } = entry.lease;
+    const limits = limitsOf(use.team);
+    if (!use.ledger || !limits || partOf(use.ledger, partition).epoch !== epoch) return 0;
+    return usableUnits(setLimits(use.ledger, limits), partition, dimension);
+  }
+
+  /** Applies a change to a team's ledger by compare-and-swap. The change is computed again after a conflict. */
+  async function updateLedger(
+    entry: PartitionUse,
+    use: TeamUse,
+    change: (ledger: AllotmentLedger) => AllotmentLedger | null,
+  ): Promise<boolean> {
+    const { partition, epoch } = entry.lease;
+    for (let attempt = 0; attempt < UPDATE_ATTEMPTS; attempt += 1) {
+      const limits = limitsOf(use.team);
+      const stored = await store.get<AllotmentLedger>(`${ALLOTMENT_PREFIX}${use.team}`);
+      if (stored.isErr() || !limits || !entry.lease.mayAct()) return false;
+      const current = stored.value
+        ? setLimits(stored.value.data, limits)
+        : createLedger(limits, directory.partitionCount);
+      const changed = change(takeOverPart(current, partition, epoch));
+      if (!changed) {
+        use.ledger = partOf(current, partition).epoch === epoch ? current : use.ledger;
+        return false;
+      }
+      const written = await store.put({
+        key: `${ALLOTMENT_PREFIX}${use.team}`,
+        data: changed,
+        expectedVersion: stored.value?.version ?? 0,
+      });
+      counters.increment('allotments.writes');
+      if (written.isErr()) return false;
+      if (written.value.kind === 'written') {
+        use.ledger = changed;
+        return true;
+      }
+    }
+    return false;
+  }
+
+  function runExclusively<Value>(use: TeamUse, change: () => Promise<Value>): Promise<Value> {
+    const next = use.lastChange.then(change);
+    use.lastChange = next.catch(() => undefined);
+    return next;
+  }
+
+  /** Asks one of the partitions with the largest parts to give idle units up. */
+  async function askForReturn(
+    use: TeamUse,
+    partition: number,
+    dimension: LimitDimension,
+  ): Promise<void> {
+    const largest = Object.entries(use.ledger?.parts ?? {})
+      .filter(([other, part]) => Number(other) !== partition && part[dimension] > 0)
+      .sort(([, left], [, right]) => right[dimension] - left[dimension])
+      .slice(0, RETURN_CANDIDATES);
+    const chosen = largest[Math.floor(options.random() * largest.length)];
+    if (!chosen) return;
+    const other = Number(chosen[0]);
+    const owner = directory.ownerOf(other);
+    if (!owner) return;
+    await link.call(
+      owner.daemonId,
+      'allotment.return',
+      { partition: other, team: use.team, dimension },
+      RETURN_CALL_DEADLINE_MILLISECONDS,
+    );
+  }
+
+  async function requestUnits(
+    entry: PartitionUse,
+    use: TeamUse,
+    dimension: LimitDimension,
+    count: number,
+  ): Promise<void> {
+    const { partition } = entry.lease;
+    const grant = (ledger: AllotmentLedger) => {
+      const missing = use.used[dimension] + count - partOf(ledger, partition)[dimension];
+      return missing <= 0 ? ledger : grantUnits(ledger, partition, dimension, missing);
+    };
+    const tryGrant = () => runExclusively(use, () => updateLedger(entry, use, grant));
+    if (await tryGrant()) return;
+    counters.increment('allotments.short');
+    await askForReturn(use, partition, dimension);
+    await tryGrant();
+  }
+
+  function requestInBackground(
+    entry: PartitionUse,
+    use: TeamUse,
+    dimension: LimitDimension,
+    count: number,
+  ): void {
+    if (use.isRequesting) return;
+    use.isRequesting = true;
+    void requestUnits(entry, use, dimension, count).finally(() => {
+      use.isRequesting = false;
+    });
+  }
+
+  /** Gives back all but the units in use and a reserve. */
+  function returnIdle(
+    entry: PartitionUse,
+    use: TeamUse,
+    dimension: LimitDimension,
+    reserve: number,
+  ): Promise<number> {
+    return runExclusively(use, () => returnIdleNow(entry, use, dimension, reserve));
+  }
+
+  async function returnIdleNow(
+    entry: PartitionUse,
+    use: TeamUse,
+    dimension: LimitDimension,
+    reserve: number,
+  ): Promise<number> {
+    const { partition } = entry.lease;
+    const before = use.ledger ? partOf(use.ledger, partition)[dimension] : 0;
+    // The units are withheld from new charges before the write, so that no charge can use them meanwhile.
+    const kept = Math.min(before, use.used[dimension] + reserve);
+    if (kept >= before || !use.ledger) return 0;
+    const withheld = returnUnits(use.ledger, partition, dimension, kept);
+    if (withheld) use.ledger = withheld;
+    const isWritten = await updateLedger(entry, use, (ledger) =>
+      returnUnits(ledger, partition, dimension, kept),
+    );
+    return isWritten ? before - kept : 0;
+  }
+
+  async function shrinkToLimit(
+    entry: PartitionUse,
+    use: TeamUse,
+    dimension: LimitDimension,
+  ): Promise<void> {
+    const limits = limitsOf(use.team);
+    if (!limits || !use.ledger || sumParts(use.ledger, dimension) <= limits[dimension]) return;
+    const target = usable(entry, use, dimension);
+    await returnIdle(entry, use, dimension, Math.max(0, target - use.used[dimension]));
+  }
+
+  async function maintainTeam(entry: PartitionUse, use: TeamUse): Promise<void> {
+    for (const dimension of LIMIT_DIMENSIONS) await shrinkToLimit(entry, use, dimension);
+    const idleFor = clock.monotonicMilliseconds() - use.chargedAt;
+    if (idleFor >= IDLE_AFTER_MILLISECONDS) await returnIdle(entry, use, 'tasks', IDLE_RESERVE);
+  }
+
+  async function maintain(): Promise<void> {
+    while (!isStopped) {
+      await sleep(clock, MAINTENANCE_INTERVAL_MILLISECONDS);
+      for (const entry of [...partitions.values()]) {
+        if (!entry.lease.mayAct()) continue;
+        for (const use of [...entry.teams.values()]) await maintainTeam(entry, use);
+      }
+    }
+  }
+
+  /** Takes the parts of all configured teams over, so that the first request finds units. */
+  async function takeOverParts(entry: PartitionUse): Promise<void> {
+    const teams = Object.keys(configuration.current()?.teams ?? {});
+    await Promise.all(
+      teams.map(async (team) => {
+        const use = useOf(entry.lease.partition, team);
+        if (use?.ledger !== null) return;
+        await runExclusively(use, () => updateLedger(entry, use, (ledger) => ledger));
+      }),
+    );
+  }
+
+  link.handle('allotment.return', async ({ partition, team, dimension }) => {
+    const entry = partitions.get(partition);
+    if (!entry) {
+      return Err(createFailure('not-owner', { daemonId: 'this', partition }));
+    }
+    const use = useOf(partition, team);
+    return Ok({ returned: use ? await returnIdle(entry, use, dimension, 0) : 0 });
+  });
+  configuration.onChange(() => {
+    partitions.forEach((entry) => {
+      void takeOverParts(entry);
+    });
+  });
+
+  const allotments: Allotments = {
+    charge(partition, team, dimension, count) {
+      const entry = partitions.get(partition);
+      const use = useOf(partition, team);
+      if (!entry || !use) return Err(createFailure('not-owner', { daemonId: 'this', partition }));
+      if (use.used[dimension] + count <= usable(entry, use, dimension)) {
+        use.used[dimension] += count;
+        use.chargedAt = clock.monotonicMilliseconds();
+        return Ok(undefined);
+      }
+      counters.increment('allotments.refused');
+      requestInBackground(entry, use, dimension, count);
+      const limit = limitsOf(team)?.[dimension] ?? 0;
+      const retry = { retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS };
+      return Err(createFailure('over-limit', { team, dimension, limit }, retry));
+    },
+    adopt(partition, team, dimension, count) {
+      const use = useOf(partition, team);
+      if (use) use.used[dimension] += count;
+    },
+    release(partition, team, dimension, count) {
+      const use = useOf(partition, team);
+      if (use) use.used[dimension] = Math.max(0, use.used[dimension] - count);
+    },
+  };
+  const service: PartitionService = {
+    name: 'allotments',
+    async open({ lease }: PartitionOpening) {
+      const entry: PartitionUse = { lease, teams: new Map() };
+      partitions.set(lease.partition, entry);
+      await takeOverParts(entry);
+      return Ok(undefined);
+    },
+    release: () => Promise.resolve(null),
+    close(partition) {
+      partitions.delete(partition);
+    },
+    snapshot: () => [],
+  };
+
+  return {
+    allotments,
+    service,
+    start() {
+      void maintain();
+    },
+    stop() {
+      isStopped = true;
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/core/peerConnection.ts
@@ -0,0 +1,148 @@
+import { TIMED_OUT, withTimeout } from '@chicorybend/common';
+import type { Clock, Counters } from '@chicorybend/common';
+import { JSONRPCClient } from 'json-rpc-2.0';
+import type { JSONRPCResponse } from 'json-rpc-2.0';
+import { WebSocket } from 'ws';
+
+/** Time between two pings, in milliseconds. */
+export const LINK_PING_INTERVAL_MILLISECONDS = 500;
+/** A connection without inbound traffic for this long is suspect, in milliseconds. */
+export const LINK_SUSPECT_AFTER_MILLISECONDS = 1_500;
+/** Time that a suspect connection may still bring late answers, in milliseconds. */
+const SUSPECT_LINGER_MILLISECONDS = 5_000;
+const HANDSHAKE_TIMEOUT_MILLISECONDS = 1_000;
+
+/** Where and how to connect. */
+export interface PeerConnectionOptions {
+  /** `<address>:<port>` of the peer. */
+  readonly peerAddress: string;
+  /** Local IP address to connect from. */
+  readonly localAddress: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly clock: Clock;
+  readonly counters: Counters;
+}
+
+/** Outcome of one exchange on a connection. */
+export type ExchangeOutcome =
+  | { readonly kind: 'answered'; readonly response: JSONRPCResponse }
+  | { readonly kind: 'not-sent'; readonly reason: string }
+  | { readonly kind: 'lost'; readonly reason: string };
+
+/** One WebSocket connection that carries calls to a peer. */
+export interface PeerConnection {
+  /** Resolves when the connection is open or has failed. */
+  readonly settled: Promise<void>;
+  /** @returns whether new calls may use the connection */
+  isUsable(): boolean;
+  /** @returns whether the connection is still being opened */
+  isOpening(): boolean;
+  exchange(method: string, params: unknown, deadlineMilliseconds: number): Promise<ExchangeOutcome>;
+  close(): void;
+}
+
+let nextCallId = 0;
+
+/**
+ * Opens a connection to a peer.
+ *
+ * @param options address and collaborators
+ * @returns the connection, which opens in the background
+ */
+export function openPeerConnection(options: PeerConnectionOptions): PeerConnection {
+  const { clock, counters } = options;
+  const socket = new WebSocket(`ws://${options.peerAddress}`, {
+    headers: { ...options.headers },
+    localAddress: options.localAddress,
+    handshakeTimeout: HANDSHAKE_TIMEOUT_MILLISECONDS,
+    perMessageDeflate: false,
+  });
+  const client = new JSONRPCClient((payload) => {
+    socket.send(JSON.stringify(payload));
+  });
+  let heardAt = clock.monotonicMilliseconds();
+  let isSuspect = false;
+  let hasFailed = false;
+  let cancelPing = () => {};
+
+  function recordTraffic(): void {
+    heardAt = clock.monotonicMilliseconds();
+  }
+
+  function markSuspect(): void {
+    isSuspect = true;
+    counters.increment('peer.connections.suspect');
+    clock.setTimer(() => socket.terminate(), SUSPECT_LINGER_MILLISECONDS);
+  }
+
+  function watchLiveness(): void {
+    if (socket.readyState !== WebSocket.OPEN || isSuspect) return;
+    if (clock.monotonicMilliseconds() - heardAt > LINK_SUSPECT_AFTER_MILLISECONDS) {
+      markSuspect();
+      return;
+    }
+    socket.ping();
+    cancelPing = clock.setTimer(watchLiveness, LINK_PING_INTERVAL_MILLISECONDS);
+  }
+
+  const settled = new Promise<void>((resolve) => {
+    socket.on('open', () => {
+      recordTraffic();
+      watchLiveness();
+      resolve();
+    });
+    socket.on('close', () => {
+      hasFailed = true;
+      cancelPing();
+      client.rejectAllPendingRequests('connection closed');
+      resolve();
+    });
+    socket.on('error', () => {
+      hasFailed = true;
+      resolve();
+    });
+  });
+  socket.on('pong', recordTraffic);
+  socket.on('message', (data: Buffer) => {
+    recordTraffic();
+    client.receive(JSON.parse(data.toString()) as JSONRPCResponse);
+  });
+
+  function isUsable(): boolean {
+    return socket.readyState === WebSocket.OPEN && !isSuspect;
+  }
+
+  async function exchange(
+    method: string,
+    params: unknown,
+    deadlineMilliseconds: number,
+  ): Promise<ExchangeOutcome> {
+    if (!isUsable()) return { kind: 'not-sent', reason: 'connection is not usable' };
+    nextCallId += 1;
+    let isGivenUp = false;
+    const pending = Promise.resolve(
+      client.requestAdvanced({ jsonrpc: '2.0', id: nextCallId, method, params }),
+    ).then(
+      (response): ExchangeOutcome => {
+        if (isGivenUp) counters.increment('peer.answers.late');
+        return { kind: 'answered', response };
+      },
+      (error: unknown): ExchangeOutcome => ({ kind: 'lost', reason: String(error) }),
+    );
+    const outcome = await withTimeout(clock, pending, deadlineMilliseconds);
+    if (outcome !== TIMED_OUT) return outcome;
+    isGivenUp = true;
+    return { kind: 'lost', reason: `no answer within ${Math.round(deadlineMilliseconds)} ms` };
+  }
+
+  return {
+    settled,
+    isUsable,
+    isOpening: () => socket.readyState === WebSocket.CONNECTING && !hasFailed,
+    exchange,
+    close() {
+      cancelPing();
+      socket.terminate();
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/core/peerLink.ts
@@ -0,0 +1,153 @@
+import { createFailure, Err, Ok, TIMED_OUT, withTimeout } from '@chicorybend/common';
+import type { Clock, Counters, Failure, Log, Result } from '@chicorybend/common';
+
+import type { PeerError, PeerLink, PeerMethod } from '../types/peer.js';
+import type { PeerMethods } from '../types/peerMethods.js';
+import { openPeerConnection } from './peerConnection.js';
+import type { ExchangeOutcome, PeerConnection } from './peerConnection.js';
+import { startPeerServer } from './peerServer.js';
+import type { PeerServer, UntypedHandler } from './peerServer.js';
+
+/** Time before a failed connection is tried again, in milliseconds. */
+const RECONNECT_AFTER_MILLISECONDS = 200;
+
+/** What the link needs. */
+export interface PeerLinkOptions {
+  readonly selfId: string;
+  readonly host: string;
+  readonly port: number;
+  readonly token: string;
+  readonly clock: Clock;
+  readonly counters: Counters;
+  readonly log: Log;
+  /** Gives `<address>:<port>` of a daemon, or null if it is not known. */
+  readonly resolveAddress: (daemonId: string) => string | null;
+}
+
+/** A link that listens. */
+export interface ListeningPeerLink extends PeerLink {
+  /** Starts listening. @returns the port */
+  listen(): Promise<number>;
+  close(): Promise<void>;
+}
+
+interface Outbound {
+  readonly address: string;
+  readonly connection: PeerConnection;
+  readonly openedAt: number;
+}
+
+function interpret(outcome: ExchangeOutcome): Result<unknown, PeerError> {
+  if (outcome.kind !== 'answered') return Err({ kind: outcome.kind, reason: outcome.reason });
+  const { error, result } = outcome.response;
+  if (!error) return Ok(result as unknown);
+  const failure =
+    (error.data as Failure | undefined) ??
+    createFailure('internal-error', { reason: error.message });
+  return Err({ kind: 'refused', failure });
+}
+
+/**
+ * Creates the link between daemons: JSON-RPC 2.0 over one outgoing WebSocket connection per peer. A silent
+ * connection is replaced while its late answers are dropped.
+ *
+ * @param options addresses and collaborators
+ * @returns the link
+ */
+export function createPeerLink(options: PeerLinkOptions): ListeningPeerLink {
+  const { selfId, clock, counters } = options;
+  const handlers = new Map<string, UntypedHandler>();
+  const outbound = new Map<string, Outbound>();
+  let server: PeerServer | null = null;
+
+  function open(daemonId: string, address: string): Outbound {
+    const former = outbound.get(daemonId);
+    if (former && former.address !== address) former.connection.close();
+    const connection = openPeerConnection({
+      peerAddress: address,
+      localAddress: options.host,
+      headers: { authorization: `Bearer ${options.token}`, 'x-daemon-id': selfId },
+      clock,
+      counters,
+    });
+    const entry = { address, connection, openedAt: clock.monotonicMilliseconds() };
+    outbound.set(daemonId, entry);
+    return entry;
+  }
+
+  /** Replaces a connection that is closed, suspect or leads to an old address. */
+  function select(daemonId: string, address: string): Outbound {
+    const existing = outbound.get(daemonId);
+    if (!existing || existing.address !== address) return open(daemonId, address);
+    if (existing.connection.isUsable() || existing.connection.isOpening()) return existing;
+    const age = clock.monotonicMilliseconds() - existing.openedAt;
+    return age >= RECONNECT_AFTER_MILLISECONDS ? open(daemonId, address) : existing;
+  }
+
+  async function exchange(
+    daemonId: string,
+    method: string,
+    params: unknown,
+    deadlineMilliseconds: number,
+  ): Promise<ExchangeOutcome> {
+    const address = options.resolveAddress(daemonId);
+    if (!address) return { kind: 'not-sent', reason: 'unknown daemon' };
+    const startedAt = clock.monotonicMilliseconds();
+    const { connection } = select(daemonId, address);
+    const settled = await withTimeout(clock, connection.settled, deadlineMilliseconds);
+    if (settled === TIMED_OUT) return { kind: 'not-sent', reason: 'connection is not open' };
+    const remaining = deadlineMilliseconds - (clock.monotonicMilliseconds() - startedAt);
+    if (remaining <= 0) return { kind: 'not-sent', reason: 'deadline passed before sending' };
+    return connection.exchange(
+      method,
+      { remainingMilliseconds: remaining, body: params },
+      remaining,
+    );
+  }
+
+  async function callSelf(
+    method: string,
+    params: unknown,
+    deadlineMilliseconds: number,
+  ): Promise<Result<unknown, PeerError>> {
+    const handler = handlers.get(method);
+    if (!handler) return Err({ kind: 'refused', failure: createFailure('not-ready') });
+    const context = { from: selfId, remainingMilliseconds: deadlineMilliseconds };
+    const result = await withTimeout(clock, handler(params, context), deadlineMilliseconds);
+    if (result === TIMED_OUT) return Err({ kind: 'lost', reason: 'no answer within the deadline' });
+    return result.mapErr((failure): PeerError => ({ kind: 'refused', failure }));
+  }
+
+  return {
+    async call<Method extends PeerMethod>(
+      daemonId: string,
+      method: Method,
+      params: PeerMethods[Method]['params'],
+      deadlineMilliseconds: number,
+    ) {
+      counters.increment('peer.calls');
+      const result =
+        daemonId === selfId
+          ? await callSelf(method, params, deadlineMilliseconds)
+          : interpret(await exchange(daemonId, method, params, deadlineMilliseconds));
+      return result as Result<PeerMethods[Method]['result'], PeerError>;
+    },
+    handle(method, handler) {
+      handlers.set(method, handler as UntypedHandler);
+    },
+    async listen() {
+      server = await startPeerServer({
+        host: options.host,
+        port: options.port,
+        token: options.token,
+        log: options.log,
+        handlers,
+      });
+      return server.port;
+    },
+    async close() {
+      outbound.forEach(({ connection }) => connection.close());
+      await server?.close();
+    },
+  };
+}
--- a/packages/daemon/src/types/peerMethods.ts
+++ b/packages/daemon/src/types/peerMethods.ts
@@ -13,6 +13,7 @@
   TaskStart,
 } from '@chicorybend/common';
 
+import type { MembershipRecord } from './membershipView.js';
 import type { PartitionLoad } from './partition.js';
 
 /** Parameters of a heartbeat. */
@@ -26,6 +27,8 @@
   /** Partitions that the sender serves. */
   readonly owned: readonly { partition: number; epoch: number }[];
   readonly loads: readonly PartitionLoad[];
+  /** The sender's membership record, present when the receiver is known to hold an older one. */
+  readonly record?: MembershipRecord;
 }
 
 /** Answer to a heartbeat: the same facts about the receiver. */
