--- a/packages/daemon/src/__tests__/ownershipFixture.ts
+++ b/packages/daemon/src/__tests__/ownershipFixture.ts
@@ -103,6 +103,7 @@
   const store = createStoreClient({ address: options.storeAddress, clock });
   const incarnation = randomUUID();
   let isIsolated = false;
+  let isKilled = false;
   const link = createPeerLink({
     selfId: daemonId,
     host: '127.0.0.1',
@@ -163,6 +164,8 @@
       isIsolated = value;
     },
     async kill() {
+      if (isKilled) return;
+      isKilled = true;
       isIsolated = true;
       ownership.stop();
       membership.stop();
