Add a first version of the decisions package

The daemon is written at the same time and needs the factories behind the typed interfaces. This adds worker pool, task queue, request queue, admission, quarantine, reclaim choice, estimator and the policies. The pool still scores every worker on each placement.

--- /dev/null
+++ b/packages/decisions/src/core/workerPool.ts
@@ -0,0 +1,201 @@
+import { assertInvariant, RESOURCE_DIMENSIONS } from '@chicorybend/common';
+import type { Resources } from '@chicorybend/common';
+
+import type { CandidateIndex, CandidateQuery } from '../types/candidateIndex.js';
+import type {
+  PlacementPolicy,
+  PlacementRequest,
+  PoolTotals,
+  PoolWorker,
+  WorkerPool,
+} from '../types/workerPool.js';
+import type { WorkerRecord } from '../types/workerRecord.js';
+import { addResources, NO_RESOURCES } from '../utils/dominantShare.js';
+import { countFits, toChargedUnits, toOfferedUnits, toResources } from '../utils/units.js';
+import type { Units } from '../utils/units.js';
+import { createCapacityClasses } from './capacityClasses.js';
+import { createScanIndex } from './scanIndex.js';
+
+const PROMISE = 'no-overcommit';
+
+/** Settings of {@link createWorkerPool}. */
+export interface WorkerPoolOptions {
+  /** Arrangement of the workers for the search. */
+  readonly createIndex?: (policy: PlacementPolicy) => CandidateIndex;
+}
+
+function refreshFree(worker: WorkerRecord): void {
+  RESOURCE_DIMENSIONS.forEach((dimension) => {
+    // eslint-disable-next-line no-param-reassign
+    worker.freeUnits[dimension] = Math.max(
+      0,
+      worker.capacityUnits[dimension] - worker.usedUnits[dimension],
+    );
+  });
+  // eslint-disable-next-line no-param-reassign
+  worker.free = toResources(worker.freeUnits);
+}
+
+function largestOf(left: Resources, right: Resources): Resources {
+  return {
+    processors: Math.max(left.processors, right.processors),
+    memoryBytes: Math.max(left.memoryBytes, right.memoryBytes),
+    accelerators: Math.max(left.accelerators, right.accelerators),
+  };
+}
+
+/**
+ * Creates an empty pool.
+ *
+ * @param policy scores workers that have room
+ * @param options settings
+ * @returns pool
+ */
+export function createWorkerPool(
+  policy: PlacementPolicy,
+  options: WorkerPoolOptions = {},
+): WorkerPool {
+  const workers = new Map<string, WorkerRecord>();
+  const classes = createCapacityClasses();
+  const index = (options.createIndex ?? createScanIndex)(policy);
+
+  function refresh(worker: WorkerRecord): void {
+    refreshFree(worker);
+    if (worker.isSchedulable) index.update(worker);
+  }
+
+  function charge(worker: WorkerRecord, units: Units, sign: 1 | -1): void {
+    RESOURCE_DIMENSIONS.forEach((dimension) => {
+      // eslint-disable-next-line no-param-reassign
+      worker.usedUnits[dimension] += sign * units[dimension];
+    });
+    refresh(worker);
+  }
+
+  function createRecord(worker: PoolWorker): WorkerRecord {
+    const capacityUnits = toOfferedUnits(worker.capacity);
+    return {
+      workerId: worker.workerId,
+      rack: worker.rack,
+      capacity: worker.capacity,
+      capacityUnits,
+      usedUnits: { ...NO_RESOURCES },
+      freeUnits: { ...capacityUnits },
+      free: worker.capacity,
+      isSchedulable: true,
+    };
+  }
+
+  function upsert(worker: PoolWorker): void {
+    const known = workers.get(worker.workerId);
+    const record = known ?? createRecord(worker);
+    if (known) classes.remove(known.capacityUnits);
+    record.rack = worker.rack;
+    record.capacity = worker.capacity;
+    record.capacityUnits = toOfferedUnits(worker.capacity);
+    classes.add(record.capacityUnits);
+    workers.set(worker.workerId, record);
+    refresh(record);
+  }
+
+  function allocate(workerId: string, resources: Resources): void {
+    const worker = workers.get(workerId);
+    const units = toChargedUnits(resources);
+    assertInvariant(
+      worker !== undefined && countFits(worker.freeUnits, units) >= 1,
+      PROMISE,
+      () =>
+        `worker ${workerId} has ${JSON.stringify(worker?.free)} free and was to be charged ${JSON.stringify(resources)}`,
+    );
+    charge(worker, units, 1);
+  }
+
+  function release(workerId: string, resources: Resources): void {
+    const worker = workers.get(workerId);
+    // The allocations of a worker left the pool together with it.
+    if (!worker) return;
+    const units = toChargedUnits(resources);
+    assertInvariant(
+      countFits(worker.usedUnits, units) >= 1,
+      PROMISE,
+      () => `worker ${workerId} was to give back more than it was charged`,
+    );
+    charge(worker, units, -1);
+  }
+
+  function find(request: PlacementRequest, units: Units): WorkerRecord | null {
+    const isUsable = (worker: WorkerRecord): boolean =>
+      !request.avoidWorkers.includes(worker.workerId);
+    const query = (isAllowed: CandidateQuery['isAllowed']): CandidateQuery => ({
+      resources: request.resources,
+      units,
+      isAllowed,
+    });
+    if (request.avoidRacks.length === 0) return index.find(query(isUsable));
+    const isAvoided = (worker: WorkerRecord): boolean => request.avoidRacks.includes(worker.rack);
+    return (
+      index.find(query((worker) => !isAvoided(worker) && isUsable(worker))) ??
+      index.find(query((worker) => isAvoided(worker) && isUsable(worker)))
+    );
+  }
+
+  function placeSome(request: PlacementRequest, count: number): readonly string[] {
+    const units = toChargedUnits(request.resources);
+    const chosen: WorkerRecord[] = [];
+    while (chosen.length < count) {
+      const worker = find(request, units);
+      if (!worker) break;
+      charge(worker, units, 1);
+      chosen.push(worker);
+    }
+    chosen.forEach((worker) => charge(worker, units, -1));
+    return chosen.map((worker) => worker.workerId);
+  }
+
+  function totals(): PoolTotals {
+    let freeTotal = NO_RESOURCES;
+    let freeLargest = NO_RESOURCES;
+    let capacityTotal = NO_RESOURCES;
+    workers.forEach((worker) => {
+      if (!worker.isSchedulable) return;
+      freeTotal = addResources(freeTotal, worker.free);
+      freeLargest = largestOf(freeLargest, worker.free);
+      capacityTotal = addResources(capacityTotal, worker.capacity);
+    });
+    return { freeTotal, freeLargest, capacityTotal };
+  }
+
+  return {
+    upsert,
+    remove(workerId) {
+      const worker = workers.get(workerId);
+      if (!worker) return;
+      index.remove(worker);
+      classes.remove(worker.capacityUnits);
+      workers.delete(workerId);
+    },
+    setSchedulable(workerId, isSchedulable) {
+      const worker = workers.get(workerId);
+      if (!worker) return;
+      worker.isSchedulable = isSchedulable;
+      if (isSchedulable) index.update(worker);
+      else index.remove(worker);
+    },
+    allocate,
+    adopt(workerId, resources) {
+      const worker = workers.get(workerId);
+      if (worker) charge(worker, toChargedUnits(resources), 1);
+    },
+    release,
+    freeOf: (workerId) => workers.get(workerId)?.free ?? null,
+    place: (request) => find(request, toChargedUnits(request.resources))?.workerId ?? null,
+    placeAll(request, count) {
+      const chosen = placeSome(request, count);
+      return chosen.length === count ? chosen : null;
+    },
+    placeSome,
+    explainNeverFits: classes.explainNeverFits,
+    totals,
+    size: () => workers.size,
+  };
+}
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -9,6 +9,14 @@
   WorkerPool,
 } from './types/workerPool.js';
 
+export { createWorkerPool } from './core/workerPool.js';
+export type { WorkerPoolOptions } from './core/workerPool.js';
+/** Placement policies; the last two are baselines to measure against. */
+export { createBestFitPolicy } from './plugins/bestFitPolicy.js';
+export { createSpreadPolicy } from './plugins/spreadPolicy.js';
+export { createFirstFitPolicy } from './plugins/firstFitPolicy.js';
+export { createRandomPolicy } from './plugins/randomPolicy.js';
+
 /** Order of pending work. */
 export type {
   QueuedWork,
@@ -18,6 +26,10 @@
   TaskQueue,
 } from './types/taskQueue.js';
 
+export { createTaskQueue } from './core/taskQueue.js';
+export type { TaskQueueOptions } from './core/taskQueue.js';
+export { createQueueOrderPolicy } from './core/queueOrderPolicy.js';
+
 /** Interactive requests. */
 export type {
   Admission,
@@ -26,5 +38,29 @@
   RequestQueue,
 } from './types/requestQueue.js';
 
+export { createRequestQueue } from './core/requestQueue.js';
+export type { RequestQueueOptions } from './core/requestQueue.js';
+export { createAdmission } from './core/admission.js';
+export type { AdmissionOptions } from './core/admission.js';
+
 /** Workers and jobs that fail. */
 export type { Quarantine, QuarantineVerdict } from './types/quarantine.js';
+export { createQuarantine } from './core/quarantine.js';
+export type { QuarantineOptions } from './core/quarantine.js';
+
+/** Taking resources back from teams above their share. */
+export { chooseReclaim } from './core/chooseReclaim.js';
+export { createLeastLossPolicy } from './plugins/leastLossPolicy.js';
+export type {
+  ReclaimAction,
+  ReclaimKind,
+  ReclaimNeed,
+  ReclaimPolicy,
+  ReclaimSituation,
+  ReclaimTask,
+  TeamPosition,
+} from './types/reclaim.js';
+
+/** Learning from what has run. */
+export { createRunTimeEstimator } from './core/runTimeEstimator.js';
+export type { ExecutionSample, RunTimeEstimator, UsageSample } from './core/runTimeEstimator.js';
--- /dev/null
+++ b/packages/decisions/src/plugins/spreadPolicy.ts
@@ -0,0 +1,20 @@
+import type { Resources } from '@chicorybend/common';
+
+import type { PlacementPolicy } from '../types/workerPool.js';
+import { computeFreeFractions } from '../utils/freeFractions.js';
+
+/** Keeps load even: prefers the worker with the most room in its scarcest dimension. */
+class SpreadPolicy implements PlacementPolicy {
+  readonly name = 'spread';
+
+  // eslint-disable-next-line class-methods-use-this -- required by the interface
+  score(free: Resources, capacity: Resources, resources: Resources): number {
+    const { processors, memory } = computeFreeFractions(free, capacity, resources);
+    return Math.min(processors, memory);
+  }
+}
+
+/** @returns policy that keeps load even */
+export function createSpreadPolicy(): PlacementPolicy {
+  return new SpreadPolicy();
+}
