--- /dev/null
+++ b/packages/decisions/src/__tests__/chooseReclaim.test.ts
@@ -0,0 +1,174 @@
+import test from 'ava';
+import fc from 'fast-check';
+
+import { chooseReclaim } from '../index.js';
+import type {
+  QueuePriority,
+  ReclaimAction,
+  ReclaimNeed,
+  ReclaimSituation,
+  ReclaimTask,
+} from '../index.js';
+import { PROPERTY } from './properties.js';
+
+const CAPACITY = { processors: 64, memoryBytes: 64, accelerators: 4 };
+const RANKS: Readonly<Record<QueuePriority, number>> = { urgent: 0, normal: 1, overnight: 2 };
+const TEAMS = ['over', 'far-over', 'under'];
+const WORKERS = ['worker-0', 'worker-1', 'worker-2'];
+const DIMENSIONS = ['processors', 'memoryBytes', 'accelerators'] as const;
+
+const priorityArbitrary = fc.constantFrom<QueuePriority>('urgent', 'normal', 'overnight');
+
+const resourcesArbitrary = fc.record({
+  processors: fc.integer({ min: 1, max: 8 }),
+  memoryBytes: fc.integer({ min: 1, max: 8 }),
+  accelerators: fc.nat(1),
+});
+
+const taskArbitrary = fc.record({
+  workerId: fc.constantFrom(...WORKERS),
+  team: fc.constantFrom(...TEAMS),
+  priority: priorityArbitrary,
+  resources: resourcesArbitrary,
+  throttleProcessors: fc.constantFrom(0, 0, 0.5),
+  unsavedMilliseconds: fc.nat(10_000),
+  checkpointMilliseconds: fc.option(fc.nat(500)),
+});
+
+const needArbitrary = fc.record({
+  team: fc.constantFrom('under', 'other'),
+  priority: priorityArbitrary,
+  resources: resourcesArbitrary,
+  enqueuedAt: fc.nat(100),
+});
+
+const situationArbitrary: fc.Arbitrary<ReclaimSituation> = fc.record({
+  needs: fc
+    .array(needArbitrary, { maxLength: 4 })
+    .map((needs) => needs.map((need, index) => ({ ...need, workId: `need-${index}` }))),
+  tasks: fc
+    .array(taskArbitrary, { maxLength: 14 })
+    .map((tasks) => tasks.map((task, index) => ({ ...task, taskId: `task-${index}` }))),
+  freeByWorker: fc.constant(
+    Object.fromEntries(
+      WORKERS.map((workerId) => [workerId, { processors: 1, memoryBytes: 1, accelerators: 0 }]),
+    ),
+  ),
+  teams: fc.constant({
+    over: { dominantShare: 0.4, fairShare: 0.2 },
+    'far-over': { dominantShare: 0.6, fairShare: 0.2 },
+    under: { dominantShare: 0.1, fairShare: 0.2 },
+  }),
+  capacity: fc.constant(CAPACITY),
+});
+
+const freedBy = (action: ReclaimAction, task: ReclaimTask, dimension: keyof typeof CAPACITY) => {
+  if (action.kind !== 'throttle') return task.resources[dimension];
+  return dimension === 'processors' ? task.throttleProcessors : 0;
+};
+
+function requireTrue(condition: boolean, message: string): void {
+  if (!condition) throw new Error(message);
+}
+
+function checkAction(action: ReclaimAction, task: ReclaimTask, need: ReclaimNeed): void {
+  requireTrue(task.team !== 'under', 'a team below its share lost work');
+  requireTrue(task.priority !== 'urgent', 'urgent work was reclaimed');
+  requireTrue(RANKS[task.priority] >= RANKS[need.priority], 'more urgent work was reclaimed');
+  requireTrue(
+    action.kind !== 'checkpoint' || task.checkpointMilliseconds !== null,
+    'a task was checkpointed that cannot be',
+  );
+}
+
+test('reclaimed tasks free enough, none in vain, and only from teams above their share', (t) => {
+  fc.assert(
+    fc.property(situationArbitrary, (situation) => {
+      const actions = chooseReclaim(situation);
+      const taskOf = (action: ReclaimAction): ReclaimTask =>
+        situation.tasks.find(({ taskId }) => taskId === action.taskId)!;
+      requireTrue(
+        new Set(actions.map(({ taskId }) => taskId)).size === actions.length,
+        'a task was reclaimed twice',
+      );
+      situation.needs.forEach((need) => {
+        const own = actions.filter(({ forWorkId }) => forWorkId === need.workId);
+        own.forEach((action) => checkAction(action, taskOf(action), need));
+        requireTrue(new Set(own.map(({ workerId }) => workerId)).size <= 1, 'two workers for one');
+      });
+      WORKERS.forEach((workerId) => {
+        const local = actions.filter((action) => action.workerId === workerId);
+        const served = new Set(local.map(({ forWorkId }) => forWorkId));
+        DIMENSIONS.forEach((dimension) => {
+          const freed = local.reduce(
+            (sum, action) => sum + freedBy(action, taskOf(action), dimension),
+            situation.freeByWorker[workerId]![dimension],
+          );
+          const needed = situation.needs
+            .filter(({ workId }) => served.has(workId))
+            .reduce((sum, need) => sum + need.resources[dimension], 0);
+          requireTrue(freed + 1e-9 >= needed, `too little ${dimension} was freed`);
+        });
+      });
+    }),
+    PROPERTY,
+  );
+  t.pass();
+});
+
+const TASK: ReclaimTask = {
+  taskId: 'task',
+  workerId: 'worker-0',
+  team: 'over',
+  priority: 'normal',
+  resources: { processors: 4, memoryBytes: 4, accelerators: 0 },
+  throttleProcessors: 0,
+  unsavedMilliseconds: 1_000,
+  checkpointMilliseconds: null,
+};
+
+const NEED: ReclaimNeed = {
+  workId: 'need',
+  team: 'under',
+  priority: 'normal',
+  resources: { processors: 4, memoryBytes: 4, accelerators: 0 },
+  enqueuedAt: 0,
+};
+
+const choose = (needs: readonly ReclaimNeed[], tasks: readonly ReclaimTask[], over = 0.5) =>
+  chooseReclaim({
+    needs,
+    tasks,
+    freeByWorker: { 'worker-0': { processors: 0, memoryBytes: 0, accelerators: 0 } },
+    teams: { over: { dominantShare: over, fairShare: 0.2 } },
+    capacity: CAPACITY,
+  }).map(({ kind, taskId, forWorkId }) => `${kind} ${taskId} for ${forWorkId}`);
+
+test('the mildest way is used: throttle before checkpoint before stop', (t) => {
+  const small = { ...NEED, resources: { processors: 2, memoryBytes: 0, accelerators: 0 } };
+  const task = { ...TASK, throttleProcessors: 2, checkpointMilliseconds: 100 };
+  t.deepEqual(choose([small], [task]), ['throttle task for need']);
+  t.deepEqual(choose([NEED], [task]), ['checkpoint task for need']);
+  t.deepEqual(choose([NEED], [TASK]), ['stop task for need']);
+  t.deepEqual(choose([NEED], [{ ...TASK, unsavedMilliseconds: 50, checkpointMilliseconds: 100 }]), [
+    'stop task for need',
+  ]);
+});
+
+test('the task with the least work to lose gives way', (t) => {
+  const young = { ...TASK, taskId: 'young', unsavedMilliseconds: 10 };
+  t.deepEqual(choose([NEED], [TASK, young]), ['stop young for need']);
+});
+
+test('urgent work is helped before older work of lower priority', (t) => {
+  const urgent = { ...NEED, workId: 'urgent', priority: 'urgent' as const, enqueuedAt: 9 };
+  t.deepEqual(choose([NEED, urgent], [TASK]), ['stop task for urgent']);
+});
+
+test('a team is not taken below its share', (t) => {
+  const second = { ...TASK, taskId: 'second' };
+  const needs = [NEED, { ...NEED, workId: 'need-2' }];
+  t.is(choose(needs, [TASK, second], 0.5).length, 2);
+  t.is(choose(needs, [TASK, second], 0.25).length, 1);
+  t.is(choose(needs, [TASK, second], 0.2).length, 0);
+});
--- a/packages/decisions/src/core/chooseReclaim.ts
+++ b/packages/decisions/src/core/chooseReclaim.ts
@@ -158,15 +158,18 @@
   function planOn(workerId: string, need: ReclaimNeed): Plan | null {
     const free = progress.freeByWorker.get(workerId)!;
     const missing = missingOf(need.resources, free);
-    const steps: Step[] = [];
-    const used = new Set<string>();
+    let steps: readonly Step[] = [];
     let have = free;
     stepsOn(workerId, need, missing).forEach((step) => {
-      if (covers(have, need.resources) || used.has(step.task.taskId)) return;
-      if (!isAboveShare(step.task, steps)) return;
-      steps.push(step);
-      used.add(step.task.taskId);
-      have = addResources(have, step.freed);
+      if (covers(have, need.resources)) return;
+      // A harsher step replaces a milder one on the same task that did not free enough.
+      const others = steps.filter(({ task }) => task !== step.task);
+      if (!isAboveShare(step.task, others)) return;
+      const next = [...others, step];
+      const nextHave = next.reduce((sum, { freed }) => addResources(sum, freed), free);
+      if (others.length < steps.length && !covers(nextHave, have)) return;
+      steps = next;
+      have = nextHave;
     });
     if (!covers(have, need.resources)) return null;
     const kept = dropRedundant(steps, need.resources, free);
--- a/packages/decisions/src/core/quarantine.ts
+++ b/packages/decisions/src/core/quarantine.ts
@@ -22,7 +22,10 @@
 }
 
 interface Confinement {
+  /** When the next probe is due, in monotonic milliseconds. */
   probeAt: number;
+  /** When the running probe was started, or null if none is running. */
+  probedAt: number | null;
   backoffMilliseconds: number;
 }
 
@@ -96,15 +99,23 @@
   }
 
   function confine(workerId: string, now: number): void {
-    confined.set(workerId, { probeAt: now + firstBackoff, backoffMilliseconds: firstBackoff });
+    confined.set(workerId, {
+      probeAt: now + firstBackoff,
+      probedAt: null,
+      backoffMilliseconds: firstBackoff,
+    });
     failuresOfWorker.get(workerId)?.forEach((_, jobId) => forget(failuresOfJob, jobId, workerId));
   }
 
   function failProbe(confinement: Confinement, now: number): void {
     // Tasks that ran before the quarantine also end; only the end of a probe doubles the backoff.
-    if (now < confinement.probeAt) return;
+    if (confinement.probedAt === null && now < confinement.probeAt) return;
     const backoffMilliseconds = Math.min(maximumBackoff, 2 * confinement.backoffMilliseconds);
-    Object.assign(confinement, { backoffMilliseconds, probeAt: now + backoffMilliseconds });
+    Object.assign(confinement, {
+      backoffMilliseconds,
+      probeAt: now + backoffMilliseconds,
+      probedAt: null,
+    });
   }
 
   function recordFailedEnd(workerId: string, jobId: string, now: number): QuarantineVerdict {
@@ -144,6 +155,12 @@
       const confinement = confined.get(workerId);
       return confinement !== undefined && now < confinement.probeAt;
     },
+    recordStart(workerId, now) {
+      const confinement = confined.get(workerId);
+      if (!confinement || now < confinement.probeAt) return;
+      confinement.probedAt = now;
+      confinement.probeAt = now + confinement.backoffMilliseconds;
+    },
     lift,
   };
 }
--- a/packages/decisions/src/types/quarantine.ts
+++ b/packages/decisions/src/types/quarantine.ts
@@ -15,6 +15,11 @@
   recordEnd(workerId: string, jobId: string, hasSucceeded: boolean, now: number): QuarantineVerdict;
   /** @returns whether new work must not go to the worker; false when a probe task is due */
   isQuarantined(workerId: string, now: number): boolean;
+  /**
+   * Notes that a task was started. On a quarantined worker it is the probe: the worker counts as
+   * quarantined again until the probe ends, or until another backoff has passed.
+   */
+  recordStart?(workerId: string, now: number): void;
   /** Lifts the quarantine of a worker, for an operator. */
   lift(workerId: string): void;
 }
