Measure placement decisions from 30 to 20,000 workers

The targets (6,300 placements/s, p99 under 5 ms at 20,000 workers) need a figure to start from. The rows fill a cell with 3.65 running tasks per worker, then end a task, add one and decide.

--- /dev/null
+++ b/packages/decisions/src/__performance_tests__/decisionRows.ts
@@ -0,0 +1,14 @@
+import type { BenchOptions, BenchRow } from './benchRow.js';
+import { collectPlacementRows } from './placementRows.js';
+
+export type { BenchOptions, BenchRow } from './benchRow.js';
+
+/**
+ * Measures the decisions.
+ *
+ * @param options extent
+ * @returns rows with their bounds; the bounds are the stated targets
+ */
+export async function collectDecisionRows(options: BenchOptions): Promise<readonly BenchRow[]> {
+  return [...collectPlacementRows(options)];
+}
--- /dev/null
+++ b/packages/decisions/src/__performance_tests__/placementRows.ts
@@ -0,0 +1,236 @@
+import { performance } from 'node:perf_hooks';
+
+import type { Resources } from '@chicorybend/common';
+import { build } from 'hdr-histogram-js';
+
+import {
+  createBestFitPolicy,
+  createQueueOrderPolicy,
+  createTaskQueue,
+  createWorkerPool,
+} from '../index.js';
+import type { QueuedWork, TaskQueue, WorkerPool } from '../index.js';
+import type { BenchOptions, BenchRow } from './benchRow.js';
+import { createFleet, createRandom, drawTaskSize } from './fleet.js';
+import type { Random } from './fleet.js';
+
+const SEED = 1;
+const AGING_MILLISECONDS = 60_000;
+const NANOSECONDS_PER_MILLISECOND = 1e6;
+const MILLISECONDS_PER_SECOND = 1_000;
+/** 73,000 running tasks on 20,000 workers. */
+const RUNNING_PER_WORKER = 3.65;
+const WAITING = 20_000;
+/** Targets of the design page for 20,000 workers on one core. */
+const TARGET_WORKERS = 20_000;
+const TARGET_PLACEMENTS_PER_SECOND = 6_300;
+const TARGET_P99_MILLISECONDS = 5;
+/** A cost that grows with a tenth of the number of workers would still be "far slower" than it. */
+const ALLOWED_PART_OF_GROWTH = 0.1;
+
+interface Load {
+  readonly workers: number;
+  readonly teams: number;
+  readonly decisions: number;
+}
+
+interface Measured {
+  readonly placementsPerSecond: number;
+  readonly meanMicroseconds: number;
+  readonly p99Milliseconds: number;
+  readonly longestMilliseconds: number;
+  readonly placedFraction: number;
+}
+
+interface Cell {
+  readonly pool: WorkerPool;
+  readonly queue: TaskQueue;
+  readonly running: { workerId: string; resources: Resources }[];
+  readonly random: Random;
+}
+
+const EVERYONE = (): boolean => true;
+
+function createWork(cell: Cell, load: Load, index: number): QueuedWork {
+  return {
+    workId: `task-${index}`,
+    jobId: `job-${index}`,
+    team: `team-${Math.floor(cell.random() * load.teams)}`,
+    priority: 'normal',
+    resources: drawTaskSize(cell.random),
+    tasks: 1,
+    enqueuedAt: index,
+    notBefore: 0,
+  };
+}
+
+function createCell(load: Load): Cell {
+  const pool = createWorkerPool(createBestFitPolicy());
+  const queue = createTaskQueue(createQueueOrderPolicy('share-first'), {
+    agingMilliseconds: AGING_MILLISECONDS,
+  });
+  createFleet(load.workers).forEach(pool.upsert);
+  queue.setCapacity(pool.totals().capacityTotal);
+  return { pool, queue, running: [], random: createRandom(SEED) };
+}
+
+/** Fills the cell to the stated number of running tasks, spread at random. */
+function fill(cell: Cell, load: Load): void {
+  const wanted = Math.floor(load.workers * RUNNING_PER_WORKER);
+  for (let tries = 0; cell.running.length < wanted && tries < 4 * wanted; tries += 1) {
+    const resources = drawTaskSize(cell.random);
+    const workerId = `worker-${Math.floor(cell.random() * load.workers)}`;
+    const free = cell.pool.freeOf(workerId)!;
+    const fits =
+      free.processors >= resources.processors &&
+      free.memoryBytes >= resources.memoryBytes &&
+      free.accelerators >= resources.accelerators;
+    if (fits) {
+      cell.pool.allocate(workerId, resources);
+      cell.running.push({ workerId, resources });
+    }
+  }
+}
+
+function endOne(cell: Cell): void {
+  const position = Math.floor(cell.random() * cell.running.length);
+  const ended = cell.running[position]!;
+  const last = cell.running.pop()!;
+  if (last !== ended) cell.running.splice(position, 1, last);
+  cell.pool.release(ended.workerId, ended.resources);
+}
+
+/** One decision: which work goes next, and where. */
+function decide(cell: Cell, now: number): boolean {
+  const work = cell.queue.take(now, EVERYONE)!;
+  const workerId = cell.pool.place({
+    resources: work.resources,
+    avoidRacks: [],
+    avoidWorkers: [],
+  });
+  if (workerId === null) {
+    cell.queue.add({ ...work, notBefore: now + 1_000 });
+    return false;
+  }
+  cell.pool.allocate(workerId, work.resources);
+  cell.queue.recordStart(work);
+  cell.running.push({ workerId, resources: work.resources });
+  return true;
+}
+
+/**
+ * Measures decisions in a full cell: a task ends, work arrives, one decision is made.
+ *
+ * @param load sizes
+ * @returns figures
+ */
+export function measurePlacement(load: Load): Measured {
+  const cell = createCell(load);
+  fill(cell, load);
+  for (let index = 0; index < WAITING; index += 1) cell.queue.add(createWork(cell, load, index));
+  const histogram = build({ lowestDiscernibleValue: 1, highestTrackableValue: 1e11 });
+  let placed = 0;
+  let busyMilliseconds = 0;
+  for (let index = 0; index < load.decisions; index += 1) {
+    const work = createWork(cell, load, WAITING + index);
+    const beganAt = performance.now();
+    endOne(cell);
+    cell.queue.add(work);
+    const decidedAt = performance.now();
+    if (decide(cell, WAITING + index)) placed += 1;
+    const endedAt = performance.now();
+    histogram.recordValue(Math.round((endedAt - decidedAt) * NANOSECONDS_PER_MILLISECOND));
+    busyMilliseconds += endedAt - beganAt;
+  }
+  return {
+    placementsPerSecond: (placed / busyMilliseconds) * MILLISECONDS_PER_SECOND,
+    meanMicroseconds: histogram.mean / 1_000,
+    p99Milliseconds: histogram.getValueAtPercentile(99) / NANOSECONDS_PER_MILLISECOND,
+    longestMilliseconds: histogram.maxValue / NANOSECONDS_PER_MILLISECOND,
+    placedFraction: placed / load.decisions,
+  };
+}
+
+const LOADS: readonly Load[] = [
+  { workers: 30, teams: 6, decisions: 50_000 },
+  { workers: 300, teams: 30, decisions: 50_000 },
+  { workers: 3_000, teams: 300, decisions: 50_000 },
+  { workers: TARGET_WORKERS, teams: 750, decisions: 50_000 },
+];
+
+function rowsOf(load: Load, measured: Measured): readonly BenchRow[] {
+  const isTarget = load.workers === TARGET_WORKERS;
+  const prefix = `decisions ${load.workers} workers`;
+  return [
+    {
+      name: `${prefix}: placements`,
+      measured: measured.placementsPerSecond,
+      bound: isTarget ? TARGET_PLACEMENTS_PER_SECOND : null,
+      direction: 'at-least',
+      unit: '1/s',
+    },
+    {
+      name: `${prefix}: p99 decision time`,
+      measured: measured.p99Milliseconds,
+      bound: isTarget ? TARGET_P99_MILLISECONDS : null,
+      direction: 'at-most',
+      unit: 'ms',
+    },
+    {
+      name: `${prefix}: longest decision`,
+      measured: measured.longestMilliseconds,
+      bound: null,
+      direction: 'at-most',
+      unit: 'ms',
+    },
+    {
+      name: `${prefix}: decisions that placed work`,
+      measured: measured.placedFraction,
+      bound: null,
+      direction: 'at-least',
+      unit: 'fraction',
+    },
+  ];
+}
+
+function growthRow(small: Load, large: Load, growth: number): BenchRow {
+  return {
+    name: `decisions: cost at ${large.workers} workers over cost at ${small.workers}`,
+    measured: growth,
+    bound: (ALLOWED_PART_OF_GROWTH * large.workers) / small.workers,
+    direction: 'at-most',
+    unit: 'ratio',
+  };
+}
+
+/** Short mode compares two sizes of one run with the same number of teams. */
+function collectShortRows(): readonly BenchRow[] {
+  const small = { workers: 30, teams: 30, decisions: 5_000 };
+  const large = { workers: 3_000, teams: 30, decisions: 5_000 };
+  measurePlacement(small);
+  const growth =
+    measurePlacement(large).meanMicroseconds / measurePlacement(small).meanMicroseconds;
+  return [growthRow(small, large, growth)];
+}
+
+/**
+ * Measures placement.
+ *
+ * @param options extent
+ * @returns rows
+ */
+export function collectPlacementRows({ isShort }: BenchOptions): readonly BenchRow[] {
+  if (isShort) return collectShortRows();
+  measurePlacement(LOADS[0]!);
+  const results = LOADS.map((load) => ({ load, measured: measurePlacement(load) }));
+  const first = results[0]!;
+  const last = results[results.length - 1]!;
+  return [
+    ...results.flatMap(({ load, measured }) => rowsOf(load, measured)),
+    growthRow(
+      first.load,
+      last.load,
+      last.measured.meanMicroseconds / first.measured.meanMicroseconds,
+    ),
+  ];
+}
