Add stand-ins for workers, endpoints and the VM list, and a TCP relay

The daemon's modules need counterparts that follow the protocols of the platform. The worker stand-in fences by epoch per partition, checks not-after times and leases on its own clock and does not enforce capacity, so that an overcommitment shows in the shared record of what ran. The endpoint stand-in counts requests and connections and has faults for slow, silent, late and broken answers. The relay delays, cuts and silences connections by source address of the caller.

--- /dev/null
+++ b/packages/standins/src/__tests__/relay.test.ts
@@ -0,0 +1,152 @@
+import { connect, createServer } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
+
+import test from 'ava';
+
+import { startRelay } from '../index.js';
+import type { Relay } from '../index.js';
+
+interface Caller {
+  readonly socket: Socket;
+  received(): string;
+  isClosed(): boolean;
+}
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, milliseconds);
+  });
+}
+
+async function waitFor(condition: () => boolean): Promise<void> {
+  while (!condition()) await pause(5);
+}
+
+async function startEcho(): Promise<{ server: Server; port: number; taken: () => string }> {
+  let taken = '';
+  const server = createServer((socket) => {
+    socket.on('error', () => {});
+    socket.on('data', (bytes) => {
+      taken += bytes.toString();
+      socket.write(bytes);
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return { server, port: (server.address() as AddressInfo).port, taken: () => taken };
+}
+
+async function call(relay: Relay, localAddress: string): Promise<Caller> {
+  let received = '';
+  let isClosed = false;
+  const socket = connect({ host: relay.host, port: relay.port, localAddress });
+  socket.on('error', () => {});
+  socket.on('close', () => {
+    isClosed = true;
+  });
+  socket.on('data', (bytes) => {
+    received += bytes.toString();
+  });
+  await new Promise((resolve) => {
+    socket.once('connect', resolve);
+  });
+  return { socket, received: () => received, isClosed: () => isClosed };
+}
+
+test('a cut concerns the selected caller only, and new connections work after it is cleared', async (t) => {
+  const echo = await startEcho();
+  const relay = await startRelay({ targetHost: '127.0.0.1', targetPort: echo.port });
+  const first = await call(relay, '127.0.0.11');
+  const second = await call(relay, '127.0.0.12');
+  first.socket.write('a');
+  await waitFor(() => first.received() === 'a');
+  relay.apply({ caller: '127.0.0.11' }, { kind: 'cut' });
+  await waitFor(() => first.isClosed());
+  const refused = await call(relay, '127.0.0.11');
+  await waitFor(() => refused.isClosed());
+  second.socket.write('b');
+  await waitFor(() => second.received() === 'b');
+  relay.clear({ caller: '127.0.0.11' });
+  const again = await call(relay, '127.0.0.11');
+  again.socket.write('c');
+  await waitFor(() => again.received() === 'c');
+  t.false(second.isClosed());
+  await relay.close();
+  echo.server.close();
+});
+
+test('a silence keeps connections open and what was held back arrives when it ends', async (t) => {
+  const echo = await startEcho();
+  const relay = await startRelay({ targetHost: '127.0.0.1', targetPort: echo.port });
+  const caller = await call(relay, '127.0.0.11');
+  relay.apply({}, { kind: 'silence' });
+  caller.socket.write('a');
+  await pause(100);
+  t.is(echo.taken(), '');
+  t.false(caller.isClosed());
+  relay.clear();
+  await waitFor(() => caller.received() === 'a');
+  await relay.close();
+  echo.server.close();
+});
+
+test('a silence in one direction lets the other one through', async (t) => {
+  const echo = await startEcho();
+  const relay = await startRelay({ targetHost: '127.0.0.1', targetPort: echo.port });
+  const caller = await call(relay, '127.0.0.11');
+  relay.apply({ direction: 'to-caller' }, { kind: 'silence' });
+  caller.socket.write('a');
+  await waitFor(() => echo.taken() === 'a');
+  await pause(50);
+  t.is(caller.received(), '');
+  await relay.close();
+  echo.server.close();
+});
+
+test('open connections stay silent for good while new ones work', async (t) => {
+  const echo = await startEcho();
+  const relay = await startRelay({ targetHost: '127.0.0.1', targetPort: echo.port });
+  const silenced = await call(relay, '127.0.0.11');
+  silenced.socket.write('a');
+  await waitFor(() => silenced.received() === 'a');
+  relay.silenceOpenConnections();
+  silenced.socket.write('b');
+  const fresh = await call(relay, '127.0.0.11');
+  fresh.socket.write('c');
+  await waitFor(() => fresh.received() === 'c');
+  t.is(silenced.received(), 'a');
+  t.false(silenced.isClosed());
+  await relay.close();
+  echo.server.close();
+});
+
+test('a delay keeps the order of the bytes and is not shorter than asked for', async (t) => {
+  const echo = await startEcho();
+  const relay = await startRelay({ targetHost: '127.0.0.1', targetPort: echo.port });
+  const caller = await call(relay, '127.0.0.11');
+  relay.apply({}, { kind: 'delay', delayMilliseconds: 40 });
+  const sentAt = performance.now();
+  for (const letter of 'abcdef') {
+    caller.socket.write(letter);
+    await pause(2);
+  }
+  await waitFor(() => caller.received().length === 6);
+  t.is(caller.received(), 'abcdef');
+  t.true(performance.now() - sentAt >= 80);
+  await relay.close();
+  echo.server.close();
+});
+
+test('the end of a connection is passed on, so that a dead peer is noticed', async (t) => {
+  const echo = await startEcho();
+  const relay = await startRelay({ targetHost: '127.0.0.1', targetPort: echo.port });
+  const caller = await call(relay, '127.0.0.11');
+  caller.socket.write('a');
+  await waitFor(() => caller.received() === 'a');
+  caller.socket.destroy();
+  await waitFor(() => relay.openConnections().size === 0);
+  t.pass();
+  await relay.close();
+  echo.server.close();
+});
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -8,3 +8,54 @@
   StoreStandIn,
   StoreStandInOptions,
 } from './core/storeStandIn.js';
+
+/** The platform's list of VMs. */
+export { startVmListStandIn } from './core/vmListStandIn.js';
+export type { VmListFaults, VmListStandIn, VmListStandInOptions } from './core/vmListStandIn.js';
+
+/** Workers. */
+export { startWorkerStandIn } from './core/workerStandIn.js';
+export type { WorkerFaults, WorkerStandIn, WorkerStandInOptions } from './core/workerStandIn.js';
+export { createWorkerState } from './core/workerState.js';
+export type { WorkerState, WorkerStateOptions, WorkerTaskFaults } from './core/workerState.js';
+
+/** Endpoints. */
+export { startEndpointStandIn } from './core/endpointStandIn.js';
+export type {
+  EndpointFaults,
+  EndpointPeaks,
+  EndpointStandIn,
+  EndpointStandInOptions,
+} from './core/endpointStandIn.js';
+export type { RequestPayload, TaskPayload } from './types/payload.js';
+
+/** Links between processes. */
+export { startRelay } from './core/relay.js';
+export type {
+  Relay,
+  RelayDirection,
+  RelayFault,
+  RelayOptions,
+  RelaySelector,
+} from './core/relay.js';
+
+/** Record of what really ran. */
+export { createRunRecord } from './core/runRecord.js';
+export type { RunRecord } from './core/runRecord.js';
+export type {
+  ConnectionsEntry,
+  EndpointUpEntry,
+  RequestEndedEntry,
+  RequestStartedEntry,
+  RunEntry,
+  RunEntryOf,
+  RunEntryType,
+  TaskEndedEntry,
+  TaskStartedEntry,
+  WorkerDownEntry,
+  WorkerUpEntry,
+} from './types/runEntry.js';
+
+/** Servers on ports that stay free over a restart. */
+export { listenOnStablePort } from './utils/httpHost.js';
+export type { HostPlace } from './utils/httpHost.js';
