--- /dev/null
+++ b/packages/proving/src/core/checkAcceptedJobs.ts
@@ -0,0 +1,53 @@
+import type { JobState } from '@chicorybend/common';
+import type { RunEntry } from '@chicorybend/standins';
+
+import type { JobObservation } from '../types/observation.js';
+import type { Violation } from '../types/violation.js';
+
+const FINAL_STATES: ReadonlySet<JobState> = new Set([
+  'succeeded',
+  'failed',
+  'cancelled',
+  'unknown',
+  'held',
+]);
+
+function findSucceededTasks(entries: readonly RunEntry[]): ReadonlySet<string> {
+  const ends = entries.flatMap((entry) =>
+    entry.type === 'task-ended' && entry.end === 'succeeded' ? [entry.taskId] : [],
+  );
+  return new Set(ends);
+}
+
+function describeLoss(job: JobObservation, succeeded: ReadonlySet<string>): string[] {
+  const isAccepted = job.outcomes.some((outcome) => outcome.kind === 'answered');
+  if (!isAccepted) return [];
+  const view = job.finalView;
+  if (!view) return ['its state cannot be read'];
+  if (!FINAL_STATES.has(view.state)) return [`job ${view.jobId} is still ${view.state}`];
+  return view.tasks
+    .filter((task) => task.state === 'succeeded' && !succeeded.has(task.taskId))
+    .map((task) => `task ${task.taskId} is reported as succeeded and has no such execution`);
+}
+
+/**
+ * Checks that every accepted job reaches an end, and that tasks reported as succeeded have succeeded at a worker.
+ * Meant for the end of a run, after faults are over and services were cancelled.
+ *
+ * @param entries record of what ran
+ * @param jobs jobs as their callers saw them
+ * @returns violations
+ */
+export function checkAcceptedJobs(
+  entries: readonly RunEntry[],
+  jobs: readonly JobObservation[],
+): Violation[] {
+  const succeeded = findSucceededTasks(entries);
+  return jobs.flatMap((job) =>
+    describeLoss(job, succeeded).map((reason): Violation => ({
+      kind: 'accepted-job-lost',
+      marker: job.marker,
+      reason,
+    })),
+  );
+}
--- /dev/null
+++ b/packages/proving/src/types/observation.ts
@@ -0,0 +1,73 @@
+import type { FailureCode, JobKind, JobView, RunOutcome } from '@chicorybend/common';
+
+/** What a caller saw of one call. */
+export type CallOutcome<Value> =
+  | { readonly kind: 'answered'; readonly value: Value }
+  /** A failure body with its statement on whether the work was run. */
+  | {
+      readonly kind: 'failed';
+      readonly status: number;
+      readonly run: RunOutcome;
+      readonly code: FailureCode;
+      readonly message: string;
+      readonly retryAfterMilliseconds?: number;
+    }
+  /** No whole answer; the work may have been run. */
+  | { readonly kind: 'lost'; readonly reason: string };
+
+/** An interactive request as its caller saw it. */
+export interface RequestObservation {
+  /** Unique mark in the payload, copied by the endpoint stand-in into its record. */
+  readonly marker: string;
+  /** Team that is charged. */
+  readonly team: string;
+  readonly queue: string;
+  readonly daemonId: string;
+  readonly isIdempotent: boolean;
+  /** Result that the payload asks the endpoint for. */
+  readonly expectedResult: unknown;
+  /** Wall-clock times in milliseconds since the Unix epoch. */
+  readonly sentAt: number;
+  readonly endedAt: number;
+  /** Outcomes of the call and of its repetitions under the same idempotency key, in order. */
+  readonly outcomes: readonly CallOutcome<{
+    readonly requestId: string;
+    readonly endpointId: string;
+    readonly result: unknown;
+  }>[];
+}
+
+/** A job as its caller saw it. */
+export interface JobObservation {
+  /** Unique mark in the payload, copied by the worker stand-in into its record. */
+  readonly marker: string;
+  readonly team: string;
+  readonly queue: string;
+  readonly kind: JobKind;
+  readonly tasks: number;
+  readonly isIdempotent: boolean;
+  /** Result that the payload asks each task for. */
+  readonly expectedResult: unknown;
+  /** Wall-clock time in milliseconds since the Unix epoch. */
+  readonly sentAt: number;
+  /** Outcomes of the submission and of its repetitions under the same idempotency key, in order. */
+  readonly outcomes: readonly CallOutcome<{ readonly jobId: string }>[];
+  /** State of the job at the end of the run; null if it could not be read. */
+  readonly finalView: JobView | null;
+}
+
+/** Upper limits of a team, in effect from a time on. */
+export interface TeamLimit {
+  readonly team: string;
+  /** Wall-clock time in milliseconds since the Unix epoch. */
+  readonly from: number;
+  readonly tasks: number;
+  readonly requests: number;
+}
+
+/** Everything that callers and operators saw. */
+export interface Observations {
+  readonly requests: readonly RequestObservation[];
+  readonly jobs: readonly JobObservation[];
+  readonly limits: readonly TeamLimit[];
+}
