Add the settings reader and the configuration document

The daemon needs checked settings with errors that name flag, variable and value, and the operators' document needs one parser that refuses it as a whole with the place and reason of each fault, and a comparison by section.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -107,3 +107,15 @@
   TeamSettings,
   TeamsSection,
 } from './types/configuration.js';
+
+/** Configuration document: parsing, merging and comparing. */
+export { parseConfiguration } from './core/configurationDocument.js';
+export { diffDocuments } from './core/configurationDiff.js';
+export type { SectionDifference, ValueDifference } from './core/configurationDiff.js';
+export {
+  REQUIRED_SECTIONS,
+  SECTION_LIMIT_BYTES,
+  sectionKindOf,
+} from './core/configurationSections.js';
+export type { SectionKind } from './core/configurationSections.js';
+export { canonicalJson } from './utils/canonicalJson.js';
--- /dev/null
+++ b/packages/common/src/utils/canonicalJson.ts
@@ -0,0 +1,26 @@
+type Entry = readonly [string, unknown];
+
+function compareEntries(left: Entry, right: Entry): number {
+  if (left[0] === right[0]) return 0;
+  return left[0] < right[0] ? -1 : 1;
+}
+
+function sortKeys(value: unknown): unknown {
+  if (Array.isArray(value)) return value.map(sortKeys);
+  if (value === null || typeof value !== 'object') return value;
+  const entries = Object.entries(value)
+    .filter(([, item]) => item !== undefined)
+    .sort(compareEntries)
+    .map(([key, item]): Entry => [key, sortKeys(item)]);
+  return Object.fromEntries(entries);
+}
+
+/**
+ * Writes a JSON value with the keys of each object in order, so that equal values have equal texts.
+ *
+ * @param value JSON value
+ * @returns JSON text
+ */
+export function canonicalJson(value: unknown): string {
+  return JSON.stringify(sortKeys(value)) ?? 'null';
+}
--- /dev/null
+++ b/packages/daemon/src/core/settingsReader.ts
@@ -0,0 +1,93 @@
+import { parseArgs } from 'node:util';
+
+import { Err, Ok } from '@chicorybend/common';
+import type { Result } from '@chicorybend/common';
+import type { z } from 'zod';
+
+import { settingsSchema } from '../types/settings.js';
+import type { Settings } from '../types/settings.js';
+import { describeSettings, SECRET_SETTINGS } from './settingsHelp.js';
+import type { SettingDescription } from './settingsHelp.js';
+
+/** Environment variables by name. */
+export type Environment = Readonly<Record<string, string | undefined>>;
+
+type RawSettings = Readonly<Record<string, string>>;
+
+/** Reads the flags without judging them, so that each fault gets the same kind of text. */
+function readFlags(
+  argv: readonly string[],
+  settings: readonly SettingDescription[],
+): Result<RawSettings, string> {
+  const known = new Map(settings.map((setting) => [setting.flag.slice(2), setting]));
+  const options = Object.fromEntries(
+    [...known.keys()].map((flag) => [flag, { type: 'string' as const }]),
+  );
+  const { tokens } = parseArgs({
+    args: [...argv],
+    options,
+    strict: false,
+    allowPositionals: true,
+    tokens: true,
+  });
+  const values: Record<string, string> = {};
+  for (const token of tokens) {
+    if (token.kind === 'positional') return Err(`Unexpected argument ${token.value}.`);
+    if (token.kind === 'option') {
+      const setting = known.get(token.name);
+      if (!setting) return Err(`Unknown setting ${token.rawName}. --help lists the settings.`);
+      if (token.value === undefined || token.value === '') {
+        return Err(`Setting ${setting.flag} needs a value: ${setting.description}.`);
+      }
+      values[setting.name] = token.value;
+    }
+  }
+  return Ok(values);
+}
+
+function readVariables(
+  environment: Environment,
+  settings: readonly SettingDescription[],
+): RawSettings {
+  const present = settings.flatMap((setting) => {
+    const value = environment[setting.variable];
+    return value === undefined || value === '' ? [] : [[setting.name, value] as const];
+  });
+  return Object.fromEntries(present);
+}
+
+function describeIssue(
+  issue: z.core.$ZodIssue,
+  raw: RawSettings,
+  settings: readonly SettingDescription[],
+): string {
+  const name = String(issue.path[0] ?? '');
+  const setting = settings.find((candidate) => candidate.name === name);
+  if (!setting) return issue.message;
+  const place = `Setting ${setting.flag} (${setting.variable})`;
+  const value = raw[name];
+  if (value === undefined) return `${place} is missing: ${setting.description}.`;
+  const shown = SECRET_SETTINGS.has(name) ? '' : ` "${value}"`;
+  return `${place} has a wrong value${shown}: ${issue.message}. It is: ${setting.description}.`;
+}
+
+/**
+ * Reads the daemon's settings from flags and environment variables; a flag goes before its variable.
+ *
+ * @param argv arguments after the program's name
+ * @param environment environment variables
+ * @returns checked settings, or a text that names each wrong setting, its value and what is allowed; values of
+ * secret settings are left out
+ */
+export function readSettings(
+  argv: readonly string[],
+  environment: Environment,
+): Result<Settings, string> {
+  const settings = describeSettings();
+  const flags = readFlags(argv, settings);
+  if (flags.isErr()) return flags;
+  const raw = { ...readVariables(environment, settings), ...flags.value };
+  const parsed = settingsSchema.safeParse(raw);
+  if (parsed.success) return Ok(parsed.data);
+  return Err(parsed.error.issues.map((issue) => describeIssue(issue, raw, settings)).join('\n'));
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -33,3 +33,9 @@
   WorkerView,
 } from './types/peerMethods.js';
 export type { VmDirectory } from './types/vmDirectory.js';
+
+/** Settings. */
+export { readSettings } from './core/settingsReader.js';
+export type { Environment } from './core/settingsReader.js';
+export { describeSettings, formatSettingsHelp } from './core/settingsHelp.js';
+export type { SettingDescription, SettingName } from './core/settingsHelp.js';
