Add the configuration service, keyring, audit trail and operators' HTTP interface

Daemons need one configuration in effect that never reverts, keys that stop at once when revoked, and changes by operators that are applied once or refused as a whole. The audit entry of a change is written before the root's compare-and-swap and becomes current with it.

--- a/packages/common/src/utils/errors.ts
+++ b/packages/common/src/utils/errors.ts
@@ -146,6 +146,11 @@
     run: 'not-run',
     text: 'A majority of the daemons did not acknowledge the change; it was not applied.',
   },
+  'configuration-busy': {
+    status: 503,
+    run: 'not-run',
+    text: 'Other changes of the configuration kept coming first; nothing was changed.',
+  },
   'configuration-unknown': {
     status: 502,
     run: 'unknown',
--- /dev/null
+++ b/packages/daemon/src/__tests__/configurationCell.ts
@@ -0,0 +1,352 @@
+import { randomUUID } from 'node:crypto';
+
+import {
+  createFailure,
+  createLocalCounters,
+  createManualClock,
+  createSilentLog,
+  Err,
+  Ok,
+  sha256,
+} from '@chicorybend/common';
+import type {
+  Failure,
+  LocalCounters,
+  ManualClock,
+  PutOutcome,
+  Result,
+  StoreClient,
+  StoreEntry,
+  StoreError,
+  StoreWireEntry,
+} from '@chicorybend/common';
+import { startStoreStandIn } from '@chicorybend/standins';
+import type { StoreStandIn } from '@chicorybend/standins';
+
+import { createConfigurationService } from '../core/configurationService.js';
+import type { ConfigurationService } from '../core/configurationService.js';
+import type { OperatorIdentity, SectionEdits } from '../types/configurationRecords.js';
+import type { MembershipView, PeerReport } from '../types/membershipView.js';
+import type { PeerHandler, PeerLink, PeerMethod } from '../types/peer.js';
+
+const TICK_MILLISECONDS = 250;
+const HEARTBEAT_MILLISECONDS = 500;
+const CONTACT_MILLISECONDS = 2_500;
+const PUMP_LIMIT = 1_000;
+
+/** Faults of one daemon's way to the store. */
+export interface StorePath {
+  isCut: boolean;
+  /** Called before each write; may throw to stop the daemon at this point for good. */
+  beforePut: (key: string) => void;
+  /** Outcome of the next write of the key with a lost answer. */
+  loseAnswerOf: { key: string; isApplied: boolean; isCutAfterwards?: boolean } | null;
+}
+
+/** A daemon of the test cell: the service with stubs around it. */
+export interface TestDaemon {
+  readonly id: string;
+  readonly service: ConfigurationService;
+  readonly storePath: StorePath;
+  readonly counters: LocalCounters;
+  readonly link: PeerLink;
+  readonly membership: MembershipView;
+  /** Cuts the way to the store. */
+  cutStore(): void;
+}
+
+/** Daemons with a manual clock, a link whose pairs can be cut, and the store stand-in's content. */
+export interface TestCell {
+  readonly clock: ManualClock;
+  readonly store: StoreStandIn;
+  daemon(id: string): TestDaemon;
+  /** Creates a daemon, or creates it again as after a restart. */
+  create(id: string, storeClient?: StoreClient): TestDaemon;
+  /** Takes a daemon out: it hears and answers nothing. */
+  remove(id: string): void;
+  cut(left: string, right: string): void;
+  mend(left: string, right: string): void;
+  /** Moves time on with heartbeats and polls. */
+  advance(milliseconds: number): Promise<void>;
+  /** Moves time on until a promise is settled. */
+  settle<Value>(promise: Promise<Value>): Promise<Value>;
+  close(): Promise<void>;
+}
+
+/** Lets all work that waits for no timer run. */
+export function flush(): Promise<void> {
+  return new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+}
+
+const CUT_ERROR: StoreError = { kind: 'unavailable', message: 'cut off' };
+
+function decode<Data>(entry: StoreWireEntry): StoreEntry<Data> {
+  const { data } = JSON.parse(entry.value) as { data: Data };
+  return { key: entry.key, version: entry.version, data };
+}
+
+/** Store client that works on the stand-in's content without waiting, so that the manual clock rules. */
+function createDirectStoreClient(store: StoreStandIn, storePath: StorePath): StoreClient {
+  const { state } = store;
+  const path = storePath;
+  const unused = async () => Err(CUT_ERROR);
+  function write(key: string, data: unknown, expectedVersion: number): PutOutcome {
+    const value = JSON.stringify({ writeId: randomUUID(), data });
+    const outcome = state.put(key, value, expectedVersion);
+    if (outcome.written) return { kind: 'written', version: outcome.version };
+    const current = outcome.current ? decode(outcome.current) : null;
+    return { kind: 'conflict', current, certain: true };
+  }
+  return {
+    calls: { reads: 0, writes: 0 },
+    async get<Data>(key: string): Promise<Result<StoreEntry<Data> | null, StoreError>> {
+      if (path.isCut) return Err(CUT_ERROR);
+      const entry = state.get(key);
+      return Ok(entry ? decode<Data>(entry) : null);
+    },
+    async put({ key, data, expectedVersion }): Promise<Result<PutOutcome, StoreError>> {
+      path.beforePut(key);
+      if (path.isCut) return Err(CUT_ERROR);
+      const lost = path.loseAnswerOf;
+      if (lost?.key !== key) return Ok(write(key, data, expectedVersion));
+      path.loseAnswerOf = null;
+      if (lost.isApplied) write(key, data, expectedVersion);
+      path.isCut = lost.isCutAfterwards ?? false;
+      return Err({ kind: 'unresolved', message: 'no answer' });
+    },
+    async delete(key, expectedVersion) {
+      return path.isCut ? Err(CUT_ERROR) : Ok(state.delete(key, expectedVersion));
+    },
+    async list<Data>(prefix: string): Promise<Result<readonly StoreEntry<Data>[], StoreError>> {
+      if (path.isCut) return Err(CUT_ERROR);
+      return Ok(state.list(prefix).map((entry) => decode<Data>(entry)));
+    },
+    grantLease: unused,
+    renewLease: unused,
+    revokeLease: unused,
+    close: async () => undefined,
+  };
+}
+
+/**
+ * Creates a cell of configuration services.
+ *
+ * @param memberIds members of the cell
+ * @returns the cell; the daemons are created by the test
+ */
+export async function createTestCell(memberIds: readonly string[]): Promise<TestCell> {
+  const clock = createManualClock();
+  const store = await startStoreStandIn();
+  const daemons = new Map<string, TestDaemon>();
+  const handlers = new Map<string, Map<string, unknown>>();
+  const reports = new Map<string, Map<string, PeerReport>>();
+  const cuts = new Set<string>();
+  let heartbeatAt = 0;
+
+  const pairOf = (left: string, right: string) => [left, right].sort().join('|');
+  const isConnected = (left: string, right: string) =>
+    daemons.has(left) && daemons.has(right) && !cuts.has(pairOf(left, right));
+
+  function createLink(selfId: string): PeerLink {
+    return {
+      async call(daemonId, method, params, deadlineMilliseconds) {
+        const handler = handlers.get(daemonId)?.get(method) as PeerHandler<PeerMethod> | undefined;
+        if (!isConnected(selfId, daemonId) || !handler) {
+          return Err({ kind: 'not-sent', reason: 'cut' });
+        }
+        const copy = JSON.parse(JSON.stringify(params)) as never;
+        const context = { from: selfId, remainingMilliseconds: deadlineMilliseconds };
+        const answer = (await handler(copy, context)) as Result<unknown, Failure>;
+        if (answer.isErr()) return Err({ kind: 'refused', failure: answer.error });
+        return Ok(JSON.parse(JSON.stringify(answer.value)) as never);
+      },
+      handle(method, handler) {
+        handlers.get(selfId)?.set(method, handler);
+      },
+    };
+  }
+
+  function createMembership(selfId: string): MembershipView {
+    const members = memberIds.map((daemonId) => ({
+      daemonId,
+      incarnation: daemonId,
+      peerAddress: '127.0.0.1:1',
+      apiAddress: 'http://127.0.0.1:1',
+      dataCentre: 'east',
+    }));
+    const ownReports = () => [...(reports.get(selfId)?.values() ?? [])];
+    const isHeard = (daemonId: string) =>
+      daemonId === selfId ||
+      ownReports().some(
+        (report) =>
+          report.daemonId === daemonId &&
+          clock.monotonicMilliseconds() - report.heardAt <= CONTACT_MILLISECONDS,
+      );
+    return {
+      selfId,
+      record: () => ({ version: 1, members }),
+      liveMembers: () => members.filter((member) => isHeard(member.daemonId)),
+      reports: ownReports,
+      isInContactWithMajority: () =>
+        members.filter((member) => isHeard(member.daemonId)).length > members.length / 2,
+      mayAct: () => true,
+    };
+  }
+
+  function exchangeHeartbeats(): void {
+    const now = clock.monotonicMilliseconds();
+    daemons.forEach((receiver) =>
+      daemons.forEach((sender) => {
+        if (receiver === sender || !isConnected(receiver.id, sender.id)) return;
+        const facts = sender.service.heartbeatFacts();
+        reports.get(receiver.id)?.set(sender.id, {
+          daemonId: sender.id,
+          heardAt: now,
+          configurationRevision: facts.configurationRevision,
+          freshAt: now - facts.freshnessAgeMilliseconds,
+          isDraining: false,
+        });
+      }),
+    );
+  }
+
+  function create(id: string, storeClient?: StoreClient): TestDaemon {
+    daemons.get(id)?.service.stop();
+    handlers.set(id, new Map());
+    reports.set(id, new Map());
+    const storePath: StorePath = {
+      isCut: false,
+      beforePut: () => undefined,
+      loseAnswerOf: null,
+    };
+    const link = createLink(id);
+    const membership = createMembership(id);
+    const counters = createLocalCounters();
+    const service = createConfigurationService({
+      clock,
+      store: storeClient ?? createDirectStoreClient(store, storePath),
+      link,
+      membership,
+      log: createSilentLog(),
+      counters,
+    });
+    const cutStore = () => {
+      storePath.isCut = true;
+    };
+    const daemon = { id, service, storePath, counters, link, membership, cutStore };
+    daemons.set(id, daemon);
+    return daemon;
+  }
+
+  async function step(): Promise<void> {
+    clock.advance(TICK_MILLISECONDS);
+    await flush();
+    if (clock.monotonicMilliseconds() - heartbeatAt < HEARTBEAT_MILLISECONDS) return;
+    heartbeatAt = clock.monotonicMilliseconds();
+    exchangeHeartbeats();
+    await flush();
+  }
+
+  return {
+    clock,
+    store,
+    create,
+    daemon(id) {
+      const daemon = daemons.get(id);
+      if (!daemon) throw new Error(`no daemon ${id}`);
+      return daemon;
+    },
+    remove(id) {
+      daemons.get(id)?.service.stop();
+      daemons.delete(id);
+    },
+    cut: (left, right) => cuts.add(pairOf(left, right)),
+    mend: (left, right) => cuts.delete(pairOf(left, right)),
+    async advance(milliseconds) {
+      const end = clock.monotonicMilliseconds() + milliseconds;
+      while (clock.monotonicMilliseconds() < end) await step();
+    },
+    async settle(promise) {
+      let isSettled = false;
+      const done = () => {
+        isSettled = true;
+      };
+      promise.then(done, done);
+      await flush();
+      for (let steps = 0; !isSettled && steps < PUMP_LIMIT; steps += 1) await step();
+      return promise;
+    },
+    async close() {
+      daemons.forEach((daemon) => daemon.service.stop());
+      await store.close();
+    },
+  };
+}
+
+/** The bootstrap operator. */
+export const BOOTSTRAP: OperatorIdentity = { name: 'bootstrap', tokenHash: null };
+
+/** Secret of the key `k1` of {@link FIRST_DOCUMENT}. */
+export const FIRST_KEY = 'cb_k1_secret';
+
+/** A small valid document. */
+export const FIRST_DOCUMENT: SectionEdits = {
+  cell: { name: 'test' },
+  policy: { order: 'share-first' },
+  teams: {
+    harbour: { share: 2, limits: { tasks: 10, requests: 10 } },
+    sorting: { share: 1, limits: { tasks: 5, requests: 5 } },
+  },
+  queues: { quotes: { kind: 'interactive', access: 'keyed', teams: ['harbour'] } },
+  keys: {
+    k1: { team: 'harbour', secretHash: sha256('secret'), issuedAt: 1, issuedBy: 'bootstrap' },
+  },
+};
+
+/** Sections that revoke the key `k1`. */
+export const REVOKE_FIRST_KEY: SectionEdits = {
+  keys: {
+    k1: {
+      team: 'harbour',
+      secretHash: sha256('secret'),
+      issuedAt: 1,
+      issuedBy: 'bootstrap',
+      revokedAt: 2,
+    },
+  },
+};
+
+/** Applies sections through a daemon. */
+export function apply(
+  cell: TestCell,
+  daemonId: string,
+  baseRevision: number,
+  sections: SectionEdits,
+  operator: OperatorIdentity = BOOTSTRAP,
+) {
+  return cell.settle(
+    cell.daemon(daemonId).service.change({
+      operator,
+      action: 'configuration.apply',
+      subject: null,
+      edit: () => Ok({ baseRevision, sections }),
+    }),
+  );
+}
+
+/** Creates a cell with all daemons started and the first document in effect. */
+export async function createStartedCell(memberIds: readonly string[]): Promise<TestCell> {
+  const cell = await createTestCell(memberIds);
+  for (const id of memberIds) await cell.create(id).service.start();
+  await cell.advance(1_000);
+  const applied = await apply(cell, memberIds[0] ?? '', 0, FIRST_DOCUMENT);
+  if (applied.isErr()) throw new Error(createFailure(applied.error.code).message);
+  return cell;
+}
+
+/** @returns code of a refusal, or `accepted` */
+export function codeOf(result: Result<unknown, Failure>): string {
+  return result.isErr() ? result.error.code : 'accepted';
+}
--- /dev/null
+++ b/packages/daemon/src/core/audit.ts
@@ -0,0 +1,151 @@
+import { randomUUID } from 'node:crypto';
+
+import { Ok } from '@chicorybend/common';
+import type { Result, StoreClient, StoreEntry, StoreError } from '@chicorybend/common';
+
+import type { AuditEntry, AuditPointer, StoredRoot } from '../types/configurationRecords.js';
+
+/** Entries per page; a page is read with one call. */
+export const AUDIT_PAGE_ENTRIES = 100;
+/** Pages kept: 20,000 entries, more than a day at 18,000 changes per day. */
+export const AUDIT_PAGES_KEPT = 200;
+const NUMBER_WIDTH = 10;
+const AUDIT_PREFIX = 'configuration/audit/';
+
+/** What an entry says beside its place in the trail. */
+export type AuditFacts = Omit<AuditEntry, 'sequence' | 'entryId' | 'previousEntryId'>;
+
+/** Entries as read, newest first. */
+export interface AuditReading {
+  readonly entries: readonly AuditEntry[];
+  /** Whether older entries were removed or not asked for. */
+  readonly isTruncated: boolean;
+}
+
+/**
+ * Audit trail in the store. An entry is written before the root that names it and becomes current with that root's
+ * compare-and-swap; entries name their predecessors. So no operation is without its entry, and an entry whose
+ * operation did not happen is not part of the trail.
+ */
+export interface AuditTrail {
+  /**
+   * Writes the entry that will follow the root's newest one.
+   *
+   * @param root root that the operation is based on
+   * @param facts content of the entry
+   * @returns pointer for the next root
+   */
+  prepare(root: StoredRoot, facts: AuditFacts): Promise<Result<AuditPointer, StoreError>>;
+  /** @returns whether an entry is part of the trail that ends at the root */
+  contains(root: StoredRoot, pointer: AuditPointer): Promise<Result<boolean, StoreError>>;
+  /** Reads entries that match, newest first. */
+  read(
+    root: StoredRoot,
+    limit: number,
+    isWanted?: (entry: AuditEntry) => boolean,
+  ): Promise<Result<AuditReading, StoreError>>;
+  /** Deletes one page over the number kept. */
+  trim(root: StoredRoot): Promise<void>;
+}
+
+function pageOf(sequence: number): number {
+  return Math.floor(sequence / AUDIT_PAGE_ENTRIES);
+}
+
+function pagePrefix(page: number): string {
+  return `${AUDIT_PREFIX}${String(page).padStart(NUMBER_WIDTH, '0')}/`;
+}
+
+function entryKey(sequence: number, entryId: string): string {
+  return `${pagePrefix(pageOf(sequence))}${String(sequence).padStart(NUMBER_WIDTH, '0')}-${entryId}`;
+}
+
+/**
+ * Gives access to the audit trail.
+ *
+ * @param store client of the platform's store
+ * @returns the trail
+ */
+export function createAuditTrail(store: StoreClient): AuditTrail {
+  /** Pages below were deleted by this daemon; the next root says so. */
+  let trimmedUpTo = 0;
+
+  async function readPage(
+    page: number,
+  ): Promise<Result<ReadonlyMap<string, AuditEntry>, StoreError>> {
+    const listed = await store.list<AuditEntry>(pagePrefix(page));
+    return listed.map(
+      (entries) =>
+        new Map(
+          entries.map((entry: StoreEntry<AuditEntry>) => [entry.data.entryId, entry.data] as const),
+        ),
+    );
+  }
+
+  /** Walks the trail from its newest entry back until the visitor returns false. */
+  async function walk(
+    pointer: AuditPointer | null,
+    visit: (entry: AuditEntry) => boolean,
+  ): Promise<Result<void, StoreError>> {
+    let nextId = pointer?.entryId ?? null;
+    let page = pageOf(pointer?.sequence ?? 0);
+    while (nextId !== null && page >= (pointer?.firstPage ?? 0)) {
+      const entries = await readPage(page);
+      if (entries.isErr()) return entries;
+      for (let entry = entries.value.get(nextId); entry;) {
+        if (!visit(entry)) return Ok(undefined);
+        nextId = entry.previousEntryId;
+        entry = nextId === null ? undefined : entries.value.get(nextId);
+      }
+      page -= 1;
+    }
+    return Ok(undefined);
+  }
+
+  return {
+    async prepare(root, facts) {
+      const sequence = (root.audit?.sequence ?? 0) + 1;
+      const entryId = randomUUID();
+      const entry: AuditEntry = {
+        ...facts,
+        sequence,
+        entryId,
+        previousEntryId: root.audit?.entryId ?? null,
+      };
+      const key = entryKey(sequence, entryId);
+      const written = await store.put({ key, data: entry, expectedVersion: 0 });
+      const firstPage = Math.max(root.audit?.firstPage ?? 0, trimmedUpTo);
+      return written.map(() => ({ sequence, entryId, firstPage }));
+    },
+    async contains(root, pointer) {
+      let isFound = false;
+      const walked = await walk(root.audit, (entry) => {
+        isFound = entry.entryId === pointer.entryId;
+        return !isFound && entry.sequence > pointer.sequence;
+      });
+      return walked.map(() => isFound);
+    },
+    async read(root, limit, isWanted = () => true) {
+      const entries: AuditEntry[] = [];
+      let oldest = 1;
+      const walked = await walk(root.audit, (entry) => {
+        oldest = entry.sequence;
+        if (isWanted(entry)) entries.push(entry);
+        return entries.length < limit;
+      });
+      return walked.map(() => ({ entries, isTruncated: oldest > 1 }));
+    },
+    async trim(root) {
+      if (!root.audit) return;
+      const page = Math.max(root.audit.firstPage, trimmedUpTo);
+      if (pageOf(root.audit.sequence) - page < AUDIT_PAGES_KEPT) return;
+      const listed = await store.list(pagePrefix(page));
+      if (listed.isErr()) return;
+      for (const entry of listed.value) {
+        const deleted = await store.delete(entry.key, entry.version);
+        if (deleted.isErr()) return;
+      }
+      trimmedUpTo = page + 1;
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/core/configurationChange.ts
@@ -0,0 +1,260 @@
+import { createFailure, Err, Ok } from '@chicorybend/common';
+import type { Clock, Configuration, Failure, Result } from '@chicorybend/common';
+
+import type {
+  AuditAction,
+  AuditPointer,
+  ConfigurationSnapshot,
+  OperatorIdentity,
+  SectionEdits,
+  StoredRoot,
+} from '../types/configurationRecords.js';
+import type { AuditFacts, AuditTrail } from './audit.js';
+import { boundDifferences } from './auditDifferences.js';
+import { checkEdit, checkRights } from './configurationEdit.js';
+import type { CheckedEdit, RequestedEdit } from './configurationEdit.js';
+import { describeReadError } from './configurationStore.js';
+import type { ConfigurationStore } from './configurationStore.js';
+import type { RootWriter, SwapOutcome } from './rootWriter.js';
+
+/** Changes that meet another change of other sections are tried again on the newer revision. */
+const CHANGE_ATTEMPTS = 8;
+/**
+ * Time from the announcement to the last sending of the root, in milliseconds. It leaves 4 s of the 10 s for which
+ * announced revocations are enforced.
+ */
+const WRITE_LIMIT_MILLISECONDS = 6_000;
+
+/** A change to make. */
+export interface ChangeRequest {
+  readonly operator: OperatorIdentity;
+  readonly action: AuditAction;
+  readonly subject: string | null;
+  /** Computes the change from the current configuration; called again if another change comes first. */
+  edit(snapshot: ConfigurationSnapshot): Result<RequestedEdit, Failure>;
+}
+
+/** An operation that changes no configuration but belongs in the audit trail. */
+export interface OperationRecord {
+  readonly operator: OperatorIdentity;
+  readonly action: AuditAction;
+  readonly subject: string;
+  /** Section that the operator must be allowed to change. */
+  readonly section: string;
+}
+
+/** A change that is in the store. */
+export interface WrittenChange {
+  readonly root: StoredRoot;
+  readonly configuration: Configuration | null;
+  /** Empty if nothing had to change. */
+  readonly changedSections: readonly string[];
+  /** Monotonic time before the change was written, in milliseconds. */
+  readonly writtenAfter: number;
+  /** Values that the change replaced. */
+  readonly replacedSections: Readonly<Record<string, string>>;
+}
+
+/** Makes changes in the store. */
+export interface ConfigurationChanger {
+  change(request: ChangeRequest): Promise<Result<WrittenChange, Failure>>;
+  record(operation: OperationRecord): Promise<Result<void, Failure>>;
+}
+
+/** What the changer needs. */
+export interface ConfigurationChangerOptions {
+  readonly clock: Clock;
+  readonly daemonId: string;
+  readonly configurationStore: ConfigurationStore;
+  readonly audit: AuditTrail;
+  readonly rootWriter: RootWriter;
+  /** @returns whether a majority of the members enforces the revocations */
+  announce(revokedKeys: readonly string[]): Promise<boolean>;
+}
+
+function replacedHashes(
+  root: StoredRoot,
+  names: readonly string[],
+): Readonly<Record<string, string>> {
+  const replaced = names.flatMap((name) => {
+    const hash = root.sections[name];
+    return hash === undefined ? [] : [[name, hash] as const];
+  });
+  return Object.fromEntries(replaced);
+}
+
+function mergeHashes(
+  former: Readonly<Record<string, string>>,
+  edits: SectionEdits,
+  written: Readonly<Record<string, string>>,
+): Readonly<Record<string, string>> {
+  const kept = Object.entries(former).filter(([name]) => !Object.hasOwn(edits, name));
+  return { ...Object.fromEntries(kept), ...written };
+}
+
+function swapFailure(outcome: Exclude<SwapOutcome, { kind: 'written' }>): Failure {
+  if (outcome.kind === 'unknown') return createFailure('configuration-unknown');
+  if (outcome.kind === 'no-effect') return createFailure('store-unavailable');
+  return createFailure('configuration-busy');
+}
+
+/**
+ * Creates the part of the service that changes the configuration in the store.
+ *
+ * @param options store, audit trail and announcement
+ * @returns the changer
+ */
+export function createConfigurationChanger(
+  options: ConfigurationChangerOptions,
+): ConfigurationChanger {
+  const { clock, configurationStore, audit, rootWriter } = options;
+
+  function describeChange(
+    request: ChangeRequest,
+    snapshot: ConfigurationSnapshot,
+    edit: CheckedEdit,
+  ): AuditFacts {
+    return {
+      operator: request.operator.name,
+      daemonId: options.daemonId,
+      action: request.action,
+      subject: request.subject,
+      at: clock.wallMilliseconds(),
+      fromRevision: snapshot.root.revision,
+      toRevision: snapshot.root.revision + 1,
+      sections: Object.keys(edit.edits),
+      ...boundDifferences(edit.differences),
+    };
+  }
+
+  function nextRoot(
+    request: ChangeRequest,
+    snapshot: ConfigurationSnapshot,
+    edit: CheckedEdit,
+    written: Readonly<Record<string, string>>,
+    pointer: AuditPointer,
+  ): StoredRoot & { audit: AuditPointer } {
+    const { root } = snapshot;
+    const revision = root.revision + 1;
+    const changedSections = Object.keys(edit.edits);
+    const lastChange = { revision, changedBy: request.operator.name };
+    return {
+      revision,
+      sections: mergeHashes(root.sections, edit.edits, written),
+      changedBy: request.operator.name,
+      changedAt: clock.wallMilliseconds(),
+      changedSections,
+      lastChanges: {
+        ...root.lastChanges,
+        ...Object.fromEntries(changedSections.map((name) => [name, lastChange])),
+      },
+      audit: pointer,
+    };
+  }
+
+  /** Writes the sections and the audit entry, and makes them current with the root. */
+  async function write(
+    request: ChangeRequest,
+    snapshot: ConfigurationSnapshot,
+    edit: CheckedEdit,
+    sendBefore: number,
+  ): Promise<{ outcome: SwapOutcome; root: StoredRoot }> {
+    const failed = (message: string) => ({
+      outcome: { kind: 'no-effect' as const, message },
+      root: snapshot.root,
+    });
+    const revision = snapshot.root.revision + 1;
+    const written = await configurationStore.writeSections(revision, edit.edits);
+    if (written.isErr()) return failed(written.error.message);
+    const pointer = await audit.prepare(snapshot.root, describeChange(request, snapshot, edit));
+    if (pointer.isErr()) return failed(pointer.error.message);
+    const root = nextRoot(request, snapshot, edit, written.value, pointer.value);
+    const outcome = await rootWriter.swap({
+      root,
+      expectedVersion: snapshot.version,
+      sendBefore,
+    });
+    return { outcome, root };
+  }
+
+  /** @returns the written change, a refusal, or null if another change came first */
+  async function attemptChange(
+    request: ChangeRequest,
+  ): Promise<Result<WrittenChange | null, Failure>> {
+    const writtenAfter = clock.monotonicMilliseconds();
+    const reading = await configurationStore.readSnapshot();
+    if (reading.isErr()) return Err(describeReadError(reading.error));
+    const snapshot = reading.value;
+    const edit = request
+      .edit(snapshot)
+      .andThen((asked) => checkEdit(snapshot, request.operator, asked));
+    if (edit.isErr()) return edit;
+    const changedSections = Object.keys(edit.value.edits);
+    if (changedSections.length === 0) {
+      const { root, configuration } = snapshot;
+      return Ok({ root, configuration, changedSections, writtenAfter, replacedSections: {} });
+    }
+    const sendBefore = clock.monotonicMilliseconds() + WRITE_LIMIT_MILLISECONDS;
+    if (!(await options.announce(edit.value.revokedKeys))) {
+      return Err(createFailure('announcement-refused'));
+    }
+    const { outcome, root } = await write(request, snapshot, edit.value, sendBefore);
+    if (outcome.kind === 'lost') return Ok(null);
+    if (outcome.kind !== 'written') return Err(swapFailure(outcome));
+    return Ok({
+      root,
+      configuration: edit.value.configuration,
+      changedSections,
+      writtenAfter,
+      replacedSections: replacedHashes(snapshot.root, changedSections),
+    });
+  }
+
+  /** @returns success, a refusal, or null if another change came first */
+  async function attemptRecord(operation: OperationRecord): Promise<Result<true | null, Failure>> {
+    const reading = await configurationStore.readSnapshot();
+    if (reading.isErr()) return Err(describeReadError(reading.error));
+    const { root, version, configuration } = reading.value;
+    const allowed = checkRights(operation.operator, configuration, [operation.section]);
+    if (allowed.isErr()) return allowed;
+    const pointer = await audit.prepare(root, {
+      operator: operation.operator.name,
+      daemonId: options.daemonId,
+      action: operation.action,
+      subject: operation.subject,
+      at: clock.wallMilliseconds(),
+      fromRevision: root.revision,
+      toRevision: root.revision,
+      sections: [],
+      differences: [],
+      omittedDifferences: 0,
+    });
+    if (pointer.isErr()) return Err(createFailure('store-unavailable'));
+    const outcome = await rootWriter.swap({
+      root: { ...root, audit: pointer.value },
+      expectedVersion: version,
+      sendBefore: clock.monotonicMilliseconds() + WRITE_LIMIT_MILLISECONDS,
+    });
+    if (outcome.kind === 'lost') return Ok(null);
+    return outcome.kind === 'written' ? Ok(true) : Err(swapFailure(outcome));
+  }
+
+  async function repeat<Value>(
+    attempt: () => Promise<Result<Value | null, Failure>>,
+  ): Promise<Result<Value, Failure>> {
+    for (let attempts = 0; attempts < CHANGE_ATTEMPTS; attempts += 1) {
+      const outcome = await attempt();
+      if (outcome.isErr()) return outcome;
+      if (outcome.value !== null) return Ok(outcome.value);
+    }
+    return Err(swapFailure({ kind: 'lost' }));
+  }
+
+  return {
+    change: (request) => repeat(() => attemptChange(request)),
+    async record(operation) {
+      const recorded = await repeat(() => attemptRecord(operation));
+      return recorded.map(() => undefined);
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/core/configurationEdit.ts
@@ -0,0 +1,169 @@
+import { createFailure, diffDocuments, Err, Ok, parseConfiguration } from '@chicorybend/common';
+import type {
+  Configuration,
+  ConfigurationDocument,
+  Failure,
+  FailureDetail,
+  Result,
+  SectionDifference,
+} from '@chicorybend/common';
+
+import type {
+  ConfigurationSnapshot,
+  OperatorIdentity,
+  SectionEdits,
+} from '../types/configurationRecords.js';
+
+/** A change as an operator asks for it. */
+export interface RequestedEdit {
+  /** Revision that the operator has seen. */
+  readonly baseRevision: number;
+  readonly sections: SectionEdits;
+}
+
+/** A change that was checked against the current configuration. */
+export interface CheckedEdit {
+  readonly document: ConfigurationDocument;
+  readonly configuration: Configuration;
+  /** Sections that differ from the current ones. */
+  readonly edits: SectionEdits;
+  readonly differences: readonly SectionDifference[];
+  /** Keys that work now and would not any more. */
+  readonly revokedKeys: readonly string[];
+}
+
+function applyEdits(
+  document: ConfigurationDocument,
+  sections: SectionEdits,
+): ConfigurationDocument {
+  const merged = new Map(Object.entries(document));
+  Object.entries(sections).forEach(([name, content]) => {
+    if (content === null) merged.delete(name);
+    else merged.set(name, content);
+  });
+  return Object.fromEntries(merged);
+}
+
+/**
+ * Checks whether an operator may change sections.
+ *
+ * @param operator who asks
+ * @param configuration current configuration, null if there is none
+ * @param sections names of sections
+ * @returns success, or `operator-required` or `section-not-allowed`
+ */
+export function checkRights(
+  operator: OperatorIdentity,
+  configuration: Configuration | null,
+  sections: readonly string[],
+): Result<void, Failure> {
+  if (operator.tokenHash === null) return Ok(undefined);
+  const record = configuration?.operators[operator.name];
+  // The operator was authenticated by an older revision perhaps, and has been removed since.
+  if (record?.tokenHash !== operator.tokenHash) return Err(createFailure('operator-required'));
+  const forbidden = sections.find(
+    (section) => !record.sections.includes('*') && !record.sections.includes(section),
+  );
+  if (forbidden === undefined) return Ok(undefined);
+  return Err(createFailure('section-not-allowed', { operator: operator.name, section: forbidden }));
+}
+
+/** Finds a section that someone else changed after the operator's revision. */
+function checkConflicts(
+  snapshot: ConfigurationSnapshot,
+  baseRevision: number,
+  sections: readonly string[],
+): Result<void, Failure> {
+  const { lastChanges } = snapshot.root;
+  const section = sections.find((name) => (lastChanges[name]?.revision ?? 0) > baseRevision);
+  const change = section === undefined ? undefined : lastChanges[section];
+  if (section === undefined || change === undefined) return Ok(undefined);
+  return Err(
+    createFailure('configuration-conflict', {
+      section,
+      changedBy: change.changedBy,
+      revision: change.revision,
+      base: baseRevision,
+    }),
+  );
+}
+
+/** A key keeps its team and secret for life, and does not work again once revoked. */
+function checkKeyHistory(before: Configuration | null, after: Configuration): FailureDetail[] {
+  return Object.entries(before?.keys ?? {}).flatMap(([keyId, former]) => {
+    const next = after.keys[keyId];
+    if (!next) return [];
+    const faults: FailureDetail[] = [];
+    if (next.team !== former.team || next.secretHash !== former.secretHash) {
+      faults.push({ path: `keys.${keyId}`, reason: 'team and secret of a key cannot change' });
+    }
+    if (former.revokedAt !== undefined && next.revokedAt === undefined) {
+      faults.push({
+        path: `keys.${keyId}.revokedAt`,
+        reason: 'a revoked key cannot be made valid again; issue a new key',
+      });
+    }
+    return faults;
+  });
+}
+
+function findRevokedKeys(before: Configuration | null, after: Configuration): readonly string[] {
+  return Object.entries(before?.keys ?? {})
+    .filter(([, record]) => record.revokedAt === undefined)
+    .map(([keyId]) => keyId)
+    .filter((keyId) => {
+      const next = after.keys[keyId];
+      return !next || next.revokedAt !== undefined;
+    });
+}
+
+function refuseDocument(details: readonly FailureDetail[]): Failure {
+  return createFailure('invalid-configuration', {}, { details });
+}
+
+function checkBase(snapshot: ConfigurationSnapshot, baseRevision: number): Result<void, Failure> {
+  const { revision } = snapshot.root;
+  if (baseRevision <= revision) return Ok(undefined);
+  return Err(
+    refuseDocument([
+      {
+        path: 'baseRevision',
+        reason: `revision ${baseRevision} does not exist; the newest is ${revision}`,
+      },
+    ]),
+  );
+}
+
+/**
+ * Checks a change as a whole against the current configuration. Sections that are the same as now are left out, so
+ * that a change that was applied already can be sent again.
+ *
+ * @param snapshot current configuration
+ * @param operator who asks
+ * @param requested what is asked for
+ * @returns the change, or why it is refused
+ */
+export function checkEdit(
+  snapshot: ConfigurationSnapshot,
+  operator: OperatorIdentity,
+  requested: RequestedEdit,
+): Result<CheckedEdit, Failure> {
+  const document = applyEdits(snapshot.document, requested.sections);
+  const differences = diffDocuments(snapshot.document, document);
+  const changed = differences.map((difference) => difference.section);
+  const checked = checkBase(snapshot, requested.baseRevision)
+    .andThen(() => checkRights(operator, snapshot.configuration, changed))
+    .andThen(() => checkConflicts(snapshot, requested.baseRevision, changed));
+  if (checked.isErr()) return checked;
+  const parsed = parseConfiguration(document, snapshot.root.revision + 1);
+  if (parsed.isErr()) return Err(refuseDocument(parsed.error));
+  const faults = checkKeyHistory(snapshot.configuration, parsed.value);
+  if (faults.length > 0) return Err(refuseDocument(faults));
+  return Ok({
+    document,
+    configuration: parsed.value,
+    edits: Object.fromEntries(changed.map((name) => [name, document[name] ?? null])),
+    differences,
+    revokedKeys: findRevokedKeys(snapshot.configuration, parsed.value),
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/core/configurationStore.ts
@@ -0,0 +1,199 @@
+import {
+  canonicalJson,
+  createFailure,
+  Err,
+  Ok,
+  parseConfiguration,
+  sha256,
+} from '@chicorybend/common';
+import type { Failure, Result, StoreClient, StoreError } from '@chicorybend/common';
+
+import type {
+  ConfigurationSnapshot,
+  RootReading,
+  SectionEdits,
+  StoredRoot,
+} from '../types/configurationRecords.js';
+
+/** Key of the root in the store. */
+export const ROOT_KEY = 'configuration/root';
+const SECTIONS_PREFIX = 'configuration/sections/';
+
+/** Why the configuration could not be read. */
+export interface ConfigurationReadError {
+  readonly kind: 'store' | 'invalid';
+  readonly message: string;
+}
+
+/** A section as stored. The revision makes each writing a value of its own, which can be deleted once replaced. */
+interface SectionValue {
+  readonly revision: number;
+  readonly content: unknown;
+}
+
+/** The configuration's values in the platform's store. */
+export interface ConfigurationStore {
+  readRoot(deadlineMilliseconds?: number): Promise<Result<RootReading, StoreError>>;
+  /** Reads the root and all sections; sections that were read before come from memory. */
+  readSnapshot(
+    deadlineMilliseconds?: number,
+  ): Promise<Result<ConfigurationSnapshot, ConfigurationReadError>>;
+  /**
+   * Writes sections for a revision that is not current yet.
+   *
+   * @returns hash by section name
+   */
+  writeSections(
+    revision: number,
+    edits: SectionEdits,
+  ): Promise<Result<Readonly<Record<string, string>>, StoreError>>;
+  /** Deletes the values of sections that a newer revision replaced. */
+  deleteSections(sections: Readonly<Record<string, string>>): Promise<void>;
+  /** Deletes values that no revision can name any more, such as those of changes that were not finished. */
+  sweepSections(): Promise<void>;
+}
+
+/** A section may be replaced and deleted between the reading of the root and its own; then the root is read again. */
+const SNAPSHOT_ATTEMPTS = 4;
+const EMPTY_ROOT: StoredRoot = {
+  revision: 0,
+  sections: {},
+  changedBy: '',
+  changedAt: 0,
+  changedSections: [],
+  lastChanges: {},
+  audit: null,
+};
+
+function sectionKey(name: string, hash: string): string {
+  return `${SECTIONS_PREFIX}${name}/${hash}`;
+}
+
+/**
+ * Describes a failed reading to an operator.
+ *
+ * @param error why the configuration could not be read
+ * @returns the failure
+ */
+export function describeReadError(error: ConfigurationReadError): Failure {
+  if (error.kind === 'store') return createFailure('store-unavailable');
+  return createFailure('internal-error', {
+    reason: `this daemon cannot read the stored configuration: ${error.message}`,
+  });
+}
+
+function toReadError(error: StoreError): ConfigurationReadError {
+  return { kind: 'store', message: error.message };
+}
+
+/**
+ * Gives access to the configuration in the platform's store.
+ *
+ * @param store client of the platform's store
+ * @returns the configuration's values
+ */
+export function createConfigurationStore(store: StoreClient): ConfigurationStore {
+  let cache = new Map<string, unknown>();
+
+  async function readRoot(deadlineMilliseconds?: number): Promise<Result<RootReading, StoreError>> {
+    const options = deadlineMilliseconds === undefined ? {} : { deadlineMilliseconds };
+    const entry = await store.get<StoredRoot>(ROOT_KEY, options);
+    return entry.map((found) =>
+      found ? { root: found.data, version: found.version } : { root: EMPTY_ROOT, version: 0 },
+    );
+  }
+
+  /** @returns content of each section, or null if one of them is gone */
+  async function readSections(
+    root: StoredRoot,
+  ): Promise<Result<Map<string, unknown> | null, StoreError>> {
+    const contents = new Map<string, unknown>();
+    for (const [name, hash] of Object.entries(root.sections)) {
+      if (cache.has(hash)) {
+        contents.set(name, cache.get(hash));
+      } else {
+        const entry = await store.get<SectionValue>(sectionKey(name, hash));
+        if (entry.isErr()) return entry;
+        if (entry.value === null) return Ok(null);
+        contents.set(name, entry.value.data.content);
+      }
+    }
+    return Ok(contents);
+  }
+
+  function assemble(
+    reading: RootReading,
+    contents: Map<string, unknown>,
+  ): Result<ConfigurationSnapshot, ConfigurationReadError> {
+    const { root } = reading;
+    const document = Object.fromEntries(contents);
+    cache = new Map([...contents].map(([name, content]) => [root.sections[name] ?? '', content]));
+    if (root.revision === 0) return Ok({ ...reading, document, configuration: null });
+    return parseConfiguration(document, root.revision)
+      .map((configuration) => ({ ...reading, document, configuration }))
+      .mapErr((faults) => ({
+        kind: 'invalid' as const,
+        message: faults.map((fault) => `${fault.path}: ${fault.reason}`).join('; '),
+      }));
+  }
+
+  async function writeSection(
+    name: string,
+    value: SectionValue,
+  ): Promise<Result<string, StoreError>> {
+    const hash = sha256(canonicalJson(value));
+    const key = sectionKey(name, hash);
+    // A conflict means that the same value is there already.
+    const outcome = await store.put({ key, data: value, expectedVersion: 0 });
+    return outcome.map(() => hash);
+  }
+
+  async function deleteEntry(key: string): Promise<void> {
+    const entry = await store.get(key);
+    if (entry.isErr() || entry.value === null) return;
+    await store.delete(key, entry.value.version);
+  }
+
+  return {
+    readRoot,
+    async readSnapshot(deadlineMilliseconds) {
+      for (let attempt = 0; attempt < SNAPSHOT_ATTEMPTS; attempt += 1) {
+        const reading = await readRoot(deadlineMilliseconds);
+        if (reading.isErr()) return reading.mapErr(toReadError);
+        const contents = await readSections(reading.value.root);
+        if (contents.isErr()) return contents.mapErr(toReadError);
+        if (contents.value !== null) return assemble(reading.value, contents.value);
+      }
+      return Err({ kind: 'store', message: 'sections were replaced while they were read' });
+    },
+    async writeSections(revision, edits) {
+      const hashes: Record<string, string> = {};
+      for (const [name, content] of Object.entries(edits)) {
+        if (content !== null) {
+          const hash = await writeSection(name, { revision, content });
+          if (hash.isErr()) return hash;
+          hashes[name] = hash.value;
+        }
+      }
+      return Ok(hashes);
+    },
+    async deleteSections(sections) {
+      for (const [name, hash] of Object.entries(sections)) {
+        await deleteEntry(sectionKey(name, hash));
+      }
+    },
+    async sweepSections() {
+      const entries = await store.list<SectionValue>(SECTIONS_PREFIX);
+      const reading = await readRoot();
+      if (entries.isErr() || reading.isErr()) return;
+      const { root } = reading.value;
+      const named = new Set(
+        Object.entries(root.sections).map(([name, hash]) => sectionKey(name, hash)),
+      );
+      const unnamed = entries.value.filter(
+        (entry) => !named.has(entry.key) && entry.data.revision <= root.revision,
+      );
+      for (const entry of unnamed) await store.delete(entry.key, entry.version);
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/core/keyChanges.ts
@@ -0,0 +1,93 @@
+import { createFailure, Err, Ok, sectionKindOf } from '@chicorybend/common';
+import type { Failure, KeysSection, Result } from '@chicorybend/common';
+
+import type { ConfigurationSnapshot, OperatorIdentity } from '../types/configurationRecords.js';
+import type { ChangeRequest } from './configurationChange.js';
+import type { RequestedEdit } from './configurationEdit.js';
+import type { NewKey } from './keyring.js';
+
+/** Section that new keys go to unless another one is named. */
+export const DEFAULT_KEYS_SECTION = 'keys';
+
+/** What a new key is for. */
+export interface KeyIssue {
+  readonly operator: OperatorIdentity;
+  readonly team: string;
+  readonly section: string;
+  readonly key: NewKey;
+  /** Wall-clock time in milliseconds since the Unix epoch. */
+  readonly issuedAt: number;
+}
+
+function readKeys(snapshot: ConfigurationSnapshot, section: string): KeysSection {
+  return (snapshot.document[section] ?? {}) as KeysSection;
+}
+
+function addKey(snapshot: ConfigurationSnapshot, issue: KeyIssue): Result<RequestedEdit, Failure> {
+  const { team, section, key, issuedAt } = issue;
+  if (!snapshot.configuration?.teams[team]) return Err(createFailure('unknown-team', { team }));
+  const record = {
+    team,
+    secretHash: key.secretHash,
+    issuedAt,
+    issuedBy: issue.operator.name,
+  };
+  return Ok({
+    baseRevision: snapshot.root.revision,
+    sections: { [section]: { ...readKeys(snapshot, section), [key.keyId]: record } },
+  });
+}
+
+function revokeKey(
+  snapshot: ConfigurationSnapshot,
+  keyId: string,
+  revokedAt: number,
+): Result<RequestedEdit, Failure> {
+  const section = Object.keys(snapshot.document).find(
+    (name) => sectionKindOf(name) === 'keys' && Object.hasOwn(readKeys(snapshot, name), keyId),
+  );
+  const keys = section === undefined ? {} : readKeys(snapshot, section);
+  const record = keys[keyId];
+  if (section === undefined || !record) return Err(createFailure('unknown-key', { keyId }));
+  const revoked = record.revokedAt === undefined ? { ...record, revokedAt } : record;
+  return Ok({
+    baseRevision: snapshot.root.revision,
+    sections: { [section]: { ...keys, [keyId]: revoked } },
+  });
+}
+
+/**
+ * Describes the change that adds a key.
+ *
+ * @param issue key and team
+ * @returns the change
+ */
+export function describeKeyIssue(issue: KeyIssue): ChangeRequest {
+  return {
+    operator: issue.operator,
+    action: 'keys.issue',
+    subject: issue.key.keyId,
+    edit: (snapshot) => addKey(snapshot, issue),
+  };
+}
+
+/**
+ * Describes the change that revokes a key. A key that is revoked already stays as it is.
+ *
+ * @param operator who asks
+ * @param keyId key to revoke
+ * @param revokedAt wall-clock time in milliseconds since the Unix epoch
+ * @returns the change
+ */
+export function describeKeyRevocation(
+  operator: OperatorIdentity,
+  keyId: string,
+  revokedAt: number,
+): ChangeRequest {
+  return {
+    operator,
+    action: 'keys.revoke',
+    subject: keyId,
+    edit: (snapshot) => revokeKey(snapshot, keyId, revokedAt),
+  };
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -39,3 +39,18 @@
 export type { Environment } from './core/settingsReader.js';
 export { describeSettings, formatSettingsHelp } from './core/settingsHelp.js';
 export type { SettingDescription, SettingName } from './core/settingsHelp.js';
+
+/** Configuration service, its records and the operators' HTTP interface. */
+export { createConfigurationService } from './core/configurationService.js';
+export type {
+  CheckOutcome,
+  ConfigurationHeartbeatFacts,
+  ConfigurationService,
+  ConfigurationServiceOptions,
+  StoredDocument,
+} from './core/configurationService.js';
+export type { AuditAction, AuditEntry, ChangeOutcome } from './types/configurationRecords.js';
+export type { AuditReading } from './core/audit.js';
+export type { DaemonReport, MissingPartition, PartitionReport } from './core/cellReports.js';
+export { registerOperatorApi } from './core/operatorApi.js';
+export type { OperatorApiOptions } from './core/operatorApi.js';
