Add the workers' side of durable work

Cause: durable tasks need an owner of each worker that seals it, keeps its capacity and renews its leases.

--- a/packages/common/src/types/worker.ts
+++ b/packages/common/src/types/worker.ts
@@ -104,6 +104,8 @@
 export interface RenewRequest extends WorkerCommand {
   readonly leaseMilliseconds: number;
   readonly acknowledged: readonly TaskAttempt[];
+  /** On the worker's monotonic clock; a renewal that arrives later extends no lease. */
+  readonly notAfterWorkerMilliseconds?: number;
 }
 
 /** Same content as a seal. */
--- /dev/null
+++ b/packages/daemon/src/core/jobState.ts
@@ -0,0 +1,390 @@
+/**
+ * State of the jobs of one partition, folded from journal records. Every record can be applied twice: a
+ * snapshot may hold the effect of records that are replayed after it.
+ */
+import { assertInvariant, loadStateChart } from '@chicorybend/common';
+import type { JobRequest, TaskState } from '@chicorybend/common';
+
+import type {
+  JobAcceptedRecord,
+  JobStateRecord,
+  JournalRecord,
+  TaskEndedRecord,
+  TaskIntentRecord,
+  TaskNotStartedRecord,
+  TaskSnapshot,
+  UsageRecord,
+} from '../types/journalRecord.js';
+
+import { eventsOfEnd, isEnding, mayRunAgain } from './taskRules.js';
+import { createUsageLedger } from './usage.js';
+import type { UsageLedger } from './usage.js';
+
+/** Time for which an ended job and its idempotency key are remembered. */
+export const JOB_RETENTION_MILLISECONDS = 24 * 3_600_000;
+
+const chart = loadStateChart<TaskState>('task');
+
+/** One task of a job. */
+export interface Task {
+  readonly taskId: string;
+  state: TaskState;
+  /** Number of the last execution that was intended; 0 before the first. */
+  attempt: number;
+  failures: number;
+  /** Whether any intent was not certainly without effect. */
+  mayHaveRun: boolean;
+  workerId: string | null;
+  workerPartition: number | null;
+  incarnation: string | null;
+  result: unknown;
+  /** Attempts whose usage has been counted. */
+  countedAttempts: number[];
+}
+
+/** One accepted job. */
+export interface Job {
+  readonly jobId: string;
+  readonly team: string;
+  readonly request: JobRequest;
+  readonly accepted: JobAcceptedRecord;
+  readonly tasks: Task[];
+  /** Number of tasks in each state. */
+  readonly counts: Record<TaskState, number>;
+  isCancelled: boolean;
+  isHeld: boolean;
+  /** Wall-clock time in milliseconds since the Unix epoch. */
+  endedAt: number | null;
+  /** Distinct workers on which an execution failed. */
+  failedWorkers: string[];
+}
+
+/** State of the jobs of one partition. */
+export interface JobsState {
+  readonly jobs: Map<string, Job>;
+  /** Job ids by team and idempotency key. */
+  readonly keys: Map<string, string>;
+  readonly usage: UsageLedger;
+}
+
+/** A task with its job. */
+export interface LocatedTask {
+  readonly job: Job;
+  readonly task: Task;
+}
+
+/**
+ * Creates the state of a partition without jobs.
+ *
+ * @returns the state
+ */
+export function createJobsState(): JobsState {
+  return { jobs: new Map(), keys: new Map(), usage: createUsageLedger() };
+}
+
+/**
+ * @param team team of the caller
+ * @param idempotencyKey key that the caller gave
+ * @returns key of the idempotency table
+ */
+export function keyOf(team: string, idempotencyKey: string): string {
+  return `${team}/${idempotencyKey}`;
+}
+
+/**
+ * @param state state of the partition
+ * @param taskId `<jobId>/<index>`
+ * @returns the task and its job, or null if the job is not known
+ */
+export function findTask(state: JobsState, taskId: string): LocatedTask | null {
+  const separator = taskId.lastIndexOf('/');
+  const job = state.jobs.get(taskId.slice(0, separator));
+  const task = job?.tasks[Number(taskId.slice(separator + 1))];
+  return job && task ? { job, task } : null;
+}
+
+/**
+ * Moves a task along its state chart.
+ *
+ * @param job job of the task
+ * @param task task to move
+ * @param event event of the state chart
+ * @throws InvariantError if the task's state does not take the event
+ */
+export function advanceTask(job: Job, task: Task, event: string): void {
+  const next = chart.advance(task.state, event);
+  job.counts[task.state] -= 1;
+  job.counts[next] += 1;
+  task.state = next;
+}
+
+/**
+ * @param task task to judge
+ * @returns whether an execution of it was intended and has not ended
+ */
+export function isExecuting(task: Task): boolean {
+  return task.state === 'intended' || task.state === 'running';
+}
+
+function createCounts(): Record<TaskState, number> {
+  return {
+    pending: 0,
+    reserved: 0,
+    intended: 0,
+    running: 0,
+    lost: 0,
+    succeeded: 0,
+    failed: 0,
+    cancelled: 0,
+    unknown: 0,
+  };
+}
+
+function createTask(taskId: string): Task {
+  return {
+    taskId,
+    state: chart.initial,
+    attempt: 0,
+    failures: 0,
+    mayHaveRun: false,
+    workerId: null,
+    workerPartition: null,
+    incarnation: null,
+    result: undefined,
+    countedAttempts: [],
+  };
+}
+
+function addJob(state: JobsState, accepted: JobAcceptedRecord, tasks: Task[]): Job {
+  const job: Job = {
+    jobId: accepted.jobId,
+    team: accepted.team,
+    request: accepted.request,
+    accepted,
+    tasks,
+    counts: createCounts(),
+    isCancelled: false,
+    isHeld: false,
+    endedAt: null,
+    failedWorkers: [],
+  };
+  tasks.forEach((task) => {
+    job.counts[task.state] += 1;
+  });
+  state.jobs.set(job.jobId, job);
+  state.keys.set(keyOf(job.team, accepted.idempotencyKey), job.jobId);
+  return job;
+}
+
+function acceptJob(state: JobsState, record: JobAcceptedRecord): void {
+  if (state.jobs.has(record.jobId)) return;
+  const tasks = Array.from({ length: record.request.tasks }, (_, index) =>
+    createTask(`${record.jobId}/${index}`),
+  );
+  addJob(state, record, tasks);
+}
+
+function restoreTask(taskId: string, snapshot: TaskSnapshot): Task {
+  return {
+    ...createTask(taskId),
+    state: snapshot.state,
+    attempt: snapshot.attempt,
+    failures: snapshot.failures,
+    mayHaveRun: snapshot.mayHaveRun,
+    workerId: snapshot.workerId ?? null,
+    workerPartition: snapshot.workerPartition ?? null,
+    incarnation: snapshot.incarnation ?? null,
+    result: snapshot.result,
+    countedAttempts: [...(snapshot.countedAttempts ?? [])],
+  };
+}
+
+function restoreJob(state: JobsState, record: JobStateRecord): void {
+  const { accepted } = record;
+  if (state.jobs.has(accepted.jobId)) return;
+  const tasks = record.tasks.map((task, index) => restoreTask(`${accepted.jobId}/${index}`, task));
+  const job = addJob(state, accepted, tasks);
+  job.isCancelled = record.isCancelled;
+  job.isHeld = record.isHeld;
+  job.endedAt = record.endedAt;
+  job.failedWorkers = [...record.failedWorkers];
+}
+
+function markEnded(job: Job, wallMilliseconds: number): void {
+  const { succeeded, failed, cancelled, unknown } = job.counts;
+  if (succeeded + failed + cancelled + unknown === job.tasks.length) job.endedAt = wallMilliseconds;
+}
+
+function cancelWaiting(job: Job): void {
+  if (job.counts.pending + job.counts.reserved === 0) return;
+  job.tasks.forEach((task) => {
+    if (task.state === 'pending' || task.state === 'reserved') advanceTask(job, task, 'CANCELLED');
+  });
+}
+
+function intendTask(state: JobsState, record: TaskIntentRecord): void {
+  const located = findTask(state, record.taskId);
+  if (!located || record.attempt <= located.task.attempt) return;
+  const { job, task } = located;
+  assertInvariant(!isExecuting(task), 'one-place', () => `${record.taskId} is ${task.state}`);
+  assertInvariant(
+    !task.mayHaveRun || mayRunAgain(job),
+    'at-most-once',
+    () => `${record.taskId} may have run and is not idempotent`,
+  );
+  if (task.state === 'pending') advanceTask(job, task, 'RESERVED');
+  advanceTask(job, task, 'INTENT_DURABLE');
+  task.attempt = record.attempt;
+  task.mayHaveRun = true;
+  task.workerId = record.workerId;
+  task.workerPartition = record.workerPartition;
+  task.incarnation = record.incarnation ?? null;
+}
+
+function undoIntent(state: JobsState, record: TaskNotStartedRecord): void {
+  const located = findTask(state, record.taskId);
+  if (!located || located.task.attempt !== record.attempt) return;
+  const { job, task } = located;
+  if (task.state !== 'intended') return;
+  advanceTask(job, task, 'NOT_STARTED');
+  // An idempotent task may have run in an earlier attempt, which matters to no rule.
+  task.mayHaveRun = false;
+  task.workerId = null;
+  if (isEnding(job)) {
+    advanceTask(job, task, 'CANCELLED');
+    markEnded(job, record.decidedAt ?? job.accepted.acceptedAt);
+  }
+}
+
+function countUsage(state: JobsState, record: TaskEndedRecord | UsageRecord): void {
+  const located = findTask(state, record.taskId);
+  if (!located || record.endedAt <= record.startedAt) return;
+  const { job, task } = located;
+  if (task.countedAttempts.includes(record.attempt)) return;
+  task.countedAttempts.push(record.attempt);
+  const { startedAt, endedAt } = record;
+  const { queue, resources } = job.request;
+  state.usage.add({ team: job.team, queue, startedAt, endedAt, resources });
+}
+
+function noteFailure(job: Job, task: Task, record: TaskEndedRecord): void {
+  if (record.end !== 'failed') return;
+  task.failures += 1;
+  if (!job.failedWorkers.includes(record.workerId)) job.failedWorkers.push(record.workerId);
+}
+
+function endTask(state: JobsState, record: TaskEndedRecord): void {
+  countUsage(state, record);
+  const located = findTask(state, record.taskId);
+  if (!located || located.task.attempt !== record.attempt || !isExecuting(located.task)) return;
+  const { job, task } = located;
+  eventsOfEnd(job, task, record.end).forEach((event) => advanceTask(job, task, event));
+  noteFailure(job, task, record);
+  task.result = record.result;
+  if (task.state === 'failed') cancelWaiting(job);
+  if (task.state === 'pending') task.workerId = null;
+  markEnded(job, record.endedAt);
+}
+
+function cancelJob(state: JobsState, jobId: string, cancelledAt: number | undefined): void {
+  const job = state.jobs.get(jobId);
+  if (!job || job.isCancelled || job.endedAt !== null) return;
+  job.isCancelled = true;
+  cancelWaiting(job);
+  markEnded(job, cancelledAt ?? job.accepted.acceptedAt);
+}
+
+function holdJob(state: JobsState, jobId: string, isHeld: boolean): void {
+  const job = state.jobs.get(jobId);
+  if (job) job.isHeld = isHeld;
+}
+
+/**
+ * Applies a durable record. Changes nothing but the given state, and depends on nothing else.
+ *
+ * @param state state of the partition
+ * @param record durable record
+ * @throws InvariantError if the record contradicts the state
+ */
+export function applyRecord(state: JobsState, record: JournalRecord): void {
+  switch (record.type) {
+    case 'job-accepted':
+      return acceptJob(state, record);
+    case 'job-state':
+      return restoreJob(state, record);
+    case 'task-intent':
+      return intendTask(state, record);
+    case 'task-not-started':
+      return undoIntent(state, record);
+    case 'task-ended':
+      return endTask(state, record);
+    case 'job-cancelled':
+      return cancelJob(state, record.jobId, record.cancelledAt);
+    case 'job-held':
+      return holdJob(state, record.jobId, record.held);
+    case 'usage':
+      return countUsage(state, record);
+    case 'usage-total':
+      return state.usage.addTotal(record);
+    default:
+      return undefined;
+  }
+}
+
+/** Reservations and confirmed starts are not durable; a successor looks their tasks up. */
+function durableStateOf(state: TaskState): TaskState {
+  if (state === 'running') return 'intended';
+  return state === 'reserved' ? 'pending' : state;
+}
+
+function describeTask(task: Task): TaskSnapshot {
+  return {
+    state: durableStateOf(task.state),
+    attempt: task.attempt,
+    failures: task.failures,
+    mayHaveRun: task.mayHaveRun,
+    ...(task.workerId === null ? {} : { workerId: task.workerId }),
+    ...(task.workerPartition === null ? {} : { workerPartition: task.workerPartition }),
+    ...(task.incarnation === null ? {} : { incarnation: task.incarnation }),
+    ...(task.result === undefined ? {} : { result: task.result }),
+    ...(task.countedAttempts.length === 0 ? {} : { countedAttempts: [...task.countedAttempts] }),
+  };
+}
+
+function describeJob(job: Job): JobStateRecord {
+  return {
+    type: 'job-state',
+    accepted: job.accepted,
+    isCancelled: job.isCancelled,
+    isHeld: job.isHeld,
+    endedAt: job.endedAt,
+    failedWorkers: [...job.failedWorkers],
+    tasks: job.tasks.map(describeTask),
+  };
+}
+
+/**
+ * Forgets jobs that ended too long ago, with their idempotency keys.
+ *
+ * @param state state of the partition
+ * @param now wall-clock time in milliseconds since the Unix epoch
+ */
+export function forgetOldJobs(state: JobsState, now: number): void {
+  state.jobs.forEach((job) => {
+    if (job.endedAt === null || job.endedAt > now - JOB_RETENTION_MILLISECONDS) return;
+    state.jobs.delete(job.jobId);
+    state.keys.delete(keyOf(job.team, job.accepted.idempotencyKey));
+  });
+}
+
+/**
+ * Gives the records that stand for the whole state.
+ *
+ * @param state state of the partition
+ * @param now wall-clock time in milliseconds since the Unix epoch
+ * @returns records for a snapshot
+ */
+export function describeState(state: JobsState, now: number): readonly JournalRecord[] {
+  forgetOldJobs(state, now);
+  return [...state.usage.totals(now), ...[...state.jobs.values()].map(describeJob)];
+}
--- /dev/null
+++ b/packages/daemon/src/core/neverFits.ts
@@ -0,0 +1,57 @@
+/**
+ * Finds jobs that can never run, before they are accepted.
+ */
+import { createFailure, RESOURCE_DIMENSIONS } from '@chicorybend/common';
+import type { Failure, FailureDetail, JobRequest, Resources, VmRecord } from '@chicorybend/common';
+
+function fitsOn(capacity: Resources, resources: Resources): number {
+  const counts = RESOURCE_DIMENSIONS.filter((dimension) => resources[dimension] > 0).map(
+    (dimension) => Math.floor(capacity[dimension] / resources[dimension]),
+  );
+  return Math.min(Number.MAX_SAFE_INTEGER, ...counts);
+}
+
+function explainDimensions(
+  capacities: readonly Resources[],
+  resources: Resources,
+): FailureDetail[] {
+  return RESOURCE_DIMENSIONS.flatMap((dimension) => {
+    const largest = Math.max(...capacities.map((capacity) => capacity[dimension]));
+    if (resources[dimension] <= largest) return [];
+    const reason = `a task needs ${resources[dimension]}, the largest worker has ${largest}`;
+    return [{ path: `resources.${dimension}`, reason }];
+  });
+}
+
+function explainCombination(
+  capacities: readonly Resources[],
+  request: JobRequest,
+): FailureDetail[] {
+  const room = capacities.reduce((sum, capacity) => sum + fitsOn(capacity, request.resources), 0);
+  if (room === 0) {
+    return [{ path: 'resources', reason: 'no single worker has enough of all dimensions' }];
+  }
+  if (request.kind !== 'gang' || request.tasks <= room) return [];
+  const reason = `the gang needs room for ${request.tasks} tasks at once, all workers have ${room}`;
+  return [{ path: 'tasks', reason }];
+}
+
+/**
+ * Tells whether a job can never run on the workers of the cell, even when they are empty.
+ *
+ * @param workers workers of the VM list
+ * @param request job to check
+ * @returns `never-fits` with a reason per dimension, or null if the job fits or no worker is known yet
+ */
+export function explainNeverFits(
+  workers: readonly VmRecord[],
+  request: JobRequest,
+): Failure | null {
+  const capacities = workers.flatMap((vm) => (vm.capacity ? [vm.capacity] : []));
+  if (capacities.length === 0) return null;
+  const dimensions = explainDimensions(capacities, request.resources);
+  const details = dimensions.length > 0 ? dimensions : explainCombination(capacities, request);
+  if (details.length === 0) return null;
+  const reason = details.map(({ path, reason: text }) => `${path}: ${text}`).join('; ');
+  return createFailure('never-fits', { reason }, { details });
+}
--- /dev/null
+++ b/packages/daemon/src/core/usage.ts
@@ -0,0 +1,100 @@
+/**
+ * Usage per team, queue and hour. An execution is counted once, from its worker's own start and end times.
+ */
+import type { Resources } from '@chicorybend/common';
+
+import type { UsageTotalRecord } from '../types/journalRecord.js';
+import type { UsageRow } from '../types/peerMethods.js';
+
+const HOUR_MILLISECONDS = 3_600_000;
+const SECOND_MILLISECONDS = 1_000;
+/** Bounds the snapshot of a partition; reports over a longer time are kept by whoever reads them. */
+const USAGE_RETENTION_MILLISECONDS = 40 * 24 * HOUR_MILLISECONDS;
+
+type MutableRow = { -readonly [Key in keyof UsageRow]: UsageRow[Key] };
+
+/** One execution as measured by its worker. */
+export interface MeasuredExecution {
+  readonly team: string;
+  readonly queue: string;
+  /** Wall-clock times of the worker in milliseconds since the Unix epoch. */
+  readonly startedAt: number;
+  readonly endedAt: number;
+  /** Declared resources. */
+  readonly resources: Resources;
+}
+
+/** Usage of one partition. */
+export interface UsageLedger {
+  /** Adds an execution, divided over the hours that it ran in. */
+  add(execution: MeasuredExecution): void;
+  /** Adds a total from a snapshot. */
+  addTotal(total: UsageTotalRecord): void;
+  /** @returns rows by team, queue and hour */
+  rows(): readonly UsageRow[];
+  /**
+   * Gives the records that stand for the ledger.
+   *
+   * @param now wall-clock time in milliseconds since the Unix epoch
+   */
+  totals(now: number): readonly UsageTotalRecord[];
+}
+
+/**
+ * Creates an empty ledger.
+ *
+ * @returns the ledger
+ */
+export function createUsageLedger(): UsageLedger {
+  const table = new Map<string, MutableRow>();
+
+  function rowOf(team: string, queue: string, hour: number): MutableRow {
+    const key = JSON.stringify([team, queue, hour]);
+    const known = table.get(key);
+    if (known) return known;
+    const row = {
+      team,
+      queue,
+      hour,
+      processorSeconds: 0,
+      memoryByteSeconds: 0,
+      acceleratorSeconds: 0,
+      tasks: 0,
+    };
+    table.set(key, row);
+    return row;
+  }
+
+  function addSeconds(row: MutableRow, resources: Resources, seconds: number): void {
+    row.processorSeconds += resources.processors * seconds;
+    row.memoryByteSeconds += resources.memoryBytes * seconds;
+    row.acceleratorSeconds += resources.accelerators * seconds;
+  }
+
+  return {
+    add({ team, queue, startedAt, endedAt, resources }) {
+      let hour = Math.floor(startedAt / HOUR_MILLISECONDS) * HOUR_MILLISECONDS;
+      rowOf(team, queue, hour).tasks += 1;
+      let from = startedAt;
+      while (from < endedAt) {
+        const until = Math.min(endedAt, hour + HOUR_MILLISECONDS);
+        addSeconds(rowOf(team, queue, hour), resources, (until - from) / SECOND_MILLISECONDS);
+        from = until;
+        hour += HOUR_MILLISECONDS;
+      }
+    },
+    addTotal(total) {
+      const row = rowOf(total.team, total.queue, total.hour);
+      row.processorSeconds += total.processorSeconds;
+      row.memoryByteSeconds += total.memoryByteSeconds;
+      row.acceleratorSeconds += total.acceleratorSeconds;
+      row.tasks += total.tasks;
+    },
+    rows: () => [...table.values()].map((row) => ({ ...row })),
+    totals(now) {
+      return [...table.values()]
+        .filter((row) => row.hour >= now - USAGE_RETENTION_MILLISECONDS)
+        .map((row) => ({ type: 'usage-total', ...row }));
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/core/workerEntry.ts
@@ -0,0 +1,93 @@
+/**
+ * What the owner of a worker's partition knows about one worker.
+ */
+import type { Resources, RunningTask, TaskAttempt, VmRecord } from '@chicorybend/common';
+
+import type { TaskEvent } from '../types/peerMethods.js';
+
+/** An execution that occupies a worker. */
+export interface Execution extends TaskAttempt {
+  readonly team: string;
+  readonly jobPartition: number;
+  readonly resources: Resources;
+  /** `doubtful` means that the start was sent and not answered. */
+  state: 'starting' | 'doubtful' | 'running';
+  /** Monotonic time at which the worker was known to run it, in milliseconds. */
+  confirmedAt: number;
+  /** On the worker's clock: the start is refused if it arrives later. */
+  readonly notAfter: number;
+  /** Last report of the worker. */
+  report: RunningTask | null;
+}
+
+/** A reading of a worker's clock. */
+export interface ClockReading {
+  readonly workerMilliseconds: number;
+  /** Monotonic time of this daemon at which the reading arrived, in milliseconds. */
+  readonly receivedAt: number;
+}
+
+/** State of one worker. */
+export interface WorkerEntry {
+  readonly workerId: string;
+  vm: VmRecord;
+  /** Whether the VM list names it. */
+  isListed: boolean;
+  /** `unsealed` until the first answer at this epoch. */
+  contact: 'unsealed' | 'live' | 'silent';
+  incarnation: string | null;
+  reading: ClockReading | null;
+  capacity: Resources;
+  /** Monotonic time by which every lease that the worker could hold has lapsed, in milliseconds. */
+  leaseEndsBy: number;
+  readonly executions: Map<string, Execution>;
+  /** Ends that the owner of the job has not made durable yet. */
+  readonly unconfirmed: Map<string, TaskEvent>;
+  /** Ends that are durable, to be acknowledged with the next renewal. */
+  readonly confirmed: Map<string, TaskAttempt>;
+  /** Executions of this incarnation that were declared lapsed. */
+  readonly lapsed: Set<string>;
+  /** Whether only a probe task may be placed on it. */
+  isSuspect: boolean;
+}
+
+/**
+ * @param attempt execution
+ * @returns its identity as a text
+ */
+export function executionKey(attempt: TaskAttempt): string {
+  return `${attempt.taskId}#${attempt.attempt}`;
+}
+
+/**
+ * @param attempt execution
+ * @returns its identity without other fields
+ */
+export function toAttempt({ taskId, attempt }: TaskAttempt): TaskAttempt {
+  return { taskId, attempt };
+}
+
+/**
+ * Creates the state of a worker that has not been sealed.
+ *
+ * @param vm entry of the VM list
+ * @param leaseEndsBy monotonic time by which leases granted by former owners have lapsed, in milliseconds
+ * @returns the state
+ */
+export function createWorkerEntry(vm: VmRecord, leaseEndsBy: number): WorkerEntry {
+  return {
+    workerId: vm.id,
+    vm,
+    isListed: true,
+    contact: 'unsealed',
+    incarnation: null,
+    reading: null,
+    capacity: vm.capacity ?? { processors: 0, memoryBytes: 0, accelerators: 0 },
+    leaseEndsBy,
+    executions: new Map(),
+    unconfirmed: new Map(),
+    confirmed: new Map(),
+    lapsed: new Set(),
+    isSuspect: false,
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/core/workerReports.ts
@@ -0,0 +1,152 @@
+/**
+ * Applies what a worker reports: its running and finished executions, its clock and its incarnation.
+ */
+import type { FinishedTask, RunningTask, SealResponse } from '@chicorybend/common';
+import type { WorkerPool } from '@chicorybend/decisions';
+
+import type { TaskEvent } from '../types/peerMethods.js';
+
+import { executionKey, toAttempt } from './workerEntry.js';
+import type { Execution, WorkerEntry } from './workerEntry.js';
+
+/** What the reports of workers change. */
+export interface WorkerReportsOptions {
+  readonly pool: WorkerPool;
+  /** Monotonic time in milliseconds. */
+  readonly now: () => number;
+  /** An execution ended, or its lease lapsed. */
+  readonly onEnd: (worker: WorkerEntry, event: TaskEvent) => void;
+  /** The worker runs an execution that was declared lapsed. */
+  readonly onZombie: (worker: WorkerEntry, execution: Execution) => void;
+  /** The worker is another process than before, or was not known before. */
+  readonly onIncarnation: (worker: WorkerEntry) => void;
+}
+
+/** Applies the reports of workers. */
+export interface WorkerReports {
+  /**
+   * @param worker worker that answered
+   * @param report its answer
+   * @param sentAt monotonic time at which the call was sent, in milliseconds
+   */
+  apply(worker: WorkerEntry, report: SealResponse, sentAt: number): void;
+  /** Declares an execution lapsed. */
+  lapse(worker: WorkerEntry, execution: Execution): void;
+  /** Declares all executions of a worker lapsed. */
+  lapseAll(worker: WorkerEntry): void;
+  /** Forgets an execution that does not occupy its worker, and frees its room. */
+  drop(worker: WorkerEntry, execution: Execution): void;
+}
+
+/**
+ * Creates the part of a worker partition that applies reports.
+ *
+ * @param options what the reports change
+ * @returns the part
+ */
+export function createWorkerReports(options: WorkerReportsOptions): WorkerReports {
+  const { pool, now, onEnd, onZombie, onIncarnation } = options;
+
+  function drop(worker: WorkerEntry, execution: Execution): void {
+    if (worker.executions.delete(executionKey(execution))) {
+      pool.release(worker.workerId, execution.resources);
+    }
+  }
+
+  function lapse(worker: WorkerEntry, execution: Execution): void {
+    drop(worker, execution);
+    worker.lapsed.add(executionKey(execution));
+    onEnd(worker, {
+      jobPartition: execution.jobPartition,
+      workerId: worker.workerId,
+      event: { kind: 'lapsed', attempt: toAttempt(execution) },
+    });
+  }
+
+  function lapseAll(worker: WorkerEntry): void {
+    [...worker.executions.values()].forEach((execution) => lapse(worker, execution));
+  }
+
+  function applyIncarnation(worker: WorkerEntry, report: SealResponse): void {
+    if (worker.incarnation === report.incarnation) return;
+    if (worker.incarnation !== null) {
+      lapseAll(worker);
+      worker.lapsed.clear();
+    }
+    worker.incarnation = report.incarnation;
+    onIncarnation(worker);
+  }
+
+  function applyPlace(worker: WorkerEntry, report: SealResponse): void {
+    worker.capacity = report.capacity;
+    worker.reading = { workerMilliseconds: report.workerMilliseconds, receivedAt: now() };
+    const { dataCentre, rack } = worker.vm;
+    pool.upsert({ workerId: worker.workerId, dataCentre, rack, capacity: report.capacity });
+  }
+
+  function adopt(worker: WorkerEntry, running: RunningTask): Execution {
+    const execution: Execution = {
+      ...toAttempt(running),
+      team: running.team,
+      jobPartition: running.jobPartition,
+      resources: running.resources,
+      state: 'running',
+      confirmedAt: now(),
+      notAfter: 0,
+      report: running,
+    };
+    worker.executions.set(executionKey(running), execution);
+    pool.adopt(worker.workerId, running.resources);
+    return execution;
+  }
+
+  function applyRunning(worker: WorkerEntry, running: RunningTask): void {
+    const key = executionKey(running);
+    const execution = worker.executions.get(key) ?? adopt(worker, running);
+    if (execution.state !== 'running') execution.confirmedAt = now();
+    execution.state = 'running';
+    execution.report = running;
+    if (worker.lapsed.has(key)) onZombie(worker, execution);
+  }
+
+  function applyFinished(worker: WorkerEntry, finished: FinishedTask): void {
+    const key = executionKey(finished);
+    const execution = worker.executions.get(key);
+    if (execution) drop(worker, execution);
+    if (worker.unconfirmed.has(key) || worker.confirmed.has(key)) return;
+    onEnd(worker, {
+      jobPartition: finished.jobPartition,
+      workerId: worker.workerId,
+      event: { kind: 'finished', finished },
+    });
+  }
+
+  /** A start that was not answered has had no effect if the worker is past its not-after time without it. */
+  function isWithoutEffect(execution: Execution, report: SealResponse): boolean {
+    return execution.state === 'doubtful' && report.workerMilliseconds > execution.notAfter;
+  }
+
+  function applyMissing(worker: WorkerEntry, report: SealResponse, sentAt: number): void {
+    const reported = new Set(report.running.map(executionKey));
+    [...worker.executions.values()].forEach((execution) => {
+      if (reported.has(executionKey(execution))) return;
+      if (isWithoutEffect(execution, report)) drop(worker, execution);
+      else if (execution.state === 'running' && execution.confirmedAt < sentAt) {
+        lapse(worker, execution);
+      }
+    });
+  }
+
+  return {
+    apply(worker, report, sentAt) {
+      applyIncarnation(worker, report);
+      applyPlace(worker, report);
+      report.finished.forEach((finished) => applyFinished(worker, finished));
+      report.running.forEach((running) => applyRunning(worker, running));
+      applyMissing(worker, report, sentAt);
+    },
+    lapse,
+    lapseAll,
+    drop,
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/core/workerStarts.ts
@@ -0,0 +1,244 @@
+/**
+ * Sends starts and other task commands to the workers of one partition.
+ */
+import { Err } from '@chicorybend/common';
+import type {
+  Clock,
+  Result,
+  StartRequest,
+  StartResponse,
+  StartResult,
+  TaskAttempt,
+  TaskCommandResponse,
+} from '@chicorybend/common';
+
+import type { PartitionLease } from '../types/partition.js';
+import type { ReservedStart } from '../types/peerMethods.js';
+
+import type { HeldReservation, ReservationTable } from './reservations.js';
+import { COMMAND_WINDOW_MILLISECONDS, lapseAfter, TASK_LEASE_MILLISECONDS } from './taskLease.js';
+import type { TaskCommandMode, WorkerCallError, WorkerClient } from './workerClient.js';
+import { executionKey, toAttempt } from './workerEntry.js';
+import type { Execution, WorkerEntry } from './workerEntry.js';
+import type { WorkerReports } from './workerReports.js';
+
+/** What the starts need. */
+export interface WorkerStartsOptions {
+  readonly lease: PartitionLease;
+  readonly clock: Clock;
+  readonly client: WorkerClient;
+  readonly workers: ReadonlyMap<string, WorkerEntry>;
+  readonly reservations: ReservationTable;
+  readonly reports: WorkerReports;
+  readonly releaseReservation: (reservation: HeldReservation) => void;
+  readonly onSilent: (worker: WorkerEntry) => void;
+}
+
+/** Commands to the workers of one partition. */
+export interface WorkerStarts {
+  /** Starts reserved tasks. A start without a result may have happened. */
+  start(starts: readonly ReservedStart[]): Promise<readonly StartResult[]>;
+  command(
+    worker: WorkerEntry,
+    mode: TaskCommandMode,
+    tasks: readonly TaskAttempt[],
+  ): Promise<Result<TaskCommandResponse, WorkerCallError>>;
+  /** Refuses starts of lower epochs of a job partition from now on. */
+  noteJobEpoch(jobPartition: number, jobEpoch: number): void;
+}
+
+interface AdmittedStart {
+  readonly reserved: ReservedStart;
+  readonly execution: Execution;
+}
+
+/**
+ * Creates the commands to the workers of one partition.
+ *
+ * @param options state of the partition and dependencies
+ * @returns the commands
+ */
+export function createWorkerStarts(options: WorkerStartsOptions): WorkerStarts {
+  const { lease, clock, client, workers, reservations, reports, releaseReservation } = options;
+  const highestJobEpochs = new Map<number, number>();
+
+  function noteJobEpoch(jobPartition: number, jobEpoch: number): void {
+    const highest = highestJobEpochs.get(jobPartition) ?? 0;
+    if (jobEpoch > highest) highestJobEpochs.set(jobPartition, jobEpoch);
+  }
+
+  function refuse(reserved: ReservedStart, reason: string): StartResult {
+    return { ...toAttempt(reserved.start), outcome: 'refused', reason };
+  }
+
+  function explainRefusal(
+    reserved: ReservedStart,
+    reservation: HeldReservation,
+    worker: WorkerEntry,
+  ): string | null {
+    const { jobPartition, jobEpoch, taskId } = reserved.start;
+    if (jobEpoch < (highestJobEpochs.get(jobPartition) ?? 0))
+      return 'stale epoch of the job partition';
+    if (reservation.taskId !== taskId || reservation.workerId !== reserved.workerId) {
+      return 'reserved for another task';
+    }
+    if (reservation.expiresAt <= clock.monotonicMilliseconds())
+      return 'the reservation has expired';
+    if (worker.contact !== 'live' || worker.incarnation !== reservation.incarnation) {
+      return 'the worker is silent or has restarted';
+    }
+    if (!worker.isListed || worker.vm.state === 'leaving') return 'the worker is leaving';
+    return null;
+  }
+
+  function notAfterOf(worker: WorkerEntry): number {
+    const reading = worker.reading ?? { workerMilliseconds: 0, receivedAt: 0 };
+    // Counted from the arrival of the reading, which is the earlier of the two possible limits.
+    const elapsed = clock.monotonicMilliseconds() - reading.receivedAt;
+    return reading.workerMilliseconds + elapsed + COMMAND_WINDOW_MILLISECONDS;
+  }
+
+  /** The room of the reservation becomes the room of the execution. */
+  function occupy(worker: WorkerEntry, reserved: ReservedStart): Execution {
+    const { start } = reserved;
+    const execution: Execution = {
+      ...toAttempt(start),
+      team: start.team,
+      jobPartition: start.jobPartition,
+      resources: start.resources,
+      state: 'starting',
+      confirmedAt: 0,
+      notAfter: notAfterOf(worker),
+      report: null,
+    };
+    worker.executions.set(executionKey(start), execution);
+    return execution;
+  }
+
+  function admit(reserved: ReservedStart): AdmittedStart | StartResult {
+    noteJobEpoch(reserved.start.jobPartition, reserved.start.jobEpoch);
+    const reservation = reservations.take(reserved.reservationId);
+    if (!reservation) return refuse(reserved, 'the reservation is not known');
+    const worker = workers.get(reservation.workerId);
+    const reason = worker ? explainRefusal(reserved, reservation, worker) : 'the worker is gone';
+    if (!worker || reason !== null) {
+      releaseReservation(reservation);
+      return refuse(reserved, reason ?? '');
+    }
+    return { reserved, execution: occupy(worker, reserved) };
+  }
+
+  function createRequest(worker: WorkerEntry, admitted: readonly AdmittedStart[]): StartRequest {
+    return {
+      partition: lease.partition,
+      epoch: lease.epoch,
+      incarnation: worker.incarnation ?? '',
+      notAfterWorkerMilliseconds: Math.min(...admitted.map(({ execution }) => execution.notAfter)),
+      leaseMilliseconds: TASK_LEASE_MILLISECONDS,
+      tasks: admitted.map(({ reserved }) => reserved.start),
+    };
+  }
+
+  function refuseAll(
+    worker: WorkerEntry,
+    admitted: readonly AdmittedStart[],
+    reason: string,
+  ): readonly StartResult[] {
+    return admitted.map(({ reserved, execution }) => {
+      reports.drop(worker, execution);
+      return refuse(reserved, reason);
+    });
+  }
+
+  function markDoubtful(execution: Execution): void {
+    if (execution.state === 'starting') execution.state = 'doubtful';
+  }
+
+  function applyResult(
+    worker: WorkerEntry,
+    execution: Execution,
+    result: StartResult | undefined,
+  ): StartResult[] {
+    if (result?.outcome === 'started') {
+      if (execution.state !== 'running') execution.confirmedAt = clock.monotonicMilliseconds();
+      execution.state = 'running';
+      return [result];
+    }
+    if (result?.outcome === 'refused') {
+      reports.drop(worker, execution);
+      return [result];
+    }
+    // A duplicate has run or ended before; a later report tells which.
+    markDoubtful(execution);
+    return [];
+  }
+
+  function applyResponse(
+    worker: WorkerEntry,
+    admitted: readonly AdmittedStart[],
+    response: StartResponse,
+  ): readonly StartResult[] {
+    const results = new Map(response.results.map((result) => [executionKey(result), result]));
+    return admitted.flatMap(({ execution }) =>
+      applyResult(worker, execution, results.get(executionKey(execution))),
+    );
+  }
+
+  function applyError(
+    worker: WorkerEntry,
+    admitted: readonly AdmittedStart[],
+    error: WorkerCallError,
+  ): readonly StartResult[] {
+    if (error.kind === 'refused') return refuseAll(worker, admitted, error.refusal.refused);
+    options.onSilent(worker);
+    if (error.kind === 'not-sent') return refuseAll(worker, admitted, error.reason);
+    admitted.forEach(({ execution }) => markDoubtful(execution));
+    return [];
+  }
+
+  async function send(
+    worker: WorkerEntry,
+    admitted: readonly AdmittedStart[],
+  ): Promise<readonly StartResult[]> {
+    if (!lease.mayAct()) return refuseAll(worker, admitted, 'the owner may not act');
+    worker.leaseEndsBy = Math.max(worker.leaseEndsBy, lapseAfter(clock.monotonicMilliseconds()));
+    const answer = await client.start(worker.vm.address, createRequest(worker, admitted));
+    return answer.isOk()
+      ? applyResponse(worker, admitted, answer.value)
+      : applyError(worker, admitted, answer.error);
+  }
+
+  function groupByWorker(admitted: readonly AdmittedStart[]): Map<string, AdmittedStart[]> {
+    const groups = new Map<string, AdmittedStart[]>();
+    admitted.forEach((start) => {
+      const { workerId } = start.reserved;
+      const group = groups.get(workerId);
+      if (group) group.push(start);
+      else groups.set(workerId, [start]);
+    });
+    return groups;
+  }
+
+  async function start(starts: readonly ReservedStart[]): Promise<readonly StartResult[]> {
+    const decided = starts.map(admit);
+    const refused = decided.filter((one) => 'outcome' in one);
+    const groups = groupByWorker(decided.filter((one) => 'execution' in one));
+    const sent = [...groups].map(([workerId, admitted]) => {
+      const worker = workers.get(workerId);
+      return worker ? send(worker, admitted) : [];
+    });
+    return [...refused, ...(await Promise.all(sent)).flat()];
+  }
+
+  async function command(
+    worker: WorkerEntry,
+    mode: TaskCommandMode,
+    tasks: readonly TaskAttempt[],
+  ): Promise<Result<TaskCommandResponse, WorkerCallError>> {
+    if (!lease.mayAct()) return Err({ kind: 'not-sent', reason: 'the owner may not act' });
+    const { partition, epoch } = lease;
+    return client.command(worker.vm.address, mode, { partition, epoch, tasks });
+  }
+
+  return { start, command, noteJobEpoch };
+}
--- a/packages/daemon/src/types/journalRecord.ts
+++ b/packages/daemon/src/types/journalRecord.ts
@@ -1,4 +1,4 @@
-import type { FinishedTask, JobRequest, TaskEnd } from '@chicorybend/common';
+import type { FinishedTask, JobRequest, TaskEnd, TaskState } from '@chicorybend/common';
 
 /** A job as accepted. */
 export interface JobAcceptedRecord {
@@ -20,6 +20,8 @@
   readonly attempt: number;
   readonly workerId: string;
   readonly workerPartition: number;
+  /** Process of the worker that the start is for; tells a restarted worker from one that never started it. */
+  readonly incarnation?: string;
 }
 
 /** A start that certainly had no effect. */
@@ -27,6 +29,8 @@
   readonly type: 'task-not-started';
   readonly taskId: string;
   readonly attempt: number;
+  /** Wall-clock time in milliseconds since the Unix epoch. */
+  readonly decidedAt?: number;
 }
 
 /** An execution that ended, or that was lost with its worker. */
@@ -47,6 +51,8 @@
 export interface JobCancelledRecord {
   readonly type: 'job-cancelled';
   readonly jobId: string;
+  /** Wall-clock time in milliseconds since the Unix epoch. */
+  readonly cancelledAt?: number;
 }
 
 /** A job put on hold after failing on distinct workers, or released by an operator. */
@@ -77,6 +83,45 @@
   readonly acceleratorSeconds: number;
 }
 
+/** State of one task in a snapshot. */
+export interface TaskSnapshot {
+  readonly state: TaskState;
+  readonly attempt: number;
+  readonly failures: number;
+  readonly mayHaveRun: boolean;
+  readonly workerId?: string;
+  readonly workerPartition?: number;
+  readonly incarnation?: string;
+  readonly result?: unknown;
+  /** Attempts whose usage has been counted. */
+  readonly countedAttempts?: readonly number[];
+}
+
+/** Whole state of one job, in snapshots only. */
+export interface JobStateRecord {
+  readonly type: 'job-state';
+  readonly accepted: JobAcceptedRecord;
+  readonly isCancelled: boolean;
+  readonly isHeld: boolean;
+  /** Wall-clock time in milliseconds since the Unix epoch, or null while the job goes on. */
+  readonly endedAt: number | null;
+  readonly failedWorkers: readonly string[];
+  readonly tasks: readonly TaskSnapshot[];
+}
+
+/** Usage of one team and queue in one hour, in snapshots only. */
+export interface UsageTotalRecord {
+  readonly type: 'usage-total';
+  readonly team: string;
+  readonly queue: string;
+  /** Start of the hour, in milliseconds since the Unix epoch. */
+  readonly hour: number;
+  readonly processorSeconds: number;
+  readonly memoryByteSeconds: number;
+  readonly acceleratorSeconds: number;
+  readonly tasks: number;
+}
+
 /** A durable record of a partition. */
 export type JournalRecord =
   | JobAcceptedRecord
@@ -86,4 +131,6 @@
   | JobCancelledRecord
   | JobHeldRecord
   | EpochBeganRecord
-  | UsageRecord;
+  | UsageRecord
+  | JobStateRecord
+  | UsageTotalRecord;
--- a/packages/daemon/src/types/partition.ts
+++ b/packages/daemon/src/types/partition.ts
@@ -120,6 +120,10 @@
   readonly freeLargest: { processors: number; memoryBytes: number; accelerators: number };
   /** Running tasks per team. */
   readonly runningByTeam: Readonly<Record<string, number>>;
+  /** Resources of the running tasks per team, for fair shares. */
+  readonly usedByTeam?: Readonly<
+    Record<string, { processors: number; memoryBytes: number; accelerators: number }>
+  >;
 }
 
 /** Loads of all partitions as last heard. */
--- a/packages/daemon/src/types/peerMethods.ts
+++ b/packages/daemon/src/types/peerMethods.ts
@@ -52,6 +52,8 @@
   readonly workerPartition: number;
   readonly workerEpoch: number;
   readonly rack: string;
+  /** Process of the worker; a start after its restart is refused. */
+  readonly incarnation?: string;
 }
 
 /** Asks the owner of a partition for room on its workers. */
@@ -187,7 +189,16 @@
     result: { affected: readonly TaskAttempt[] };
   };
   'worker.lookup': {
-    params: { workerPartition: number; workerId: string; attempt: TaskAttempt };
+    params: {
+      workerPartition: number;
+      workerId: string;
+      attempt: TaskAttempt;
+      /** Process of the worker that the start was for, from the intent. */
+      incarnation?: string;
+      /** Job partition and epoch of the asker; starts of lower epochs are refused from then on. */
+      jobPartition?: number;
+      jobEpoch?: number;
+    };
     result: ExecutionState;
   };
   'worker.list': { params: { partition: number }; result: readonly WorkerView[] };
--- /dev/null
+++ b/packages/daemon/src/utils/turnQueue.ts
@@ -0,0 +1,56 @@
+import type { CancelTimer, Clock } from '@chicorybend/common';
+
+/** Work that is done in small parts, so that a wave of it does not hold up the event loop. */
+export interface TurnQueue {
+  /** Adds a piece of work; it is done in a later turn. */
+  push(work: () => void): void;
+  /** @returns pieces that wait */
+  size(): number;
+  /** Drops what waits. */
+  clear(): void;
+}
+
+/**
+ * Creates a queue of work that does a bounded number of pieces per turn of the event loop.
+ *
+ * @param clock source of turns
+ * @param perTurn pieces per turn
+ * @returns the queue
+ */
+export function createTurnQueue(clock: Clock, perTurn: number): TurnQueue {
+  let waiting: (() => void)[] = [];
+  let next = 0;
+  let cancelTimer: CancelTimer | null = null;
+
+  function schedule(): void {
+    cancelTimer ??= clock.setTimer(runTurn, 0);
+  }
+
+  function runTurn(): void {
+    cancelTimer = null;
+    const until = Math.min(waiting.length, next + perTurn);
+    while (next < until) {
+      const work = waiting[next];
+      next += 1;
+      work?.();
+    }
+    if (next < waiting.length) schedule();
+    else clear();
+  }
+
+  function clear(): void {
+    waiting = [];
+    next = 0;
+    cancelTimer?.();
+    cancelTimer = null;
+  }
+
+  return {
+    push(work) {
+      waiting.push(work);
+      schedule();
+    },
+    size: () => waiting.length - next,
+    clear,
+  };
+}
