--- a/packages/daemon/src/core/endReporter.ts
+++ b/packages/daemon/src/core/endReporter.ts
@@ -1,12 +1,14 @@
 /**
  * Tells the owners of jobs about ended executions until they have made the ends durable.
  */
+/* eslint-disable no-param-reassign -- a report counts its own tries */
 import { computeBackoff } from '@chicorybend/common';
 import type { Clock, Log } from '@chicorybend/common';
 
 import type { PartitionLease } from '../types/partition.js';
 import type { TaskEvent } from '../types/peerMethods.js';
 import type { CallPartition } from '../utils/partitionCalls.js';
+import { createFaultHandler } from '../utils/faults.js';
 
 const EVENT_DEADLINE_MILLISECONDS = 5_000;
 const MAXIMUM_IN_FLIGHT = 256;
@@ -77,17 +79,21 @@
     retryLater(pending);
   }
 
+  function run(pending: PendingReport): void {
+    inFlight += 1;
+    send(pending)
+      .catch(createFaultHandler(log, 'the report of an end failed'))
+      .finally(() => {
+        inFlight -= 1;
+        sendNext();
+      });
+  }
+
   function sendNext(): void {
     while (!closed && inFlight < MAXIMUM_IN_FLIGHT) {
       const pending = waiting.shift();
       if (!pending) return;
-      inFlight += 1;
-      send(pending)
-        .catch((error: unknown) => log.error('the report of an end failed', error))
-        .finally(() => {
-          inFlight -= 1;
-          sendNext();
-        });
+      run(pending);
     }
   }
 
--- a/packages/daemon/src/core/jobPartition.ts
+++ b/packages/daemon/src/core/jobPartition.ts
@@ -10,6 +10,7 @@
 import type { JournalError, PartitionLease } from '../types/partition.js';
 import type { PeerMethods, TaskEvent } from '../types/peerMethods.js';
 
+import { createFaultHandler } from '../utils/faults.js';
 import { applyRecord, findTask, forgetOldJobs, isExecuting, keyOf } from './jobState.js';
 import type { Job, JobsState, Task } from './jobState.js';
 
@@ -51,6 +52,8 @@
   append(record: JournalRecord): Promise<Result<void, JournalError>>;
   /** Appends a record until it is durable or the partition is closed. */
   appendSurely(record: JournalRecord): Promise<boolean>;
+  /** @returns whether the idempotency key was used before */
+  isKnown(submission: Submission): boolean;
   submit(submission: Submission, deadlineMilliseconds: number): Promise<Result<string, Failure>>;
   /** Cancels a job; a job that has ended is refused. */
   cancel(job: Job): Promise<Result<void, Failure>>;
@@ -60,6 +63,8 @@
   recordEvent(event: TaskEvent): Promise<Result<void, Failure>>;
   /** Waits until a job has ended or the time has passed. */
   waitForEnd(job: Job, waitMilliseconds: number): Promise<void>;
+  /** Waits until the records on their way are settled, and takes no more; before a handover. */
+  settle(): Promise<void>;
   close(): void;
 }
 
@@ -82,7 +87,9 @@
   const recordingEnds = new Map<string, Promise<Result<void, Failure>>>();
   const waiters = new Map<string, Set<() => void>>();
   let listener: JobPartitionListener | null = null;
+  const onTheirWay = new Set<Promise<unknown>>();
   let closed = false;
+  let isSettling = false;
   let cancelForget = clock.setTimer(forget, FORGET_INTERVAL_MILLISECONDS);
 
   function forget(): void {
@@ -116,11 +123,11 @@
   }
 
   function applyJobRecord(record: JournalRecord & { jobId: string }): void {
-    const isKnown = state.jobs.has(record.jobId);
+    const isRepeated = state.jobs.has(record.jobId);
     applyRecord(state, record);
     const job = state.jobs.get(record.jobId);
     if (!job) return;
-    if (!isKnown) listener?.jobAccepted(job);
+    if (!isRepeated) listener?.jobAccepted(job);
     if (record.type === 'job-cancelled') listener?.jobCancelled(job);
     wakeWaiters(job);
   }
@@ -137,8 +144,13 @@
     record: JournalRecord,
     deadlineMilliseconds: number,
   ): Promise<Result<void, JournalError>> {
-    if (closed) return Err({ kind: 'not-durable', reason: 'the partition is closed' });
-    const outcome = await lease.journal.append(record, deadlineMilliseconds);
+    if (closed || isSettling) {
+      return Err({ kind: 'not-durable', reason: 'the partition is closed' });
+    }
+    const appending = lease.journal.append(record, deadlineMilliseconds);
+    onTheirWay.add(appending);
+    const outcome = await appending;
+    onTheirWay.delete(appending);
     if (outcome.isOk()) {
       if (!closed) apply(record);
     } else if (outcome.error.kind === 'fenced') close();
@@ -150,7 +162,7 @@
     for (;;) {
       const outcome = await appendOnce(record, RECORD_DEADLINE_MILLISECONDS);
       if (outcome.isOk()) return true;
-      if (closed) return false;
+      if (closed || isSettling) return false;
       await sleep(clock, RESOLVE_DELAY_MILLISECONDS);
     }
   }
@@ -166,7 +178,7 @@
   function resolveAcceptance(key: string, record: JournalRecord): void {
     appendSurely(record)
       .then(() => acceptances.delete(key))
-      .catch((error: unknown) => log.error('acceptance failed', error));
+      .catch(createFaultHandler(log, 'acceptance failed'));
   }
 
   async function accept(
@@ -211,6 +223,16 @@
     return firstHash === bodyHash ? Ok(jobId) : Err(createFailure('idempotency-key-reused'));
   }
 
+  function isKnown({ team, idempotencyKey }: Submission): boolean {
+    const key = keyOf(team, idempotencyKey);
+    return state.keys.has(key) || acceptances.has(key);
+  }
+
+  async function settle(): Promise<void> {
+    isSettling = true;
+    await Promise.allSettled(onTheirWay);
+  }
+
   async function submit(
     submission: Submission,
     deadlineMilliseconds: number,
@@ -336,7 +358,9 @@
     setListener(next) {
       listener = next;
     },
-    isClosed: () => closed,
+    isClosed: () => closed || isSettling,
+    isKnown,
+    settle,
     append,
     appendSurely,
     submit,
--- /dev/null
+++ b/packages/daemon/src/core/jobService.ts
@@ -0,0 +1,203 @@
+/**
+ * Serves the jobs of the owned partitions to this daemon and its peers.
+ */
+import { createFailure, Err, Ok } from '@chicorybend/common';
+import type { Clock, Counters, Failure, JobView, Log, Result } from '@chicorybend/common';
+import type { Quarantine, TaskQueue } from '@chicorybend/decisions';
+
+import type { Allotments } from '../types/allotment.js';
+import type { ConfigurationView } from '../types/configurationView.js';
+import type {
+  LoadBoard,
+  PartitionDirectory,
+  PartitionOpening,
+  PartitionService,
+} from '../types/partition.js';
+import type { PeerContext, PeerLink } from '../types/peer.js';
+import type { PeerMethods } from '../types/peerMethods.js';
+import type { VmDirectory } from '../types/vmDirectory.js';
+import { createPartitionCalls } from '../utils/partitionCalls.js';
+
+import { createJobPartition } from './jobPartition.js';
+import type { JobPartition } from './jobPartition.js';
+import { applyRecord, createJobsState, describeState } from './jobState.js';
+import type { Job } from './jobState.js';
+import { viewJob } from './jobView.js';
+import { explainNeverFits } from './neverFits.js';
+import { createPlacementLoop } from './placementLoop.js';
+import type { PlacementLoop } from './placementLoop.js';
+import { stateOfJob } from './taskRules.js';
+
+/** Leaves time for the answer to reach the caller within its deadline. */
+const ANSWER_MARGIN_MILLISECONDS = 50;
+
+/** What the service needs. */
+export interface JobServiceOptions {
+  readonly daemonId: string;
+  readonly link: PeerLink;
+  readonly directory: PartitionDirectory;
+  readonly loadBoard: LoadBoard;
+  readonly vmDirectory: VmDirectory;
+  readonly configuration: ConfigurationView;
+  readonly allotments: Allotments;
+  /** Creates the queue of one partition, ordered by the policy in effect. */
+  readonly createQueue: () => TaskQueue;
+  readonly createQuarantine: () => Quarantine;
+  readonly clock: Clock;
+  readonly random: () => number;
+  readonly counters: Counters;
+  readonly log: Log;
+}
+
+interface OpenPartition {
+  readonly jobs: JobPartition;
+  readonly loop: PlacementLoop;
+  isReleased: boolean;
+}
+
+interface FoundJob {
+  readonly own: OpenPartition;
+  readonly job: Job;
+}
+
+/**
+ * Creates the service and registers its handlers.
+ *
+ * @param options dependencies
+ * @returns the service
+ */
+export function createJobService(options: JobServiceOptions): PartitionService {
+  const { daemonId, link, directory, vmDirectory, clock, counters, log } = options;
+  const callPartition = createPartitionCalls(link, directory);
+  const partitions = new Map<number, OpenPartition>();
+
+  function find(partition: number): Result<OpenPartition, Failure> {
+    const own = partitions.get(partition);
+    const isServing = own && !own.isReleased && !own.jobs.isClosed() && own.jobs.lease.mayAct();
+    return isServing ? Ok(own) : Err(createFailure('not-owner', { daemonId, partition }));
+  }
+
+  function findJob(jobId: string, team: string): Result<FoundJob, Failure> {
+    const partition = Number.parseInt(jobId, 10);
+    if (!(partition >= 0 && partition < directory.partitionCount)) {
+      return Err(createFailure('unknown-job', { jobId }));
+    }
+    return find(partition).andThen((own) => {
+      const job = own.jobs.state.jobs.get(jobId);
+      // Another team's job is answered like one that does not exist.
+      const isVisible = job !== undefined && job.team === team;
+      return isVisible ? Ok({ own, job }) : Err(createFailure('unknown-job', { jobId }));
+    });
+  }
+
+  function view({ own, job }: FoundJob): JobView {
+    return viewJob(job, (taskId) => own.loop.explainWait(taskId));
+  }
+
+  async function submit(
+    params: PeerMethods['job.submit']['params'],
+    context: PeerContext,
+  ): Promise<Result<{ jobId: string }, Failure>> {
+    const own = find(params.partition);
+    if (own.isErr()) return own;
+    const neverFits = explainNeverFits(vmDirectory.workers(), params.request);
+    const isNew = !own.value.jobs.isKnown(params);
+    if (isNew && neverFits) return Err(neverFits);
+    const deadline = Math.max(0, context.remainingMilliseconds - ANSWER_MARGIN_MILLISECONDS);
+    const outcome = await own.value.jobs.submit(params, deadline);
+    return outcome.map((jobId) => ({ jobId }));
+  }
+
+  async function wait(
+    params: PeerMethods['job.wait']['params'],
+    context: PeerContext,
+  ): Promise<Result<JobView, Failure>> {
+    const { jobId, team, waitMilliseconds } = params;
+    const found = findJob(jobId, team);
+    if (found.isErr()) return found;
+    const remaining = Math.max(0, context.remainingMilliseconds - ANSWER_MARGIN_MILLISECONDS);
+    await found.value.own.jobs.waitForEnd(found.value.job, Math.min(waitMilliseconds, remaining));
+    return findJob(jobId, team).map(view);
+  }
+
+  async function cancel({
+    jobId,
+    team,
+  }: PeerMethods['job.cancel']['params']): Promise<Result<JobView, Failure>> {
+    const found = findJob(jobId, team);
+    if (found.isErr()) return found;
+    const { own, job } = found.value;
+    if (job.isCancelled) return Ok(view(found.value));
+    if (job.endedAt !== null) {
+      return Err(createFailure('not-cancellable', { jobId, state: stateOfJob(job) }));
+    }
+    const outcome = await own.jobs.cancel(job);
+    return outcome.map(() => view(found.value));
+  }
+
+  function list(own: OpenPartition, team: string | null): readonly JobView[] {
+    return [...own.jobs.state.jobs.values()]
+      .filter((job) => team === null || job.team === team)
+      .map((job) => view({ own, job }));
+  }
+
+  async function open(opening: PartitionOpening): Promise<Result<void, Failure>> {
+    const { lease, records } = opening;
+    close(lease.partition);
+    const state = createJobsState();
+    records.forEach((record) => applyRecord(state, record));
+    const jobs = createJobPartition({ lease, state, clock, counters, log });
+    const loop = createPlacementLoop({
+      ...options,
+      context: { ...options, partition: jobs, callPartition },
+      queue: options.createQueue(),
+      quarantine: options.createQuarantine(),
+    });
+    jobs.setListener(loop);
+    partitions.set(lease.partition, { jobs, loop, isReleased: false });
+    loop.start();
+    return Ok(undefined);
+  }
+
+  function close(partition: number): void {
+    const own = partitions.get(partition);
+    partitions.delete(partition);
+    own?.jobs.close();
+    own?.loop.close();
+  }
+
+  link.handle('job.submit', submit);
+  link.handle('job.read', async ({ jobId, team }) => findJob(jobId, team).map(view));
+  link.handle('job.wait', wait);
+  link.handle('job.cancel', cancel);
+  link.handle('job.list', async ({ partition, team }) =>
+    find(partition).map((own) => list(own, team)),
+  );
+  link.handle('usage.read', async ({ partition }) =>
+    find(partition).map((own) => own.jobs.state.usage.rows()),
+  );
+  link.handle('task.event', async (event) => {
+    const own = find(event.jobPartition);
+    if (own.isErr()) return own;
+    return (await own.value.jobs.recordEvent(event)).map(() => ({}));
+  });
+
+  return {
+    name: 'jobs',
+    open,
+    async release(partition) {
+      const own = partitions.get(partition);
+      if (!own) return null;
+      own.isReleased = true;
+      own.loop.close();
+      // Everything is in the journal; starts without an answer are looked up by the next owner.
+      await own.jobs.settle();
+      return null;
+    },
+    close,
+    snapshot(partition) {
+      const own = partitions.get(partition);
+      return own ? describeState(own.jobs.state, clock.wallMilliseconds()) : [];
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/core/workBacklog.ts
@@ -0,0 +1,137 @@
+/**
+ * Pending work of one job partition: which tasks wait, since when, and why.
+ */
+import { computeBackoff } from '@chicorybend/common';
+import type { Clock } from '@chicorybend/common';
+import type { QueuedWork, QueuePriority, TaskQueue } from '@chicorybend/decisions';
+
+import type { ConfigurationView } from '../types/configurationView.js';
+
+import type { JobPartition } from './jobPartition.js';
+import type { Job, Task } from './jobState.js';
+
+const RETRY_BACKOFF = { firstMilliseconds: 50, maximumMilliseconds: 1_000 };
+
+/** Pending work of one job partition. */
+export interface WorkBacklog {
+  /** Queues a task, or the whole gang if all its tasks are pending. */
+  enqueue(job: Job, task: Task, waitsFor?: string): void;
+  /** Queues work that was taken and could not be started. */
+  putBack(work: QueuedWork, notBefore: number, waitsFor: string): void;
+  take(isEligible: (team: string) => boolean): QueuedWork | null;
+  /** Takes a task out, because it was cancelled or started. */
+  forget(taskId: string): void;
+  /** Takes a gang's common entry out. */
+  forgetGang(job: Job): void;
+  isQueued(workId: string): boolean;
+  /** @returns failed placements of the work since its last start */
+  triesOf(workId: string): number;
+  explainWait(taskId: string): string | undefined;
+  size(): number;
+}
+
+/** What the backlog needs. */
+export interface WorkBacklogOptions {
+  readonly partition: JobPartition;
+  readonly queue: TaskQueue;
+  readonly configuration: ConfigurationView;
+  readonly clock: Clock;
+  readonly random: () => number;
+  /** Whether a placement of the task is going on. */
+  readonly isInHand: (taskId: string) => boolean;
+}
+
+interface Waiting {
+  tries: number;
+  since: number;
+  waitsFor: string | undefined;
+}
+
+/**
+ * Creates the backlog.
+ *
+ * @param options dependencies
+ * @returns the backlog
+ */
+export function createWorkBacklog(options: WorkBacklogOptions): WorkBacklog {
+  const { partition, queue, configuration, clock, random, isInHand } = options;
+  const waiting = new Map<string, Waiting>();
+  const queued = new Set<string>();
+
+  function priorityOf(job: Job): QueuePriority {
+    if (job.request.urgent) return 'urgent';
+    return configuration.current()?.queues[job.request.queue]?.priority ?? 'normal';
+  }
+
+  function add(work: QueuedWork): void {
+    queued.add(work.workId);
+    queue.add(work);
+  }
+
+  function drop(workId: string): void {
+    waiting.delete(workId);
+    if (queued.delete(workId)) queue.remove(workId);
+  }
+
+  function isWholeGang(job: Job): boolean {
+    if (job.request.kind !== 'gang' || job.counts.pending !== job.tasks.length) return false;
+    return !job.tasks.some(({ taskId }) => isInHand(taskId));
+  }
+
+  function noteTry(workId: string, waitsFor: string | undefined): Waiting {
+    const now = clock.monotonicMilliseconds();
+    const entry = waiting.get(workId) ?? { tries: -1, since: now, waitsFor };
+    entry.tries += 1;
+    entry.waitsFor = waitsFor;
+    waiting.set(workId, entry);
+    return entry;
+  }
+
+  function delayOf(tries: number): number {
+    return tries === 0 ? 0 : computeBackoff(RETRY_BACKOFF, tries - 1, random);
+  }
+
+  function enqueue(job: Job, task: Task, waitsFor?: string): void {
+    if (job.isHeld || job.isCancelled || task.state !== 'pending') return;
+    const isGang = isWholeGang(job);
+    if (isGang) job.tasks.forEach(({ taskId }) => drop(taskId));
+    const workId = isGang ? job.jobId : task.taskId;
+    const { tries, since } = noteTry(workId, waitsFor);
+    add({
+      workId,
+      jobId: job.jobId,
+      team: job.team,
+      priority: priorityOf(job),
+      resources: job.request.resources,
+      tasks: isGang ? job.tasks.length : 1,
+      enqueuedAt: since,
+      notBefore: clock.monotonicMilliseconds() + delayOf(Math.max(tries, task.failures)),
+    });
+  }
+
+  return {
+    enqueue,
+    putBack(work, notBefore, waitsFor) {
+      const entry = waiting.get(work.workId);
+      if (entry) entry.waitsFor = waitsFor;
+      add({ ...work, notBefore });
+    },
+    take(isEligible) {
+      const work = queue.take(clock.monotonicMilliseconds(), isEligible);
+      if (work) queued.delete(work.workId);
+      return work;
+    },
+    forget: drop,
+    forgetGang: (job) => drop(job.jobId),
+    isQueued: (workId) => queued.has(workId),
+    triesOf: (workId) => waiting.get(workId)?.tries ?? 0,
+    explainWait(taskId) {
+      const jobId = taskId.slice(0, taskId.lastIndexOf('/'));
+      if (partition.state.jobs.get(jobId)?.isHeld) {
+        return 'an operator, after failures on distinct workers';
+      }
+      return (waiting.get(taskId) ?? waiting.get(jobId))?.waitsFor;
+    },
+    size: () => queued.size,
+  };
+}
--- a/packages/daemon/src/core/workerContacts.ts
+++ b/packages/daemon/src/core/workerContacts.ts
@@ -1,10 +1,12 @@
 /**
  * Seals workers, renews their tasks' leases and notices when the leases of a silent worker have lapsed.
  */
+/* eslint-disable no-param-reassign -- the state of a worker is changed in place, by its owner only */
 import type { CancelTimer, Clock, Log, Result, SealResponse } from '@chicorybend/common';
 
 import type { PartitionLease } from '../types/partition.js';
 
+import { createFaultHandler } from '../utils/faults.js';
 import {
   COMMAND_WINDOW_MILLISECONDS,
   lapseAfter,
@@ -59,7 +61,7 @@
 
   function runTick(worker: WorkerEntry): void {
     tick(worker)
-      .catch((error: unknown) => log.error('the contact of a worker failed', error))
+      .catch(createFaultHandler(log, 'the contact of a worker failed'))
       .finally(() => {
         if (!timers.has(worker.workerId)) return;
         const interval =
--- a/packages/daemon/src/core/workerPartition.ts
+++ b/packages/daemon/src/core/workerPartition.ts
@@ -2,6 +2,7 @@
  * Workers of one owned partition: sealing, capacity, starts, lease renewal and lapses. The owner is the only
  * daemon that sends commands to them.
  */
+/* eslint-disable no-param-reassign -- the state of a worker is changed in place, by its owner only */
 import { assertInvariant, createFailure, Err, Ok, RESOURCE_DIMENSIONS } from '@chicorybend/common';
 import type {
   Clock,
@@ -29,6 +30,7 @@
 } from '../types/peerMethods.js';
 import type { CallPartition } from '../utils/partitionCalls.js';
 
+import { createFaultHandler } from '../utils/faults.js';
 import { createEndReporter } from './endReporter.js';
 import { createReservationTable } from './reservations.js';
 import type { HeldReservation } from './reservations.js';
@@ -157,7 +159,7 @@
     log.error('worker runs a lapsed execution', { workerId: worker.workerId, ...execution });
     starts
       .command(worker, 'stop', [toAttempt(execution)])
-      .catch((error: unknown) => log.error('the stop of a lapsed execution failed', error));
+      .catch(createFaultHandler(log, 'the stop of a lapsed execution failed'));
   }
 
   function isBusy(worker: WorkerEntry): boolean {
@@ -165,8 +167,9 @@
   }
 
   function isSchedulable(worker: WorkerEntry): boolean {
-    if (worker.contact !== 'live' || !worker.isListed || worker.vm.state === 'leaving')
+    if (worker.contact !== 'live' || !worker.isListed || worker.vm.state === 'leaving') {
       return false;
+    }
     if (quarantine.isQuarantined(worker.workerId, now())) return false;
     return !worker.isSuspect || !isBusy(worker);
   }
--- a/packages/daemon/src/core/workerStarts.ts
+++ b/packages/daemon/src/core/workerStarts.ts
@@ -1,6 +1,7 @@
 /**
  * Sends starts and other task commands to the workers of one partition.
  */
+/* eslint-disable no-param-reassign -- the state of a worker is changed in place, by its owner only */
 import { Err } from '@chicorybend/common';
 import type {
   Clock,
@@ -77,13 +78,15 @@
     worker: WorkerEntry,
   ): string | null {
     const { jobPartition, jobEpoch, taskId } = reserved.start;
-    if (jobEpoch < (highestJobEpochs.get(jobPartition) ?? 0))
+    if (jobEpoch < (highestJobEpochs.get(jobPartition) ?? 0)) {
       return 'stale epoch of the job partition';
+    }
     if (reservation.taskId !== taskId || reservation.workerId !== reserved.workerId) {
       return 'reserved for another task';
     }
-    if (reservation.expiresAt <= clock.monotonicMilliseconds())
+    if (reservation.expiresAt <= clock.monotonicMilliseconds()) {
       return 'the reservation has expired';
+    }
     if (worker.contact !== 'live' || worker.incarnation !== reservation.incarnation) {
       return 'the worker is silent or has restarted';
     }
@@ -100,18 +103,18 @@
 
   /** The room of the reservation becomes the room of the execution. */
   function occupy(worker: WorkerEntry, reserved: ReservedStart): Execution {
-    const { start } = reserved;
+    const task = reserved.start;
     const execution: Execution = {
-      ...toAttempt(start),
-      team: start.team,
-      jobPartition: start.jobPartition,
-      resources: start.resources,
+      ...toAttempt(task),
+      team: task.team,
+      jobPartition: task.jobPartition,
+      resources: task.resources,
       state: 'starting',
       confirmedAt: 0,
       notAfter: notAfterOf(worker),
       report: null,
     };
-    worker.executions.set(executionKey(start), execution);
+    worker.executions.set(executionKey(task), execution);
     return execution;
   }
 
@@ -210,11 +213,11 @@
 
   function groupByWorker(admitted: readonly AdmittedStart[]): Map<string, AdmittedStart[]> {
     const groups = new Map<string, AdmittedStart[]>();
-    admitted.forEach((start) => {
-      const { workerId } = start.reserved;
+    admitted.forEach((one) => {
+      const { workerId } = one.reserved;
       const group = groups.get(workerId);
-      if (group) group.push(start);
-      else groups.set(workerId, [start]);
+      if (group) group.push(one);
+      else groups.set(workerId, [one]);
     });
     return groups;
   }
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,5 +1,13 @@
 /** The chicorybend daemon. */
 
+/** Durable work. */
+export { createJobService } from './core/jobService.js';
+export type { JobServiceOptions } from './core/jobService.js';
+export { createWorkerService } from './core/workerService.js';
+export type { WorkerService, WorkerServiceOptions } from './core/workerService.js';
+export { createWorkerClient } from './core/workerClient.js';
+export type { WorkerClient } from './core/workerClient.js';
+
 /** Interfaces between the daemon's modules. */
 export type { Allotments, LimitDimension } from './types/allotment.js';
 export type { AuthenticatedKey, ConfigurationView } from './types/configurationView.js';
--- a/packages/daemon/src/utils/turnQueue.ts
+++ b/packages/daemon/src/utils/turnQueue.ts
@@ -1,5 +1,8 @@
 import type { CancelTimer, Clock } from '@chicorybend/common';
 
+/** A turn ends after this time, even with less than its number of pieces done. */
+const TURN_MILLISECONDS = 5;
+
 /** Work that is done in small parts, so that a wave of it does not hold up the event loop. */
 export interface TurnQueue {
   /** Adds a piece of work; it is done in a later turn. */
@@ -29,7 +32,8 @@
   function runTurn(): void {
     cancelTimer = null;
     const until = Math.min(waiting.length, next + perTurn);
-    while (next < until) {
+    const endsAt = clock.monotonicMilliseconds() + TURN_MILLISECONDS;
+    while (next < until && clock.monotonicMilliseconds() <= endsAt) {
       const work = waiting[next];
       next += 1;
       work?.();
