Keep a former owner from changing its successor's part of an upper limit

Cause: each update of a ledger set the part's epoch to that of the writer, so a former owner that was paused could set it back and grow the part. The update now gives up when the part has a later epoch.

--- /dev/null
+++ b/packages/daemon/src/__tests__/allotments.test.ts
@@ -0,0 +1,203 @@
+import {
+  createLocalCounters,
+  createStoreClient,
+  createSystemClock,
+  Ok,
+  sleep,
+} from '@chicorybend/common';
+import type { Configuration, StoreClient } from '@chicorybend/common';
+import { startStoreStandIn } from '@chicorybend/standins';
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+import fc from 'fast-check';
+
+import {
+  createLedger,
+  grantUnits,
+  returnUnits,
+  setLimits,
+  sumParts,
+  usableUnits,
+} from '../core/allotmentLedger.js';
+import type { AllotmentLedger } from '../core/allotmentLedger.js';
+import { ALLOTMENT_PREFIX, createAllotments } from '../core/allotments.js';
+import type { AllotmentService } from '../core/allotments.js';
+import type {
+  ConfigurationView,
+  Journal,
+  PartitionDirectory,
+  PeerHandler,
+  PeerLink,
+} from '../index.js';
+
+const PARTITIONS = 4;
+const clock = createSystemClock();
+
+test('parts never sum to more than the limit, whatever is granted and returned', (t) => {
+  const step = fc.record({
+    partition: fc.nat(PARTITIONS - 1),
+    isGrant: fc.boolean(),
+    units: fc.integer({ min: 1, max: 20 }),
+  });
+  fc.assert(
+    fc.property(fc.nat(50), fc.array(step, { maxLength: 50 }), (limit, steps) => {
+      let ledger = createLedger({ tasks: limit, requests: limit }, PARTITIONS);
+      steps.forEach(({ partition, isGrant, units }) => {
+        const changed = isGrant
+          ? grantUnits(ledger, partition, 'tasks', units)
+          : returnUnits(ledger, partition, 'tasks', units);
+        ledger = changed ?? ledger;
+        t.true(sumParts(ledger, 'tasks') <= limit);
+      });
+      t.is(sumParts(ledger, 'requests'), limit);
+    }),
+  );
+});
+
+test('after a limit was lowered the usable units of all partitions stay within it', (t) => {
+  fc.assert(
+    fc.property(fc.integer({ min: 1, max: 100 }), fc.nat(100), (limit, lowered) => {
+      let ledger = createLedger({ tasks: limit, requests: limit }, PARTITIONS);
+      for (let partition = 0; partition < PARTITIONS; partition += 1) {
+        ledger = grantUnits(ledger, partition, 'tasks', 1) ?? ledger;
+      }
+      ledger = setLimits(ledger, { tasks: lowered, requests: lowered });
+      const usable = Array.from({ length: PARTITIONS }, (_, partition) =>
+        usableUnits(ledger, partition, 'requests'),
+      );
+      t.true(usable.reduce((sum, units) => sum + units, 0) <= Math.max(lowered, 0));
+    }),
+  );
+});
+
+interface TestCell {
+  readonly services: readonly AllotmentService[];
+  readonly client: StoreClient;
+  setLimit(tasks: number): void;
+  ledger(): Promise<AllotmentLedger>;
+}
+
+function createJournalStub(): Journal {
+  return { append: () => Promise.resolve(Ok(undefined)) };
+}
+
+/** One service per partition, as if each partition had another owner. */
+async function createCell(t: ExecutionContext, limit: number): Promise<TestCell> {
+  const store = await startStoreStandIn({ writesPerSecond: 5_000, readsPerSecond: 5_000 });
+  const client = createStoreClient({ address: store.address, clock });
+  let tasks = limit;
+  const listeners: ((configuration: Configuration) => void)[] = [];
+  const configuration = {
+    current: () => ({ teams: { harbour: { share: 1, limits: { tasks, requests: tasks } } } }),
+    onChange: (listener: (changed: Configuration) => void) => listeners.push(listener),
+  } as unknown as ConfigurationView;
+  const directory = {
+    partitionCount: PARTITIONS,
+    ownerOf: (partition: number) => ({ daemonId: `d${partition}`, epoch: 1 }),
+  } as unknown as PartitionDirectory;
+  const handlers = new Map<string, PeerHandler<'allotment.return'>>();
+  const services = Array.from({ length: PARTITIONS }, (_, partition) => {
+    const link = {
+      handle: (_: string, handler: PeerHandler<'allotment.return'>) =>
+        handlers.set(`d${partition}`, handler),
+      call: (daemonId: string, _: string, params: never) =>
+        handlers.get(daemonId)?.(params, { from: 'test', remainingMilliseconds: 500 }),
+    } as unknown as PeerLink;
+    return createAllotments({
+      directory,
+      configuration,
+      link,
+      store: client,
+      clock,
+      counters: createLocalCounters(),
+      random: Math.random,
+    });
+  });
+  for (const [partition, { service }] of services.entries()) {
+    await service.open({
+      lease: { partition, epoch: 1, journal: createJournalStub(), mayAct: () => true },
+      records: [],
+      handedOver: null,
+      formerOwnerStoppedAt: -Infinity,
+    });
+  }
+  t.teardown(async () => {
+    services.forEach((service) => service.stop());
+    await client.close();
+    await store.close();
+  });
+  return {
+    services,
+    client,
+    setLimit(value) {
+      tasks = value;
+      listeners.forEach((listener) => listener({} as Configuration));
+    },
+    async ledger() {
+      const entry = await client.get<AllotmentLedger>(`${ALLOTMENT_PREFIX}harbour`);
+      return entry.unwrap()?.data as AllotmentLedger;
+    },
+  };
+}
+
+/** Charges until the partition has all it wants or the time is over. */
+async function chargeFor(
+  cell: TestCell,
+  partition: number,
+  wanted: number,
+  milliseconds: number,
+): Promise<number> {
+  const until = clock.monotonicMilliseconds() + milliseconds;
+  let charged = 0;
+  while (charged < wanted && clock.monotonicMilliseconds() < until) {
+    const result = cell.services[partition]?.allotments.charge(partition, 'harbour', 'tasks', 1);
+    if (result?.isOk()) charged += 1;
+    else await sleep(clock, 5);
+  }
+  return charged;
+}
+
+test('partitions that all want everything together get exactly the limit', async (t) => {
+  const cell = await createCell(t, 10);
+  const charged = await Promise.all([0, 1, 2, 3].map((p) => chargeFor(cell, p, 10, 1_500)));
+  t.is(
+    charged.reduce((sum, units) => sum + units, 0),
+    10,
+  );
+});
+
+test('one partition can use the whole limit after the others returned idle units', async (t) => {
+  const cell = await createCell(t, 8);
+  for (const partition of [0, 1, 2]) {
+    t.is(await chargeFor(cell, partition, 2, 1_000), 2);
+    cell.services[partition]?.allotments.release(partition, 'harbour', 'tasks', 2);
+  }
+  t.is(await chargeFor(cell, 3, 8, 4_000), 8);
+});
+
+test('after a lowered limit nothing starts until enough has ended', async (t) => {
+  const cell = await createCell(t, 10);
+  t.is(await chargeFor(cell, 0, 6, 1_000), 6);
+  cell.setLimit(4);
+  t.is(await chargeFor(cell, 0, 1, 300), 0);
+  t.is(await chargeFor(cell, 1, 1, 300), 0);
+  cell.services[0]?.allotments.release(0, 'harbour', 'tasks', 3);
+  t.is(await chargeFor(cell, 0, 1, 1_000), 1);
+  t.is(await chargeFor(cell, 0, 1, 300), 0);
+});
+
+test('a former owner cannot shrink or grow the part that its successor has taken over', async (t) => {
+  const cell = await createCell(t, 10);
+  t.is(await chargeFor(cell, 0, 4, 1_000), 4);
+  const successor = cell.services[1];
+  await successor?.service.open({
+    lease: { partition: 0, epoch: 2, journal: createJournalStub(), mayAct: () => true },
+    records: [],
+    handedOver: null,
+    formerOwnerStoppedAt: 0,
+  });
+  const before = (await cell.ledger()).parts['0'];
+  cell.services[0]?.allotments.release(0, 'harbour', 'tasks', 4);
+  await chargeFor(cell, 0, 10, 300);
+  t.deepEqual((await cell.ledger()).parts['0'], before);
+});
--- a/packages/daemon/src/__tests__/durableKit.ts
+++ b/packages/daemon/src/__tests__/durableKit.ts
@@ -434,6 +434,7 @@
   const vmDirectory: VmDirectory = {
     workers: () => vms,
     endpoints: () => [],
+    isEntryVmGone: () => false,
     onChange: (listener) => vmListeners.push(listener),
   };
 
--- a/packages/daemon/src/core/allotments.ts
+++ b/packages/daemon/src/core/allotments.ts
@@ -127,6 +127,11 @@
       const current = stored.value
         ? setLimits(stored.value.data, limits)
         : createLedger(limits, directory.partitionCount);
+      if (partOf(current, partition).epoch > epoch) {
+        // The successor uses the part; nothing of it may be used here.
+        use.ledger = null;
+        return false;
+      }
       const changed = change(takeOverPart(current, partition, epoch));
       if (!changed) {
         use.ledger = partOf(current, partition).epoch === epoch ? current : use.ledger;
