--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -119,3 +119,6 @@
 } from './core/configurationSections.js';
 export type { SectionKind } from './core/configurationSections.js';
 export { canonicalJson } from './utils/canonicalJson.js';
+
+/** Benchmarks. */
+export type { BenchOptions, BenchRow } from './types/benchRow.js';
--- a/packages/daemon/src/__tests__/journal.test.ts
+++ b/packages/daemon/src/__tests__/journal.test.ts
@@ -67,7 +67,7 @@
   const fixture = await createFixture(t);
   const state: JournalRecord[] = [];
   const journal = await fixture.open(1, state);
-  const indexes = Array.from({ length: 60 }, (_, index) => index);
+  const indexes = Array.from({ length: 150 }, (_, index) => index);
   await appendAll(journal, state, indexes);
   const recovered: JournalRecord[] = [];
   await fixture.open(2, recovered);
@@ -100,7 +100,7 @@
   await appendAll(
     journal,
     state,
-    Array.from({ length: 40 }, (_, index) => index),
+    Array.from({ length: 130 }, (_, index) => index),
   );
   const late = await former.append(createRecord(99), 2_000);
   t.is(late.unwrapErr().kind, 'fenced');
--- a/packages/daemon/src/core/journal.ts
+++ b/packages/daemon/src/core/journal.ts
@@ -22,7 +22,7 @@
 const SEGMENT_BYTES = 512 * 1_024;
 const SNAPSHOT_CHUNK_BYTES = 512 * 1_024;
 /** A snapshot is taken once this many slots hold segments that no snapshot covers. */
-const SNAPSHOT_AFTER_SEGMENTS = 10;
+const SNAPSHOT_AFTER_SEGMENTS = 48;
 const COMMIT_BACKOFF = { firstMilliseconds: 20, maximumMilliseconds: 1_000 };
 
 /** What a journal needs. */
@@ -207,6 +207,9 @@
         : (written.value.current?.version ?? 0);
     counters.increment('journal.snapshots');
     await deleteChunks(former);
+    // The writes of the snapshot count against the store's budget like commits.
+    const writes = chunks + 1 + (former?.chunks ?? 0);
+    lastCommitAt = clock.monotonicMilliseconds() + (writes - 1) * options.intervalMilliseconds();
   }
 
   function isRingFull(): boolean {
--- a/packages/daemon/src/core/journalLayout.ts
+++ b/packages/daemon/src/core/journalLayout.ts
@@ -1,7 +1,7 @@
 import type { JournalRecord } from '../types/journalRecord.js';
 
 /** Segment keys of a partition. They are never deleted, so that a write of a former owner cannot succeed. */
-export const JOURNAL_SLOTS = 16;
+export const JOURNAL_SLOTS = 64;
 
 /** Records committed together. */
 export interface JournalSegment {
