--- a/packages/daemon/src/__performance_tests__/journalRows.ts
+++ b/packages/daemon/src/__performance_tests__/journalRows.ts
@@ -8,6 +8,7 @@
 import { startStoreStandIn } from '@chicorybend/standins';
 import { build } from 'hdr-histogram-js';
 
+import { computeCommitInterval } from '../core/commitPacing.js';
 import { createJournal } from '../core/journal.js';
 import type { OwnedJournal } from '../core/journal.js';
 import { recoverJournal } from '../core/journalRecovery.js';
@@ -45,7 +46,7 @@
     clock,
     counters: createLocalCounters(),
     random: Math.random,
-    intervalMilliseconds: () => (PARTITIONS / STORE_WRITES_PER_SECOND) * MILLISECONDS_PER_SECOND,
+    intervalMilliseconds: () => computeCommitInterval(PARTITIONS, 1, STORE_WRITES_PER_SECOND),
     collectSnapshot: () => [],
     onFenced: () => {},
   });
--- /dev/null
+++ b/packages/daemon/src/core/commitPacing.ts
@@ -0,0 +1,20 @@
+/** Part of the budget that commits use; the rest is for sessions, owner records and upper limits. */
+const COMMIT_FRACTION = 0.9;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/**
+ * Computes the time between two commits of one partition that keeps all daemons together within the store's budget.
+ *
+ * @param servedPartitions partitions that this daemon serves
+ * @param members daemons that share the budget
+ * @param storeWritesPerSecond budget of the whole cell, in writes per second
+ * @returns interval in milliseconds
+ */
+export function computeCommitInterval(
+  servedPartitions: number,
+  members: number,
+  storeWritesPerSecond: number,
+): number {
+  const writesPerSecond = (storeWritesPerSecond * COMMIT_FRACTION) / Math.max(1, members);
+  return (servedPartitions / writesPerSecond) * MILLISECONDS_PER_SECOND;
+}
--- a/packages/daemon/src/core/ownership.ts
+++ b/packages/daemon/src/core/ownership.ts
@@ -4,6 +4,7 @@
 import type { PartitionDirectory, PartitionService } from '../types/partition.js';
 import type { PeerLink } from '../types/peer.js';
 import { assignPartitions } from './assignment.js';
+import { computeCommitInterval } from './commitPacing.js';
 import type { Membership } from './membership.js';
 import { OWNER_PREFIX, ownerKey, readOwners } from './ownerRecord.js';
 import type { OwnerRecord, VersionedOwner } from './ownerRecord.js';
@@ -19,7 +20,6 @@
 const HANDOVER_DEADLINE_MILLISECONDS = 3_000;
 /** A new owner waits this long for the state of a handover before it recovers without it, in milliseconds. */
 const HANDOVER_WAIT_MILLISECONDS = 1_000;
-const MILLISECONDS_PER_SECOND = 1_000;
 const DRAIN_PAUSE_MILLISECONDS = 20;
 
 /** What the ownership needs. */
@@ -76,9 +76,8 @@
 
   /** Keeps all partitions' commits within this daemon's part of the store's budget. */
   function commitInterval(): number {
-    const members = Math.max(1, membership.record()?.members.length ?? 1);
-    const writesPerSecond = options.storeWritesPerSecond / members;
-    return (served.size / writesPerSecond) * MILLISECONDS_PER_SECOND;
+    const members = membership.record()?.members.length ?? 1;
+    return computeCommitInterval(served.size, members, options.storeWritesPerSecond);
   }
 
   function activeIds(): readonly string[] {
