--- a/packages/common/src/types/endpoint.ts
+++ b/packages/common/src/types/endpoint.ts
@@ -1,4 +1,8 @@
-/** `POST /run` at an endpoint. */
+/**
+ * `POST /run` at an endpoint. Status 200 carries an {@link EndpointResponse} and status 500 means that the
+ * request was run and failed; the outcome of any other status is unknown. Answers have a content length or
+ * are chunked. `GET /health` is answered without a slot; any status below 500 means that the endpoint is alive.
+ */
 export interface EndpointRequest {
   readonly requestId: string;
   readonly team: string;
--- /dev/null
+++ b/packages/daemon/src/core/endpointPartition.ts
@@ -0,0 +1,414 @@
+import { createFailure, sleep } from '@chicorybend/common';
+import type {
+  CancelTimer,
+  Clock,
+  Configuration,
+  Counters,
+  Failure,
+  InteractiveResponse,
+  Log,
+  Result,
+  RetryBudget,
+  VmRecord,
+} from '@chicorybend/common';
+import type { Admission, RequestQueue } from '@chicorybend/decisions';
+
+import type { Allotments } from '../types/allotment.js';
+import type { PartitionLease } from '../types/partition.js';
+import { LIVENESS_MILLISECONDS } from '../utils/interactiveTimes.js';
+import { createEndpoint } from './endpoint.js';
+import type { Endpoint, ExecutionOutcome } from './endpoint.js';
+import type { HandedEndpoints, InteractiveLoad } from './endpointPool.js';
+import { trackWork } from './endpointWork.js';
+import type { EndpointWork, TrackedWork } from './endpointWork.js';
+import { createRequestBacklog } from './requestBacklog.js';
+import type { RequestTable } from './requestTable.js';
+
+/** The endpoints of one owned partition, and the requests that wait for them. */
+export interface EndpointPartition {
+  readonly table: RequestTable;
+  execute(work: EndpointWork): Promise<Result<InteractiveResponse, Failure>>;
+  expectedWait(team: string): number;
+  load(): InteractiveLoad;
+  /** @returns whether this daemon may act as the owner */
+  isServing(): boolean;
+  updateEndpoints(vms: readonly VmRecord[]): void;
+  updateConfiguration(configuration: Configuration): void;
+  adopt(slots: HandedEndpoints['slots']): void;
+  /** Refuses what waits and gives the state for the next owner. */
+  release(): Promise<HandedEndpoints>;
+  close(): void;
+}
+
+/** What the endpoints of a partition need. */
+export interface EndpointPartitionOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly counters: Counters;
+  readonly allotments: Allotments;
+  readonly localAddress: string;
+  readonly retryBudget: RetryBudget;
+  readonly createAdmission: (options: { initialServiceMilliseconds: number }) => Admission;
+  readonly createRequestQueue: (options: {
+    maximumPerTeam: number;
+    expectedServiceMilliseconds: () => number;
+  }) => RequestQueue<TrackedWork>;
+  readonly random: () => number;
+  readonly lease: PartitionLease;
+  readonly table: RequestTable;
+  /** Monotonic time in milliseconds until which a former owner's requests may hold every slot. */
+  readonly blockedUntil: number;
+  readonly notOwner: () => Failure;
+}
+
+const INITIAL_SERVICE_MILLISECONDS = 20;
+const DEFAULT_MAXIMUM_QUEUED = 256;
+
+/** How often waiting requests are checked for their deadlines and their teams' limits, in milliseconds. */
+const TICK_MILLISECONDS = 10;
+
+/** An idempotent request is tried elsewhere after this many times the expected service time. */
+const SLOW_ATTEMPT_FACTOR = 4;
+
+/** How often a release looks for requests that are neither sent nor refused yet, in milliseconds. */
+const RELEASE_POLL_MILLISECONDS = 5;
+
+const NO_ENDPOINT_RETRY_MILLISECONDS = 500;
+const MINIMUM_RETRY_MILLISECONDS = 1;
+
+/** A slot that a former owner's request may hold. */
+interface AdoptedSlot {
+  readonly endpointId: string;
+  readonly team: string;
+  readonly endsBy: number;
+}
+
+/**
+ * Creates the endpoints of one owned partition.
+ *
+ * @param options lease, table and factories
+ * @returns the endpoints
+ */
+export function createEndpointPartition(options: EndpointPartitionOptions): EndpointPartition {
+  const { clock, counters, allotments, lease, table, retryBudget } = options;
+  const { partition } = lease;
+  const endpoints = new Map<string, Endpoint>();
+  const unfinished = new Set<TrackedWork>();
+  const admission = options.createAdmission({
+    initialServiceMilliseconds: INITIAL_SERVICE_MILLISECONDS,
+  });
+  let maximumQueued = DEFAULT_MAXIMUM_QUEUED;
+  let backlog = createBacklog();
+  let unlisted: AdoptedSlot[] = [];
+  let isReleased = false;
+  let cancelTick: CancelTimer | null = null;
+  let cancelUnblock: CancelTimer = () => undefined;
+
+  function createBacklog() {
+    return createRequestBacklog({
+      queue: options.createRequestQueue({
+        maximumPerTeam: maximumQueued,
+        expectedServiceMilliseconds: admission.expectedServiceMilliseconds,
+      }),
+      maximumPerTeam: () => maximumQueued,
+    });
+  }
+
+  function isServing(): boolean {
+    return !isReleased && lease.mayAct();
+  }
+
+  function blockedMilliseconds(): number {
+    return Math.max(0, options.blockedUntil - clock.monotonicMilliseconds());
+  }
+
+  function listUsable(): Endpoint[] {
+    return [...endpoints.values()].filter((endpoint) => endpoint.isUsable());
+  }
+
+  function countSlots(): number {
+    return listUsable().reduce((sum, endpoint) => sum + endpoint.slots.limit(), 0);
+  }
+
+  function countFree(): number {
+    if (blockedMilliseconds() > 0) return 0;
+    return listUsable().reduce((sum, endpoint) => sum + endpoint.slots.free(), 0);
+  }
+
+  /** Chooses the endpoint with the largest free part of its slots. */
+  function chooseEndpoint(): Endpoint | null {
+    if (blockedMilliseconds() > 0) return null;
+    let chosen: Endpoint | null = null;
+    let highest = 0;
+    listUsable().forEach((endpoint) => {
+      const part = endpoint.slots.free() / Math.max(1, endpoint.slots.limit());
+      if (part > highest) {
+        highest = part;
+        chosen = endpoint;
+      }
+    });
+    return chosen;
+  }
+
+  function expectedWait(team: string): number {
+    if (countFree() > 0 && backlog.size() === 0) return 0;
+    const slots = countSlots();
+    if (slots === 0) return Number.POSITIVE_INFINITY;
+    const turns = (backlog.aheadOf(team) + 1) / slots;
+    return blockedMilliseconds() + turns * admission.expectedServiceMilliseconds();
+  }
+
+  function refuseNoEndpoint(): Failure {
+    const retry = { retryAfterMilliseconds: NO_ENDPOINT_RETRY_MILLISECONDS };
+    return createFailure('no-endpoint', {}, retry);
+  }
+
+  /** Refuses early what cannot be served in time. */
+  function checkAdmission(work: EndpointWork): Failure | null {
+    if (!isServing()) return options.notOwner();
+    const slots = countSlots();
+    if (slots === 0) return refuseNoEndpoint();
+    const remaining = work.deadlineAt - clock.monotonicMilliseconds();
+    const blocked = blockedMilliseconds();
+    const verdict = admission.decide(backlog.aheadOf(work.team), slots, remaining - blocked);
+    if (verdict.kind === 'admit') return null;
+    counters.increment('requests.refused.early');
+    const wait = Math.max(MINIMUM_RETRY_MILLISECONDS, verdict.retryAfterMilliseconds, blocked);
+    return createFailure('overloaded', {}, { retryAfterMilliseconds: Math.ceil(wait) });
+  }
+
+  function refuseFull(work: EndpointWork): Failure {
+    const retry = { retryAfterMilliseconds: admission.expectedServiceMilliseconds() };
+    return createFailure('queue-full', { queue: work.queue, team: work.team }, retry);
+  }
+
+  function enqueue(tracked: TrackedWork): void {
+    if (!backlog.push(tracked)) tracked.refuse(refuseFull(tracked.work));
+    else pump();
+  }
+
+  async function execute(work: EndpointWork): Promise<Result<InteractiveResponse, Failure>> {
+    const tracked = trackWork(work, (ended) => unfinished.delete(ended));
+    unfinished.add(tracked);
+    const refusal = checkAdmission(work);
+    if (refusal) tracked.refuse(refusal);
+    else {
+      tracked.queue();
+      enqueue(tracked);
+    }
+    return tracked.outcome;
+  }
+
+  /** Sends waiting requests while there are free slots. */
+  function pump(): void {
+    if (!isServing()) {
+      backlog.clear(options.notOwner);
+      return;
+    }
+    backlog.expire(clock.monotonicMilliseconds());
+    for (let endpoint = chooseEndpoint(); endpoint; endpoint = chooseEndpoint()) {
+      const tracked = backlog.shift(clock.monotonicMilliseconds());
+      if (!tracked) break;
+      const charge = allotments.charge(partition, tracked.work.team, 'requests', 1);
+      if (charge.isOk()) runOn(endpoint, tracked);
+      else backlog.park(tracked, charge.error);
+    }
+    scheduleTick();
+  }
+
+  function scheduleTick(): void {
+    if (cancelTick || backlog.size() === 0) return;
+    cancelTick = clock.setTimer(() => {
+      cancelTick = null;
+      backlog.unparkAll();
+      pump();
+    }, TICK_MILLISECONDS);
+  }
+
+  /** Asked right before the first byte is sent, after all waiting. */
+  function maySend(endpoint: Endpoint, tracked: TrackedWork): boolean {
+    if (!isServing() || !endpoint.isUsable()) return false;
+    tracked.send();
+    return true;
+  }
+
+  /** An idempotent request is not left on a silent connection until its deadline. */
+  function findAnswerLimit(work: EndpointWork): number {
+    if (!work.isIdempotent) return work.deadlineAt;
+    const expected = SLOW_ATTEMPT_FACTOR * admission.expectedServiceMilliseconds();
+    const limit = clock.monotonicMilliseconds() + Math.max(LIVENESS_MILLISECONDS, expected);
+    return Math.min(work.deadlineAt, limit);
+  }
+
+  function releaseUnit(team: string): void {
+    // After a release the next owner holds the units of the slots that it was given.
+    if (isReleased) return;
+    allotments.release(partition, team, 'requests', 1);
+    backlog.unpark(team);
+  }
+
+  async function runOn(endpoint: Endpoint, tracked: TrackedWork): Promise<void> {
+    const { work } = tracked;
+    const { requestId, team, payload } = work;
+    const startedAt = clock.monotonicMilliseconds();
+    const outcome = await endpoint.run({
+      request: { requestId, team, payload },
+      answerBy: findAnswerLimit(work),
+      mayStart: () => maySend(endpoint, tracked),
+      onSlotFree() {
+        releaseUnit(team);
+        dropAbsent();
+        pump();
+      },
+    });
+    if (outcome.kind === 'answered') {
+      admission.recordService(clock.monotonicMilliseconds() - startedAt);
+    }
+    settle(endpoint, tracked, outcome);
+  }
+
+  function settle(endpoint: Endpoint, tracked: TrackedWork, outcome: ExecutionOutcome): void {
+    const target = endpoint.endpointId;
+    if (outcome.kind === 'answered') tracked.answer(outcome.response);
+    else if (outcome.kind === 'failed') {
+      tracked.fail(createFailure('endpoint-failed', { target, reason: outcome.reason }));
+    } else if (outcome.kind === 'not-sent') retryNotSent(tracked, outcome.isWithdrawn);
+    else settleLost(tracked, outcome.reason);
+  }
+
+  function hasTimeLeft(work: EndpointWork): boolean {
+    const remaining = work.deadlineAt - clock.monotonicMilliseconds();
+    return remaining > admission.expectedServiceMilliseconds();
+  }
+
+  /** A request withdrawn from a leaving endpoint was not tried; only tries are charged as retries. */
+  function retryNotSent(tracked: TrackedWork, isWithdrawn: boolean): void {
+    if (!isServing()) tracked.refuse(options.notOwner());
+    else if (!hasTimeLeft(tracked.work)) tracked.refuse(createFailure('deadline-passed'));
+    else if (countSlots() === 0) tracked.refuse(refuseNoEndpoint());
+    else if (isWithdrawn || takeRetry()) enqueue(tracked);
+    else tracked.refuse(refuseNoEndpoint());
+  }
+
+  function takeRetry(): boolean {
+    const isTaken = retryBudget.takeRetry();
+    counters.increment(isTaken ? 'requests.retried' : 'requests.retries.refused');
+    return isTaken;
+  }
+
+  function settleLost(tracked: TrackedWork, reason: string): void {
+    const { work } = tracked;
+    const isRetried = work.isIdempotent && isServing() && hasTimeLeft(work) && takeRetry();
+    if (!isRetried) {
+      tracked.lose(reason);
+      return;
+    }
+    tracked.sendAgain();
+    enqueue(tracked);
+  }
+
+  function createListed(vm: VmRecord): Endpoint {
+    return createEndpoint({
+      ...options,
+      vm,
+      onFree: pump,
+      onAdoptedEnd: releaseUnit,
+    });
+  }
+
+  /** Forgets endpoints that left the VM list, once their requests have ended. */
+  function dropAbsent(): void {
+    endpoints.forEach((endpoint, name) => {
+      if (!endpoint.isAbsent() || endpoint.slots.inUse().length > 0) return;
+      endpoint.stop();
+      endpoints.delete(name);
+    });
+  }
+
+  function updateEndpoints(vms: readonly VmRecord[]): void {
+    const listed = new Map(vms.map((vm) => [`${vm.id} ${vm.address}`, vm]));
+    endpoints.forEach((endpoint, name) => {
+      endpoint.update(listed.get(name) ?? null);
+    });
+    dropAbsent();
+    listed.forEach((vm, name) => {
+      if (!endpoints.has(name)) endpoints.set(name, createListed(vm));
+    });
+    adoptUnlisted();
+    pump();
+  }
+
+  function updateConfiguration(configuration: Configuration): void {
+    maximumQueued = configuration.cell.maximumQueuedRequests;
+    const shares = Object.entries(configuration.teams).map(([team, { share }]) => [team, share]);
+    if (backlog.size() === 0) backlog = createBacklog();
+    backlog.setShares(Object.fromEntries(shares) as Record<string, number>);
+  }
+
+  /** The former owner's VM list may be newer than this one; its slots are kept for endpoints not listed yet. */
+  function adoptUnlisted(): void {
+    const now = clock.monotonicMilliseconds();
+    unlisted = unlisted.filter(({ endpointId, team, endsBy }) => {
+      const endpoint = [...endpoints.values()].find((each) => each.endpointId === endpointId);
+      if (endpoint && endsBy > now) {
+        endpoint.slots.adopt(team, endsBy - now);
+        allotments.adopt(partition, team, 'requests', 1);
+      }
+      return !endpoint && endsBy > now;
+    });
+  }
+
+  function adopt(slots: HandedEndpoints['slots']): void {
+    const now = clock.monotonicMilliseconds();
+    unlisted = slots.map((slot) => ({ ...slot, endsBy: now + slot.remainingMilliseconds }));
+    adoptUnlisted();
+  }
+
+  function listSlots(): HandedEndpoints['slots'] {
+    const now = clock.monotonicMilliseconds();
+    return [...endpoints.values()].flatMap(({ endpointId, slots }) =>
+      slots.inUse().map(({ team, endsBy }) => ({
+        endpointId,
+        team,
+        remainingMilliseconds: Math.max(0, endsBy() - now),
+      })),
+    );
+  }
+
+  function isAnyUnsent(): boolean {
+    return [...unfinished].some((tracked) => tracked.state() !== 'sent');
+  }
+
+  /** Waits for requests that are being withdrawn, so that the table does not report them as possibly run. */
+  async function release(): Promise<HandedEndpoints> {
+    isReleased = true;
+    backlog.clear(options.notOwner);
+    do await sleep(clock, RELEASE_POLL_MILLISECONDS);
+    while (isAnyUnsent());
+    const blocked = blockedMilliseconds();
+    return { blockedMilliseconds: blocked, slots: listSlots(), table: table.handOver() };
+  }
+
+  function close(): void {
+    isReleased = true;
+    backlog.clear(options.notOwner);
+    cancelTick?.();
+    cancelUnblock();
+    endpoints.forEach((endpoint) => endpoint.stop());
+  }
+
+  if (blockedMilliseconds() > 0) cancelUnblock = clock.setTimer(pump, blockedMilliseconds());
+
+  return {
+    table,
+    execute,
+    expectedWait,
+    isServing,
+    updateEndpoints,
+    updateConfiguration,
+    adopt,
+    release,
+    close,
+    load: () => ({ freeSlots: countFree(), queuedRequests: backlog.size() }),
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/core/endpointSlots.ts
@@ -0,0 +1,94 @@
+import { assertInvariant } from '@chicorybend/common';
+import type { CancelTimer, Clock } from '@chicorybend/common';
+
+import { MAXIMUM_REQUEST_MILLISECONDS } from '../utils/interactiveTimes.js';
+
+/** A slot of an endpoint that holds a request. */
+export interface Slot {
+  readonly team: string;
+  /** Starts the time that the request may stay, when it is sent. */
+  start(): void;
+  /** @returns monotonic time in milliseconds by which the request has ended at the latest */
+  endsBy(): number;
+}
+
+/** Exact count of the requests at one endpoint. */
+export interface EndpointSlots {
+  /** Takes a free slot. */
+  take(team: string): Slot;
+  /** Takes a slot for a request that the former owner sent, until it has ended at the latest. */
+  adopt(team: string, remainingMilliseconds: number): void;
+  release(slot: Slot): void;
+  setLimit(limit: number): void;
+  limit(): number;
+  free(): number;
+  inUse(): readonly Slot[];
+  /** Stops waiting for the ends of a former owner's requests. */
+  stop(): void;
+}
+
+/** What the slots of an endpoint need. */
+export interface EndpointSlotsOptions {
+  readonly clock: Clock;
+  readonly limit: number;
+  /** Called when a slot of a former owner's request becomes free. */
+  readonly onAdoptedEnd: (team: string) => void;
+}
+
+/**
+ * Creates the slots of one endpoint.
+ *
+ * @param options clock and number of slots
+ * @returns the slots
+ */
+export function createEndpointSlots(options: EndpointSlotsOptions): EndpointSlots {
+  const { clock } = options;
+  const slots = new Set<Slot>();
+  const timers = new Set<CancelTimer>();
+  let { limit } = options;
+
+  function free(): number {
+    return Math.max(0, limit - slots.size);
+  }
+
+  function add(team: string, milliseconds: number): Slot {
+    let endsBy = clock.monotonicMilliseconds() + milliseconds;
+    const slot: Slot = {
+      team,
+      endsBy: () => endsBy,
+      start() {
+        endsBy = clock.monotonicMilliseconds() + MAXIMUM_REQUEST_MILLISECONDS;
+      },
+    };
+    slots.add(slot);
+    return slot;
+  }
+
+  return {
+    free,
+    limit: () => limit,
+    inUse: () => [...slots],
+    setLimit(next) {
+      limit = next;
+    },
+    take(team) {
+      assertInvariant(slots.size < limit, 'slots', () => `${slots.size} of ${limit} are in use`);
+      return add(team, MAXIMUM_REQUEST_MILLISECONDS);
+    },
+    adopt(team, remainingMilliseconds) {
+      const slot = add(team, remainingMilliseconds);
+      const cancel = clock.setTimer(() => {
+        slots.delete(slot);
+        timers.delete(cancel);
+        options.onAdoptedEnd(team);
+      }, remainingMilliseconds);
+      timers.add(cancel);
+    },
+    release(slot) {
+      slots.delete(slot);
+    },
+    stop() {
+      timers.forEach((cancel) => cancel());
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/core/endpointWork.ts
@@ -0,0 +1,106 @@
+import { assertInvariant, createFailure, Err, loadStateChart, Ok } from '@chicorybend/common';
+import type { EndpointResponse, Failure, InteractiveResponse, Result } from '@chicorybend/common';
+
+/** An interactive request for the endpoints of one partition. */
+export interface EndpointWork {
+  readonly requestId: string;
+  readonly team: string;
+  readonly queue: string;
+  readonly isIdempotent: boolean;
+  readonly payload: unknown;
+  /** Monotonic time in milliseconds at which the caller gives up. */
+  readonly deadlineAt: number;
+}
+
+/** State of a request, as in `charts/request.json`. */
+export type RequestState = 'admitted' | 'queued' | 'sent' | 'answered' | 'refused' | 'unknown';
+
+/** A request on its way through the pool, with its state. */
+export interface TrackedWork {
+  readonly work: EndpointWork;
+  state(): RequestState;
+  /** Records that it waits for a slot. */
+  queue(): void;
+  /** Records that it is being sent. */
+  send(): void;
+  /** Records that it was lost and waits for a slot again. */
+  sendAgain(): void;
+  answer(response: EndpointResponse): void;
+  fail(failure: Failure): void;
+  /** Ends it as not run; as unknown if it was sent before. */
+  refuse(failure: Failure): void;
+  lose(reason: string): void;
+  readonly outcome: Promise<Result<InteractiveResponse, Failure>>;
+}
+
+const chart = loadStateChart<RequestState>('request');
+
+/**
+ * Creates the tracked form of a request, which follows the state chart and ends once.
+ *
+ * @param work the request
+ * @param onEnd called when it ends
+ * @returns the tracked request
+ */
+export function trackWork(work: EndpointWork, onEnd: (tracked: TrackedWork) => void): TrackedWork {
+  let state = chart.initial;
+  let sentCount = 0;
+  let resolveOutcome: (outcome: Result<InteractiveResponse, Failure>) => void = () => undefined;
+  const outcome = new Promise<Result<InteractiveResponse, Failure>>((resolve) => {
+    resolveOutcome = resolve;
+  });
+
+  function advance(event: string): void {
+    state = chart.advance(state, event);
+  }
+
+  function end(event: string, result: Result<InteractiveResponse, Failure>): void {
+    advance(event);
+    const isNotRun = result.isErr() && result.error.run === 'not-run';
+    assertInvariant(
+      !isNotRun || sentCount === 0,
+      'true-not-run',
+      () => `request ${work.requestId} was sent and is reported as not run`,
+    );
+    resolveOutcome(result);
+    onEnd(tracked);
+  }
+
+  function lose(reason: string): void {
+    end('LOST', Err(createFailure('outcome-unknown', { target: 'an endpoint', reason })));
+  }
+
+  const tracked: TrackedWork = {
+    work,
+    outcome,
+    state: () => state,
+    lose,
+    queue: () => advance('QUEUE'),
+    sendAgain: () => advance('LOST_IDEMPOTENT'),
+    send() {
+      advance('SEND');
+      sentCount += 1;
+      assertInvariant(
+        work.isIdempotent || sentCount === 1,
+        'at-most-once',
+        () => `non-idempotent request ${work.requestId} is sent ${sentCount} times`,
+      );
+    },
+    answer(response) {
+      assertInvariant(
+        response.requestId === work.requestId,
+        'own-answer',
+        () => `request ${work.requestId} is given the answer of ${response.requestId}`,
+      );
+      end('ANSWER', Ok(response));
+    },
+    fail(failure) {
+      end('ANSWER', Err(failure));
+    },
+    refuse(failure) {
+      if (sentCount > 0) lose(`no answer before: ${failure.message}`);
+      else end('REFUSE', Err(failure));
+    },
+  };
+  return tracked;
+}
