Add the HTTP server and the callers' interface

Cause: callers need one failure form for every bad input, and work that follows its partition to a new owner.

Change: createHttpServer maps each failure of the framework, a schema or a handler to the failure body; registerCallerApi checks keys, queues and idempotency keys, sends jobs to the owner of their partition and closes for a drain.

--- /dev/null
+++ b/packages/daemon/src/core/callerApi.ts
@@ -0,0 +1,205 @@
+import { createFailure, Err, Ok } from '@chicorybend/common';
+import type { Clock, Counters, Failure, InteractiveRequest, Result } from '@chicorybend/common';
+
+import {
+  interactiveRequestSchema,
+  jobRequestSchema,
+  jobResultQuerySchema,
+} from '../types/callerBodies.js';
+import type { ConfigurationView } from '../types/configurationView.js';
+import type { HttpCall, HttpReply, HttpRoutes } from '../types/http.js';
+import type { PartitionDirectory } from '../types/partition.js';
+import type { PeerLink } from '../types/peer.js';
+import type { VmDirectory } from '../types/vmDirectory.js';
+import { createInFlight } from '../utils/inFlight.js';
+import { readKeyTimestamp } from '../utils/requestKey.js';
+import { authorizeQueue } from './callerAccess.js';
+import { createCallerJobs } from './callerJobs.js';
+import type { JobCall } from './callerJobs.js';
+import { createOwnerCaller } from './ownerCall.js';
+import type { RequestRouter } from './requestRouter.js';
+
+/** What the callers' interface needs. */
+export interface CallerApiOptions {
+  readonly clock: Clock;
+  readonly counters: Counters;
+  readonly configuration: ConfigurationView;
+  readonly directory: PartitionDirectory;
+  readonly link: PeerLink;
+  readonly router: RequestRouter;
+  /** Workers, to refuse jobs that can never fit; absent means that sizes are not checked. */
+  readonly vms?: VmDirectory;
+  /** Time for a job call, in milliseconds; 5 s by default. */
+  readonly jobDeadlineMilliseconds?: number;
+  /** Source of random numbers in [0, 1). */
+  readonly random?: () => number;
+}
+
+/** Control of the callers' interface. */
+export interface CallerApi {
+  /** Refuses new calls from `DRAIN_GRACE` later on. */
+  startDrain(): void;
+  /** @returns calls that are being answered */
+  inFlight(): number;
+  /** Resolves when no call is being answered. */
+  idle(): Promise<void>;
+}
+
+/**
+ * Time in which a draining daemon goes on accepting calls, in milliseconds. The load balancer needs it to
+ * notice that the daemon is no longer ready.
+ */
+export const DRAIN_GRACE_MILLISECONDS = 1_000;
+
+const DEFAULT_JOB_DEADLINE_MILLISECONDS = 5_000;
+const DRAINING_RETRY_MILLISECONDS = 100;
+const STATUS_OK = 200;
+const STATUS_CREATED = 201;
+
+function replyWith(status: number): (body: unknown) => HttpReply {
+  return (body) => ({ status, body });
+}
+
+/** Checks the key that deduplicates a non-idempotent request. */
+function checkRequestKey(
+  request: InteractiveRequest,
+  header: string | null,
+): Result<string | null, Failure> {
+  if (request.idempotent) return Ok(null);
+  if (header === null) {
+    const reason = 'a non-idempotent request is run once per key';
+    return Err(createFailure('idempotency-key-required', { reason }));
+  }
+  if (readKeyTimestamp(header) !== null) return Ok(header.toLowerCase());
+  const reason = 'must be a UUID version 7';
+  return Err(createFailure('invalid-header', { header: 'idempotency-key', reason }));
+}
+
+function checkDeadline(request: InteractiveRequest, maximum: number): Result<void, Failure> {
+  if (request.deadlineMilliseconds <= maximum) return Ok(undefined);
+  const details = [{ path: 'deadlineMilliseconds', reason: `must be at most ${maximum}` }];
+  return Err(createFailure('invalid-body', {}, { details }));
+}
+
+function readJobCall(call: HttpCall<unknown, unknown>): JobCall {
+  return { jobId: call.params.id ?? '', authorization: call.header('authorization') };
+}
+
+/**
+ * Adds the callers' routes to the HTTP interface.
+ *
+ * @param routes HTTP interface
+ * @param options configuration, directory, peer link and router
+ * @returns control of the interface, for the drain
+ */
+export function registerCallerApi(routes: HttpRoutes, options: CallerApiOptions): CallerApi {
+  const { clock, counters, configuration, router } = options;
+  const flights = createInFlight();
+  let drainStartedAt: number | null = null;
+
+  const jobs = createCallerJobs({
+    clock,
+    configuration,
+    directory: options.directory,
+    callOwner: createOwnerCaller(options),
+    ...(options.vms ? { vms: options.vms } : {}),
+    deadlineMilliseconds: options.jobDeadlineMilliseconds ?? DEFAULT_JOB_DEADLINE_MILLISECONDS,
+    isDraining: () => drainStartedAt !== null,
+  });
+
+  function isClosed(): boolean {
+    if (drainStartedAt === null) return false;
+    return clock.monotonicMilliseconds() - drainStartedAt >= DRAIN_GRACE_MILLISECONDS;
+  }
+
+  /** Counts a call, unless the interface is closed. */
+  function whileOpen<Body, Query>(
+    handle: (call: HttpCall<Body, Query>) => Promise<Result<HttpReply, Failure>>,
+  ): (call: HttpCall<Body, Query>) => Promise<Result<HttpReply, Failure>> {
+    return async (call) => {
+      if (isClosed()) {
+        const retry = { retryAfterMilliseconds: DRAINING_RETRY_MILLISECONDS };
+        return Err(createFailure('draining', {}, retry));
+      }
+      return flights.run(() => handle(call));
+    };
+  }
+
+  async function handleRequest(
+    call: HttpCall<InteractiveRequest, undefined>,
+  ): Promise<Result<HttpReply, Failure>> {
+    const receivedAt = clock.monotonicMilliseconds();
+    const { body } = call;
+    const access = authorizeQueue(
+      configuration,
+      body.queue,
+      'interactive',
+      call.header('authorization'),
+    );
+    if (access.isErr()) return access;
+    const deadline = checkDeadline(
+      body,
+      access.value.configuration.cell.maximumRequestMilliseconds,
+    );
+    if (deadline.isErr()) return deadline;
+    const key = checkRequestKey(body, call.header('idempotency-key'));
+    if (key.isErr()) return key;
+    const { team } = access.value;
+    const outcome = await router.route({ team, idempotencyKey: key.value, request: body });
+    const result = outcome.isOk() ? 'answered' : outcome.error.run;
+    counters.increment('requests', 1, { team, result });
+    counters.timing('requests.time', clock.monotonicMilliseconds() - receivedAt, { team });
+    return outcome.map(replyWith(STATUS_OK));
+  }
+
+  routes.register({
+    method: 'POST',
+    path: '/v1/requests',
+    bodySchema: interactiveRequestSchema,
+    handle: whileOpen(handleRequest),
+  });
+  routes.register({
+    method: 'POST',
+    path: '/v1/jobs',
+    bodySchema: jobRequestSchema,
+    handle: whileOpen(async (call) => {
+      const outcome = await jobs.submit({
+        request: call.body,
+        authorization: call.header('authorization'),
+        idempotencyKey: call.header('idempotency-key'),
+      });
+      return outcome.map(replyWith(STATUS_CREATED));
+    }),
+  });
+  routes.register({
+    method: 'GET',
+    path: '/v1/jobs/:id',
+    handle: whileOpen(async (call) =>
+      (await jobs.read(readJobCall(call))).map(replyWith(STATUS_OK)),
+    ),
+  });
+  routes.register({
+    method: 'GET',
+    path: '/v1/jobs/:id/result',
+    querySchema: jobResultQuerySchema,
+    handle: whileOpen(async (call) => {
+      const view = await jobs.wait(readJobCall(call), call.query.waitMilliseconds);
+      return view.map(replyWith(STATUS_OK));
+    }),
+  });
+  routes.register({
+    method: 'POST',
+    path: '/v1/jobs/:id/cancel',
+    handle: whileOpen(async (call) =>
+      (await jobs.cancel(readJobCall(call))).map(replyWith(STATUS_OK)),
+    ),
+  });
+
+  return {
+    startDrain() {
+      drainStartedAt ??= clock.monotonicMilliseconds();
+    },
+    inFlight: flights.count,
+    idle: flights.idle,
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/core/callerJobs.ts
@@ -0,0 +1,179 @@
+import { createFailure, Err, Ok, partitionOf } from '@chicorybend/common';
+import type { Clock, Failure, JobRequest, JobView, Result } from '@chicorybend/common';
+
+import type { ConfigurationView } from '../types/configurationView.js';
+import type { PartitionDirectory } from '../types/partition.js';
+import type { VmDirectory } from '../types/vmDirectory.js';
+import { hashBody } from '../utils/bodyHash.js';
+import { describeMisfit } from '../utils/largestWorker.js';
+import { authorizeJobCall, authorizeQueue } from './callerAccess.js';
+import type { OwnerCaller } from './ownerCall.js';
+
+/** What the callers' job calls need. */
+export interface CallerJobsOptions {
+  readonly clock: Clock;
+  readonly configuration: ConfigurationView;
+  readonly directory: PartitionDirectory;
+  readonly callOwner: OwnerCaller;
+  /** Workers, to refuse jobs that can never fit; absent means that sizes are not checked. */
+  readonly vms?: VmDirectory;
+  /** Time for a job call, in milliseconds. */
+  readonly deadlineMilliseconds: number;
+  /** Tells whether waiting calls are to end early, before a stop. */
+  readonly isDraining: () => boolean;
+}
+
+/** A caller's call about an accepted job. */
+export interface JobCall {
+  readonly jobId: string;
+  readonly authorization: string | null;
+}
+
+/** A caller's submission of a job. */
+export interface JobSubmission {
+  readonly request: JobRequest;
+  readonly authorization: string | null;
+  readonly idempotencyKey: string | null;
+}
+
+/** The callers' job calls. */
+export interface CallerJobs {
+  submit(submission: JobSubmission): Promise<Result<{ jobId: string }, Failure>>;
+  read(call: JobCall): Promise<Result<JobView, Failure>>;
+  /** Reads a job once it has ended, or after the wait. */
+  wait(call: JobCall, waitMilliseconds: number): Promise<Result<JobView, Failure>>;
+  cancel(call: JobCall): Promise<Result<JobView, Failure>>;
+}
+
+/** Longest single wait at the owner, so that a handover or a drain interrupts no wait for long. */
+const WAIT_SLICE_MILLISECONDS = 2_000;
+
+/** Printable ASCII without spaces. */
+const JOB_KEY = /^[\x21-\x7e]{1,200}$/;
+
+const JOB_ID = /^(\d{1,4})-[0-9a-f]{8}(?:-[0-9a-f]{4}){3}-[0-9a-f]{12}$/;
+
+const ENDED_STATES: ReadonlySet<JobView['state']> = new Set([
+  'succeeded',
+  'failed',
+  'cancelled',
+  'unknown',
+]);
+
+function checkJobKey(key: string | null): Result<string, Failure> {
+  if (key === null) {
+    const reason = 'a job is accepted once per key';
+    return Err(createFailure('idempotency-key-required', { reason }));
+  }
+  if (JOB_KEY.test(key)) return Ok(key);
+  const reason = 'must be 1 to 200 printable characters without spaces';
+  return Err(createFailure('invalid-header', { header: 'idempotency-key', reason }));
+}
+
+/**
+ * Creates the callers' job calls.
+ *
+ * @param options configuration, directory and calls to owners
+ * @returns the calls
+ */
+export function createCallerJobs(options: CallerJobsOptions): CallerJobs {
+  const { clock, configuration, directory, callOwner } = options;
+
+  function deadline(): number {
+    return clock.monotonicMilliseconds() + options.deadlineMilliseconds;
+  }
+
+  function findPartition(jobId: string): Result<number, Failure> {
+    const partition = Number(JOB_ID.exec(jobId)?.[1] ?? Number.NaN);
+    if (partition < directory.partitionCount) return Ok(partition);
+    return Err(createFailure('unknown-job', { jobId }));
+  }
+
+  async function submit(submission: JobSubmission): Promise<Result<{ jobId: string }, Failure>> {
+    const { request, authorization } = submission;
+    const access = authorizeQueue(configuration, request.queue, request.kind, authorization);
+    if (access.isErr()) return access;
+    const key = checkJobKey(submission.idempotencyKey);
+    if (key.isErr()) return key;
+    const misfit = describeMisfit(request.resources, options.vms?.workers() ?? []);
+    if (misfit) return Err(createFailure('never-fits', { reason: misfit }));
+    const { team } = access.value;
+    const partition = partitionOf(`${team}/${key.value}`, directory.partitionCount);
+    const params = {
+      partition,
+      team,
+      idempotencyKey: key.value,
+      bodyHash: hashBody(request),
+      request,
+    };
+    return callOwner({ partition, method: 'job.submit', params, deadlineAt: deadline() });
+  }
+
+  /** Without a key, jobs of keyed queues are not shown. */
+  function isVisible(view: JobView, isKeyed: boolean): boolean {
+    return isKeyed || configuration.current()?.queues[view.queue]?.access === 'open';
+  }
+
+  /** Finds the job among those that the caller may see. */
+  async function find(
+    call: JobCall,
+  ): Promise<Result<{ view: JobView; partition: number }, Failure>> {
+    const access = authorizeJobCall(configuration, call.authorization);
+    if (access.isErr()) return access;
+    const partition = findPartition(call.jobId);
+    if (partition.isErr()) return partition;
+    const deadlineAt = deadline();
+    for (const team of access.value.teams) {
+      const params = { jobId: call.jobId, team };
+      const answer = await callOwner({
+        partition: partition.value,
+        method: 'job.read',
+        params,
+        deadlineAt,
+      });
+      const isElsewhere = answer.isErr() && answer.error.code === 'unknown-job';
+      if (answer.isErr() && !isElsewhere) return answer;
+      if (answer.isOk() && isVisible(answer.value, access.value.isKeyed)) {
+        return Ok({ view: answer.value, partition: partition.value });
+      }
+    }
+    return Err(createFailure('unknown-job', { jobId: call.jobId }));
+  }
+
+  async function wait(call: JobCall, waitMilliseconds: number): Promise<Result<JobView, Failure>> {
+    const found = await find(call);
+    if (found.isErr()) return found;
+    const { partition } = found.value;
+    let { view } = found.value;
+    const waitUntil = clock.monotonicMilliseconds() + waitMilliseconds;
+    for (;;) {
+      const remaining = waitUntil - clock.monotonicMilliseconds();
+      if (ENDED_STATES.has(view.state) || remaining <= 0 || options.isDraining()) return Ok(view);
+      const slice = Math.min(remaining, WAIT_SLICE_MILLISECONDS);
+      const params = { jobId: call.jobId, team: view.team, waitMilliseconds: slice };
+      const answer = await callOwner({
+        partition,
+        method: 'job.wait',
+        params,
+        deadlineAt: deadline() + slice,
+      });
+      if (answer.isErr()) return answer;
+      view = answer.value;
+    }
+  }
+
+  async function cancel(call: JobCall): Promise<Result<JobView, Failure>> {
+    const found = await find(call);
+    if (found.isErr()) return found;
+    const { view, partition } = found.value;
+    const params = { jobId: call.jobId, team: view.team };
+    return callOwner({ partition, method: 'job.cancel', params, deadlineAt: deadline() });
+  }
+
+  return {
+    submit,
+    read: async (call) => (await find(call)).map(({ view }) => view),
+    wait,
+    cancel,
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/core/httpServer.ts
@@ -0,0 +1,193 @@
+import fastify from 'fastify';
+import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
+import type { z } from 'zod';
+
+import { createFailure, Err, Ok } from '@chicorybend/common';
+import type { Counters, Failure, Log, Result } from '@chicorybend/common';
+
+import type { HttpReply, HttpRoute, HttpRoutes } from '../types/http.js';
+import {
+  BODY_LIMIT_BYTES,
+  classifyHttpError,
+  describeIssues,
+  FailureError,
+} from '../utils/httpFailures.js';
+import { isDeeperThan, MAXIMUM_JSON_DEPTH } from '../utils/jsonDepth.js';
+
+/** What the HTTP server needs. */
+export interface HttpServerOptions {
+  readonly host: string;
+  /** Port; 0 takes a free one. */
+  readonly port: number;
+  readonly log: Log;
+  readonly counters: Counters;
+  /** Tells the load balancer whether to send calls here. */
+  readonly readiness: () => Result<void, Failure>;
+}
+
+/** The HTTP interface of the daemon. */
+export interface HttpServer extends HttpRoutes {
+  readonly instance: FastifyInstance;
+  /** @returns base address, for example `http://127.0.0.1:4000` */
+  listen(): Promise<string>;
+  /** Asks clients to open no further calls on their connections, before a stop. */
+  closeConnectionsAfterAnswers(): void;
+  /** Stops listening and waits for calls in flight. */
+  close(): Promise<void>;
+}
+
+const MILLISECONDS_PER_SECOND = 1_000;
+const STATUS_OK = 200;
+const STATUS_SERVER_ERROR = 500;
+const PLAIN_ERROR_HEADERS =
+  'HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-type: application/json\r\n';
+
+function encodeFailure(failure: Failure): object {
+  const { status, ...body } = failure;
+  return body;
+}
+
+function checkWith<Output>(
+  schema: z.ZodType<Output> | undefined,
+  value: unknown,
+): Result<Output, Failure> {
+  if (!schema) return Ok(undefined as Output);
+  const checked = schema.safeParse(value);
+  if (checked.success) return Ok(checked.data);
+  return Err(createFailure('invalid-body', {}, { details: describeIssues(checked.error) }));
+}
+
+function readHeader(request: FastifyRequest, name: string): string | null {
+  const value = request.headers[name];
+  return (Array.isArray(value) ? value[0] : value) ?? null;
+}
+
+function pathOf(request: FastifyRequest): string {
+  return request.url.split('?')[0] ?? request.url;
+}
+
+/** Parses JSON bodies; an empty body counts as absent, so that its schema names what is missing. */
+function addJsonParser(instance: FastifyInstance): void {
+  const parse = instance.getDefaultJsonParser('error', 'error');
+  instance.removeAllContentTypeParsers();
+  instance.addContentTypeParser<string>(
+    'application/json',
+    { parseAs: 'string' },
+    (request, text, done) => {
+      if (text === '') {
+        done(null, undefined);
+        return;
+      }
+      if (isDeeperThan(text, MAXIMUM_JSON_DEPTH)) {
+        const reason = `it nests deeper than ${MAXIMUM_JSON_DEPTH} levels`;
+        done(new FailureError(createFailure('malformed-json', { reason })));
+        return;
+      }
+      parse(request, text, done);
+    },
+  );
+}
+
+async function runRoute<Body, Query>(
+  route: HttpRoute<Body, Query>,
+  request: FastifyRequest,
+): Promise<Result<HttpReply, Failure>> {
+  const body = checkWith(route.bodySchema, request.body);
+  if (body.isErr()) return body;
+  const query = checkWith(route.querySchema, request.query);
+  if (query.isErr()) return query;
+  return route.handle({
+    body: body.value,
+    query: query.value,
+    params: request.params as Record<string, string>,
+    header: (name) => readHeader(request, name),
+  });
+}
+
+/**
+ * Creates the HTTP server of the daemon. Every failure leaves it in the one failure form.
+ *
+ * @param options address, log, counters and readiness
+ * @returns the server; it listens after `listen`
+ * @throws if the address cannot be taken, from `listen`
+ */
+export function createHttpServer(options: HttpServerOptions): HttpServer {
+  const { log, counters } = options;
+  let isClosing = false;
+
+  function sendFailure(reply: FastifyReply, failure: Failure): FastifyReply {
+    counters.increment('http.failures', 1, { code: failure.code });
+    if (failure.retryAfterMilliseconds !== undefined) {
+      const seconds = Math.ceil(failure.retryAfterMilliseconds / MILLISECONDS_PER_SECOND);
+      reply.header('retry-after', String(seconds));
+    }
+    return reply.status(failure.status).send(encodeFailure(failure));
+  }
+
+  function sendError(error: unknown, request: FastifyRequest, reply: FastifyReply): FastifyReply {
+    const failure = classifyHttpError(error, { method: request.method, path: pathOf(request) });
+    if (failure.status >= STATUS_SERVER_ERROR) log.error('unexpected failure of a call', error);
+    return sendFailure(reply, failure);
+  }
+
+  const instance = fastify({
+    bodyLimit: BODY_LIMIT_BYTES,
+    forceCloseConnections: 'idle',
+    // The failure body of the framework differs from that of this interface.
+    return503OnClosing: false,
+    frameworkErrors: sendError,
+    clientErrorHandler(error, socket) {
+      counters.increment('http.failures', 1, { code: 'malformed-http' });
+      if (!socket.writable) return;
+      const failure = createFailure('invalid-header', { header: 'line', reason: error.message });
+      const body = JSON.stringify(encodeFailure(failure));
+      const length = Buffer.byteLength(body);
+      socket.end(`${PLAIN_ERROR_HEADERS}content-length: ${length}\r\n\r\n${body}`);
+    },
+  });
+  addJsonParser(instance);
+  instance.setErrorHandler((error, request, reply) => sendError(error, request, reply));
+  instance.setNotFoundHandler((request, reply) =>
+    sendFailure(
+      reply,
+      createFailure('unknown-route', { method: request.method, path: pathOf(request) }),
+    ),
+  );
+  instance.addHook('onSend', async (_request, reply) => {
+    if (isClosing) reply.header('connection', 'close');
+  });
+
+  function register<Body, Query>(route: HttpRoute<Body, Query>): void {
+    instance.route({
+      method: route.method,
+      url: route.path,
+      async handler(request, reply) {
+        const outcome = await runRoute(route, request);
+        if (outcome.isErr()) return sendFailure(reply, outcome.error);
+        return reply.status(outcome.value.status).send(outcome.value.body);
+      },
+    });
+  }
+
+  register({
+    method: 'GET',
+    path: '/health/live',
+    handle: async () => Ok({ status: STATUS_OK, body: { live: true } }),
+  });
+  register({
+    method: 'GET',
+    path: '/health/ready',
+    handle: async () =>
+      options.readiness().map(() => ({ status: STATUS_OK, body: { ready: true } })),
+  });
+
+  return {
+    instance,
+    register,
+    listen: () => instance.listen({ host: options.host, port: options.port }),
+    closeConnectionsAfterAnswers() {
+      isClosing = true;
+    },
+    close: () => instance.close(),
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/utils/httpFailures.ts
@@ -0,0 +1,77 @@
+import { createFailure } from '@chicorybend/common';
+import type { Failure, FailureDetail } from '@chicorybend/common';
+import type { z } from 'zod';
+
+/** Largest body of a call, in bytes. */
+export const BODY_LIMIT_BYTES = 1_048_576;
+
+const MALFORMED_CODES = new Set([
+  'FST_ERR_CTP_INVALID_JSON_BODY',
+  'FST_ERR_CTP_EMPTY_JSON_BODY',
+  'FST_ERR_CTP_INVALID_CONTENT_LENGTH',
+  'ECONNRESET',
+]);
+const TOO_LARGE_CODES = new Set(['FST_ERR_CTP_BODY_TOO_LARGE']);
+const MEDIA_TYPE_CODES = new Set([
+  'FST_ERR_CTP_INVALID_MEDIA_TYPE',
+  'FST_ERR_CTP_INVALID_CONTENT_TYPE',
+]);
+const ROUTE_CODES = new Set([
+  'FST_ERR_BAD_URL',
+  'FST_ERR_ROUTE_MISSING_HANDLER',
+  'FST_ERR_MAX_PARAM_LENGTH',
+]);
+
+/** Thrown by the body parser; the error handler turns it into its failure. */
+export class FailureError extends Error {
+  constructor(readonly failure: Failure) {
+    super(failure.message);
+    this.name = 'FailureError';
+  }
+}
+
+function codeOf(error: unknown): string {
+  return error instanceof Error && 'code' in error ? String(error.code) : '';
+}
+
+/**
+ * Turns an error of the HTTP framework or of a handler into a failure.
+ *
+ * @param error what was thrown
+ * @param request method and path of the call
+ * @returns failure for the caller
+ */
+export function classifyHttpError(
+  error: unknown,
+  request: { readonly method: string; readonly path: string },
+): Failure {
+  if (error instanceof FailureError) return error.failure;
+  const code = codeOf(error);
+  const reason = error instanceof Error ? error.message : String(error);
+  if (TOO_LARGE_CODES.has(code)) {
+    return createFailure('body-too-large', { limit: BODY_LIMIT_BYTES });
+  }
+  if (MEDIA_TYPE_CODES.has(code)) return createFailure('unsupported-media-type');
+  if (ROUTE_CODES.has(code)) return createFailure('unknown-route', { ...request });
+  if (MALFORMED_CODES.has(code) || error instanceof SyntaxError) {
+    return createFailure('malformed-json', { reason });
+  }
+  return createFailure('internal-error', { reason });
+}
+
+/**
+ * Turns the issues of a schema into failure details, one for each unknown field.
+ *
+ * @param error what the schema reported
+ * @returns path and reason of each issue
+ */
+export function describeIssues(error: z.ZodError): FailureDetail[] {
+  return error.issues.flatMap((issue) => {
+    const path = issue.path.map(String).join('.');
+    if (issue.code !== 'unrecognized_keys') return [{ path, reason: issue.message }];
+    return issue.keys.map((key) => ({
+      path: path ? `${path}.${key}` : key,
+      reason: 'unknown field',
+    }));
+  });
+}
