--- a/packages/decisions/src/core/scanIndex.ts
+++ b/packages/decisions/src/core/scanIndex.ts
@@ -3,6 +3,10 @@
 import type { WorkerRecord } from '../types/workerRecord.js';
 import { countFits } from '../utils/units.js';
 
+/** Workers without accelerators come before those whose accelerators are all in use. */
+const computeSpareAccelerators = (worker: WorkerRecord): number =>
+  worker.capacityUnits.accelerators === 0 ? -1 : worker.freeUnits.accelerators;
+
 /**
  * Creates an index that scores every worker with room; its cost grows with the number of workers.
  *
@@ -26,7 +30,7 @@
       let bestSpare = Infinity;
       for (const worker of workers) {
         if (countFits(worker.freeUnits, units) < 1 || !isAllowed(worker)) continue;
-        const spare = units.accelerators > 0 ? 0 : worker.freeUnits.accelerators;
+        const spare = units.accelerators > 0 ? 0 : computeSpareAccelerators(worker);
         const score = policy.score(worker.free, worker.capacity, resources);
         if (spare < bestSpare || (spare === bestSpare && score > bestScore)) {
           best = worker;
--- a/packages/decisions/src/core/workerPool.ts
+++ b/packages/decisions/src/core/workerPool.ts
@@ -14,16 +14,20 @@
 import { countFits, toChargedUnits, toOfferedUnits, toResources } from '../utils/units.js';
 import type { Units } from '../utils/units.js';
 import { createCapacityClasses } from './capacityClasses.js';
+import { createGridIndex } from './gridIndex.js';
 import { createScanIndex } from './scanIndex.js';
 
 const PROMISE = 'no-overcommit';
 
 /** Settings of {@link createWorkerPool}. */
 export interface WorkerPoolOptions {
-  /** Arrangement of the workers for the search. */
+  /** Arrangement of the workers for the search; by the policy's order of search unless given. */
   readonly createIndex?: (policy: PlacementPolicy) => CandidateIndex;
 }
 
+const createIndexFor = (policy: PlacementPolicy): CandidateIndex =>
+  policy.searchOrder ? createGridIndex(policy, policy.searchOrder) : createScanIndex(policy);
+
 function refreshFree(worker: WorkerRecord): void {
   RESOURCE_DIMENSIONS.forEach((dimension) => {
     // eslint-disable-next-line no-param-reassign
@@ -57,7 +61,7 @@
 ): WorkerPool {
   const workers = new Map<string, WorkerRecord>();
   const classes = createCapacityClasses();
-  const index = (options.createIndex ?? createScanIndex)(policy);
+  const index = (options.createIndex ?? createIndexFor)(policy);
 
   function refresh(worker: WorkerRecord): void {
     refreshFree(worker);
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -6,6 +6,7 @@
   PlacementRequest,
   PoolTotals,
   PoolWorker,
+  SearchOrder,
   WorkerPool,
 } from './types/workerPool.js';
 
--- a/packages/decisions/src/plugins/bestFitPolicy.ts
+++ b/packages/decisions/src/plugins/bestFitPolicy.ts
@@ -13,6 +13,8 @@
 class BestFitPolicy implements PlacementPolicy {
   readonly name = 'best-fit';
 
+  readonly searchOrder = 'tightest-first';
+
   constructor(private readonly imbalanceWeight: number) {}
 
   score(free: Resources, capacity: Resources, resources: Resources): number {
--- a/packages/decisions/src/plugins/spreadPolicy.ts
+++ b/packages/decisions/src/plugins/spreadPolicy.ts
@@ -7,6 +7,8 @@
 class SpreadPolicy implements PlacementPolicy {
   readonly name = 'spread';
 
+  readonly searchOrder = 'loosest-first';
+
   // eslint-disable-next-line class-methods-use-this -- required by the interface
   score(free: Resources, capacity: Resources, resources: Resources): number {
     const { processors, memory } = computeFreeFractions(free, capacity, resources);
--- a/packages/decisions/src/types/workerPool.ts
+++ b/packages/decisions/src/types/workerPool.ts
@@ -64,9 +64,17 @@
   size(): number;
 }
 
+/** Order in which a search visits workers that have room, by their free amounts. */
+export type SearchOrder = 'tightest-first' | 'loosest-first';
+
 /** Scores workers that have room; varies by deployment. */
 export interface PlacementPolicy {
   readonly name: string;
+  /**
+   * Where the highest scores are. With it, a search scores a bounded number of workers from that
+   * end; without it, every worker with room is scored.
+   */
+  readonly searchOrder?: SearchOrder;
   /**
    * @param free free resources of the worker
    * @param capacity capacity of the worker
