Choose among teams without walking their queues

The profile showed half of a decision at 750 teams in the choice of the team. Each line now keeps the age of its head, overdue lines are found through a heap, work that is due is queued directly, and a wave of deferrals that end together is released 256 at a time.

--- a/packages/decisions/src/core/taskQueue.ts
+++ b/packages/decisions/src/core/taskQueue.ts
@@ -1,12 +1,14 @@
-import type { Resources } from '@chicorybend/common';
-
-import { addResources, computeDominantShare, NO_RESOURCES } from '../utils/dominantShare.js';
+import type { QueuedWork, QueueOrderPolicy, TaskQueue } from '../types/taskQueue.js';
 import { createIndexedHeap } from '../utils/indexedHeap.js';
 import type { HeapNode, IndexedHeap } from '../utils/indexedHeap.js';
-import type { QueuedWork, QueueOrderPolicy, QueuePriority, TaskQueue } from '../types/taskQueue.js';
+import { createActiveLines } from './activeLines.js';
+import type { IsEligible } from './activeLines.js';
+import { createTeamUsage } from './teamUsage.js';
+import { createWorkLine } from './workLine.js';
+import type { WorkEntry, WorkLine } from './workLine.js';
 
-const DEFAULT_SHARE = 1;
-const PRIORITIES: readonly QueuePriority[] = ['urgent', 'normal', 'overnight'];
+/** Bounds the time of one `take` after a wave of deferrals that end together. */
+const MOST_RELEASES_PER_TAKE = 256;
 
 /** Settings of {@link createTaskQueue}. */
 export interface TaskQueueOptions {
@@ -14,39 +16,12 @@
   readonly agingMilliseconds: number;
 }
 
-interface Entry {
-  readonly work: QueuedWork;
-  readonly sequence: number;
-  readonly line: Line;
-}
-
-/** Due work of one team in one priority, oldest first. */
-interface Line {
-  readonly team: TeamState;
-  readonly priority: QueuePriority;
-  readonly due: IndexedHeap<Entry>;
-  /** When the line was last served, in monotonic milliseconds. */
-  servedAt: number;
-}
-
-interface TeamState {
-  readonly name: string;
-  readonly lines: Map<QueuePriority, Line>;
-  used: Resources;
-  weightedShare: number;
-  waiting: number;
-}
-
 interface Placed {
-  readonly heap: IndexedHeap<Entry>;
-  readonly node: HeapNode<Entry>;
+  readonly heap: IndexedHeap<WorkEntry>;
+  readonly node: HeapNode<WorkEntry>;
 }
 
-const isOlder = (left: Entry, right: Entry): boolean =>
-  left.work.enqueuedAt < right.work.enqueuedAt ||
-  (left.work.enqueuedAt === right.work.enqueuedAt && left.sequence < right.sequence);
-
-const isDueEarlier = (left: Entry, right: Entry): boolean =>
+const isDueEarlier = (left: WorkEntry, right: WorkEntry): boolean =>
   left.work.notBefore < right.work.notBefore;
 
 /**
@@ -56,138 +31,57 @@
  * priority) that was passed over for `agingMilliseconds` since the line was last served is overdue.
  * Overdue heads go ahead of everything, the longest overdue first, but take turns with urgent work,
  * so that a long backlog of aged work neither starves urgent work nor turns the order into plain
- * age.
+ * age. An overdue head thus waits for at most two takes per line that became overdue earlier.
  *
  * @param policy order of the teams
  * @param options settings
  * @returns queue
  */
 export function createTaskQueue(policy: QueueOrderPolicy, options: TaskQueueOptions): TaskQueue {
-  const teams = new Map<string, TeamState>();
+  const usage = createTeamUsage();
+  const lines = new Map<string, WorkLine>();
+  const active = createActiveLines(policy, options.agingMilliseconds);
   const entries = new Map<string, Placed>();
-  const deferred = createIndexedHeap<Entry>(isDueEarlier);
-  const activeLines = new Map<QueuePriority, Set<Line>>(
-    PRIORITIES.map((priority) => [priority, new Set()]),
-  );
-  let shares: Readonly<Record<string, number>> = {};
-  let capacity: Resources = NO_RESOURCES;
+  const deferred = createIndexedHeap<WorkEntry>(isDueEarlier);
   let nextSequence = 0;
-  let isUrgentTurn = false;
-
-  function refreshShare(team: TeamState): void {
-    const weight = shares[team.name] ?? DEFAULT_SHARE;
-    // eslint-disable-next-line no-param-reassign
-    team.weightedShare = computeDominantShare(team.used, capacity) / weight;
-  }
+  let latestNow = -Infinity;
 
-  function teamOf(name: string): TeamState {
-    let team = teams.get(name);
-    if (!team) {
-      team = { name, lines: new Map(), used: NO_RESOURCES, weightedShare: 0, waiting: 0 };
-      teams.set(name, team);
-    }
-    return team;
-  }
-
-  function lineOf(work: QueuedWork): Line {
-    const team = teamOf(work.team);
-    let line = team.lines.get(work.priority);
-    if (!line) {
-      line = {
-        team,
-        priority: work.priority,
-        due: createIndexedHeap(isOlder),
-        servedAt: -Infinity,
-      };
-      team.lines.set(work.priority, line);
-    }
+  function lineOf({ team, priority }: QueuedWork): WorkLine {
+    const key = `${priority}/${team}`;
+    const line = lines.get(key) ?? createWorkLine(usage.stateOf(team), priority);
+    lines.set(key, line);
     return line;
   }
 
-  function makeDue(entry: Entry): void {
+  function makeDue(entry: WorkEntry): void {
     const { line, work } = entry;
-    if (line.due.size() === 0) activeLines.get(line.priority)!.add(line);
-    const node = line.due.push(entry);
-    entries.set(work.workId, { heap: line.due, node });
+    entries.set(work.workId, { heap: line.due, node: line.due.push(entry) });
+    active.refresh(line);
   }
 
-  function takeOut(entry: Entry): void {
-    const { line, work } = entry;
-    const placed = entries.get(work.workId)!;
-    placed.heap.remove(placed.node);
-    entries.delete(work.workId);
-    line.team.waiting -= 1;
-    if (line.due.size() === 0) activeLines.get(line.priority)!.delete(line);
+  function defer(entry: WorkEntry): void {
+    entries.set(entry.work.workId, { heap: deferred, node: deferred.push(entry) });
   }
 
-  function releaseDeferred(now: number): void {
+  function releaseDeferred(now: number): number {
+    let released = 0;
     let next = deferred.peek();
-    while (next && next.work.notBefore <= now) {
+    while (next && next.work.notBefore <= now && released < MOST_RELEASES_PER_TAKE) {
       deferred.pop();
       makeDue(next);
+      released += 1;
       next = deferred.peek();
     }
+    return released;
   }
 
-  const passedOverSince = (line: Line): number => {
-    const { enqueuedAt, notBefore } = line.due.peek()!.work;
-    return Math.max(enqueuedAt, notBefore, line.servedAt);
-  };
-
-  function chooseLine(
-    lines: Iterable<Line>,
-    isEligible: (team: string) => boolean,
-    rankOf: (line: Line) => number,
-  ): Line | null {
-    let best: Line | null = null;
-    let bestRank = Infinity;
-    for (const line of lines) {
-      const rank = rankOf(line);
-      const isFirst =
-        best === null ||
-        rank < bestRank ||
-        (rank === bestRank && isOlder(line.due.peek()!, best.due.peek()!));
-      // Eligibility is asked only for a line that would win, because it is the dearer question.
-      if (isFirst && isEligible(line.team.name)) {
-        best = line;
-        bestRank = rank;
-      }
-    }
-    return best;
-  }
-
-  function chooseOverdue(now: number, isEligible: (team: string) => boolean): Line | null {
-    const overdue = PRIORITIES.flatMap((priority) =>
-      [...activeLines.get(priority)!].filter(
-        (line) => now - passedOverSince(line) >= options.agingMilliseconds,
-      ),
-    );
-    return chooseLine(overdue, isEligible, passedOverSince);
-  }
-
-  function chooseByPolicy(
-    priority: QueuePriority,
-    now: number,
-    isEligible: (team: string) => boolean,
-  ): Line | null {
-    return chooseLine(activeLines.get(priority)!, isEligible, (line) =>
-      policy.rank(line.team.weightedShare, now - line.due.peek()!.work.enqueuedAt),
-    );
-  }
-
-  function choose(now: number, isEligible: (team: string) => boolean): Line | null {
-    const overdue = chooseOverdue(now, isEligible);
-    const urgent = chooseByPolicy('urgent', now, isEligible);
-    if (overdue && urgent) {
-      isUrgentTurn = !isUrgentTurn;
-      return isUrgentTurn ? urgent : overdue;
-    }
-    return (
-      overdue ??
-      urgent ??
-      chooseByPolicy('normal', now, isEligible) ??
-      chooseByPolicy('overnight', now, isEligible)
-    );
+  function takeOut(entry: WorkEntry): void {
+    const { line, work } = entry;
+    const { heap, node } = entries.get(work.workId)!;
+    heap.remove(node);
+    entries.delete(work.workId);
+    line.team.waiting -= 1;
+    active.refresh(line);
   }
 
   function remove(workId: string): boolean {
@@ -197,6 +91,16 @@
     return true;
   }
 
+  function chooseLine(now: number, isEligible: IsEligible): WorkLine | null {
+    let released: number;
+    let line: WorkLine | null;
+    do {
+      released = releaseDeferred(now);
+      line = active.choose(now, isEligible);
+    } while (!line && released > 0);
+    return line;
+  }
+
   return {
     add(work) {
       remove(work.workId);
@@ -204,43 +108,28 @@
       const entry = { work, sequence: nextSequence, line };
       nextSequence += 1;
       line.team.waiting += 1;
-      entries.set(work.workId, { heap: deferred, node: deferred.push(entry) });
+      const isDue = work.notBefore <= Math.max(latestNow, work.enqueuedAt);
+      if (isDue) makeDue(entry);
+      else defer(entry);
     },
     remove,
     take(now, isEligible) {
-      releaseDeferred(now);
-      const line = choose(now, isEligible);
+      latestNow = Math.max(latestNow, now);
+      const line = chooseLine(now, isEligible);
       if (!line) return null;
       const entry = line.due.peek()!;
-      takeOut(entry);
       line.servedAt = now;
+      takeOut(entry);
       return entry.work;
     },
-    setShares(next) {
-      shares = next;
-      teams.forEach(refreshShare);
-    },
-    setUsage(usage) {
-      Object.keys(usage).forEach(teamOf);
-      teams.forEach((team) => {
-        // eslint-disable-next-line no-param-reassign
-        team.used = usage[team.name] ?? NO_RESOURCES;
-        refreshShare(team);
-      });
-    },
-    setCapacity(next) {
-      capacity = next;
-      teams.forEach(refreshShare);
-    },
-    recordStart(work) {
-      const team = teamOf(work.team);
-      team.used = addResources(team.used, work.resources, work.tasks);
-      refreshShare(team);
-    },
+    setShares: usage.setShares,
+    setUsage: usage.setUsage,
+    setCapacity: usage.setCapacity,
+    recordStart: (work) => usage.charge(work.team, work.resources, work.tasks),
     size: () => entries.size,
     waitingByTeam: () =>
       Object.fromEntries(
-        [...teams.values()]
+        [...usage.all()]
           .filter((team) => team.waiting > 0)
           .map((team) => [team.name, team.waiting]),
       ),
--- /dev/null
+++ b/packages/decisions/src/core/teamUsage.ts
@@ -0,0 +1,75 @@
+import type { Resources } from '@chicorybend/common';
+
+import { addResources, computeDominantShare, NO_RESOURCES } from '../utils/dominantShare.js';
+
+const DEFAULT_SHARE = 1;
+
+/** What a team uses, as far as it is known. */
+export interface TeamState {
+  readonly name: string;
+  used: Resources;
+  /** Dominant share divided by the weight. */
+  weightedShare: number;
+  /** Pieces of work that wait. */
+  waiting: number;
+}
+
+/** Usage and weights of all teams. */
+export interface TeamUsage {
+  /** @returns state of a team, which is created if it is not known */
+  stateOf(name: string): TeamState;
+  all(): Iterable<TeamState>;
+  setShares(shares: Readonly<Record<string, number>>): void;
+  setUsage(usage: Readonly<Record<string, Resources>>): void;
+  setCapacity(capacity: Resources): void;
+  /** Adds to what a team uses until the next `setUsage`. */
+  charge(name: string, resources: Resources, count: number): void;
+}
+
+/** @returns usage of no teams */
+export function createTeamUsage(): TeamUsage {
+  const teams = new Map<string, TeamState>();
+  let shares: Readonly<Record<string, number>> = {};
+  let capacity: Resources = NO_RESOURCES;
+
+  function refresh(team: TeamState): void {
+    const weight = shares[team.name] ?? DEFAULT_SHARE;
+    // eslint-disable-next-line no-param-reassign
+    team.weightedShare = computeDominantShare(team.used, capacity) / weight;
+  }
+
+  function stateOf(name: string): TeamState {
+    let team = teams.get(name);
+    if (!team) {
+      team = { name, used: NO_RESOURCES, weightedShare: 0, waiting: 0 };
+      teams.set(name, team);
+    }
+    return team;
+  }
+
+  return {
+    stateOf,
+    all: () => teams.values(),
+    setShares(next) {
+      shares = next;
+      teams.forEach(refresh);
+    },
+    setUsage(usage) {
+      Object.keys(usage).forEach(stateOf);
+      teams.forEach((team) => {
+        // eslint-disable-next-line no-param-reassign
+        team.used = usage[team.name] ?? NO_RESOURCES;
+        refresh(team);
+      });
+    },
+    setCapacity(next) {
+      capacity = next;
+      teams.forEach(refresh);
+    },
+    charge(name, resources, count) {
+      const team = stateOf(name);
+      team.used = addResources(team.used, resources, count);
+      refresh(team);
+    },
+  };
+}
