Measure cancellation waves

Cancellations arrive 100,000 at a time and must not stall decisions. The rows remove a full queue in scattered order with takes in between.

--- a/packages/decisions/src/__performance_tests__/decisionRows.ts
+++ b/packages/decisions/src/__performance_tests__/decisionRows.ts
@@ -1,4 +1,5 @@
 import type { BenchOptions, BenchRow } from './benchRow.js';
+import { collectCancellationRows } from './cancellationRows.js';
 import { collectPlacementRows } from './placementRows.js';
 
 export type { BenchOptions, BenchRow } from './benchRow.js';
@@ -10,5 +11,5 @@
  * @returns rows with their bounds; the bounds are the stated targets
  */
 export async function collectDecisionRows(options: BenchOptions): Promise<readonly BenchRow[]> {
-  return [...collectPlacementRows(options)];
+  return [...collectPlacementRows(options), ...collectCancellationRows(options)];
 }
