Add the local cell, its daemon processes and HTTP callers

The demo, the soak and the daemon's end-to-end tests need one way to run six daemons against the stand-ins and to disturb them. Each daemon is a child process on a loopback address of its own with a relay in front of its peer port and one towards the store; callers and operators use the HTTP interface. Until the daemon exists, the tests run a stub program in its place.

--- /dev/null
+++ b/packages/proving/src/__tests__/silentProgram.ts
@@ -0,0 +1,2 @@
+// A program that runs and serves nothing.
+setInterval(() => {}, 1_000);
--- /dev/null
+++ b/packages/proving/src/core/localCell.ts
@@ -0,0 +1,189 @@
+import { randomBytes } from 'node:crypto';
+import { existsSync, mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+import type { RelayDirection, RelayFault } from '@chicorybend/standins';
+
+import type { CellPlan } from '../types/cellPlan.js';
+import { DAEMON_PROGRAM } from './daemonProcess.js';
+import { createLocalDaemon } from './localDaemon.js';
+import type { LocalDaemon } from './localDaemon.js';
+import { startPlatform } from './platform.js';
+import type { Platform } from './platform.js';
+
+/** Takes a fault back. */
+export type Undo = () => void;
+
+/** Options of a local cell. */
+export interface LocalCellOptions {
+  readonly plan: CellPlan;
+  /** Program of the daemons; the built daemon by default. */
+  readonly program?: string;
+  /** Further flags of each daemon. */
+  readonly extraArguments?: readonly string[];
+  /** Time until all daemons must be ready, in milliseconds. */
+  readonly readyLimitMilliseconds?: number;
+  /** Called once the processes run and before their readiness is awaited. */
+  readonly prepare?: (cell: LocalCell) => Promise<void>;
+}
+
+/** Stand-ins in this process and daemons in processes of their own. */
+export interface LocalCell {
+  readonly plan: CellPlan;
+  readonly platform: Platform;
+  readonly daemons: readonly LocalDaemon[];
+  /** Token of the operator "bootstrap". */
+  readonly operatorToken: string;
+  /** Folder of the daemons' output. */
+  readonly outputFolder: string;
+  /** Applies a fault to the link between two daemons, whichever of them called. */
+  disturbLink(first: LocalDaemon, second: LocalDaemon, fault: RelayFault): Undo;
+  /** Applies a fault to what one daemon sends to another, whichever of them called. */
+  disturbOneWay(sender: LocalDaemon, receiver: LocalDaemon, fault: RelayFault): Undo;
+  /** Silences the connections that are open between two daemons, for good. */
+  silenceOpenLinks(first: LocalDaemon, second: LocalDaemon): void;
+  /** Applies a fault between one daemon and the store. */
+  disturbStore(daemon: LocalDaemon, fault: RelayFault): Undo;
+  /** @returns whether all daemons were ready before the limit */
+  waitReady(limitMilliseconds: number): Promise<boolean>;
+  /**
+   * Ends all processes, relays and stand-ins.
+   *
+   * @param keepsOutput whether the folder of the daemons' output stays
+   */
+  close(keepsOutput?: boolean): Promise<void>;
+}
+
+const FIRST_HOST_NUMBER = 11;
+const TOKEN_BYTES = 24;
+const READY_LIMIT_MILLISECONDS = 30_000;
+
+function hostOf(index: number): string {
+  return `127.0.0.${FIRST_HOST_NUMBER + index}`;
+}
+
+function createToken(): string {
+  return randomBytes(TOKEN_BYTES).toString('hex');
+}
+
+/** Daemons in different data centres are apart by the plan's one-way time. */
+function applyDistances(plan: CellPlan, daemons: readonly LocalDaemon[]): void {
+  daemons.forEach((receiver) => {
+    const others = daemons.filter((daemon) => daemon.dataCentre !== receiver.dataCentre);
+    others.forEach((caller) => {
+      const delayMilliseconds = plan.oneWayMilliseconds;
+      receiver.peerRelay.apply({ caller: caller.host }, { kind: 'delay', delayMilliseconds });
+    });
+  });
+}
+
+function joinUndo(undos: readonly Undo[]): Undo {
+  return () => undos.forEach((undo) => undo());
+}
+
+function applyOneWay(
+  caller: LocalDaemon,
+  target: LocalDaemon,
+  direction: RelayDirection | null,
+  fault: RelayFault,
+): Undo {
+  const selector = { caller: caller.host, ...(direction ? { direction } : {}) };
+  return target.peerRelay.apply(selector, fault);
+}
+
+function createDaemons(
+  options: LocalCellOptions,
+  platform: Platform,
+  operatorToken: string,
+  outputFolder: string,
+): Promise<LocalDaemon[]> {
+  const shared = {
+    storeAddress: platform.store.address,
+    vmListAddress: platform.vmList.address,
+    peerToken: createToken(),
+    operatorToken,
+    partitions: options.plan.partitions,
+    outputFolder,
+    program: options.program ?? DAEMON_PROGRAM,
+    extraArguments: options.extraArguments ?? [],
+  };
+  return Promise.all(
+    options.plan.daemons.map((daemon, index) =>
+      createLocalDaemon({ ...daemon, host: hostOf(index) }, shared),
+    ),
+  );
+}
+
+function createCell(
+  options: LocalCellOptions,
+  platform: Platform,
+  daemons: readonly LocalDaemon[],
+  operatorToken: string,
+  outputFolder: string,
+): LocalCell {
+  return {
+    plan: options.plan,
+    platform,
+    daemons,
+    operatorToken,
+    outputFolder,
+    disturbLink: (first, second, fault) =>
+      joinUndo([applyOneWay(first, second, null, fault), applyOneWay(second, first, null, fault)]),
+    disturbOneWay: (sender, receiver, fault) =>
+      joinUndo([
+        applyOneWay(sender, receiver, 'to-target', fault),
+        applyOneWay(receiver, sender, 'to-caller', fault),
+      ]),
+    silenceOpenLinks(first, second) {
+      second.peerRelay.silenceOpenConnections({ caller: first.host });
+      first.peerRelay.silenceOpenConnections({ caller: second.host });
+    },
+    disturbStore: (daemon, fault) => daemon.storeRelay.apply({}, fault),
+    async waitReady(limitMilliseconds) {
+      const ready = await Promise.all(daemons.map((daemon) => daemon.waitReady(limitMilliseconds)));
+      return ready.every(Boolean);
+    },
+    async close(keepsOutput = false) {
+      await Promise.all(daemons.map((daemon) => daemon.close()));
+      await platform.close();
+      if (!keepsOutput) rmSync(outputFolder, { recursive: true, force: true });
+    },
+  };
+}
+
+/** Starts the processes and waits until all are ready. */
+async function bringUp(cell: LocalCell, options: LocalCellOptions): Promise<void> {
+  cell.daemons.forEach((daemon) => daemon.start());
+  await options.prepare?.(cell);
+  await cell.waitReady(options.readyLimitMilliseconds ?? READY_LIMIT_MILLISECONDS);
+  const states = await Promise.all(cell.daemons.map((daemon) => daemon.isReady()));
+  const missing = cell.daemons.filter((_, index) => !states[index]).map((daemon) => daemon.id);
+  if (missing.length === 0) return;
+  throw new Error(`daemons ${missing.join(', ')} did not become ready; see ${cell.outputFolder}`);
+}
+
+/**
+ * Starts a local cell and waits until all its daemons are ready. On a failure everything that was started is
+ * ended again.
+ *
+ * @param options plan and program
+ * @returns the running cell
+ */
+export async function startLocalCell(options: LocalCellOptions): Promise<LocalCell> {
+  const program = options.program ?? DAEMON_PROGRAM;
+  if (!existsSync(program)) throw new Error(`there is no program ${program}`);
+  const platform = await startPlatform(options.plan);
+  const operatorToken = createToken();
+  const outputFolder = mkdtempSync(join(tmpdir(), 'chicorybend-cell-'));
+  const daemons = await createDaemons(options, platform, operatorToken, outputFolder);
+  applyDistances(options.plan, daemons);
+  const cell = createCell(options, platform, daemons, operatorToken, outputFolder);
+  try {
+    await bringUp(cell, options);
+    return cell;
+  } catch (error) {
+    await cell.close(true);
+    throw error;
+  }
+}
--- /dev/null
+++ b/packages/proving/src/core/localDaemon.ts
@@ -0,0 +1,143 @@
+import { createServer } from 'node:net';
+import { join } from 'node:path';
+
+import { request } from 'undici';
+
+import { listenOnStablePort, startRelay } from '@chicorybend/standins';
+import type { Relay } from '@chicorybend/standins';
+
+import { waitUntil } from '../utils/waitUntil.js';
+import { createDaemonProcess, DAEMON_PROGRAM } from './daemonProcess.js';
+import type { DaemonProcess } from './daemonProcess.js';
+
+/** A daemon of a local cell with the relays in front of its peer port and of its way to the store. */
+export interface LocalDaemon extends DaemonProcess {
+  readonly id: string;
+  readonly dataCentre: string;
+  /** Loopback address of its own; it listens here and calls from here. */
+  readonly host: string;
+  /** Base address of its HTTP interface. */
+  readonly apiAddress: string;
+  /** In front of its peer port; selects callers by their address. */
+  readonly peerRelay: Relay;
+  /** Between this daemon and the store. */
+  readonly storeRelay: Relay;
+  readonly outputFile: string;
+  /** @returns whether `GET /health/ready` answers with status 200 */
+  isReady(): Promise<boolean>;
+  /** @returns whether the daemon was ready before the limit */
+  waitReady(limitMilliseconds: number): Promise<boolean>;
+  /** Ends the process and the relays. */
+  close(): Promise<void>;
+}
+
+/** Settings that all daemons of a cell share. */
+export interface SharedDaemonSettings {
+  readonly storeAddress: string;
+  readonly vmListAddress: string;
+  readonly peerToken: string;
+  readonly operatorToken: string;
+  readonly partitions: number;
+  readonly outputFolder: string;
+  readonly program?: string;
+  /** Further flags of each daemon. */
+  readonly extraArguments?: readonly string[];
+}
+
+/** Identity and place of one daemon. */
+export interface DaemonPlace {
+  readonly id: string;
+  readonly dataCentre: string;
+  readonly host: string;
+}
+
+const HEALTH_TIMEOUT_MILLISECONDS = 500;
+const STATUS_OK = 200;
+
+/** Finds a port that a process can be started on, also again after a kill. */
+async function reservePort(host: string): Promise<number> {
+  const server = createServer();
+  const port = await listenOnStablePort(server, { host });
+  await new Promise((resolve) => {
+    server.close(resolve);
+  });
+  return port;
+}
+
+async function isHealthy(apiAddress: string, path: string): Promise<boolean> {
+  try {
+    const response = await request(`${apiAddress}${path}`, {
+      signal: AbortSignal.timeout(HEALTH_TIMEOUT_MILLISECONDS),
+    });
+    await response.body.dump();
+    return response.statusCode === STATUS_OK;
+  } catch {
+    return false;
+  }
+}
+
+/**
+ * Prepares a daemon and its relays. The process is not started yet.
+ *
+ * @param place identity and place
+ * @param shared settings of the cell
+ * @returns the daemon
+ */
+export async function createLocalDaemon(
+  place: DaemonPlace,
+  shared: SharedDaemonSettings,
+): Promise<LocalDaemon> {
+  const { id, dataCentre, host } = place;
+  const apiPort = await reservePort(host);
+  const peerPort = await reservePort(host);
+  const store = new URL(shared.storeAddress);
+  const peerRelay = await startRelay({ host, targetHost: host, targetPort: peerPort });
+  const storeRelay = await startRelay({
+    host,
+    targetHost: store.hostname,
+    targetPort: Number(store.port),
+  });
+  const apiAddress = `http://${host}:${apiPort}`;
+  const flags = {
+    id,
+    'data-centre': dataCentre,
+    host,
+    'api-port': apiPort,
+    'peer-port': peerPort,
+    'api-advertise': apiAddress,
+    'peer-advertise': `${host}:${peerRelay.port}`,
+    'store-address': `http://${host}:${storeRelay.port}`,
+    'vm-list-address': shared.vmListAddress,
+    'peer-token': shared.peerToken,
+    'operator-token': shared.operatorToken,
+    partitions: shared.partitions,
+  };
+  const outputFile = join(shared.outputFolder, `${id}.log`);
+  const daemonProcess = createDaemonProcess(
+    shared.program ?? DAEMON_PROGRAM,
+    [
+      ...Object.entries(flags).flatMap(([flag, value]) => [`--${flag}`, String(value)]),
+      ...(shared.extraArguments ?? []),
+    ],
+    outputFile,
+  );
+  const isReady = (): Promise<boolean> => isHealthy(apiAddress, '/health/ready');
+
+  return {
+    ...daemonProcess,
+    id,
+    dataCentre,
+    host,
+    apiAddress,
+    peerRelay,
+    storeRelay,
+    outputFile,
+    isReady,
+    waitReady: (limitMilliseconds) => waitUntil(isReady, limitMilliseconds),
+    async close() {
+      daemonProcess.resume();
+      await daemonProcess.kill();
+      await Promise.all([peerRelay.close(), storeRelay.close()]);
+    },
+  };
+}
--- /dev/null
+++ b/packages/proving/src/core/platform.ts
@@ -0,0 +1,84 @@
+import {
+  createRunRecord,
+  startEndpointStandIn,
+  startStoreStandIn,
+  startVmListStandIn,
+  startWorkerStandIn,
+} from '@chicorybend/standins';
+import type {
+  EndpointStandIn,
+  RunRecord,
+  StoreStandIn,
+  VmListStandIn,
+  WorkerStandIn,
+} from '@chicorybend/standins';
+
+import type { CellPlan } from '../types/cellPlan.js';
+
+/** Stand-ins of one cell, all in the current process. */
+export interface Platform {
+  readonly record: RunRecord;
+  readonly store: StoreStandIn;
+  readonly vmList: VmListStandIn;
+  readonly workers: readonly WorkerStandIn[];
+  readonly endpoints: readonly EndpointStandIn[];
+  close(): Promise<void>;
+}
+
+/** Time between a change and its appearance in the VM list, in milliseconds. */
+const VM_LIST_LAG_MILLISECONDS = 1_000;
+
+function startWorkers(plan: CellPlan, record: RunRecord): Promise<WorkerStandIn[]> {
+  const places = plan.racks.flatMap((rack) =>
+    rack.workers.map((workerId) => ({ workerId, rack: rack.name, dataCentre: rack.dataCentre })),
+  );
+  return Promise.all(
+    places.map((place) => startWorkerStandIn({ ...place, capacity: plan.workerCapacity, record })),
+  );
+}
+
+function startEndpoints(plan: CellPlan, record: RunRecord): Promise<EndpointStandIn[]> {
+  return Promise.all(
+    plan.endpoints.map(({ id, dataCentre, rack }) =>
+      startEndpointStandIn({
+        endpointId: id,
+        dataCentre,
+        rack,
+        slots: plan.endpointSlots,
+        connections: plan.endpointConnections,
+        record,
+      }),
+    ),
+  );
+}
+
+/**
+ * Starts the stand-ins of a cell: store, VM list, workers and endpoints.
+ *
+ * @param plan what the cell consists of
+ * @returns the running stand-ins
+ */
+export async function startPlatform(plan: CellPlan): Promise<Platform> {
+  const record = createRunRecord();
+  const [store, workers, endpoints] = await Promise.all([
+    startStoreStandIn(),
+    startWorkers(plan, record),
+    startEndpoints(plan, record),
+  ]);
+  const vmList = await startVmListStandIn({
+    vms: [...workers, ...endpoints].map((standIn) => standIn.vm),
+    lagMilliseconds: VM_LIST_LAG_MILLISECONDS,
+  });
+  return {
+    record,
+    store,
+    vmList,
+    workers,
+    endpoints,
+    async close() {
+      await Promise.all(
+        [store, vmList, ...workers, ...endpoints].map((standIn) => standIn.close()),
+      );
+    },
+  };
+}
--- /dev/null
+++ b/packages/proving/src/core/workCaller.ts
@@ -0,0 +1,121 @@
+import { v7 as createUuidVersion7 } from 'uuid';
+
+import type {
+  InteractiveRequest,
+  InteractiveResponse,
+  JobRequest,
+  JobView,
+} from '@chicorybend/common';
+
+import type { CallOutcome } from '../types/observation.js';
+import { createHttpCaller } from './httpCaller.js';
+
+/** Key and idempotency key of a submission. */
+export interface SubmitOptions {
+  /** Text of the caller's key; absent on open queues. */
+  readonly keyText?: string;
+  /** Absent means a new one. */
+  readonly idempotencyKey?: string;
+}
+
+/** A caller of the scheduler; each call goes to the daemon at the given base address. */
+export interface WorkCaller {
+  submitRequest(
+    address: string,
+    request: InteractiveRequest,
+    options?: SubmitOptions,
+  ): Promise<CallOutcome<InteractiveResponse>>;
+  submitJob(
+    address: string,
+    job: JobRequest,
+    options?: SubmitOptions,
+  ): Promise<CallOutcome<{ jobId: string }>>;
+  readJob(address: string, jobId: string, keyText?: string): Promise<CallOutcome<JobView>>;
+  /** Waits until the job has ended or the wait is over. */
+  waitForJob(
+    address: string,
+    jobId: string,
+    waitMilliseconds: number,
+    keyText?: string,
+  ): Promise<CallOutcome<JobView>>;
+  cancelJob(address: string, jobId: string, keyText?: string): Promise<CallOutcome<JobView>>;
+  close(): Promise<void>;
+}
+
+/** Added to the caller's own deadline, for the way to the daemon and back. */
+const ANSWER_MARGIN_MILLISECONDS = 2_000;
+const JOB_CALL_TIMEOUT_MILLISECONDS = 10_000;
+
+function describeKey(keyText: string | undefined): Record<string, string> {
+  return keyText === undefined ? {} : { authorization: `Bearer ${keyText}` };
+}
+
+function describeSubmission(options: SubmitOptions): Record<string, string> {
+  const idempotencyKey = options.idempotencyKey ?? createIdempotencyKey();
+  return { ...describeKey(options.keyText), 'idempotency-key': idempotencyKey };
+}
+
+/**
+ * Creates an idempotency key.
+ *
+ * @returns UUID version 7
+ */
+export function createIdempotencyKey(): string {
+  return createUuidVersion7();
+}
+
+/**
+ * Creates a caller of the scheduler with connections of its own.
+ *
+ * @returns the caller
+ */
+export function createWorkCaller(): WorkCaller {
+  const http = createHttpCaller();
+  const pathOf = (jobId: string): string => `/v1/jobs/${encodeURIComponent(jobId)}`;
+  return {
+    submitRequest: (address, request, options = {}) =>
+      http.call({
+        method: 'POST',
+        address,
+        path: '/v1/requests',
+        headers: describeSubmission(options),
+        body: request,
+        timeoutMilliseconds: request.deadlineMilliseconds + ANSWER_MARGIN_MILLISECONDS,
+      }),
+    submitJob: (address, job, options = {}) =>
+      http.call({
+        method: 'POST',
+        address,
+        path: '/v1/jobs',
+        headers: describeSubmission(options),
+        body: job,
+        timeoutMilliseconds: JOB_CALL_TIMEOUT_MILLISECONDS,
+      }),
+    readJob: (address, jobId, keyText) =>
+      http.call({
+        method: 'GET',
+        address,
+        path: pathOf(jobId),
+        headers: describeKey(keyText),
+        timeoutMilliseconds: JOB_CALL_TIMEOUT_MILLISECONDS,
+      }),
+    waitForJob: (address, jobId, waitMilliseconds, keyText) =>
+      http.call({
+        method: 'GET',
+        address,
+        path: `${pathOf(jobId)}/result?waitMilliseconds=${Math.round(waitMilliseconds)}`,
+        headers: describeKey(keyText),
+        timeoutMilliseconds: waitMilliseconds + JOB_CALL_TIMEOUT_MILLISECONDS,
+      }),
+    cancelJob: (address, jobId, keyText) =>
+      http.call({
+        method: 'POST',
+        address,
+        path: `${pathOf(jobId)}/cancel`,
+        headers: describeKey(keyText),
+        body: {},
+        timeoutMilliseconds: JOB_CALL_TIMEOUT_MILLISECONDS,
+      }),
+    close: () => http.close(),
+  };
+}
--- a/packages/proving/src/index.ts
+++ b/packages/proving/src/index.ts
@@ -11,3 +11,30 @@
   TeamLimit,
 } from './types/observation.js';
 export type { Violation, ViolationKind } from './types/violation.js';
+
+/** A cell on this machine: stand-ins in this process, daemons in processes of their own. */
+export { startLocalCell } from './core/localCell.js';
+export type { LocalCell, LocalCellOptions, Undo } from './core/localCell.js';
+export { createLocalDaemon } from './core/localDaemon.js';
+export type { DaemonPlace, LocalDaemon, SharedDaemonSettings } from './core/localDaemon.js';
+export { createDaemonProcess, DAEMON_PROGRAM } from './core/daemonProcess.js';
+export type { DaemonProcess, ProcessExit } from './core/daemonProcess.js';
+export { startPlatform } from './core/platform.js';
+export type { Platform } from './core/platform.js';
+
+/** Examples under `examples/`. */
+export { cellPlanSchema, sampleKeysSchema } from './types/cellPlan.js';
+export type { CellPlan, Example, SampleKeys } from './types/cellPlan.js';
+export { EXAMPLE_NAMES, readExample } from './utils/readExample.js';
+export type { ExampleName } from './utils/readExample.js';
+
+/** Callers and operators over HTTP. */
+export { createHttpCaller } from './core/httpCaller.js';
+export type { HttpCall, HttpCaller } from './core/httpCaller.js';
+export { createIdempotencyKey, createWorkCaller } from './core/workCaller.js';
+export type { SubmitOptions, WorkCaller } from './core/workCaller.js';
+export { applyFirstConfiguration, createOperatorCaller } from './core/operatorCaller.js';
+export type { ApplyAnswer, ConfigurationAnswer, OperatorCaller } from './core/operatorCaller.js';
+
+/** Waiting. */
+export { waitUntil } from './utils/waitUntil.js';
--- a/packages/standins/src/core/relay.ts
+++ b/packages/standins/src/core/relay.ts
@@ -36,8 +36,12 @@
 export interface Relay {
   readonly host: string;
   readonly port: number;
-  /** Adds a fault for the selected connections, open and new ones. */
-  apply(selector: RelaySelector, fault: RelayFault): void;
+  /**
+   * Adds a fault for the selected connections, open and new ones.
+   *
+   * @returns function that takes this fault back and leaves others in place
+   */
+  apply(selector: RelaySelector, fault: RelayFault): () => void;
   /** Takes back the faults that were applied with this selector; without one, all of them. */
   clear(selector?: RelaySelector): void;
   /** Silences the selected connections that are open now, for good; new ones work. */
@@ -167,8 +171,13 @@
     host,
     port,
     apply(selector, fault) {
-      rules = [...rules, { selector, fault }];
+      const rule = { selector, fault };
+      rules = [...rules, rule];
       applyRules();
+      return () => {
+        rules = rules.filter((other) => other !== rule);
+        applyRules();
+      };
     },
     clear(selector) {
       rules = selector ? rules.filter((rule) => !isSameSelector(rule.selector, selector)) : [];
