--- /dev/null
+++ b/packages/daemon/src/__tests__/durableQuarantine.test.ts
@@ -0,0 +1,92 @@
+import type { TaskStart } from '@chicorybend/common';
+import test from 'ava';
+
+import { createRunningCell } from './durableKit.js';
+import type { TestCell, TestWorker } from './durableKit.js';
+
+/** Ends each task shortly after its start. */
+function endTasks(
+  cell: TestCell,
+  isFailing: (worker: TestWorker, start: TaskStart) => boolean,
+): void {
+  cell.workers.forEach((one) => {
+    const worker = one;
+    worker.onStart = (start) => {
+      const end = isFailing(worker, start) ? 'failed' : 'succeeded';
+      cell.clock.setTimer(() => worker.finish(start.taskId, end), 100);
+    };
+  });
+}
+
+test('a worker that fails every task is quarantined, and the jobs succeed elsewhere', async (t) => {
+  const { cell } = await createRunningCell({ workers: 3 });
+  const bad = cell.workers[0]!;
+  endTasks(cell, (worker) => worker === bad);
+  const jobs: string[] = [];
+  for (let index = 0; index < 30; index += 1) {
+    jobs.push(await cell.submit(0, { idempotent: true }));
+    await cell.pass(150);
+  }
+  await cell.pass(15_000);
+  const states = await Promise.all(jobs.map(async (jobId) => (await cell.read(jobId)).state));
+  t.deepEqual([...new Set(states)], ['succeeded']);
+  t.true(bad.executions.length <= 12, String(bad.executions.length));
+  const views = (await cell.call(0, 'worker.list', { partition: 0 })).unwrap();
+  t.true(
+    views.filter(({ workerId }) => workerId !== bad.id).every(({ state }) => state === 'live'),
+  );
+});
+
+test('a quarantined worker that recovered is used again after a probe', async (t) => {
+  const { cell } = await createRunningCell({ workers: 1 });
+  const [worker] = cell.workers;
+  let isBroken = true;
+  endTasks(cell, () => isBroken);
+  for (let index = 0; index < 4; index += 1) await cell.submit(0, { tasks: 1 });
+  await cell.pass(1_500);
+  const quarantined = (await cell.call(0, 'worker.list', { partition: 0 })).unwrap();
+  t.is(quarantined[0]?.state, 'quarantined');
+  isBroken = false;
+  const before = worker!.executions.length;
+  const jobId = await cell.submit(0, { tasks: 3 });
+  await cell.passUntil(() => worker!.executions.length > before);
+  await cell.pass(50);
+  t.is(worker!.executions.length, before + 1);
+  await cell.pass(8_000);
+  t.is((await cell.read(jobId)).state, 'succeeded');
+});
+
+test('a job that fails everywhere fails after three workers and quarantines none', async (t) => {
+  const { cell } = await createRunningCell({ workers: 5 });
+  const bad = await cell.submit(0, { idempotent: true });
+  endTasks(cell, (_, { taskId }) => taskId.startsWith(bad));
+  await cell.pass(15_000);
+  t.is((await cell.read(bad)).state, 'failed');
+  const used = cell.workers.filter(({ executions }) => executions.length > 0);
+  t.is(used.length, 3);
+  const good = await cell.submit(0, { tasks: 15 });
+  await cell.pass(5_000);
+  t.is((await cell.read(good)).state, 'succeeded');
+  const views = (await cell.call(0, 'worker.list', { partition: 0 })).unwrap();
+  t.true(views.every(({ state }) => state === 'live'));
+});
+
+test('a large job that fails on three workers is held and starts no more tasks', async (t) => {
+  const { cell } = await createRunningCell({ workers: 3 });
+  endTasks(cell, () => true);
+  const jobId = await cell.submit(0, { tasks: 200, idempotent: true });
+  await cell.pass(20_000);
+  const view = await cell.read(jobId);
+  t.true(view.state === 'held' || view.state === 'failed', view.state);
+  const executions = cell.workers.flatMap((worker) => worker.executions).length;
+  t.true(executions <= 36, String(executions));
+});
+
+test('a non-idempotent task that failed is not run again', async (t) => {
+  const { cell } = await createRunningCell({ workers: 3 });
+  endTasks(cell, () => true);
+  const jobId = await cell.submit(0, {});
+  await cell.pass(10_000);
+  t.is((await cell.read(jobId)).state, 'failed');
+  t.is(cell.workers.flatMap((worker) => worker.executions).length, 1);
+});
