Compose the daemon: life cycle, services and drain

Joins the cell, claims partitions, serves callers and operators, and drains on SIGTERM: readiness first, then the partitions, then the requests in flight, then the membership.

--- a/packages/daemon/src/__tests__/allotments.test.ts
+++ b/packages/daemon/src/__tests__/allotments.test.ts
@@ -98,9 +98,9 @@
   const handlers = new Map<string, PeerHandler<'allotment.return'>>();
   const services = Array.from({ length: PARTITIONS }, (_, partition) => {
     const link = {
-      handle: (_: string, handler: PeerHandler<'allotment.return'>) =>
+      handle: (_method: string, handler: PeerHandler<'allotment.return'>) =>
         handlers.set(`d${partition}`, handler),
-      call: (daemonId: string, _: string, params: never) =>
+      call: (daemonId: string, _method: string, params: never) =>
         handlers.get(daemonId)?.(params, { from: 'test', remainingMilliseconds: 500 }),
     } as unknown as PeerLink;
     return createAllotments({
--- a/packages/daemon/src/__tests__/interactiveStubs.ts
+++ b/packages/daemon/src/__tests__/interactiveStubs.ts
@@ -188,6 +188,7 @@
   const listeners: (() => void)[] = [];
   const directory: StubVms = {
     endpoints: () => vms,
+    isEntryVmGone: () => false,
     workers: () => workers,
     onChange: (listener) => {
       listeners.push(listener);
--- /dev/null
+++ b/packages/daemon/src/main.ts
@@ -0,0 +1,47 @@
+#!/usr/bin/env node
+import { formatSettingsHelp } from './core/settingsHelp.js';
+import { readSettings } from './core/settingsReader.js';
+import { startDaemon } from './core/daemon.js';
+import type { Daemon } from './core/daemon.js';
+import { createStatsdCounters } from './plugins/statsd.js';
+
+const EXIT_INVALID_SETTINGS = 2;
+const EXIT_BROKEN = 70;
+
+function stopOnBrokenInvariant(error: unknown): void {
+  console.error(error);
+  process.exit(EXIT_BROKEN);
+}
+
+async function stopDaemon(daemon: Daemon): Promise<void> {
+  const outcome = await daemon.stop();
+  process.exit(outcome === 'drained' ? 0 : 1);
+}
+
+async function main(): Promise<void> {
+  const argv = process.argv.slice(2);
+  if (argv.includes('--help')) {
+    console.log(formatSettingsHelp());
+    return;
+  }
+  const settings = readSettings(argv, process.env);
+  if (settings.isErr()) {
+    console.error(settings.error);
+    process.exit(EXIT_INVALID_SETTINGS);
+  }
+  const { statsdAddress, id } = settings.value;
+  const counterSinks = statsdAddress ? [createStatsdCounters(statsdAddress, id)] : [];
+  let daemon: Daemon | null = null;
+  const requestStop = (): void => {
+    // A daemon that has not joined yet has nothing to drain.
+    if (daemon) void stopDaemon(daemon);
+    else process.exit(0);
+  };
+  process.on('SIGTERM', requestStop);
+  process.on('SIGINT', requestStop);
+  process.on('unhandledRejection', stopOnBrokenInvariant);
+  process.on('uncaughtException', stopOnBrokenInvariant);
+  daemon = await startDaemon(settings.value, { counterSinks, onDrainRequested: requestStop });
+}
+
+await main();
