Add the demo: example work of each kind on a local cell, with a summary from the record

One command has to show that the scheduler does its work and keeps its promises. The demo applies an example configuration, runs interactive requests, batches, gangs and services, tries a wrong key, stops one daemon as planned under load, and prints counts from the stand-ins' record.

--- /dev/null
+++ b/packages/proving/src/core/demoRun.ts
@@ -0,0 +1,164 @@
+import { createSystemClock, sleep } from '@chicorybend/common';
+
+import type { Example } from '../types/cellPlan.js';
+import type { Observations } from '../types/observation.js';
+import { runChecks } from './checkers.js';
+import type { CheckResult } from './checkers.js';
+import { runDurableWork, runInteractiveWork } from './demoWork.js';
+import type { DemoWorkOptions } from './demoWork.js';
+import { createExampleQueues } from './exampleQueues.js';
+import { startLocalCell } from './localCell.js';
+import type { LocalCell } from './localCell.js';
+import type { LocalDaemon } from './localDaemon.js';
+import { applyFirstConfiguration, createOperatorCaller } from './operatorCaller.js';
+import { summarize } from './summary.js';
+import type { SummaryRow } from './summary.js';
+import { createWorkCaller } from './workCaller.js';
+import { createWorkload } from './workload.js';
+
+/** Options of a demo. */
+export interface DemoOptions {
+  readonly example: Example;
+  /** Program of the daemons; the built daemon by default. */
+  readonly program?: string;
+  /** Tells what goes on. */
+  readonly report: (line: string) => void;
+}
+
+/** Outcome of a demo. */
+export interface DemoOutcome {
+  readonly rows: readonly SummaryRow[];
+  readonly checks: readonly CheckResult[];
+  /** Reasons for a failure apart from the checks. */
+  readonly failures: readonly string[];
+}
+
+const CONFIGURATION_LIMIT_MILLISECONDS = 30_000;
+const DURABLE_LIMIT_MILLISECONDS = 30_000;
+const DRAIN_LIMIT_MILLISECONDS = 32_000;
+const BEFORE_STOP_MILLISECONDS = 200;
+const STOPPED_WORK_SCALE = 0.5;
+const WRONG_KEY = 'cb_wrong_0000000000000000000000000000000000000000000000000000000000000000';
+
+/** Applies the example's configuration through the operators' interface. */
+export async function applyExample(cell: LocalCell, example: Example): Promise<void> {
+  const [daemon] = cell.daemons;
+  if (!daemon) throw new Error('the plan has no daemon');
+  const operator = createOperatorCaller('bootstrap', cell.operatorToken);
+  try {
+    await applyFirstConfiguration(
+      operator,
+      daemon.apiAddress,
+      example.configuration,
+      CONFIGURATION_LIMIT_MILLISECONDS,
+    );
+  } finally {
+    await operator.close();
+  }
+}
+
+/** Takes the daemons in turn, without those that are being stopped, as a load balancer does. */
+function createRotation(daemons: readonly LocalDaemon[]) {
+  const leaving = new Set<string>();
+  let next = 0;
+  return {
+    leave: (daemon: LocalDaemon) => leaving.add(daemon.id),
+    pick(): LocalDaemon {
+      const usable = daemons.filter((daemon) => !leaving.has(daemon.id));
+      next += 1;
+      const daemon = usable[next % usable.length];
+      if (!daemon) throw new Error('no daemon is left');
+      return daemon;
+    },
+  };
+}
+
+/** Stops a daemon as planned while requests run. */
+async function stopOneDaemon(
+  cell: LocalCell,
+  rotation: ReturnType<typeof createRotation>,
+  options: DemoWorkOptions,
+): Promise<string[]> {
+  const daemon = cell.daemons.at(-1);
+  if (!daemon) return [];
+  const work = runInteractiveWork(options, STOPPED_WORK_SCALE);
+  await sleep(createSystemClock(), BEFORE_STOP_MILLISECONDS);
+  rotation.leave(daemon);
+  const [exit] = await Promise.all([daemon.terminate(DRAIN_LIMIT_MILLISECONDS), work]);
+  if (exit.code === 0) return [];
+  return [`the planned stop of ${daemon.id} ended with ${JSON.stringify(exit)}`];
+}
+
+async function tryWrongKey(options: DemoWorkOptions): Promise<string[]> {
+  const [submission] = options.queues.interactive();
+  if (!submission) return ['the example has no keyed interactive queue'];
+  const observation = await options.workload.sendRequest({
+    ...submission,
+    keyText: WRONG_KEY,
+    isIdempotent: true,
+    serviceMilliseconds: 1,
+    deadlineMilliseconds: 1_000,
+  });
+  const outcome = observation.outcomes.at(-1);
+  const isRefused = outcome?.kind === 'failed' && outcome.code === 'wrong-key';
+  return isRefused ? [] : [`a wrong key was answered with ${JSON.stringify(outcome)}`];
+}
+
+/** Without faults, all work ends well except for the request with the wrong key. */
+function findUnfinished(rows: readonly SummaryRow[]): string[] {
+  const missing = rows.reduce((sum, row) => sum + row.submitted - row.done, 0) - 1;
+  return missing === 0 ? [] : [`${missing} pieces of work did not end well`];
+}
+
+async function runAllWork(
+  cell: LocalCell,
+  options: DemoOptions,
+  appliedAt: number,
+): Promise<{ observations: Observations; failures: string[] }> {
+  const caller = createWorkCaller();
+  const rotation = createRotation(cell.daemons);
+  const { record } = cell.platform;
+  const workload = createWorkload({ caller, pickTarget: rotation.pick, now: record.now });
+  const queues = createExampleQueues(options.example);
+  const work: DemoWorkOptions = { workload, queues, record };
+  options.report('running interactive requests, batches, gangs and services');
+  await Promise.all([runInteractiveWork(work), runDurableWork(work, DURABLE_LIMIT_MILLISECONDS)]);
+  const wrongKey = await tryWrongKey(work);
+  options.report('stopping one daemon while requests run');
+  const stop = await stopOneDaemon(cell, rotation, work);
+  await caller.close();
+  const observations = workload.observations(queues.limitsFrom(appliedAt));
+  return { observations, failures: [...wrongKey, ...stop] };
+}
+
+/**
+ * Runs the example work of each kind on a local cell, stops one daemon as planned, and checks the record.
+ *
+ * @param options example and program
+ * @returns summary and checks
+ */
+export async function runDemo(options: DemoOptions): Promise<DemoOutcome> {
+  const { example, report } = options;
+  report(`starting a cell of ${example.plan.daemons.length} daemons`);
+  const cell = await startLocalCell({
+    plan: example.plan,
+    ...(options.program === undefined ? {} : { program: options.program }),
+    prepare: async (started) => {
+      report(`applying the configuration of ${example.plan.name}`);
+      await applyExample(started, example);
+    },
+  });
+  let isGood = false;
+  try {
+    const { observations, failures } = await runAllWork(cell, options, 0);
+    const entries = cell.platform.record.entries();
+    const rows = summarize(entries, observations);
+    const checks = runChecks(entries, observations);
+    const allFailures = [...failures, ...findUnfinished(rows)];
+    isGood = allFailures.length === 0 && checks.every((check) => check.violations.length === 0);
+    return { rows, checks, failures: allFailures };
+  } finally {
+    if (!isGood) report(`output of the daemons: ${cell.outputFolder}`);
+    await cell.close(!isGood);
+  }
+}
--- /dev/null
+++ b/packages/proving/src/core/workload.ts
@@ -0,0 +1,246 @@
+import type { JobKind, JobRequest, JobState, JobView } from '@chicorybend/common';
+import { createSystemClock, sleep } from '@chicorybend/common';
+
+import type {
+  CallOutcome,
+  JobObservation,
+  Observations,
+  RequestObservation,
+  TeamLimit,
+} from '../types/observation.js';
+import type { JobPlan, RequestPlan } from '../types/workPlan.js';
+import type { SubmitOptions, WorkCaller } from './workCaller.js';
+import { createIdempotencyKey } from './workCaller.js';
+
+/** Where a call goes. */
+export interface CallTarget {
+  readonly id: string;
+  readonly apiAddress: string;
+}
+
+/** A job that was submitted, for later calls. */
+export interface JobHandle {
+  readonly plan: JobPlan;
+  readonly marker: string;
+  /** Null if it was not accepted, as far as its caller knows. */
+  readonly jobId: string | null;
+}
+
+/** Sends work and keeps what its callers saw. */
+export interface Workload {
+  /** Sends a request; after a lost answer once more under the same idempotency key, through another daemon. */
+  sendRequest(plan: RequestPlan): Promise<RequestObservation>;
+  /** Submits a job, again under the same idempotency key until it is accepted or refused for good. */
+  submitJob(plan: JobPlan): Promise<JobHandle>;
+  /** Cancels a job, again until it is answered. */
+  cancelJob(handle: JobHandle): Promise<boolean>;
+  /**
+   * Waits until all accepted jobs of the given kinds have ended, and notes their last state.
+   *
+   * @returns whether all have ended before the limit
+   */
+  finishJobs(kinds: readonly JobKind[], limitMilliseconds: number): Promise<boolean>;
+  /** @returns handles of all jobs */
+  handles(): readonly JobHandle[];
+  /** @returns what callers saw, for the checkers */
+  observations(limits: readonly TeamLimit[]): Observations;
+}
+
+/** What a workload needs. */
+export interface WorkloadOptions {
+  readonly caller: WorkCaller;
+  /** Chooses the daemon of the next call, as the platform's load balancer does. */
+  readonly pickTarget: () => CallTarget;
+  /** Time of the observations, the same as of the record. */
+  readonly now: () => number;
+}
+
+interface JobDraft {
+  readonly handle: { plan: JobPlan; marker: string; jobId: string | null };
+  readonly sentAt: number;
+  readonly outcomes: CallOutcome<{ jobId: string }>[];
+  finalView: JobView | null;
+}
+
+const REQUEST_ATTEMPTS = 2;
+const JOB_ATTEMPTS = 40;
+const JOB_RETRY_MILLISECONDS = 500;
+const JOB_WAIT_MILLISECONDS = 2_000;
+const STATUS_UNAVAILABLE = 503;
+const ENDED: ReadonlySet<JobState> = new Set([
+  'succeeded',
+  'failed',
+  'cancelled',
+  'unknown',
+  'held',
+]);
+
+function isOpen(outcome: CallOutcome<unknown>): boolean {
+  return outcome.kind === 'lost' || (outcome.kind === 'failed' && outcome.run === 'unknown');
+}
+
+function isWorthRepeating(outcome: CallOutcome<unknown>): boolean {
+  return isOpen(outcome) || (outcome.kind === 'failed' && outcome.status === STATUS_UNAVAILABLE);
+}
+
+function describeJob(plan: JobPlan, marker: string): JobRequest {
+  return {
+    queue: plan.queue,
+    kind: plan.kind,
+    tasks: plan.tasks,
+    resources: plan.resources,
+    idempotent: plan.isIdempotent,
+    urgent: plan.isUrgent,
+    expectedRunMilliseconds: plan.declaredMilliseconds ?? plan.runMilliseconds ?? 1_000,
+    payload: { runMilliseconds: plan.runMilliseconds, result: resultFor(marker), marker },
+  };
+}
+
+/** Differs for each piece of work, so that an answer to another one is noticed. */
+function resultFor(marker: string): object {
+  return { answerTo: marker };
+}
+
+function submitOptionsOf(keyText: string | null, idempotencyKey: string): SubmitOptions {
+  return keyText === null ? { idempotencyKey } : { keyText, idempotencyKey };
+}
+
+function toObservation(draft: JobDraft): JobObservation {
+  const { plan, marker } = draft.handle;
+  const { team, queue, kind, tasks, isIdempotent } = plan;
+  const { sentAt, outcomes, finalView } = draft;
+  const expectedResult = resultFor(marker);
+  return {
+    marker,
+    team,
+    queue,
+    kind,
+    tasks,
+    isIdempotent,
+    expectedResult,
+    sentAt,
+    outcomes,
+    finalView,
+  };
+}
+
+/**
+ * Creates a workload.
+ *
+ * @param options caller, choice of daemons and time
+ * @returns the workload
+ */
+export function createWorkload(options: WorkloadOptions): Workload {
+  const { caller, pickTarget, now } = options;
+  const clock = createSystemClock();
+  const requests: RequestObservation[] = [];
+  const jobs: JobDraft[] = [];
+  let markers = 0;
+
+  function createMarker(): string {
+    markers += 1;
+    return `work-${markers}`;
+  }
+
+  async function sendRequest(plan: RequestPlan): Promise<RequestObservation> {
+    const marker = createMarker();
+    const expectedResult = resultFor(marker);
+    const { serviceMilliseconds, deadlineMilliseconds, queue, team, isIdempotent } = plan;
+    const body = {
+      queue,
+      idempotent: isIdempotent,
+      deadlineMilliseconds,
+      payload: { serviceMilliseconds, result: expectedResult, marker },
+    };
+    const submit = submitOptionsOf(plan.keyText, createIdempotencyKey());
+    const outcomes: RequestObservation['outcomes'][number][] = [];
+    const sentAt = now();
+    const target = pickTarget();
+    for (let attempt = 0; attempt < REQUEST_ATTEMPTS; attempt += 1) {
+      const { apiAddress } = attempt === 0 ? target : pickTarget();
+      const outcome = await caller.submitRequest(apiAddress, body, submit);
+      outcomes.push(outcome);
+      if (!isOpen(outcome)) break;
+    }
+    const observation = {
+      marker,
+      team,
+      queue,
+      daemonId: target.id,
+      isIdempotent,
+      expectedResult,
+      sentAt,
+      endedAt: now(),
+      outcomes,
+    };
+    requests.push(observation);
+    return observation;
+  }
+
+  async function submitJob(plan: JobPlan): Promise<JobHandle> {
+    const marker = createMarker();
+    const handle: JobDraft['handle'] = { plan, marker, jobId: null };
+    const draft: JobDraft = { handle, sentAt: now(), outcomes: [], finalView: null };
+    const body = describeJob(plan, marker);
+    const submit = submitOptionsOf(plan.keyText, createIdempotencyKey());
+    jobs.push(draft);
+    for (let attempt = 0; attempt < JOB_ATTEMPTS; attempt += 1) {
+      const outcome = await caller.submitJob(pickTarget().apiAddress, body, submit);
+      draft.outcomes.push(outcome);
+      if (outcome.kind === 'answered') handle.jobId = outcome.value.jobId;
+      if (!isWorthRepeating(outcome)) break;
+      await sleep(clock, JOB_RETRY_MILLISECONDS);
+    }
+    return handle;
+  }
+
+  async function cancelJob({ jobId, plan }: JobHandle): Promise<boolean> {
+    if (jobId === null) return false;
+    for (let attempt = 0; attempt < JOB_ATTEMPTS; attempt += 1) {
+      const { apiAddress } = pickTarget();
+      const outcome = await caller.cancelJob(apiAddress, jobId, plan.keyText ?? undefined);
+      if (!isWorthRepeating(outcome)) return outcome.kind === 'answered';
+      await sleep(clock, JOB_RETRY_MILLISECONDS);
+    }
+    return false;
+  }
+
+  async function readView(draft: JobDraft, waitMilliseconds: number): Promise<void> {
+    const { jobId, plan } = draft.handle;
+    if (jobId === null) return;
+    const { apiAddress } = pickTarget();
+    const keyText = plan.keyText ?? undefined;
+    const outcome = await caller.waitForJob(apiAddress, jobId, waitMilliseconds, keyText);
+    if (outcome.kind === 'answered') Object.assign(draft, { finalView: outcome.value });
+  }
+
+  function hasEnded(draft: JobDraft): boolean {
+    return draft.finalView !== null && ENDED.has(draft.finalView.state);
+  }
+
+  async function finishJob(draft: JobDraft, until: number): Promise<boolean> {
+    while (!hasEnded(draft)) {
+      const remaining = until - now();
+      if (remaining <= 0) return false;
+      await readView(draft, Math.min(JOB_WAIT_MILLISECONDS, remaining));
+      if (!hasEnded(draft)) await sleep(clock, JOB_RETRY_MILLISECONDS);
+    }
+    return true;
+  }
+
+  return {
+    sendRequest,
+    submitJob,
+    cancelJob,
+    async finishJobs(kinds, limitMilliseconds) {
+      const until = now() + limitMilliseconds;
+      const accepted = jobs.filter(
+        ({ handle }) => handle.jobId !== null && kinds.includes(handle.plan.kind),
+      );
+      const ended = await Promise.all(accepted.map((draft) => finishJob(draft, until)));
+      return ended.every(Boolean);
+    },
+    handles: () => jobs.map(({ handle }) => handle),
+    observations: (limits) => ({ requests, jobs: jobs.map(toObservation), limits }),
+  };
+}
--- a/packages/proving/src/index.ts
+++ b/packages/proving/src/index.ts
@@ -38,3 +38,26 @@
 
 /** Waiting. */
 export { waitUntil } from './utils/waitUntil.js';
+
+/** Work and its summary. */
+export { createWorkload } from './core/workload.js';
+export type { CallTarget, JobHandle, Workload, WorkloadOptions } from './core/workload.js';
+export { createExampleQueues } from './core/exampleQueues.js';
+export type { ExampleQueues } from './core/exampleQueues.js';
+export type { JobPlan, RequestPlan, Submission } from './types/workPlan.js';
+export { formatChecks, formatSummary, summarize } from './core/summary.js';
+export type { SummaryRow } from './core/summary.js';
+
+/** The demo. */
+export { applyExample, runDemo } from './core/demoRun.js';
+export type { DemoOptions, DemoOutcome } from './core/demoRun.js';
+
+/** Random faults under load. */
+export { runSoak } from './core/soakRun.js';
+export type { SoakOptions, SoakOutcome } from './core/soakRun.js';
+export { planFaults } from './core/faultSchedule.js';
+export { runFaults } from './core/faultRunner.js';
+export { FAULT_KINDS } from './types/fault.js';
+export type { FaultKind, PlannedFault } from './types/fault.js';
+export { createRandom } from './utils/random.js';
+export type { Random } from './utils/random.js';
