Replay one seeded trace under the policies and the baselines

Placement and order need figures for waiting time, packing and distance from share, beside first-come first-fit, random placement and shares off.

--- a/packages/decisions/src/__performance_tests__/decisionRows.ts
+++ b/packages/decisions/src/__performance_tests__/decisionRows.ts
@@ -1,6 +1,7 @@
 import type { BenchOptions, BenchRow } from './benchRow.js';
 import { collectCancellationRows } from './cancellationRows.js';
 import { collectPlacementRows } from './placementRows.js';
+import { collectReplayRows } from './replayRows.js';
 
 export type { BenchOptions, BenchRow } from './benchRow.js';
 
@@ -11,5 +12,9 @@
  * @returns rows with their bounds; the bounds are the stated targets
  */
 export async function collectDecisionRows(options: BenchOptions): Promise<readonly BenchRow[]> {
-  return [...collectPlacementRows(options), ...collectCancellationRows(options)];
+  return [
+    ...collectPlacementRows(options),
+    ...collectCancellationRows(options),
+    ...collectReplayRows(options),
+  ];
 }
--- /dev/null
+++ b/packages/decisions/src/__performance_tests__/replayRows.ts
@@ -0,0 +1,180 @@
+import {
+  createBestFitPolicy,
+  createFirstFitPolicy,
+  createQueueOrderPolicy,
+  createRandomPolicy,
+} from '../index.js';
+import type { QueuedWork, QueueOrderPolicy } from '../index.js';
+import type { BenchOptions, BenchRow } from './benchRow.js';
+import { createRandom } from './fleet.js';
+import { runReplay } from './replay.js';
+import type { ReplayResult, ReplayVariant } from './replay.js';
+import { createTrace, REPLAY_KINDS } from './replayTrace.js';
+import type { ReplayKind } from './replayTrace.js';
+
+const TRACE_SEED = 3;
+const PLACEMENT_SEED = 4;
+const SHORT = { workers: 40, durationMilliseconds: 720_000 };
+const FULL = { workers: 100, durationMilliseconds: 1_800_000 };
+const PERCENTILES = [50, 99, 99.9];
+/** Urgent work must start within this time, by the design page. */
+const URGENT_START_MILLISECONDS = 6_400;
+
+const OLDEST_FIRST: QueueOrderPolicy = {
+  name: 'waiting-time-first',
+  rank: (_, waitedMilliseconds) => -waitedMilliseconds,
+};
+
+const withoutTeams = (work: QueuedWork): QueuedWork => ({ ...work, team: 'all' });
+const withoutTeamsAndPriorities = (work: QueuedWork): QueuedWork => ({
+  ...withoutTeams(work),
+  priority: 'normal',
+});
+
+/** Policies and baselines that are compared. */
+export const VARIANTS = {
+  shareFirst: {
+    name: 'share-first',
+    createPlacement: createBestFitPolicy,
+    createOrder: () => createQueueOrderPolicy('share-first'),
+  },
+  waitingTimeFirst: {
+    name: 'waiting-time-first',
+    createPlacement: createBestFitPolicy,
+    createOrder: () => createQueueOrderPolicy('waiting-time-first'),
+  },
+  firstCome: {
+    name: 'baseline first-come first-fit',
+    createPlacement: createFirstFitPolicy,
+    createOrder: () => OLDEST_FIRST,
+    disguise: withoutTeamsAndPriorities,
+  },
+  randomPlacement: {
+    name: 'baseline random placement',
+    createPlacement: () => createRandomPolicy(createRandom(PLACEMENT_SEED)),
+    createOrder: () => createQueueOrderPolicy('share-first'),
+  },
+  sharesOff: {
+    name: 'baseline shares off',
+    createPlacement: createBestFitPolicy,
+    createOrder: () => OLDEST_FIRST,
+    disguise: withoutTeams,
+  },
+} as const satisfies Record<string, ReplayVariant>;
+
+type Results = Readonly<Record<keyof typeof VARIANTS, ReplayResult>>;
+
+const waitOf = (result: ReplayResult, kind: ReplayKind, percentile: number): number =>
+  result.waits[kind].getValueAtPercentile(percentile);
+
+const meanOf = (values: readonly number[]): number =>
+  values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
+
+/** Figures of one variant, without bounds. */
+function reportRows(result: ReplayResult): readonly BenchRow[] {
+  const row = (name: string, measured: number, unit: string): BenchRow => ({
+    name: `replay ${result.name}: ${name}`,
+    measured,
+    bound: null,
+    direction: 'at-most',
+    unit,
+  });
+  const waits = REPLAY_KINDS.flatMap((kind) =>
+    PERCENTILES.map((percentile) =>
+      row(`${kind} wait p${percentile}`, waitOf(result, kind, percentile), 'ms'),
+    ),
+  );
+  const sorted = [...result.distances].sort((left, right) => left - right);
+  return [
+    ...waits,
+    row('processors in use while work waits', result.packing, 'fraction'),
+    row('distance from share, mean of windows', meanOf(result.distances), 'fraction'),
+    row(
+      'distance from share, p99 of windows',
+      sorted[Math.floor(0.99 * sorted.length)] ?? 0,
+      'fraction',
+    ),
+  ];
+}
+
+/** Comparisons within one run in simulated time; they come out the same on every machine. */
+function comparisonRows(results: Results, arrived: number): readonly BenchRow[] {
+  const { shareFirst, waitingTimeFirst, firstCome, randomPlacement, sharesOff } = results;
+  const ratio = (name: string, measured: number, direction: BenchRow['direction']): BenchRow => ({
+    name: `replay: ${name}`,
+    measured,
+    bound: 1,
+    direction,
+    unit: 'ratio',
+  });
+  const urgentRows = [shareFirst, waitingTimeFirst].flatMap((result): readonly BenchRow[] => [
+    {
+      name: `replay ${result.name}: urgent wait p99.9`,
+      measured: waitOf(result, 'urgent', 99.9),
+      bound: URGENT_START_MILLISECONDS,
+      direction: 'at-most',
+      unit: 'simulated ms',
+    },
+    ratio(
+      `urgent wait p99, ${result.name} over first-come first-fit`,
+      waitOf(result, 'urgent', 99) / waitOf(firstCome, 'urgent', 99),
+      'at-most',
+    ),
+  ]);
+  return [
+    ...urgentRows,
+    ratio(
+      'batch wait p50, waiting-time-first over first-come first-fit',
+      waitOf(waitingTimeFirst, 'batch', 50) / waitOf(firstCome, 'batch', 50),
+      'at-most',
+    ),
+    ratio(
+      'batch wait p99, waiting-time-first over first-come first-fit',
+      waitOf(waitingTimeFirst, 'batch', 99) / waitOf(firstCome, 'batch', 99),
+      'at-most',
+    ),
+    ratio(
+      'distance from share, share-first over shares off',
+      meanOf(shareFirst.distances) / meanOf(sharesOff.distances),
+      'at-most',
+    ),
+    ratio(
+      'distance from share, share-first over first-come first-fit',
+      meanOf(shareFirst.distances) / meanOf(firstCome.distances),
+      'at-most',
+    ),
+    ratio(
+      'packing, best fit over random placement',
+      shareFirst.packing / randomPlacement.packing,
+      'at-least',
+    ),
+    {
+      name: 'replay: work started, least of all variants',
+      measured: Math.min(...Object.values(results).map(({ started }) => started)),
+      bound: arrived,
+      direction: 'at-least',
+      unit: 'count',
+    },
+  ];
+}
+
+/**
+ * Replays one seeded trace under the policies and the baselines.
+ *
+ * @param options extent
+ * @returns rows
+ */
+export function collectReplayRows({ isShort }: BenchOptions): readonly BenchRow[] {
+  const { workers, durationMilliseconds } = isShort ? SHORT : FULL;
+  const trace = createTrace(TRACE_SEED, workers, durationMilliseconds);
+  const run = (variant: ReplayVariant): ReplayResult => runReplay(trace, variant);
+  const results: Results = {
+    shareFirst: run(VARIANTS.shareFirst),
+    waitingTimeFirst: run(VARIANTS.waitingTimeFirst),
+    firstCome: run(VARIANTS.firstCome),
+    randomPlacement: run(VARIANTS.randomPlacement),
+    sharesOff: run(VARIANTS.sharesOff),
+  };
+  const reports = isShort ? [] : Object.values(results).flatMap(reportRows);
+  return [...reports, ...comparisonRows(results, trace.arrivals.length)];
+}
--- /dev/null
+++ b/packages/decisions/src/__performance_tests__/shareDistance.ts
@@ -0,0 +1,73 @@
+/** Sizes in fractions of the fleet, by team. */
+export type Amounts = Readonly<Record<string, number>>;
+
+const sumOf = (amounts: Amounts): number =>
+  Object.values(amounts).reduce((sum, amount) => sum + amount, 0);
+
+/**
+ * Divides an amount by weight, where no team gets more than it asks for (weighted max-min fairness).
+ *
+ * @param available amount to divide
+ * @param demands what each team could use
+ * @param shares weights
+ * @returns what each team is entitled to
+ */
+export function computeEntitlements(
+  available: number,
+  demands: Amounts,
+  shares: Amounts,
+): Record<string, number> {
+  const entitled: Record<string, number> = {};
+  let rest = available;
+  // The team whose demand is smallest for its weight is satisfied first.
+  const teams = Object.keys(demands).sort(
+    (left, right) => demands[left]! / shares[left]! - demands[right]! / shares[right]!,
+  );
+  let weights = teams.reduce((sum, team) => sum + shares[team]!, 0);
+  teams.forEach((team) => {
+    const part = Math.min(demands[team]!, (rest * shares[team]!) / weights);
+    entitled[team] = part;
+    rest -= part;
+    weights -= shares[team]!;
+  });
+  return entitled;
+}
+
+/** Distances from the shares over a sliding window. */
+export interface DistanceMeter {
+  /** Adds a sample; samples are equally far apart in time. */
+  add(used: Amounts, demands: Amounts): void;
+  /** @returns part of the used amount that is with the wrong teams, per position of the window */
+  distances(): readonly number[];
+}
+
+/**
+ * Creates a meter.
+ *
+ * @param shares weights
+ * @param windowSamples samples per window
+ * @returns meter
+ */
+export function createDistanceMeter(shares: Amounts, windowSamples: number): DistanceMeter {
+  const samples: { used: Amounts; entitled: Amounts }[] = [];
+  const found: number[] = [];
+
+  function measureWindow(): number {
+    const window = samples.slice(-windowSamples);
+    const excess = Object.keys(shares).reduce((sum, team) => {
+      const used = window.reduce((total, sample) => total + (sample.used[team] ?? 0), 0);
+      const entitled = window.reduce((total, sample) => total + (sample.entitled[team] ?? 0), 0);
+      return sum + Math.max(0, used - entitled);
+    }, 0);
+    const total = window.reduce((sum, sample) => sum + sumOf(sample.used), 0);
+    return total > 0 ? excess / total : 0;
+  }
+
+  return {
+    add(used, demands) {
+      samples.push({ used, entitled: computeEntitlements(sumOf(used), demands, shares) });
+      if (samples.length >= windowSamples) found.push(measureWindow());
+    },
+    distances: () => found,
+  };
+}
