--- a/packages/daemon/src/__tests__/configurationCell.ts
+++ b/packages/daemon/src/__tests__/configurationCell.ts
@@ -22,6 +22,7 @@
 } from '@chicorybend/common';
 import { startStoreStandIn } from '@chicorybend/standins';
 import type { StoreStandIn } from '@chicorybend/standins';
+import type { ExecutionContext } from 'ava';
 
 import { createConfigurationService } from '../core/configurationService.js';
 import type { ConfigurationService } from '../core/configurationService.js';
@@ -70,7 +71,6 @@
   advance(milliseconds: number): Promise<void>;
   /** Moves time on until a promise is settled. */
   settle<Value>(promise: Promise<Value>): Promise<Value>;
-  close(): Promise<void>;
 }
 
 /** Lets all work that waits for no timer run. */
@@ -131,12 +131,16 @@
 }
 
 /**
- * Creates a cell of configuration services.
+ * Creates a cell of configuration services, which ends with the test.
  *
+ * @param t test
  * @param memberIds members of the cell
  * @returns the cell; the daemons are created by the test
  */
-export async function createTestCell(memberIds: readonly string[]): Promise<TestCell> {
+export async function createTestCell(
+  t: ExecutionContext,
+  memberIds: readonly string[],
+): Promise<TestCell> {
   const clock = createManualClock();
   const store = await startStoreStandIn();
   const daemons = new Map<string, TestDaemon>();
@@ -144,6 +148,10 @@
   const reports = new Map<string, Map<string, PeerReport>>();
   const cuts = new Set<string>();
   let heartbeatAt = 0;
+  t.teardown(async () => {
+    daemons.forEach((daemon) => daemon.service.stop());
+    await store.close();
+  });
 
   const pairOf = (left: string, right: string) => [left, right].sort().join('|');
   const isConnected = (left: string, right: string) =>
@@ -278,10 +286,6 @@
       for (let steps = 0; !isSettled && steps < PUMP_LIMIT; steps += 1) await step();
       return promise;
     },
-    async close() {
-      daemons.forEach((daemon) => daemon.service.stop());
-      await store.close();
-    },
   };
 }
 
@@ -337,8 +341,11 @@
 }
 
 /** Creates a cell with all daemons started and the first document in effect. */
-export async function createStartedCell(memberIds: readonly string[]): Promise<TestCell> {
-  const cell = await createTestCell(memberIds);
+export async function createStartedCell(
+  t: ExecutionContext,
+  memberIds: readonly string[],
+): Promise<TestCell> {
+  const cell = await createTestCell(t, memberIds);
   for (const id of memberIds) await cell.create(id).service.start();
   await cell.advance(1_000);
   const applied = await apply(cell, memberIds[0] ?? '', 0, FIRST_DOCUMENT);
--- a/packages/daemon/src/__tests__/configurationService.test.ts
+++ b/packages/daemon/src/__tests__/configurationService.test.ts
@@ -47,15 +47,14 @@
 }
 
 test('a change is in effect on every daemon when the answer says so', async (t) => {
-  const cell = await createStartedCell(THREE);
+  const cell = await createStartedCell(t, THREE);
   const outcome = (await apply(cell, 'b', 1, teamsWithShare(9))).unwrap();
   t.like(outcome, { revision: 2, inEffectOn: 3, members: 3, changedSections: ['teams'] });
   THREE.forEach((id) => t.is(cell.daemon(id).service.current()?.teams.harbour?.share, 9, id));
-  await cell.close();
 });
 
 test('of two operators who change one section at once, the second is told section and change', async (t) => {
-  const cell = await createStartedCell(THREE);
+  const cell = await createStartedCell(t, THREE);
   const first = cell.daemon('a').service.change(changeBy('anna', 1, teamsWithShare(3)));
   const second = cell.daemon('b').service.change(changeBy('bram', 1, teamsWithShare(4)));
   const outcomes = await cell.settle(Promise.all([first, second]));
@@ -67,11 +66,10 @@
     /Section teams was changed by (anna|bram) in revision 2, after your revision 1/,
   );
   t.is(cell.daemon('c').service.current()?.revision, 2);
-  await cell.close();
 });
 
 test('operators who change different sections at once both succeed, and neither change is lost', async (t) => {
-  const cell = await createStartedCell(THREE);
+  const cell = await createStartedCell(t, THREE);
   const policy = { policy: { order: 'waiting-time-first' } };
   const first = cell.daemon('a').service.change(changeBy('anna', 1, teamsWithShare(3)));
   const second = cell.daemon('b').service.change(changeBy('bram', 1, policy));
@@ -80,11 +78,10 @@
   const current = cell.daemon('c').service.current();
   t.like(current, { revision: 3, policy: { order: 'waiting-time-first' } });
   t.is(current?.teams.harbour?.share, 3);
-  await cell.close();
 });
 
 test('a change with one invalid section is refused as a whole, with each place and reason', async (t) => {
-  const cell = await createStartedCell(THREE);
+  const cell = await createStartedCell(t, THREE);
   const outcome = await apply(cell, 'a', 1, {
     ...teamsWithShare(7),
     queues: { quotes: { kind: 'interactive', access: 'open' } },
@@ -101,22 +98,20 @@
   }
   await cell.advance(2_000);
   THREE.forEach((id) => t.is(cell.daemon(id).service.current()?.revision, 1, id));
-  await cell.close();
 });
 
 test('a revoked key stops at once on a daemon that is cut off from the store but hears peers', async (t) => {
-  const cell = await createStartedCell(THREE);
+  const cell = await createStartedCell(t, THREE);
   cutStore(cell, ['c']);
   await cell.advance(4_000);
   t.is(codeOfKey(cell, 'c'), 'accepted');
   await apply(cell, 'a', 1, REVOKE_FIRST_KEY);
   THREE.forEach((id) => t.is(codeOfKey(cell, id), 'revoked-key', id));
   t.is(cell.daemon('c').service.current()?.revision, 2);
-  await cell.close();
 });
 
 test('an announced revocation is enforced before it is in effect, and reaches daemons through others', async (t) => {
-  const cell = await createStartedCell(THREE);
+  const cell = await createStartedCell(t, THREE);
   cell.cut('a', 'c');
   cell.daemon('a').storePath.beforePut = () => {
     cell.daemon('a').storePath.isCut = true;
@@ -124,11 +119,10 @@
   const outcome = await apply(cell, 'a', 1, REVOKE_FIRST_KEY);
   t.is(codeOf(outcome), 'store-unavailable');
   THREE.forEach((id) => t.is(codeOfKey(cell, id), 'revoked-key', id));
-  await cell.close();
 });
 
 test('a revocation that was announced but not written is lifted after its time, not before', async (t) => {
-  const cell = await createStartedCell(THREE);
+  const cell = await createStartedCell(t, THREE);
   cell.daemon('a').storePath.beforePut = () => {
     cell.daemon('a').storePath.isCut = true;
   };
@@ -137,11 +131,10 @@
   t.is(codeOfKey(cell, 'b'), 'revoked-key');
   await cell.advance(4_000);
   t.is(codeOfKey(cell, 'b'), 'accepted');
-  await cell.close();
 });
 
 test('a daemon cut off from store and majority refuses keyed work after 3 s', async (t) => {
-  const cell = await createStartedCell(FIVE);
+  const cell = await createStartedCell(t, FIVE);
   await cell.advance(2_000);
   cutStore(cell, ['e']);
   isolate(cell, 'e', FIVE);
@@ -150,19 +143,17 @@
   await cell.advance(2_500);
   t.is(codeOfKey(cell, 'e'), 'configuration-not-fresh');
   t.is(codeOfKey(cell, 'a'), 'accepted');
-  await cell.close();
 });
 
 test('a store outage for all daemons does not stop keyed work', async (t) => {
-  const cell = await createStartedCell(FIVE);
+  const cell = await createStartedCell(t, FIVE);
   cutStore(cell, FIVE);
   await cell.advance(60_000);
   FIVE.forEach((id) => t.is(codeOfKey(cell, id), 'accepted', id));
-  await cell.close();
 });
 
 test('in a store outage a daemon that hears of a newer revision serves nothing until it has it', async (t) => {
-  const cell = await createStartedCell(FIVE);
+  const cell = await createStartedCell(t, FIVE);
   isolate(cell, 'e', FIVE);
   cutStore(cell, ['e']);
   await apply(cell, 'a', 1, teamsWithShare(5));
@@ -175,34 +166,31 @@
   await cell.advance(1_000);
   t.is(service.current()?.revision, 2);
   t.is(codeOfKey(cell, 'e'), 'accepted');
-  await cell.close();
 });
 
 test('a change is refused as not applied when no majority acknowledges it', async (t) => {
-  const cell = await createStartedCell(FIVE);
+  const cell = await createStartedCell(t, FIVE);
   ['c', 'd', 'e'].forEach((id) => cell.cut('a', id));
   const outcome = await apply(cell, 'a', 1, REVOKE_FIRST_KEY);
   t.is(codeOf(outcome), 'announcement-refused');
   t.is(createFailure('announcement-refused').run, 'not-run');
   await cell.advance(3_000);
   t.is(cell.daemon('e').service.current()?.revision, 1);
-  await cell.close();
 });
 
 test('the answer names daemons that did not learn of the change, and those stop serving keyed work', async (t) => {
-  const cell = await createStartedCell(FIVE);
+  const cell = await createStartedCell(t, FIVE);
   isolate(cell, 'e', FIVE);
   cutStore(cell, ['e']);
   const outcome = (await apply(cell, 'a', 1, REVOKE_FIRST_KEY)).unwrap();
   t.like(outcome, { inEffectOn: 4, members: 5 });
   t.deepEqual(outcome.notConfirmedBy, ['e']);
   t.is(codeOfKey(cell, 'e'), 'configuration-not-fresh');
-  await cell.close();
 });
 
 [true, false].forEach((isApplied) =>
   test(`a change whose answer is lost is made exactly once (applied by the first write: ${isApplied})`, async (t) => {
-    const cell = await createStartedCell(THREE);
+    const cell = await createStartedCell(t, THREE);
     cell.daemon('a').storePath.loseAnswerOf = { key: ROOT_KEY, isApplied };
     const outcome = (await apply(cell, 'a', 1, teamsWithShare(6))).unwrap();
     t.is(outcome.revision, 2);
@@ -211,12 +199,11 @@
       entries.map((entry) => entry.toRevision),
       [2, 1],
     );
-    await cell.close();
   }),
 );
 
 test('a change whose answer is lost and that was overwritten since is still found to be applied', async (t) => {
-  const cell = await createStartedCell(THREE);
+  const cell = await createStartedCell(t, THREE);
   const { storePath } = cell.daemon('a');
   storePath.loseAnswerOf = { key: ROOT_KEY, isApplied: true };
   const first = cell.daemon('a').service.change(changeBy('anna', 1, teamsWithShare(6)));
@@ -227,11 +214,10 @@
   t.deepEqual(outcomes.map(codeOf), ['accepted', 'accepted']);
   await cell.advance(2_000);
   t.is(cell.daemon('a').service.current()?.revision, 3);
-  await cell.close();
 });
 
 test('a change ends as unknown only when reading has failed as well', async (t) => {
-  const cell = await createStartedCell(THREE);
+  const cell = await createStartedCell(t, THREE);
   const { storePath } = cell.daemon('a');
   storePath.loseAnswerOf = { key: ROOT_KEY, isApplied: true, isCutAfterwards: true };
   const outcome = await apply(cell, 'a', 1, teamsWithShare(6));
@@ -239,12 +225,12 @@
   storePath.isCut = false;
   const again = (await apply(cell, 'a', 1, teamsWithShare(6))).unwrap();
   t.like(again, { revision: 2, changedSections: [] }, 'sending it again tells that it was applied');
-  await cell.close();
 });
 
 test('lost answers of the store over HTTP do not lose or double changes', async (t) => {
-  const cell = await createTestCell(['a']);
+  const cell = await createTestCell(t, ['a']);
   const client = createStoreClient({ address: cell.store.address, clock: createSystemClock() });
+  t.teardown(() => client.close());
   const { service } = cell.create('a', client);
   await service.refresh();
   cell.store.faults.lostAnswers = 0.5;
@@ -253,12 +239,10 @@
   cell.store.faults.lostAnswers = 0;
   t.deepEqual([first, second].map(codeOf), ['accepted', 'accepted']);
   t.is((await service.history()).unwrap().entries.length, 2);
-  await client.close();
-  await cell.close();
 });
 
 test('a restarted daemon never goes back to the revision of a lagging peer', async (t) => {
-  const cell = await createStartedCell(THREE);
+  const cell = await createStartedCell(t, THREE);
   isolate(cell, 'c', THREE);
   cutStore(cell, ['c']);
   await apply(cell, 'a', 1, teamsWithShare(5));
@@ -275,50 +259,45 @@
   await cell.advance(2_000);
   t.is(cell.daemon('a').service.current()?.revision, 2);
   t.is(codeOfKey(cell, 'a'), 'accepted');
-  await cell.close();
 });
 
 test('a store that lost its newest content does not take a daemon back', async (t) => {
-  const cell = await createStartedCell(['a']);
+  const cell = await createStartedCell(t, ['a']);
   const older = cell.store.state.get(ROOT_KEY);
   await apply(cell, 'a', 1, teamsWithShare(5));
   const newer = cell.store.state.get(ROOT_KEY);
   cell.store.state.put(ROOT_KEY, older?.value ?? '', newer?.version ?? 0);
   await cell.advance(5_000);
   t.is(cell.daemon('a').service.current()?.revision, 2);
-  await cell.close();
 });
 
 test('a starting daemon serves nothing before it has read the configuration', async (t) => {
-  const cell = await createStartedCell(THREE);
+  const cell = await createStartedCell(t, THREE);
   cell.remove('b');
   const { service } = cell.create('b');
   t.is(codeOfKey(cell, 'b'), 'configuration-not-fresh');
   await service.start();
   t.is(codeOfKey(cell, 'b'), 'accepted');
-  await cell.close();
 });
 
 test('keys that cannot be: unknown, wrong secret, inherited property names, nonsense', async (t) => {
-  const cell = await createStartedCell(['a']);
+  const cell = await createStartedCell(t, ['a']);
   const { service } = cell.daemon('a');
   ['cb_k2_secret', 'cb_k1_other', 'cb_constructor_x', 'k1', '', 'cb_k1_'].forEach((text) =>
     t.is(codeOf(service.authenticate(text)), 'wrong-key', text),
   );
-  await cell.close();
 });
 
 test('a revoked key cannot be made valid again by a later change', async (t) => {
-  const cell = await createStartedCell(['a']);
+  const cell = await createStartedCell(t, ['a']);
   await apply(cell, 'a', 1, REVOKE_FIRST_KEY);
   const outcome = await apply(cell, 'a', 2, { keys: FIRST_DOCUMENT.keys });
   t.is(codeOf(outcome), 'invalid-configuration');
   t.is(codeOfKey(cell, 'a'), 'revoked-key');
-  await cell.close();
 });
 
 test('values of replaced sections are deleted, also those of changes that were not finished', async (t) => {
-  const cell = await createStartedCell(['a']);
+  const cell = await createStartedCell(t, ['a']);
   const { service, storePath } = cell.daemon('a');
   storePath.beforePut = (key) => {
     storePath.isCut = key.startsWith('configuration/audit/');
@@ -333,11 +312,10 @@
   const sections = cell.store.state.list('configuration/sections/');
   t.is(sections.length, Object.keys(FIRST_DOCUMENT).length);
   t.is(service.current()?.revision, 101);
-  await cell.close();
 });
 
 test('listeners hear each revision once and in order', async (t) => {
-  const cell = await createStartedCell(THREE);
+  const cell = await createStartedCell(t, THREE);
   const seen: number[] = [];
   cell.daemon('b').service.onChange((configuration) => seen.push(configuration.revision));
   await apply(cell, 'a', 1, teamsWithShare(5));
@@ -345,5 +323,4 @@
   await cell.advance(2_000);
   await flush();
   t.deepEqual(seen, [2, 3]);
-  await cell.close();
 });
