Add the soak: a mixed load under random faults that a seed determines

Faults that come at any time, together or twice, are not covered by tests of single modules. The soak plans faults from a seed, applies and takes them back while a steady load runs, waits for the end of all accepted jobs, runs the checkers, and prints the schedule on a failure.

--- /dev/null
+++ b/packages/proving/src/__tests__/soakRun.test.ts
@@ -0,0 +1,110 @@
+import { rmSync } from 'node:fs';
+import { fileURLToPath } from 'node:url';
+
+import test from 'ava';
+
+import {
+  createRandom,
+  FAULT_KINDS,
+  planFaults,
+  readExample,
+  runFaults,
+  runSoak,
+  startLocalCell,
+} from '../index.js';
+import type { Example, PlannedFault } from '../index.js';
+
+const PROGRAM = fileURLToPath(new URL('./stubDaemon.js', import.meta.url));
+const LIMIT_MILLISECONDS = 20_000;
+
+function readSmallExample(daemons: number): Example {
+  const example = readExample('coldline');
+  const plan = { ...example.plan, daemons: example.plan.daemons.slice(0, daemons) };
+  return { ...example, plan };
+}
+
+test('the same seed gives the same faults, another one gives others', (t) => {
+  const first = planFaults(createRandom(7), 60_000);
+  t.deepEqual(planFaults(createRandom(7), 60_000), first);
+  t.notDeepEqual(planFaults(createRandom(8), 60_000), first);
+  t.true(first.length > 10);
+  t.true(first.every(({ at }, index) => at >= (first[index - 1]?.at ?? 0)));
+});
+
+test('a long schedule holds every kind of fault, and two at once', (t) => {
+  const faults = planFaults(createRandom(1), 3_600_000);
+  const kinds = new Set(faults.map(({ kind }) => kind));
+  t.deepEqual(
+    FAULT_KINDS.filter((kind) => !kinds.has(kind)),
+    [],
+  );
+  t.true(faults.some(({ at }, index) => at === faults[index - 1]?.at));
+});
+
+test.serial('every kind of fault is taken back, so that the cell is whole after it', async (t) => {
+  const { plan } = readSmallExample(3);
+  const cell = await startLocalCell({ plan, program: PROGRAM });
+  const faults = FAULT_KINDS.map((kind, index): PlannedFault => ({
+    kind,
+    at: index * 20,
+    durationMilliseconds: 200,
+    target: index,
+    other: index + 1,
+  }));
+  const applied = await runFaults(cell, faults);
+  t.is(applied.length, FAULT_KINDS.length);
+  t.true(await cell.waitReady(LIMIT_MILLISECONDS));
+  const { store, vmList, workers, endpoints } = cell.platform;
+  t.deepEqual(store.faults, { isDown: false, delayMilliseconds: 0, lostAnswers: 0 });
+  t.false(vmList.faults.isDown);
+  workers.forEach(({ faults: left }) => {
+    t.false(left.isSilent || left.failsEveryTask || left.lostAnswers > 0);
+  });
+  endpoints.forEach(({ faults: left }) => {
+    t.false(left.isSilent || left.closesAfterTaking || left.failsEveryRequest);
+    t.is(left.slowMilliseconds + left.lateMilliseconds, 0);
+  });
+  t.is(cell.daemons.filter((daemon) => daemon.processId() !== null).length, 3);
+  await cell.close();
+});
+
+test.serial('a soak without faults sends a mixed load and all of it ends', async (t) => {
+  const outcome = await runSoak({
+    example: readSmallExample(2),
+    seed: 3,
+    durationMilliseconds: 3_000,
+    program: PROGRAM,
+    faults: [],
+    report: () => {},
+  });
+  t.deepEqual(outcome.failures, []);
+  t.true(outcome.rows.some(({ kind, done }) => kind === 'batch' && done > 0));
+  t.deepEqual(
+    outcome.checks.flatMap(({ violations }) => violations),
+    [],
+  );
+});
+
+test.serial('a soak finds that the stub runs a non-idempotent request again', async (t) => {
+  const faults = Array.from({ length: 10 }, (_, index): PlannedFault => ({
+    kind: 'endpoint-closes',
+    at: 0,
+    durationMilliseconds: 3_000,
+    target: index * 3,
+    other: 0,
+  }));
+  const lines: string[] = [];
+  const outcome = await runSoak({
+    example: readSmallExample(2),
+    seed: 3,
+    durationMilliseconds: 3_000,
+    program: PROGRAM,
+    faults,
+    report: (line) => lines.push(line),
+  });
+  const kinds = outcome.checks.flatMap(({ violations }) => violations.map(({ kind }) => kind));
+  t.true(kinds.includes('non-idempotent-request-repeated'));
+  const folder = lines.find((line) => line.startsWith('output of the daemons: '))?.split(': ')[1];
+  t.truthy(folder);
+  if (folder) rmSync(folder, { recursive: true });
+});
--- /dev/null
+++ b/packages/proving/src/core/soakRun.ts
@@ -0,0 +1,132 @@
+import type { Example } from '../types/cellPlan.js';
+import type { PlannedFault } from '../types/fault.js';
+import { createRandom } from '../utils/random.js';
+import type { Random } from '../utils/random.js';
+import { runChecks } from './checkers.js';
+import type { CheckResult } from './checkers.js';
+import { applyExample } from './demoRun.js';
+import { createExampleQueues } from './exampleQueues.js';
+import { runFaults } from './faultRunner.js';
+import { planFaults } from './faultSchedule.js';
+import { startLocalCell } from './localCell.js';
+import type { LocalCell } from './localCell.js';
+import type { LocalDaemon } from './localDaemon.js';
+import { runSoakLoad } from './soakLoad.js';
+import { summarize } from './summary.js';
+import type { SummaryRow } from './summary.js';
+import { createWorkCaller } from './workCaller.js';
+import { createWorkload } from './workload.js';
+import type { Workload } from './workload.js';
+
+/** Options of a soak. */
+export interface SoakOptions {
+  readonly example: Example;
+  readonly seed: number;
+  readonly durationMilliseconds: number;
+  /** Program of the daemons; the built daemon by default. */
+  readonly program?: string;
+  /** Tells what goes on. */
+  readonly report: (line: string) => void;
+  /** Faults to apply instead of those that the seed determines. */
+  readonly faults?: readonly PlannedFault[];
+}
+
+/** Outcome of a soak. */
+export interface SoakOutcome {
+  readonly faults: readonly PlannedFault[];
+  readonly rows: readonly SummaryRow[];
+  readonly checks: readonly CheckResult[];
+  /** Reasons for a failure apart from the checks. */
+  readonly failures: readonly string[];
+}
+
+const READY_LIMIT_MILLISECONDS = 60_000;
+const JOBS_LIMIT_MILLISECONDS = 120_000;
+const READINESS_POLL_MILLISECONDS = 500;
+// Separate sequences, so that the load does not change with the number of faults.
+const LOAD_SEED_OFFSET = 1_000_003;
+const TARGET_SEED_OFFSET = 2_000_003;
+
+/** Chooses among the daemons that were ready at the last poll, as a load balancer does. */
+function createBalancer(daemons: readonly LocalDaemon[], random: Random) {
+  let ready: readonly LocalDaemon[] = daemons;
+  async function poll(): Promise<void> {
+    const states = await Promise.all(daemons.map((daemon) => daemon.isReady()));
+    ready = daemons.filter((_, index) => states[index]);
+  }
+  const timer = setInterval(() => {
+    poll().catch(() => {});
+  }, READINESS_POLL_MILLISECONDS);
+  return {
+    pick: (): LocalDaemon => random.pick(ready.length > 0 ? ready : daemons),
+    stop: () => clearInterval(timer),
+  };
+}
+
+/** After the faults: cancels services and waits for the end of all accepted jobs. */
+async function settle(cell: LocalCell, workload: Workload): Promise<string[]> {
+  const isReady = await cell.waitReady(READY_LIMIT_MILLISECONDS);
+  const services = workload.handles().filter(({ plan }) => plan.kind === 'service');
+  await Promise.all(services.map((handle) => workload.cancelJob(handle)));
+  const hasEnded = await workload.finishJobs(['batch', 'gang', 'service'], JOBS_LIMIT_MILLISECONDS);
+  return [
+    ...(isReady ? [] : ['not all daemons became ready after the faults']),
+    ...(hasEnded ? [] : ['not all accepted jobs ended after the faults']),
+  ];
+}
+
+async function runUnderFaults(
+  cell: LocalCell,
+  options: SoakOptions,
+  faults: readonly PlannedFault[],
+): Promise<Omit<SoakOutcome, 'faults'>> {
+  const { example, seed, durationMilliseconds, report } = options;
+  const caller = createWorkCaller();
+  const balancer = createBalancer(cell.daemons, createRandom(seed + TARGET_SEED_OFFSET));
+  const { record } = cell.platform;
+  const workload = createWorkload({ caller, pickTarget: balancer.pick, now: record.now });
+  const queues = createExampleQueues(example);
+  const random = createRandom(seed + LOAD_SEED_OFFSET);
+  const [applied] = await Promise.all([
+    runFaults(cell, faults),
+    runSoakLoad({ workload, queues, random }, durationMilliseconds),
+  ]);
+  report(`applied ${applied.length} of ${faults.length} faults; waiting for the end of all jobs`);
+  const failures = await settle(cell, workload);
+  balancer.stop();
+  await caller.close();
+  const observations = workload.observations(queues.limitsFrom(0));
+  const entries = record.entries();
+  return {
+    rows: summarize(entries, observations),
+    checks: runChecks(entries, observations),
+    failures,
+  };
+}
+
+/**
+ * Runs a mixed load on a local cell under random faults that a seed determines, and checks the record.
+ *
+ * @param options example, seed and duration
+ * @returns faults, summary and checks
+ */
+export async function runSoak(options: SoakOptions): Promise<SoakOutcome> {
+  const { example, seed, durationMilliseconds, report } = options;
+  const faults = options.faults ?? planFaults(createRandom(seed), durationMilliseconds);
+  const cell = await startLocalCell({
+    plan: example.plan,
+    ...(options.program === undefined ? {} : { program: options.program }),
+    prepare: (started) => applyExample(started, example),
+  });
+  let isGood = false;
+  try {
+    const outcome = await runUnderFaults(cell, options, faults);
+    isGood =
+      outcome.failures.length === 0 &&
+      outcome.checks.every(({ violations }) => violations.length === 0);
+    return { faults, ...outcome };
+  } finally {
+    if (!isGood) report(`output of the daemons: ${cell.outputFolder}`);
+    await cell.close(!isGood);
+  }
+}
--- /dev/null
+++ b/packages/proving/src/soak.ts
@@ -0,0 +1,52 @@
+import { defineCommand, runMain } from 'citty';
+
+import { runSoak } from './core/soakRun.js';
+import { formatChecks, formatSummary } from './core/summary.js';
+import { EXAMPLE_NAMES, readExample } from './utils/readExample.js';
+
+const MILLISECONDS_PER_MINUTE = 60_000;
+const LARGEST_SEED = 1_000_000_000;
+
+function readNumber(name: string, text: string): number {
+  const value = Number(text);
+  if (Number.isFinite(value) && value >= 0) return value;
+  console.error(`--${name} must be a number that is not negative`);
+  return process.exit(2);
+}
+
+/** Runs random faults under load; the seed determines them. Exits with 0 only if all checks hold. */
+const command = defineCommand({
+  meta: { name: 'soak', description: 'Runs a mixed load on a local cell under random faults' },
+  args: {
+    seed: { type: 'string', description: 'Seed of the faults and the load; random by default' },
+    minutes: { type: 'string', default: '2', description: 'How long faults begin' },
+    example: {
+      type: 'enum',
+      options: [...EXAMPLE_NAMES],
+      default: 'coldline',
+      description: 'Folder under examples/',
+    },
+  },
+  async run({ args }) {
+    const randomSeed = String(Math.floor(Math.random() * LARGEST_SEED));
+    const seed = Math.floor(readNumber('seed', args.seed ?? randomSeed));
+    const minutes = readNumber('minutes', args.minutes);
+    console.log(`seed: ${seed}`);
+    const { faults, rows, checks, failures } = await runSoak({
+      example: readExample(args.example),
+      seed,
+      durationMilliseconds: minutes * MILLISECONDS_PER_MINUTE,
+      report: (line) => console.log(line),
+    });
+    console.log(formatSummary(rows));
+    console.log(formatChecks(checks));
+    failures.forEach((failure) => console.log(`failed: ${failure}`));
+    const isGood =
+      failures.length === 0 && checks.every(({ violations }) => violations.length === 0);
+    if (!isGood) faults.forEach((fault) => console.log(`fault: ${JSON.stringify(fault)}`));
+    console.log(isGood ? 'soak: all checks hold' : `soak: failed with seed ${seed}`);
+    process.exit(isGood ? 0 : 1);
+  },
+});
+
+await runMain(command);
