Make bench a framework of rows that packages produce

Bounds are checked from the first one on, and the short run must give the same verdict each time. Every function exported from a package's __performance_tests__/index.ts produces rows; the short run leaves out rows whose basis is time. The store client gives the first two rows.

--- /dev/null
+++ b/packages/proving/src/__performance_tests__/index.ts
@@ -0,0 +1,2 @@
+/** Producers of benchmark rows of this package. */
+export { produceStoreClientRows } from './storeClient.js';
--- /dev/null
+++ b/packages/proving/src/__performance_tests__/storeClient.ts
@@ -0,0 +1,60 @@
+import { createStoreClient, createSystemClock } from '@chicorybend/common';
+import { startStoreStandIn } from '@chicorybend/standins';
+
+import type { BenchOptions, BenchRow } from '../types/benchRow.js';
+import { createBenchRow } from '../utils/createBenchRow.js';
+import { createRandom } from '../utils/random.js';
+
+const WRITES = 200;
+const SHORT_WRITES = 40;
+const LOST_ANSWERS = 0.5;
+const DEADLINE_MILLISECONDS = 30_000;
+
+/**
+ * Counts the calls that a lost answer of a write costs. The client resolves it by reading, so that the write is
+ * not sent again once it took effect.
+ *
+ * @param options size and seed
+ * @returns rows
+ */
+export async function produceStoreClientRows(options: BenchOptions): Promise<readonly BenchRow[]> {
+  const random = createRandom(options.seed);
+  let lost = 0;
+  const store = await startStoreStandIn({
+    random: () => {
+      const value = random.fraction();
+      if (value < LOST_ANSWERS) lost += 1;
+      return value;
+    },
+  });
+  const client = createStoreClient({ address: store.address, clock: createSystemClock() });
+  const writes = options.isShort ? SHORT_WRITES : WRITES;
+  store.faults.lostAnswers = LOST_ANSWERS;
+  for (let index = 0; index < writes; index += 1) {
+    await client.put(
+      { key: `key/${index}`, data: index, expectedVersion: 0 },
+      { deadlineMilliseconds: DEADLINE_MILLISECONDS },
+    );
+  }
+  const { counts } = store;
+  await client.close();
+  await store.close();
+  return [
+    createBenchRow({
+      name: 'store client: writes sent per write, half of the answers lost',
+      measured: counts.writes / writes,
+      unit: 'calls',
+      bound: 1,
+      comparison: 'at-most',
+      basis: 'ratio',
+    }),
+    createBenchRow({
+      name: 'store client: reads per lost answer of a write',
+      measured: counts.reads / lost,
+      unit: 'calls',
+      bound: 1,
+      comparison: 'at-most',
+      basis: 'ratio',
+    }),
+  ];
+}
--- /dev/null
+++ b/packages/proving/src/__tests__/bench.test.ts
@@ -0,0 +1,68 @@
+import test from 'ava';
+
+import { createBenchRow, findBenchProducers, runBench } from '../index.js';
+import type { BenchRow, NamedProducer } from '../index.js';
+
+const OPTIONS = { isShort: true, seed: 1 };
+
+function describeRow(change: Partial<Omit<BenchRow, 'ok'>>): Omit<BenchRow, 'ok'> {
+  return {
+    name: 'row',
+    measured: 1,
+    unit: 'calls',
+    bound: 1,
+    comparison: 'at-most',
+    basis: 'count',
+    ...change,
+  };
+}
+
+test('a value past its bound fails in both directions, and so does a missing one', (t) => {
+  t.true(createBenchRow(describeRow({ measured: 1 })).ok);
+  t.false(createBenchRow(describeRow({ measured: 1.01 })).ok);
+  t.true(createBenchRow(describeRow({ measured: 1, comparison: 'at-least' })).ok);
+  t.false(createBenchRow(describeRow({ measured: 0.99, comparison: 'at-least' })).ok);
+  t.false(createBenchRow(describeRow({ measured: Number.NaN })).ok);
+});
+
+test('a short run leaves out bounds on time, because their verdict depends on the machine', async (t) => {
+  const producer: NamedProducer = {
+    name: 'mixed',
+    produce: async () => [
+      createBenchRow(describeRow({ name: 'count' })),
+      createBenchRow(describeRow({ name: 'time', basis: 'time', measured: 9 })),
+    ],
+  };
+  const short = await runBench([producer], OPTIONS);
+  t.deepEqual(
+    short.map(({ name }) => name),
+    ['count'],
+  );
+  const whole = await runBench([producer], { ...OPTIONS, isShort: false });
+  t.is(whole.filter(({ ok }) => !ok).length, 1);
+});
+
+test('a producer that throws gives a failed row and lets the others run', async (t) => {
+  const broken: NamedProducer = {
+    name: 'broken',
+    produce: () => Promise.reject(new Error('no measurement')),
+  };
+  const working: NamedProducer = {
+    name: 'working',
+    produce: async () => [createBenchRow(describeRow({}))],
+  };
+  const rows = await runBench([broken, working], OPTIONS);
+  t.deepEqual(
+    rows.map(({ ok }) => ok),
+    [false, true],
+  );
+});
+
+test('the store client example is found, and its short run has the same values each time', async (t) => {
+  const producers = await findBenchProducers();
+  const own = producers.filter(({ name }) => name === 'proving/produceStoreClientRows');
+  t.is(own.length, 1);
+  const first = await runBench(own, OPTIONS);
+  t.deepEqual(await runBench(own, OPTIONS), first);
+  t.true(first.every(({ ok }) => ok));
+});
--- a/packages/proving/src/index.ts
+++ b/packages/proving/src/index.ts
@@ -61,3 +61,10 @@
 export type { FaultKind, PlannedFault } from './types/fault.js';
 export { createRandom } from './utils/random.js';
 export type { Random } from './utils/random.js';
+
+/** Benchmarks. */
+export { findBenchProducers } from './core/benchProducers.js';
+export type { NamedProducer } from './core/benchProducers.js';
+export { formatBench, runBench } from './core/benchRun.js';
+export { createBenchRow } from './utils/createBenchRow.js';
+export type { BenchBasis, BenchOptions, BenchProducer, BenchRow } from './types/benchRow.js';
