--- a/packages/proving/src/index.ts
+++ b/packages/proving/src/index.ts
@@ -53,6 +53,8 @@
 export type { DemoOptions, DemoOutcome } from './core/demoRun.js';
 
 /** Random faults under load. */
+export { runSoak } from './core/soakRun.js';
+export type { SoakOptions, SoakOutcome } from './core/soakRun.js';
 export { planFaults } from './core/faultSchedule.js';
 export { runFaults } from './core/faultRunner.js';
 export { FAULT_KINDS } from './types/fault.js';
