Give all packages one shape of benchmark rows

Cause: the bench and the packages' producers had different row types, so the producers' rows had no verdict. Rows are judged in one place now; a row without a bound is reported only, and a short run leaves out times and rates.

--- /dev/null
+++ b/packages/decisions/src/__performance_tests__/index.ts
@@ -0,0 +1,2 @@
+/** Producers of benchmark rows of this package. */
+export { collectDecisionRows } from './decisionRows.js';
--- a/packages/proving/src/__performance_tests__/storeClient.ts
+++ b/packages/proving/src/__performance_tests__/storeClient.ts
@@ -1,10 +1,10 @@
 import { createStoreClient, createSystemClock } from '@chicorybend/common';
+import type { BenchOptions, BenchRow } from '@chicorybend/common';
 import { startStoreStandIn } from '@chicorybend/standins';
 
-import type { BenchOptions, BenchRow } from '../types/benchRow.js';
-import { createBenchRow } from '../utils/createBenchRow.js';
 import { createRandom } from '../utils/random.js';
 
+const SEED = 1;
 const WRITES = 200;
 const SHORT_WRITES = 40;
 const LOST_ANSWERS = 0.5;
@@ -14,11 +14,11 @@
  * Counts the calls that a lost answer of a write costs. The client resolves it by reading, so that the write is
  * not sent again once it took effect.
  *
- * @param options size and seed
+ * @param options size
  * @returns rows
  */
 export async function produceStoreClientRows(options: BenchOptions): Promise<readonly BenchRow[]> {
-  const random = createRandom(options.seed);
+  const random = createRandom(SEED);
   let lost = 0;
   const store = await startStoreStandIn({
     random: () => {
@@ -40,21 +40,19 @@
   await client.close();
   await store.close();
   return [
-    createBenchRow({
+    {
       name: 'store client: writes sent per write, half of the answers lost',
       measured: counts.writes / writes,
       unit: 'calls',
       bound: 1,
-      comparison: 'at-most',
-      basis: 'ratio',
-    }),
-    createBenchRow({
+      direction: 'at-most',
+    },
+    {
       name: 'store client: reads per lost answer of a write',
       measured: counts.reads / lost,
       unit: 'calls',
       bound: 1,
-      comparison: 'at-most',
-      basis: 'ratio',
-    }),
+      direction: 'at-most',
+    },
   ];
 }
--- a/packages/proving/src/__tests__/bench.test.ts
+++ b/packages/proving/src/__tests__/bench.test.ts
@@ -1,36 +1,36 @@
+import type { BenchRow } from '@chicorybend/common';
 import test from 'ava';
 
-import { createBenchRow, findBenchProducers, runBench } from '../index.js';
-import type { BenchRow, NamedProducer } from '../index.js';
+import { findBenchProducers, judgeRow, runBench } from '../index.js';
+import type { NamedProducer } from '../index.js';
 
-const OPTIONS = { isShort: true, seed: 1 };
+const OPTIONS = { isShort: true };
 
-function describeRow(change: Partial<Omit<BenchRow, 'ok'>>): Omit<BenchRow, 'ok'> {
+function describeRow(change: Partial<BenchRow>): BenchRow {
   return {
     name: 'row',
     measured: 1,
     unit: 'calls',
     bound: 1,
-    comparison: 'at-most',
-    basis: 'count',
+    direction: 'at-most',
     ...change,
   };
 }
 
 test('a value past its bound fails in both directions, and so does a missing one', (t) => {
-  t.true(createBenchRow(describeRow({ measured: 1 })).ok);
-  t.false(createBenchRow(describeRow({ measured: 1.01 })).ok);
-  t.true(createBenchRow(describeRow({ measured: 1, comparison: 'at-least' })).ok);
-  t.false(createBenchRow(describeRow({ measured: 0.99, comparison: 'at-least' })).ok);
-  t.false(createBenchRow(describeRow({ measured: Number.NaN })).ok);
+  t.true(judgeRow(describeRow({ measured: 1 })).ok);
+  t.false(judgeRow(describeRow({ measured: 1.01 })).ok);
+  t.true(judgeRow(describeRow({ measured: 1, direction: 'at-least' })).ok);
+  t.false(judgeRow(describeRow({ measured: 0.99, direction: 'at-least' })).ok);
+  t.false(judgeRow(describeRow({ measured: Number.NaN })).ok);
 });
 
 test('a short run leaves out bounds on time, because their verdict depends on the machine', async (t) => {
   const producer: NamedProducer = {
     name: 'mixed',
     produce: async () => [
-      createBenchRow(describeRow({ name: 'count' })),
-      createBenchRow(describeRow({ name: 'time', basis: 'time', measured: 9 })),
+      describeRow({ name: 'count' }),
+      describeRow({ name: 'time', unit: 'ms', measured: 9 }),
     ],
   };
   const short = await runBench([producer], OPTIONS);
@@ -49,7 +49,7 @@
   };
   const working: NamedProducer = {
     name: 'working',
-    produce: async () => [createBenchRow(describeRow({}))],
+    produce: async () => [describeRow({})],
   };
   const rows = await runBench([broken, working], OPTIONS);
   t.deepEqual(
--- a/packages/proving/src/bench.ts
+++ b/packages/proving/src/bench.ts
@@ -5,8 +5,6 @@
 import { findBenchProducers } from './core/benchProducers.js';
 import { formatBench, runBench } from './core/benchRun.js';
 
-const FIXED_SEED = 1;
-
 /** Prints benchmark rows; exits non-zero past a bound. */
 const command = defineCommand({
   meta: { name: 'bench', description: 'Measures and compares with bounds' },
@@ -23,7 +21,7 @@
     const producers = (await findBenchProducers()).filter(({ name }) =>
       name.includes(args.only ?? ''),
     );
-    const rows = await runBench(producers, { isShort: args.short, seed: FIXED_SEED });
+    const rows = await runBench(producers, { isShort: args.short });
     console.log(formatBench(rows));
     if (args.json) writeFileSync(args.json, `${JSON.stringify(rows, null, 2)}\n`);
     const passed = rows.filter((row) => row.ok).length;
--- a/packages/proving/src/core/benchRun.ts
+++ b/packages/proving/src/core/benchRun.ts
@@ -1,19 +1,20 @@
+import type { BenchOptions } from '@chicorybend/common';
 import Table from 'cli-table3';
 
-import type { BenchOptions, BenchRow } from '../types/benchRow.js';
+import type { JudgedRow } from '../types/benchRow.js';
+import { isTimeUnit, judgeRow } from '../utils/judgeRow.js';
 import type { NamedProducer } from './benchProducers.js';
 
 const DIGITS = 3;
 
-function toFailedRow(name: string, error: unknown): BenchRow {
+function toFailedRow(name: string, error: unknown): JudgedRow {
   const message = error instanceof Error ? error.message : String(error);
   return {
     name: `${name} failed: ${message}`,
     measured: Number.NaN,
     unit: '',
     bound: 0,
-    comparison: 'at-most',
-    basis: 'count',
+    direction: 'at-most',
     ok: false,
   };
 }
@@ -21,11 +22,11 @@
 async function runProducer(
   producer: NamedProducer,
   options: BenchOptions,
-): Promise<readonly BenchRow[]> {
+): Promise<readonly JudgedRow[]> {
   try {
-    const rows = await producer.produce(options);
+    const rows = (await producer.produce(options)).map(judgeRow);
     // A bound on time depends on the machine and its load.
-    return options.isShort ? rows.filter((row) => row.basis !== 'time') : rows;
+    return options.isShort ? rows.filter((row) => !isTimeUnit(row.unit)) : rows;
   } catch (error) {
     return [toFailedRow(producer.name, error)];
   }
@@ -41,8 +42,8 @@
 export async function runBench(
   producers: readonly NamedProducer[],
   options: BenchOptions,
-): Promise<readonly BenchRow[]> {
-  const rows: BenchRow[] = [];
+): Promise<readonly JudgedRow[]> {
+  const rows: JudgedRow[] = [];
   for (const producer of producers) rows.push(...(await runProducer(producer, options)));
   return rows;
 }
@@ -57,15 +58,15 @@
  * @param rows rows of the benchmark
  * @returns text of a table
  */
-export function formatBench(rows: readonly BenchRow[]): string {
+export function formatBench(rows: readonly JudgedRow[]): string {
   const table = new Table({
     head: ['measurement', 'measured', 'bound', 'unit', 'ok'],
     style: { head: [], border: [] },
   });
-  rows.forEach(({ name, measured, bound, comparison, unit, ok }) => {
-    const sign = comparison === 'at-most' ? '<=' : '>=';
-    const verdict = ok ? 'yes' : 'NO';
-    table.push([name, formatNumber(measured), `${sign} ${formatNumber(bound)}`, unit, verdict]);
+  rows.forEach(({ name, measured, bound, direction, unit, ok }) => {
+    const sign = direction === 'at-most' ? '<=' : '>=';
+    const limit = bound === null ? '' : `${sign} ${formatNumber(bound)}`;
+    table.push([name, formatNumber(measured), limit, unit, ok ? 'yes' : 'NO']);
   });
   return table.toString();
 }
--- a/packages/proving/src/index.ts
+++ b/packages/proving/src/index.ts
@@ -66,5 +66,5 @@
 export { findBenchProducers } from './core/benchProducers.js';
 export type { NamedProducer } from './core/benchProducers.js';
 export { formatBench, runBench } from './core/benchRun.js';
-export { createBenchRow } from './utils/createBenchRow.js';
-export type { BenchBasis, BenchOptions, BenchProducer, BenchRow } from './types/benchRow.js';
+export { isTimeUnit, judgeRow } from './utils/judgeRow.js';
+export type { BenchProducer, JudgedRow } from './types/benchRow.js';
