Keep room for work that does not fit yet

The pool can now hold room for one piece of work: other work leaves it alone, so that it fits once enough tasks have ended. Held room is bounded to a tenth of the capacity.

--- a/packages/decisions/src/__performance_tests__/replay.ts
+++ b/packages/decisions/src/__performance_tests__/replay.ts
@@ -28,12 +28,16 @@
 /** Ends a pass when nothing more seems to fit. */
 const MOST_FAILURES_PER_PASS = 24;
 const AGING_MILLISECONDS = 60_000;
+/** Work that has waited this long without fitting gets workers held for it. */
+const HOLD_AFTER_MILLISECONDS = 60_000;
 
 /** One way of deciding, under which a trace is replayed. */
 export interface ReplayVariant {
   readonly name: string;
   readonly createPlacement: () => PlacementPolicy;
   readonly createOrder: () => QueueOrderPolicy;
+  /** Whether workers are held for work that has waited long without fitting. */
+  readonly isHolding?: boolean;
   /** Changes what the queue gets to see, for instance without teams. */
   readonly disguise?: (work: QueuedWork) => QueuedWork;
 }
@@ -81,6 +85,7 @@
   readonly waits: Record<ReplayKind, Histogram>;
   readonly meter: DistanceMeter;
   readonly busy: Busy;
+  readonly isHolding: boolean;
 }
 
 const EVERYONE = (): boolean => true;
@@ -115,6 +120,7 @@
       overnight: createHistogram(),
     },
     meter: createDistanceMeter(trace.shares, WINDOW_SAMPLES),
+    isHolding: variant.isHolding ?? false,
     busy: { usedProcessors: 0, allProcessors: 0, endedAt: 0 },
   };
 }
@@ -126,9 +132,21 @@
 
 function tryStart(replay: Replay, queued: QueuedWork, now: number): boolean {
   const { arrivals, pool, queue } = replay;
-  const request = { resources: queued.resources, avoidRacks: [], avoidWorkers: [] };
+  const request = {
+    resources: queued.resources,
+    avoidRacks: [],
+    avoidWorkers: [],
+    heldFor: queued.workId,
+  };
   const workerIds = pool.placeAll(request, queued.tasks);
-  if (!workerIds) return false;
+  if (!workerIds) {
+    const waited = now - queued.enqueuedAt;
+    if (replay.isHolding && waited >= HOLD_AFTER_MILLISECONDS) {
+      pool.hold?.(queued.workId, request, queued.tasks);
+    }
+    return false;
+  }
+  pool.dropHold?.(queued.workId);
   const { kind, runMilliseconds, work } = arrivals.get(queued.workId)!;
   workerIds.forEach((workerId) => pool.allocate(workerId, work.resources));
   queue.recordStart(queued);
--- a/packages/decisions/src/__performance_tests__/replayRows.ts
+++ b/packages/decisions/src/__performance_tests__/replayRows.ts
@@ -37,11 +37,13 @@
     name: 'share-first',
     createPlacement: createBestFitPolicy,
     createOrder: () => createQueueOrderPolicy('share-first'),
+    isHolding: true,
   },
   waitingTimeFirst: {
     name: 'waiting-time-first',
     createPlacement: createBestFitPolicy,
     createOrder: () => createQueueOrderPolicy('waiting-time-first'),
+    isHolding: true,
   },
   firstCome: {
     name: 'baseline first-come first-fit',
--- /dev/null
+++ b/packages/decisions/src/__tests__/workerHolds.test.ts
@@ -0,0 +1,122 @@
+import test from 'ava';
+import fc from 'fast-check';
+
+import type { Resources } from '@chicorybend/common';
+
+import { createBestFitPolicy, createSpreadPolicy, createWorkerPool } from '../index.js';
+import type { PlacementRequest, WorkerPool } from '../index.js';
+import { PROPERTY } from './properties.js';
+
+const sizeOf = (processors: number): Resources => ({
+  processors,
+  memoryBytes: processors,
+  accelerators: 0,
+});
+
+const request = (processors: number, heldFor?: string): PlacementRequest => ({
+  resources: sizeOf(processors),
+  avoidRacks: [],
+  avoidWorkers: [],
+  ...(heldFor === undefined ? {} : { heldFor }),
+});
+
+function createPool(workers: number, maximumHeldFraction = 1, policy = createBestFitPolicy()) {
+  const pool = createWorkerPool(policy, { maximumHeldFraction });
+  for (let index = 0; index < workers; index += 1) {
+    pool.upsert({
+      workerId: `worker-${index}`,
+      dataCentre: 'a',
+      rack: `rack-${index}`,
+      capacity: sizeOf(8),
+    });
+  }
+  return pool;
+}
+
+/** Starts as many small tasks as fit. */
+function fillUp(pool: WorkerPool, running: { workerId: string; resources: Resources }[]): void {
+  let workerId = pool.place(request(1));
+  while (workerId !== null) {
+    pool.allocate(workerId, sizeOf(1));
+    running.push({ workerId, resources: sizeOf(1) });
+    workerId = pool.place(request(1));
+  }
+}
+
+test('a gang with held room fits after each running task has ended once, despite a flood', (t) => {
+  fc.assert(
+    fc.property(
+      fc.integer({ min: 1, max: 6 }),
+      fc.integer({ min: 1, max: 8 }),
+      fc.integer({ min: 1, max: 6 }),
+      fc.boolean(),
+      fc.infiniteStream(fc.nat(999)),
+      (workers, processors, wanted, isSpread, picks) => {
+        const policy = isSpread ? createSpreadPolicy() : createBestFitPolicy();
+        const pool = createPool(workers, 1, policy);
+        const count = Math.min(wanted, workers * Math.floor(8 / processors));
+        const gang = request(processors, 'gang');
+        const running: { workerId: string; resources: Resources }[] = [];
+        fillUp(pool, running);
+        if (!pool.hold!('gang', gang, count)) throw new Error('the hold was refused');
+        const initial = [...running];
+        while (initial.length > 0) {
+          const [ended] = initial.splice(picks.next().value! % initial.length, 1);
+          pool.release(ended!.workerId, ended!.resources);
+          fillUp(pool, running);
+        }
+        const chosen = pool.placeAll(gang, count);
+        if (!chosen) throw new Error('the gang still does not fit');
+        chosen.forEach((workerId) => pool.allocate(workerId, gang.resources));
+        pool.dropHold!('gang');
+      },
+    ),
+    PROPERTY,
+  );
+  t.pass();
+});
+
+test('without a hold the same flood keeps the gang out', (t) => {
+  const pool = createPool(2);
+  const running: { workerId: string; resources: Resources }[] = [];
+  fillUp(pool, running);
+  [...running].forEach((ended) => {
+    pool.release(ended.workerId, ended.resources);
+    fillUp(pool, running);
+  });
+  t.is(pool.placeAll(request(8), 1), null);
+});
+
+test('held room is left alone by other work and is open again after the hold', (t) => {
+  const pool = createPool(1);
+  pool.allocate('worker-0', sizeOf(4));
+  t.true(pool.hold!('large', request(6), 1));
+  t.is(pool.place(request(3)), null);
+  t.is(pool.place(request(3, 'other')), null);
+  t.is(pool.place(request(2)), null);
+  t.is(pool.place(request(3, 'large')), 'worker-0');
+  t.deepEqual(pool.freeOf('worker-0'), sizeOf(4));
+  pool.dropHold!('large');
+  t.is(pool.place(request(3)), 'worker-0');
+});
+
+test('holds never take more than their part of the pool', (t) => {
+  const pool = createPool(10, 0.25);
+  t.true(pool.hold!('a', request(8), 2));
+  t.false(pool.hold!('b', request(8), 1));
+  t.true(pool.hold!('a', request(8), 2));
+  pool.dropHold!('a');
+  t.true(pool.hold!('b', request(8), 1));
+});
+
+test('a worker that leaves the pool leaves its hold too', (t) => {
+  const pool = createPool(2, 0.5);
+  t.true(pool.hold!('a', request(8), 1));
+  t.false(pool.hold!('b', request(1), 1));
+  pool.remove('worker-0');
+  pool.remove('worker-1');
+  pool.upsert({ workerId: 'worker-2', dataCentre: 'a', rack: 'r', capacity: sizeOf(8) });
+  t.is(pool.place(request(8)), 'worker-2');
+  pool.dropHold!('a');
+  t.true(pool.hold!('c', request(4), 1));
+});
--- a/packages/decisions/src/core/gridIndex.ts
+++ b/packages/decisions/src/core/gridIndex.ts
@@ -53,7 +53,7 @@
 const planeOf = (worker: WorkerRecord): number =>
   worker.capacityUnits.accelerators === 0
     ? 0
-    : Math.min(MOST_PLANES - 1, 1 + worker.freeUnits.accelerators);
+    : Math.min(MOST_PLANES - 1, 1 + worker.openUnits.accelerators);
 
 const firstPlaneFor = (accelerators: number): number =>
   accelerators === 0 ? 0 : Math.min(MOST_PLANES - 1, 1 + accelerators);
@@ -135,8 +135,8 @@
 
   function update(worker: WorkerRecord): void {
     const plane = planeOf(worker);
-    const row = levelOf(worker.freeUnits.processors, PROCESSOR_STEP);
-    const column = levelOf(worker.freeUnits.memoryBytes, MEMORY_STEP_BYTES);
+    const row = levelOf(worker.openUnits.processors, PROCESSOR_STEP);
+    const column = levelOf(worker.openUnits.memoryBytes, MEMORY_STEP_BYTES);
     const known = locations.get(worker);
     if (known?.plane === plane && known.row === row && known.column === column) return;
     remove(worker);
@@ -144,7 +144,7 @@
   }
 
   function isUsable(worker: WorkerRecord, query: CandidateQuery): boolean {
-    return countFits(worker.freeUnits, query.units) >= 1 && query.isAllowed(worker);
+    return countFits(worker.openUnits, query.units) >= 1 && query.isAllowed(worker);
   }
 
   function scoreCell(cell: Cell, query: CandidateQuery, choice: Choice): void {
@@ -154,7 +154,7 @@
       const worker = cell[index]!;
       if (!isUsable(worker, query)) continue;
       scored += 1;
-      const score = policy.score(worker.free, worker.capacity, query.resources);
+      const score = policy.score(worker.open, worker.capacity, query.resources);
       if (score > choice.score) Object.assign(choice, { worker, score });
     }
     // eslint-disable-next-line no-param-reassign
--- a/packages/decisions/src/core/workerPool.ts
+++ b/packages/decisions/src/core/workerPool.ts
@@ -16,28 +16,37 @@
 import { createCapacityClasses } from './capacityClasses.js';
 import { createGridIndex } from './gridIndex.js';
 import { createScanIndex } from './scanIndex.js';
+import { createWorkerHolds } from './workerHolds.js';
 
+/** Leaves most of the pool to work that fits now. */
+const DEFAULT_MAXIMUM_HELD_FRACTION = 0.1;
 const PROMISE = 'no-overcommit';
 
 /** Settings of {@link createWorkerPool}. */
 export interface WorkerPoolOptions {
   /** Arrangement of the workers for the search; by the policy's order of search unless given. */
   readonly createIndex?: (policy: PlacementPolicy) => CandidateIndex;
+  /** Largest part of the capacity that may be held for work that does not fit yet. */
+  readonly maximumHeldFraction?: number;
 }
 
 const createIndexFor = (policy: PlacementPolicy): CandidateIndex =>
   policy.searchOrder ? createGridIndex(policy, policy.searchOrder) : createScanIndex(policy);
 
+const subtract = (from: Units, units: Units): Units => ({
+  processors: Math.max(0, from.processors - units.processors),
+  memoryBytes: Math.max(0, from.memoryBytes - units.memoryBytes),
+  accelerators: Math.max(0, from.accelerators - units.accelerators),
+});
+
+/** The record belongs to the pool. */
 function refreshFree(worker: WorkerRecord): void {
-  RESOURCE_DIMENSIONS.forEach((dimension) => {
-    // eslint-disable-next-line no-param-reassign
-    worker.freeUnits[dimension] = Math.max(
-      0,
-      worker.capacityUnits[dimension] - worker.usedUnits[dimension],
-    );
-  });
-  // eslint-disable-next-line no-param-reassign
-  worker.free = toResources(worker.freeUnits);
+  const freeUnits = subtract(worker.capacityUnits, worker.usedUnits);
+  const free = toResources(freeUnits);
+  Object.assign(worker, { freeUnits, free, openUnits: freeUnits, open: free });
+  if (!worker.reservation) return;
+  const openUnits = subtract(freeUnits, worker.reservation.units);
+  Object.assign(worker, { openUnits, open: toResources(openUnits) });
 }
 
 function largestOf(left: Resources, right: Resources): Resources {
@@ -68,6 +77,12 @@
     if (worker.isSchedulable) index.update(worker);
   }
 
+  const holds = createWorkerHolds({
+    workers,
+    refresh,
+    maximumHeldFraction: options.maximumHeldFraction ?? DEFAULT_MAXIMUM_HELD_FRACTION,
+  });
+
   function charge(worker: WorkerRecord, units: Units, sign: 1 | -1): void {
     RESOURCE_DIMENSIONS.forEach((dimension) => {
       // eslint-disable-next-line no-param-reassign
@@ -84,9 +99,12 @@
       capacity: worker.capacity,
       capacityUnits,
       usedUnits: { ...NO_RESOURCES },
-      freeUnits: { ...capacityUnits },
+      freeUnits: capacityUnits,
       free: worker.capacity,
       isSchedulable: true,
+      reservation: null,
+      openUnits: capacityUnits,
+      open: worker.capacity,
     };
   }
 
@@ -135,11 +153,13 @@
       units,
       isAllowed,
     });
-    if (request.avoidRacks.length === 0) return index.find(query(isUsable));
+    const search = (isAllowed: CandidateQuery['isAllowed']): WorkerRecord | null =>
+      holds.find(request.heldFor, query(isAllowed)) ?? index.find(query(isAllowed));
+    if (request.avoidRacks.length === 0) return search(isUsable);
     const isAvoided = (worker: WorkerRecord): boolean => request.avoidRacks.includes(worker.rack);
     return (
-      index.find(query((worker) => !isAvoided(worker) && isUsable(worker))) ??
-      index.find(query((worker) => isAvoided(worker) && isUsable(worker)))
+      search((worker) => !isAvoided(worker) && isUsable(worker)) ??
+      search((worker) => isAvoided(worker) && isUsable(worker))
     );
   }
 
@@ -174,6 +194,7 @@
     remove(workerId) {
       const worker = workers.get(workerId);
       if (!worker) return;
+      holds.forget(worker);
       index.remove(worker);
       classes.remove(worker.capacityUnits);
       workers.delete(workerId);
@@ -198,6 +219,8 @@
       return chosen.length === count ? chosen : null;
     },
     placeSome,
+    hold: holds.hold,
+    dropHold: holds.drop,
     explainNeverFits: classes.explainNeverFits,
     totals,
     size: () => workers.size,
--- a/packages/decisions/src/types/workerPool.ts
+++ b/packages/decisions/src/types/workerPool.ts
@@ -16,6 +16,8 @@
   readonly avoidRacks: readonly string[];
   /** Workers not to use. */
   readonly avoidWorkers: readonly string[];
+  /** Work whose held room may be used too, and is used first; see {@link WorkerPool.hold}. */
+  readonly heldFor?: string;
 }
 
 /** Free amounts of a pool. */
@@ -53,6 +55,18 @@
   placeAll(request: PlacementRequest, count: number): readonly string[] | null;
   /** @returns workers for as many of `count` tasks as fit */
   placeSome(request: PlacementRequest, count: number): readonly string[];
+  /**
+   * Keeps room for work that does not fit yet: other work leaves it alone, so that the work fits
+   * once enough tasks have ended. Without it, a gang or a large task waits for as long as smaller
+   * work takes the room first.
+   *
+   * @param workId work that is to use the room, through {@link PlacementRequest.heldFor}
+   * @returns false if too much is held already or the workers are too small; nothing is held then.
+   *   Repeated calls for the same work change nothing.
+   */
+  hold?(workId: string, request: PlacementRequest, count: number): boolean;
+  /** Ends a hold, after the work was started or cancelled. */
+  dropHold?(workId: string): void;
   /**
    * Tells why a task can never run on the pool, even when it is empty.
    *
--- a/packages/decisions/src/types/workerRecord.ts
+++ b/packages/decisions/src/types/workerRecord.ts
@@ -2,6 +2,12 @@
 
 import type { Units } from '../utils/units.js';
 
+/** Amounts of a worker that are kept for some work. */
+export interface Reservation {
+  readonly workId: string;
+  readonly units: Units;
+}
+
 /** A worker as the pool keeps it. */
 export interface WorkerRecord {
   readonly workerId: string;
@@ -13,4 +19,9 @@
   freeUnits: Units;
   free: Resources;
   isSchedulable: boolean;
+  /** Amounts kept for work that does not fit yet, or null. */
+  reservation: Reservation | null;
+  /** Free amounts without those kept; the same objects as the free ones without a reservation. */
+  openUnits: Units;
+  open: Resources;
 }
