Test the request table and the router; keep slow idempotent work alive

Cause: an idempotent request on a silent connection waited for its deadline; slots whose requests got no answer still counted as capacity; a handover kept slots that were free moments later; a retry could go back to the endpoint that had refused it.

Change: an idempotent request without an answer after 1.5 s (or four expected service times) is sent again if the retry budget allows, and the first whole answer counts, also a late one. Held slots do not count for admission. A release waits up to 250 ms for requests in flight. Retries prefer endpoints that were not tried. Timeouts ask the endpoint (GET /health) instead of counting as failures. The router counts the requests that it runs for other daemons, for the drain. A broken invariant inside an HTTP handler stops the process.

--- a/packages/daemon/src/__tests__/callerApi.test.ts
+++ b/packages/daemon/src/__tests__/callerApi.test.ts
@@ -104,6 +104,8 @@
         routed.push(request);
         return state.route();
       },
+      inFlight: () => 0,
+      idle: async () => undefined,
     },
     jobDeadlineMilliseconds: options.jobDeadlineMilliseconds ?? 1_000,
   });
@@ -496,8 +498,10 @@
   Object.assign(view, { state: 'running' });
   const interrupted = send('GET', `${path}?waitMilliseconds=30000`, undefined, headers);
   await waitUntil(() => api.inFlight() === 1);
+  const drainedAt = performance.now();
   api.startDrain();
   t.is((await interrupted).status, 200);
+  t.true(performance.now() - drainedAt < 20_000, 'ends long before the wait');
 });
 
 test('a wait with a wrong query is refused with its path', async (t) => {
--- a/packages/daemon/src/core/endpoint.ts
+++ b/packages/daemon/src/core/endpoint.ts
@@ -21,10 +21,16 @@
   readonly request: EndpointRequest;
   /** Monotonic time in milliseconds until which an answer is waited for. */
   readonly answerBy: number;
+  /** Monotonic time in milliseconds from which a connection without an answer may be silent; null for never. */
+  readonly suspectAt: number | null;
+  /** Asked at that time; true ends the execution as lost, so that the request can be sent again. */
+  readonly maySuspect: () => boolean;
   /** Asked in the same turn in which the request is sent. */
   readonly mayStart: () => boolean;
   /** Called when the slot is free again, which is later than the outcome if there was no answer in time. */
   readonly onSlotFree: () => void;
+  /** Called with a whole answer that arrives after the execution was given up. */
+  readonly onLateAnswer: (response: EndpointResponse) => void;
 }
 
 /** How an execution ended. */
@@ -34,7 +40,7 @@
   | { readonly kind: 'failed'; readonly reason: string }
   /** Certainly not sent; withdrawn if `mayStart` said so. */
   | { readonly kind: 'not-sent'; readonly reason: string; readonly isWithdrawn: boolean }
-  | { readonly kind: 'lost'; readonly reason: string };
+  | { readonly kind: 'lost'; readonly reason: string; readonly isSuspected: boolean };
 
 /** One endpoint of an owned partition. */
 export interface Endpoint {
@@ -88,6 +94,17 @@
   return Math.max(0, Math.min(vm.slots ?? DEFAULT_SLOTS, connections));
 }
 
+function createLost(reason: string, isSuspected = false): ExecutionOutcome {
+  return { kind: 'lost', reason, isSuspected };
+}
+
+/** Gives connection outcomes without an answer the form of execution outcomes. */
+function describeUnanswered(
+  outcome: Exclude<ConnectionOutcome, { kind: 'answered' }>,
+): ExecutionOutcome {
+  return outcome.kind === 'lost' ? createLost(outcome.reason) : outcome;
+}
+
 function parseResponse(body: string): EndpointResponse | null {
   try {
     const checked = responseSchema.safeParse(JSON.parse(body));
@@ -185,13 +202,13 @@
       return { kind: 'failed', reason: outcome.body.slice(0, MAXIMUM_REASON_LENGTH) };
     }
     if (outcome.status !== STATUS_OK) {
-      return { kind: 'lost', reason: `status ${outcome.status}` };
+      return createLost(`status ${outcome.status}`);
     }
     const response = parseResponse(outcome.body);
-    if (!response) return { kind: 'lost', reason: 'the answer does not match the schema' };
+    if (!response) return createLost('the answer does not match the schema');
     if (response.requestId !== requestId) {
       counters.increment('endpoints.answers.crossed');
-      return { kind: 'lost', reason: 'the answer belongs to another request' };
+      return createLost('the answer belongs to another request');
     }
     return { kind: 'answered', response };
   }
@@ -212,16 +229,44 @@
     const outcome = await withTimeout(clock, pending, remaining);
     if (outcome !== TIMED_OUT && outcome.kind === 'answered') {
       counters.increment('endpoints.answers.late');
+      const ended = interpret(outcome, execution.request.requestId);
+      if (ended.kind === 'answered') execution.onLateAnswer(ended.response);
     }
     discard(connection, 'its request got no answer in time');
     freeSlot(slot, execution);
   }
 
-  function suspect(waitedMilliseconds: number): ExecutionOutcome {
+  /** Slow work and a silent connection look the same, so that the endpoint itself is asked. */
+  function giveUp(
+    slot: Slot,
+    execution: Execution,
+    connection: EndpointConnection,
+    pending: Promise<ConnectionOutcome>,
+    isSuspected: boolean,
+  ): ExecutionOutcome {
     counters.increment('endpoints.connections.suspect');
-    if (waitedMilliseconds >= LIVENESS_MILLISECONDS) health.recordFailure();
-    else health.verify();
-    return { kind: 'lost', reason: 'no answer in time' };
+    slot.hold();
+    linger(slot, execution, connection, pending);
+    health.verify();
+    return createLost('no answer in time', isSuspected);
+  }
+
+  /** Waits for an answer until the deadline, or until the connection may be silent and a retry is allowed. */
+  async function awaitAnswer(
+    execution: Execution,
+    pending: Promise<ConnectionOutcome>,
+    isSent: () => boolean,
+  ): Promise<ConnectionOutcome | 'suspected' | 'timed-out'> {
+    const { suspectAt, answerBy } = execution;
+    if (suspectAt !== null && suspectAt < answerBy) {
+      const limit = suspectAt - clock.monotonicMilliseconds();
+      const outcome = await withTimeout(clock, pending, limit);
+      if (outcome !== TIMED_OUT) return outcome;
+      if (isSent() && execution.maySuspect()) return 'suspected';
+    }
+    const remaining = answerBy - clock.monotonicMilliseconds();
+    const outcome = await withTimeout(clock, pending, remaining);
+    return outcome === TIMED_OUT ? 'timed-out' : outcome;
   }
 
   function finish(
@@ -231,7 +276,8 @@
     outcome: ConnectionOutcome,
   ): ExecutionOutcome {
     const { requestId } = execution.request;
-    const ended = outcome.kind === 'answered' ? interpret(outcome, requestId) : outcome;
+    const ended =
+      outcome.kind === 'answered' ? interpret(outcome, requestId) : describeUnanswered(outcome);
     recordOutcome(ended);
     if (ended.kind === 'answered' || ended.kind === 'failed') returnConnection(connection);
     else discard(connection, ended.reason);
@@ -251,31 +297,30 @@
     const outcome = await pending;
     health.verify();
     freeSlot(slot, execution);
-    return outcome.kind === 'not-sent' ? outcome : { kind: 'lost', reason };
+    return outcome.kind === 'not-sent' ? outcome : createLost(reason);
   }
 
   async function run(execution: Execution): Promise<ExecutionOutcome> {
     const { request } = execution;
     const slot = slots.take(request.team);
     const connection = takeConnection();
-    const sent = { at: null as number | null };
+    let isSent = false;
     const pending = connection.call({
       method: 'POST',
       path: '/run',
       body: JSON.stringify(request),
       mayStart() {
         if (!execution.mayStart()) return false;
-        sent.at = clock.monotonicMilliseconds();
+        isSent = true;
         slot.start();
         return true;
       },
     });
-    const limit = execution.answerBy - clock.monotonicMilliseconds();
-    const outcome = await withTimeout(clock, pending, limit);
-    if (outcome !== TIMED_OUT) return finish(slot, execution, connection, outcome);
-    if (sent.at === null) return giveUpConnecting(slot, execution, connection, pending);
-    linger(slot, execution, connection, pending);
-    return suspect(clock.monotonicMilliseconds() - sent.at);
+    const outcome = await awaitAnswer(execution, pending, () => isSent);
+    if (typeof outcome === 'object') return finish(slot, execution, connection, outcome);
+    const isSuspected = outcome === 'suspected';
+    if (isSent) return giveUp(slot, execution, connection, pending, isSuspected);
+    return giveUpConnecting(slot, execution, connection, pending);
   }
 
   return {
--- a/packages/daemon/src/core/endpointPartition.ts
+++ b/packages/daemon/src/core/endpointPartition.ts
@@ -1,4 +1,4 @@
-import { createFailure, sleep } from '@chicorybend/common';
+import { assertInvariant, createFailure, sleep } from '@chicorybend/common';
 import type {
   CancelTimer,
   Clock,
@@ -73,6 +73,9 @@
 /** How often a release looks for requests that are neither sent nor refused yet, in milliseconds. */
 const RELEASE_POLL_MILLISECONDS = 5;
 
+/** Time for which a release waits for requests in flight, in milliseconds. */
+const RELEASE_WAIT_MILLISECONDS = 250;
+
 const NO_ENDPOINT_RETRY_MILLISECONDS = 500;
 const MINIMUM_RETRY_MILLISECONDS = 1;
 
@@ -101,6 +104,7 @@
   let backlog = createBacklog();
   let unlisted: AdoptedSlot[] = [];
   let isReleased = false;
+  let isHandedOver = false;
   let cancelTick: CancelTimer | null = null;
   let cancelUnblock: CancelTimer = () => undefined;
 
@@ -127,7 +131,7 @@
   }
 
   function countSlots(): number {
-    return listUsable().reduce((sum, endpoint) => sum + endpoint.slots.limit(), 0);
+    return listUsable().reduce((sum, endpoint) => sum + endpoint.slots.serving(), 0);
   }
 
   function countFree(): number {
@@ -135,19 +139,16 @@
     return listUsable().reduce((sum, endpoint) => sum + endpoint.slots.free(), 0);
   }
 
-  /** Chooses the endpoint with the largest free part of its slots. */
-  function chooseEndpoint(): Endpoint | null {
-    if (blockedMilliseconds() > 0) return null;
-    let chosen: Endpoint | null = null;
-    let highest = 0;
-    listUsable().forEach((endpoint) => {
-      const part = endpoint.slots.free() / Math.max(1, endpoint.slots.limit());
-      if (part > highest) {
-        highest = part;
-        chosen = endpoint;
-      }
-    });
-    return chosen;
+  /** Chooses the endpoint with the largest free part of its slots, if possible one that was not tried. */
+  function chooseEndpoint(tried: ReadonlySet<string>): Endpoint | undefined {
+    const free = listUsable().filter((endpoint) => endpoint.slots.free() > 0);
+    const untried = free.filter((endpoint) => !tried.has(endpoint.endpointId));
+    const candidates = untried.length > 0 ? untried : free;
+    const freePart = ({ slots }: Endpoint) => slots.free() / slots.limit();
+    return candidates.reduce<Endpoint | undefined>(
+      (best, each) => (best && freePart(best) >= freePart(each) ? best : each),
+      undefined,
+    );
   }
 
   function expectedWait(team: string): number {
@@ -199,6 +200,14 @@
     return tracked.outcome;
   }
 
+  /** A request that is sent again may be answered late, by its first execution, while it waits. */
+  function shiftWaiting(): TrackedWork | null {
+    let tracked: TrackedWork | null;
+    do tracked = backlog.shift(clock.monotonicMilliseconds());
+    while (tracked?.isEnded());
+    return tracked;
+  }
+
   /** Sends waiting requests while there are free slots. */
   function pump(): void {
     if (!isServing()) {
@@ -206,16 +215,26 @@
       return;
     }
     backlog.expire(clock.monotonicMilliseconds());
-    for (let endpoint = chooseEndpoint(); endpoint; endpoint = chooseEndpoint()) {
-      const tracked = backlog.shift(clock.monotonicMilliseconds());
+    while (countFree() > 0) {
+      const tracked = shiftWaiting();
       if (!tracked) break;
-      const charge = allotments.charge(partition, tracked.work.team, 'requests', 1);
-      if (charge.isOk()) runOn(endpoint, tracked);
-      else backlog.park(tracked, charge.error);
+      start(tracked);
     }
     scheduleTick();
   }
 
+  function start(tracked: TrackedWork): void {
+    const endpoint = chooseEndpoint(tracked.tried);
+    assertInvariant(endpoint !== undefined, 'slots', () => 'a free slot has no endpoint');
+    const charge = allotments.charge(partition, tracked.work.team, 'requests', 1);
+    if (charge.isErr()) {
+      backlog.park(tracked, charge.error);
+      return;
+    }
+    tracked.tried.add(endpoint.endpointId);
+    runOn(endpoint, tracked);
+  }
+
   function scheduleTick(): void {
     if (cancelTick || backlog.size() === 0) return;
     cancelTick = clock.setTimer(() => {
@@ -227,22 +246,21 @@
 
   /** Asked right before the first byte is sent, after all waiting. */
   function maySend(endpoint: Endpoint, tracked: TrackedWork): boolean {
-    if (!isServing() || !endpoint.isUsable()) return false;
+    if (!isServing() || !endpoint.isUsable() || tracked.isEnded()) return false;
     tracked.send();
     return true;
   }
 
   /** An idempotent request is not left on a silent connection until its deadline. */
-  function findAnswerLimit(work: EndpointWork): number {
-    if (!work.isIdempotent) return work.deadlineAt;
+  function findSuspectTime(work: EndpointWork): number | null {
+    if (!work.isIdempotent) return null;
     const expected = SLOW_ATTEMPT_FACTOR * admission.expectedServiceMilliseconds();
-    const limit = clock.monotonicMilliseconds() + Math.max(LIVENESS_MILLISECONDS, expected);
-    return Math.min(work.deadlineAt, limit);
+    return clock.monotonicMilliseconds() + Math.max(LIVENESS_MILLISECONDS, expected);
   }
 
   function releaseUnit(team: string): void {
-    // After a release the next owner holds the units of the slots that it was given.
-    if (isReleased) return;
+    // After a handover the next owner holds the units of the slots that it was given.
+    if (isHandedOver) return;
     allotments.release(partition, team, 'requests', 1);
     backlog.unpark(team);
   }
@@ -253,7 +271,12 @@
     const startedAt = clock.monotonicMilliseconds();
     const outcome = await endpoint.run({
       request: { requestId, team, payload },
-      answerBy: findAnswerLimit(work),
+      answerBy: work.deadlineAt,
+      suspectAt: findSuspectTime(work),
+      maySuspect: () => mayRetryLost(work),
+      onLateAnswer(response) {
+        if (work.isIdempotent && !tracked.isEnded()) tracked.answer(response);
+      },
       mayStart: () => maySend(endpoint, tracked),
       onSlotFree() {
         releaseUnit(team);
@@ -273,7 +296,11 @@
     else if (outcome.kind === 'failed') {
       tracked.fail(createFailure('endpoint-failed', { target, reason: outcome.reason }));
     } else if (outcome.kind === 'not-sent') retryNotSent(tracked, outcome.isWithdrawn);
-    else settleLost(tracked, outcome.reason);
+    else settleLost(tracked, outcome.reason, outcome.isSuspected);
+  }
+
+  function mayRetryLost(work: EndpointWork): boolean {
+    return work.isIdempotent && isServing() && hasTimeLeft(work) && takeRetry();
   }
 
   function hasTimeLeft(work: EndpointWork): boolean {
@@ -283,6 +310,7 @@
 
   /** A request withdrawn from a leaving endpoint was not tried; only tries are charged as retries. */
   function retryNotSent(tracked: TrackedWork, isWithdrawn: boolean): void {
+    if (tracked.isEnded()) return;
     if (!isServing()) tracked.refuse(options.notOwner());
     else if (!hasTimeLeft(tracked.work)) tracked.refuse(createFailure('deadline-passed'));
     else if (countSlots() === 0) tracked.refuse(refuseNoEndpoint());
@@ -296,9 +324,11 @@
     return isTaken;
   }
 
-  function settleLost(tracked: TrackedWork, reason: string): void {
+  /** A suspected execution was charged to the retry budget already. */
+  function settleLost(tracked: TrackedWork, reason: string, isSuspected: boolean): void {
+    if (tracked.isEnded()) return;
     const { work } = tracked;
-    const isRetried = work.isIdempotent && isServing() && hasTimeLeft(work) && takeRetry();
+    const isRetried = isSuspected ? work.isIdempotent : mayRetryLost(work);
     if (!isRetried) {
       tracked.lose(reason);
       return;
@@ -379,18 +409,24 @@
     return [...unfinished].some((tracked) => tracked.state() !== 'sent');
   }
 
-  /** Waits for requests that are being withdrawn, so that the table does not report them as possibly run. */
+  /**
+   * Waits for requests that are being withdrawn, so that the table does not report them as possibly run, and a
+   * short time for those that run, so that the next owner gets most slots free.
+   */
   async function release(): Promise<HandedEndpoints> {
     isReleased = true;
     backlog.clear(options.notOwner);
+    const waitUntil = clock.monotonicMilliseconds() + RELEASE_WAIT_MILLISECONDS;
     do await sleep(clock, RELEASE_POLL_MILLISECONDS);
-    while (isAnyUnsent());
+    while (isAnyUnsent() || (unfinished.size > 0 && clock.monotonicMilliseconds() < waitUntil));
+    isHandedOver = true;
     const blocked = blockedMilliseconds();
     return { blockedMilliseconds: blocked, slots: listSlots(), table: table.handOver() };
   }
 
   function close(): void {
     isReleased = true;
+    isHandedOver = true;
     backlog.clear(options.notOwner);
     cancelTick?.();
     cancelUnblock();
--- a/packages/daemon/src/core/endpointSlots.ts
+++ b/packages/daemon/src/core/endpointSlots.ts
@@ -8,6 +8,8 @@
   readonly team: string;
   /** Starts the time that the request may stay, when it is sent. */
   start(): void;
+  /** Records that the request got no answer in time, so that nobody knows when it ends. */
+  hold(): void;
   /** @returns monotonic time in milliseconds by which the request has ended at the latest */
   endsBy(): number;
 }
@@ -22,6 +24,8 @@
   setLimit(limit: number): void;
   limit(): number;
   free(): number;
+  /** @returns slots that are free or become free when their requests are answered */
+  serving(): number;
   inUse(): readonly Slot[];
   /** Stops waiting for the ends of a former owner's requests. */
   stop(): void;
@@ -44,6 +48,7 @@
 export function createEndpointSlots(options: EndpointSlotsOptions): EndpointSlots {
   const { clock } = options;
   const slots = new Set<Slot>();
+  const held = new Set<Slot>();
   const timers = new Set<CancelTimer>();
   let { limit } = options;
 
@@ -56,6 +61,9 @@
     const slot: Slot = {
       team,
       endsBy: () => endsBy,
+      hold() {
+        held.add(slot);
+      },
       start() {
         endsBy = clock.monotonicMilliseconds() + MAXIMUM_REQUEST_MILLISECONDS;
       },
@@ -64,9 +72,15 @@
     return slot;
   }
 
+  function remove(slot: Slot): void {
+    slots.delete(slot);
+    held.delete(slot);
+  }
+
   return {
     free,
     limit: () => limit,
+    serving: () => Math.max(0, limit - held.size),
     inUse: () => [...slots],
     setLimit(next) {
       limit = next;
@@ -77,16 +91,15 @@
     },
     adopt(team, remainingMilliseconds) {
       const slot = add(team, remainingMilliseconds);
+      slot.hold();
       const cancel = clock.setTimer(() => {
-        slots.delete(slot);
+        remove(slot);
         timers.delete(cancel);
         options.onAdoptedEnd(team);
       }, remainingMilliseconds);
       timers.add(cancel);
     },
-    release(slot) {
-      slots.delete(slot);
-    },
+    release: remove,
     stop() {
       timers.forEach((cancel) => cancel());
     },
--- a/packages/daemon/src/core/endpointWork.ts
+++ b/packages/daemon/src/core/endpointWork.ts
@@ -18,7 +18,11 @@
 /** A request on its way through the pool, with its state. */
 export interface TrackedWork {
   readonly work: EndpointWork;
+  /** Ids of endpoints that it was given to; others are preferred for a retry. */
+  readonly tried: Set<string>;
   state(): RequestState;
+  /** @returns whether it has ended */
+  isEnded(): boolean;
   /** Records that it waits for a slot. */
   queue(): void;
   /** Records that it is being sent. */
@@ -50,11 +54,20 @@
     resolveOutcome = resolve;
   });
 
+  function isEnded(): boolean {
+    return chart.isFinal(state);
+  }
+
   function advance(event: string): void {
     state = chart.advance(state, event);
   }
 
   function end(event: string, result: Result<InteractiveResponse, Failure>): void {
+    if (isEnded()) {
+      // Only a request that was sent twice can end twice; the first end counts.
+      assertInvariant(work.isIdempotent, 'at-most-once', () => `${work.requestId} ends twice`);
+      return;
+    }
     advance(event);
     const isNotRun = result.isErr() && result.error.run === 'not-run';
     assertInvariant(
@@ -72,8 +85,10 @@
 
   const tracked: TrackedWork = {
     work,
+    tried: new Set(),
     outcome,
     state: () => state,
+    isEnded,
     lose,
     queue: () => advance('QUEUE'),
     sendAgain: () => advance('LOST_IDEMPOTENT'),
--- a/packages/daemon/src/core/httpServer.ts
+++ b/packages/daemon/src/core/httpServer.ts
@@ -2,7 +2,7 @@
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
 import type { z } from 'zod';
 
-import { createFailure, Err, Ok } from '@chicorybend/common';
+import { createFailure, Err, InvariantError, Ok } from '@chicorybend/common';
 import type { Counters, Failure, Log, Result } from '@chicorybend/common';
 
 import type { HttpReply, HttpRoute, HttpRoutes } from '../types/http.js';
@@ -37,6 +37,9 @@
 }
 
 const MILLISECONDS_PER_SECOND = 1_000;
+/** A call that arrives more slowly than this holds its connection for nothing. */
+const RECEIVE_TIMEOUT_MILLISECONDS = 30_000;
+
 const STATUS_OK = 200;
 const STATUS_SERVER_ERROR = 500;
 const PLAIN_ERROR_HEADERS =
@@ -47,6 +50,13 @@
   return body;
 }
 
+/** A broken invariant stops the process, also when a promise carries it here. */
+function stopProcess(error: InvariantError): void {
+  queueMicrotask(() => {
+    throw error;
+  });
+}
+
 function checkWith<Output>(
   schema: z.ZodType<Output> | undefined,
   value: unknown,
@@ -125,6 +135,7 @@
   }
 
   function sendError(error: unknown, request: FastifyRequest, reply: FastifyReply): FastifyReply {
+    if (error instanceof InvariantError) stopProcess(error);
     const failure = classifyHttpError(error, { method: request.method, path: pathOf(request) });
     if (failure.status >= STATUS_SERVER_ERROR) log.error('unexpected failure of a call', error);
     return sendFailure(reply, failure);
@@ -132,6 +143,7 @@
 
   const instance = fastify({
     bodyLimit: BODY_LIMIT_BYTES,
+    requestTimeout: RECEIVE_TIMEOUT_MILLISECONDS,
     forceCloseConnections: 'idle',
     // The failure body of the framework differs from that of this interface.
     return503OnClosing: false,
--- a/packages/daemon/src/core/requestRouter.ts
+++ b/packages/daemon/src/core/requestRouter.ts
@@ -24,6 +24,7 @@
 import type { PeerError, PeerLink } from '../types/peer.js';
 import type { ForwardedRequest } from '../types/peerMethods.js';
 import { hashBody } from '../utils/bodyHash.js';
+import { createInFlight } from '../utils/inFlight.js';
 import type { EndpointService } from './endpointPool.js';
 import { createHomeExecutor } from './requestHome.js';
 
@@ -57,6 +58,12 @@
    * @returns answer of the endpoint, or why there is none
    */
   route(routed: RoutedRequest): Promise<Result<InteractiveResponse, Failure>>;
+
+  /** @returns requests in flight for callers and for other daemons */
+  inFlight(): number;
+
+  /** Resolves when no request is in flight here, neither for callers nor for other daemons. */
+  idle(): Promise<void>;
 }
 
 const OWNER_BACKOFF: BackoffLimits = { firstMilliseconds: 10, maximumMilliseconds: 200 };
@@ -107,7 +114,10 @@
 export function createRequestRouter(options: RequestRouterOptions): RequestRouter {
   const { clock, counters, link, directory, retryBudget, random = Math.random } = options;
   const executeAtHome = createHomeExecutor({ ...options, random });
-  link.handle('request.execute', executeAtHome);
+  const flights = createInFlight();
+  link.handle('request.execute', (forwarded, context) =>
+    flights.run(() => executeAtHome(forwarded, context)),
+  );
 
   function queuedAt(partition: number): number {
     const load = options.loadBoard.loads().get(partition);
@@ -207,5 +217,9 @@
     }
   }
 
-  return { route };
+  return {
+    route: (routed) => flights.run(() => route(routed)),
+    inFlight: flights.count,
+    idle: flights.idle,
+  };
 }
