--- /dev/null
+++ b/packages/client/src/__tests__/clientCell.ts
@@ -0,0 +1,182 @@
+import {
+  createLocalCounters,
+  createSilentLog,
+  createStoreClient,
+  createSystemClock,
+  Ok,
+  sha256,
+} from '@chicorybend/common';
+import type { JobView } from '@chicorybend/common';
+import { startStoreStandIn } from '@chicorybend/standins';
+import type { ExecutionContext } from 'ava';
+import { createConfigurationService, registerOperatorApi } from 'chicorybendd';
+import type { ConfigurationService, MembershipView, PeerLink } from 'chicorybendd';
+import fastify from 'fastify';
+import type { FastifyInstance } from 'fastify';
+
+import { runClient } from '../index.js';
+import type { ExitCode } from '../index.js';
+
+const TOKEN = 'token-of-the-bootstrap-operator';
+const DAEMON_ID = 'entry-1';
+const LIMITS = { tasks: 10, requests: 10 };
+
+/** Sections of the cell that the client is tried on. */
+export const SECTIONS = {
+  cell: { name: 'coldline' },
+  policy: { order: 'waiting-time-first' },
+  teams: { harbour: { share: 2, limits: LIMITS } },
+  queues: { quotes: { kind: 'interactive', access: 'keyed' } },
+  keys: {
+    '4f2a91c0d3e7': {
+      team: 'harbour',
+      secretHash: sha256('secret'),
+      issuedAt: 1_700_000_000_000,
+      issuedBy: 'bootstrap',
+    },
+  },
+};
+
+/** What a run of the client printed. */
+export interface Run {
+  readonly exitCode: ExitCode;
+  readonly output: string;
+  readonly errors: string;
+}
+
+/** A daemon's HTTP interface with the configuration service behind it, and runs of the client against it. */
+export interface ClientCell {
+  readonly server: FastifyInstance;
+  readonly service: ConfigurationService;
+  /** Files that the client reads and writes. */
+  readonly files: Map<string, string>;
+  readonly variables: Record<string, string>;
+  run(...argv: string[]): Promise<Run>;
+}
+
+function createOwnLink(): PeerLink {
+  const handlers = new Map<string, (params: never, context: never) => Promise<unknown>>();
+  return {
+    async call(_, method, params) {
+      const handler = handlers.get(method);
+      if (!handler) return Ok([] as never);
+      return (await handler(params as never, { from: DAEMON_ID } as never)) as never;
+    },
+    handle: (method, handler) => handlers.set(method, handler),
+  };
+}
+
+function createOwnMembership(): MembershipView {
+  const member = {
+    daemonId: DAEMON_ID,
+    incarnation: '1',
+    peerAddress: '127.0.0.1:1',
+    apiAddress: 'http://127.0.0.1:1',
+    dataCentre: 'east',
+  };
+  return {
+    selfId: DAEMON_ID,
+    record: () => ({ version: 1, members: [member] }),
+    liveMembers: () => [member],
+    reports: () => [],
+    isInContactWithMajority: () => true,
+    mayAct: () => true,
+  };
+}
+
+/** Stands in for the callers' routes, which belong to another module. */
+function addCallerRoutes(server: FastifyInstance): void {
+  const job = (jobId: string): JobView => ({
+    jobId,
+    team: 'harbour',
+    queue: 'sorting',
+    kind: 'batch',
+    state: jobId === 'failed-job' ? 'failed' : 'succeeded',
+    acceptedAt: 1,
+    tasks: [{ taskId: `${jobId}/0`, state: 'succeeded', attempt: 1, workerId: 'worker-1' }],
+  });
+  const idOf = (parameters: unknown) => (parameters as { id: string }).id;
+  server.post('/v1/requests', async () => ({ requestId: '1', endpointId: 'ledger-1', result: 7 }));
+  server.post('/v1/jobs', (_, reply) => reply.status(201).send({ jobId: '3-1' }));
+  server.get('/v1/jobs/:id', async (request) => job(idOf(request.params)));
+  server.get('/v1/jobs/:id/result', async (request) => job(idOf(request.params)));
+  server.post('/v1/jobs/:id/cancel', async (request) => job(idOf(request.params)));
+}
+
+/**
+ * Starts a daemon's HTTP interface on loopback with a first configuration.
+ *
+ * @param t test; the cell ends with it
+ * @returns the cell
+ */
+export async function createClientCell(t: ExecutionContext): Promise<ClientCell> {
+  const clock = createSystemClock();
+  const standIn = await startStoreStandIn();
+  const store = createStoreClient({ address: standIn.address, clock });
+  const link = createOwnLink();
+  const membership = createOwnMembership();
+  const log = createSilentLog();
+  const counters = createLocalCounters();
+  const service = createConfigurationService({ clock, store, link, membership, log, counters });
+  const applied = await service.change({
+    operator: { name: 'bootstrap', tokenHash: null },
+    action: 'configuration.apply',
+    subject: null,
+    edit: () => Ok({ baseRevision: 0, sections: SECTIONS }),
+  });
+  applied.unwrap();
+  const server = fastify({ forceCloseConnections: true });
+  const directory = {
+    partitionCount: 2,
+    ownerOf: (partition: number) => (partition === 0 ? { daemonId: DAEMON_ID, epoch: 1 } : null),
+    leaseOf: () => null,
+    owned: () => [0],
+    refresh: () => undefined,
+  };
+  registerOperatorApi(server, {
+    clock,
+    operatorToken: TOKEN,
+    configuration: service,
+    link,
+    membership,
+    directory,
+  });
+  addCallerRoutes(server);
+  const address = await server.listen({ host: '127.0.0.1', port: 0 });
+  t.teardown(async () => {
+    await server.close();
+    await store.close();
+    await standIn.close();
+  });
+  const files = new Map<string, string>();
+  const variables: Record<string, string> = {
+    CHICORYBEND_ADDRESS: address,
+    CHICORYBEND_TOKEN: TOKEN,
+    CHICORYBEND_OPERATOR: 'bootstrap',
+    CHICORYBEND_KEY: 'cb_4f2a91c0d3e7_secret',
+  };
+  return {
+    server,
+    service,
+    files,
+    variables,
+    async run(...argv) {
+      const output: string[] = [];
+      const errors: string[] = [];
+      const exitCode = await runClient(argv, {
+        variables,
+        print: (text) => output.push(text),
+        printError: (text) => errors.push(text),
+        async readFile(path) {
+          const text = files.get(path);
+          if (text === undefined) throw new Error('no such file');
+          return text;
+        },
+        async writeFile(path, text) {
+          files.set(path, text);
+        },
+      });
+      return { exitCode, output: output.join('\n'), errors: errors.join('\n') };
+    },
+  };
+}
--- a/packages/common/src/__tests__/configurationDocument.test.ts
+++ b/packages/common/src/__tests__/configurationDocument.test.ts
@@ -115,6 +115,11 @@
   ]);
 });
 
+test('a field with the value null differs from a field that is absent', (t) => {
+  const differences = diffDocuments({ a: {} }, { a: { b: null } });
+  t.deepEqual(differences[0]?.changes, [{ path: 'a.b', after: null }]);
+});
+
 test('the order of keys makes no difference; anything else does', (t) => {
   fc.assert(
     fc.property(fc.jsonValue(), fc.jsonValue(), (left, right) => {
--- a/packages/common/src/core/configurationDiff.ts
+++ b/packages/common/src/core/configurationDiff.ts
@@ -25,7 +25,9 @@
 }
 
 function diffValues(path: string, before: unknown, after: unknown): ValueDifference[] {
-  if (canonicalJson(before) === canonicalJson(after)) return [];
+  // An absent value and null have the same JSON text.
+  const isOnOneSide = (before === undefined) !== (after === undefined);
+  if (!isOnOneSide && canonicalJson(before) === canonicalJson(after)) return [];
   if (!isRecord(before) || !isRecord(after)) {
     return [
       {
