Lift announced revocations on daemons that do not poll

With more than six daemons only three read the root regularly. The others settled announcements only when they read it, so that a key whose revocation was announced but not written stayed refused there. Announcements are now settled at each look at the peers' reports. Tests cover the choice of pollers, their loss, and pages of the audit trail.

--- /dev/null
+++ b/packages/daemon/src/__tests__/audit.test.ts
@@ -0,0 +1,66 @@
+import { createStoreClient, createSystemClock } from '@chicorybend/common';
+import { startStoreStandIn } from '@chicorybend/standins';
+import test from 'ava';
+
+import { AUDIT_PAGE_ENTRIES, AUDIT_PAGES_KEPT, createAuditTrail } from '../core/audit.js';
+import type { AuditFacts } from '../core/audit.js';
+import type { AuditPointer, StoredRoot } from '../types/configurationRecords.js';
+
+const FACTS: AuditFacts = {
+  operator: 'anna',
+  daemonId: 'a',
+  action: 'configuration.apply',
+  subject: null,
+  at: 1,
+  fromRevision: 1,
+  toRevision: 2,
+  sections: [],
+  differences: [],
+  omittedDifferences: 0,
+};
+
+function rootWith(audit: AuditPointer | null): StoredRoot {
+  return {
+    revision: 1,
+    sections: {},
+    changedBy: 'anna',
+    changedAt: 1,
+    changedSections: [],
+    lastChanges: {},
+    audit,
+  };
+}
+
+test('the trail is read over page borders, and old pages are removed and never looked for again', async (t) => {
+  const standIn = await startStoreStandIn({ writesPerSecond: 100_000, readsPerSecond: 100_000 });
+  const store = createStoreClient({ address: standIn.address, clock: createSystemClock() });
+  t.teardown(async () => {
+    await store.close();
+    await standIn.close();
+  });
+  const trail = createAuditTrail(store);
+  let pointer: AuditPointer | null = null;
+  const count = AUDIT_PAGE_ENTRIES + 20;
+  for (let index = 0; index < count; index += 1) {
+    pointer = (await trail.prepare(rootWith(pointer), FACTS)).unwrap();
+  }
+  const reading = (await trail.read(rootWith(pointer), 1_000)).unwrap();
+  t.deepEqual(
+    reading.entries.map((entry) => entry.sequence),
+    Array.from({ length: count }, (_, index) => count - index),
+  );
+  t.false(reading.isTruncated);
+
+  const late = {
+    sequence: AUDIT_PAGES_KEPT * AUDIT_PAGE_ENTRIES + 1,
+    entryId: pointer?.entryId ?? '',
+    firstPage: 0,
+  };
+  await trail.trim(rootWith(late));
+  t.is(standIn.state.list('configuration/audit/').length, 21, 'only the second page is left');
+  const next = (await trail.prepare(rootWith(late), FACTS)).unwrap();
+  t.is(next.firstPage, 1);
+  const kept = (await trail.read(rootWith({ ...(pointer ?? late), firstPage: 1 }), 1_000)).unwrap();
+  t.is(kept.entries.length, 21);
+  t.true(kept.isTruncated);
+});
--- a/packages/daemon/src/__tests__/configurationCell.ts
+++ b/packages/daemon/src/__tests__/configurationCell.ts
@@ -38,6 +38,8 @@
 /** Faults of one daemon's way to the store. */
 export interface StorePath {
   isCut: boolean;
+  /** Readings of single keys. */
+  reads: number;
   /** Called before each write; may throw to stop the daemon at this point for good. */
   beforePut: (key: string) => void;
   /** Outcome of the next write of the key with a lost answer. */
@@ -102,6 +104,7 @@
   return {
     calls: { reads: 0, writes: 0 },
     async get<Data>(key: string): Promise<Result<StoreEntry<Data> | null, StoreError>> {
+      path.reads += 1;
       if (path.isCut) return Err(CUT_ERROR);
       const entry = state.get(key);
       return Ok(entry ? decode<Data>(entry) : null);
@@ -226,6 +229,7 @@
     reports.set(id, new Map());
     const storePath: StorePath = {
       isCut: false,
+      reads: 0,
       beforePut: () => undefined,
       loseAnswerOf: null,
     };
--- a/packages/daemon/src/__tests__/configurationService.test.ts
+++ b/packages/daemon/src/__tests__/configurationService.test.ts
@@ -18,6 +18,7 @@
 
 const FIVE = ['a', 'b', 'c', 'd', 'e'];
 const THREE = ['a', 'b', 'c'];
+const NINE = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h', 'i'];
 const ROOT_KEY = 'configuration/root';
 
 function teamsWithShare(share: number): SectionEdits {
@@ -339,3 +340,40 @@
   await flush();
   t.deepEqual(seen, [2, 3]);
 });
+
+test('with many daemons three poll the store, and all are fresh, also when the pollers are lost', async (t) => {
+  const cell = await createStartedCell(t, NINE);
+  const readsOf = (id: string) => cell.daemon(id).storePath.reads;
+  await cell.advance(3_000);
+  const before = new Map(NINE.map((id) => [id, readsOf(id)]));
+  await cell.advance(10_000);
+  const pollers = NINE.filter((id) => readsOf(id) > (before.get(id) ?? 0));
+  t.is(pollers.length, 3);
+  NINE.forEach((id) => t.is(codeOfKey(cell, id), 'accepted', id));
+  pollers.forEach((id) => cell.remove(id));
+  const others = NINE.filter((id) => !pollers.includes(id));
+  for (let second = 0; second < 10; second += 1) {
+    await cell.advance(1_000);
+    others.forEach((id) => t.is(codeOfKey(cell, id), 'accepted', `${id} after ${second} s`));
+  }
+});
+
+test('a revocation that was announced but not written is lifted on daemons that do not poll', async (t) => {
+  const cell = await createStartedCell(t, NINE);
+  cell.daemon('a').storePath.beforePut = () => cell.daemon('a').cutStore();
+  t.is(codeOf(await apply(cell, 'a', 1, REVOKE_FIRST_KEY)), 'store-unavailable');
+  NINE.forEach((id) => t.is(codeOfKey(cell, id), 'revoked-key', id));
+  await cell.advance(13_000);
+  NINE.forEach((id) => t.is(codeOfKey(cell, id), 'accepted', id));
+});
+
+test('revocations are enforced from the announcement on at whatever moment a key is presented', async (t) => {
+  const cell = await createStartedCell(t, THREE);
+  const seen: string[] = [];
+  cell.daemon('a').storePath.beforePut = (key) => {
+    if (key !== ROOT_KEY) return;
+    seen.push(...THREE.map((id) => codeOfKey(cell, id)));
+  };
+  t.is(codeOf(await apply(cell, 'a', 1, REVOKE_FIRST_KEY)), 'accepted');
+  t.deepEqual(seen, ['revoked-key', 'revoked-key', 'revoked-key']);
+});
--- a/packages/daemon/src/core/configurationPolling.ts
+++ b/packages/daemon/src/core/configurationPolling.ts
@@ -21,6 +21,8 @@
   isBehind(): boolean;
   /** @returns monotonic time of the newest confirmation, own or of a peer */
   confirmedAt(): number;
+  /** Called at each look at the reports, also on daemons that do not poll. */
+  onTick(): void;
   /** Reads the root. */
   refresh(): Promise<void>;
 }
@@ -72,6 +74,7 @@
 
   function tick(): void {
     cancel = clock.setTimer(tick, TICK_MILLISECONDS);
+    options.onTick();
     if (isDue()) poll();
   }
 
--- a/packages/daemon/src/core/configurationService.ts
+++ b/packages/daemon/src/core/configurationService.ts
@@ -268,6 +268,7 @@
     membership,
     isBehind: () => freshness.newestHeard() > revision(),
     confirmedAt: () => freshness.confirmedAt(revision()),
+    onTick: settleAnnouncements,
     refresh,
   });
 
