--- a/packages/daemon/src/__tests__/durableKit.ts
+++ b/packages/daemon/src/__tests__/durableKit.ts
@@ -344,6 +344,12 @@
     method: Method,
     params: PeerMethods[Method]['params'],
   ): Promise<Result<PeerMethods[Method]['result'], PeerError>>;
+  /** Makes a call without letting time pass. */
+  send<Method extends PeerMethod>(
+    partition: number,
+    method: Method,
+    params: PeerMethods[Method]['params'],
+  ): Promise<Result<PeerMethods[Method]['result'], PeerError>>;
   submit(partition: number, request: Partial<JobRequest>, key?: string): Promise<string>;
   read(jobId: string): Promise<JobView>;
   cancel(jobId: string): Promise<void>;
@@ -360,6 +366,10 @@
   readonly partitionCount?: number;
   /** Number of workers, or the partition of each of them. */
   readonly workers: number | readonly number[];
+  /** Clock of the cell; one that moves only when told to by default. */
+  readonly clock?: ManualClock;
+  /** Creates the journal of a partition. */
+  readonly createJournal?: (clock: ManualClock) => TestJournal;
 }
 
 function findWorkerId(partition: number, partitionCount: number, taken: Set<string>): string {
@@ -395,7 +405,8 @@
 /** Creates a cell without daemons. */
 export function createTestCell(options: TestCellOptions): TestCell {
   const partitionCount = options.partitionCount ?? 1;
-  const clock = createManualClock();
+  const clock = options.clock ?? createManualClock();
+  const createJournal = options.createJournal ?? createTestJournal;
   const workers = chooseWorkerIds(options, partitionCount).map((id) => createTestWorker(id, clock));
   const byAddress = new Map(workers.map((worker) => [`http://${worker.id}`, worker]));
   const vms: VmRecord[] = workers.map((worker, index) => ({
@@ -544,7 +555,7 @@
   }
 
   function journal(partition: number): TestJournal {
-    const known = journals.get(partition) ?? createTestJournal(clock);
+    const known = journals.get(partition) ?? createJournal(clock);
     journals.set(partition, known);
     return known;
   }
@@ -600,9 +611,10 @@
       daemon.jobs.close(partition);
       daemon.workers.close(partition);
     },
-    call(partition, method, params) {
+    call: (partition, method, params) => during(cell.send(partition, method, params)),
+    send(partition, method, params) {
       const owner = owners.get(partition)?.daemonId ?? '';
-      return during(send('entry', owner, method, params, CALL_DEADLINE_MILLISECONDS));
+      return send('entry', owner, method, params, CALL_DEADLINE_MILLISECONDS);
     },
     async submit(partition, request, key) {
       nextKey += 1;
--- a/packages/daemon/src/__tests__/durableLoss.test.ts
+++ b/packages/daemon/src/__tests__/durableLoss.test.ts
@@ -58,6 +58,8 @@
 test('a renewal that the worker took without an answer counts towards the lease', async (t) => {
   const { cell } = await createRunningCell({ workers: 2 });
   const { worker } = await startOne(cell, true);
+  // Long enough for the lease of the start alone to end well before the lease of the renewal.
+  await cell.pass(6_000);
   let renewedAt = 0;
   const { renew } = worker.client;
   worker.client.renew = async (address, body) => {
--- a/packages/daemon/src/__tests__/durableServices.test.ts
+++ b/packages/daemon/src/__tests__/durableServices.test.ts
@@ -19,6 +19,38 @@
   t.deepEqual([...new Set(racks)].sort(), ['rack-0', 'rack-1', 'rack-2']);
 });
 
+function racksOf(cell: TestCell): readonly (string | undefined)[] {
+  return cell.workers.flatMap((worker) =>
+    worker.running().map(() => cell.vms.find(({ id }) => id === worker.id)?.rack),
+  );
+}
+
+test('replicas beyond the number of racks are spread evenly', async (t) => {
+  const { cell } = await createRunningCell({ workers: 6 });
+  await cell.submit(0, { kind: 'service', tasks: 9 });
+  await cell.passUntil(() => countExecutions(cell) === 9);
+  const racks = racksOf(cell);
+  ['rack-0', 'rack-1', 'rack-2'].forEach((rack) => {
+    t.is(racks.filter((used) => used === rack).length, 3, rack);
+  });
+});
+
+test('a replica that starts after a takeover goes to a rack without one', async (t) => {
+  const { cell, daemon } = await createRunningCell({ workers: 6 });
+  cell.limits.set('harbour', 2);
+  await cell.submit(0, { kind: 'service', tasks: 3 });
+  await cell.passUntil(() => countExecutions(cell) === 2);
+  cell.abandon(daemon, 0);
+  cell.used.clear();
+  await cell.takeOver(cell.createDaemon('second'), 0);
+  // All workers are sealed before the upper limit lets the third replica start.
+  await cell.pass(500);
+  t.is(countExecutions(cell), 2);
+  cell.limits.clear();
+  await cell.passUntil(() => countExecutions(cell) === 3);
+  t.is(new Set(racksOf(cell)).size, 3);
+});
+
 test('a replica that was lost with its worker is restarted after its lease, on another rack', async (t) => {
   const { cell } = await createRunningCell({ workers: 6 });
   const jobId = await cell.submit(0, { kind: 'service', tasks: 2 });
--- a/packages/daemon/src/__tests__/durableStarts.test.ts
+++ b/packages/daemon/src/__tests__/durableStarts.test.ts
@@ -1,21 +1,7 @@
-import {
-  createLocalCounters,
-  createManualClock,
-  createSilentLog,
-  Err,
-  Ok,
-} from '@chicorybend/common';
-import { createBestFitPolicy, createQuarantine, createWorkerPool } from '@chicorybend/decisions';
+import { Err } from '@chicorybend/common';
 import test from 'ava';
 
-import { createWorkerPartition } from '../core/workerPartition.js';
-
-import {
-  createRunningCell,
-  createTestWorker,
-  TASK_RESOURCES,
-  WORKER_CAPACITY,
-} from './durableKit.js';
+import { createRunningCell, TASK_RESOURCES } from './durableKit.js';
 import type { TestCell } from './durableKit.js';
 
 const LONG_MILLISECONDS = 3_000;
@@ -71,7 +57,7 @@
 
 test('an intent with an unknown fate is resolved before the start', async (t) => {
   for (const fault of ['unknown-durable', 'unknown-not-durable'] as const) {
-    const { cell } = await createRunningCell({ workers: 12 });
+    const { cell } = await createRunningCell({ workers: 1 });
     const jobId = await cell.submit(0, {});
     cell.journal(0).fault = fault;
     await cell.pass(300);
@@ -81,12 +67,28 @@
     await cell.pass(LONG_MILLISECONDS);
     t.is(countExecutions(cell), 1, fault);
     t.is((await cell.read(jobId)).state, 'running', fault);
-    // A successor believes the first of two intents with the same attempt.
-    const intents = cell.journal(0).records.filter((record) => record.type === 'task-intent');
-    t.is(new Set(intents.map((record) => JSON.stringify(record))).size, 1, fault);
   }
 });
 
+test('an intent with an unknown fate is not replaced by another one of the same attempt', async (t) => {
+  const { cell } = await createRunningCell({ workers: 2 });
+  await cell.submit(0, {});
+  cell.journal(0).fault = 'unknown-durable';
+  const intents = () =>
+    cell.journal(0).records.flatMap((record) => (record.type === 'task-intent' ? [record] : []));
+  await cell.passUntil(() => intents().length > 0);
+  const index = cell.vms.findIndex(({ id }) => id === intents()[0]?.workerId);
+  cell.vms[index] = { ...cell.vms[index]!, state: 'leaving' };
+  cell.changeVms();
+  await cell.pass(300);
+  cell.journal(0).fault = 'none';
+  await cell.passUntil(() => countExecutions(cell) === 1);
+  // A successor would believe the first of two intents and look for the task on the wrong worker.
+  const workersOfFirst = intents().filter(({ attempt }) => attempt === 1);
+  t.is(new Set(workersOfFirst.map(({ workerId }) => workerId)).size, 1);
+  t.is(cell.workers.flatMap((worker) => worker.executions)[0]?.attempt, 2);
+});
+
 test('a start whose answer was lost between daemons is looked up and not repeated', async (t) => {
   const { cell } = await createRunningCell({ workers: 2 });
   cell.onCall = (method) => (method === 'worker.start' ? 'lost-after' : 'none');
@@ -267,6 +269,23 @@
   );
 });
 
+test('a paused owner answers calls for its partitions with not-owner', async (t) => {
+  const { cell, daemon } = await createRunningCell({ workers: 1 });
+  const jobId = await cell.submit(0, {});
+  daemon.isPaused = true;
+  const body = { jobId, team: 'harbour' };
+  const outcomes = [
+    await cell.call(0, 'job.read', body),
+    await cell.call(0, 'job.cancel', body),
+    await cell.call(0, 'worker.list', { partition: 0 }),
+    await cell.call(0, 'worker.start', { workerPartition: 0, starts: [] }),
+  ];
+  outcomes.forEach((outcome) => {
+    const code = outcome.isErr() && outcome.error.kind === 'refused' && outcome.error.failure.code;
+    t.is(code, 'not-owner');
+  });
+});
+
 test('an owner that was paused while the intent became durable does not send the start', async (t) => {
   const { cell, daemon } = await createRunningCell({ workers: 1 });
   await cell.submit(0, {});
@@ -287,73 +306,6 @@
   t.is(cell.workers[0]!.executions[0]?.attempt, 2);
 });
 
-test('an owner of workers that may not act refuses starts before it sends them', async (t) => {
-  const clock = createManualClock();
-  const worker = createTestWorker('worker-0', clock);
-  let mayAct = true;
-  const own = createWorkerPartition({
-    lease: {
-      partition: 0,
-      epoch: 1,
-      journal: { append: async () => Ok(undefined) },
-      mayAct: () => mayAct,
-    },
-    formerOwnerStoppedAt: 0,
-    pool: createWorkerPool(createBestFitPolicy()),
-    quarantine: createQuarantine(),
-    client: { ...worker.client, close: async () => {} },
-    callPartition: async () => Err({ kind: 'not-sent', reason: 'unused' }),
-    clock,
-    random: () => 0,
-    counters: createLocalCounters(),
-    log: createSilentLog(),
-  });
-  own.setWorkers([
-    {
-      id: 'worker-0',
-      role: 'worker',
-      state: 'live',
-      address: 'http://worker-0',
-      dataCentre: 'one',
-      rack: 'one',
-      capacity: WORKER_CAPACITY,
-    },
-  ]);
-  clock.advance(100);
-  await new Promise((resolve) => {
-    setImmediate(resolve);
-  });
-  const [reservation] = own.reserve({
-    workerPartition: 0,
-    jobPartition: 0,
-    team: 'harbour',
-    taskIds: ['0-a/0'],
-    resources: TASK_RESOURCES,
-    isAllOrNothing: false,
-    avoidRacks: [],
-    avoidWorkers: [],
-    ttlMilliseconds: 5_000,
-  });
-  mayAct = false;
-  const start = {
-    taskId: '0-a/0',
-    attempt: 1,
-    team: 'harbour',
-    jobPartition: 0,
-    jobEpoch: 1,
-    resources: TASK_RESOURCES,
-    payload: null,
-  };
-  const { reservationId, workerId } = reservation!;
-  const results = await own.start([{ reservationId, workerId, start }]);
-  t.is(results[0]?.outcome, 'refused');
-  t.is(worker.executions.length, 0);
-  const stop = { workerPartition: 0, mode: 'stop' as const, workerId, tasks: [start] };
-  t.true((await own.stop(stop)).isErr());
-  t.false(worker.calls.includes('stop'));
-  own.close();
-});
-
 test('a team at its upper limit starts no more until a task has ended', async (t) => {
   const { cell } = await createRunningCell({ workers: 2 });
   cell.limits.set('harbour', 2);
--- a/packages/daemon/src/__tests__/workerClient.test.ts
+++ b/packages/daemon/src/__tests__/workerClient.test.ts
@@ -6,7 +6,10 @@
 
 import { createWorkerClient } from '../core/workerClient.js';
 
-const TIMEOUT_MILLISECONDS = 300;
+/** Longer than any delay of a busy machine. */
+const TIMEOUT_MILLISECONDS = 30_000;
+/** For answers that never come. */
+const SHORT_TIMEOUT_MILLISECONDS = 200;
 const SEAL = { partition: 3, epoch: 4 };
 
 type Answer = (request: IncomingMessage, response: ServerResponse) => void;
@@ -20,9 +23,9 @@
   return { server, address: `http://127.0.0.1:${port}` };
 }
 
-async function sealWith(answer: Answer) {
+async function sealWith(answer: Answer, timeoutMilliseconds = TIMEOUT_MILLISECONDS) {
   const { server, address } = await serve(answer);
-  const client = createWorkerClient(TIMEOUT_MILLISECONDS);
+  const client = createWorkerClient(timeoutMilliseconds);
   const outcome = await client.seal(address, SEAL);
   await client.close();
   server.closeAllConnections();
@@ -58,7 +61,7 @@
     response.write('{"workerId"', () => response.destroy());
   });
   const reset = await sealWith((request) => request.socket.destroy());
-  const late = await sealWith(() => {});
+  const late = await sealWith(() => {}, SHORT_TIMEOUT_MILLISECONDS);
   const failing = await sealWith((_, response) => response.writeHead(500).end('{}'));
   t.deepEqual(
     [cut, reset, late, failing].map((outcome) => outcome.unwrapErr().kind),
--- a/packages/daemon/src/core/placementLoop.ts
+++ b/packages/daemon/src/core/placementLoop.ts
@@ -19,6 +19,7 @@
 import type { Job, Task } from './jobState.js';
 import { createReserver } from './reserver.js';
 import type { ReservationWish } from './reserver.js';
+import { createServiceRacks } from './serviceRacks.js';
 import { createTaskLookups } from './taskLookups.js';
 import { isEnding, mustStop } from './taskRules.js';
 import { createTaskStarter } from './taskStarter.js';
@@ -76,7 +77,7 @@
   const charges = createAllotmentCharges(allotments, partition.lease.partition);
   /** Placement that each task is part of. */
   const inHand = new Map<string, Placement>();
-  const racks = new Map<string, string>();
+  const racks = createServiceRacks(vmDirectory);
   const blockedUntil = new Map<string, number>();
   const shapesWithoutRoom = new Map<string, number>();
   const wave = createTurnQueue(clock, PIECES_PER_TURN);
@@ -261,26 +262,11 @@
     runInOrder(placements).catch(createFaultHandler(log, 'a placement failed'));
   }
 
-  function rackOf(task: Task): string | undefined {
-    const known = racks.get(task.taskId);
-    if (known !== undefined || task.workerId === null) return known;
-    return vmDirectory.workers().find(({ id }) => id === task.workerId)?.rack;
-  }
-
-  function racksOf(job: Job): readonly string[] {
-    if (job.request.kind !== 'service') return [];
-    const used = job.tasks
-      .filter((task) => isExecuting(task) || racks.has(task.taskId))
-      .map(rackOf)
-      .filter((rack) => rack !== undefined);
-    return [...new Set(used)];
-  }
-
   function describeWish({ job, tasks, tries }: Placement): ReservationWish {
     return {
       job,
       taskIds: tasks.map(({ taskId }) => taskId),
-      avoidRacks: racksOf(job),
+      avoidRacks: job.request.kind === 'service' ? racks.crowded(job) : [],
       avoidWorkers: tries < TRIES_WITH_AVOIDED_WORKERS ? job.failedWorkers : [],
     };
   }
@@ -292,6 +278,13 @@
       : reserver.reserveSome(wish);
   }
 
+  function noteRacks({ job }: Placement, reservations: readonly Reservation[]): void {
+    reservations.forEach(({ taskId, rack }) => {
+      const task = findTask(state, taskId)?.task;
+      if (task) racks.set(job, task, rack);
+    });
+  }
+
   async function placeTasks(placement: Placement): Promise<void> {
     const reservedAt = clock.monotonicMilliseconds();
     const reservations = await reserve(placement);
@@ -300,9 +293,7 @@
       noteNoRoom(placement);
       return;
     }
-    if (placement.job.request.kind === 'service') {
-      reservations.forEach(({ taskId, rack }) => racks.set(taskId, rack));
-    }
+    if (placement.job.request.kind === 'service') noteRacks(placement, reservations);
     await starter.start(placement.job, reservations, reservedAt);
   }
 
@@ -315,7 +306,7 @@
     own.forEach((task) => {
       if (isExecuting(task)) return;
       charges.release(job.team, task.taskId);
-      racks.delete(task.taskId);
+      racks.clear(job, task);
     });
     requeue(job, own, 'room on a worker');
   }
@@ -374,7 +365,7 @@
 
   function executionEnded(job: Job, task: Task, record: TaskEndedRecord | null): void {
     inHand.delete(task.taskId);
-    racks.delete(task.taskId);
+    racks.clear(job, task);
     epochWatch.remove(task);
     charges.release(job.team, task.taskId);
     if (record) {
@@ -393,6 +384,7 @@
     if (job.endedAt !== null) return;
     job.tasks.filter(isExecuting).forEach((task) => {
       charges.adopt(job.team, task.taskId);
+      if (job.request.kind === 'service') racks.adopt(job, task);
       epochWatch.add(task);
       lookups.add(task);
       if (mustStop(job)) stops.add(task);
--- a/packages/daemon/src/core/taskLease.ts
+++ b/packages/daemon/src/core/taskLease.ts
@@ -20,3 +20,14 @@
 export function lapseAfter(sentAt: number): number {
   return sentAt + COMMAND_WINDOW_MILLISECONDS + TASK_LEASE_MILLISECONDS + LEASE_MARGIN_MILLISECONDS;
 }
+
+/**
+ * Tells by when every lease has certainly lapsed that a command can have granted whose call has ended. Differs
+ * from {@link lapseAfter} if the process was paused during the call.
+ *
+ * @param endedAt monotonic time at which the call ended, in milliseconds
+ * @returns monotonic time in milliseconds
+ */
+export function lapseAfterEnd(endedAt: number): number {
+  return endedAt + TASK_LEASE_MILLISECONDS + LEASE_MARGIN_MILLISECONDS;
+}
--- a/packages/daemon/src/core/workerClient.ts
+++ b/packages/daemon/src/core/workerClient.ts
@@ -55,9 +55,10 @@
 ]);
 
 function toCallError(error: unknown): WorkerCallError {
-  const { code, message } = error as { code?: string; message?: string };
-  const kind = code && NOT_SENT_CODES.has(code) ? 'not-sent' : 'lost';
-  return { kind, reason: code ?? message ?? String(error) };
+  const { code, message } = error as { code?: unknown; message?: string };
+  // An aborted call has a number as its code.
+  const name = typeof code === 'string' ? code : (message ?? String(error));
+  return { kind: NOT_SENT_CODES.has(name) ? 'not-sent' : 'lost', reason: name };
 }
 
 /**
--- a/packages/daemon/src/core/workerContacts.ts
+++ b/packages/daemon/src/core/workerContacts.ts
@@ -10,6 +10,7 @@
 import {
   COMMAND_WINDOW_MILLISECONDS,
   lapseAfter,
+  lapseAfterEnd,
   RENEW_INTERVAL_MILLISECONDS,
   TASK_LEASE_MILLISECONDS,
 } from './taskLease.js';
@@ -20,6 +21,8 @@
 
 /** A silent worker is asked more often than a live one, so that a takeover takes little time. */
 const SEAL_RETRY_MILLISECONDS = 250;
+/** Workers that were sealed together after a takeover are not renewed together for ever. */
+const INTERVAL_JITTER = 0.1;
 
 /** What the contacts need. */
 export interface WorkerContactsOptions {
@@ -66,7 +69,7 @@
         if (!timers.has(worker.workerId)) return;
         const interval =
           worker.contact === 'live' ? RENEW_INTERVAL_MILLISECONDS : SEAL_RETRY_MILLISECONDS;
-        schedule(worker, interval);
+        schedule(worker, interval * (1 - INTERVAL_JITTER * random()));
       });
   }
 
@@ -94,6 +97,8 @@
       acknowledged,
       notAfterWorkerMilliseconds: notAfterOf(worker, now),
     });
+    const endedAt = clock.monotonicMilliseconds();
+    worker.leaseEndsBy = Math.max(worker.leaseEndsBy, lapseAfterEnd(endedAt));
     if (answer.isOk()) {
       acknowledged.forEach((attempt) => worker.confirmed.delete(executionKey(attempt)));
     }
--- a/packages/daemon/src/core/workerStarts.ts
+++ b/packages/daemon/src/core/workerStarts.ts
@@ -17,7 +17,12 @@
 import type { ReservedStart } from '../types/peerMethods.js';
 
 import type { HeldReservation, ReservationTable } from './reservations.js';
-import { COMMAND_WINDOW_MILLISECONDS, lapseAfter, TASK_LEASE_MILLISECONDS } from './taskLease.js';
+import {
+  COMMAND_WINDOW_MILLISECONDS,
+  lapseAfter,
+  lapseAfterEnd,
+  TASK_LEASE_MILLISECONDS,
+} from './taskLease.js';
 import type { TaskCommandMode, WorkerCallError, WorkerClient } from './workerClient.js';
 import { executionKey, toAttempt } from './workerEntry.js';
 import type { Execution, WorkerEntry } from './workerEntry.js';
@@ -206,6 +211,8 @@
     if (!lease.mayAct()) return refuseAll(worker, admitted, 'the owner may not act');
     worker.leaseEndsBy = Math.max(worker.leaseEndsBy, lapseAfter(clock.monotonicMilliseconds()));
     const answer = await client.start(worker.vm.address, createRequest(worker, admitted));
+    const endedAt = clock.monotonicMilliseconds();
+    worker.leaseEndsBy = Math.max(worker.leaseEndsBy, lapseAfterEnd(endedAt));
     return answer.isOk()
       ? applyResponse(worker, admitted, answer.value)
       : applyError(worker, admitted, answer.error);
