Test the fence and the acknowledgement of ends

Cause: removal of the close after a fence, and of the wait for durability before an acknowledgement, failed no test. Change: a test of each.

--- a/packages/daemon/src/__tests__/durableLoss.test.ts
+++ b/packages/daemon/src/__tests__/durableLoss.test.ts
@@ -116,6 +116,21 @@
   t.is(worker.executions.length, 1);
 });
 
+test('the end of an execution is acknowledged to the worker only once it is durable', async (t) => {
+  const { cell, daemon } = await createRunningCell({ workers: 1 });
+  const { jobId, worker } = await startOne(cell, false);
+  cell.journal(0).fault = 'down';
+  worker.finish(`${jobId}/0`, 'succeeded', 'sorted');
+  await cell.pass(8_000);
+  t.is(worker.acknowledged.length, 0);
+  cell.abandon(daemon, 0);
+  cell.journal(0).fault = 'none';
+  await cell.takeOver(cell.createDaemon('second'), 0);
+  await cell.pass(3_000);
+  t.is((await cell.read(jobId)).tasks[0]?.result, 'sorted');
+  t.is(worker.acknowledged.length, 1);
+});
+
 test('usage of an execution counts once, from the times of its worker', async (t) => {
   const { cell } = await createRunningCell({ workers: 2 });
   const { jobId, worker } = await startOne(cell, false);
--- a/packages/daemon/src/__tests__/durableStarts.test.ts
+++ b/packages/daemon/src/__tests__/durableStarts.test.ts
@@ -37,8 +37,15 @@
   const { cell } = await createRunningCell({ workers: 1 });
   await cell.submit(0, {});
   cell.journal(0).open(99);
+  await cell.pass(500);
+  const calls: string[] = [];
+  cell.onCall = (method) => {
+    calls.push(method);
+    return 'none';
+  };
   await cell.pass(LONG_MILLISECONDS);
   t.is(countStartCalls(cell), 0);
+  t.deepEqual(calls, []);
 });
 
 test('a task whose intent was not written is placed again and its room is given back', async (t) => {
