--- a/packages/daemon/src/__tests__/workerPartition.test.ts
+++ b/packages/daemon/src/__tests__/workerPartition.test.ts
@@ -184,6 +184,23 @@
   own.close();
 });
 
+test('a start without an answer may have run if its worker restarted', async (t) => {
+  const { own, worker, clock, calls } = await openPartition();
+  const { reservationId, workerId } = reserve(own, '0-a/0')!;
+  const { start } = worker.client;
+  worker.client.start = async (address, body) => {
+    await start(address, body);
+    return Err({ kind: 'lost', reason: 'timeout' });
+  };
+  await own.start([{ reservationId, workerId, start: createStart('0-a/0') }]);
+  worker.restart();
+  await pass(clock, 3_000);
+  t.true(calls.includes('task.event'));
+  const attempt = { taskId: '0-a/0', attempt: 1 };
+  t.is(own.lookup({ workerPartition: 0, workerId, attempt }).kind, 'lapsed');
+  own.close();
+});
+
 test('the load tells running tasks and their resources per team', async (t) => {
   const { own } = await openPartition();
   const { reservationId, workerId } = reserve(own, '0-a/0')!;
--- a/packages/daemon/src/core/workerReports.ts
+++ b/packages/daemon/src/core/workerReports.ts
@@ -71,8 +71,8 @@
   function applyIncarnation(worker: WorkerEntry, report: SealResponse): void {
     if (worker.incarnation === report.incarnation) return;
     if (worker.incarnation !== null) {
-      lapseAll(worker);
       worker.lapsed.clear();
+      lapseAll(worker);
     }
     worker.incarnation = report.incarnation;
     onIncarnation(worker);
