Check leaving VMs and revoked keys, and change the configuration during a soak

Two promises had no checker: a leaving VM gets no new work after a few seconds, and a revoked key stops working within seconds. The VM list stand-in now records when a change becomes visible, the soak marks endpoints and workers as leaving, and an operator changes limits and issues and revokes keys while the load runs. A raised limit counts from the sending of the change on and a lowered one from its answer on, so that a lost answer does not give a false violation.

--- a/packages/proving/src/__tests__/checkers.test.ts
+++ b/packages/proving/src/__tests__/checkers.test.ts
@@ -6,7 +6,7 @@
 import { runChecks } from '../index.js';
 import type { JobObservation, Observations, RequestObservation, Violation } from '../index.js';
 
-const NOTHING: Observations = { requests: [], jobs: [], limits: [] };
+const NOTHING: Observations = { requests: [], jobs: [], limits: [], revokedKeys: [] };
 
 const WORKER_UP: RunEntry = {
   type: 'worker-up',
@@ -82,6 +82,7 @@
     marker: 'm1',
     team: 'harbour',
     queue: 'quotes',
+    keyId: 'harbour-1',
     daemonId: 'entry-1',
     isIdempotent: false,
     expectedResult: 'one',
@@ -350,3 +351,35 @@
     { kind: 'endpoint-connections-exceeded', endpointId: 'e1', at: 2, open: 3, connections: 2 },
   ]);
 });
+
+test('new work on a VM that left some seconds ago is found', (t) => {
+  const entries: RunEntry[] = [
+    WORKER_UP,
+    ENDPOINT_UP,
+    { type: 'vm-listed', at: 1_000, vmId: 'w1', state: 'leaving' },
+    { type: 'vm-listed', at: 1_000, vmId: 'e1', state: 'leaving' },
+    { type: 'vm-listed', at: 2_000, vmId: 'e1', state: 'absent' },
+    start(6_000),
+    end(6_000),
+    start(6_001, { taskId: 'b/0' }),
+    ...runRequest(6_002, 6_003, 1),
+    { type: 'vm-listed', at: 7_000, vmId: 'e1', state: 'live' },
+    ...runRequest(8_000, 8_001, 2),
+  ];
+  t.deepEqual(findAll(entries), [
+    { kind: 'leaving-vm-used', vmId: 'w1', at: 6_001, leavingMilliseconds: 5_001 },
+    { kind: 'leaving-vm-used', vmId: 'e1', at: 6_002, leavingMilliseconds: 5_002 },
+  ]);
+});
+
+test('a request that runs under a key that was revoked some seconds ago is found', (t) => {
+  const entries = [ENDPOINT_UP, ...runRequest(1, 2, 1)];
+  const revokedKeys = [{ keyId: 'harbour-1', revokedAt: 1_000 }];
+  const early = [observeRequest({ sentAt: 8_000 })];
+  t.deepEqual(kindsOf(entries, { requests: early, revokedKeys }), []);
+  const late = [observeRequest({ sentAt: 8_001 })];
+  t.deepEqual(kindsOf(entries, { requests: late, revokedKeys }), ['revoked-key-served']);
+  const refused = [{ ...REFUSED, code: 'revoked-key' } as const];
+  const kept = [observeRequest({ sentAt: 8_001, outcomes: refused, marker: 'm2' })];
+  t.deepEqual(kindsOf(entries, { requests: kept, revokedKeys }), []);
+});
--- a/packages/proving/src/__tests__/localCell.test.ts
+++ b/packages/proving/src/__tests__/localCell.test.ts
@@ -93,6 +93,7 @@
 
 test.serial('a link may fail in one direction only', async (t) => {
   const cell = await startCell();
+  t.teardown(() => cell.close());
   const first = daemonAt(cell, 0);
   const second = daemonAt(cell, 1);
   cell.disturbOneWay(first, second, { kind: 'silence' });
@@ -103,11 +104,11 @@
     setTimeout(resolve, 100);
   });
   t.is(call.received(), '');
-  await cell.close();
 });
 
 test.serial('work goes through any daemon and shows in the record', async (t) => {
   const cell = await startCell();
+  t.teardown(() => cell.close());
   const caller = createWorkCaller();
   const resources = { processors: 1, memoryBytes: 1_000, accelerators: 0 };
   const outcome = await caller.submitJob(daemonAt(cell, 2).apiAddress, {
@@ -127,7 +128,6 @@
   t.is(cell.platform.record.entriesOf('task-started').length, 2);
   t.is(cell.platform.record.entriesOf('task-started')[0]?.marker, 'm1');
   await caller.close();
-  await cell.close();
 });
 
 test.serial('a cell whose daemons never become ready is ended', async (t) => {
--- a/packages/proving/src/__tests__/soakRun.test.ts
+++ b/packages/proving/src/__tests__/soakRun.test.ts
@@ -44,14 +44,13 @@
 test.serial('every kind of fault is taken back, so that the cell is whole after it', async (t) => {
   const { plan } = readSmallExample(3);
   const cell = await startLocalCell({ plan, program: PROGRAM });
-  const faults = FAULT_KINDS.map((kind, index): PlannedFault => ({
-    kind,
-    at: index * 20,
-    durationMilliseconds: 200,
-    target: index,
-    other: index + 1,
-  }));
-  const applied = await runFaults(cell, faults);
+  t.teardown(() => cell.close());
+  const applied: PlannedFault[] = [];
+  // One after the other: faults that exclude each other are left out while another one lasts.
+  for (const [index, kind] of FAULT_KINDS.entries()) {
+    const fault = { kind, at: 0, durationMilliseconds: 50, target: index, other: index + 1 };
+    applied.push(...(await runFaults(cell, [fault])));
+  }
   t.is(applied.length, FAULT_KINDS.length);
   t.true(await cell.waitReady(LIMIT_MILLISECONDS));
   const { store, vmList, workers, endpoints } = cell.platform;
@@ -65,7 +64,6 @@
     t.is(left.slowMilliseconds + left.lateMilliseconds, 0);
   });
   t.is(cell.daemons.filter((daemon) => daemon.processId() !== null).length, 3);
-  await cell.close();
 });
 
 test.serial('a soak without faults sends a mixed load and all of it ends', async (t) => {
--- a/packages/proving/src/__tests__/stubDaemon.ts
+++ b/packages/proving/src/__tests__/stubDaemon.ts
@@ -25,7 +25,13 @@
   request: JobRequest;
 };
 
+interface StubConfiguration {
+  revision: number;
+  sections: { keys?: Record<string, { revokedAt?: number }> };
+}
+
 const LEADER_KEY = 'stub/leader';
+const CONFIGURATION_KEY = 'stub/configuration';
 const NOT_AFTER_MILLISECONDS = 5_000;
 const LEASE_MILLISECONDS = 12_000;
 const RENEW_MILLISECONDS = 100;
@@ -37,7 +43,6 @@
 const jobs = new Map<string, MutableJob>();
 const jobIdsByKey = new Map<string, string>();
 const app = fastify();
-let configuration: object | null = null;
 let next = 0;
 
 async function send<Answer>(address: string, body: unknown): Promise<Answer> {
@@ -49,6 +54,11 @@
   return (await response.body.json()) as Answer;
 }
 
+async function readConfiguration(): Promise<StubConfiguration> {
+  const entry = (await store.get<StubConfiguration>(CONFIGURATION_KEY)).unwrap();
+  return entry?.data ?? { revision: 0, sections: {} };
+}
+
 async function findLeader(): Promise<string> {
   await store.put({ key: LEADER_KEY, data: selfAddress, expectedVersion: 0 });
   return (await store.get<string>(LEADER_KEY)).unwrap()?.data ?? selfAddress;
@@ -148,14 +158,24 @@
 }
 
 app.get('/health/ready', () => ({ state: 'serving' }));
-app.get('/v1/configuration', () => ({ revision: configuration ? 1 : 0, sections: configuration }));
-app.post('/v1/configuration/apply', (message) => {
-  configuration = message.body as object;
-  return { revision: 1 };
+app.get('/v1/configuration', readConfiguration);
+app.post('/v1/configuration/apply', async (message) => {
+  const { sections } = message.body as { sections: object };
+  const entry = (await store.get<StubConfiguration>(CONFIGURATION_KEY)).unwrap();
+  const revision = (entry?.data.revision ?? 0) + 1;
+  const data = { revision, sections: { ...entry?.data.sections, ...sections } };
+  const expectedVersion = entry?.version ?? 0;
+  const outcome = (await store.put({ key: CONFIGURATION_KEY, data, expectedVersion })).unwrap();
+  if (outcome.kind !== 'written') throw new Error('changed at the same time');
+  return { revision };
 });
 app.post('/v1/requests', async (message, reply) => {
-  if (String(message.headers.authorization ?? '').includes('wrong')) {
-    return reply.status(401).send({ run: 'not-run', code: 'wrong-key', message: 'wrong key' });
+  const keyId = message.headers.authorization?.split('_')[1];
+  const { sections } = await readConfiguration();
+  const key = keyId === undefined ? { revokedAt: undefined } : sections.keys?.[keyId];
+  if (!key || key.revokedAt !== undefined) {
+    const code = key ? 'revoked-key' : 'wrong-key';
+    return reply.status(401).send({ run: 'not-run', code, message: code });
   }
   return runRequest(message.body as InteractiveRequest);
 });
@@ -194,5 +214,12 @@
 
 const peers = createServer((socket) => socket.pipe(socket).on('error', () => {}));
 peers.listen(Number(flag('peer-port')), flag('host'));
-process.on('SIGTERM', () => process.exit(0));
+process.on('SIGTERM', () => {
+  // Waits for the requests in flight, not for callers that keep idle connections.
+  setInterval(() => app.server.closeIdleConnections(), RENEW_MILLISECONDS);
+  app.close().then(
+    () => process.exit(0),
+    () => process.exit(1),
+  );
+});
 await app.listen({ host: flag('host'), port: Number(flag('api-port')) });
--- a/packages/proving/src/core/checkers.ts
+++ b/packages/proving/src/core/checkers.ts
@@ -6,8 +6,10 @@
 import { checkJobAnswers, checkRequestAnswers } from './checkAnswers.js';
 import { checkCapacity } from './checkCapacity.js';
 import { checkEndpoints } from './checkEndpoints.js';
+import { checkLeavingVms } from './checkLeavingVms.js';
 import { checkRefusals } from './checkRefusals.js';
 import { checkRequestRepetition } from './checkRequests.js';
+import { checkRevokedKeys } from './checkRevokedKeys.js';
 import { checkTaskOverlap, checkTaskRepetition } from './checkTasks.js';
 import { checkTeamLimits } from './checkTeamLimits.js';
 
@@ -34,6 +36,9 @@
     checkRefusals(entries, [...requests, ...jobs]),
   'accepted jobs end as reported': (entries, { jobs }) => checkAcceptedJobs(entries, jobs),
   'no team over its limit': (entries, { limits }) => checkTeamLimits(entries, limits),
+  'leaving VMs get no new work': (entries) => checkLeavingVms(entries),
+  'revoked keys stop working': (entries, { requests, revokedKeys }) =>
+    checkRevokedKeys(entries, requests, revokedKeys),
   'endpoint slots and connections kept': (entries) => checkEndpoints(entries),
 };
 
--- a/packages/proving/src/core/faultRunner.ts
+++ b/packages/proving/src/core/faultRunner.ts
@@ -10,6 +10,12 @@
 import type { LocalCell } from './localCell.js';
 import type { LocalDaemon } from './localDaemon.js';
 
+const VM_LIST_KINDS: ReadonlySet<FaultKind> = new Set([
+  'vm-list-down',
+  'endpoint-leaving',
+  'worker-leaving',
+]);
+
 /** Takes a fault back. */
 type Revert = () => void | Promise<void>;
 
@@ -51,6 +57,11 @@
   ({ endpoint }: FaultContext): Revert =>
     setFields(endpoint.faults, change);
 
+function markLeaving(cell: LocalCell, vmId: string): Revert {
+  cell.platform.vmList.setState(vmId, 'leaving');
+  return () => cell.platform.vmList.setState(vmId, 'live');
+}
+
 const nothingToRevert: Revert = () => {};
 
 /** How to apply each kind of fault. */
@@ -114,6 +125,8 @@
     await endpoint.crash();
     return () => endpoint.restart();
   },
+  'endpoint-leaving': ({ cell, endpoint }) => markLeaving(cell, endpoint.endpointId),
+  'worker-leaving': ({ cell, worker }) => markLeaving(cell, worker.workerId),
   'vm-list-down': ({ cell }) => setFields(cell.platform.vmList.faults, { isDown: true }),
 };
 
@@ -138,11 +151,13 @@
 /** Targets that a fault takes down or stands still, of which one target takes one at a time. */
 function exclusiveTargetOf(cell: LocalCell, fault: PlannedFault): string | null {
   const context = describeContext(cell, fault);
+  // While the list is down, no daemon can learn that a VM leaves.
+  if (VM_LIST_KINDS.has(fault.kind)) return 'vm-list';
   if (fault.kind.startsWith('daemon-')) return context.daemon.id;
   if (fault.kind.startsWith('worker-')) return context.worker.workerId;
   if (fault.kind.startsWith('endpoint-')) return context.endpoint.endpointId;
   if (fault.kind.startsWith('store-') && fault.kind !== 'store-cut-off') return fault.kind;
-  return fault.kind === 'vm-list-down' ? fault.kind : null;
+  return null;
 }
 
 /**
--- a/packages/proving/src/core/operatorCaller.ts
+++ b/packages/proving/src/core/operatorCaller.ts
@@ -67,7 +67,7 @@
 /** Takes the revision from the daemon; a cell without a configuration has none. */
 async function readRevision(operator: OperatorCaller, address: string): Promise<number> {
   const outcome = await operator.readConfiguration(address);
-  return outcome.kind === 'answered' ? outcome.value.revision : 0;
+  return outcome.kind === 'answered' ? (outcome.value.revision ?? 0) : 0;
 }
 
 /**
--- a/packages/proving/src/core/platform.ts
+++ b/packages/proving/src/core/platform.ts
@@ -68,6 +68,7 @@
   const vmList = await startVmListStandIn({
     vms: [...workers, ...endpoints].map((standIn) => standIn.vm),
     lagMilliseconds: VM_LIST_LAG_MILLISECONDS,
+    record,
   });
   return {
     record,
--- a/packages/proving/src/core/soakRun.ts
+++ b/packages/proving/src/core/soakRun.ts
@@ -11,7 +11,9 @@
 import { startLocalCell } from './localCell.js';
 import type { LocalCell } from './localCell.js';
 import type { LocalDaemon } from './localDaemon.js';
+import { createOperatorCaller } from './operatorCaller.js';
 import { runSoakLoad } from './soakLoad.js';
+import { runSoakOperator } from './soakOperator.js';
 import { summarize } from './summary.js';
 import type { SummaryRow } from './summary.js';
 import { createWorkCaller } from './workCaller.js';
@@ -46,6 +48,7 @@
 // Separate sequences, so that the load does not change with the number of faults.
 const LOAD_SEED_OFFSET = 1_000_003;
 const TARGET_SEED_OFFSET = 2_000_003;
+const OPERATOR_SEED_OFFSET = 3_000_017;
 
 /** Chooses among the daemons that were ready at the last poll, as a load balancer does. */
 function createBalancer(daemons: readonly LocalDaemon[], random: Random) {
@@ -87,15 +90,27 @@
   const workload = createWorkload({ caller, pickTarget: balancer.pick, now: record.now });
   const queues = createExampleQueues(example);
   const random = createRandom(seed + LOAD_SEED_OFFSET);
-  const [applied] = await Promise.all([
+  const operator = createOperatorCaller('bootstrap', cell.operatorToken);
+  const changes = {
+    operator,
+    workload,
+    pickTarget: balancer.pick,
+    random: createRandom(seed + OPERATOR_SEED_OFFSET),
+    submissions: queues.interactive(),
+    limits: queues.limitsFrom(0),
+    now: record.now,
+  };
+  const [applied, operations] = await Promise.all([
     runFaults(cell, faults),
+    runSoakOperator(changes, durationMilliseconds),
     runSoakLoad({ workload, queues, random }, durationMilliseconds),
   ]);
-  report(`applied ${applied.length} of ${faults.length} faults; waiting for the end of all jobs`);
+  await operator.close();
+  report(`applied ${applied.length} of ${faults.length} faults and ${operations.applied} changes`);
   const failures = await settle(cell, workload);
   balancer.stop();
   await caller.close();
-  const observations = workload.observations(queues.limitsFrom(0));
+  const observations = workload.observations(operations.limits, operations.revokedKeys);
   const entries = record.entries();
   return {
     rows: summarize(entries, observations),
--- a/packages/proving/src/core/workload.ts
+++ b/packages/proving/src/core/workload.ts
@@ -6,6 +6,7 @@
   JobObservation,
   Observations,
   RequestObservation,
+  RevokedKey,
   TeamLimit,
 } from '../types/observation.js';
 import type { JobPlan, RequestPlan } from '../types/workPlan.js';
@@ -43,7 +44,7 @@
   /** @returns handles of all jobs */
   handles(): readonly JobHandle[];
   /** @returns what callers saw, for the checkers */
-  observations(limits: readonly TeamLimit[]): Observations;
+  observations(limits: readonly TeamLimit[], revokedKeys?: readonly RevokedKey[]): Observations;
 }
 
 /** What a workload needs. */
@@ -101,6 +102,11 @@
   return { answerTo: marker };
 }
 
+/** Key text is `cb_<keyId>_<secret>`. */
+function keyIdOf(keyText: string | null): string | null {
+  return keyText?.split('_')[1] ?? null;
+}
+
 function submitOptionsOf(keyText: string | null, idempotencyKey: string): SubmitOptions {
   return keyText === null ? { idempotencyKey } : { keyText, idempotencyKey };
 }
@@ -166,6 +172,7 @@
       marker,
       team,
       queue,
+      keyId: keyIdOf(plan.keyText),
       daemonId: target.id,
       isIdempotent,
       expectedResult,
@@ -241,6 +248,11 @@
       return ended.every(Boolean);
     },
     handles: () => jobs.map(({ handle }) => handle),
-    observations: (limits) => ({ requests, jobs: jobs.map(toObservation), limits }),
+    observations: (limits, revokedKeys = []) => ({
+      requests,
+      jobs: jobs.map(toObservation),
+      limits,
+      revokedKeys,
+    }),
   };
 }
--- a/packages/proving/src/index.ts
+++ b/packages/proving/src/index.ts
@@ -8,6 +8,7 @@
   JobObservation,
   Observations,
   RequestObservation,
+  RevokedKey,
   TeamLimit,
 } from './types/observation.js';
 export type { Violation, ViolationKind } from './types/violation.js';
--- a/packages/proving/src/types/fault.ts
+++ b/packages/proving/src/types/fault.ts
@@ -23,6 +23,8 @@
   'endpoint-late',
   'endpoint-slow',
   'endpoint-crashed',
+  'endpoint-leaving',
+  'worker-leaving',
   'vm-list-down',
 ] as const;
 
--- a/packages/proving/src/types/observation.ts
+++ b/packages/proving/src/types/observation.ts
@@ -22,6 +22,8 @@
   /** Team that is charged. */
   readonly team: string;
   readonly queue: string;
+  /** Null on an open queue. */
+  readonly keyId: string | null;
   readonly daemonId: string;
   readonly isIdempotent: boolean;
   /** Result that the payload asks the endpoint for. */
@@ -65,9 +67,17 @@
   readonly requests: number;
 }
 
+/** A key whose revocation was answered as applied. */
+export interface RevokedKey {
+  readonly keyId: string;
+  /** Wall-clock time of the answer in milliseconds since the Unix epoch. */
+  readonly revokedAt: number;
+}
+
 /** Everything that callers and operators saw. */
 export interface Observations {
   readonly requests: readonly RequestObservation[];
   readonly jobs: readonly JobObservation[];
   readonly limits: readonly TeamLimit[];
+  readonly revokedKeys: readonly RevokedKey[];
 }
--- a/packages/proving/src/types/violation.ts
+++ b/packages/proving/src/types/violation.ts
@@ -60,6 +60,20 @@
       readonly marker: string;
       readonly reason: string;
     }
+  /** New work on a VM that the list has shown as leaving or not at all for longer than a few seconds. */
+  | {
+      readonly kind: 'leaving-vm-used';
+      readonly vmId: string;
+      readonly at: number;
+      readonly leavingMilliseconds: number;
+    }
+  /** Work under a key that was revoked some seconds before it was sent. */
+  | {
+      readonly kind: 'revoked-key-served';
+      readonly marker: string;
+      readonly keyId: string;
+      readonly revokedMilliseconds: number;
+    }
   | {
       readonly kind: 'team-over-limit';
       readonly team: string;
--- a/packages/proving/src/utils/timeline.ts
+++ b/packages/proving/src/utils/timeline.ts
@@ -8,6 +8,7 @@
   'worker-up': 2,
   'endpoint-up': 2,
   connections: 3,
+  'vm-listed': 3,
   'task-started': 4,
   'request-started': 4,
 };
--- a/packages/standins/src/core/vmListStandIn.ts
+++ b/packages/standins/src/core/vmListStandIn.ts
@@ -3,6 +3,7 @@
 
 import { startHttpHost } from '../utils/httpHost.js';
 import type { HostPlace } from '../utils/httpHost.js';
+import type { RunRecord } from './runRecord.js';
 
 /** Faults of the VM list stand-in; all may be changed while it runs. */
 export interface VmListFaults {
@@ -19,6 +20,8 @@
   readonly lagMilliseconds?: number;
   /** VMs that are in the list from the start, without lag. */
   readonly vms?: readonly VmRecord[];
+  /** Receives an entry for each later change, once it is visible. */
+  readonly record?: RunRecord;
 }
 
 /** A running VM list stand-in. */
@@ -54,6 +57,12 @@
   const visible = new Map((options.vms ?? []).map((vm) => [vm.id, vm]));
   const timers = new Set<NodeJS.Timeout>();
 
+  function recordState(vmId: string): void {
+    const { record } = options;
+    const state = visible.get(vmId)?.state ?? 'absent';
+    record?.append({ type: 'vm-listed', at: record.now(), vmId, state });
+  }
+
   function changeLater(change: () => void): void {
     if (faults.lagMilliseconds <= 0) {
       change();
@@ -81,14 +90,26 @@
   return {
     address: host.address,
     faults,
-    put: (vm) => changeLater(() => visible.set(vm.id, vm)),
+    put(vm) {
+      changeLater(() => {
+        visible.set(vm.id, vm);
+        recordState(vm.id);
+      });
+    },
     setState(vmId, state) {
       changeLater(() => {
         const vm = visible.get(vmId);
-        if (vm) visible.set(vmId, { ...vm, state });
+        if (!vm) return;
+        visible.set(vmId, { ...vm, state });
+        recordState(vmId);
+      });
+    },
+    remove(vmId) {
+      changeLater(() => {
+        visible.delete(vmId);
+        recordState(vmId);
       });
     },
-    remove: (vmId) => changeLater(() => visible.delete(vmId)),
     visible: () => [...visible.values()],
     async close() {
       timers.forEach((timer) => clearTimeout(timer));
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -52,6 +52,7 @@
   RunEntryType,
   TaskEndedEntry,
   TaskStartedEntry,
+  VmListedEntry,
   WorkerDownEntry,
   WorkerUpEntry,
 } from './types/runEntry.js';
--- a/packages/standins/src/types/runEntry.ts
+++ b/packages/standins/src/types/runEntry.ts
@@ -1,4 +1,4 @@
-import type { Resources, TaskEnd } from '@chicorybend/common';
+import type { Resources, TaskEnd, VmState } from '@chicorybend/common';
 
 /** Fields of every entry. */
 interface EntryBase {
@@ -88,6 +88,13 @@
   readonly open: number;
 }
 
+/** A change became visible in the VM list. */
+export interface VmListedEntry extends EntryBase {
+  readonly type: 'vm-listed';
+  readonly vmId: string;
+  readonly state: VmState | 'absent';
+}
+
 /** What really happened at a stand-in. */
 export type RunEntry =
   | WorkerUpEntry
@@ -97,7 +104,8 @@
   | EndpointUpEntry
   | RequestStartedEntry
   | RequestEndedEntry
-  | ConnectionsEntry;
+  | ConnectionsEntry
+  | VmListedEntry;
 
 /** Kind of a {@link RunEntry}. */
 export type RunEntryType = RunEntry['type'];
