Divide dominant shares by the team's part of all weights

The scale of the weights is the operators' choice, but the order by waiting time depended on it. A weighted share of 1 now means that a team uses exactly its share, and its wait then counts half. Random placement and shares off hold room in the replay too, so that one thing differs at a time.

--- a/packages/decisions/src/__performance_tests__/replayRows.ts
+++ b/packages/decisions/src/__performance_tests__/replayRows.ts
@@ -55,11 +55,13 @@
     name: 'baseline random placement',
     createPlacement: () => createRandomPolicy(createRandom(PLACEMENT_SEED)),
     createOrder: () => createQueueOrderPolicy('share-first'),
+    isHolding: true,
   },
   sharesOff: {
     name: 'baseline shares off',
     createPlacement: createBestFitPolicy,
     createOrder: () => OLDEST_FIRST,
+    isHolding: true,
     disguise: withoutTeams,
   },
 } as const satisfies Record<string, ReplayVariant>;
--- a/packages/decisions/src/core/teamUsage.ts
+++ b/packages/decisions/src/core/teamUsage.ts
@@ -8,7 +8,7 @@
 export interface TeamState {
   readonly name: string;
   used: Resources;
-  /** Dominant share divided by the weight. */
+  /** Dominant share divided by the team's part of all weights: 1 when it uses exactly its share. */
   weightedShare: number;
   /** Pieces of work that wait. */
   waiting: number;
@@ -30,12 +30,13 @@
 export function createTeamUsage(): TeamUsage {
   const teams = new Map<string, TeamState>();
   let shares: Readonly<Record<string, number>> = {};
+  let totalWeight = DEFAULT_SHARE;
   let capacity: Resources = NO_RESOURCES;
 
   function refresh(team: TeamState): void {
     const weight = shares[team.name] ?? DEFAULT_SHARE;
     // eslint-disable-next-line no-param-reassign
-    team.weightedShare = computeDominantShare(team.used, capacity) / weight;
+    team.weightedShare = (computeDominantShare(team.used, capacity) * totalWeight) / weight;
   }
 
   function stateOf(name: string): TeamState {
@@ -52,6 +53,8 @@
     all: () => teams.values(),
     setShares(next) {
       shares = next;
+      const sum = Object.values(next).reduce((total, weight) => total + weight, 0);
+      totalWeight = sum > 0 ? sum : DEFAULT_SHARE;
       teams.forEach(refresh);
     },
     setUsage(usage) {
--- a/packages/decisions/src/plugins/waitingTimeFirstPolicy.ts
+++ b/packages/decisions/src/plugins/waitingTimeFirstPolicy.ts
@@ -1,10 +1,10 @@
 import type { QueueOrderPolicy } from '../types/taskQueue.js';
 
 /**
- * Keeps the ratio of wait to share finite for a team that runs nothing. At one hundredth of the
- * fleet, teams below that size are ordered by their wait almost alone.
+ * Weight of the wait against the share: a team that uses exactly its share counts half of its wait.
+ * Lower values follow the shares more closely and lengthen the longest waits (docs/decisions.md).
  */
-const SHARE_FLOOR = 0.01;
+const SHARE_FLOOR = 1;
 
 /** Puts the longest wait first; the wait of a team counts for less the more it uses. */
 class WaitingTimeFirstPolicy implements QueueOrderPolicy {
--- a/packages/decisions/src/types/taskQueue.ts
+++ b/packages/decisions/src/types/taskQueue.ts
@@ -55,7 +55,8 @@
   /**
    * Ranks the head of a team's queue; the lowest rank goes first within a priority.
    *
-   * @param dominantShare the team's dominant share divided by its weight
+   * @param dominantShare the team's dominant share divided by its part of all weights: 1 when it
+   *   uses exactly its share
    * @param waitedMilliseconds how long the head of its queue has waited
    * @returns rank
    */
