--- a/packages/daemon/src/__tests__/endpointPool.test.ts
+++ b/packages/daemon/src/__tests__/endpointPool.test.ts
@@ -3,11 +3,14 @@
 import { createRetryBudget } from '@chicorybend/common';
 import type { EndpointRequest } from '@chicorybend/common';
 
+import type { TrackedWork } from '../core/endpointWork.js';
+
 import {
   answerRequest,
   createOpening,
   createPool,
   createStubLease,
+  createStubQueue,
   createWork,
   pause,
   startEndpoint,
@@ -545,3 +548,28 @@
     t.is(endpoint.received.length, 2);
   },
 );
+
+test.serial(
+  'a request is not sent so late that a slow answer would miss its deadline',
+  async (t) => {
+    const endpoint = await startEndpoint(t, 'e1');
+    const queuedUntil: number[] = [];
+    const { clock, service } = createPool(t, [endpoint], {
+      createRequestQueue(options) {
+        const queue = createStubQueue<TrackedWork>(options);
+        return {
+          ...queue,
+          push(request) {
+            queuedUntil.push(request.deadlineAt);
+            return queue.push(request);
+          },
+        };
+      },
+    });
+    await service.open(createOpening(createStubLease(0, 1)));
+    const deadlineAt = clock.monotonicMilliseconds() + 10_000;
+    t.true((await service.execute(0, createWork(clock, { deadlineAt }))).isOk());
+    const margin = deadlineAt - (queuedUntil[0] ?? deadlineAt);
+    t.true(margin > 500 && margin <= 1_000);
+  },
+);
--- a/packages/daemon/src/__tests__/interactiveStubs.ts
+++ b/packages/daemon/src/__tests__/interactiveStubs.ts
@@ -34,6 +34,8 @@
   expectedServiceMilliseconds: () => number;
 }): RequestQueue<Item> {
   let items: QueuedRequest<Item>[] = [];
+  const isServable = (request: QueuedRequest<Item>, now: number) =>
+    request.deadlineAt - options.expectedServiceMilliseconds() > now;
   const sizeOf = (team: string) => items.filter((item) => item.team === team).length;
   return {
     sizeOf,
@@ -44,10 +46,13 @@
       items.push(request);
       return true;
     },
-    shift: () => items.shift() ?? null,
+    shift(now) {
+      const index = items.findIndex((item) => isServable(item, now));
+      return index < 0 ? null : (items.splice(index, 1)[0] ?? null);
+    },
     expire(now) {
-      const expired = items.filter((item) => item.deadlineAt <= now);
-      items = items.filter((item) => item.deadlineAt > now);
+      const expired = items.filter((item) => !isServable(item, now));
+      items = items.filter((item) => isServable(item, now));
       return expired;
     },
   };
--- a/packages/daemon/src/core/endpointPartition.ts
+++ b/packages/daemon/src/core/endpointPartition.ts
@@ -70,6 +70,12 @@
 /** An idempotent request is tried elsewhere after this many times the expected service time. */
 const SLOW_ATTEMPT_FACTOR = 4;
 
+/**
+ * Part of a request's time that is kept back for a service time above the expected one. A request that is sent
+ * too late to be answered in time uses a slot for nothing and ends as unknown instead of not run.
+ */
+const SERVICE_MARGIN_PART = 0.1;
+
 /** How often a release looks for requests that are neither sent nor refused yet, in milliseconds. */
 const RELEASE_POLL_MILLISECONDS = 5;
 
@@ -165,11 +171,11 @@
   }
 
   /** Refuses early what cannot be served in time. */
-  function checkAdmission(work: EndpointWork): Failure | null {
+  function checkAdmission({ work, expectedBy }: TrackedWork): Failure | null {
     if (!isServing()) return options.notOwner();
     const slots = countSlots();
     if (slots === 0) return refuseNoEndpoint();
-    const remaining = work.deadlineAt - clock.monotonicMilliseconds();
+    const remaining = expectedBy - clock.monotonicMilliseconds();
     const blocked = blockedMilliseconds();
     const verdict = admission.decide(backlog.aheadOf(work.team), slots, remaining - blocked);
     if (verdict.kind === 'admit') return null;
@@ -189,9 +195,11 @@
   }
 
   async function execute(work: EndpointWork): Promise<Result<InteractiveResponse, Failure>> {
-    const tracked = trackWork(work, (ended) => unfinished.delete(ended));
+    const total = work.deadlineAt - clock.monotonicMilliseconds();
+    const expectedBy = work.deadlineAt - total * SERVICE_MARGIN_PART;
+    const tracked = trackWork(work, expectedBy, (ended) => unfinished.delete(ended));
     unfinished.add(tracked);
-    const refusal = checkAdmission(work);
+    const refusal = checkAdmission(tracked);
     if (refusal) tracked.refuse(refusal);
     else {
       tracked.queue();
--- a/packages/daemon/src/core/endpointWork.ts
+++ b/packages/daemon/src/core/endpointWork.ts
@@ -18,6 +18,8 @@
 /** A request on its way through the pool, with its state. */
 export interface TrackedWork {
   readonly work: EndpointWork;
+  /** Monotonic time in milliseconds by which an answer is expected when it is sent; before the deadline. */
+  readonly expectedBy: number;
   /** Ids of endpoints that it was given to; others are preferred for a retry. */
   readonly tried: Set<string>;
   state(): RequestState;
@@ -43,10 +45,15 @@
  * Creates the tracked form of a request, which follows the state chart and ends once.
  *
  * @param work the request
+ * @param expectedBy monotonic time in milliseconds by which an answer is expected when it is sent
  * @param onEnd called when it ends
  * @returns the tracked request
  */
-export function trackWork(work: EndpointWork, onEnd: (tracked: TrackedWork) => void): TrackedWork {
+export function trackWork(
+  work: EndpointWork,
+  expectedBy: number,
+  onEnd: (tracked: TrackedWork) => void,
+): TrackedWork {
   let state = chart.initial;
   let sentCount = 0;
   let resolveOutcome: (outcome: Result<InteractiveResponse, Failure>) => void = () => undefined;
@@ -85,6 +92,7 @@
 
   const tracked: TrackedWork = {
     work,
+    expectedBy,
     tried: new Set(),
     outcome,
     state: () => state,
--- a/packages/daemon/src/core/requestBacklog.ts
+++ b/packages/daemon/src/core/requestBacklog.ts
@@ -55,9 +55,9 @@
   }
 
   function enqueue(tracked: TrackedWork): boolean {
-    const { team, deadlineAt } = tracked.work;
+    const { team } = tracked.work;
     waitingTeams.add(team);
-    return queue.push({ team, item: tracked, deadlineAt });
+    return queue.push({ team, item: tracked, deadlineAt: tracked.expectedBy });
   }
 
   function unpark(team: string): void {
@@ -103,7 +103,7 @@
     expire(now) {
       const expired = [
         ...queue.expire(now).map(({ item }) => item),
-        ...takeParked((tracked) => tracked.work.deadlineAt <= now),
+        ...takeParked((tracked) => tracked.expectedBy <= now),
       ];
       expired.forEach((tracked) =>
         tracked.refuse(reasons.get(tracked) ?? createFailure('deadline-passed')),
