--- a/packages/client/src/__tests__/client.test.ts
+++ b/packages/client/src/__tests__/client.test.ts
@@ -103,7 +103,7 @@
     'config aply configuration.json',
     'config apply',
     'config apply missing.json',
-    'config get --sektion teams',
+    'config get --sektion=teams',
     'config get teams',
     'teams list --address 127.0.0.1',
     'jobs submit',
--- a/packages/daemon/src/__tests__/configurationService.test.ts
+++ b/packages/daemon/src/__tests__/configurationService.test.ts
@@ -358,6 +358,22 @@
   }
 });
 
+test('when the pollers cannot reach the store, other daemons read it themselves', async (t) => {
+  const cell = await createStartedCell(t, NINE);
+  await cell.advance(3_000);
+  const before = new Map(NINE.map((id) => [id, cell.daemon(id).storePath.reads]));
+  await cell.advance(3_000);
+  const hasPolled = (id: string) => cell.daemon(id).storePath.reads > (before.get(id) ?? 0);
+  const pollers = NINE.filter(hasPolled);
+  cutStore(cell, pollers);
+  await cell.advance(6_000);
+  const ages = NINE.filter((id) => !pollers.includes(id)).map(
+    (id) => cell.daemon(id).service.heartbeatFacts().freshnessAgeMilliseconds,
+  );
+  t.is(pollers.length, 3);
+  t.true(Math.min(...ages) < 3_000, `ages in ms: ${ages.join(', ')}`);
+});
+
 test('a revocation that was announced but not written is lifted on daemons that do not poll', async (t) => {
   const cell = await createStartedCell(t, NINE);
   cell.daemon('a').storePath.beforePut = () => cell.daemon('a').cutStore();
