Cut the idle cost of a daemon

Cause: a profile of an idle daemon showed the assignment of partitions computed at every turn, the whole configuration checked at every poll, and pings on connections that heartbeats use anyway; the young generation of the heap alone grew to tens of megabytes. The assignment and the checked document are kept while nothing changes, pings go only over quiet connections, and the semi-spaces are limited to 2 MB.

--- a/packages/daemon/src/core/configurationStore.ts
+++ b/packages/daemon/src/core/configurationStore.ts
@@ -94,6 +94,8 @@
  */
 export function createConfigurationStore(store: StoreClient): ConfigurationStore {
   let cache = new Map<string, unknown>();
+  /** Last usable snapshot. A poll that finds the same root need not check the document again. */
+  let lastSnapshot: ConfigurationSnapshot | null = null;
 
   async function readRoot(deadlineMilliseconds?: number): Promise<Result<RootReading, StoreError>> {
     const options = deadlineMilliseconds === undefined ? {} : { deadlineMilliseconds };
@@ -130,7 +132,10 @@
     cache = new Map([...contents].map(([name, content]) => [root.sections[name] ?? '', content]));
     if (root.revision === 0) return Ok({ ...reading, document, configuration: null });
     return parseConfiguration(document, root.revision)
-      .map((configuration) => ({ ...reading, document, configuration }))
+      .map((configuration) => {
+        lastSnapshot = { ...reading, document, configuration };
+        return lastSnapshot;
+      })
       .mapErr((faults) => ({
         kind: 'invalid' as const,
         message: faults.map((fault) => `${fault.path}: ${fault.reason}`).join('; '),
@@ -160,6 +165,7 @@
       for (let attempt = 0; attempt < SNAPSHOT_ATTEMPTS; attempt += 1) {
         const reading = await readRoot(deadlineMilliseconds);
         if (reading.isErr()) return reading.mapErr(toReadError);
+        if (lastSnapshot?.version === reading.value.version) return Ok(lastSnapshot);
         const contents = await readSections(reading.value.root);
         if (contents.isErr()) return contents.mapErr(toReadError);
         if (contents.value !== null) return assemble(reading.value, contents.value);
--- a/packages/daemon/src/core/ownership.ts
+++ b/packages/daemon/src/core/ownership.ts
@@ -68,6 +68,7 @@
   const busy = new Set<number>();
   let owners = new Map<number, VersionedOwner>();
   let liveIds = '';
+  let assignment: readonly string[] = [];
   let liveSince = clock.monotonicMilliseconds();
   let servedGeneration = 0;
   let isDraining = false;
@@ -100,8 +101,9 @@
     if (joined !== liveIds) {
       liveIds = joined;
       liveSince = clock.monotonicMilliseconds();
+      assignment = assignPartitions(partitionCount, ids);
     }
-    return assignPartitions(partitionCount, ids);
+    return assignment;
   }
 
   function dropAll(reason: string): void {
--- a/packages/daemon/src/core/peerConnection.ts
+++ b/packages/daemon/src/core/peerConnection.ts
@@ -81,7 +81,9 @@
       markSuspect();
       return;
     }
-    socket.ping();
+    // Heartbeats usually keep the connection in use, so that a ping is rarely needed.
+    const isQuiet = clock.monotonicMilliseconds() - heardAt > LINK_PING_INTERVAL_MILLISECONDS;
+    if (isQuiet) socket.ping();
     cancelPing = clock.setTimer(watchLiveness, LINK_PING_INTERVAL_MILLISECONDS);
   }
 
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,4 +1,5 @@
 #!/usr/bin/env node
+import './utils/heapLimits.js';
 import { formatSettingsHelp } from './core/settingsHelp.js';
 import { readSettings } from './core/settingsReader.js';
 import { startDaemon } from './core/daemon.js';
--- a/packages/proving/src/__performance_tests__/cellRows.ts
+++ b/packages/proving/src/__performance_tests__/cellRows.ts
@@ -106,7 +106,7 @@
     path: '/v1/daemons',
     headers: operatorHeaders(cell),
   });
-  const daemons = answer.body.daemons as readonly { configurationRevision?: number }[];
+  const daemons = answer.body.rows as readonly { configurationRevision?: number }[];
   return daemons.every((view) => (view.configurationRevision ?? 0) >= revision);
 }
 
@@ -161,7 +161,7 @@
     path: '/v1/daemons',
     headers: operatorHeaders(cell),
   });
-  const daemons = answer.body.daemons as { daemonId: string; partitions?: number[] }[];
+  const daemons = answer.body.rows as { daemonId: string; partitions?: number[] }[];
   return daemons.find(({ daemonId }) => daemonId === daemon.id)?.partitions ?? [];
 }
 
