Refuse requests that the queue drops while it looks for the next one

Cause: the fair queue sets requests aside that become too late between expire and shift, and no longer counts them; when none other waited, no further expire came and the caller got no answer.

Change: requests are expired again after the free slots are filled.

Result: 31 tests of the endpoint pool pass; without the second expiry the new test does not end.

--- a/packages/daemon/src/__tests__/endpointPool.test.ts
+++ b/packages/daemon/src/__tests__/endpointPool.test.ts
@@ -2,6 +2,7 @@
 
 import { createRetryBudget } from '@chicorybend/common';
 import type { EndpointRequest } from '@chicorybend/common';
+import type { QueuedRequest } from '@chicorybend/decisions';
 
 import type { TrackedWork } from '../core/endpointWork.js';
 
@@ -573,3 +574,33 @@
     t.true(margin > 500 && margin <= 1_000);
   },
 );
+
+test.serial(
+  'a request that the queue drops while it looks for the next one is refused at once',
+  async (t) => {
+    const endpoint = await startEndpoint(t, 'e1');
+    const { clock, service } = createPool(t, [endpoint], {
+      createRequestQueue(options) {
+        const queue = createStubQueue<TrackedWork>(options);
+        let dropped: QueuedRequest<TrackedWork>[] = [];
+        return {
+          ...queue,
+          shift(now) {
+            const next = queue.shift(now);
+            if (next) dropped.push(next);
+            return null;
+          },
+          expire() {
+            const expired = dropped;
+            dropped = [];
+            return expired;
+          },
+        };
+      },
+    });
+    await service.open(createOpening(createStubLease(0, 1)));
+    const outcome = await service.execute(0, createWork(clock));
+    t.is(outcome.unwrapErr().code, 'deadline-passed');
+    t.is(endpoint.received.length, 0);
+  },
+);
--- a/packages/daemon/src/core/endpointPartition.ts
+++ b/packages/daemon/src/core/endpointPartition.ts
@@ -228,6 +228,8 @@
       if (!tracked) break;
       start(tracked);
     }
+    // The queue sets requests aside that became too late between the two calls.
+    backlog.expire(clock.monotonicMilliseconds());
     scheduleTick();
   }
 
