Take the key's id from the answer in the cell's bench rows

Cause: secrets may contain underscores, so the id that the bench cut out of the key text was wrong in two of three rounds and the revocation was answered with unknown-key.

--- a/packages/proving/src/__performance_tests__/cellRows.ts
+++ b/packages/proving/src/__performance_tests__/cellRows.ts
@@ -79,15 +79,9 @@
 async function measureRevocation(cell: LocalCell, round: number): Promise<number> {
   const daemon = cell.daemons[round % cell.daemons.length];
   const headers = operatorHeaders(cell);
-  const issued = await call({
-    daemon,
-    method: 'POST',
-    path: `/v1/teams/${TEAM}/keys`,
-    headers,
-    body: {},
-  });
-  const keyText = String(issued.body.keyText ?? issued.body.key);
-  const keyId = keyText.slice('cb_'.length, keyText.lastIndexOf('_'));
+  const path = `/v1/teams/${TEAM}/keys`;
+  const issued = await call({ daemon, method: 'POST', path, headers, body: {} });
+  const { keyId, key: keyText } = issued.body as { keyId: string; key: string };
   const startedAt = clock.monotonicMilliseconds();
   const revoked = call({ daemon, method: 'DELETE', path: `/v1/keys/${keyId}`, headers });
   const times = await Promise.all(
