Bound the time in which a caller repeats a job call

A soak whose daemons answered nothing waited up to 40 attempts of 10 s each: a trial of 30 s with the stub program did not end within 250 s. Submissions and cancellations are now repeated for 45 s.

--- a/packages/proving/src/core/workload.ts
+++ b/packages/proving/src/core/workload.ts
@@ -64,7 +64,8 @@
 }
 
 const REQUEST_ATTEMPTS = 2;
-const JOB_ATTEMPTS = 40;
+// Bounds the end of a run whose daemons answer nothing; longer than any fault of a soak.
+const JOB_CALLS_LIMIT_MILLISECONDS = 45_000;
 const JOB_RETRY_MILLISECONDS = 500;
 const JOB_WAIT_MILLISECONDS = 2_000;
 const STATUS_UNAVAILABLE = 503;
@@ -191,7 +192,8 @@
     const body = describeJob(plan, marker);
     const submit = submitOptionsOf(plan.keyText, createIdempotencyKey());
     jobs.push(draft);
-    for (let attempt = 0; attempt < JOB_ATTEMPTS; attempt += 1) {
+    const until = now() + JOB_CALLS_LIMIT_MILLISECONDS;
+    while (now() < until) {
       const outcome = await caller.submitJob(pickTarget().apiAddress, body, submit);
       draft.outcomes.push(outcome);
       if (outcome.kind === 'answered') handle.jobId = outcome.value.jobId;
@@ -203,7 +205,8 @@
 
   async function cancelJob({ jobId, plan }: JobHandle): Promise<boolean> {
     if (jobId === null) return false;
-    for (let attempt = 0; attempt < JOB_ATTEMPTS; attempt += 1) {
+    const until = now() + JOB_CALLS_LIMIT_MILLISECONDS;
+    while (now() < until) {
       const { apiAddress } = pickTarget();
       const outcome = await caller.cancelJob(apiAddress, jobId, plan.keyText ?? undefined);
       if (!isWorthRepeating(outcome)) return outcome.kind === 'answered';
