Write a team's ledger from the last seen version and serialize a daemon's changes

Cause: at the start of a cell every partition writes every team's ledger; each conflict cost another reading, five attempts were often not enough, and first starts waited for units. The ledger seen in a conflict is the base of the next attempt now, and the partitions of one daemon take turns. Also: a drain waits for requests that run for other daemons, and sizes that can never fit are checked by the job's owner only, so that a repeat of an accepted job gets its first answer.

--- a/packages/daemon/src/core/allotments.ts
+++ b/packages/daemon/src/core/allotments.ts
@@ -1,5 +1,5 @@
 import { computeBackoff, createFailure, Err, Ok, sleep } from '@chicorybend/common';
-import type { Clock, Counters, StoreClient } from '@chicorybend/common';
+import type { Clock, Counters, StoreClient, StoreEntry } from '@chicorybend/common';
 
 import type { Allotments, LimitDimension } from '../types/allotment.js';
 import type { ConfigurationView } from '../types/configurationView.js';
@@ -34,7 +34,9 @@
 const RETRY_AFTER_MILLISECONDS = 25;
 const REQUEST_BACKOFF = { firstMilliseconds: 50, maximumMilliseconds: 2_000 };
 const RETURN_CALL_DEADLINE_MILLISECONDS = 500;
-const UPDATE_ATTEMPTS = 5;
+/** Every partition of the cell may write the same ledger when the cell starts. */
+const UPDATE_ATTEMPTS = 20;
+const CONFLICT_BACKOFF = { firstMilliseconds: 2, maximumMilliseconds: 40 };
 const RETURN_CANDIDATES = 3;
 
 /** What the allotments need. */
@@ -69,8 +71,15 @@
   readonly shortfalls: Record<LimitDimension, number>;
   /** Monotonic time before which no units are requested, in milliseconds. */
   readonly requestNotBefore: Record<LimitDimension, number>;
-  /** End of the last change of the ledger; changes of one team run one after the other. */
-  lastChange: Promise<unknown>;
+}
+
+/** Computes the next ledger, or null if nothing is to be changed. */
+type LedgerChange = (ledger: AllotmentLedger) => AllotmentLedger | null;
+
+/** A ledger with the version of its key. */
+interface StoredLedger {
+  readonly ledger: AllotmentLedger | null;
+  readonly version: number;
 }
 
 interface PartitionUse {
@@ -88,6 +97,9 @@
 export function createAllotments(options: AllotmentsOptions): AllotmentService {
   const { directory, configuration, link, store, clock, counters } = options;
   const partitions = new Map<number, PartitionUse>();
+  /** Ledgers as last seen in the store, by team; a conflict shows the present one. */
+  const known = new Map<string, StoredLedger>();
+  const lastChanges = new Map<string, Promise<unknown>>();
   let isStopped = false;
 
   function useOf(partition: number, team: string): TeamUse | null {
@@ -103,7 +115,6 @@
       isRequesting: false,
       shortfalls: { tasks: 0, requests: 0 },
       requestNotBefore: { tasks: 0, requests: 0 },
-      lastChange: Promise.resolve(),
     };
     entry.teams.set(team, created);
     return created;
@@ -121,48 +132,78 @@
     return usableUnits(setLimits(use.ledger, limits), partition, dimension);
   }
 
+  async function readLedger(team: string): Promise<StoredLedger | null> {
+    const entry = await store.get<AllotmentLedger>(`${ALLOTMENT_PREFIX}${team}`);
+    if (entry.isErr()) return null;
+    return { ledger: entry.value?.data ?? null, version: entry.value?.version ?? 0 };
+  }
+
+  /** Computes the ledger to write, or null if the part may not or need not be changed. */
+  function computeChange(
+    entry: PartitionUse,
+    use: TeamUse,
+    stored: StoredLedger,
+    change: LedgerChange,
+  ): AllotmentLedger | null {
+    const { partition, epoch } = entry.lease;
+    const limits = limitsOf(use.team);
+    if (!limits || !entry.lease.mayAct()) return null;
+    const current = stored.ledger
+      ? setLimits(stored.ledger, limits)
+      : createLedger(limits, directory.partitionCount);
+    const part = partOf(current, partition);
+    if (part.epoch > epoch) {
+      // The successor uses the part; nothing of it may be used here.
+      use.ledger = null;
+      return null;
+    }
+    const changed = change(takeOverPart(current, partition, epoch));
+    if (!changed && part.epoch === epoch) use.ledger = current;
+    return changed;
+  }
+
   /** Applies a change to a team's ledger by compare-and-swap. The change is computed again after a conflict. */
   async function updateLedger(
     entry: PartitionUse,
     use: TeamUse,
-    change: (ledger: AllotmentLedger) => AllotmentLedger | null,
+    change: LedgerChange,
   ): Promise<boolean> {
-    const { partition, epoch } = entry.lease;
+    const { team } = use;
     for (let attempt = 0; attempt < UPDATE_ATTEMPTS; attempt += 1) {
-      const limits = limitsOf(use.team);
-      const stored = await store.get<AllotmentLedger>(`${ALLOTMENT_PREFIX}${use.team}`);
-      if (stored.isErr() || !limits || !entry.lease.mayAct()) return false;
-      const current = stored.value
-        ? setLimits(stored.value.data, limits)
-        : createLedger(limits, directory.partitionCount);
-      if (partOf(current, partition).epoch > epoch) {
-        // The successor uses the part; nothing of it may be used here.
-        use.ledger = null;
-        return false;
-      }
-      const changed = change(takeOverPart(current, partition, epoch));
+      const remembered = known.get(team);
+      const stored = remembered ?? (await readLedger(team));
+      const changed = stored && computeChange(entry, use, stored, change);
       if (!changed) {
-        use.ledger = partOf(current, partition).epoch === epoch ? current : use.ledger;
+        known.delete(team);
+        // Another partition may have returned units since the ledger was seen.
+        if (remembered) continue;
         return false;
       }
       const written = await store.put({
-        key: `${ALLOTMENT_PREFIX}${use.team}`,
+        key: `${ALLOTMENT_PREFIX}${team}`,
         data: changed,
-        expectedVersion: stored.value?.version ?? 0,
+        expectedVersion: stored.version,
       });
       counters.increment('allotments.writes');
+      known.delete(team);
       if (written.isErr()) return false;
       if (written.value.kind === 'written') {
+        known.set(team, { ledger: changed, version: written.value.version });
         use.ledger = changed;
         return true;
       }
+      const current = written.value.current as StoreEntry<AllotmentLedger> | null;
+      known.set(team, { ledger: current?.data ?? null, version: current?.version ?? 0 });
+      counters.increment('allotments.conflicts');
+      await sleep(clock, computeBackoff(CONFLICT_BACKOFF, attempt, options.random));
     }
     return false;
   }
 
+  /** Changes of one team run one after the other, so that this daemon's partitions do not race each other. */
   function runExclusively<Value>(use: TeamUse, change: () => Promise<Value>): Promise<Value> {
-    const next = use.lastChange.then(change);
-    use.lastChange = next.catch(() => undefined);
+    const next = (lastChanges.get(use.team) ?? Promise.resolve()).then(change);
+    lastChanges.set(use.team, next);
     return next;
   }
 
--- a/packages/daemon/src/core/daemon.ts
+++ b/packages/daemon/src/core/daemon.ts
@@ -153,7 +153,6 @@
     configuration,
     directory: ownership,
     router: services.router,
-    vms,
   });
   registerOperatorApi(http.instance, {
     clock,
@@ -230,10 +229,12 @@
     await sleep(clock, Math.min(DRAIN_GRACE_MILLISECONDS, remainingMilliseconds()));
     http.closeConnectionsAfterAnswers();
     const isHandedOver = await ownership.drain(remainingMilliseconds());
-    while (callers.inFlight() > 0 && remainingMilliseconds() > 0) {
+    // Requests that run here for callers of other daemons are finished too.
+    const inFlight = (): number => callers.inFlight() + services.router.inFlight();
+    while (inFlight() > 0 && remainingMilliseconds() > 0) {
       await sleep(clock, DRAIN_PAUSE_MILLISECONDS);
     }
-    const isIdle = callers.inFlight() === 0;
+    const isIdle = inFlight() === 0;
     await joined.leave();
     const outcome: StopOutcome = isIdle && isHandedOver ? 'drained' : 'deadline';
     life.advance(outcome === 'drained' ? 'DRAINED' : 'DEADLINE');
