Test every promise under single faults and two at once on six daemon processes

Each scenario runs the mixed load on a local cell under fixed faults: kill -9, pause, cut and silent links, store down, slow and losing answers, and pairs of these. The checks read the stand-ins' records.

--- /dev/null
+++ b/packages/proving/src/__tests__/scenarioAssertions.ts
@@ -0,0 +1,25 @@
+import type { ExecutionContext } from 'ava';
+
+import { readExample, runSoak } from '../index.js';
+import { SCENARIO_MILLISECONDS } from '../core/scenarios.js';
+import type { Scenario } from '../core/scenarios.js';
+
+const SEED = 1;
+
+/** Runs a scenario on six daemon processes and checks the stand-ins' records. */
+export async function assertPromisesHold(t: ExecutionContext, scenario: Scenario): Promise<void> {
+  t.timeout(240_000);
+  const outcome = await runSoak({
+    example: readExample('coldline'),
+    seed: SEED,
+    durationMilliseconds: SCENARIO_MILLISECONDS,
+    faults: scenario.faults,
+    report: () => {},
+  });
+  t.deepEqual(
+    outcome.checks.flatMap(({ violations }) => violations),
+    [],
+  );
+  t.deepEqual(outcome.failures, []);
+  outcome.rows.forEach((row) => t.true(row.done > 0, `${row.kind} was served`));
+}
--- /dev/null
+++ b/packages/proving/src/core/scenarios.ts
@@ -0,0 +1,90 @@
+import type { FaultKind, PlannedFault } from '../types/fault.js';
+
+/** Faults at fixed times, each guarding a promise against one kind of trouble or two at once. */
+export interface Scenario {
+  readonly name: string;
+  readonly faults: readonly PlannedFault[];
+}
+
+/** Time in which load runs, in milliseconds. */
+export const SCENARIO_MILLISECONDS = 14_000;
+
+const FIRST_DAEMON = 1;
+const SECOND_DAEMON = 3;
+const EARLY_MILLISECONDS = 2_000;
+const LATE_MILLISECONDS = 4_000;
+
+function fault(
+  kind: FaultKind,
+  at: number,
+  durationMilliseconds: number,
+  target = FIRST_DAEMON,
+): PlannedFault {
+  return { kind, at, durationMilliseconds, target, other: SECOND_DAEMON };
+}
+
+/** Scenarios with one kind of fault. */
+export const SINGLE_SCENARIOS: readonly Scenario[] = [
+  { name: 'kill -9 of a daemon', faults: [fault('daemon-killed', EARLY_MILLISECONDS, 6_000)] },
+  {
+    name: 'a daemon paused for longer than its leases',
+    faults: [fault('daemon-paused', EARLY_MILLISECONDS, 8_000)],
+  },
+  {
+    name: 'a link cut, then silent',
+    faults: [
+      fault('link-cut', EARLY_MILLISECONDS, 4_000),
+      fault('link-silent', EARLY_MILLISECONDS + 5_000, 4_000),
+      fault('open-links-silent', EARLY_MILLISECONDS, 1_000, SECOND_DAEMON),
+    ],
+  },
+  { name: 'store down', faults: [fault('store-down', EARLY_MILLISECONDS, 8_000)] },
+  {
+    name: 'store slow, then answers lost',
+    faults: [
+      fault('store-slow', EARLY_MILLISECONDS, 4_000),
+      fault('store-answers-lost', EARLY_MILLISECONDS + 5_000, 4_000),
+    ],
+  },
+];
+
+/** Scenarios with two faults at once. */
+export const DOUBLE_SCENARIOS: readonly Scenario[] = [
+  {
+    name: 'kill -9 of a daemon while the store is down',
+    faults: [
+      fault('store-down', EARLY_MILLISECONDS, 7_000),
+      fault('daemon-killed', LATE_MILLISECONDS, 6_000),
+    ],
+  },
+  {
+    name: 'a daemon paused while answers of the store are lost',
+    faults: [
+      fault('store-answers-lost', EARLY_MILLISECONDS, 9_000),
+      fault('daemon-paused', LATE_MILLISECONDS, 6_000),
+    ],
+  },
+  {
+    name: 'two daemons killed',
+    faults: [
+      fault('daemon-killed', EARLY_MILLISECONDS, 6_000),
+      fault('daemon-killed', EARLY_MILLISECONDS, 6_000, SECOND_DAEMON),
+    ],
+  },
+  {
+    name: 'a worker crashes while a daemon is killed',
+    faults: [
+      fault('daemon-killed', EARLY_MILLISECONDS, 6_000),
+      fault('worker-crashed', EARLY_MILLISECONDS, 3_000),
+      fault('worker-silent', LATE_MILLISECONDS, 5_000, SECOND_DAEMON),
+    ],
+  },
+  {
+    name: 'a daemon cut off from the store with a link to a peer cut, and endpoints that close',
+    faults: [
+      fault('store-cut-off', EARLY_MILLISECONDS, 7_000),
+      fault('link-cut', EARLY_MILLISECONDS, 7_000),
+      fault('endpoint-closes', LATE_MILLISECONDS, 4_000),
+    ],
+  },
+];
