--- a/packages/proving/src/__performance_tests__/index.ts
+++ b/packages/proving/src/__performance_tests__/index.ts
@@ -1,3 +1,4 @@
 /** Producers of benchmark rows of this package. */
 export { collectCellRows } from './cellRows.js';
+export { collectSlopeRows } from './slopeRows.js';
 export { produceStoreClientRows } from './storeClient.js';
--- /dev/null
+++ b/packages/proving/src/__performance_tests__/slopeRows.ts
@@ -0,0 +1,107 @@
+import { createSystemClock, sleep } from '@chicorybend/common';
+import type { BenchOptions, BenchRow } from '@chicorybend/common';
+
+import { applyExample } from '../core/demoRun.js';
+import { startLocalCell } from '../core/localCell.js';
+import { readProcessUsage } from '../core/processUsage.js';
+import type { CellPlan } from '../types/cellPlan.js';
+import { readExample } from '../utils/readExample.js';
+
+const SETTLE_MILLISECONDS = 8_000;
+const MEASURE_MILLISECONDS = 10_000;
+const MILLISECONDS_PER_SECOND = 1_000;
+const MANY_WORKERS_FACTOR = 6;
+const FEW_DAEMONS = 3;
+
+const clock = createSystemClock();
+const example = readExample('coldline');
+
+/** Averages over the daemons of an idle cell. */
+interface IdleCost {
+  readonly cores: number;
+  readonly privateBytes: number;
+  readonly storeReads: number;
+  readonly storeWrites: number;
+}
+
+function multiplyWorkers(plan: CellPlan, factor: number): CellPlan {
+  const racks = Array.from({ length: factor }, (_, copy) =>
+    plan.racks.map((rack) => ({
+      ...rack,
+      name: `${rack.name}-${copy}`,
+      workers: rack.workers.map((worker) => `${worker}-${copy}`),
+    })),
+  ).flat();
+  return { ...plan, racks };
+}
+
+function average(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
+
+async function measureIdleCost(plan: CellPlan): Promise<IdleCost> {
+  const cell = await startLocalCell({
+    plan,
+    prepare: (started) => applyExample(started, example),
+  });
+  try {
+    await sleep(clock, SETTLE_MILLISECONDS);
+    const processIds = cell.daemons.flatMap((daemon) => daemon.processId() ?? []);
+    const { counts } = cell.platform.store;
+    const callsBefore = { ...counts };
+    const before = processIds.map(readProcessUsage);
+    await sleep(clock, MEASURE_MILLISECONDS);
+    const after = processIds.map(readProcessUsage);
+    const used = after.map(
+      (usage, index) => usage.processorMilliseconds - (before[index]?.processorMilliseconds ?? 0),
+    );
+    const seconds = MEASURE_MILLISECONDS / MILLISECONDS_PER_SECOND;
+    return {
+      cores: average(used) / MEASURE_MILLISECONDS,
+      privateBytes: average(after.map((usage) => usage.privateBytes)),
+      storeReads: (counts.reads - callsBefore.reads) / seconds,
+      storeWrites: (counts.writes - callsBefore.writes) / seconds,
+    };
+  } finally {
+    await cell.close();
+  }
+}
+
+function report(name: string, measured: number, unit: string): BenchRow {
+  return { name: `slope: ${name}`, measured, bound: null, direction: 'at-most', unit };
+}
+
+/**
+ * Measures how the cost of an idle daemon grows with the workers and with the daemons of the cell.
+ *
+ * @param options extent of the run; a short run gives no rows, because all figures depend on the machine
+ * @returns slopes, without bounds
+ */
+export async function collectSlopeRows(options: BenchOptions): Promise<readonly BenchRow[]> {
+  if (options.isShort) return [];
+  const { plan } = example;
+  const daemons = plan.daemons.length;
+  const base = await measureIdleCost(plan);
+  const wide = await measureIdleCost(multiplyWorkers(plan, MANY_WORKERS_FACTOR));
+  const small = await measureIdleCost({ ...plan, daemons: plan.daemons.slice(0, FEW_DAEMONS) });
+  const workers = plan.racks.flatMap((rack) => rack.workers).length;
+  const moreWorkersPerDaemon = (workers * (MANY_WORKERS_FACTOR - 1)) / daemons;
+  const moreDaemons = daemons - FEW_DAEMONS;
+  return [
+    report('idle daemon, six daemons and 30 workers', base.cores, 'cores'),
+    report('private memory of it', base.privateBytes, 'bytes'),
+    report('per worker of the daemon', (wide.cores - base.cores) / moreWorkersPerDaemon, 'cores'),
+    report(
+      'memory per worker of the daemon',
+      (wide.privateBytes - base.privateBytes) / moreWorkersPerDaemon,
+      'bytes',
+    ),
+    report('idle daemon, three daemons and 30 workers', small.cores, 'cores'),
+    report('store reads per daemon', (base.storeReads - small.storeReads) / moreDaemons, 'calls/s'),
+    report(
+      'store writes per daemon',
+      (base.storeWrites - small.storeWrites) / moreDaemons,
+      'calls/s',
+    ),
+  ];
+}
--- a/scripts/run.mjs
+++ b/scripts/run.mjs
@@ -52,7 +52,7 @@
 
 function runProving(program, programArguments) {
   build();
-  return run('node', [`packages/proving/dist/${program}.js`, ...programArguments]);
+  return run('node', ['--expose-gc', `packages/proving/dist/${program}.js`, ...programArguments]);
 }
 
 const [command, ...rest] = process.argv.slice(2);
