Use the real queue and admission in the interactive tests and one row type in all benches

Cause: the tests and the bench were written against stand-ins of the decisions package, which were left beside the real ones; three packages had their own copy of the row type. The bench's baseline is a plain first-in-first-out queue.

--- a/packages/daemon/src/__performance_tests__/durableRows.ts
+++ b/packages/daemon/src/__performance_tests__/durableRows.ts
@@ -5,28 +5,12 @@
 import { monitorEventLoopDelay } from 'node:perf_hooks';
 
 import { createSystemClock, Err, Ok } from '@chicorybend/common';
-import type { ManualClock, Result } from '@chicorybend/common';
+import type { BenchOptions, BenchRow, ManualClock, Result } from '@chicorybend/common';
 
 import { createRunningCell, createTestCell, PLAIN_JOB } from '../__tests__/durableKit.js';
 import type { TestCell, TestDaemon, TestJournal } from '../__tests__/durableKit.js';
 import type { JournalError, JournalRecord } from '../index.js';
 
-/** One measured figure. */
-export interface BenchRow {
-  readonly name: string;
-  readonly measured: number;
-  /** Limit that the figure must keep, or null if it is only reported. */
-  readonly bound: number | null;
-  readonly direction: 'at-most' | 'at-least';
-  readonly unit: string;
-}
-
-/** Settings of {@link collectDurableRows}. */
-export interface DurableRowsOptions {
-  /** Smaller runs, without bounds on times. */
-  readonly isShort: boolean;
-}
-
 const TASKS_OF_LARGE_JOB = 100;
 /** Acceptance, intent and end. */
 const RECORDS_OF_SINGLE_TASK = 3;
@@ -194,7 +178,7 @@
   return delay.max / NANOSECONDS_PER_MILLISECOND;
 }
 
-async function collectStallRow({ isShort }: DurableRowsOptions): Promise<BenchRow> {
+async function collectStallRow({ isShort }: BenchOptions): Promise<BenchRow> {
   const jobs = isShort ? CANCELLATIONS_SHORT : CANCELLATIONS;
   return {
     name: `longest stall of the event loop in ${jobs} cancellations`,
@@ -211,8 +195,6 @@
  * @param options size of the run
  * @returns rows; those without a bound are only reported
  */
-export async function collectDurableRows(
-  options: DurableRowsOptions,
-): Promise<readonly BenchRow[]> {
+export async function collectDurableRows(options: BenchOptions): Promise<readonly BenchRow[]> {
   return [...(await collectJournalRows()), await collectStallRow(options)];
 }
--- a/packages/daemon/src/__performance_tests__/interactiveRows.ts
+++ b/packages/daemon/src/__performance_tests__/interactiveRows.ts
@@ -1,4 +1,6 @@
-import type { RequestQueue } from '@chicorybend/decisions';
+import type { BenchOptions, BenchRow } from '@chicorybend/common';
+import { createAdmission } from '@chicorybend/decisions';
+import type { QueuedRequest, RequestQueue } from '@chicorybend/decisions';
 
 import {
   answerRequest,
@@ -6,10 +8,8 @@
   createOpenAdmission,
   createOpening,
   createPool,
-  createStubAdmission,
   createStubConfiguration,
   createStubLease,
-  createStubQueue,
   createWork,
   startEndpoint,
 } from '../__tests__/interactiveStubs.js';
@@ -17,22 +17,6 @@
 import { runOpenLoad } from './openLoad.js';
 import type { Arrivals, LoadOutcome, OpenLoad } from './openLoad.js';
 
-/** One measured figure and what it must keep to. */
-export interface BenchRow {
-  readonly name: string;
-  readonly measured: number;
-  /** Null for figures that are only shown. */
-  readonly bound: number | null;
-  readonly direction: 'at-most' | 'at-least';
-  readonly unit: string;
-}
-
-/** How long the rows may take. */
-export interface InteractiveRowsOptions {
-  /** Shorter loads and only bounds that do not depend on the speed of the machine. */
-  readonly isShort: boolean;
-}
-
 /** A pool under load: with admission control, or the baseline without it. */
 interface Bed {
   run(load: Pick<OpenLoad, 'rate' | 'milliseconds'>): Promise<LoadOutcome>;
@@ -75,14 +59,20 @@
 /** Absolute bound of the full run: waiting time at half of the capacity, in milliseconds. */
 const HALF_LOAD_P99_MILLISECONDS = 20;
 
-/** The baseline queue knows no bound and drops nothing. */
+/** The baseline queue is first-in-first-out, without a bound, and keeps requests whose callers have given up. */
 function createUnboundedQueue<Item>(): RequestQueue<Item> {
-  const queue = createStubQueue<Item>({
-    maximumPerTeam: UNBOUNDED_QUEUE,
-    expectedServiceMilliseconds: () => 0,
-  });
-  const drainAt = Number.POSITIVE_INFINITY;
-  return { ...queue, expire: (now) => (now === drainAt ? queue.expire(now) : []) };
+  const requests: QueuedRequest<Item>[] = [];
+  return {
+    push(request) {
+      requests.push(request);
+      return true;
+    },
+    shift: () => requests.shift() ?? null,
+    expire: () => [],
+    setShares: () => undefined,
+    size: () => requests.length,
+    sizeOf: (team) => requests.filter((request) => request.team === team).length,
+  };
 }
 
 function createUnboundedParts() {
@@ -121,7 +111,7 @@
     ),
   );
   const { service, clock } = createPool(scope, endpoints, {
-    createAdmission: options.hasAdmission ? createStubAdmission : createOpenAdmission,
+    createAdmission: options.hasAdmission ? createAdmission : createOpenAdmission,
     ...(options.hasAdmission ? {} : createUnboundedParts()),
   });
   await service.open(createOpening(createStubLease(0, 1)));
@@ -283,7 +273,7 @@
  * @param options length of the run
  * @returns rows
  */
-export async function collectInteractiveRows(options: InteractiveRowsOptions): Promise<BenchRow[]> {
+export async function collectInteractiveRows(options: BenchOptions): Promise<BenchRow[]> {
   const milliseconds = options.isShort ? SHORT_LOAD_MILLISECONDS : LONG_LOAD_MILLISECONDS;
   const rows: BenchRow[] = [];
   await warmUp();
--- a/packages/daemon/src/__tests__/endpointPool.test.ts
+++ b/packages/daemon/src/__tests__/endpointPool.test.ts
@@ -2,6 +2,7 @@
 
 import { createRetryBudget } from '@chicorybend/common';
 import type { EndpointRequest } from '@chicorybend/common';
+import { createRequestQueue as createFairQueue } from '@chicorybend/decisions';
 import type { QueuedRequest } from '@chicorybend/decisions';
 
 import type { TrackedWork } from '../core/endpointWork.js';
@@ -11,7 +12,6 @@
   createOpening,
   createPool,
   createStubLease,
-  createStubQueue,
   createWork,
   pause,
   startEndpoint,
@@ -557,7 +557,7 @@
     const queuedUntil: number[] = [];
     const { clock, service } = createPool(t, [endpoint], {
       createRequestQueue(options) {
-        const queue = createStubQueue<TrackedWork>(options);
+        const queue = createFairQueue<TrackedWork>(options);
         return {
           ...queue,
           push(request) {
@@ -581,7 +581,7 @@
     const endpoint = await startEndpoint(t, 'e1');
     const { clock, service } = createPool(t, [endpoint], {
       createRequestQueue(options) {
-        const queue = createStubQueue<TrackedWork>(options);
+        const queue = createFairQueue<TrackedWork>(options);
         let dropped: QueuedRequest<TrackedWork>[] = [];
         return {
           ...queue,
--- a/packages/daemon/src/__tests__/interactiveStubs.ts
+++ b/packages/daemon/src/__tests__/interactiveStubs.ts
@@ -15,7 +15,8 @@
   partitionOf,
 } from '@chicorybend/common';
 import type { Clock, Configuration, EndpointRequest, VmRecord } from '@chicorybend/common';
-import type { Admission, QueuedRequest, RequestQueue } from '@chicorybend/decisions';
+import { createAdmission, createRequestQueue } from '@chicorybend/decisions';
+import type { Admission } from '@chicorybend/decisions';
 
 import { createEndpointService } from '../core/endpointPool.js';
 import type { EndpointServiceOptions } from '../core/endpointPool.js';
@@ -28,57 +29,9 @@
 
 export const HOST = '127.0.0.1';
 
-/** First-in-first-out stand-in of the fair queue. */
-export function createStubQueue<Item>(options: {
-  maximumPerTeam: number;
-  expectedServiceMilliseconds: () => number;
-}): RequestQueue<Item> {
-  let items: QueuedRequest<Item>[] = [];
-  const isServable = (request: QueuedRequest<Item>, now: number) =>
-    request.deadlineAt - options.expectedServiceMilliseconds() > now;
-  const sizeOf = (team: string) => items.filter((item) => item.team === team).length;
-  return {
-    sizeOf,
-    size: () => items.length,
-    setShares: () => undefined,
-    push(request) {
-      if (sizeOf(request.team) >= options.maximumPerTeam) return false;
-      items.push(request);
-      return true;
-    },
-    shift(now) {
-      const index = items.findIndex((item) => isServable(item, now));
-      return index < 0 ? null : (items.splice(index, 1)[0] ?? null);
-    },
-    expire(now) {
-      const expired = items.filter((item) => !isServable(item, now));
-      items = items.filter((item) => isServable(item, now));
-      return expired;
-    },
-  };
-}
-
-const SERVICE_WEIGHT = 0.1;
-
-/** Stand-in of the admission by deadline. */
-export function createStubAdmission(options: { initialServiceMilliseconds: number }): Admission {
-  let service = options.initialServiceMilliseconds;
-  return {
-    expectedServiceMilliseconds: () => service,
-    recordService(milliseconds) {
-      service += SERVICE_WEIGHT * (milliseconds - service);
-    },
-    decide(queued, slots, remainingMilliseconds) {
-      const needed = (queued / slots) * service + service;
-      if (needed <= remainingMilliseconds) return { kind: 'admit' };
-      return { kind: 'refuse', retryAfterMilliseconds: needed - remainingMilliseconds };
-    },
-  };
-}
-
 /** Admission that lets everything in, as a baseline. */
 export function createOpenAdmission(options: { initialServiceMilliseconds: number }): Admission {
-  return { ...createStubAdmission(options), decide: () => ({ kind: 'admit' }) };
+  return { ...createAdmission(options), decide: () => ({ kind: 'admit' }) };
 }
 
 /** Where parts register how they are closed: a test, or the end of a benchmark. */
@@ -386,8 +339,8 @@
     partitionCount,
     localAddress: HOST,
     retryBudget: createRetryBudget(0.1, 20),
-    createAdmission: createStubAdmission,
-    createRequestQueue: createStubQueue,
+    createAdmission,
+    createRequestQueue,
     ...options,
   });
   t.teardown(() => {
--- a/packages/decisions/src/__performance_tests__/cancellationRows.ts
+++ b/packages/decisions/src/__performance_tests__/cancellationRows.ts
@@ -1,8 +1,8 @@
 import { performance } from 'node:perf_hooks';
 
+import type { BenchOptions, BenchRow } from '@chicorybend/common';
 import { createQueueOrderPolicy, createTaskQueue } from '../index.js';
 import type { TaskQueue } from '../index.js';
-import type { BenchOptions, BenchRow } from './benchRow.js';
 import { createRandom, drawTaskSize } from './fleet.js';
 
 const SEED = 2;
--- a/packages/decisions/src/__performance_tests__/decisionRows.ts
+++ b/packages/decisions/src/__performance_tests__/decisionRows.ts
@@ -1,10 +1,10 @@
-import type { BenchOptions, BenchRow } from './benchRow.js';
+import type { BenchOptions, BenchRow } from '@chicorybend/common';
 import { collectCancellationRows } from './cancellationRows.js';
 import { collectFullPoolRows } from './fullPoolRows.js';
 import { collectPlacementRows } from './placementRows.js';
 import { collectReplayRows } from './replayRows.js';
 
-export type { BenchOptions, BenchRow } from './benchRow.js';
+export type { BenchOptions, BenchRow } from '@chicorybend/common';
 
 /**
  * Measures the decisions.
--- a/packages/decisions/src/__performance_tests__/fullPoolRows.ts
+++ b/packages/decisions/src/__performance_tests__/fullPoolRows.ts
@@ -2,9 +2,9 @@
 
 import { build } from 'hdr-histogram-js';
 
+import type { BenchOptions, BenchRow } from '@chicorybend/common';
 import { createBestFitPolicy, createWorkerPool } from '../index.js';
 import type { WorkerPool } from '../index.js';
-import type { BenchOptions, BenchRow } from './benchRow.js';
 import { createFleet, createRandom, drawTaskSize } from './fleet.js';
 import type { Random } from './fleet.js';
 
--- a/packages/decisions/src/__performance_tests__/placementRows.ts
+++ b/packages/decisions/src/__performance_tests__/placementRows.ts
@@ -1,6 +1,6 @@
 import { performance } from 'node:perf_hooks';
 
-import type { Resources } from '@chicorybend/common';
+import type { Resources, BenchOptions, BenchRow } from '@chicorybend/common';
 import { build } from 'hdr-histogram-js';
 
 import {
@@ -10,7 +10,6 @@
   createWorkerPool,
 } from '../index.js';
 import type { QueuedWork, TaskQueue, WorkerPool } from '../index.js';
-import type { BenchOptions, BenchRow } from './benchRow.js';
 import { createFleet, createRandom, drawTaskSize } from './fleet.js';
 import type { Random } from './fleet.js';
 
--- a/packages/decisions/src/__performance_tests__/replayRows.ts
+++ b/packages/decisions/src/__performance_tests__/replayRows.ts
@@ -1,3 +1,4 @@
+import type { BenchOptions, BenchRow } from '@chicorybend/common';
 import {
   createBestFitPolicy,
   createFirstFitPolicy,
@@ -5,7 +6,6 @@
   createRandomPolicy,
 } from '../index.js';
 import type { QueuedWork, QueueOrderPolicy } from '../index.js';
-import type { BenchOptions, BenchRow } from './benchRow.js';
 import { createRandom } from './fleet.js';
 import { runReplay } from './replay.js';
 import type { ReplayResult, ReplayVariant } from './replay.js';
