--- a/packages/client/src/core/teamCommands.ts
+++ b/packages/client/src/core/teamCommands.ts
@@ -31,22 +31,30 @@
     );
 }
 
+interface ListOptions<Value> {
+  readonly isWanted?: (value: Value) => boolean;
+  /** Prints only the names, one on each line. */
+  readonly isQuiet?: boolean;
+}
+
 async function list<Value>(
   session: Session,
   kind: SectionKind,
   head: readonly string[],
   toCells: (name: string, value: Value, section: string) => Cells,
-  isWanted: (value: Value) => boolean = () => true,
+  { isWanted = () => true, isQuiet = false }: ListOptions<Value> = {},
 ): Promise<CommandOutcome> {
   const stored = await readConfiguration(session);
   if (stored.isErr()) return stored;
   const entries = collect<Value>(stored.value, kind).filter(([, , value]) => isWanted(value));
   session.show(
     entries.map(([section, name, value]) => ({ section, name, ...value })),
-    drawTable(
-      head,
-      entries.map(([section, name, value]) => toCells(name, value, section)),
-    ),
+    isQuiet
+      ? entries.map(([, name]) => name).join('\n')
+      : drawTable(
+          head,
+          entries.map(([section, name, value]) => toCells(name, value, section)),
+        ),
   );
   return DONE;
 }
@@ -98,6 +106,7 @@
   session: Session,
   team: string,
   section: string | undefined,
+  isQuiet: boolean,
 ): Promise<CommandOutcome> {
   if (section !== undefined && sectionKindOf(section) !== 'keys') {
     return Err(usageProblem('--section must be keys or keys/<group>.'));
@@ -110,7 +119,7 @@
   if (answer.isErr()) return answer;
   const { keyId, key } = answer.value;
   const text = `Key ${keyId} of team ${team}, shown only now:\n${key}\n${formatChange(answer.value)}`;
-  session.show(answer.value, text);
+  session.show(answer.value, isQuiet ? key : text);
   return DONE;
 }
 
@@ -133,18 +142,27 @@
       args: {
         team: { type: 'positional', description: 'Team', required: true },
         section: { type: 'string', description: 'Section for the key: keys or keys/<group>' },
+        quiet: { type: 'boolean', description: 'Print only the text of the key' },
       },
       examples: [
         'chicorybend keys issue harbour',
+        'chicorybend keys issue harbour --quiet',
         'chicorybend keys issue harbour --section keys/harbour',
       ],
-      run: (session, args) => issueKey(session, args.team, args.section),
+      run: (session, args) => issueKey(session, args.team, args.section, args.quiet ?? false),
     }),
     list: createCommand(context, {
       name: 'list',
       description: 'List the keys',
-      args: { team: { type: 'string', description: 'Only keys of this team' } },
-      examples: ['chicorybend keys list', 'chicorybend keys list --team harbour'],
+      args: {
+        team: { type: 'string', description: 'Only keys of this team' },
+        quiet: { type: 'boolean', description: 'Print only the ids of the keys' },
+      },
+      examples: [
+        'chicorybend keys list',
+        'chicorybend keys list --team harbour',
+        'chicorybend keys list --team harbour --quiet',
+      ],
       run: (session, args) =>
         list<KeyRecord>(
           session,
@@ -158,7 +176,10 @@
             key.revokedAt === undefined ? '-' : formatTime(key.revokedAt),
             section,
           ],
-          (key) => args.team === undefined || key.team === args.team,
+          {
+            isWanted: (key) => args.team === undefined || key.team === args.team,
+            isQuiet: args.quiet ?? false,
+          },
         ),
     }),
     revoke: createCommand(context, {
--- a/packages/client/src/core/workCommands.ts
+++ b/packages/client/src/core/workCommands.ts
@@ -1,3 +1,5 @@
+import { setTimeout as delay } from 'node:timers/promises';
+
 import { Err, Ok } from '@chicorybend/common';
 import type { InteractiveResponse, JobState, JobView, Result } from '@chicorybend/common';
 import type { CommandDef } from 'citty';
@@ -16,8 +18,13 @@
 
 /** One long poll of a job's result, in milliseconds. */
 const WAIT_MILLISECONDS = 10_000;
+/** Time between two looks at a job whose start is awaited, in milliseconds. */
+const POLL_MILLISECONDS = 250;
 const ENDED: ReadonlySet<JobState> = new Set(['succeeded', 'failed', 'cancelled', 'unknown']);
 
+/** State that a wait is for. */
+type WaitTarget = 'ended' | 'running';
+
 const JOB_ARGS = {
   id: { type: 'positional', description: 'Job id', required: true },
 } as const;
@@ -85,6 +92,7 @@
   readonly 'expected-run-milliseconds': string;
   readonly idempotent?: boolean | undefined;
   readonly urgent?: boolean | undefined;
+  readonly quiet?: boolean | undefined;
   readonly 'idempotency-key'?: string | undefined;
 }
 
@@ -127,7 +135,8 @@
     headers: { 'idempotency-key': key },
   });
   if (answer.isErr()) return withKey<ExitCode>(answer, key);
-  session.show(answer.value, `Job ${answer.value.jobId} is accepted.`);
+  const { jobId } = answer.value;
+  session.show(answer.value, args.quiet ? jobId : `Job ${jobId} is accepted.`);
   return DONE;
 }
 
@@ -142,19 +151,43 @@
   return DONE;
 }
 
+/** Asks for the job until it has ended, or once after a pause if its start is awaited. */
+async function pollJob(
+  session: Session,
+  jobId: string,
+  until: WaitTarget,
+  remainingMilliseconds: number,
+): Promise<Result<JobView, Problem>> {
+  const path = `/v1/jobs/${encodeURIComponent(jobId)}`;
+  if (until === 'running') {
+    await delay(Math.min(POLL_MILLISECONDS, remainingMilliseconds));
+    return session.callAsCaller<JobView>({ method: 'GET', path });
+  }
+  const wait = Math.floor(Math.min(WAIT_MILLISECONDS, remainingMilliseconds));
+  const query = `waitMilliseconds=${wait}`;
+  return session.callAsCaller<JobView>({ method: 'GET', path: `${path}/result?${query}` });
+}
+
+function isRunning(job: JobView): boolean {
+  return job.state === 'running' && job.tasks.every((task) => task.state === 'running');
+}
+
 async function waitForJob(
   session: Session,
   jobId: string,
+  until: WaitTarget,
   timeoutMilliseconds: number,
 ): Promise<CommandOutcome> {
   const deadline = performance.now() + timeoutMilliseconds;
   for (;;) {
     const remaining = Math.max(0, deadline - performance.now());
-    const wait = Math.floor(Math.min(WAIT_MILLISECONDS, remaining));
-    const path = `/v1/jobs/${encodeURIComponent(jobId)}/result?waitMilliseconds=${wait}`;
-    const answer = await session.callAsCaller<JobView>({ method: 'GET', path });
+    const answer = await pollJob(session, jobId, until, remaining);
     if (answer.isErr()) return answer;
     const job = answer.value;
+    if (until === 'running' && isRunning(job)) {
+      session.show(job, formatJob(job));
+      return DONE;
+    }
     if (ENDED.has(job.state)) {
       session.show(job, formatJob(job));
       return Ok(exitCodeOf(job.state));
@@ -212,8 +245,10 @@
           default: '60000',
         },
         urgent: { type: 'boolean', description: 'Start before other work' },
+        quiet: { type: 'boolean', description: 'Print only the id of the job' },
       },
       examples: [
+        'chicorybend jobs submit --queue sorting --quiet',
         'chicorybend jobs submit --queue sorting --tasks 4 --processors 2 --payload \'{"barge":17}\'',
       ],
       run: (session, args) => submitJob(session, args),
@@ -227,15 +262,24 @@
     }),
     wait: createCommand(context, {
       name: 'wait',
-      description: 'Wait until a job has ended; exit code 0 if it succeeded',
+      description: 'Wait until a job has ended, with exit code 0 if it succeeded, or until it runs',
       args: {
         ...JOB_ARGS,
+        until: {
+          type: 'enum',
+          options: ['ended', 'running'],
+          default: 'ended',
+          description: 'State to wait for; a service runs until it is cancelled',
+        },
         timeout: { type: 'string', description: 'Time to wait, in milliseconds', default: '60000' },
       },
-      examples: ['chicorybend jobs wait 3-018f2c9e-7a51-7c3d-9b1e-2f64d0a8c511 --timeout 30000'],
+      examples: [
+        'chicorybend jobs wait 3-018f2c9e-7a51-7c3d-9b1e-2f64d0a8c511 --timeout 30000',
+        'chicorybend jobs wait 3-018f2c9e-7a51-7c3d-9b1e-2f64d0a8c511 --until running',
+      ],
       async run(session, args) {
         const timeout = parseNumber('timeout', args.timeout);
-        return timeout.isErr() ? timeout : waitForJob(session, args.id, timeout.value);
+        return timeout.isErr() ? timeout : waitForJob(session, args.id, args.until, timeout.value);
       },
     }),
     cancel: createCommand(context, {
--- a/packages/proving/src/core/localCell.ts
+++ b/packages/proving/src/core/localCell.ts
@@ -20,6 +20,8 @@
   readonly plan: CellPlan;
   /** Program of the daemons; the built daemon by default. */
   readonly program?: string;
+  /** Preferred port of the daemons' HTTP interfaces; free ones if it is absent or taken. */
+  readonly apiPort?: number;
   /** Further flags of each daemon. */
   readonly extraArguments?: readonly string[];
   /** Time until all daemons must be ready, in milliseconds. */
@@ -106,6 +108,7 @@
     partitions: options.plan.partitions,
     outputFolder,
     program: options.program ?? DAEMON_PROGRAM,
+    ...(options.apiPort === undefined ? {} : { apiPort: options.apiPort }),
     extraArguments: options.extraArguments ?? [],
   };
   return Promise.all(
--- a/packages/proving/src/core/localDaemon.ts
+++ b/packages/proving/src/core/localDaemon.ts
@@ -40,6 +40,8 @@
   readonly partitions: number;
   readonly outputFolder: string;
   readonly program?: string;
+  /** Preferred port of the HTTP interface; a free one if it is absent or taken. */
+  readonly apiPort?: number;
   /** Further flags of each daemon. */
   readonly extraArguments?: readonly string[];
 }
@@ -64,6 +66,21 @@
   return port;
 }
 
+/** Takes the preferred port if nothing listens on it, and a free one otherwise. */
+async function chooseApiPort(host: string, preferred: number | undefined): Promise<number> {
+  if (preferred === undefined || preferred === 0) return reservePort(host);
+  const server = createServer();
+  const isFree = await new Promise<boolean>((resolve) => {
+    server.once('error', () => resolve(false));
+    server.listen({ host, port: preferred }, () => resolve(true));
+  });
+  if (!isFree) return reservePort(host);
+  await new Promise((resolve) => {
+    server.close(resolve);
+  });
+  return preferred;
+}
+
 async function isHealthy(apiAddress: string, path: string): Promise<boolean> {
   try {
     const response = await request(`${apiAddress}${path}`, {
@@ -88,7 +105,7 @@
   shared: SharedDaemonSettings,
 ): Promise<LocalDaemon> {
   const { id, dataCentre, host } = place;
-  const apiPort = await reservePort(host);
+  const apiPort = await chooseApiPort(host, shared.apiPort);
   const peerPort = await reservePort(host);
   const store = new URL(shared.storeAddress);
   const peerRelay = await startRelay({ host, targetHost: host, targetPort: peerPort });
--- a/scripts/run.mjs
+++ b/scripts/run.mjs
@@ -52,6 +52,8 @@
 
 function runProving(program, programArguments) {
   build();
+  // On Ctrl-C the program ends by its own handler; without a listener this process would end before it.
+  process.on('SIGINT', () => {});
   return run('node', [`packages/proving/dist/${program}.js`, ...programArguments]);
 }
 
