--- a/packages/client/src/core/workCommands.ts
+++ b/packages/client/src/core/workCommands.ts
@@ -1,7 +1,13 @@
 import { setTimeout as delay } from 'node:timers/promises';
 
 import { Err, Ok } from '@chicorybend/common';
-import type { InteractiveResponse, JobState, JobView, Result } from '@chicorybend/common';
+import type {
+  InteractiveResponse,
+  JobState,
+  JobView,
+  Result,
+  TaskState,
+} from '@chicorybend/common';
 import type { CommandDef } from 'citty';
 import { v7 as createUuid } from 'uuid';
 
@@ -21,6 +27,7 @@
 /** Time between two looks at a job whose start is awaited, in milliseconds. */
 const POLL_MILLISECONDS = 250;
 const ENDED: ReadonlySet<JobState> = new Set(['succeeded', 'failed', 'cancelled', 'unknown']);
+const STARTED: ReadonlySet<TaskState> = new Set(['running', 'succeeded']);
 
 /** State that a wait is for. */
 type WaitTarget = 'ended' | 'running';
@@ -169,7 +176,7 @@
 }
 
 function isRunning(job: JobView): boolean {
-  return job.state === 'running' && job.tasks.every((task) => task.state === 'running');
+  return job.state === 'running' && job.tasks.every(({ state }) => STARTED.has(state));
 }
 
 async function waitForJob(
