Run the README's first hour as a test

The test runs the commands of the section as printed in one shell against 'npm run cell' on free ports, and checks exit codes and key facts. Found on the way and changed in the client: memory of workers in bytes, an unknown section printed as an empty document, and no next step for a queue of another kind.

--- a/packages/client/src/__tests__/client.test.ts
+++ b/packages/client/src/__tests__/client.test.ts
@@ -1,4 +1,5 @@
 import { spawnSync } from 'node:child_process';
+import { readFileSync } from 'node:fs';
 import { fileURLToPath } from 'node:url';
 
 import test from 'ava';
@@ -8,6 +9,7 @@
 import type { ClientCell } from './clientCell.js';
 
 const MAIN = fileURLToPath(new URL('../main.js', import.meta.url));
+const PACKAGE = fileURLToPath(new URL('../../', import.meta.url));
 const UNUSED_ADDRESS = 'http://127.0.0.1:1';
 
 interface ConfigurationFile {
@@ -155,6 +157,39 @@
   t.is((await cell.run('jobs', 'wait', 'failed-job')).exitCode, EXIT_CODES.refused);
 });
 
+test('a wait for the start of a job ends once all its tasks run, or after the time to wait', async (t) => {
+  const cell = await createClientCell(t);
+  const waitFor = (id: string) =>
+    cell.run('jobs', 'wait', id, '--until', 'running', '--timeout', '600');
+  const running = await waitFor('running-job');
+  t.is(running.exitCode, EXIT_CODES.success, running.errors);
+  t.regex(running.output, /Job running-job: running/);
+  const starting = await waitFor('starting-job');
+  t.is(starting.exitCode, EXIT_CODES.refused);
+  t.regex(starting.errors, /Job starting-job is running after the time to wait/);
+  t.regex(starting.errors, /Next: Run "chicorybend jobs wait starting-job --until running" again/);
+  t.is((await waitFor('failed-job')).exitCode, EXIT_CODES.refused);
+});
+
+test('--quiet prints only what the next command needs', async (t) => {
+  const cell = await createClientCell(t);
+  const submitted = await cell.run('jobs', 'submit', '--queue', 'sorting', '--quiet');
+  t.is(submitted.output, '3-1');
+  const issued = await cell.run('keys', 'issue', 'harbour', '--quiet');
+  t.regex(issued.output, /^cb_[0-9a-f]+_\S+$/);
+  t.true(cell.service.authenticate(issued.output).isOk());
+  const listed = await cell.run('keys', 'list', '--team', 'harbour', '--quiet');
+  const issuedId = issued.output.split('_')[1] ?? '';
+  t.deepEqual(listed.output.split('\n').sort(), ['4f2a91c0d3e7', issuedId].sort());
+});
+
+test('"config get" refuses a section that is not there and names those that are', async (t) => {
+  const cell = await createClientCell(t);
+  const run = await cell.run('config', 'get', '--section', 'team');
+  t.is(run.exitCode, EXIT_CODES.refused);
+  t.regex(run.errors, /There is no section team\.\nNext: .*policy.*teams/);
+});
+
 test('usage is printed as table, JSON and CSV, and partitions without an answer are named', async (t) => {
   const cell = await createClientCell(t);
   const csv = await cell.run('usage', '--csv');
@@ -174,3 +209,13 @@
   });
   t.is(wrong.status, EXIT_CODES.unreachable);
 });
+
+test('the file that npm links as the program is in the repository, can be executed and runs the client', (t) => {
+  const { bin } = JSON.parse(readFileSync(`${PACKAGE}package.json`, 'utf8')) as {
+    bin: { chicorybend: string };
+  };
+  t.false(bin.chicorybend.startsWith('dist/'), 'npm links no file that only a build makes');
+  const help = spawnSync(`${PACKAGE}${bin.chicorybend}`, ['--help'], { encoding: 'utf8' });
+  t.is(help.status, EXIT_CODES.success, help.error?.message);
+  t.true(help.stdout.includes('EXIT CODES'));
+});
--- a/packages/client/src/__tests__/clientCell.ts
+++ b/packages/client/src/__tests__/clientCell.ts
@@ -6,7 +6,7 @@
   Ok,
   sha256,
 } from '@chicorybend/common';
-import type { JobView } from '@chicorybend/common';
+import type { JobState, JobView, TaskState } from '@chicorybend/common';
 import { startStoreStandIn } from '@chicorybend/standins';
 import type { ExecutionContext } from 'ava';
 import { createConfigurationService, registerOperatorApi } from 'chicorybendd';
@@ -84,17 +84,24 @@
   };
 }
 
+/** States of jobs that a test asks for by id, with the state of the second task. */
+const JOB_STATES: Readonly<Record<string, readonly [JobState, TaskState]>> = {
+  'failed-job': ['failed', 'failed'],
+  'running-job': ['running', 'running'],
+  'starting-job': ['running', 'pending'],
+};
+
 /** Stands in for the callers' routes, which belong to another module. */
 function addCallerRoutes(server: FastifyInstance): void {
-  const job = (jobId: string): JobView => ({
-    jobId,
-    team: 'harbour',
-    queue: 'sorting',
-    kind: 'batch',
-    state: jobId === 'failed-job' ? 'failed' : 'succeeded',
-    acceptedAt: 1,
-    tasks: [{ taskId: `${jobId}/0`, state: 'succeeded', attempt: 1, workerId: 'worker-1' }],
-  });
+  const job = (jobId: string): JobView => {
+    const [state, taskState] = JOB_STATES[jobId] ?? ['succeeded', 'succeeded'];
+    const task = { attempt: 1, workerId: 'worker-1' };
+    const tasks = [
+      { ...task, taskId: `${jobId}/0`, state: 'succeeded' as const },
+      { ...task, taskId: `${jobId}/1`, state: taskState },
+    ];
+    return { jobId, team: 'harbour', queue: 'sorting', kind: 'batch', state, acceptedAt: 1, tasks };
+  };
   const idOf = (parameters: unknown) => (parameters as { id: string }).id;
   server.post('/v1/requests', async () => ({ requestId: '1', endpointId: 'ledger-1', result: 7 }));
   server.post('/v1/jobs', (_, reply) => reply.status(201).send({ jobId: '3-1' }));
--- a/packages/client/src/core/configCommands.ts
+++ b/packages/client/src/core/configCommands.ts
@@ -11,6 +11,7 @@
 import type { CommandContext } from './commandLine.js';
 import { describeFile, readEdit } from './configurationFile.js';
 import type { ConfigurationEdit } from './configurationFile.js';
+import { EXIT_CODES } from './exitCodes.js';
 import { usageProblem } from './problem.js';
 import type { Problem } from './problem.js';
 import { DONE, drawTable, formatTime } from './session.js';
@@ -105,6 +106,14 @@
   const stored = await readConfiguration(session);
   if (stored.isErr()) return stored;
   const { revision, sections } = stored.value;
+  if (section !== undefined && !Object.hasOwn(sections, section)) {
+    return Err({
+      exitCode: EXIT_CODES.refused,
+      message: `There is no section ${section}.`,
+      details: [],
+      nextStep: `Choose one of ${Object.keys(sections).join(', ')}.`,
+    });
+  }
   const chosen = Object.entries(sections).filter(
     ([name]) => section === undefined || name === section,
   );
--- a/packages/client/src/core/problem.ts
+++ b/packages/client/src/core/problem.ts
@@ -28,6 +28,7 @@
   'unknown-key': 'Run "chicorybend keys list" for the ids of the keys.',
   'unknown-team': 'Run "chicorybend teams list" for the names of the teams.',
   'unknown-queue': 'Run "chicorybend queues list" for the names of the queues.',
+  'wrong-queue-kind': 'Run "chicorybend queues list" for the kinds of the queues.',
   'unknown-daemon': 'Run "chicorybend daemons list" for the ids of the daemons.',
   'unknown-job': 'Check the job id, and that the key belongs to the team of the job.',
   'missing-key': 'Set --key (CHICORYBEND_KEY) to a key of an allowed team.',
--- a/packages/client/src/core/reportCommands.ts
+++ b/packages/client/src/core/reportCommands.ts
@@ -56,6 +56,8 @@
   readonly sections: readonly string[];
 }
 
+const BYTES_PER_GIBIBYTE = 1_073_741_824;
+
 const USAGE_HEAD = [
   'hour',
   'team',
@@ -93,7 +95,9 @@
 }
 
 function formatResources(resources: Resources): string {
-  return `${resources.processors} cores, ${resources.memoryBytes} B, ${resources.accelerators} accelerators`;
+  const { processors, memoryBytes, accelerators } = resources;
+  const gibibytes = Math.round((memoryBytes / BYTES_PER_GIBIBYTE) * 100) / 100;
+  return `${processors} cores, ${gibibytes} GiB, ${accelerators} accelerators`;
 }
 
 /** @returns group `workers` */
--- a/packages/client/src/core/workCommands.ts
+++ b/packages/client/src/core/workCommands.ts
@@ -204,7 +204,7 @@
         exitCode: EXIT_CODES.refused,
         message: `Job ${jobId} is ${job.state} after the time to wait.`,
         details: [],
-        nextStep: `Run "chicorybend jobs wait ${jobId}" again.`,
+        nextStep: `Run "chicorybend jobs wait ${jobId}${until === 'running' ? ' --until running' : ''}" again.`,
       });
     }
   }
--- /dev/null
+++ b/packages/proving/src/__tests__/readme.ts
@@ -0,0 +1,35 @@
+import { readFileSync } from 'node:fs';
+import { fileURLToPath } from 'node:url';
+
+/** Folder of the workspace. */
+export const WORKSPACE = fileURLToPath(new URL('../../../../', import.meta.url));
+
+const SECTION_TITLE = '## A first hour for an operator';
+const CODE_BLOCK = /^```sh\n(.*?)^```$/gms;
+
+/** A command is complete when its quotes are closed. */
+function isComplete(command: string): boolean {
+  return command.split("'").length % 2 === 1;
+}
+
+function splitCommands(block: string): string[] {
+  const commands: string[] = [];
+  let lines: string[] = [];
+  block
+    .trimEnd()
+    .split('\n')
+    .forEach((line) => {
+      lines.push(line);
+      if (!isComplete(lines.join('\n'))) return;
+      commands.push(lines.join('\n'));
+      lines = [];
+    });
+  return [...commands, ...(lines.length > 0 ? [lines.join('\n')] : [])];
+}
+
+/** @returns the commands of the README's first hour, as printed and in order */
+export function readFirstHour(): readonly string[] {
+  const text = readFileSync(`${WORKSPACE}README.md`, 'utf8');
+  const section = text.slice(text.indexOf(SECTION_TITLE)).split(/\n(?=## )/)[0] ?? '';
+  return [...section.matchAll(CODE_BLOCK)].flatMap(([, block = '']) => splitCommands(block));
+}
--- /dev/null
+++ b/packages/proving/src/__tests__/shellRun.ts
@@ -0,0 +1,65 @@
+import { spawn } from 'node:child_process';
+
+import { WORKSPACE } from './readme.js';
+
+/** A command that ran, with its exit code and what it printed. */
+export interface CommandRun {
+  readonly command: string;
+  /** Null if the command did not end before the limit. */
+  readonly exitCode: number | null;
+  /** Standard output and standard error. */
+  readonly output: string;
+}
+
+const MARK = '::end of command::';
+
+function toScript(commands: readonly string[]): string {
+  return commands.map((command) => `${command}\nprintf '\\n${MARK}%s\\n' "$?"\n`).join('');
+}
+
+function toRuns(commands: readonly string[], output: string): CommandRun[] {
+  const parts = output.split(MARK);
+  return commands.map((command, index) => {
+    const [, ...lines] = (index === 0 ? `\n${parts[0]}` : (parts[index] ?? '')).split('\n');
+    const end = parts[index + 1];
+    return {
+      command,
+      exitCode: end === undefined ? null : Number.parseInt(end, 10),
+      output: lines.join('\n'),
+    };
+  });
+}
+
+/**
+ * Runs commands one after the other in one shell, in the folder of the workspace.
+ *
+ * @param commands command lines
+ * @param variables environment variables besides those of this process
+ * @param limitMilliseconds time after which the shell and its children are killed, in milliseconds
+ * @returns exit code and output of each command
+ */
+export async function runInShell(
+  commands: readonly string[],
+  variables: Readonly<Record<string, string>>,
+  limitMilliseconds: number,
+): Promise<readonly CommandRun[]> {
+  const shell = spawn('bash', ['-c', `exec 2>&1\n${toScript(commands)}`], {
+    cwd: WORKSPACE,
+    env: { ...process.env, ...variables },
+    stdio: ['ignore', 'pipe', 'inherit'],
+    detached: true,
+  });
+  let output = '';
+  shell.stdout.setEncoding('utf8').on('data', (text: string) => {
+    output += text;
+  });
+  // The shell leads a process group of its own, so that a client that hangs ends with it.
+  const timer = setTimeout(() => {
+    if (shell.pid !== undefined) process.kill(-shell.pid, 'SIGKILL');
+  }, limitMilliseconds);
+  await new Promise((resolve) => {
+    shell.once('close', resolve);
+  });
+  clearTimeout(timer);
+  return toRuns(commands, output);
+}
--- /dev/null
+++ b/packages/proving/src/__tests__/walkthrough.test.ts
@@ -0,0 +1,126 @@
+import { existsSync } from 'node:fs';
+
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+
+import { waitUntil } from '../index.js';
+import { startCellProgram } from './cellProgram.js';
+import { readFirstHour } from './readme.js';
+import { runInShell } from './shellRun.js';
+import type { CommandRun } from './shellRun.js';
+
+const TEST_LIMIT_MILLISECONDS = 420_000;
+const COMMANDS_LIMIT_MILLISECONDS = 300_000;
+const COMMAND_LIMIT_MILLISECONDS = 30_000;
+const LEAVE_LIMIT_MILLISECONDS = 45_000;
+const DAEMONS = 6;
+
+/** What a command of the README has to do. Exit code 0 is the default. */
+interface Expectation {
+  /** Beginning of the command. */
+  readonly command: string;
+  readonly exitCode?: number;
+  readonly facts?: readonly RegExp[];
+}
+
+/** In the README's order. Each command that is not named here has to end with exit code 0. */
+const EXPECTATIONS: readonly Expectation[] = [
+  { command: 'npx chicorybend daemons list', facts: [/entry-1 .* serving/, /entry-6 .* serving/] },
+  { command: 'npx chicorybend workers list', facts: [/worker-01 .* live .* 128 GiB/] },
+  { command: 'npx chicorybend queues list', facts: [/bench-entries .* interactive .* keyed/] },
+  { command: 'npx chicorybend teams list', facts: [/taoyuan-works .* 8 .* 400 .* 160/] },
+  { command: 'npx chicorybend config get', facts: [/Wrote revision 1 to/] },
+  {
+    command: 'npx chicorybend config diff',
+    facts: [/teams\.night-bench: - -> \{"share":1,"limits":\{"tasks":20,"requests":8\}\}/],
+  },
+  { command: 'npx chicorybend config check', facts: [/The change is valid/] },
+  {
+    command: 'npx chicorybend config apply',
+    facts: [new RegExp(`Revision 2 is in effect on ${DAEMONS} of ${DAEMONS} daemons`)],
+  },
+  { command: 'npx chicorybend config history', facts: [/2 .* bootstrap .* teams/] },
+  { command: 'npx chicorybend keys list --team night-bench', facts: [/night-bench .* bootstrap/] },
+  { command: 'npx chicorybend requests send', facts: [/Answered by ledger-\d+:\n"entered"/] },
+  { command: 'npx chicorybend jobs wait "$BATCH"', facts: [/: succeeded\n/, /\/3 .* succeeded/] },
+  { command: 'npx chicorybend jobs wait "$GANG"', facts: [/: succeeded\n/, /\/5 .* succeeded/] },
+  {
+    command: 'npx chicorybend jobs wait "$SERVICE" --until running',
+    facts: [/: running\n/, /\/1 .* running/],
+  },
+  { command: 'npx chicorybend jobs state "$SERVICE"', facts: [/: running\n/] },
+  {
+    command: 'npx chicorybend jobs list --team night-bench',
+    facts: [/certificates .* succeeded/, /ledger-rebuild .* succeeded/, /pressure-watches .* run/],
+  },
+  { command: 'npx chicorybend jobs cancel "$SERVICE"', facts: [/: cancell(ing|ed)\n/] },
+  { command: 'npx chicorybend jobs wait "$SERVICE"', exitCode: 1, facts: [/: cancelled\n/] },
+  { command: 'npx chicorybend keys revoke "$KEY_ID"', facts: [/is revoked\. Revision 4/] },
+  {
+    command: 'npx chicorybend requests send',
+    exitCode: 1,
+    facts: [/has been revoked\.\nNext: Issue a new key/],
+  },
+  { command: 'npx chicorybend daemons drain entry-6', facts: [/entry-6 is draining/] },
+  { command: 'npx chicorybend daemons list', facts: [/entry-1 .* serving/] },
+  {
+    command: 'npx chicorybend usage --team night-bench',
+    facts: [/certificates +│ 4 /, /ledger-rebuild +│ 6 /, /pressure-watches +│ 2 /],
+  },
+  {
+    command: 'npx chicorybend audit',
+    facts: [/daemon\.drain .* entry-6/, /keys\.revoke/, /keys\.issue/, /configuration\.apply/],
+  },
+];
+
+function describe({ command, exitCode, output }: CommandRun): string {
+  return `$ ${command}\n${output}\nexit code ${exitCode}`;
+}
+
+/** Compares the runs with the expectations, both in order. */
+function compare(t: ExecutionContext, runs: readonly CommandRun[]): void {
+  const remaining = [...EXPECTATIONS];
+  runs.forEach((run) => {
+    const isExpected = remaining[0] !== undefined && run.command.startsWith(remaining[0].command);
+    const expectation = isExpected ? remaining.shift() : undefined;
+    t.is(run.exitCode, expectation?.exitCode ?? 0, describe(run));
+    expectation?.facts?.forEach((fact) => t.regex(run.output, fact, describe(run)));
+  });
+  t.deepEqual(
+    remaining.map(({ command }) => command),
+    [],
+    'the README lacks these commands, or has them in another order',
+  );
+}
+
+async function hasLeft(id: string, variables: Readonly<Record<string, string>>): Promise<boolean> {
+  const list = ['npx chicorybend daemons list'];
+  const [run] = await runInShell(list, variables, COMMAND_LIMIT_MILLISECONDS);
+  return run?.exitCode === 0 && !run.output.includes(id);
+}
+
+test('the commands of the first hour in the README work as printed, in order', async (t) => {
+  t.timeout(TEST_LIMIT_MILLISECONDS);
+  const [start, ...commands] = readFirstHour();
+  t.is(start, 'npm run cell');
+  const cell = await startCellProgram(t);
+  const { variables } = cell;
+  t.deepEqual(Object.keys(variables), [
+    'CHICORYBEND_ADDRESS',
+    'CHICORYBEND_OPERATOR',
+    'CHICORYBEND_TOKEN',
+  ]);
+  compare(t, await runInShell(commands, variables, COMMANDS_LIMIT_MILLISECONDS));
+  const isGone = await waitUntil(() => hasLeft('entry-6', variables), LEAVE_LIMIT_MILLISECONDS);
+  t.true(isGone, 'the drained daemon stays in the list');
+  const folder = /^output of the daemons .*: (.*)$/m.exec(cell.output())?.[1] ?? '';
+  t.true(existsSync(folder));
+  t.is(await cell.interrupt(), 0, 'Ctrl-C does not end the cell well');
+  t.false(existsSync(folder), 'the output of the daemons is left behind');
+  const [after] = await runInShell(
+    ['npx chicorybend daemons list'],
+    variables,
+    COMMAND_LIMIT_MILLISECONDS,
+  );
+  t.is(after?.exitCode, 4, 'a daemon is left behind');
+});
