--- a/packages/proving/src/__tests__/localCell.test.ts
+++ b/packages/proving/src/__tests__/localCell.test.ts
@@ -1,8 +1,9 @@
 import { existsSync, rmSync } from 'node:fs';
-import { connect } from 'node:net';
+import { connect, createServer } from 'node:net';
 import type { Socket } from 'node:net';
 import { fileURLToPath } from 'node:url';
 
+import { listenOnStablePort } from '@chicorybend/standins';
 import test from 'ava';
 
 import { createWorkCaller, readExample, startLocalCell, waitUntil } from '../index.js';
@@ -153,3 +154,19 @@
     rmSync(folder, { recursive: true });
   });
 });
+
+test.serial('a daemon whose preferred port is taken listens on another one', async (t) => {
+  const { plan } = readExample('coldline');
+  const occupier = createServer();
+  const apiPort = await listenOnStablePort(occupier, { host: '127.0.0.11' });
+  t.teardown(() => occupier.close());
+  const cell = await startLocalCell({
+    plan: { ...plan, daemons: plan.daemons.slice(0, 2) },
+    program: PROGRAM,
+    apiPort,
+  });
+  t.teardown(() => cell.close());
+  t.is(daemonAt(cell, 0).host, '127.0.0.11');
+  t.not(daemonAt(cell, 0).apiAddress, `http://127.0.0.11:${apiPort}`);
+  t.is(daemonAt(cell, 1).apiAddress, `http://127.0.0.12:${apiPort}`);
+});
--- a/packages/proving/src/index.ts
+++ b/packages/proving/src/index.ts
@@ -53,6 +53,10 @@
 export { applyExample, runDemo } from './core/demoRun.js';
 export type { DemoOptions, DemoOutcome } from './core/demoRun.js';
 
+/** A cell that runs until it is stopped. */
+export { runCell } from './core/cellRun.js';
+export type { CellRunOptions } from './core/cellRun.js';
+
 /** Random faults under load. */
 export { runSoak } from './core/soakRun.js';
 export type { SoakOptions, SoakOutcome } from './core/soakRun.js';
