--- a/packages/proving/src/core/scenarios.ts
+++ b/packages/proving/src/core/scenarios.ts
@@ -13,6 +13,7 @@
 const SECOND_DAEMON = 3;
 const EARLY_MILLISECONDS = 2_000;
 const LATE_MILLISECONDS = 4_000;
+const SILENT_WORKERS = Array.from({ length: 12 }, (_, index) => index + 5);
 
 function fault(
   kind: FaultKind,
@@ -72,11 +73,12 @@
     ],
   },
   {
-    name: 'a worker crashes while a daemon is killed',
+    name: 'a worker crashes and others go silent while a daemon is killed',
     faults: [
       fault('daemon-killed', EARLY_MILLISECONDS, 6_000),
       fault('worker-crashed', EARLY_MILLISECONDS, 3_000),
-      fault('worker-silent', LATE_MILLISECONDS, 5_000, SECOND_DAEMON),
+      // Many, so that some of them run services whose leases have to be waited out.
+      ...SILENT_WORKERS.map((worker) => fault('worker-silent', LATE_MILLISECONDS, 6_000, worker)),
     ],
   },
   {
