Describe the callers' interface and its failures

Cause: the status codes stood in the table of failure texts only, and a wrong operator token was answered as if none had been sent. docs/callers.md lists calls, failures and sending again; a test compares it with the table.

--- a/packages/client/src/__tests__/client.test.ts
+++ b/packages/client/src/__tests__/client.test.ts
@@ -129,7 +129,7 @@
   const cell = await createClientCell(t);
   const wrong = await cell.run('teams', 'list', '--token', 'wrong');
   t.is(wrong.exitCode, EXIT_CODES.refused);
-  t.regex(wrong.errors, /An operator token is required/);
+  t.regex(wrong.errors, /A valid operator token and operator name are required/);
   delete cell.variables.CHICORYBEND_TOKEN;
   const missing = await cell.run('teams', 'list');
   t.is(missing.exitCode, EXIT_CODES.usage);
--- /dev/null
+++ b/packages/common/src/__tests__/failureTable.test.ts
@@ -0,0 +1,34 @@
+import { readFileSync } from 'node:fs';
+
+import test from 'ava';
+
+import { createFailure, FAILURE_TABLE } from '../index.js';
+
+const PAGE = new URL('../../../../docs/callers.md', import.meta.url);
+
+/** Rows of the page as `code | status | run | message`, without the formatter's padding. */
+function readRows(): string[] {
+  return readFileSync(PAGE, 'utf8')
+    .split('\n')
+    .filter((line) => line.startsWith('| `'))
+    .map((line) =>
+      line
+        .split('|')
+        .slice(1, -1)
+        .map((cell) => cell.trim())
+        .join(' | '),
+    );
+}
+
+test("the callers' page lists every failure with its status, outcome and text", (t) => {
+  const rows = new Set(readRows());
+  Object.entries(FAILURE_TABLE).forEach(([code, { status, run, text }]) => {
+    t.true(rows.has(`\`${code}\` | ${status} | ${run} | ${text}`), code);
+  });
+});
+
+test('a failure names the values that it is about', (t) => {
+  const failure = createFailure('unknown-queue', { queue: 'sorting' });
+  t.is(failure.message, 'There is no queue sorting.');
+  t.is(failure.run, 'not-run');
+});
--- a/packages/common/src/utils/errors.ts
+++ b/packages/common/src/utils/errors.ts
@@ -37,7 +37,11 @@
     run: 'not-run',
     text: 'Team {team} may not use queue {queue}.',
   },
-  'operator-required': { status: 401, run: 'not-run', text: 'An operator token is required.' },
+  'operator-required': {
+    status: 401,
+    run: 'not-run',
+    text: 'A valid operator token and operator name are required.',
+  },
   'section-not-allowed': {
     status: 403,
     run: 'not-run',
