Start nothing new while the parts of a lowered limit are over it

Cause: after a limit was lowered each partition used its portion of the sum of all parts as it saw them. A view from before the change was too low, and a portion grew again as other partitions shrank their parts, so a test that lowers a limit after parts had moved charged 7 units of 6.

Change: no unit may be newly used until the ledger, read at the present limits, shows the parts within them; the parts shrink at once after a change; a daemon with an older configuration may not write a ledger that has newer limits.

--- a/packages/daemon/src/core/allotmentLedger.ts
+++ b/packages/daemon/src/core/allotmentLedger.ts
@@ -17,6 +17,8 @@
 /** Value of the store key `allotments/<team>`. */
 export interface AllotmentLedger {
   readonly limits: LimitUnits;
+  /** Revision of the configuration that the limits were last changed by. */
+  readonly revision: number;
   readonly parts: Readonly<Record<string, AllotmentPart>>;
 }
 
@@ -72,10 +74,15 @@
  * a grant; so is half of the tasks, for the first starts, and the rest is granted on demand.
  *
  * @param limits upper limits of the team
+ * @param revision revision of the configuration with these limits
  * @param partitionCount number of partitions
  * @returns the ledger
  */
-export function createLedger(limits: LimitUnits, partitionCount: number): AllotmentLedger {
+export function createLedger(
+  limits: LimitUnits,
+  revision: number,
+  partitionCount: number,
+): AllotmentLedger {
   const parts = Object.fromEntries(
     Array.from({ length: partitionCount }, (_, partition) => [
       String(partition),
@@ -86,7 +93,7 @@
       },
     ]),
   );
-  return { limits, parts };
+  return { limits, revision, parts };
 }
 
 /**
@@ -149,20 +156,34 @@
   return withPart(ledger, partition, { ...part, [dimension]: kept });
 }
 
+/**
+ * @param left limits
+ * @param right other limits
+ * @returns whether they are the same
+ */
+export function isSameLimits(left: LimitUnits, right: LimitUnits): boolean {
+  return LIMIT_DIMENSIONS.every((dimension) => left[dimension] === right[dimension]);
+}
+
 /**
  * Sets the limits of a team. Parts stay; their owners shrink them where the sum is over a limit.
  *
  * @param ledger ledger of a team
- * @param limits new limits
- * @returns the ledger with the new limits
+ * @param limits limits of the configuration in effect
+ * @param revision revision of that configuration
+ * @returns the ledger with the new limits; the same ledger if they are unchanged
  */
-export function setLimits(ledger: AllotmentLedger, limits: LimitUnits): AllotmentLedger {
-  return { ...ledger, limits };
+export function setLimits(
+  ledger: AllotmentLedger,
+  limits: LimitUnits,
+  revision: number,
+): AllotmentLedger {
+  return isSameLimits(ledger.limits, limits) ? ledger : { ...ledger, limits, revision };
 }
 
 /**
- * Computes how many units a partition may have in use: its part, or its portion of the limit while the parts are
- * over the limit.
+ * Computes how many units a partition may have in use. While the parts are over a lowered limit nothing new may
+ * start anywhere: a portion computed from the parts would grow as the other partitions shrink theirs.
  *
  * @param ledger ledger of a team
  * @param partition partition number
@@ -173,9 +194,24 @@
   ledger: AllotmentLedger,
   partition: number,
   dimension: LimitDimension,
+): number {
+  const isWithinLimit = sumParts(ledger, dimension) <= ledger.limits[dimension];
+  return isWithinLimit ? partOf(ledger, partition)[dimension] : 0;
+}
+
+/**
+ * Computes the part that a partition shrinks to while the parts are over a lowered limit.
+ *
+ * @param ledger ledger of a team
+ * @param partition partition number
+ * @param dimension what is counted
+ * @returns the partition's portion of the limit
+ */
+export function portionOfLimit(
+  ledger: AllotmentLedger,
+  partition: number,
+  dimension: LimitDimension,
 ): number {
   const part = partOf(ledger, partition)[dimension];
-  const sum = sumParts(ledger, dimension);
-  const limit = ledger.limits[dimension];
-  return sum <= limit ? part : Math.floor((part * limit) / sum);
+  return Math.floor((part * ledger.limits[dimension]) / sumParts(ledger, dimension));
 }
--- a/packages/daemon/src/core/allotments.ts
+++ b/packages/daemon/src/core/allotments.ts
@@ -13,8 +13,10 @@
 import {
   createLedger,
   grantUnits,
+  isSameLimits,
   LIMIT_DIMENSIONS,
   partOf,
+  portionOfLimit,
   returnUnits,
   setLimits,
   sumParts,
@@ -129,7 +131,9 @@
     const { partition, epoch } = entry.lease;
     const limits = limitsOf(use.team);
     if (!use.ledger || !limits || partOf(use.ledger, partition).epoch !== epoch) return 0;
-    return usableUnits(setLimits(use.ledger, limits), partition, dimension);
+    // A ledger seen before a change of the limits tells nothing about the other partitions' parts after it.
+    if (!isSameLimits(use.ledger.limits, limits)) return 0;
+    return usableUnits(use.ledger, partition, dimension);
   }
 
   async function readLedger(team: string): Promise<StoredLedger | null> {
@@ -147,10 +151,13 @@
   ): AllotmentLedger | null {
     const { partition, epoch } = entry.lease;
     const limits = limitsOf(use.team);
+    const revision = configuration.current()?.revision ?? 0;
     if (!limits || !entry.lease.mayAct()) return null;
+    // This daemon has not learnt of the limits that another one has written already.
+    if (stored.ledger && stored.ledger.revision > revision) return null;
     const current = stored.ledger
-      ? setLimits(stored.ledger, limits)
-      : createLedger(limits, directory.partitionCount);
+      ? setLimits(stored.ledger, limits, revision)
+      : createLedger(limits, revision, directory.partitionCount);
     const part = partOf(current, partition);
     if (part.epoch > epoch) {
       // The successor uses the part; nothing of it may be used here.
@@ -309,11 +316,21 @@
     dimension: LimitDimension,
   ): Promise<void> {
     const limits = limitsOf(use.team);
-    if (!limits || !use.ledger || sumParts(use.ledger, dimension) <= limits[dimension]) return;
-    const target = usable(entry, use, dimension);
+    if (!limits || !use.ledger) return;
+    if (!isSameLimits(use.ledger.limits, limits)) {
+      await runExclusively(use, () => updateLedger(entry, use, (ledger) => ledger));
+    }
+    if (sumParts(use.ledger, dimension) <= limits[dimension]) return;
+    const target = portionOfLimit(use.ledger, entry.lease.partition, dimension);
     await returnIdle(entry, use, dimension, Math.max(0, target - use.used[dimension]));
   }
 
+  async function shrinkAll(entry: PartitionUse): Promise<void> {
+    for (const use of [...entry.teams.values()]) {
+      for (const dimension of LIMIT_DIMENSIONS) await shrinkToLimit(entry, use, dimension);
+    }
+  }
+
   async function maintainTeam(entry: PartitionUse, use: TeamUse): Promise<void> {
     for (const dimension of LIMIT_DIMENSIONS) await shrinkToLimit(entry, use, dimension);
     const idleFor = clock.monotonicMilliseconds() - use.chargedAt;
@@ -336,7 +353,9 @@
     await Promise.all(
       teams.map(async (team) => {
         const use = useOf(entry.lease.partition, team);
-        if (use?.ledger !== null) return;
+        const limits = limitsOf(team);
+        const isCurrent = use?.ledger && limits && isSameLimits(use.ledger.limits, limits);
+        if (!use || isCurrent) return;
         await runExclusively(use, () => updateLedger(entry, use, (ledger) => ledger));
       }),
     );
@@ -352,7 +371,7 @@
   });
   configuration.onChange(() => {
     partitions.forEach((entry) => {
-      void takeOverParts(entry);
+      void takeOverParts(entry).then(() => shrinkAll(entry));
     });
   });
 
