--- a/packages/daemon/src/__tests__/allotments.test.ts
+++ b/packages/daemon/src/__tests__/allotments.test.ts
@@ -20,8 +20,9 @@
   usableUnits,
 } from '../core/allotmentLedger.js';
 import type { AllotmentLedger } from '../core/allotmentLedger.js';
-import { ALLOTMENT_PREFIX, createAllotments } from '../core/allotments.js';
+import { createAllotments } from '../core/allotments.js';
 import type { AllotmentService } from '../core/allotments.js';
+import { ALLOTMENT_PREFIX } from '../core/ledgerWriter.js';
 import type {
   ConfigurationView,
   Journal,
--- a/packages/daemon/src/core/allotments.ts
+++ b/packages/daemon/src/core/allotments.ts
@@ -1,5 +1,5 @@
 import { computeBackoff, createFailure, Err, Ok, sleep } from '@chicorybend/common';
-import type { Clock, Counters, StoreClient, StoreEntry } from '@chicorybend/common';
+import type { Clock, Counters, StoreClient } from '@chicorybend/common';
 
 import type { Allotments, LimitDimension } from '../types/allotment.js';
 import type { ConfigurationView } from '../types/configurationView.js';
@@ -11,22 +11,19 @@
 } from '../types/partition.js';
 import type { PeerLink } from '../types/peer.js';
 import {
-  createLedger,
   grantUnits,
   isSameLimits,
   LIMIT_DIMENSIONS,
   partOf,
   portionOfLimit,
   returnUnits,
-  setLimits,
   sumParts,
-  takeOverPart,
   usableUnits,
 } from './allotmentLedger.js';
 import type { AllotmentLedger } from './allotmentLedger.js';
+import { createLedgerWriter } from './ledgerWriter.js';
+import type { CurrentLimits, LedgerChange } from './ledgerWriter.js';
 
-/** Prefix of the ledgers' keys. */
-export const ALLOTMENT_PREFIX = 'allotments/';
 const MAINTENANCE_INTERVAL_MILLISECONDS = 1_000;
 /** Units idle for this long are given back, in milliseconds. */
 const IDLE_AFTER_MILLISECONDS = 5_000;
@@ -36,9 +33,6 @@
 const RETRY_AFTER_MILLISECONDS = 25;
 const REQUEST_BACKOFF = { firstMilliseconds: 50, maximumMilliseconds: 2_000 };
 const RETURN_CALL_DEADLINE_MILLISECONDS = 500;
-/** Every partition of the cell may write the same ledger when the cell starts. */
-const UPDATE_ATTEMPTS = 20;
-const CONFLICT_BACKOFF = { firstMilliseconds: 2, maximumMilliseconds: 40 };
 const RETURN_CANDIDATES = 3;
 
 /** What the allotments need. */
@@ -75,15 +69,6 @@
   readonly requestNotBefore: Record<LimitDimension, number>;
 }
 
-/** Computes the next ledger, or null if nothing is to be changed. */
-type LedgerChange = (ledger: AllotmentLedger) => AllotmentLedger | null;
-
-/** A ledger with the version of its key. */
-interface StoredLedger {
-  readonly ledger: AllotmentLedger | null;
-  readonly version: number;
-}
-
 interface PartitionUse {
   readonly lease: PartitionLease;
   readonly teams: Map<string, TeamUse>;
@@ -99,9 +84,14 @@
 export function createAllotments(options: AllotmentsOptions): AllotmentService {
   const { directory, configuration, link, store, clock, counters } = options;
   const partitions = new Map<number, PartitionUse>();
-  /** Ledgers as last seen in the store, by team; a conflict shows the present one. */
-  const known = new Map<string, StoredLedger>();
-  const lastChanges = new Map<string, Promise<unknown>>();
+  const writer = createLedgerWriter({
+    store,
+    clock,
+    counters,
+    random: options.random,
+    partitionCount: directory.partitionCount,
+    limitsOf: currentLimits,
+  });
   let isStopped = false;
 
   function useOf(partition: number, team: string): TeamUse | null {
@@ -126,92 +116,34 @@
     return configuration.current()?.teams[team]?.limits ?? null;
   }
 
-  /** Units that may be in use now; none before the part was taken over at the present epoch. */
-  function usable(entry: PartitionUse, use: TeamUse, dimension: LimitDimension): number {
-    const { partition, epoch } = entry.lease;
-    const limits = limitsOf(use.team);
-    if (!use.ledger || !limits || partOf(use.ledger, partition).epoch !== epoch) return 0;
-    // A ledger seen before a change of the limits tells nothing about the other partitions' parts after it.
-    if (!isSameLimits(use.ledger.limits, limits)) return 0;
-    return usableUnits(use.ledger, partition, dimension);
-  }
-
-  async function readLedger(team: string): Promise<StoredLedger | null> {
-    const entry = await store.get<AllotmentLedger>(`${ALLOTMENT_PREFIX}${team}`);
-    if (entry.isErr()) return null;
-    return { ledger: entry.value?.data ?? null, version: entry.value?.version ?? 0 };
+  function currentLimits(team: string): CurrentLimits | null {
+    const limits = limitsOf(team);
+    return limits && { limits, revision: configuration.current()?.revision ?? 0 };
   }
 
-  /** Computes the ledger to write, or null if the part may not or need not be changed. */
-  function computeChange(
-    entry: PartitionUse,
-    use: TeamUse,
-    stored: StoredLedger,
-    change: LedgerChange,
-  ): AllotmentLedger | null {
-    const { partition, epoch } = entry.lease;
-    const limits = limitsOf(use.team);
-    const revision = configuration.current()?.revision ?? 0;
-    if (!limits || !entry.lease.mayAct()) return null;
-    // This daemon has not learnt of the limits that another one has written already.
-    if (stored.ledger && stored.ledger.revision > revision) return null;
-    const current = stored.ledger
-      ? setLimits(stored.ledger, limits, revision)
-      : createLedger(limits, revision, directory.partitionCount);
-    const part = partOf(current, partition);
-    if (part.epoch > epoch) {
-      // The successor uses the part; nothing of it may be used here.
-      use.ledger = null;
-      return null;
-    }
-    const changed = change(takeOverPart(current, partition, epoch));
-    if (!changed && part.epoch === epoch) use.ledger = current;
-    return changed;
-  }
-
-  /** Applies a change to a team's ledger by compare-and-swap. The change is computed again after a conflict. */
+  /** Changes a team's ledger for a partition, one change of the team at a time. */
   async function updateLedger(
     entry: PartitionUse,
     use: TeamUse,
     change: LedgerChange,
   ): Promise<boolean> {
-    const { team } = use;
-    for (let attempt = 0; attempt < UPDATE_ATTEMPTS; attempt += 1) {
-      const remembered = known.get(team);
-      const stored = remembered ?? (await readLedger(team));
-      const changed = stored && computeChange(entry, use, stored, change);
-      if (!changed) {
-        known.delete(team);
-        // Another partition may have returned units since the ledger was seen.
-        if (remembered) continue;
-        return false;
-      }
-      const written = await store.put({
-        key: `${ALLOTMENT_PREFIX}${team}`,
-        data: changed,
-        expectedVersion: stored.version,
-      });
-      counters.increment('allotments.writes');
-      known.delete(team);
-      if (written.isErr()) return false;
-      if (written.value.kind === 'written') {
-        known.set(team, { ledger: changed, version: written.value.version });
-        use.ledger = changed;
-        return true;
-      }
-      const current = written.value.current as StoreEntry<AllotmentLedger> | null;
-      known.set(team, { ledger: current?.data ?? null, version: current?.version ?? 0 });
-      counters.increment('allotments.conflicts');
-      await sleep(clock, computeBackoff(CONFLICT_BACKOFF, attempt, options.random));
-    }
-    return false;
+    const update = await writer.update(entry.lease, use.team, change);
+    if (update.ledger !== undefined) use.ledger = update.ledger;
+    return update.isWritten;
+  }
+
+  function runExclusively<Value>(use: TeamUse, work: () => Promise<Value>): Promise<Value> {
+    return writer.runExclusively(use.team, work);
   }
 
-  /** Changes of one team run one after the other, so that this daemon's partitions do not race each other. */
-  function runExclusively<Value>(use: TeamUse, change: () => Promise<Value>): Promise<Value> {
-    const next = (lastChanges.get(use.team) ?? Promise.resolve()).then(change);
-    lastChanges.set(use.team, next);
-    return next;
+  /** Units that may be in use now; none before the part was taken over at the present epoch. */
+  function usable(entry: PartitionUse, use: TeamUse, dimension: LimitDimension): number {
+    const { partition, epoch } = entry.lease;
+    const limits = limitsOf(use.team);
+    if (!use.ledger || !limits || partOf(use.ledger, partition).epoch !== epoch) return 0;
+    // A ledger seen before a change of the limits tells nothing about the other partitions' parts after it.
+    if (!isSameLimits(use.ledger.limits, limits)) return 0;
+    return usableUnits(use.ledger, partition, dimension);
   }
 
   /** Asks one of the partitions with the largest parts to give idle units up. */
