Separate the planned stop from the composition of the daemon

daemon.ts held both the composition and the drain; the drain reads on its own now. Behaviour is unchanged.

--- a/packages/daemon/src/core/daemon.ts
+++ b/packages/daemon/src/core/daemon.ts
@@ -8,18 +8,19 @@
   createSystemClock,
   Err,
   Ok,
-  sleep,
 } from '@chicorybend/common';
 import type { Counters, Failure, Result } from '@chicorybend/common';
 
 import type { Member } from '../types/membershipView.js';
 import type { DaemonView } from '../types/peerMethods.js';
 import type { Settings } from '../types/settings.js';
-import { DRAIN_GRACE_MILLISECONDS, registerCallerApi } from './callerApi.js';
+import { registerCallerApi } from './callerApi.js';
 import { readOrCreateCell } from './cellSettings.js';
 import { createConfigurationService } from './configurationService.js';
 import { createDaemonLife } from './daemonLife.js';
 import { createDaemonServices } from './daemonServices.js';
+import { createDaemonStop } from './daemonStop.js';
+import type { StopOutcome } from './daemonStop.js';
 import { createHttpServer } from './httpServer.js';
 import { createMembership } from './membership.js';
 import type { HeartbeatFacts } from './membership.js';
@@ -28,9 +29,6 @@
 import { createPeerLink } from './peerLink.js';
 import { createVmDirectory } from './vmDirectory.js';
 
-/** A second request to stop leaves this much time, in milliseconds. */
-const SECOND_STOP_MILLISECONDS = 2_000;
-const DRAIN_PAUSE_MILLISECONDS = 20;
 const NO_FACTS: HeartbeatFacts = {
   configurationRevision: 0,
   freshnessAgeMilliseconds: Number.MAX_SAFE_INTEGER,
@@ -39,9 +37,6 @@
   loads: [],
 };
 
-/** How a planned stop ended. */
-export type StopOutcome = 'drained' | 'deadline';
-
 /** A running daemon. */
 export interface Daemon {
   /** Base address of the HTTP interface. */
@@ -202,13 +197,6 @@
     };
   }
 
-  let stopDeadline = Infinity;
-  let stopping: Promise<StopOutcome> | null = null;
-
-  function remainingMilliseconds(): number {
-    return Math.max(0, stopDeadline - clock.monotonicMilliseconds());
-  }
-
   async function closeAll(): Promise<void> {
     configuration.stop();
     services.allotments.stop();
@@ -221,35 +209,16 @@
     await store.close();
   }
 
-  /** Stops accepting, hands partitions over, finishes the requests in flight and leaves. */
-  async function drain(): Promise<StopOutcome> {
-    life.advance('TERMINATE');
-    callers.startDrain();
-    // The load balancer needs this time to notice that the daemon is no longer ready.
-    await sleep(clock, Math.min(DRAIN_GRACE_MILLISECONDS, remainingMilliseconds()));
-    http.closeConnectionsAfterAnswers();
-    const isHandedOver = await ownership.drain(remainingMilliseconds());
-    // Requests that run here for callers of other daemons are finished too.
-    const inFlight = (): number => callers.inFlight() + services.router.inFlight();
-    while (inFlight() > 0 && remainingMilliseconds() > 0) {
-      await sleep(clock, DRAIN_PAUSE_MILLISECONDS);
-    }
-    const isIdle = inFlight() === 0;
-    await joined.leave();
-    const outcome: StopOutcome = isIdle && isHandedOver ? 'drained' : 'deadline';
-    life.advance(outcome === 'drained' ? 'DRAINED' : 'DEADLINE');
-    await closeAll();
-    return outcome;
-  }
-
-  return {
-    apiAddress,
-    stop() {
-      const now = clock.monotonicMilliseconds();
-      const allowed = stopping ? SECOND_STOP_MILLISECONDS : settings.drainDeadlineMilliseconds;
-      stopDeadline = Math.min(stopDeadline, now + allowed);
-      stopping ??= drain();
-      return stopping;
-    },
-  };
+  const stop = createDaemonStop({
+    clock,
+    life,
+    callers,
+    http,
+    router: services.router,
+    ownership,
+    membership: joined,
+    drainDeadlineMilliseconds: settings.drainDeadlineMilliseconds,
+    closeAll,
+  });
+  return { apiAddress, stop };
 }
