--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,7 +2,6 @@
 import { createTypeScriptImportResolver } from 'eslint-import-resolver-typescript';
 
 export default [
-  { linterOptions: { reportUnusedDisableDirectives: 'off' } },
   { ignores: ['**/dist/**', '**/node_modules/**', 'eslint.config.mjs', 'prettier.config.mjs'] },
   plugins.stylistic,
   plugins.importX,
--- a/packages/daemon/src/core/endReporter.ts
+++ b/packages/daemon/src/core/endReporter.ts
@@ -1,7 +1,7 @@
 /**
  * Tells the owners of jobs about ended executions until they have made the ends durable.
  */
-/* eslint-disable no-param-reassign -- a report counts its own tries */
+
 import { computeBackoff } from '@chicorybend/common';
 import type { Clock, Log } from '@chicorybend/common';
 
--- a/packages/daemon/src/core/jobState.ts
+++ b/packages/daemon/src/core/jobState.ts
@@ -2,7 +2,7 @@
  * State of the jobs of one partition, folded from journal records. Every record can be applied twice: a
  * snapshot may hold the effect of records that are replayed after it.
  */
-/* eslint-disable no-param-reassign -- the state is changed in place, by the fold only */
+
 import { assertInvariant, loadStateChart } from '@chicorybend/common';
 import type { JobRequest, TaskState } from '@chicorybend/common';
 
--- a/packages/daemon/src/core/taskLookups.ts
+++ b/packages/daemon/src/core/taskLookups.ts
@@ -1,7 +1,7 @@
 /**
  * Finds out what became of executions whose start was not answered, or whose owners have changed.
  */
-/* eslint-disable no-param-reassign -- a lookup counts its own tries */
+
 import { computeBackoff } from '@chicorybend/common';
 import type { CancelTimer, TaskAttempt } from '@chicorybend/common';
 
--- a/packages/daemon/src/core/usage.ts
+++ b/packages/daemon/src/core/usage.ts
@@ -1,7 +1,7 @@
 /**
  * Usage per team, queue and hour. An execution is counted once, from its worker's own start and end times.
  */
-/* eslint-disable no-param-reassign -- rows are changed in place */
+
 import type { Resources } from '@chicorybend/common';
 
 import type { UsageTotalRecord } from '../types/journalRecord.js';
--- a/packages/daemon/src/core/workerContacts.ts
+++ b/packages/daemon/src/core/workerContacts.ts
@@ -1,7 +1,7 @@
 /**
  * Seals workers, renews their tasks' leases and notices when the leases of a silent worker have lapsed.
  */
-/* eslint-disable no-param-reassign -- the state of a worker is changed in place, by its owner only */
+
 import type { CancelTimer, Clock, Log, Result, SealResponse } from '@chicorybend/common';
 
 import type { PartitionLease } from '../types/partition.js';
--- a/packages/daemon/src/core/workerPartition.ts
+++ b/packages/daemon/src/core/workerPartition.ts
@@ -2,7 +2,7 @@
  * Workers of one owned partition: sealing, capacity, starts, lease renewal and lapses. The owner is the only
  * daemon that sends commands to them.
  */
-/* eslint-disable no-param-reassign -- the state of a worker is changed in place, by its owner only */
+
 import { assertInvariant, createFailure, Err, Ok, RESOURCE_DIMENSIONS } from '@chicorybend/common';
 import type {
   Clock,
--- a/packages/daemon/src/core/workerReports.ts
+++ b/packages/daemon/src/core/workerReports.ts
@@ -1,7 +1,7 @@
 /**
  * Applies what a worker reports: its running and finished executions, its clock and its incarnation.
  */
-/* eslint-disable no-param-reassign -- the state of a worker is changed in place, by its owner only */
+
 import type { FinishedTask, RunningTask, SealResponse } from '@chicorybend/common';
 import type { WorkerPool } from '@chicorybend/decisions';
 
--- a/packages/daemon/src/core/workerStarts.ts
+++ b/packages/daemon/src/core/workerStarts.ts
@@ -1,7 +1,7 @@
 /**
  * Sends starts and other task commands to the workers of one partition.
  */
-/* eslint-disable no-param-reassign -- the state of a worker is changed in place, by its owner only */
+
 import { Err } from '@chicorybend/common';
 import type {
   Clock,
--- a/packages/decisions/src/core/activeLines.ts
+++ b/packages/decisions/src/core/activeLines.ts
@@ -16,11 +16,9 @@
 const PRIORITIES: readonly QueuePriority[] = ['urgent', 'normal', 'overnight'];
 
 function readHead(line: WorkLine, { work, sequence }: WorkEntry): void {
-  /* eslint-disable no-param-reassign -- the line is a record of this queue */
   line.headEnqueuedAt = work.enqueuedAt;
   line.headSequence = sequence;
   line.passedOverSince = Math.max(work.enqueuedAt, work.notBefore, line.servedAt);
-  /* eslint-enable no-param-reassign */
 }
 
 /**
@@ -109,7 +107,6 @@
     }
     const isOverdue = line !== null && now - line.passedOverSince >= agingMilliseconds;
     barred.forEach((other) => {
-      // eslint-disable-next-line no-param-reassign
       other.agingNode = byPassedOver.push(other);
     });
     return isOverdue ? line : null;
--- a/packages/decisions/src/core/gridIndex.ts
+++ b/packages/decisions/src/core/gridIndex.ts
@@ -157,7 +157,7 @@
       const score = policy.score(worker.open, worker.capacity, query.resources);
       if (score > choice.score) Object.assign(choice, { worker, score });
     }
-    // eslint-disable-next-line no-param-reassign
+
     choice.seen += scored;
   }
 
--- a/packages/decisions/src/core/teamUsage.ts
+++ b/packages/decisions/src/core/teamUsage.ts
@@ -35,7 +35,7 @@
 
   function refresh(team: TeamState): void {
     const weight = shares[team.name] ?? DEFAULT_SHARE;
-    // eslint-disable-next-line no-param-reassign
+
     team.weightedShare = (computeDominantShare(team.used, capacity) * totalWeight) / weight;
   }
 
@@ -60,7 +60,6 @@
     setUsage(usage) {
       Object.keys(usage).forEach(stateOf);
       teams.forEach((team) => {
-        // eslint-disable-next-line no-param-reassign
         team.used = usage[team.name] ?? NO_RESOURCES;
         refresh(team);
       });
--- a/packages/decisions/src/core/workerPool.ts
+++ b/packages/decisions/src/core/workerPool.ts
@@ -85,7 +85,6 @@
 
   function charge(worker: WorkerRecord, units: Units, sign: 1 | -1): void {
     RESOURCE_DIMENSIONS.forEach((dimension) => {
-      // eslint-disable-next-line no-param-reassign
       worker.usedUnits[dimension] += sign * units[dimension];
     });
     refresh(worker);
--- a/packages/decisions/src/utils/indexedHeap.ts
+++ b/packages/decisions/src/utils/indexedHeap.ts
@@ -31,7 +31,7 @@
   function put(node: HeapNode<Value>, position: number): void {
     nodes[position] = node;
     // The node is the heap's own record, not a value of the caller.
-    // eslint-disable-next-line no-param-reassign
+
     node.position = position;
   }
 
@@ -75,7 +75,7 @@
     const { position } = node;
     if (position < 0) return false;
     const last = nodes.pop()!;
-    // eslint-disable-next-line no-param-reassign
+
     node.position = -1;
     if (last !== node) {
       put(last, position);
