Move the set of endpoints out of the endpoint partition

Change: endpointSet.ts keeps the endpoints, their free slots and the slots of a former owner's requests.

--- a/packages/daemon/src/core/endpointPartition.ts
+++ b/packages/daemon/src/core/endpointPartition.ts
@@ -19,6 +19,7 @@
 import { createEndpoint } from './endpoint.js';
 import type { Endpoint, ExecutionOutcome } from './endpoint.js';
 import type { HandedEndpoints, InteractiveLoad } from './endpointPool.js';
+import { createEndpointSet } from './endpointSet.js';
 import { trackWork } from './endpointWork.js';
 import type { EndpointWork, TrackedWork } from './endpointWork.js';
 import { createRequestBacklog } from './requestBacklog.js';
@@ -85,13 +86,6 @@
 const NO_ENDPOINT_RETRY_MILLISECONDS = 500;
 const MINIMUM_RETRY_MILLISECONDS = 1;
 
-/** A slot that a former owner's request may hold. */
-interface AdoptedSlot {
-  readonly endpointId: string;
-  readonly team: string;
-  readonly endsBy: number;
-}
-
 /**
  * Creates the endpoints of one owned partition.
  *
@@ -101,14 +95,17 @@
 export function createEndpointPartition(options: EndpointPartitionOptions): EndpointPartition {
   const { clock, counters, allotments, lease, table, retryBudget } = options;
   const { partition } = lease;
-  const endpoints = new Map<string, Endpoint>();
+  const endpoints = createEndpointSet({
+    clock,
+    createEndpoint: createListed,
+    onAdopted: (team) => allotments.adopt(partition, team, 'requests', 1),
+  });
   const unfinished = new Set<TrackedWork>();
   const admission = options.createAdmission({
     initialServiceMilliseconds: INITIAL_SERVICE_MILLISECONDS,
   });
   let maximumQueued = DEFAULT_MAXIMUM_QUEUED;
   let backlog = createBacklog();
-  let unlisted: AdoptedSlot[] = [];
   let isReleased = false;
   let isHandedOver = false;
   let cancelTick: CancelTimer | null = null;
@@ -132,34 +129,14 @@
     return Math.max(0, options.blockedUntil - clock.monotonicMilliseconds());
   }
 
-  function listUsable(): Endpoint[] {
-    return [...endpoints.values()].filter((endpoint) => endpoint.isUsable());
-  }
-
-  function countSlots(): number {
-    return listUsable().reduce((sum, endpoint) => sum + endpoint.slots.serving(), 0);
-  }
-
   function countFree(): number {
     if (blockedMilliseconds() > 0) return 0;
-    return listUsable().reduce((sum, endpoint) => sum + endpoint.slots.free(), 0);
-  }
-
-  /** Chooses the endpoint with the largest free part of its slots, if possible one that was not tried. */
-  function chooseEndpoint(tried: ReadonlySet<string>): Endpoint | undefined {
-    const free = listUsable().filter((endpoint) => endpoint.slots.free() > 0);
-    const untried = free.filter((endpoint) => !tried.has(endpoint.endpointId));
-    const candidates = untried.length > 0 ? untried : free;
-    const freePart = ({ slots }: Endpoint) => slots.free() / slots.limit();
-    return candidates.reduce<Endpoint | undefined>(
-      (best, each) => (best && freePart(best) >= freePart(each) ? best : each),
-      undefined,
-    );
+    return endpoints.countFree();
   }
 
   function expectedWait(team: string): number {
     if (countFree() > 0 && backlog.size() === 0) return 0;
-    const slots = countSlots();
+    const slots = endpoints.countServing();
     if (slots === 0) return Number.POSITIVE_INFINITY;
     const turns = (backlog.aheadOf(team) + 1) / slots;
     return blockedMilliseconds() + turns * admission.expectedServiceMilliseconds();
@@ -173,7 +150,7 @@
   /** Refuses early what cannot be served in time. */
   function checkAdmission({ work, expectedBy }: TrackedWork): Failure | null {
     if (!isServing()) return options.notOwner();
-    const slots = countSlots();
+    const slots = endpoints.countServing();
     if (slots === 0) return refuseNoEndpoint();
     const remaining = expectedBy - clock.monotonicMilliseconds();
     const blocked = blockedMilliseconds();
@@ -234,7 +211,7 @@
   }
 
   function start(tracked: TrackedWork): void {
-    const endpoint = chooseEndpoint(tracked.tried);
+    const endpoint = endpoints.choose(tracked.tried);
     assertInvariant(endpoint !== undefined, 'slots', () => 'a free slot has no endpoint');
     const charge = allotments.charge(partition, tracked.work.team, 'requests', 1);
     if (charge.isErr()) {
@@ -290,7 +267,7 @@
       mayStart: () => maySend(endpoint, tracked),
       onSlotFree() {
         releaseUnit(team);
-        dropAbsent();
+        endpoints.dropAbsent();
         pump();
       },
     });
@@ -323,7 +300,7 @@
     if (tracked.isEnded()) return;
     if (!isServing()) tracked.refuse(options.notOwner());
     else if (!hasTimeLeft(tracked.work)) tracked.refuse(createFailure('deadline-passed'));
-    else if (countSlots() === 0) tracked.refuse(refuseNoEndpoint());
+    else if (endpoints.countServing() === 0) tracked.refuse(refuseNoEndpoint());
     else if (isWithdrawn || takeRetry()) enqueue(tracked);
     else tracked.refuse(refuseNoEndpoint());
   }
@@ -356,25 +333,8 @@
     });
   }
 
-  /** Forgets endpoints that left the VM list, once their requests have ended. */
-  function dropAbsent(): void {
-    endpoints.forEach((endpoint, name) => {
-      if (!endpoint.isAbsent() || endpoint.slots.inUse().length > 0) return;
-      endpoint.stop();
-      endpoints.delete(name);
-    });
-  }
-
   function updateEndpoints(vms: readonly VmRecord[]): void {
-    const listed = new Map(vms.map((vm) => [`${vm.id} ${vm.address}`, vm]));
-    endpoints.forEach((endpoint, name) => {
-      endpoint.update(listed.get(name) ?? null);
-    });
-    dropAbsent();
-    listed.forEach((vm, name) => {
-      if (!endpoints.has(name)) endpoints.set(name, createListed(vm));
-    });
-    adoptUnlisted();
+    endpoints.update(vms);
     pump();
   }
 
@@ -385,36 +345,6 @@
     backlog.setShares(Object.fromEntries(shares) as Record<string, number>);
   }
 
-  /** The former owner's VM list may be newer than this one; its slots are kept for endpoints not listed yet. */
-  function adoptUnlisted(): void {
-    const now = clock.monotonicMilliseconds();
-    unlisted = unlisted.filter(({ endpointId, team, endsBy }) => {
-      const endpoint = [...endpoints.values()].find((each) => each.endpointId === endpointId);
-      if (endpoint && endsBy > now) {
-        endpoint.slots.adopt(team, endsBy - now);
-        allotments.adopt(partition, team, 'requests', 1);
-      }
-      return !endpoint && endsBy > now;
-    });
-  }
-
-  function adopt(slots: HandedEndpoints['slots']): void {
-    const now = clock.monotonicMilliseconds();
-    unlisted = slots.map((slot) => ({ ...slot, endsBy: now + slot.remainingMilliseconds }));
-    adoptUnlisted();
-  }
-
-  function listSlots(): HandedEndpoints['slots'] {
-    const now = clock.monotonicMilliseconds();
-    return [...endpoints.values()].flatMap(({ endpointId, slots }) =>
-      slots.inUse().map(({ team, endsBy }) => ({
-        endpointId,
-        team,
-        remainingMilliseconds: Math.max(0, endsBy() - now),
-      })),
-    );
-  }
-
   function isAnyUnsent(): boolean {
     return [...unfinished].some((tracked) => tracked.state() !== 'sent');
   }
@@ -431,7 +361,7 @@
     while (isAnyUnsent() || (unfinished.size > 0 && clock.monotonicMilliseconds() < waitUntil));
     isHandedOver = true;
     const blocked = blockedMilliseconds();
-    return { blockedMilliseconds: blocked, slots: listSlots(), table: table.handOver() };
+    return { blockedMilliseconds: blocked, slots: endpoints.listSlots(), table: table.handOver() };
   }
 
   function close(): void {
@@ -440,7 +370,7 @@
     backlog.clear(options.notOwner);
     cancelTick?.();
     cancelUnblock();
-    endpoints.forEach((endpoint) => endpoint.stop());
+    endpoints.stop();
   }
 
   if (blockedMilliseconds() > 0) cancelUnblock = clock.setTimer(pump, blockedMilliseconds());
@@ -452,7 +382,7 @@
     isServing,
     updateEndpoints,
     updateConfiguration,
-    adopt,
+    adopt: endpoints.adopt,
     release,
     close,
     load: () => ({ freeSlots: countFree(), queuedRequests: backlog.size() }),
