--- a/packages/daemon/src/core/endpointPartition.ts
+++ b/packages/daemon/src/core/endpointPartition.ts
@@ -15,9 +15,9 @@
 
 import type { Allotments } from '../types/allotment.js';
 import type { PartitionLease } from '../types/partition.js';
-import { LIVENESS_MILLISECONDS } from '../utils/interactiveTimes.js';
+import { createAttemptOutcomes } from './attemptOutcomes.js';
 import { createEndpoint } from './endpoint.js';
-import type { Endpoint, ExecutionOutcome } from './endpoint.js';
+import type { Endpoint } from './endpoint.js';
 import type { HandedEndpoints, InteractiveLoad } from './endpointPool.js';
 import { createEndpointSet } from './endpointSet.js';
 import { trackWork } from './endpointWork.js';
@@ -68,9 +68,6 @@
 /** How often waiting requests are checked for their deadlines and their teams' limits, in milliseconds. */
 const TICK_MILLISECONDS = 10;
 
-/** An idempotent request is tried elsewhere after this many times the expected service time. */
-const SLOW_ATTEMPT_FACTOR = 4;
-
 /**
  * Part of a request's time that is kept back for a service time above the expected one. A request that is sent
  * too late to be answered in time uses a slot for nothing and ends as unknown instead of not run.
@@ -93,7 +90,7 @@
  * @returns the endpoints
  */
 export function createEndpointPartition(options: EndpointPartitionOptions): EndpointPartition {
-  const { clock, counters, allotments, lease, table, retryBudget } = options;
+  const { clock, counters, allotments, lease, table } = options;
   const { partition } = lease;
   const endpoints = createEndpointSet({
     clock,
@@ -104,6 +101,14 @@
   const admission = options.createAdmission({
     initialServiceMilliseconds: INITIAL_SERVICE_MILLISECONDS,
   });
+  const outcomes = createAttemptOutcomes({
+    ...options,
+    admission,
+    isServing,
+    hasEndpoint: () => endpoints.countServing() > 0,
+    noEndpoint: refuseNoEndpoint,
+    enqueue,
+  });
   let maximumQueued = DEFAULT_MAXIMUM_QUEUED;
   let backlog = createBacklog();
   let isReleased = false;
@@ -238,13 +243,6 @@
     return true;
   }
 
-  /** An idempotent request is not left on a silent connection until its deadline. */
-  function findSuspectTime(work: EndpointWork): number | null {
-    if (!work.isIdempotent) return null;
-    const expected = SLOW_ATTEMPT_FACTOR * admission.expectedServiceMilliseconds();
-    return clock.monotonicMilliseconds() + Math.max(LIVENESS_MILLISECONDS, expected);
-  }
-
   function releaseUnit(team: string): void {
     // After a handover the next owner holds the units of the slots that it was given.
     if (isHandedOver) return;
@@ -259,8 +257,8 @@
     const outcome = await endpoint.run({
       request: { requestId, team, payload },
       answerBy: work.deadlineAt,
-      suspectAt: findSuspectTime(work),
-      maySuspect: () => mayRetryLost(work),
+      suspectAt: outcomes.findSuspectTime(work),
+      maySuspect: () => outcomes.mayRetryLost(work),
       onLateAnswer(response) {
         if (work.isIdempotent && !tracked.isEnded()) tracked.answer(response);
       },
@@ -274,54 +272,7 @@
     if (outcome.kind === 'answered') {
       admission.recordService(clock.monotonicMilliseconds() - startedAt);
     }
-    settle(endpoint, tracked, outcome);
-  }
-
-  function settle(endpoint: Endpoint, tracked: TrackedWork, outcome: ExecutionOutcome): void {
-    const target = endpoint.endpointId;
-    if (outcome.kind === 'answered') tracked.answer(outcome.response);
-    else if (outcome.kind === 'failed') {
-      tracked.fail(createFailure('endpoint-failed', { target, reason: outcome.reason }));
-    } else if (outcome.kind === 'not-sent') retryNotSent(tracked, outcome.isWithdrawn);
-    else settleLost(tracked, outcome.reason, outcome.isSuspected);
-  }
-
-  function mayRetryLost(work: EndpointWork): boolean {
-    return work.isIdempotent && isServing() && hasTimeLeft(work) && takeRetry();
-  }
-
-  function hasTimeLeft(work: EndpointWork): boolean {
-    const remaining = work.deadlineAt - clock.monotonicMilliseconds();
-    return remaining > admission.expectedServiceMilliseconds();
-  }
-
-  /** A request withdrawn from a leaving endpoint was not tried; only tries are charged as retries. */
-  function retryNotSent(tracked: TrackedWork, isWithdrawn: boolean): void {
-    if (tracked.isEnded()) return;
-    if (!isServing()) tracked.refuse(options.notOwner());
-    else if (!hasTimeLeft(tracked.work)) tracked.refuse(createFailure('deadline-passed'));
-    else if (endpoints.countServing() === 0) tracked.refuse(refuseNoEndpoint());
-    else if (isWithdrawn || takeRetry()) enqueue(tracked);
-    else tracked.refuse(refuseNoEndpoint());
-  }
-
-  function takeRetry(): boolean {
-    const isTaken = retryBudget.takeRetry();
-    counters.increment(isTaken ? 'requests.retried' : 'requests.retries.refused');
-    return isTaken;
-  }
-
-  /** A suspected execution was charged to the retry budget already. */
-  function settleLost(tracked: TrackedWork, reason: string, isSuspected: boolean): void {
-    if (tracked.isEnded()) return;
-    const { work } = tracked;
-    const isRetried = isSuspected ? work.isIdempotent : mayRetryLost(work);
-    if (!isRetried) {
-      tracked.lose(reason);
-      return;
-    }
-    tracked.sendAgain();
-    enqueue(tracked);
+    outcomes.settle(endpoint, tracked, outcome);
   }
 
   function createListed(vm: VmRecord): Endpoint {
