--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -23,7 +23,7 @@
 export { createLocalCounters } from './utils/localCounters.js';
 export type { LocalCounters } from './utils/localCounters.js';
 export { createLog, createSilentLog, LOG_LEVELS } from './utils/logger.js';
-export type { Log, LogLevel } from './utils/logger.js';
+export type { Log, LogLevel, LogLine } from './utils/logger.js';
 
 /** Failures and invariants. */
 export { createFailure, FAILURE_TABLE } from './utils/errors.js';
