Refuse gangs over their team's upper limit, and only the owner refuses by size

Cause: a gang of 70 tasks of a team that may run 60 was accepted and waited without an end (seen on a local cell). The callers' interface had a second check of sizes, which the daemon did not use: it ran before the idempotency key was looked up, and would have answered "not run" to a repeated call for an accepted job. A job had to name accelerators and urgency, and a missing field was reported as a wrong type.

--- a/packages/daemon/src/__tests__/callerApi.test.ts
+++ b/packages/daemon/src/__tests__/callerApi.test.ts
@@ -12,7 +12,7 @@
   Ok,
   partitionOf,
 } from '@chicorybend/common';
-import type { Failure, InteractiveResponse, JobView, Resources, Result } from '@chicorybend/common';
+import type { Failure, InteractiveResponse, JobView, Result } from '@chicorybend/common';
 
 import { DRAIN_GRACE_MILLISECONDS, registerCallerApi } from '../core/callerApi.js';
 import { createHttpServer } from '../core/httpServer.js';
@@ -23,7 +23,6 @@
   createStubConfiguration,
   createStubDirectory,
   createStubNetwork,
-  createStubVms,
   HOST,
   pause,
   waitUntil,
@@ -69,7 +68,6 @@
   options: {
     configuration?: Parameters<typeof createStubConfiguration>[0];
     jobDeadlineMilliseconds?: number;
-    capacity?: Resources;
   } = {},
 ) {
   const network = createStubNetwork();
@@ -81,10 +79,6 @@
     route: async (): Promise<Result<InteractiveResponse, Failure>> =>
       Ok({ requestId: 'r', endpointId: 'e', result: 1 }),
   };
-  const worker = { id: 'w1', role: 'worker', state: 'live', address: '', dataCentre: '', rack: '' };
-  const workers = options.capacity
-    ? [{ ...worker, capacity: options.capacity } as Parameters<typeof createStubVms>[0][number]]
-    : [];
   const server = createHttpServer({
     host: HOST,
     port: 0,
@@ -98,7 +92,6 @@
     configuration: createStubConfiguration(options.configuration),
     directory,
     link: network.linkOf('d1'),
-    vms: createStubVms([], workers),
     router: {
       route(request) {
         routed.push(request);
@@ -381,15 +374,52 @@
   checkFailure(t, badKey, 400, 'invalid-header');
 });
 
-test('a job that fits no worker is refused with the reason', async (t) => {
-  const { send } = await startInterface(t, {
-    capacity: { processors: 32, memoryBytes: 1_048_576, accelerators: 0 },
+// Guards against a refusal that is not the owner's: only the owner knows whether the job was accepted before.
+test('the refusal of a job that fits no worker is passed on with its reasons', async (t) => {
+  const { send, network, directory } = await startInterface(t);
+  for (let partition = 0; partition < PARTITIONS; partition += 1) {
+    directory.owners.set(partition, 'd2');
+  }
+  const details = [{ path: 'resources.processors', reason: 'a task needs 33' }];
+  network.linkOf('d2').handle('job.submit', async () => {
+    const reason = 'resources.processors: a task needs 33';
+    return Err(createFailure('never-fits', { reason }, { details }));
   });
   const headers = { authorization: KEY, 'idempotency-key': 'k' };
   const job = { ...JOB, resources: { ...JOB.resources, processors: 33 } };
   const answer = await send('POST', '/v1/jobs', job, headers);
   checkFailure(t, answer, 422, 'never-fits');
-  t.regex(String(answer.body.message), /33 processors and the largest worker has 32/);
+  t.regex(String(answer.body.message), /a task needs 33/);
+  t.deepEqual(answer.body.details, details);
+});
+
+// Guards against a body that is refused for a field that has an obvious value.
+test('accelerators and urgency of a job may be left out', async (t) => {
+  const { send, network } = await startInterface(t);
+  const requests: unknown[] = [];
+  network.linkOf('d1').handle('job.submit', async ({ request }) => {
+    requests.push(request);
+    return Ok({ jobId: JOB_ID });
+  });
+  const { urgent, ...job } = JOB;
+  const { accelerators, ...resources } = JOB.resources;
+  const headers = { authorization: KEY, 'idempotency-key': 'k' };
+  const answer = await send('POST', '/v1/jobs', { ...job, resources }, headers);
+  t.is(answer.status, 201);
+  t.like(requests[0], { urgent: false, resources: { accelerators: 0 } });
+});
+
+test('a missing field is named as required', async (t) => {
+  const { send } = await startInterface(t);
+  const { kind, ...job } = JOB;
+  const headers = { authorization: KEY, 'idempotency-key': 'k' };
+  const answer = await send('POST', '/v1/jobs', { ...job, tasks: 'two' }, headers);
+  checkFailure(t, answer, 400, 'invalid-body');
+  const reasons = Object.fromEntries(
+    answer.body.details?.map(({ path, reason }) => [path, reason]) ?? [],
+  );
+  t.is(reasons.kind, 'is required');
+  t.regex(String(reasons.tasks), /expected number, received string/);
 });
 
 test('a submission follows its partition to the new owner after not-owner, not-sent and lost', async (t) => {
--- a/packages/daemon/src/__tests__/durableKit.ts
+++ b/packages/daemon/src/__tests__/durableKit.ts
@@ -12,6 +12,7 @@
   partitionOf,
 } from '@chicorybend/common';
 import type {
+  Configuration,
   FinishedTask,
   JobRequest,
   JobView,
@@ -368,6 +369,8 @@
   readonly workers: number | readonly number[];
   /** Clock of the cell; one that moves only when told to by default. */
   readonly clock?: ManualClock;
+  /** Configuration in effect; none by default. */
+  readonly configuration?: Configuration;
   /** Creates the journal of a partition. */
   readonly createJournal?: (clock: ManualClock) => TestJournal;
 }
@@ -534,7 +537,7 @@
         ...common,
         loadBoard: { loads },
         configuration: {
-          current: () => null,
+          current: () => options.configuration ?? null,
           isFresh: () => true,
           authenticate: () => Err(createFailure('wrong-key')),
           onChange: () => {},
--- a/packages/daemon/src/__tests__/durableSubmission.test.ts
+++ b/packages/daemon/src/__tests__/durableSubmission.test.ts
@@ -1,4 +1,4 @@
-import type { Result } from '@chicorybend/common';
+import type { Configuration, Result } from '@chicorybend/common';
 import test from 'ava';
 
 import { createRunningCell, PLAIN_JOB, WORKER_CAPACITY } from './durableKit.js';
@@ -7,6 +7,11 @@
 
 const DAY_MILLISECONDS = 24 * 3_600_000;
 
+const CONFIGURATION = {
+  teams: { harbour: { share: 1, limits: { tasks: 5, requests: 5 } } },
+  queues: {},
+} as unknown as Configuration;
+
 function failureOf(outcome: Result<unknown, PeerError>) {
   return outcome.isErr() && outcome.error.kind === 'refused' ? outcome.error.failure : null;
 }
@@ -85,6 +90,29 @@
   t.true((await submit(cell, 'four', 'a', { ...PLAIN_JOB, tasks: 9 })).isOk());
 });
 
+// Guards against "not run" for a job that was accepted and may be running.
+test('an accepted job is known after its worker has left and the limit was lowered', async (t) => {
+  const { cell } = await createRunningCell({ workers: 2 });
+  const gang = { ...PLAIN_JOB, kind: 'gang' as const, tasks: 8 };
+  const { jobId } = (await submit(cell, 'one', 'a', gang)).unwrap();
+  cell.vms.pop();
+  t.is((await submit(cell, 'one', 'a', gang)).unwrap().jobId, jobId);
+  t.is(failureOf(await submit(cell, 'two', 'a', gang))?.code, 'never-fits');
+});
+
+// Guards against a gang that waits forever for more tasks than its team may run.
+test('a gang over the upper limit of its team is refused at once', async (t) => {
+  const { cell } = await createRunningCell({ workers: 2, configuration: CONFIGURATION });
+  const gang = { ...PLAIN_JOB, kind: 'gang' as const, tasks: 6 };
+  const failure = failureOf(await submit(cell, 'one', 'a', gang));
+  t.is(failure?.code, 'never-fits');
+  t.deepEqual(failure?.details, [
+    { path: 'tasks', reason: 'the gang needs 6 tasks at once, the upper limit of the team is 5' },
+  ]);
+  t.true((await submit(cell, 'two', 'a', { ...gang, tasks: 5 })).isOk());
+  t.true((await submit(cell, 'three', 'a', { ...PLAIN_JOB, tasks: 6 })).isOk());
+});
+
 test('a wait ends when the job has ended, or after its time', async (t) => {
   const { cell } = await createRunningCell({ workers: 1 });
   const jobId = await cell.submit(0, {});
--- a/packages/daemon/src/core/callerApi.ts
+++ b/packages/daemon/src/core/callerApi.ts
@@ -10,7 +10,6 @@
 import type { HttpCall, HttpReply, HttpRoutes } from '../types/http.js';
 import type { PartitionDirectory } from '../types/partition.js';
 import type { PeerLink } from '../types/peer.js';
-import type { VmDirectory } from '../types/vmDirectory.js';
 import { createInFlight } from '../utils/inFlight.js';
 import { readKeyTimestamp } from '../utils/requestKey.js';
 import { authorizeQueue } from './callerAccess.js';
@@ -27,8 +26,6 @@
   readonly directory: PartitionDirectory;
   readonly link: PeerLink;
   readonly router: RequestRouter;
-  /** Workers, to refuse jobs that can never fit; absent means that sizes are not checked. */
-  readonly vms?: VmDirectory;
   /** Time for a job call, in milliseconds; 5 s by default. */
   readonly jobDeadlineMilliseconds?: number;
   /** Source of random numbers in [0, 1). */
@@ -102,7 +99,6 @@
     configuration,
     directory: options.directory,
     callOwner: createOwnerCaller(options),
-    ...(options.vms ? { vms: options.vms } : {}),
     deadlineMilliseconds: options.jobDeadlineMilliseconds ?? DEFAULT_JOB_DEADLINE_MILLISECONDS,
     isDraining: () => drainStartedAt !== null,
   });
--- a/packages/daemon/src/core/callerJobs.ts
+++ b/packages/daemon/src/core/callerJobs.ts
@@ -3,9 +3,7 @@
 
 import type { ConfigurationView } from '../types/configurationView.js';
 import type { PartitionDirectory } from '../types/partition.js';
-import type { VmDirectory } from '../types/vmDirectory.js';
 import { hashBody } from '../utils/bodyHash.js';
-import { describeMisfit } from '../utils/largestWorker.js';
 import { authorizeJobCall, authorizeQueue } from './callerAccess.js';
 import type { OwnerCaller } from './ownerCall.js';
 
@@ -15,8 +13,6 @@
   readonly configuration: ConfigurationView;
   readonly directory: PartitionDirectory;
   readonly callOwner: OwnerCaller;
-  /** Workers, to refuse jobs that can never fit; absent means that sizes are not checked. */
-  readonly vms?: VmDirectory;
   /** Time for a job call, in milliseconds. */
   readonly deadlineMilliseconds: number;
   /** Tells whether waiting calls are to end early, before a stop. */
@@ -95,8 +91,6 @@
     if (access.isErr()) return access;
     const key = checkJobKey(submission.idempotencyKey);
     if (key.isErr()) return key;
-    const misfit = describeMisfit(request.resources, options.vms?.workers() ?? []);
-    if (misfit) return Err(createFailure('never-fits', { reason: misfit }));
     const { team } = access.value;
     const partition = partitionOf(`${team}/${key.value}`, directory.partitionCount);
     const params = {
--- a/packages/daemon/src/core/httpServer.ts
+++ b/packages/daemon/src/core/httpServer.ts
@@ -62,7 +62,7 @@
   value: unknown,
 ): Result<Output, Failure> {
   if (!schema) return Ok(undefined as Output);
-  const checked = schema.safeParse(value);
+  const checked = schema.safeParse(value, { reportInput: true });
   if (checked.success) return Ok(checked.data);
   return Err(createFailure('invalid-body', {}, { details: describeIssues(checked.error) }));
 }
--- a/packages/daemon/src/core/jobService.ts
+++ b/packages/daemon/src/core/jobService.ts
@@ -23,7 +23,7 @@
 import { applyRecord, createJobsState, describeState } from './jobState.js';
 import type { Job } from './jobState.js';
 import { viewJob } from './jobView.js';
-import { explainNeverFits } from './neverFits.js';
+import { explainNeverFits, explainOverLimit } from './neverFits.js';
 import { createPlacementLoop } from './placementLoop.js';
 import type { PlacementLoop } from './placementLoop.js';
 import { stateOfJob } from './taskRules.js';
@@ -67,7 +67,7 @@
  * @returns the service
  */
 export function createJobService(options: JobServiceOptions): PartitionService {
-  const { daemonId, link, directory, vmDirectory, clock, counters, log } = options;
+  const { daemonId, link, directory, vmDirectory, configuration, clock, counters, log } = options;
   const callPartition = createPartitionCalls(link, directory);
   const partitions = new Map<number, OpenPartition>();
 
@@ -94,15 +94,20 @@
     return viewJob(job, (taskId) => own.loop.explainWait(taskId));
   }
 
+  function explainRefusal({ team, request }: PeerMethods['job.submit']['params']): Failure | null {
+    const limit = configuration.current()?.teams[team]?.limits.tasks;
+    return explainNeverFits(vmDirectory.workers(), request) ?? explainOverLimit(limit, request);
+  }
+
   async function submit(
     params: PeerMethods['job.submit']['params'],
     context: PeerContext,
   ): Promise<Result<{ jobId: string }, Failure>> {
     const own = find(params.partition);
     if (own.isErr()) return own;
-    const neverFits = explainNeverFits(vmDirectory.workers(), params.request);
-    const isNew = !own.value.jobs.isKnown(params);
-    if (isNew && neverFits) return Err(neverFits);
+    // A job that is known was accepted, so that it may have run whatever the workers and limits are now.
+    const refusal = own.value.jobs.isKnown(params) ? null : explainRefusal(params);
+    if (refusal) return Err(refusal);
     const deadline = Math.max(0, context.remainingMilliseconds - ANSWER_MARGIN_MILLISECONDS);
     const outcome = await own.value.jobs.submit(params, deadline);
     return outcome.map((jobId) => ({ jobId }));
--- a/packages/daemon/src/core/neverFits.ts
+++ b/packages/daemon/src/core/neverFits.ts
@@ -36,6 +36,24 @@
   return [{ path: 'tasks', reason }];
 }
 
+function createNeverFits(details: readonly FailureDetail[]): Failure {
+  const reason = details.map(({ path, reason: text }) => `${path}: ${text}`).join('; ');
+  return createFailure('never-fits', { reason }, { details });
+}
+
+/**
+ * Tells whether a gang can never run because its tasks together are over the team's upper limit.
+ *
+ * @param limit tasks that the team may have running, or undefined if the team is not known
+ * @param request job to check
+ * @returns `never-fits`, or null if the limit leaves room
+ */
+export function explainOverLimit(limit: number | undefined, request: JobRequest): Failure | null {
+  if (limit === undefined || request.kind !== 'gang' || request.tasks <= limit) return null;
+  const reason = `the gang needs ${request.tasks} tasks at once, the upper limit of the team is ${limit}`;
+  return createNeverFits([{ path: 'tasks', reason }]);
+}
+
 /**
  * Tells whether a job can never run on the workers of the cell, even when they are empty.
  *
@@ -51,7 +69,5 @@
   if (capacities.length === 0) return null;
   const dimensions = explainDimensions(capacities, request.resources);
   const details = dimensions.length > 0 ? dimensions : explainCombination(capacities, request);
-  if (details.length === 0) return null;
-  const reason = details.map(({ path, reason: text }) => `${path}: ${text}`).join('; ');
-  return createFailure('never-fits', { reason }, { details });
+  return details.length === 0 ? null : createNeverFits(details);
 }
--- a/packages/daemon/src/types/callerBodies.ts
+++ b/packages/daemon/src/types/callerBodies.ts
@@ -26,10 +26,10 @@
   resources: z.strictObject({
     processors: z.number().positive(),
     memoryBytes: z.int().min(0),
-    accelerators: z.int().min(0),
+    accelerators: z.int().min(0).default(0),
   }),
   idempotent: z.boolean(),
-  urgent: z.boolean(),
+  urgent: z.boolean().default(false),
   expectedRunMilliseconds: z.int().min(0),
   payload,
 }) satisfies z.ZodType<JobRequest>;
--- a/packages/daemon/src/utils/httpFailures.ts
+++ b/packages/daemon/src/utils/httpFailures.ts
@@ -5,8 +5,9 @@
 /** Largest body of a call, in bytes. */
 export const BODY_LIMIT_BYTES = 1_048_576;
 
+/** Its message repeats the text of the failure. */
+const UNPARSABLE_CODE = 'FST_ERR_CTP_INVALID_JSON_BODY';
 const MALFORMED_CODES = new Set([
-  'FST_ERR_CTP_INVALID_JSON_BODY',
   'FST_ERR_CTP_EMPTY_JSON_BODY',
   'FST_ERR_CTP_INVALID_CONTENT_LENGTH',
   'ECONNRESET',
@@ -53,6 +54,9 @@
   }
   if (MEDIA_TYPE_CODES.has(code)) return createFailure('unsupported-media-type');
   if (ROUTE_CODES.has(code)) return createFailure('unknown-route', { ...request });
+  if (code === UNPARSABLE_CODE) {
+    return createFailure('malformed-json', { reason: 'it cannot be parsed' });
+  }
   if (MALFORMED_CODES.has(code) || error instanceof SyntaxError) {
     return createFailure('malformed-json', { reason });
   }
@@ -60,7 +64,8 @@
 }
 
 /**
- * Turns the issues of a schema into failure details, one for each unknown field.
+ * Turns the issues of a schema into failure details, one for each unknown field. Missing fields are told from
+ * wrong ones if the schema reported its input.
  *
  * @param error what the schema reported
  * @returns path and reason of each issue
@@ -68,7 +73,10 @@
 export function describeIssues(error: z.ZodError): FailureDetail[] {
   return error.issues.flatMap((issue) => {
     const path = issue.path.map(String).join('.');
-    if (issue.code !== 'unrecognized_keys') return [{ path, reason: issue.message }];
+    if (issue.code !== 'unrecognized_keys') {
+      const isMissing = 'input' in issue && issue.input === undefined;
+      return [{ path, reason: isMissing ? 'is required' : issue.message }];
+    }
     return issue.keys.map((key) => ({
       path: path ? `${path}.${key}` : key,
       reason: 'unknown field',
