--- /dev/null
+++ b/packages/proving/src/__performance_tests__/countingDaemon.ts
@@ -0,0 +1,51 @@
+/**
+ * Runs the daemon and counts the bytes on its sockets. On SIGUSR2 the counts so far are written to the file of
+ * this process, see {@link trafficFile}.
+ */
+import { subscribe } from 'node:diagnostics_channel';
+import { renameSync, writeFileSync } from 'node:fs';
+import type { Socket } from 'node:net';
+
+import { DAEMON_PROGRAM } from '../core/daemonProcess.js';
+import { trafficFile } from './trafficFile.js';
+import type { TrafficCount } from './trafficFile.js';
+
+const REMOTE_OF_CALLERS = 'callers';
+
+const open = new Map<Socket, string>();
+const totals = new Map<string, TrafficCount>();
+
+function add(remote: string, { bytesRead, bytesWritten }: Socket): void {
+  const { sent, received } = totals.get(remote) ?? { sent: 0, received: 0 };
+  totals.set(remote, { sent: sent + bytesWritten, received: received + bytesRead });
+}
+
+function track(socket: Socket, remote: string): void {
+  open.set(socket, remote);
+  socket.once('close', () => {
+    open.delete(socket);
+    add(remote, socket);
+  });
+}
+
+function trackOutgoing({ socket }: { socket: Socket }): void {
+  socket.once('connect', () => track(socket, `${socket.remoteAddress}:${socket.remotePort}`));
+}
+
+function writeCounts(): void {
+  const closed = new Map(totals);
+  open.forEach((remote, socket) => add(remote, socket));
+  const file = trafficFile(process.pid);
+  writeFileSync(`${file}.new`, JSON.stringify(Object.fromEntries(totals)));
+  renameSync(`${file}.new`, file);
+  totals.clear();
+  closed.forEach((count, remote) => totals.set(remote, count));
+}
+
+subscribe('net.client.socket', (message) => trackOutgoing(message as { socket: Socket }));
+subscribe('net.server.socket', (message) =>
+  track((message as { socket: Socket }).socket, REMOTE_OF_CALLERS),
+);
+process.on('SIGUSR2', writeCounts);
+
+await import(DAEMON_PROGRAM);
--- a/packages/proving/src/__performance_tests__/index.ts
+++ b/packages/proving/src/__performance_tests__/index.ts
@@ -1,4 +1,5 @@
 /** Producers of benchmark rows of this package. */
 export { collectCellRows } from './cellRows.js';
 export { collectSlopeRows } from './slopeRows.js';
+export { collectTrafficRows } from './trafficRows.js';
 export { produceStoreClientRows } from './storeClient.js';
--- /dev/null
+++ b/packages/proving/src/__performance_tests__/trafficRows.ts
@@ -0,0 +1,123 @@
+import { existsSync, readFileSync, rmSync } from 'node:fs';
+import { fileURLToPath } from 'node:url';
+
+import { createSystemClock, sleep } from '@chicorybend/common';
+import type { BenchOptions, BenchRow } from '@chicorybend/common';
+
+import { applyExample } from '../core/demoRun.js';
+import { startLocalCell } from '../core/localCell.js';
+import type { LocalDaemon } from '../core/localDaemon.js';
+import type { LocalCell } from '../core/localCell.js';
+import { readExample } from '../utils/readExample.js';
+import { trafficFile } from './trafficFile.js';
+import type { TrafficCount } from './trafficFile.js';
+
+/** Control of a node: bytes sent and received, per second. */
+const CONTROL_BYTES_BOUND = 4 * 1_024;
+const SETTLE_MILLISECONDS = 8_000;
+const IDLE_MILLISECONDS = 10_000;
+const POLL_MILLISECONDS = 20;
+const MILLISECONDS_PER_SECOND = 1_000;
+const COUNTING_DAEMON = fileURLToPath(new URL('./countingDaemon.js', import.meta.url));
+
+const KINDS = ['daemons', 'store', 'VM list', 'workers', 'endpoints'] as const;
+
+/** What a daemon exchanges bytes with. */
+type TrafficKind = (typeof KINDS)[number];
+
+const clock = createSystemClock();
+
+function hostAndPort(address: string): string {
+  return address.replace(/^http:\/\//, '');
+}
+
+async function readCounts(processId: number): Promise<ReadonlyMap<string, TrafficCount>> {
+  const file = trafficFile(processId);
+  rmSync(file, { force: true });
+  process.kill(processId, 'SIGUSR2');
+  while (!existsSync(file)) await sleep(clock, POLL_MILLISECONDS);
+  const counts = JSON.parse(readFileSync(file, 'utf8')) as Record<string, TrafficCount>;
+  rmSync(file);
+  return new Map(Object.entries(counts));
+}
+
+/** The store is reached through a relay of the daemon. */
+function classify(cell: LocalCell, remote: string): TrafficKind {
+  const { vmList, workers, endpoints } = cell.platform;
+  const is = ({ address }: { address: string }) => hostAndPort(address) === remote;
+  if (is(vmList)) return 'VM list';
+  if (workers.some(is)) return 'workers';
+  if (endpoints.some(is)) return 'endpoints';
+  const isRelay = ({ storeRelay: { host, port } }: LocalDaemon) => `${host}:${port}` === remote;
+  if (cell.daemons.some(isRelay)) return 'store';
+  return 'daemons';
+}
+
+function sumBytes(cell: LocalCell, counts: ReadonlyMap<string, TrafficCount>) {
+  const sums = new Map<TrafficKind, number>();
+  counts.forEach(({ sent, received }, remote) => {
+    const kind = classify(cell, remote);
+    sums.set(kind, (sums.get(kind) ?? 0) + sent + received);
+  });
+  return sums;
+}
+
+async function measureIdle(cell: LocalCell): Promise<readonly Map<TrafficKind, number>[]> {
+  const processIds = cell.daemons.flatMap((daemon) => daemon.processId() ?? []);
+  const read = async () =>
+    (await Promise.all(processIds.map(readCounts))).map((counts) => sumBytes(cell, counts));
+  const before = await read();
+  await sleep(clock, IDLE_MILLISECONDS);
+  const after = await read();
+  const seconds = IDLE_MILLISECONDS / MILLISECONDS_PER_SECOND;
+  return after.map(
+    (sums, index) =>
+      new Map(
+        [...sums].map(([kind, bytes]) => [
+          kind,
+          (bytes - (before[index]?.get(kind) ?? 0)) / seconds,
+        ]),
+      ),
+  );
+}
+
+function sumOf(rates: ReadonlyMap<TrafficKind, number>): number {
+  return [...rates.values()].reduce((sum, rate) => sum + rate, 0);
+}
+
+/**
+ * Measures the bytes that idle daemons of a local cell send and receive, the headers of HTTP included.
+ *
+ * @param options extent of the run; a short run gives no rows
+ * @returns rows with the bound from the stated target
+ */
+export async function collectTrafficRows(options: BenchOptions): Promise<readonly BenchRow[]> {
+  if (options.isShort) return [];
+  const example = readExample('coldline');
+  const cell = await startLocalCell({
+    plan: example.plan,
+    program: COUNTING_DAEMON,
+    prepare: (started) => applyExample(started, example),
+  });
+  try {
+    await sleep(clock, SETTLE_MILLISECONDS);
+    const daemons = await measureIdle(cell);
+    const shared = { direction: 'at-most' as const, unit: 'bytes/s' };
+    return [
+      {
+        ...shared,
+        name: 'idle daemon: bytes sent and received for control, largest',
+        measured: Math.max(...daemons.map(sumOf)),
+        bound: CONTROL_BYTES_BOUND,
+      },
+      ...KINDS.map((kind) => ({
+        ...shared,
+        name: `idle daemon: bytes exchanged with ${kind}, largest`,
+        measured: Math.max(...daemons.map((rates) => rates.get(kind) ?? 0)),
+        bound: null,
+      })),
+    ];
+  } finally {
+    await cell.close();
+  }
+}
