Read the VM list again only after a change

Cause: an idle daemon spent 10.8 KB/s on the list of 66 VMs, which was sent whole every second; at 20,000 workers it would be megabytes. Each look at workers or endpoints also filtered the whole list.

Change: the directory sends if-none-match, the stand-in answers 304 to an unchanged list; VMs are grouped by role when the list changes. A list that cannot be read is counted and asked for again.

--- a/packages/daemon/src/core/vmDirectory.ts
+++ b/packages/daemon/src/core/vmDirectory.ts
@@ -8,6 +8,7 @@
 export const VM_LIST_INTERVAL_MILLISECONDS = 1_000;
 const READ_TIMEOUT_MILLISECONDS = 2_000;
 const STATUS_OK = 200;
+const STATUS_NOT_MODIFIED = 304;
 
 /** What the directory needs. */
 export interface VmDirectoryOptions {
@@ -26,6 +27,16 @@
   stop(): Promise<void>;
 }
 
+function groupByRole(vms: readonly VmRecord[]): Partial<Record<VmRole, VmRecord[]>> {
+  const groups: Partial<Record<VmRole, VmRecord[]>> = {};
+  vms.forEach((vm) => {
+    const group = groups[vm.role] ?? [];
+    group.push(vm);
+    groups[vm.role] = group;
+  });
+  return groups;
+}
+
 /**
  * Creates a copy of the platform's VM list. The last list is kept while the platform gives none.
  *
@@ -36,22 +47,38 @@
   const { selfId, clock, counters } = options;
   const pool = new Pool(options.address, { connections: 1 });
   const listeners: (() => void)[] = [];
-  let vms: readonly VmRecord[] = [];
+  let byRole: Readonly<Partial<Record<VmRole, readonly VmRecord[]>>> = {};
+  let entryIds: ReadonlySet<string> = new Set();
   let serialized = '';
+  let entityTag: string | null = null;
   let isStopped = false;
 
+  function take(text: string): void {
+    const { vms } = JSON.parse(text) as VmListResponse;
+    byRole = groupByRole(vms);
+    entryIds = new Set(byRole.entry?.map(({ id }) => id));
+    serialized = text;
+    listeners.forEach((listener) => listener());
+  }
+
   async function read(): Promise<void> {
     try {
       const response = await pool.request({
         method: 'GET',
         path: '/v1/vms',
+        // The whole list of a large fleet has megabytes; it is sent again only after a change.
+        ...(entityTag === null ? {} : { headers: { 'if-none-match': entityTag } }),
         signal: AbortSignal.timeout(READ_TIMEOUT_MILLISECONDS),
       });
       const text = await response.body.text();
-      if (response.statusCode !== STATUS_OK || text === serialized) return;
-      vms = (JSON.parse(text) as VmListResponse).vms;
-      serialized = text;
-      listeners.forEach((listener) => listener());
+      if (response.statusCode === STATUS_NOT_MODIFIED) return;
+      if (response.statusCode !== STATUS_OK) {
+        counters.increment('vm-list.unavailable');
+        return;
+      }
+      if (text !== serialized) take(text);
+      const { etag } = response.headers;
+      entityTag = typeof etag === 'string' ? etag : null;
     } catch {
       counters.increment('vm-list.unavailable');
     }
@@ -64,17 +91,10 @@
     }
   }
 
-  function withRole(role: VmRole): readonly VmRecord[] {
-    return vms.filter((vm) => vm.role === role);
-  }
-
   return {
-    workers: () => withRole('worker'),
-    endpoints: () => withRole('endpoint'),
-    isEntryVmGone(daemonId) {
-      const ids = withRole('entry').map((vm) => vm.id);
-      return ids.includes(selfId) && !ids.includes(daemonId);
-    },
+    workers: () => byRole.worker ?? [],
+    endpoints: () => byRole.endpoint ?? [],
+    isEntryVmGone: (daemonId) => entryIds.has(selfId) && !entryIds.has(daemonId),
     onChange(listener) {
       listeners.push(listener);
     },
--- a/packages/standins/src/core/vmListStandIn.ts
+++ b/packages/standins/src/core/vmListStandIn.ts
@@ -1,3 +1,5 @@
+import { createHash } from 'node:crypto';
+
 import { createSystemClock, sleep } from '@chicorybend/common';
 import type { VmListResponse, VmRecord, VmState } from '@chicorybend/common';
 
@@ -15,6 +17,8 @@
   lagMilliseconds: number;
 }
 
+const STATUS_NOT_MODIFIED = 304;
+
 /** Place and content of a VM list stand-in. */
 export interface VmListStandInOptions extends HostPlace {
   readonly lagMilliseconds?: number;
@@ -39,8 +43,13 @@
   close(): Promise<void>;
 }
 
+function hashList(body: string): string {
+  return `"${createHash('sha256').update(body).digest('base64url')}"`;
+}
+
 /**
- * Starts a stand-in for the platform's VM list, `GET /v1/vms`.
+ * Starts a stand-in for the platform's VM list, `GET /v1/vms`. An unchanged list is answered with 304 to
+ * `if-none-match`.
  *
  * @param options place, content and lag
  * @returns the running stand-in
@@ -76,14 +85,18 @@
   }
 
   const host = await startHttpHost(options, (app) => {
-    app.get('/v1/vms', async (_, reply) => {
+    app.get('/v1/vms', async (request, reply) => {
       if (faults.delayMilliseconds > 0) await sleep(clock, faults.delayMilliseconds);
       if (faults.isDown) {
         reply.hijack();
         reply.raw.destroy();
         return reply;
       }
-      return { vms: [...visible.values()] } satisfies VmListResponse;
+      const body = JSON.stringify({ vms: [...visible.values()] } satisfies VmListResponse);
+      const etag = hashList(body);
+      reply.header('etag', etag);
+      if (request.headers['if-none-match'] === etag) return reply.code(STATUS_NOT_MODIFIED).send();
+      return reply.type('application/json').send(body);
     });
   });
 
