Send loads and owned partitions in heartbeats only after a change

Cause: an idle daemon exchanged 31.7 KB/s with five others, because each heartbeat and each answer carried all loads and owned partitions twice a second in both directions.

Change: a peer gets an entry once, again after a change, and everything every 10 s; answers carry none. Ages and remaining times on the wire are whole milliseconds.

--- a/packages/daemon/src/core/configurationService.ts
+++ b/packages/daemon/src/core/configurationService.ts
@@ -301,7 +301,7 @@
       return {
         configurationRevision: revision(),
         // JSON has no infinity.
-        freshnessAgeMilliseconds: Number.isFinite(age) ? age : Number.MAX_SAFE_INTEGER,
+        freshnessAgeMilliseconds: Number.isFinite(age) ? Math.ceil(age) : Number.MAX_SAFE_INTEGER,
       };
     },
     async start() {
--- a/packages/daemon/src/core/membership.ts
+++ b/packages/daemon/src/core/membership.ts
@@ -9,11 +9,12 @@
 } from '../types/membershipView.js';
 import type { LoadBoard, PartitionLoad } from '../types/partition.js';
 import type { PeerLink } from '../types/peer.js';
-import type { Heartbeat } from '../types/peerMethods.js';
+import type { Heartbeat, HeartbeatLoads } from '../types/peerMethods.js';
 import type { VmDirectory } from '../types/vmDirectory.js';
 import { createAuthority, VOTE_TTL_MILLISECONDS } from './authority.js';
 import type { Authority } from './authority.js';
 import { createDaemonSession, sessionKey } from './daemonSession.js';
+import { createLoadsForPeers } from './heartbeatLoads.js';
 import { changeMembership, createJoin, createRemoval, MEMBERSHIP_KEY } from './membershipRecord.js';
 import type { MembershipChange, MembershipChangeOptions } from './membershipRecord.js';
 
@@ -30,12 +31,10 @@
 const JOIN_ATTEMPT_MILLISECONDS = 10_000;
 
 /** Facts that other modules add to this daemon's heartbeats. */
-export interface HeartbeatFacts {
+export interface HeartbeatFacts extends HeartbeatLoads {
   readonly configurationRevision: number;
   readonly freshnessAgeMilliseconds: number;
   readonly isDraining: boolean;
-  readonly owned: readonly { partition: number; epoch: number }[];
-  readonly loads: readonly PartitionLoad[];
 }
 
 /** What the membership needs. */
@@ -106,6 +105,7 @@
   /** By `<daemonId>/<incarnation>`: when the process was last heard. */
   const heardAt = new Map<string, number>();
   const heard = new Map<string, Heard>();
+  const loadsForPeers = createLoadsForPeers(clock);
   const partitionLoads = new Map<number, PartitionLoad>();
   const owners = new Map<number, { daemonId: string; epoch: number }>();
   let record: MembershipRecord | null = null;
@@ -142,12 +142,15 @@
     });
   }
 
-  function describeSelf(receiverVersion: number): Heartbeat {
+  function describeSelf(receiverVersion: number, facts: HeartbeatFacts): Heartbeat {
+    const { configurationRevision, freshnessAgeMilliseconds, isDraining } = facts;
     const isReceiverBehind = record !== null && receiverVersion < record.version;
     return {
       incarnation: self.incarnation,
       membershipVersion: record?.version ?? 0,
-      ...options.facts(),
+      configurationRevision,
+      freshnessAgeMilliseconds,
+      isDraining,
       ...(isReceiverBehind && record ? { record } : {}),
     };
   }
@@ -166,8 +169,8 @@
         isDraining: heartbeat.isDraining,
       },
     });
-    heartbeat.loads.forEach((load) => partitionLoads.set(load.partition, load));
-    heartbeat.owned.forEach(({ partition, epoch }) => {
+    heartbeat.loads?.loads.forEach((load) => partitionLoads.set(load.partition, load));
+    heartbeat.loads?.owned.forEach(({ partition, epoch }) => {
       if (epoch >= (owners.get(partition)?.epoch ?? 0)) owners.set(partition, { daemonId, epoch });
     });
     if (heartbeat.record) adoptRecord(heartbeat.record);
@@ -177,16 +180,19 @@
     const sentAt = clock.monotonicMilliseconds();
     const sentVersion = record?.version ?? 0;
     const knownVersion = heard.get(member.daemonId)?.heartbeat.membershipVersion ?? sentVersion;
+    const facts = options.facts();
+    const pending = loadsForPeers.prepare(member.daemonId, facts);
     const reply = await link.call(
       member.daemonId,
       'membership.heartbeat',
-      describeSelf(knownVersion),
+      { ...describeSelf(knownVersion, facts), ...(pending.loads ? { loads: pending.loads } : {}) },
       HEARTBEAT_DEADLINE_MILLISECONDS,
     );
     if (reply.isErr()) {
       counters.increment('membership.heartbeats.failed');
       return reply;
     }
+    pending.acknowledge(reply.value.incarnation);
     recordHeard(member.daemonId, reply.value, sentAt - reply.value.freshnessAgeMilliseconds);
     const isSameVersion =
       reply.value.membershipVersion === sentVersion && record?.version === sentVersion;
@@ -324,7 +330,7 @@
 
   link.handle('membership.heartbeat', async (heartbeat, { from }) => {
     recordHeard(from, heartbeat, -Infinity);
-    return Ok(describeSelf(heartbeat.membershipVersion));
+    return Ok(describeSelf(heartbeat.membershipVersion, options.facts()));
   });
   link.handle('membership.silence', async ({ daemonId, incarnation }) =>
     Ok({
--- a/packages/daemon/src/core/peerLink.ts
+++ b/packages/daemon/src/core/peerLink.ts
@@ -100,7 +100,7 @@
     if (remaining <= 0) return { kind: 'not-sent', reason: 'deadline passed before sending' };
     return connection.exchange(
       method,
-      { remainingMilliseconds: remaining, body: params },
+      { remainingMilliseconds: Math.floor(remaining), body: params },
       remaining,
     );
   }
--- a/packages/daemon/src/types/peerMethods.ts
+++ b/packages/daemon/src/types/peerMethods.ts
@@ -16,6 +16,14 @@
 import type { MembershipRecord } from './membershipView.js';
 import type { PartitionLoad } from './partition.js';
 
+/** What a heartbeat tells about the sender's partitions. */
+export interface HeartbeatLoads {
+  /** Partitions that the sender serves. */
+  readonly owned: readonly { partition: number; epoch: number }[];
+  /** Loads that have changed. */
+  readonly loads: readonly PartitionLoad[];
+}
+
 /** Parameters of a heartbeat. */
 export interface Heartbeat {
   readonly incarnation: string;
@@ -24,9 +32,8 @@
   /** Age of the sender's last confirmation of the configuration against the store, in milliseconds. */
   readonly freshnessAgeMilliseconds: number;
   readonly isDraining: boolean;
-  /** Partitions that the sender serves. */
-  readonly owned: readonly { partition: number; epoch: number }[];
-  readonly loads: readonly PartitionLoad[];
+  /** Present when the receiver may not know them as they are; absent from answers. */
+  readonly loads?: HeartbeatLoads;
   /** The sender's membership record, present when the receiver is known to hold an older one. */
   readonly record?: MembershipRecord;
 }
