--- a/packages/daemon/src/core/daemonServices.ts
+++ b/packages/daemon/src/core/daemonServices.ts
@@ -21,6 +21,7 @@
 import { createJobService } from './jobService.js';
 import { createLocalLoads } from './localLoads.js';
 import type { LocalLoads } from './localLoads.js';
+import { readPolicy } from './queuePolicy.js';
 import { createRequestRouter } from './requestRouter.js';
 import type { RequestRouter } from './requestRouter.js';
 import { createWorkerClient } from './workerClient.js';
@@ -32,8 +33,6 @@
 /** Retries of interactive requests per first attempt. */
 const RETRY_RATIO = 0.1;
 const RETRY_BURST = 20;
-const DEFAULT_ORDER = 'waiting-time-first';
-const DEFAULT_AGING_MILLISECONDS = 60_000;
 
 /** What the partition-bound services need. */
 export interface DaemonServicesOptions {
@@ -99,10 +98,8 @@
     vmDirectory: vms,
     allotments: allotments.allotments,
     createQueue() {
-      const policy = configuration.current()?.policy;
-      return createTaskQueue(createQueueOrderPolicy(policy?.order ?? DEFAULT_ORDER), {
-        agingMilliseconds: policy?.agingMilliseconds ?? DEFAULT_AGING_MILLISECONDS,
-      });
+      const { order, agingMilliseconds } = readPolicy(configuration);
+      return createTaskQueue(createQueueOrderPolicy(order), { agingMilliseconds });
     },
     createQuarantine: () => createQuarantine({}),
   });
--- /dev/null
+++ b/packages/daemon/src/core/placementAdmission.ts
@@ -0,0 +1,123 @@
+/**
+ * Takes work from the backlog in the order of the policy, and charges it to its team's upper limit.
+ */
+import type { Clock } from '@chicorybend/common';
+import type { QueuedWork, TaskQueue } from '@chicorybend/decisions';
+
+import type { AllotmentCharges } from './allotmentCharges.js';
+import { findTask } from './jobState.js';
+import type { Job, JobsState, Task } from './jobState.js';
+import type { RoomHolds } from './roomHolds.js';
+import type { RoomShortages } from './roomShortages.js';
+import { isEnding } from './taskRules.js';
+import type { WorkBacklog } from './workBacklog.js';
+
+const LIMIT_RETRY_MILLISECONDS = 250;
+
+/** Tasks of one job that are placed together. */
+export interface Placement {
+  readonly job: Job;
+  readonly tasks: readonly Task[];
+  /** Failed placements before this one. */
+  readonly tries: number;
+  /** Monotonic time since which the oldest of them has waited, in milliseconds. */
+  readonly since: number;
+}
+
+/** What the admission needs. */
+export interface PlacementAdmissionOptions {
+  readonly state: JobsState;
+  readonly queue: TaskQueue;
+  readonly backlog: WorkBacklog;
+  readonly charges: AllotmentCharges;
+  readonly shortages: RoomShortages;
+  readonly holds: RoomHolds;
+  readonly clock: Clock;
+}
+
+/** Admission of waiting work. */
+export interface PlacementAdmission {
+  /**
+   * @param most pieces of work to take at most
+   * @returns charged work; independent tasks of one job are together
+   */
+  take(most: number): readonly Placement[];
+}
+
+/** Independent tasks of one job ask for room together. */
+function merge(placements: readonly Placement[]): readonly Placement[] {
+  const merged = new Map<Job, Placement>();
+  const apart: Placement[] = [];
+  placements.forEach((placement) => {
+    const { job } = placement;
+    const known = merged.get(job);
+    if (job.request.kind !== 'batch') apart.push(placement);
+    else if (!known) merged.set(job, placement);
+    else {
+      const tries = Math.max(known.tries, placement.tries);
+      const since = Math.min(known.since, placement.since);
+      merged.set(job, { job, tasks: [...known.tasks, ...placement.tasks], tries, since });
+    }
+  });
+  return [...merged.values(), ...apart];
+}
+
+/**
+ * Creates the admission of one job partition.
+ *
+ * @param options backlog and limits
+ * @returns the admission
+ */
+export function createPlacementAdmission(options: PlacementAdmissionOptions): PlacementAdmission {
+  const { state, queue, backlog, charges, shortages, holds, clock } = options;
+  const blockedUntil = new Map<string, number>();
+
+  function toPlacement(work: QueuedWork): Placement | null {
+    const job = state.jobs.get(work.jobId);
+    if (!job || job.isHeld || isEnding(job)) return null;
+    const single = findTask(state, work.workId)?.task;
+    const tasks = work.workId === work.jobId ? job.tasks : [single];
+    const pending = tasks.filter((task) => task?.state === 'pending') as Task[];
+    const tries = backlog.triesOf(work.workId);
+    const since = work.enqueuedAt;
+    return pending.length === work.tasks ? { job, tasks: pending, tries, since } : null;
+  }
+
+  function admit(work: QueuedWork, now: number): Placement | null {
+    const placement = toPlacement(work);
+    if (!placement) return null;
+    const { job, tasks } = placement;
+    const isHolding = holds.partitionsOf(job).length > 0;
+    const noRoomUntil = isHolding ? 0 : shortages.until(job, tasks.length);
+    if (now < noRoomUntil) {
+      backlog.putBack(work, noRoomUntil, 'room on a worker');
+      return null;
+    }
+    const charged = charges.charge(
+      job.team,
+      tasks.map(({ taskId }) => taskId),
+    );
+    if (charged.isOk()) {
+      queue.recordStart(work);
+      return placement;
+    }
+    const delay = charged.error.retryAfterMilliseconds ?? LIMIT_RETRY_MILLISECONDS;
+    blockedUntil.set(job.team, now + delay);
+    backlog.putBack(work, now + delay, `the upper limit of team ${job.team}`);
+    return null;
+  }
+
+  return {
+    take(most) {
+      const now = clock.monotonicMilliseconds();
+      const taken: Placement[] = [];
+      for (let count = 0; count < most; count += 1) {
+        const work = backlog.take((team) => now >= (blockedUntil.get(team) ?? 0));
+        if (!work) break;
+        const placement = admit(work, now);
+        if (placement) taken.push(placement);
+      }
+      return merge(taken);
+    },
+  };
+}
--- a/packages/daemon/src/core/placementLoop.ts
+++ b/packages/daemon/src/core/placementLoop.ts
@@ -1,8 +1,8 @@
 /**
  * Turns the pending tasks of one job partition into executions, a bounded number per turn of the event loop.
  */
-import type { CancelTimer, Resources } from '@chicorybend/common';
-import type { Quarantine, QueuedWork, TaskQueue } from '@chicorybend/decisions';
+import type { CancelTimer } from '@chicorybend/common';
+import type { Quarantine, TaskQueue } from '@chicorybend/decisions';
 
 import type { Allotments } from '../types/allotment.js';
 import type { ConfigurationView } from '../types/configurationView.js';
@@ -17,8 +17,14 @@
 import type { JobPartitionListener } from './jobPartition.js';
 import { advanceTask, findTask, isExecuting } from './jobState.js';
 import type { Job, Task } from './jobState.js';
+import { createPlacementAdmission } from './placementAdmission.js';
+import type { Placement } from './placementAdmission.js';
+import { createPlacementShares } from './placementShares.js';
+import { readPolicy } from './queuePolicy.js';
 import { createReserver } from './reserver.js';
 import type { ReservationWish } from './reserver.js';
+import { createRoomHolds } from './roomHolds.js';
+import { createRoomShortages } from './roomShortages.js';
 import { createServiceRacks } from './serviceRacks.js';
 import { createTaskLookups } from './taskLookups.js';
 import { isEnding, mustStop } from './taskRules.js';
@@ -26,19 +32,17 @@
 import { createTaskStops } from './taskStops.js';
 import { createWorkBacklog } from './workBacklog.js';
 import { createWorkerEpochWatch } from './workerEpochWatch.js';
+import { createWorkerTargets } from './workerTargets.js';
 
 const WORK_PER_TURN = 128;
 const MAXIMUM_IN_FLIGHT = 1_024;
 /** Work that was put back falls due between turns. */
 const TURN_INTERVAL_MILLISECONDS = 25;
-const SHARES_INTERVAL_MILLISECONDS = 500;
-const LIMIT_RETRY_MILLISECONDS = 250;
-const NO_ROOM_MILLISECONDS = 100;
 /** Tasks handled together in one piece of a wave. */
 const TASKS_PER_PIECE = 100;
 const PIECES_PER_TURN = 500;
-/** A small cell may have no worker left on which the job has not failed. */
-const TRIES_WITH_AVOIDED_WORKERS = 5;
+/** A small cell may have no worker left on which the job has not failed. Takes about two seconds. */
+const TRIES_WITH_AVOIDED_WORKERS = 20;
 
 /** What the loop needs. */
 export interface PlacementLoopOptions {
@@ -57,13 +61,6 @@
   close(): void;
 }
 
-/** Tasks of one job that are placed together. */
-interface Placement {
-  readonly job: Job;
-  readonly tasks: readonly Task[];
-  readonly tries: number;
-}
-
 /**
  * Creates the placement of one job partition.
  *
@@ -72,18 +69,29 @@
  */
 export function createPlacementLoop(options: PlacementLoopOptions): PlacementLoop {
   const { context, queue, quarantine, allotments, configuration } = options;
-  const { partition, clock, random, counters, log, loadBoard, vmDirectory } = context;
+  const { partition, clock, random, counters, log, vmDirectory } = context;
   const { state } = partition;
   const charges = createAllotmentCharges(allotments, partition.lease.partition);
   /** Placement that each task is part of. */
   const inHand = new Map<string, Placement>();
   const racks = createServiceRacks(vmDirectory);
-  const blockedUntil = new Map<string, number>();
-  const shapesWithoutRoom = new Map<string, number>();
   const wave = createTurnQueue(clock, PIECES_PER_TURN);
   const isInHand = (taskId: string) => inHand.has(taskId);
   const backlog = createWorkBacklog({ partition, queue, configuration, clock, random, isInHand });
-  const reserver = createReserver(context);
+  const targets = createWorkerTargets(context);
+  const reserver = createReserver(context, targets);
+  const holds = createRoomHolds(context, targets);
+  const shortages = createRoomShortages(clock, random);
+  const shares = createPlacementShares(context, configuration);
+  const admission = createPlacementAdmission({
+    state,
+    queue,
+    backlog,
+    charges,
+    shortages,
+    holds,
+    clock,
+  });
   const stops = createTaskStops(context);
   const lookups = createTaskLookups(context, {
     onRunning: confirmStarted,
@@ -99,7 +107,6 @@
     onNotIntended: () => {},
   });
   let cancelTimer: CancelTimer | null = null;
-  let sharesSetAt = Number.NEGATIVE_INFINITY;
 
   function schedule(delayMilliseconds: number): void {
     if (!partition.isClosed()) cancelTimer ??= clock.setTimer(runTurn, delayMilliseconds);
@@ -118,120 +125,11 @@
     if (mustStop(located.job)) stops.add(task);
   }
 
-  function shapeOf({ request }: Job): string {
-    const { processors, memoryBytes, accelerators } = request.resources;
-    return `${processors}/${memoryBytes}/${accelerators}`;
-  }
-
-  /** Spares the owners of workers the same question for each of many equal tasks. */
-  function noteNoRoom({ job }: Placement): void {
-    if (job.request.kind === 'gang' || job.failedWorkers.length > 0) return;
-    const until = clock.monotonicMilliseconds() + NO_ROOM_MILLISECONDS * (0.5 + random());
-    shapesWithoutRoom.set(shapeOf(job), until);
-  }
-
-  function capacityOfCell(): Resources {
-    const total = { processors: 0, memoryBytes: 0, accelerators: 0 };
-    vmDirectory.workers().forEach(({ capacity }) => {
-      total.processors += capacity?.processors ?? 0;
-      total.memoryBytes += capacity?.memoryBytes ?? 0;
-      total.accelerators += capacity?.accelerators ?? 0;
-    });
-    return total;
-  }
-
-  function usageOfCell(): Readonly<Record<string, Resources>> {
-    const total: Record<string, { processors: number; memoryBytes: number; accelerators: number }> =
-      {};
-    loadBoard.loads().forEach(({ usedByTeam }) => {
-      Object.entries(usedByTeam ?? {}).forEach(([team, used]) => {
-        const sum = total[team] ?? { processors: 0, memoryBytes: 0, accelerators: 0 };
-        sum.processors += used.processors;
-        sum.memoryBytes += used.memoryBytes;
-        sum.accelerators += used.accelerators;
-        total[team] = sum;
-      });
-    });
-    return total;
-  }
-
-  function setShares(now: number): void {
-    if (now - sharesSetAt < SHARES_INTERVAL_MILLISECONDS) return;
-    sharesSetAt = now;
-    shapesWithoutRoom.clear();
-    const teams = Object.entries(configuration.current()?.teams ?? {});
-    queue.setShares(Object.fromEntries(teams.map(([team, { share }]) => [team, share])));
-    queue.setCapacity(capacityOfCell());
-    queue.setUsage(usageOfCell());
-  }
-
-  function tasksOf(work: QueuedWork): Placement | null {
-    const job = state.jobs.get(work.jobId);
-    if (!job || job.isHeld || isEnding(job)) return null;
-    const single = findTask(state, work.workId)?.task;
-    const tasks = work.workId === work.jobId ? job.tasks : [single];
-    const pending = tasks.filter((task) => task?.state === 'pending') as Task[];
-    const tries = backlog.triesOf(work.workId);
-    return pending.length === work.tasks ? { job, tasks: pending, tries } : null;
-  }
-
-  function admit(work: QueuedWork, now: number): Placement | null {
-    const placement = tasksOf(work);
-    if (!placement) return null;
-    const { job, tasks } = placement;
-    const noRoomUntil = shapesWithoutRoom.get(shapeOf(job)) ?? 0;
-    if (now < noRoomUntil) {
-      backlog.putBack(work, noRoomUntil, 'room on a worker');
-      return null;
-    }
-    const charged = charges.charge(
-      job.team,
-      tasks.map(({ taskId }) => taskId),
-    );
-    if (charged.isOk()) {
-      queue.recordStart(work);
-      return placement;
-    }
-    const delay = charged.error.retryAfterMilliseconds ?? LIMIT_RETRY_MILLISECONDS;
-    blockedUntil.set(job.team, now + delay);
-    backlog.putBack(work, now + delay, `the upper limit of team ${job.team}`);
-    return null;
-  }
-
-  /** Independent tasks of one job ask for room together. */
-  function merge(placements: readonly Placement[]): readonly Placement[] {
-    const merged = new Map<Job, Placement>();
-    const apart: Placement[] = [];
-    placements.forEach((placement) => {
-      const { job } = placement;
-      const known = merged.get(job);
-      if (job.request.kind !== 'batch') apart.push(placement);
-      else if (!known) merged.set(job, placement);
-      else {
-        const tries = Math.max(known.tries, placement.tries);
-        merged.set(job, { job, tasks: [...known.tasks, ...placement.tasks], tries });
-      }
-    });
-    return [...merged.values(), ...apart];
-  }
-
-  function takeWork(now: number): readonly Placement[] {
-    const taken: Placement[] = [];
-    for (let count = 0; count < WORK_PER_TURN && inHand.size < MAXIMUM_IN_FLIGHT; count += 1) {
-      const work = backlog.take((team) => now >= (blockedUntil.get(team) ?? 0));
-      if (!work) break;
-      const placement = admit(work, now);
-      if (placement) taken.push(placement);
-    }
-    return merge(taken);
-  }
-
   function runTurn(): void {
     cancelTimer = null;
     if (maySend(context)) {
-      const now = clock.monotonicMilliseconds();
-      setShares(now);
-      place(takeWork(now));
+      shares.refresh(queue);
+      place(admission.take(inHand.size < MAXIMUM_IN_FLIGHT ? WORK_PER_TURN : 0));
     }
     if (backlog.size() > 0) schedule(TURN_INTERVAL_MILLISECONDS);
   }
@@ -253,8 +151,7 @@
   /** Replicas of a service are placed one after the other, so that each sees the racks of those before. */
   async function runInOrder(placements: readonly Placement[]): Promise<void> {
     for (const placement of placements) {
-      await placeTasks(placement);
-      finish(placement);
+      finish(placement, await placeTasks(placement));
     }
   }
 
@@ -268,12 +165,12 @@
       taskIds: tasks.map(({ taskId }) => taskId),
       avoidRacks: job.request.kind === 'service' ? racks.crowded(job) : [],
       avoidWorkers: tries < TRIES_WITH_AVOIDED_WORKERS ? job.failedWorkers : [],
+      holders: holds.partitionsOf(job),
     };
   }
 
-  function reserve(placement: Placement): Promise<readonly Reservation[]> {
-    const wish = describeWish(placement);
-    return placement.job.request.kind === 'gang'
+  function reserve(wish: ReservationWish): Promise<readonly Reservation[]> {
+    return wish.job.request.kind === 'gang'
       ? reserver.reserveAll(wish)
       : reserver.reserveSome(wish);
   }
@@ -285,20 +182,37 @@
     });
   }
 
-  async function placeTasks(placement: Placement): Promise<void> {
+  /** Work past its aging bound gets room that smaller work may not take first. */
+  function noteNoRoom({ job, tasks, since }: Placement, wish: ReservationWish): void {
+    const waited = clock.monotonicMilliseconds() - since;
+    if (waited < readPolicy(configuration).agingMilliseconds || isEnding(job)) return;
+    holds.keep(job, job.request.kind === 'gang' ? tasks.length : 1, wish.avoidWorkers);
+  }
+
+  /**
+   * @returns monotonic time of the next try of tasks without room, in milliseconds; undefined if all had room,
+   *   so that those that were not started wait for a backoff
+   */
+  async function placeTasks(placement: Placement): Promise<number | undefined> {
+    const { job, tasks } = placement;
     const reservedAt = clock.monotonicMilliseconds();
-    const reservations = await reserve(placement);
-    if (partition.isClosed()) return;
+    const wish = describeWish(placement);
+    const reservations = await reserve(wish);
+    if (partition.isClosed()) return undefined;
+    const isShort = reservations.length < tasks.length;
+    const retryAt = isShort ? shortages.note(job, tasks.length) : undefined;
     if (reservations.length === 0) {
-      noteNoRoom(placement);
-      return;
+      noteNoRoom(placement, wish);
+      return retryAt;
     }
-    if (placement.job.request.kind === 'service') noteRacks(placement, reservations);
-    await starter.start(placement.job, reservations, reservedAt);
+    if (job.request.kind === 'service') noteRacks(placement, reservations);
+    await starter.start(job, reservations, reservedAt);
+    holds.drop(job);
+    return retryAt;
   }
 
   /** Tasks that were not started wait for another turn. */
-  function finish(placement: Placement): void {
+  function finish(placement: Placement, retryAt?: number): void {
     if (partition.isClosed()) return;
     const { job, tasks } = placement;
     const own = tasks.filter(({ taskId }) => inHand.get(taskId) === placement);
@@ -308,14 +222,14 @@
       charges.release(job.team, task.taskId);
       racks.clear(job, task);
     });
-    requeue(job, own, 'room on a worker');
+    requeue(job, own, 'room on a worker', retryAt);
   }
 
-  function requeue(job: Job, tasks: readonly Task[], waitsFor: string): void {
+  function requeue(job: Job, tasks: readonly Task[], waitsFor: string, retryAt?: number): void {
     const pending = tasks.filter(({ state: taskState }) => taskState === 'pending');
     for (const task of pending) {
       if (backlog.isQueued(job.jobId)) break;
-      if (!backlog.isQueued(task.taskId)) backlog.enqueue(job, task, waitsFor);
+      if (!backlog.isQueued(task.taskId)) backlog.enqueue(job, task, waitsFor, retryAt);
     }
     if (pending.length > 0) schedule(TURN_INTERVAL_MILLISECONDS);
   }
@@ -343,6 +257,7 @@
   }
 
   function stopJob(job: Job): void {
+    holds.drop(job);
     backlog.forgetGang(job);
     inPieces(job, (tasks) => dropOrStop(tasks));
   }
--- /dev/null
+++ b/packages/daemon/src/core/queuePolicy.ts
@@ -0,0 +1,17 @@
+import type { PolicySection } from '@chicorybend/common';
+
+import type { ConfigurationView } from '../types/configurationView.js';
+
+/** In effect before the first configuration was read. */
+const DEFAULT_POLICY: PolicySection = {
+  order: 'waiting-time-first',
+  agingMilliseconds: 60_000,
+};
+
+/**
+ * @param configuration configuration in effect
+ * @returns order of waiting work, and how long it may be passed over
+ */
+export function readPolicy(configuration: ConfigurationView): PolicySection {
+  return configuration.current()?.policy ?? DEFAULT_POLICY;
+}
--- a/packages/daemon/src/core/reserver.ts
+++ b/packages/daemon/src/core/reserver.ts
@@ -1,23 +1,21 @@
 /**
  * Asks the owners of worker partitions for room.
  */
-import type { Resources } from '@chicorybend/common';
-
-import type { PartitionLoad } from '../types/partition.js';
 import type { Reservation } from '../types/peerMethods.js';
 
 import { createFaultHandler } from '../utils/faults.js';
 import { maySend } from './jobContext.js';
 import type { JobContext } from './jobContext.js';
 import type { Job } from './jobState.js';
+import type { WorkerTargets } from './workerTargets.js';
 
 const RESERVE_DEADLINE_MILLISECONDS = 1_000;
+/** One owner without an answer must leave time for the others within the life of a gang's reservations. */
+const GANG_RESERVE_DEADLINE_MILLISECONDS = 400;
 /** Long enough for a slow group commit of the intents. */
 const RESERVATION_TTL_MILLISECONDS = 5_000;
 /** Short, so that a gang whose owner died holds up others only briefly. */
 export const GANG_RESERVATION_TTL_MILLISECONDS = 2_000;
-/** Bounds the calls for work that fits nowhere now. */
-const MAXIMUM_TARGETS = 4;
 
 /** What to reserve. */
 export interface ReservationWish {
@@ -25,6 +23,8 @@
   readonly taskIds: readonly string[];
   readonly avoidRacks: readonly string[];
   readonly avoidWorkers: readonly string[];
+  /** Partitions that hold room for the job, in ascending order. */
+  readonly holders: readonly number[];
 }
 
 /** Reservations at the owners of worker partitions. */
@@ -37,54 +37,17 @@
   release(reservations: readonly Reservation[]): void;
 }
 
-function fits(load: PartitionLoad, resources: Resources): boolean {
-  const { freeLargest } = load;
-  return (
-    freeLargest.processors >= resources.processors &&
-    freeLargest.memoryBytes >= resources.memoryBytes &&
-    freeLargest.accelerators >= resources.accelerators
-  );
-}
-
 /**
  * Creates the reservations of one job partition.
  *
  * @param context parts of the partition
+ * @param targets partitions to ask
  * @returns the reservations
  */
-export function createReserver(context: JobContext): Reserver {
-  const { partition, callPartition, directory, loadBoard, random, log } = context;
+export function createReserver(context: JobContext, targets: WorkerTargets): Reserver {
+  const { partition, callPartition, log } = context;
   const own = partition.lease.partition;
 
-  function allPartitions(): number[] {
-    return Array.from({ length: directory.partitionCount }, (_, index) => index).filter(
-      (number) => directory.ownerOf(number) !== null,
-    );
-  }
-
-  /** Partitions with advertised room, in a random order that prefers much room; unknown ones go last. */
-  function rank(resources: Resources): number[] {
-    const loads = loadBoard.loads();
-    const scored = allPartitions().map((number) => {
-      const load = loads.get(number);
-      if (!load) return { number, score: random() - 1 };
-      // Scores are spread at random, so that many owners do not all choose the same partition.
-      const isRoomy = fits(load, resources);
-      return { number, score: isRoomy ? load.freeTotal.processors * (0.5 + random()) : -2 };
-    });
-    return scored
-      .filter(({ number, score }) => score > -2 || number === own)
-      .sort((left, right) => right.score - left.score)
-      .map(({ number }) => number);
-  }
-
-  function targetsOf(resources: Resources): readonly number[] {
-    const ranked = rank(resources);
-    const first = ranked.includes(own) ? [own] : [];
-    const others = ranked.filter((number) => number !== own);
-    return [...first, ...others].slice(0, MAXIMUM_TARGETS);
-  }
-
   async function reserveAt(
     workerPartition: number,
     wish: ReservationWish,
@@ -106,19 +69,23 @@
         avoidRacks,
         avoidWorkers,
         ttlMilliseconds: isGang ? GANG_RESERVATION_TTL_MILLISECONDS : RESERVATION_TTL_MILLISECONDS,
+        heldFor: job.jobId,
+        isUrgent: job.request.urgent,
       },
-      RESERVE_DEADLINE_MILLISECONDS,
+      isGang ? GANG_RESERVE_DEADLINE_MILLISECONDS : RESERVE_DEADLINE_MILLISECONDS,
     );
-    return outcome.isOk() ? outcome.value : [];
+    if (outcome.isOk()) return outcome.value;
+    if (outcome.error.kind === 'lost') targets.noteUnanswered(workerPartition);
+    return [];
   }
 
   async function reserveInOrder(
-    targets: readonly number[],
+    order: readonly number[],
     wish: ReservationWish,
   ): Promise<readonly Reservation[]> {
     const reserved: Reservation[] = [];
     let remaining = wish.taskIds;
-    for (const target of targets) {
+    for (const target of order) {
       if (remaining.length === 0) break;
       const granted = await reserveAt(target, { ...wish, taskIds: remaining }, false);
       reserved.push(...granted);
@@ -130,20 +97,30 @@
 
   /** A gang that fits into one partition needs no order among partitions. */
   async function reserveInOne(wish: ReservationWish): Promise<readonly Reservation[]> {
-    const [target] = targetsOf(wish.job.request.resources);
-    return target === undefined ? [] : reserveAt(target, wish, true);
+    const target = targets.forAll(wish.job.request.resources, wish.taskIds.length);
+    return target === null ? [] : reserveAt(target, wish, true);
+  }
+
+  function orderOfGang({ job, holders }: ReservationWish): readonly number[] {
+    const order = new Set([...targets.withRoom(job.request.resources), ...holders]);
+    return [...order].sort((left, right) => left - right);
   }
 
   async function reserveAll(wish: ReservationWish): Promise<readonly Reservation[]> {
     const together = await reserveInOne(wish);
     if (together.length === wish.taskIds.length) return together;
     // All gangs take partitions in the same order, so that they cannot hold what the other one needs next.
-    const reserved = await reserveInOrder(allPartitions(), wish);
+    const reserved = await reserveInOrder(orderOfGang(wish), wish);
     if (reserved.length === wish.taskIds.length) return reserved;
     release(reserved);
     return [];
   }
 
+  function reserveSome(wish: ReservationWish): Promise<readonly Reservation[]> {
+    const best = targets.best(wish.job.request.resources);
+    return reserveInOrder([...new Set([...wish.holders, ...best])], wish);
+  }
+
   function release(reservations: readonly Reservation[]): void {
     const groups = new Map<number, string[]>();
     reservations.forEach(({ workerPartition, reservationId }) => {
@@ -163,7 +140,7 @@
   }
 
   return {
-    reserveSome: (wish) => reserveInOrder(targetsOf(wish.job.request.resources), wish),
+    reserveSome,
     reserveAll,
     release,
   };
--- /dev/null
+++ b/packages/daemon/src/core/roomHolds.ts
@@ -0,0 +1,173 @@
+/**
+ * Asks the owners of worker partitions to keep room for work that has waited past its aging bound. Without it a
+ * gang or a large task waits for as long as smaller work takes the room first.
+ */
+import { createFaultHandler } from '../utils/faults.js';
+import { maySend } from './jobContext.js';
+import type { JobContext } from './jobContext.js';
+import type { Job } from './jobState.js';
+import type { WorkerTargets } from './workerTargets.js';
+
+const HOLD_DEADLINE_MILLISECONDS = 500;
+const RENEWAL_INTERVAL_MILLISECONDS = 1_000;
+/** Several renewals, so that a lost one does not give the room away; ends the holds of a dead owner. */
+const HOLD_TTL_MILLISECONDS = 5_000;
+/** After an attempt that found too little; spread, so that two gangs do not collide again. */
+const RETRY_MILLISECONDS = 1_000;
+
+/** Room that is held for the work of one job partition. */
+export interface RoomHolds {
+  /**
+   * Holds room for tasks of a job, or renews what is held. Does nothing while room is held for another job, so
+   * that one job partition holds room for one piece of work at a time.
+   */
+  keep(job: Job, count: number, avoidWorkers: readonly string[]): void;
+  /** @returns partitions that hold room for the job, in ascending order */
+  partitionsOf(job: Job): readonly number[];
+  /** Ends what is held for the job, because it was started or is not to be started. */
+  drop(job: Job): void;
+}
+
+interface Hold {
+  readonly job: Job;
+  readonly partitions: Set<number>;
+  /** Monotonic time before which nothing is asked again, in milliseconds. */
+  notBefore: number;
+  isAsking: boolean;
+}
+
+/**
+ * Creates the holds of one job partition.
+ *
+ * @param context parts of the partition
+ * @param targets partitions to ask
+ * @returns the holds, none yet
+ */
+export function createRoomHolds(context: JobContext, targets: WorkerTargets): RoomHolds {
+  const { partition, callPartition, clock, random, counters, log } = context;
+  const own = partition.lease.partition;
+  let current: Hold | null = null;
+  let nextAttemptAt = Number.NEGATIVE_INFINITY;
+
+  function dropAt(workerPartition: number, workId: string): void {
+    if (!maySend(context)) return;
+    callPartition(
+      workerPartition,
+      'worker.drop-hold',
+      { workerPartition, workId },
+      HOLD_DEADLINE_MILLISECONDS,
+    ).catch(createFaultHandler(log, 'the end of a hold failed'));
+  }
+
+  function end(hold: Hold): void {
+    if (current === hold) current = null;
+    hold.partitions.forEach((number) => dropAt(number, hold.job.jobId));
+    hold.partitions.clear();
+  }
+
+  /** @returns tasks that room is held for, or null if the owner gave no answer */
+  async function askAt(
+    workerPartition: number,
+    { job }: Hold,
+    count: number,
+    avoidWorkers: readonly string[],
+  ): Promise<number | null> {
+    if (!maySend(context)) return 0;
+    const outcome = await callPartition(
+      workerPartition,
+      'worker.hold',
+      {
+        workerPartition,
+        workId: job.jobId,
+        resources: job.request.resources,
+        count,
+        avoidWorkers,
+        ttlMilliseconds: HOLD_TTL_MILLISECONDS,
+      },
+      HOLD_DEADLINE_MILLISECONDS,
+    );
+    if (outcome.isOk()) return outcome.value.held;
+    if (outcome.error.kind !== 'lost') return 0;
+    targets.noteUnanswered(workerPartition);
+    return null;
+  }
+
+  /** Gangs ask in ascending order, as they reserve. A single task cannot block another one. */
+  function orderOf(job: Job): readonly number[] {
+    const ascending = targets.all();
+    if (job.request.kind === 'gang') return ascending;
+    return [
+      ...ascending.filter((number) => number >= own),
+      ...ascending.filter((number) => number < own),
+    ];
+  }
+
+  /** Gives up what an earlier request held elsewhere. */
+  function dropOthers(hold: Hold, kept: ReadonlySet<number>): void {
+    [...hold.partitions]
+      .filter((number) => !kept.has(number))
+      .forEach((number) => {
+        hold.partitions.delete(number);
+        dropAt(number, hold.job.jobId);
+      });
+  }
+
+  async function ask(hold: Hold, count: number, avoidWorkers: readonly string[]): Promise<void> {
+    const kept = new Set<number>();
+    let missing = count;
+    for (const number of orderOf(hold.job)) {
+      if (missing === 0) break;
+      hold.partitions.add(number);
+      const held = await askAt(number, hold, missing, avoidWorkers);
+      if (partition.isClosed()) return;
+      // Dropped meanwhile; the drop that was sent may have arrived before the request.
+      if (current !== hold) {
+        dropAt(number, hold.job.jobId);
+        return;
+      }
+      if (held === 0) hold.partitions.delete(number);
+      else kept.add(number);
+      missing -= held ?? 0;
+    }
+    if (missing === 0) {
+      dropOthers(hold, kept);
+      return;
+    }
+    // Part of a gang's room held by each of two gangs would keep both from starting.
+    counters.increment('holds.refused');
+    nextAttemptAt = clock.monotonicMilliseconds() + RETRY_MILLISECONDS * (0.5 + random());
+    end(hold);
+  }
+
+  /** Work that no longer asks, because it ended without a start, is replaced once its hold has expired. */
+  function findHold(job: Job, now: number): Hold | null {
+    if (current && current.job !== job && now > current.notBefore + HOLD_TTL_MILLISECONDS) {
+      end(current);
+    }
+    if (current) return current.job === job ? current : null;
+    if (now < nextAttemptAt) return null;
+    counters.increment('holds.asked');
+    current = { job, partitions: new Set(), notBefore: now, isAsking: false };
+    return current;
+  }
+
+  return {
+    keep(job, count, avoidWorkers) {
+      const now = clock.monotonicMilliseconds();
+      const hold = findHold(job, now);
+      if (hold === null || hold.isAsking || now < hold.notBefore) return;
+      hold.notBefore = now + RENEWAL_INTERVAL_MILLISECONDS;
+      hold.isAsking = true;
+      ask(hold, count, avoidWorkers)
+        .catch(createFaultHandler(log, 'a hold failed'))
+        .finally(() => {
+          hold.isAsking = false;
+        });
+    },
+    partitionsOf: (job) =>
+      current?.job === job ? [...current.partitions].sort((left, right) => left - right) : [],
+    drop(job) {
+      if (current?.job === job) end(current);
+    },
+  };
+}
--- a/packages/daemon/src/core/workBacklog.ts
+++ b/packages/daemon/src/core/workBacklog.ts
@@ -14,8 +14,16 @@
 
 /** Pending work of one job partition. */
 export interface WorkBacklog {
-  /** Queues a task, or the whole gang if all its tasks are pending. */
-  enqueue(job: Job, task: Task, waitsFor?: string): void;
+  /**
+   * Queues a task, or the whole gang if all its tasks are pending.
+   *
+   * @param job job of the task
+   * @param task task to queue
+   * @param waitsFor what it waits for, for its caller
+   * @param notBefore monotonic time of the next try, in milliseconds; without it, a try after a start that
+   *   failed is delayed by a backoff
+   */
+  enqueue(job: Job, task: Task, waitsFor?: string, notBefore?: number): void;
   /** Queues work that was taken and could not be started. */
   putBack(work: QueuedWork, notBefore: number, waitsFor: string): void;
   take(isEligible: (team: string) => boolean): QueuedWork | null;
@@ -43,6 +51,8 @@
 
 interface Waiting {
   tries: number;
+  /** Returns to the queue for another reason than a lack of room. */
+  failedStarts: number;
   since: number;
   waitsFor: string | undefined;
 }
@@ -78,10 +88,12 @@
     return !job.tasks.some(({ taskId }) => isInHand(taskId));
   }
 
-  function noteTry(workId: string, waitsFor: string | undefined): Waiting {
+  function noteTry(workId: string, waitsFor: string | undefined, hasFailed: boolean): Waiting {
     const now = clock.monotonicMilliseconds();
-    const entry = waiting.get(workId) ?? { tries: -1, since: now, waitsFor };
+    const entry = waiting.get(workId) ?? { tries: -1, failedStarts: -1, since: now, waitsFor };
     entry.tries += 1;
+    // The first entry counts as well, so that both numbers begin at 0.
+    if (hasFailed || entry.failedStarts < 0) entry.failedStarts += 1;
     entry.waitsFor = waitsFor;
     waiting.set(workId, entry);
     return entry;
@@ -91,12 +103,13 @@
     return tries === 0 ? 0 : computeBackoff(RETRY_BACKOFF, tries - 1, random);
   }
 
-  function enqueue(job: Job, task: Task, waitsFor?: string): void {
+  function enqueue(job: Job, task: Task, waitsFor?: string, notBefore?: number): void {
     if (job.isHeld || job.isCancelled || task.state !== 'pending') return;
     const isGang = isWholeGang(job);
     if (isGang) job.tasks.forEach(({ taskId }) => drop(taskId));
     const workId = isGang ? job.jobId : task.taskId;
-    const { tries, since } = noteTry(workId, waitsFor);
+    const { failedStarts, since } = noteTry(workId, waitsFor, notBefore === undefined);
+    const delay = delayOf(Math.max(failedStarts, task.failures));
     add({
       workId,
       jobId: job.jobId,
@@ -105,7 +118,7 @@
       resources: job.request.resources,
       tasks: isGang ? job.tasks.length : 1,
       enqueuedAt: since,
-      notBefore: clock.monotonicMilliseconds() + delayOf(Math.max(tries, task.failures)),
+      notBefore: notBefore ?? clock.monotonicMilliseconds() + delay,
     });
   }
 
--- a/packages/daemon/src/core/workerPartition.ts
+++ b/packages/daemon/src/core/workerPartition.ts
@@ -3,24 +3,23 @@
  * daemon that sends commands to them.
  */
 
-import { assertInvariant, createFailure, Err, Ok, RESOURCE_DIMENSIONS } from '@chicorybend/common';
+import { createFailure, Err, Ok } from '@chicorybend/common';
 import type {
   Clock,
   Counters,
   Failure,
   Log,
-  Resources,
   Result,
   StartResult,
   TaskAttempt,
   VmRecord,
 } from '@chicorybend/common';
 import type { Quarantine, WorkerPool } from '@chicorybend/decisions';
-import { v4 as createUuid } from 'uuid';
 
-import type { PartitionLease, PartitionLoad } from '../types/partition.js';
+import type { PartitionLease } from '../types/partition.js';
 import type {
   ExecutionState,
+  HoldRequest,
   PeerMethods,
   Reservation,
   ReservedStart,
@@ -32,20 +31,16 @@
 
 import { createFaultHandler } from '../utils/faults.js';
 import { createEndReporter } from './endReporter.js';
-import { createReservationTable } from './reservations.js';
-import type { HeldReservation } from './reservations.js';
 import { lapseAfter } from './taskLease.js';
 import type { WorkerClient } from './workerClient.js';
 import { createWorkerContacts } from './workerContacts.js';
 import { createWorkerEntry, executionKey, toAttempt } from './workerEntry.js';
 import type { Execution, WorkerEntry } from './workerEntry.js';
 import { createWorkerReports } from './workerReports.js';
+import { createWorkerRoom } from './workerRoom.js';
 import { createWorkerStarts } from './workerStarts.js';
-
-/** Rounding of fractional processors. */
-const OVERCOMMIT_TOLERANCE = 1e-6;
-/** Looking for expired reservations takes time in proportion to all of them. */
-const EXPIRY_INTERVAL_MILLISECONDS = 50;
+import { createWorkerViews } from './workerViews.js';
+import type { WorkerLoad } from './workerViews.js';
 
 /** What a worker partition needs. */
 export interface WorkerPartitionOptions {
@@ -62,11 +57,6 @@
   readonly log: Log;
 }
 
-/** What heartbeats tell about the workers of a partition. */
-export type WorkerLoad = Required<
-  Pick<PartitionLoad, 'partition' | 'freeTotal' | 'freeLargest' | 'runningByTeam' | 'usedByTeam'>
->;
-
 /** Workers of one owned partition. */
 export interface WorkerPartition {
   readonly lease: PartitionLease;
@@ -74,6 +64,9 @@
   setWorkers(vms: readonly VmRecord[]): void;
   reserve(request: ReserveRequest): readonly Reservation[];
   release(reservationIds: readonly string[]): void;
+  /** Keeps room for work that does not fit yet. @returns tasks that room is held for */
+  hold(request: HoldRequest): number;
+  dropHold(workId: string): void;
   /** Starts reserved tasks. A start without a result may have happened. */
   start(starts: readonly ReservedStart[]): Promise<readonly StartResult[]>;
   stop(
@@ -94,37 +87,34 @@
 export function createWorkerPartition(options: WorkerPartitionOptions): WorkerPartition {
   const { lease, pool, quarantine, clock, random, log, callPartition } = options;
   const workers = new Map<string, WorkerEntry>();
-  const reservations = createReservationTable();
   const reporter = createEndReporter({ lease, clock, random, callPartition, log });
   const formerLeasesEndBy = lapseAfter(options.formerOwnerStoppedAt);
-  let lastExpiryAt = 0;
   const now = () => clock.monotonicMilliseconds();
-  const reports = createWorkerReports({ pool, now, onEnd, onZombie, onIncarnation: freeReserved });
+  const room = createWorkerRoom({ lease, pool, workers, now, isSchedulable, refresh });
+  const { reservations } = room;
+  const views = createWorkerViews({ ...options, partition: lease.partition, workers, now });
+  const reports = createWorkerReports({
+    pool,
+    now,
+    onEnd,
+    onZombie,
+    onIncarnation: room.freeReserved,
+  });
   const starts = createWorkerStarts({
     ...options,
     workers,
     reservations,
     reports,
-    releaseReservation,
+    releaseReservation: room.giveBack,
     onSilent,
   });
   const contacts = createWorkerContacts({ ...options, reports, onSilent, onChanged: refresh });
 
-  function releaseReservation(reservation: HeldReservation): void {
-    pool.release(reservation.workerId, reservation.resources);
-    const worker = workers.get(reservation.workerId);
-    if (worker) refresh(worker);
-  }
-
-  function freeReserved(worker: WorkerEntry): void {
-    reservations.takeOfWorker(worker.workerId).forEach(releaseReservation);
-  }
-
   function onSilent(worker: WorkerEntry): void {
     if (worker.contact !== 'live') return;
     worker.contact = 'silent';
     log.info('worker silent', { workerId: worker.workerId });
-    freeReserved(worker);
+    room.freeReserved(worker);
     refresh(worker);
   }
 
@@ -195,7 +185,7 @@
 
   function removeWorker(worker: WorkerEntry): void {
     contacts.remove(worker);
-    freeReserved(worker);
+    room.freeReserved(worker);
     workers.delete(worker.workerId);
     if (worker.incarnation !== null) pool.remove(worker.workerId);
   }
@@ -206,64 +196,6 @@
     vms.filter((vm) => !workers.has(vm.id)).forEach(addWorker);
   }
 
-  function assertRoom(workerId: string): void {
-    const free = pool.freeOf(workerId);
-    assertInvariant(
-      free !== null && RESOURCE_DIMENSIONS.every((name) => free[name] >= -OVERCOMMIT_TOLERANCE),
-      'no-overcommit',
-      () => `worker ${workerId} has ${JSON.stringify(free)} free`,
-    );
-  }
-
-  function hold(request: ReserveRequest, taskId: string, workerId: string): Reservation | null {
-    const worker = workers.get(workerId);
-    if (!worker?.incarnation || !isSchedulable(worker)) return null;
-    pool.allocate(workerId, request.resources);
-    assertRoom(workerId);
-    const reservationId = createUuid();
-    const { incarnation } = worker;
-    const expiresAt = now() + request.ttlMilliseconds;
-    const { resources } = request;
-    reservations.add({ reservationId, taskId, workerId, incarnation, resources, expiresAt });
-    refresh(worker);
-    return {
-      reservationId,
-      taskId,
-      workerId,
-      incarnation,
-      workerPartition: lease.partition,
-      workerEpoch: lease.epoch,
-      rack: worker.vm.rack,
-    };
-  }
-
-  function expireReservations(): void {
-    if (now() - lastExpiryAt < EXPIRY_INTERVAL_MILLISECONDS) return;
-    lastExpiryAt = now();
-    reservations.takeExpired(now()).forEach(releaseReservation);
-  }
-
-  function release(reservationIds: readonly string[]): void {
-    reservationIds.forEach((id) => {
-      const reservation = reservations.take(id);
-      if (reservation) releaseReservation(reservation);
-    });
-  }
-
-  function reserve(request: ReserveRequest): readonly Reservation[] {
-    expireReservations();
-    const count = request.taskIds.length;
-    const chosen = request.isAllOrNothing
-      ? (pool.placeAll(request, count) ?? [])
-      : pool.placeSome(request, count);
-    const held = chosen
-      .map((workerId, index) => hold(request, request.taskIds[index] ?? '', workerId))
-      .filter((reservation) => reservation !== null);
-    if (!request.isAllOrNothing || held.length === count) return held;
-    release(held.map(({ reservationId }) => reservationId));
-    return [];
-  }
-
   async function stop(
     params: PeerMethods['worker.stop']['params'],
   ): Promise<Result<{ affected: readonly TaskAttempt[] }, Failure>> {
@@ -296,7 +228,7 @@
       starts.noteJobEpoch(jobPartition, jobEpoch);
     }
     // A start that is still on its way must not happen after this answer.
-    reservations.takeOfTask(attempt.taskId, workerId).forEach(releaseReservation);
+    reservations.takeOfTask(attempt.taskId, workerId).forEach(room.giveBack);
     const worker = workers.get(workerId);
     if (!worker) return { kind: now() > formerLeasesEndBy ? 'lapsed' : 'silent' };
     const key = executionKey(attempt);
@@ -308,50 +240,21 @@
     return lookupUnknown(worker, incarnation);
   }
 
-  function stateOf(worker: WorkerEntry): WorkerView['state'] {
-    if (worker.contact !== 'live') return worker.contact;
-    if (!worker.isListed || worker.vm.state === 'leaving') return 'leaving';
-    return quarantine.isQuarantined(worker.workerId, now()) ? 'quarantined' : 'live';
-  }
-
-  function viewWorker(worker: WorkerEntry): WorkerView {
-    const { workerId, capacity, executions } = worker;
-    const none: Resources = { processors: 0, memoryBytes: 0, accelerators: 0 };
-    const free = worker.contact === 'live' ? (pool.freeOf(workerId) ?? none) : none;
-    const state = stateOf(worker);
-    const { partition } = lease;
-    return { workerId, partition, state, capacity, free, runningTasks: executions.size };
-  }
-
-  function load(): WorkerLoad {
-    expireReservations();
-    const { freeTotal, freeLargest } = pool.totals();
-    const runningByTeam: Record<string, number> = {};
-    const usedByTeam: WorkerLoad['usedByTeam'] & Record<string, Resources> = {};
-    workers.forEach(({ executions }) => {
-      executions.forEach(({ team, resources }) => {
-        const used = usedByTeam[team] ?? { processors: 0, memoryBytes: 0, accelerators: 0 };
-        runningByTeam[team] = (runningByTeam[team] ?? 0) + 1;
-        usedByTeam[team] = {
-          processors: used.processors + resources.processors,
-          memoryBytes: used.memoryBytes + resources.memoryBytes,
-          accelerators: used.accelerators + resources.accelerators,
-        };
-      });
-    });
-    return { partition: lease.partition, freeTotal, freeLargest, runningByTeam, usedByTeam };
-  }
-
   return {
     lease,
     setWorkers,
-    reserve,
-    release,
+    reserve: room.reserve,
+    release: room.release,
+    hold: room.hold,
+    dropHold: room.dropHold,
     start: (reserved) => starts.start(reserved),
     stop,
     lookup,
-    list: () => [...workers.values()].map(viewWorker),
-    load,
+    list: views.list,
+    load() {
+      room.expire();
+      return views.load();
+    },
     close() {
       contacts.close();
       reporter.close();
--- /dev/null
+++ b/packages/daemon/src/core/workerRoom.ts
@@ -0,0 +1,155 @@
+/**
+ * Room on the workers of one partition that is kept for tasks: reservations for tasks about to be started, and
+ * holds for work that does not fit yet. Neither is durable; both expire, because their askers may die.
+ */
+import { assertInvariant, RESOURCE_DIMENSIONS } from '@chicorybend/common';
+import type { WorkerPool } from '@chicorybend/decisions';
+import { v4 as createUuid } from 'uuid';
+
+import type { PartitionLease } from '../types/partition.js';
+import type { HoldRequest, Reservation, ReserveRequest } from '../types/peerMethods.js';
+
+import { createReservationTable } from './reservations.js';
+import type { HeldReservation, ReservationTable } from './reservations.js';
+import type { WorkerEntry } from './workerEntry.js';
+
+/** Rounding of fractional processors. */
+const OVERCOMMIT_TOLERANCE = 1e-6;
+/** Looking for expired reservations takes time in proportion to all of them. */
+const EXPIRY_INTERVAL_MILLISECONDS = 50;
+
+/** What the room needs. */
+export interface WorkerRoomOptions {
+  readonly lease: PartitionLease;
+  readonly pool: WorkerPool;
+  readonly workers: ReadonlyMap<string, WorkerEntry>;
+  /** Monotonic time in milliseconds. */
+  readonly now: () => number;
+  readonly isSchedulable: (worker: WorkerEntry) => boolean;
+  /** Takes notice of a worker whose reservations changed. */
+  readonly refresh: (worker: WorkerEntry) => void;
+}
+
+/** Room that is kept on the workers of one partition. */
+export interface WorkerRoom {
+  readonly reservations: ReservationTable;
+  /** @returns reservations for the tasks that fit, or for all or none */
+  reserve(request: ReserveRequest): readonly Reservation[];
+  release(reservationIds: readonly string[]): void;
+  /** Gives back what a reservation that was taken out of the table was charged. */
+  giveBack(reservation: HeldReservation): void;
+  /** Ends all reservations on a worker. */
+  freeReserved(worker: WorkerEntry): void;
+  /** Keeps room until the request expires or is repeated. @returns tasks that room is held for */
+  hold(request: HoldRequest): number;
+  dropHold(workId: string): void;
+  /** Ends what has expired. */
+  expire(): void;
+}
+
+/**
+ * Creates the room of a partition, with nothing kept.
+ *
+ * @param options pool and workers
+ * @returns the room
+ */
+export function createWorkerRoom(options: WorkerRoomOptions): WorkerRoom {
+  const { lease, pool, workers, now, isSchedulable, refresh } = options;
+  const reservations = createReservationTable();
+  /** Monotonic times at which holds expire, in milliseconds. */
+  const holds = new Map<string, number>();
+  let lastExpiryAt = 0;
+
+  function giveBack(reservation: HeldReservation): void {
+    pool.release(reservation.workerId, reservation.resources);
+    const worker = workers.get(reservation.workerId);
+    if (worker) refresh(worker);
+  }
+
+  function assertRoom(workerId: string): void {
+    const free = pool.freeOf(workerId);
+    assertInvariant(
+      free !== null && RESOURCE_DIMENSIONS.every((name) => free[name] >= -OVERCOMMIT_TOLERANCE),
+      'no-overcommit',
+      () => `worker ${workerId} has ${JSON.stringify(free)} free`,
+    );
+  }
+
+  function reserveOn(
+    request: ReserveRequest,
+    taskId: string,
+    workerId: string,
+  ): Reservation | null {
+    const worker = workers.get(workerId);
+    if (!worker?.incarnation || !isSchedulable(worker)) return null;
+    pool.allocate(workerId, request.resources);
+    assertRoom(workerId);
+    const reservationId = createUuid();
+    const { incarnation } = worker;
+    const expiresAt = now() + request.ttlMilliseconds;
+    const { resources } = request;
+    reservations.add({ reservationId, taskId, workerId, incarnation, resources, expiresAt });
+    refresh(worker);
+    return {
+      reservationId,
+      taskId,
+      workerId,
+      incarnation,
+      workerPartition: lease.partition,
+      workerEpoch: lease.epoch,
+      rack: worker.vm.rack,
+    };
+  }
+
+  function dropHold(workId: string): void {
+    if (holds.delete(workId)) pool.dropHold?.(workId);
+  }
+
+  function expire(): void {
+    if (now() - lastExpiryAt < EXPIRY_INTERVAL_MILLISECONDS) return;
+    lastExpiryAt = now();
+    reservations.takeExpired(now()).forEach(giveBack);
+    holds.forEach((expiresAt, workId) => {
+      if (expiresAt <= now()) dropHold(workId);
+    });
+  }
+
+  function release(reservationIds: readonly string[]): void {
+    reservationIds.forEach((id) => {
+      const reservation = reservations.take(id);
+      if (reservation) giveBack(reservation);
+    });
+  }
+
+  function reserve(request: ReserveRequest): readonly Reservation[] {
+    expire();
+    const count = request.taskIds.length;
+    const chosen = request.isAllOrNothing
+      ? (pool.placeAll(request, count) ?? [])
+      : pool.placeSome(request, count);
+    const reserved = chosen
+      .map((workerId, index) => reserveOn(request, request.taskIds[index] ?? '', workerId))
+      .filter((reservation) => reservation !== null);
+    if (!request.isAllOrNothing || reserved.length === count) return reserved;
+    release(reserved.map(({ reservationId }) => reservationId));
+    return [];
+  }
+
+  return {
+    reservations,
+    reserve,
+    release,
+    giveBack,
+    freeReserved: (worker) => reservations.takeOfWorker(worker.workerId).forEach(giveBack),
+    hold({ workId, resources, avoidWorkers, count, ttlMilliseconds }) {
+      expire();
+      const request = { resources, avoidRacks: [], avoidWorkers };
+      const held = pool.holdSome?.(workId, request, count) ?? 0;
+      if (held > 0) holds.set(workId, now() + ttlMilliseconds);
+      else holds.delete(workId);
+      return held;
+    },
+    dropHold,
+    expire,
+  };
+}
--- a/packages/daemon/src/core/workerService.ts
+++ b/packages/daemon/src/core/workerService.ts
@@ -12,7 +12,8 @@
 
 import type { WorkerClient } from './workerClient.js';
 import { createWorkerPartition } from './workerPartition.js';
-import type { WorkerLoad, WorkerPartition } from './workerPartition.js';
+import type { WorkerPartition } from './workerPartition.js';
+import type { WorkerLoad } from './workerViews.js';
 
 /** What the service needs. */
 export interface WorkerServiceOptions {
@@ -102,6 +103,15 @@
       return {};
     }),
   );
+  link.handle('worker.hold', async (params) =>
+    find(params.workerPartition).map((own) => ({ held: own.hold(params) })),
+  );
+  link.handle('worker.drop-hold', async ({ workerPartition, workId }) =>
+    find(workerPartition).map((own) => {
+      own.dropHold(workId);
+      return {};
+    }),
+  );
   link.handle('worker.start', async ({ workerPartition, starts }) => {
     const own = find(workerPartition);
     return own.isOk() ? Ok(await own.value.start(starts)) : own;
--- a/packages/daemon/src/types/peerMethods.ts
+++ b/packages/daemon/src/types/peerMethods.ts
@@ -73,6 +73,24 @@
   /** Workers on which the job has failed; not used. */
   readonly avoidWorkers: readonly string[];
   readonly ttlMilliseconds: number;
+  /** Work whose held room may be used too. */
+  readonly heldFor?: string;
+  /** Whether room that is held for other work may be used, if there is no other. */
+  readonly isUrgent?: boolean;
+}
+
+/** Asks the owner of a partition to keep room for work that does not fit yet. */
+export interface HoldRequest {
+  readonly workerPartition: number;
+  /** Work that is to use the room. */
+  readonly workId: string;
+  /** Resources of each task. */
+  readonly resources: Resources;
+  /** Tasks to hold room for at most. */
+  readonly count: number;
+  readonly avoidWorkers: readonly string[];
+  /** The hold ends after this time unless it is asked for again. */
+  readonly ttlMilliseconds: number;
 }
 
 /** A start of a reserved task. */
@@ -178,6 +196,9 @@
     params: { workerPartition: number; reservationIds: readonly string[] };
     result: object;
   };
+  /** Holds room for as many tasks as possible, in place of what was held for the work before. */
+  'worker.hold': { params: HoldRequest; result: { held: number } };
+  'worker.drop-hold': { params: { workerPartition: number; workId: string }; result: object };
   'worker.start': {
     params: { workerPartition: number; starts: readonly ReservedStart[] };
     result: readonly StartResult[];
--- a/packages/decisions/src/__tests__/workerHolds.test.ts
+++ b/packages/decisions/src/__tests__/workerHolds.test.ts
@@ -137,3 +137,21 @@
   pool.release(second, sizeOf(8));
   t.is(pool.placeAll(request(8, 'large'), 1)?.[0], second);
 });
+
+test('a hold in part takes as many tasks as there is capacity for, and is chosen anew', (t) => {
+  const pool = createPool(2, 0.1);
+  t.is(pool.holdSome!('gang', request(5), 3), 2);
+  t.is(pool.place(request(4)), null);
+  t.is(pool.holdSome!('other', request(1), 1), 0);
+  pool.remove('worker-0');
+  t.is(pool.holdSome!('gang', request(5), 3), 1);
+  t.is(pool.place(request(5, 'gang')), 'worker-1');
+  pool.dropHold!('gang');
+  t.is(pool.place(request(8)), 'worker-1');
+});
+
+test('a second hold in part keeps to the limit of the pool', (t) => {
+  const pool = createPool(20, 0.1);
+  t.is(pool.holdSome!('first', request(4), 1), 1);
+  t.is(pool.holdSome!('second', request(4), 5), 3);
+});
--- a/packages/decisions/src/core/workerHolds.ts
+++ b/packages/decisions/src/core/workerHolds.ts
@@ -18,6 +18,7 @@
 /** Room that is kept for work that does not fit yet. */
 export interface WorkerHolds {
   hold(workId: string, request: PlacementRequest, count: number): boolean;
+  holdSome(workId: string, request: PlacementRequest, count: number): number;
   drop(workId: string): void;
   /** Takes a worker that leaves the pool out of its hold. */
   forget(worker: WorkerRecord): void;
@@ -87,19 +88,15 @@
   }
 
   /** The slots for which the least has to become free. */
-  function chooseSlots(
-    request: PlacementRequest,
-    units: Units,
-    count: number,
-  ): readonly Slot[] | null {
-    const slots = [...options.workers.values()]
+  function chooseSlots(request: PlacementRequest, units: Units, count: number): readonly Slot[] {
+    return [...options.workers.values()]
       .filter(
         ({ isSchedulable, reservation, workerId }) =>
           isSchedulable && reservation === null && !request.avoidWorkers.includes(workerId),
       )
       .flatMap((worker) => listSlots(worker, units, count))
-      .sort((left, right) => left.missing - right.missing);
-    return slots.length >= count ? slots.slice(0, count) : null;
+      .sort((left, right) => left.missing - right.missing)
+      .slice(0, count);
   }
 
   function reserve(workId: string, units: Units, slots: readonly Slot[]): void {
@@ -113,12 +110,24 @@
     });
   }
 
+  function countWithinLimit(units: Units, most: number): number {
+    let count = 0;
+    while (count < most && isWithinLimit(scale(units, count + 1))) count += 1;
+    return count;
+  }
+
   function letGo(worker: WorkerRecord): void {
     if (!worker.reservation) return;
     countHeld(worker.reservation.units, -1);
     options.refresh(Object.assign(worker, { reservation: null }));
   }
 
+  function drop(workId: string): void {
+    const workers = holds.get(workId);
+    holds.delete(workId);
+    workers?.forEach(letGo);
+  }
+
   function findIn(
     workers: ReadonlySet<WorkerRecord> | undefined,
     { units, isAllowed }: CandidateQuery,
@@ -134,15 +143,21 @@
       const units = toChargedUnits(request.resources);
       if (!isWithinLimit(scale(units, count))) return false;
       const slots = chooseSlots(request, units, count);
-      if (!slots) return false;
+      if (slots.length < count) return false;
       reserve(workId, units, slots);
       return true;
     },
-    drop(workId) {
-      const workers = holds.get(workId);
-      holds.delete(workId);
-      workers?.forEach(letGo);
+    holdSome(workId, request, count) {
+      drop(workId);
+      const units = toChargedUnits(request.resources);
+      const slots = chooseSlots(request, units, count);
+      // In a small pool the limit is less than one task, so that nothing large could be held at all.
+      const isOnly = holds.size === 0;
+      const permitted = isOnly ? slots.length : countWithinLimit(units, slots.length);
+      if (permitted > 0) reserve(workId, units, slots.slice(0, permitted));
+      return permitted;
     },
+    drop,
     forget(worker) {
       if (worker.reservation) holds.get(worker.reservation.workId)?.delete(worker);
       letGo(worker);
--- a/packages/decisions/src/core/workerPool.ts
+++ b/packages/decisions/src/core/workerPool.ts
@@ -221,6 +221,7 @@
     },
     placeSome,
     hold: holds.hold,
+    holdSome: holds.holdSome,
     dropHold: holds.drop,
     explainNeverFits: classes.explainNeverFits,
     totals,
--- a/packages/decisions/src/types/workerPool.ts
+++ b/packages/decisions/src/types/workerPool.ts
@@ -67,6 +67,14 @@
    *   Repeated calls for the same work change nothing.
    */
   hold?(workId: string, request: PlacementRequest, count: number): boolean;
+  /**
+   * Keeps room for as many of the tasks as the pool can hold, for work that several pools share. Room
+   * held for the same work before is chosen anew, so that workers that left are replaced. Unlike with
+   * {@link hold}, the limit does not apply to the only hold of the pool.
+   *
+   * @returns number of tasks that room is held for
+   */
+  holdSome?(workId: string, request: PlacementRequest, count: number): number;
   /** Ends a hold, after the work was started or cancelled. */
   dropHold?(workId: string): void;
   /**
