Let the oldest work hold room first

Cause: under a steady overload small tasks age as well, and their holds on a worker kept a task as large as the worker from holding any of it (seen in a test with an aging bound of 10 s).

Change: a request to hold room tells how long the work has waited and displaces holds of work that has waited less; within a job partition older work replaces the hold of younger work, and work that found too little is not overtaken by younger work until it has asked again. The cells of the tests take a configuration, so that the tests use a short aging bound.

--- a/packages/daemon/src/__tests__/durableKit.ts
+++ b/packages/daemon/src/__tests__/durableKit.ts
@@ -12,11 +12,13 @@
   partitionOf,
 } from '@chicorybend/common';
 import type {
+  Configuration,
   FinishedTask,
   JobRequest,
   JobView,
   LocalCounters,
   ManualClock,
+  PolicySection,
   RenewRequest,
   Resources,
   Result,
@@ -42,11 +44,13 @@
 } from '@chicorybend/decisions';
 
 import { createJobService } from '../core/jobService.js';
+import { readPolicy } from '../core/queuePolicy.js';
 import type { WorkerCallError, WorkerClient } from '../core/workerClient.js';
 import { createWorkerService } from '../core/workerService.js';
 import type { WorkerService } from '../core/workerService.js';
 import type {
   Allotments,
+  ConfigurationView,
   Journal,
   JournalError,
   JournalRecord,
@@ -331,6 +335,8 @@
   readonly vms: VmRecord[];
   readonly limits: Map<string, number>;
   readonly used: Map<string, number>;
+  /** Puts a configuration into effect at all daemons; there is none at first. */
+  configure(next: Configuration): void;
   /** Decides on each call between daemons. */
   onCall: (method: PeerMethod, params: unknown, from: string) => LinkFault;
   journal(partition: number): TestJournal;
@@ -350,7 +356,12 @@
     method: Method,
     params: PeerMethods[Method]['params'],
   ): Promise<Result<PeerMethods[Method]['result'], PeerError>>;
-  submit(partition: number, request: Partial<JobRequest>, key?: string): Promise<string>;
+  submit(
+    partition: number,
+    request: Partial<JobRequest>,
+    key?: string,
+    team?: string,
+  ): Promise<string>;
   read(jobId: string): Promise<JobView>;
   cancel(jobId: string): Promise<void>;
   /** Lets time pass. */
@@ -402,6 +413,30 @@
   payload: { lot: 7 },
 };
 
+/**
+ * Creates a configuration.
+ *
+ * @param shares weights of the teams
+ * @param policy order of waiting work
+ * @returns the configuration
+ */
+export function createConfiguration(
+  shares: Readonly<Record<string, number>>,
+  policy: PolicySection,
+): Configuration {
+  const limits = { tasks: 1_000, requests: 1_000 };
+  const teams = Object.entries(shares).map(([team, share]) => [team, { share, limits }]);
+  return {
+    revision: 1,
+    cell: { name: 'cell', maximumRequestMilliseconds: 10_000, maximumQueuedRequests: 256 },
+    policy,
+    operators: {},
+    teams: Object.fromEntries(teams),
+    queues: {},
+    keys: {},
+  };
+}
+
 /** Creates a cell without daemons. */
 export function createTestCell(options: TestCellOptions): TestCell {
   const partitionCount = options.partitionCount ?? 1;
@@ -426,6 +461,8 @@
   const limits = new Map<string, number>();
   const used = new Map<string, number>();
   const daemons: TestDaemon[] = [];
+  const configurationListeners: ((next: Configuration) => void)[] = [];
+  let configuration: Configuration | null = null;
   let nextKey = 0;
 
   const client: WorkerClient = {
@@ -513,6 +550,13 @@
     return new Map(all);
   }
 
+  const configurationView: ConfigurationView = {
+    current: () => configuration,
+    isFresh: () => true,
+    authenticate: () => Err(createFailure('wrong-key')),
+    onChange: (listener) => configurationListeners.push(listener),
+  };
+
   function createDaemon(id: string): TestDaemon {
     const counters = createLocalCounters();
     const common = {
@@ -533,17 +577,12 @@
       jobs: createJobService({
         ...common,
         loadBoard: { loads },
-        configuration: {
-          current: () => null,
-          isFresh: () => true,
-          authenticate: () => Err(createFailure('wrong-key')),
-          onChange: () => {},
-        },
+        configuration: configurationView,
         allotments,
-        createQueue: () =>
-          createTaskQueue(createQueueOrderPolicy('waiting-time-first'), {
-            agingMilliseconds: 60_000,
-          }),
+        createQueue() {
+          const { order, agingMilliseconds } = readPolicy(configurationView);
+          return createTaskQueue(createQueueOrderPolicy(order), { agingMilliseconds });
+        },
       }),
       workers: createWorkerService({
         ...common,
@@ -604,6 +643,10 @@
     vms,
     limits,
     used,
+    configure(next) {
+      configuration = next;
+      configurationListeners.forEach((listener) => listener(next));
+    },
     onCall: () => 'none',
     journal,
     createDaemon,
@@ -617,11 +660,11 @@
       const owner = owners.get(partition)?.daemonId ?? '';
       return send('entry', owner, method, params, CALL_DEADLINE_MILLISECONDS);
     },
-    async submit(partition, request, key) {
+    async submit(partition, request, key, team = 'harbour') {
       nextKey += 1;
       const outcome = await cell.call(partition, 'job.submit', {
         partition,
-        team: 'harbour',
+        team,
         idempotencyKey: key ?? `key-${nextKey}`,
         bodyHash: JSON.stringify(request),
         request: { ...PLAIN_JOB, ...request },
--- a/packages/daemon/src/core/placementLoop.ts
+++ b/packages/daemon/src/core/placementLoop.ts
@@ -186,7 +186,8 @@
   function noteNoRoom({ job, tasks, since }: Placement, wish: ReservationWish): void {
     const waited = clock.monotonicMilliseconds() - since;
     if (waited < readPolicy(configuration).agingMilliseconds || isEnding(job)) return;
-    holds.keep(job, job.request.kind === 'gang' ? tasks.length : 1, wish.avoidWorkers);
+    const count = job.request.kind === 'gang' ? tasks.length : 1;
+    holds.keep({ job, count, since, avoidWorkers: wish.avoidWorkers });
   }
 
   /**
--- a/packages/daemon/src/core/roomHolds.ts
+++ b/packages/daemon/src/core/roomHolds.ts
@@ -15,21 +15,38 @@
 /** After an attempt that found too little; spread, so that two gangs do not collide again. */
 const RETRY_MILLISECONDS = 1_000;
 
+/** Work that is to be given room. */
+export interface RoomNeed {
+  readonly job: Job;
+  /** Tasks that are placed together. */
+  readonly count: number;
+  /** Monotonic time since which they have waited, in milliseconds. */
+  readonly since: number;
+  readonly avoidWorkers: readonly string[];
+}
+
 /** Room that is held for the work of one job partition. */
 export interface RoomHolds {
   /**
    * Holds room for tasks of a job, or renews what is held. Does nothing while room is held for another job, so
    * that one job partition holds room for one piece of work at a time.
    */
-  keep(job: Job, count: number, avoidWorkers: readonly string[]): void;
+  keep(need: RoomNeed): void;
   /** @returns partitions that hold room for the job, in ascending order */
   partitionsOf(job: Job): readonly number[];
   /** Ends what is held for the job, because it was started or is not to be started. */
   drop(job: Job): void;
 }
 
+/** Work that found too little room to hold. */
+interface Refusal {
+  readonly need: RoomNeed;
+  /** Monotonic time of the next attempt, in milliseconds. */
+  readonly retryAt: number;
+}
+
 interface Hold {
-  readonly job: Job;
+  readonly need: RoomNeed;
   readonly partitions: Set<number>;
   /** Monotonic time before which nothing is asked again, in milliseconds. */
   notBefore: number;
@@ -47,7 +64,7 @@
   const { partition, callPartition, clock, random, counters, log } = context;
   const own = partition.lease.partition;
   let current: Hold | null = null;
-  let nextAttemptAt = Number.NEGATIVE_INFINITY;
+  let refused: Refusal | null = null;
 
   function dropAt(workerPartition: number, workId: string): void {
     if (!maySend(context)) return;
@@ -61,16 +78,15 @@
 
   function end(hold: Hold): void {
     if (current === hold) current = null;
-    hold.partitions.forEach((number) => dropAt(number, hold.job.jobId));
+    hold.partitions.forEach((number) => dropAt(number, hold.need.job.jobId));
     hold.partitions.clear();
   }
 
   /** @returns tasks that room is held for, or null if the owner gave no answer */
   async function askAt(
     workerPartition: number,
-    { job }: Hold,
+    { job, since, avoidWorkers }: RoomNeed,
     count: number,
-    avoidWorkers: readonly string[],
   ): Promise<number | null> {
     if (!maySend(context)) return 0;
     const outcome = await callPartition(
@@ -81,6 +97,7 @@
         workId: job.jobId,
         resources: job.request.resources,
         count,
+        waitedMilliseconds: clock.monotonicMilliseconds() - since,
         avoidWorkers,
         ttlMilliseconds: HOLD_TTL_MILLISECONDS,
       },
@@ -108,21 +125,21 @@
       .filter((number) => !kept.has(number))
       .forEach((number) => {
         hold.partitions.delete(number);
-        dropAt(number, hold.job.jobId);
+        dropAt(number, hold.need.job.jobId);
       });
   }
 
-  async function ask(hold: Hold, count: number, avoidWorkers: readonly string[]): Promise<void> {
+  async function ask(hold: Hold, need: RoomNeed): Promise<void> {
     const kept = new Set<number>();
-    let missing = count;
-    for (const number of orderOf(hold.job)) {
+    let missing = need.count;
+    for (const number of orderOf(hold.need.job)) {
       if (missing === 0) break;
       hold.partitions.add(number);
-      const held = await askAt(number, hold, missing, avoidWorkers);
+      const held = await askAt(number, need, missing);
       if (partition.isClosed()) return;
       // Dropped meanwhile; the drop that was sent may have arrived before the request.
       if (current !== hold) {
-        dropAt(number, hold.job.jobId);
+        dropAt(number, hold.need.job.jobId);
         return;
       }
       if (held === 0) hold.partitions.delete(number);
@@ -135,39 +152,50 @@
     }
     // Part of a gang's room held by each of two gangs would keep both from starting.
     counters.increment('holds.refused');
-    nextAttemptAt = clock.monotonicMilliseconds() + RETRY_MILLISECONDS * (0.5 + random());
+    const retryAt = clock.monotonicMilliseconds() + RETRY_MILLISECONDS * (0.5 + random());
+    refused = { need, retryAt };
     end(hold);
   }
 
-  /** Work that no longer asks, because it ended without a start, is replaced once its hold has expired. */
-  function findHold(job: Job, now: number): Hold | null {
-    if (current && current.job !== job && now > current.notBefore + HOLD_TTL_MILLISECONDS) {
-      end(current);
-    }
-    if (current) return current.job === job ? current : null;
-    if (now < nextAttemptAt) return null;
+  /** The oldest work goes first; work that no longer asks is replaced once its hold has expired. */
+  function isReplaced({ need, notBefore }: Hold, { since }: RoomNeed, now: number): boolean {
+    return since < need.since || now > notBefore + HOLD_TTL_MILLISECONDS;
+  }
+
+  /** Work that found too little is not overtaken by younger work until it has asked again. */
+  function mustWait({ job, since }: RoomNeed, now: number): boolean {
+    if (!refused) return false;
+    if (refused.need.job === job) return now < refused.retryAt;
+    return since > refused.need.since && now < refused.retryAt + RETRY_MILLISECONDS;
+  }
+
+  function findHold(need: RoomNeed, now: number): Hold | null {
+    if (current?.need.job === need.job) return current;
+    if (current && !isReplaced(current, need, now)) return null;
+    if (mustWait(need, now)) return null;
+    if (current) end(current);
     counters.increment('holds.asked');
-    current = { job, partitions: new Set(), notBefore: now, isAsking: false };
+    current = { need, partitions: new Set(), notBefore: now, isAsking: false };
     return current;
   }
 
   return {
-    keep(job, count, avoidWorkers) {
+    keep(need) {
       const now = clock.monotonicMilliseconds();
-      const hold = findHold(job, now);
+      const hold = findHold(need, now);
       if (hold === null || hold.isAsking || now < hold.notBefore) return;
       hold.notBefore = now + RENEWAL_INTERVAL_MILLISECONDS;
       hold.isAsking = true;
-      ask(hold, count, avoidWorkers)
+      ask(hold, need)
         .catch(createFaultHandler(log, 'a hold failed'))
         .finally(() => {
           hold.isAsking = false;
         });
     },
     partitionsOf: (job) =>
-      current?.job === job ? [...current.partitions].sort((left, right) => left - right) : [],
+      current?.need.job === job ? [...current.partitions].sort((left, right) => left - right) : [],
     drop(job) {
-      if (current?.job === job) end(current);
+      if (current?.need.job === job) end(current);
     },
   };
 }
--- a/packages/daemon/src/core/workerRoom.ts
+++ b/packages/daemon/src/core/workerRoom.ts
@@ -47,6 +47,12 @@
   expire(): void;
 }
 
+/** Room that is kept for one piece of work, in monotonic milliseconds. */
+interface Hold {
+  readonly waitsSince: number;
+  readonly expiresAt: number;
+}
+
 /**
  * Creates the room of a partition, with nothing kept.
  *
@@ -56,8 +62,7 @@
 export function createWorkerRoom(options: WorkerRoomOptions): WorkerRoom {
   const { lease, pool, workers, now, isSchedulable, refresh } = options;
   const reservations = createReservationTable();
-  /** Monotonic times at which holds expire, in milliseconds. */
-  const holds = new Map<string, number>();
+  const holds = new Map<string, Hold>();
   let lastExpiryAt = 0;
 
   function giveBack(reservation: HeldReservation): void {
@@ -109,7 +114,7 @@
     if (now() - lastExpiryAt < EXPIRY_INTERVAL_MILLISECONDS) return;
     lastExpiryAt = now();
     reservations.takeExpired(now()).forEach(giveBack);
-    holds.forEach((expiresAt, workId) => {
+    holds.forEach(({ expiresAt }, workId) => {
       if (expiresAt <= now()) dropHold(workId);
     });
   }
@@ -135,20 +140,39 @@
     return [];
   }
 
+  function findYoungest(waitsSince: number): string | null {
+    const younger = [...holds]
+      .filter(([, other]) => other.waitsSince > waitsSince)
+      .sort(([, left], [, right]) => right.waitsSince - left.waitsSince);
+    return younger[0]?.[0] ?? null;
+  }
+
+  /** The oldest work goes first, so that holds of small work cannot keep a gang out in turns. */
+  function hold(request: HoldRequest): number {
+    expire();
+    const { workId, resources, avoidWorkers, count, ttlMilliseconds } = request;
+    const waitsSince = now() - request.waitedMilliseconds;
+    holds.delete(workId);
+    const holdSome = (): number =>
+      pool.holdSome?.(workId, { resources, avoidRacks: [], avoidWorkers }, count) ?? 0;
+    let held = holdSome();
+    let youngest = findYoungest(waitsSince);
+    while (held < count && youngest !== null) {
+      dropHold(youngest);
+      held = holdSome();
+      youngest = findYoungest(waitsSince);
+    }
+    if (held > 0) holds.set(workId, { waitsSince, expiresAt: now() + ttlMilliseconds });
+    return held;
+  }
+
   return {
     reservations,
     reserve,
     release,
     giveBack,
     freeReserved: (worker) => reservations.takeOfWorker(worker.workerId).forEach(giveBack),
-    hold({ workId, resources, avoidWorkers, count, ttlMilliseconds }) {
-      expire();
-      const request = { resources, avoidRacks: [], avoidWorkers };
-      const held = pool.holdSome?.(workId, request, count) ?? 0;
-      if (held > 0) holds.set(workId, now() + ttlMilliseconds);
-      else holds.delete(workId);
-      return held;
-    },
+    hold,
     dropHold,
     expire,
   };
--- a/packages/daemon/src/types/peerMethods.ts
+++ b/packages/daemon/src/types/peerMethods.ts
@@ -88,6 +88,8 @@
   readonly resources: Resources;
   /** Tasks to hold room for at most. */
   readonly count: number;
+  /** How long the work has waited, in milliseconds; it displaces holds of work that has waited less. */
+  readonly waitedMilliseconds: number;
   readonly avoidWorkers: readonly string[];
   /** The hold ends after this time unless it is asked for again. */
   readonly ttlMilliseconds: number;
