Send one probe at a time to a quarantined worker

Cause: a probe that ended as neither a success nor a failure, for example because its job was cancelled, was followed by another one at once.

Change: the owner of a worker records each start with the quarantine, so that the worker counts as quarantined until the probe ends or another backoff has passed.

Result: the new test fails without the record of the start.

--- a/packages/daemon/src/__tests__/durableQuarantine.test.ts
+++ b/packages/daemon/src/__tests__/durableQuarantine.test.ts
@@ -56,6 +56,28 @@
   t.is((await cell.read(jobId)).state, 'succeeded');
 });
 
+test('a probe that was stopped is followed by another one only after the backoff', async (t) => {
+  const { cell } = await createRunningCell({ workers: 1 });
+  const [worker] = cell.workers;
+  endTasks(cell, () => true);
+  for (let index = 0; index < 4; index += 1) await cell.submit(0, { tasks: 1 });
+  await cell.pass(1_500);
+  worker!.onStart = () => {};
+  const before = worker!.executions.length;
+  const probe = await cell.submit(0, {});
+  await cell.passUntil(() => worker!.executions.length > before);
+  await cell.pass(100);
+  const views = (await cell.call(0, 'worker.list', { partition: 0 })).unwrap();
+  t.is(views[0]?.state, 'quarantined');
+  const next = await cell.submit(0, {});
+  await cell.cancel(probe);
+  await cell.pass(1_500);
+  t.is(worker!.running().length, 0);
+  t.is(worker!.executions.length, before + 1);
+  await cell.passUntil(() => worker!.executions.length > before + 1, 4_000);
+  t.is(worker!.executions.at(-1)?.taskId, `${next}/0`);
+});
+
 test('a job that fails everywhere fails after three workers and quarantines none', async (t) => {
   const { cell } = await createRunningCell({ workers: 5 });
   const bad = await cell.submit(0, { idempotent: true });
--- a/packages/daemon/src/core/workerPartition.ts
+++ b/packages/daemon/src/core/workerPartition.ts
@@ -107,6 +107,7 @@
     reports,
     releaseReservation: room.giveBack,
     onSilent,
+    onStart: noteStart,
   });
   const contacts = createWorkerContacts({ ...options, reports, onSilent, onChanged: refresh });
 
@@ -118,6 +119,12 @@
     refresh(worker);
   }
 
+  /** On a quarantined worker the task is a probe, and no other one follows until it has ended. */
+  function noteStart(worker: WorkerEntry): void {
+    quarantine.recordStart?.(worker.workerId, now());
+    refresh(worker);
+  }
+
   function learn(worker: WorkerEntry, event: TaskEvent['event']): void {
     if (event.kind !== 'finished') return;
     const { end, taskId } = event.finished;
