Apply a changed policy to open partitions

Cause: the queue of a partition was created with the policy in effect when the partition opened, so that a change of the order or of the aging bound had no effect before the next takeover.

Change: a queue takes another policy at any time; nothing that it keeps depends on the policy, so that the change costs no step per queued task. The job service applies each changed configuration to its open partitions.

--- a/packages/daemon/src/core/jobService.ts
+++ b/packages/daemon/src/core/jobService.ts
@@ -26,6 +26,7 @@
 import { explainNeverFits } from './neverFits.js';
 import { createPlacementLoop } from './placementLoop.js';
 import type { PlacementLoop } from './placementLoop.js';
+import { applyPolicy } from './queuePolicy.js';
 import { stateOfJob } from './taskRules.js';
 
 /** Leaves time for the answer to reach the caller within its deadline. */
@@ -40,7 +41,7 @@
   readonly vmDirectory: VmDirectory;
   readonly configuration: ConfigurationView;
   readonly allotments: Allotments;
-  /** Creates the queue of one partition, ordered by the policy in effect. */
+  /** Creates the queue of one partition, ordered by the policy in effect; later changes are applied to it. */
   readonly createQueue: () => TaskQueue;
   readonly createQuarantine: () => Quarantine;
   readonly clock: Clock;
@@ -52,6 +53,7 @@
 interface OpenPartition {
   readonly jobs: JobPartition;
   readonly loop: PlacementLoop;
+  readonly queue: TaskQueue;
   isReleased: boolean;
 }
 
@@ -147,14 +149,15 @@
     const state = createJobsState();
     records.forEach((record) => applyRecord(state, record));
     const jobs = createJobPartition({ lease, state, clock, counters, log });
+    const queue = options.createQueue();
     const loop = createPlacementLoop({
       ...options,
       context: { ...options, partition: jobs, callPartition },
-      queue: options.createQueue(),
+      queue,
       quarantine: options.createQuarantine(),
     });
     jobs.setListener(loop);
-    partitions.set(lease.partition, { jobs, loop, isReleased: false });
+    partitions.set(lease.partition, { jobs, loop, queue, isReleased: false });
     loop.start();
     return Ok(undefined);
   }
@@ -166,6 +169,9 @@
     own?.loop.close();
   }
 
+  options.configuration.onChange(() => {
+    partitions.forEach(({ queue }) => applyPolicy(queue, options.configuration));
+  });
   link.handle('job.submit', submit);
   link.handle('job.read', async ({ jobId, team }) => findJob(jobId, team).map(view));
   link.handle('job.wait', wait);
--- a/packages/daemon/src/core/queuePolicy.ts
+++ b/packages/daemon/src/core/queuePolicy.ts
@@ -1,4 +1,6 @@
 import type { PolicySection } from '@chicorybend/common';
+import { createQueueOrderPolicy } from '@chicorybend/decisions';
+import type { TaskQueue } from '@chicorybend/decisions';
 
 import type { ConfigurationView } from '../types/configurationView.js';
 
@@ -15,3 +17,14 @@
 export function readPolicy(configuration: ConfigurationView): PolicySection {
   return configuration.current()?.policy ?? DEFAULT_POLICY;
 }
+
+/**
+ * Orders the work in a queue by the policy in effect.
+ *
+ * @param queue queue of an open partition
+ * @param configuration configuration in effect
+ */
+export function applyPolicy(queue: TaskQueue, configuration: ConfigurationView): void {
+  const { order, agingMilliseconds } = readPolicy(configuration);
+  queue.setPolicy(createQueueOrderPolicy(order), { agingMilliseconds });
+}
--- a/packages/decisions/src/__tests__/taskQueue.test.ts
+++ b/packages/decisions/src/__tests__/taskQueue.test.ts
@@ -273,3 +273,15 @@
   t.is(queue.take(10, EVERYONE), null);
   t.is(queue.take(20, EVERYONE)?.workId, 'a');
 });
+
+test('a policy set later orders the work that is queued already', (t) => {
+  const queue = createQueue('waiting-time-first');
+  queue.setUsage({ alder: { processors: 60, memoryBytes: 0, accelerators: 0 } });
+  queue.add(createWork('older', { team: 'alder', enqueuedAt: 0 }));
+  queue.add(createWork('newer', { team: 'durian', enqueuedAt: 990 }));
+  queue.setPolicy(createQueueOrderPolicy('share-first'), { agingMilliseconds: NEVER_MILLISECONDS });
+  t.is(queue.take(1_000, EVERYONE)?.workId, 'newer');
+  queue.add(createWork('newest', { team: 'durian', enqueuedAt: 1_000 }));
+  queue.setPolicy(createQueueOrderPolicy('share-first'), { agingMilliseconds: 500 });
+  t.is(queue.take(1_001, EVERYONE)?.workId, 'older');
+});
--- a/packages/decisions/src/core/activeLines.ts
+++ b/packages/decisions/src/core/activeLines.ts
@@ -9,6 +9,8 @@
 export interface ActiveLines {
   /** Takes notice of a line whose due work or time of service changed. */
   refresh(line: WorkLine): void;
+  /** Changes the order of the choices that follow. */
+  setPolicy(policy: QueueOrderPolicy, agingMilliseconds: number): void;
   /** @returns line whose head goes next, or null */
   choose(now: number, isEligible: IsEligible): WorkLine | null;
 }
@@ -24,14 +26,16 @@
 /**
  * Creates an empty set of lines.
  *
- * @param policy order of the teams
- * @param agingMilliseconds how long a head may be passed over before it is overdue
+ * @param initialPolicy order of the teams
+ * @param initialAgingMilliseconds how long a head may be passed over before it is overdue
  * @returns lines
  */
 export function createActiveLines(
-  policy: QueueOrderPolicy,
-  agingMilliseconds: number,
+  initialPolicy: QueueOrderPolicy,
+  initialAgingMilliseconds: number,
 ): ActiveLines {
+  let policy = initialPolicy;
+  let agingMilliseconds = initialAgingMilliseconds;
   const active: Readonly<Record<QueuePriority, WorkLine[]>> = {
     urgent: [],
     normal: [],
@@ -114,6 +118,11 @@
 
   return {
     refresh,
+    // Nothing that is kept depends on the policy: ranks are computed with each choice.
+    setPolicy(nextPolicy, nextAgingMilliseconds) {
+      policy = nextPolicy;
+      agingMilliseconds = nextAgingMilliseconds;
+    },
     choose(now, isEligible) {
       const overdue = chooseOverdue(now, isEligible);
       const urgent = chooseByPolicy('urgent', now, isEligible);
--- a/packages/decisions/src/core/taskQueue.ts
+++ b/packages/decisions/src/core/taskQueue.ts
@@ -1,4 +1,9 @@
-import type { QueuedWork, QueueOrderPolicy, TaskQueue } from '../types/taskQueue.js';
+import type {
+  QueuedWork,
+  QueueOrderPolicy,
+  TaskQueue,
+  TaskQueueOptions,
+} from '../types/taskQueue.js';
 import { createIndexedHeap } from '../utils/indexedHeap.js';
 import type { HeapNode, IndexedHeap } from '../utils/indexedHeap.js';
 import { createShardedMap } from '../utils/shardedMap.js';
@@ -11,12 +16,6 @@
 /** Bounds the time of one `take` after a wave of deferrals that end together. */
 const MOST_RELEASES_PER_TAKE = 64;
 
-/** Settings of {@link createTaskQueue}. */
-export interface TaskQueueOptions {
-  /** How long the head of a team's queue may be passed over, in milliseconds. */
-  readonly agingMilliseconds: number;
-}
-
 interface Placed {
   readonly heap: IndexedHeap<WorkEntry>;
   readonly node: HeapNode<WorkEntry>;
@@ -123,6 +122,7 @@
       takeOut(entry);
       return entry.work;
     },
+    setPolicy: (next, { agingMilliseconds }) => active.setPolicy(next, agingMilliseconds),
     setShares: usage.setShares,
     setUsage: usage.setUsage,
     setCapacity: usage.setCapacity,
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -25,10 +25,10 @@
   QueueOrderPolicy,
   QueuePriority,
   TaskQueue,
+  TaskQueueOptions,
 } from './types/taskQueue.js';
-
 export { createTaskQueue } from './core/taskQueue.js';
-export type { TaskQueueOptions } from './core/taskQueue.js';
+
 export { createQueueOrderPolicy } from './core/queueOrderPolicy.js';
 
 /** Interactive requests. */
--- a/packages/decisions/src/types/taskQueue.ts
+++ b/packages/decisions/src/types/taskQueue.ts
@@ -20,6 +20,12 @@
   readonly notBefore: number;
 }
 
+/** Settings of a queue. */
+export interface TaskQueueOptions {
+  /** How long the head of a team's queue may be passed over, in milliseconds. */
+  readonly agingMilliseconds: number;
+}
+
 /** Pending work of one partition, ordered by priority, fair share and age. */
 export interface TaskQueue {
   add(work: QueuedWork): void;
@@ -33,6 +39,8 @@
    * @returns work, or null if none is due
    */
   take(now: number, isEligible: (team: string) => boolean): QueuedWork | null;
+  /** Changes the order of the work that waits and of what is added. */
+  setPolicy(policy: QueueOrderPolicy, options: TaskQueueOptions): void;
   /** Sets the weights of the teams. */
   setShares(shares: Readonly<Record<string, number>>): void;
   /** Sets what each team uses across the fleet, as last heard. */
