Take room back for urgent work and for teams below their share

Cause: an urgent task on a full cell, or a team below its share, waited until running tasks of others ended by themselves.

Change: work that finds no room asks owners of workers to reclaim: urgent work after 250 ms, normal work after 2 s and overnight work after 10 s if its team is below its share of the cell. The owner of the workers chooses with chooseReclaim, which takes only from teams above their share, holds the room for the work and stops the chosen tasks, at most 8 per second and partition; a job partition asks at most twice per second. Only tasks of idempotent batches are stopped; tasks that may run only once, gangs and services never are. The start of a task tells the owner of the worker these terms, and a lookup tells them to a new owner. Throttling and checkpoints are not used: a throttled task keeps what it declared, so that it makes no room, and the worker protocol has no restore, so that a checkpoint loses as much as a stop.

--- a/packages/daemon/src/core/placementLoop.ts
+++ b/packages/daemon/src/core/placementLoop.ts
@@ -20,7 +20,8 @@
 import { createPlacementAdmission } from './placementAdmission.js';
 import type { Placement } from './placementAdmission.js';
 import { createPlacementShares } from './placementShares.js';
-import { readPolicy } from './queuePolicy.js';
+import { priorityOf, readPolicy, termsOf } from './queuePolicy.js';
+import { createReclaimRequests } from './reclaimRequests.js';
 import { createReserver } from './reserver.js';
 import type { ReservationWish } from './reserver.js';
 import { createRoomHolds } from './roomHolds.js';
@@ -83,6 +84,8 @@
   const holds = createRoomHolds(context, targets);
   const shortages = createRoomShortages(clock, random);
   const shares = createPlacementShares(context, configuration);
+  const reclaims = createReclaimRequests({ context, targets, holds, shares, configuration });
+  const describeTerms = (job: Job) => termsOf(job, configuration);
   const admission = createPlacementAdmission({
     state,
     queue,
@@ -94,6 +97,7 @@
   });
   const stops = createTaskStops(context);
   const lookups = createTaskLookups(context, {
+    describeTerms,
     onRunning: confirmStarted,
     onNotStarted: (attempt) => starter.recordNotStarted(attempt),
   });
@@ -101,6 +105,7 @@
   const starter = createTaskStarter({
     context,
     reserver,
+    describeTerms,
     onRunning: confirmStarted,
     onDoubt: (task) => lookups.add(task),
     onIntended: (task) => epochWatch.add(task),
@@ -165,6 +170,7 @@
       taskIds: tasks.map(({ taskId }) => taskId),
       avoidRacks: job.request.kind === 'service' ? racks.crowded(job) : [],
       avoidWorkers: tries < TRIES_WITH_AVOIDED_WORKERS ? job.failedWorkers : [],
+      isUrgent: priorityOf(job, configuration) === 'urgent',
       holders: holds.partitionsOf(job),
     };
   }
@@ -183,11 +189,13 @@
   }
 
   /** Work past its aging bound gets room that smaller work may not take first. */
-  function noteNoRoom({ job, tasks, since }: Placement, wish: ReservationWish): void {
+  function noteNoRoom({ job, tasks, since }: Placement, { avoidWorkers }: ReservationWish): void {
+    if (isEnding(job)) return;
+    reclaims.consider({ job, count: tasks.length, since, avoidWorkers });
     const waited = clock.monotonicMilliseconds() - since;
-    if (waited < readPolicy(configuration).agingMilliseconds || isEnding(job)) return;
+    if (waited < readPolicy(configuration).agingMilliseconds) return;
     const count = job.request.kind === 'gang' ? tasks.length : 1;
-    holds.keep({ job, count, since, avoidWorkers: wish.avoidWorkers });
+    holds.keep({ job, count, since, avoidWorkers });
   }
 
   /**
--- a/packages/daemon/src/core/placementShares.ts
+++ b/packages/daemon/src/core/placementShares.ts
@@ -1,14 +1,17 @@
 /**
  * Capacity of the cell and what its teams use, as last heard from the owners of workers.
  */
+import { RESOURCE_DIMENSIONS } from '@chicorybend/common';
 import type { Resources } from '@chicorybend/common';
-import type { TaskQueue } from '@chicorybend/decisions';
+import type { TaskQueue, TeamPosition } from '@chicorybend/decisions';
 
 import type { ConfigurationView } from '../types/configurationView.js';
 
 import type { JobContext } from './jobContext.js';
 
 const SHARES_INTERVAL_MILLISECONDS = 500;
+/** Positions are read for each piece of work that finds no room. */
+const POSITIONS_VALID_MILLISECONDS = 100;
 const NONE: Resources = { processors: 0, memoryBytes: 0, accelerators: 0 };
 
 function add(left: Resources, right: Resources | undefined): Resources {
@@ -19,10 +22,22 @@
   };
 }
 
+function dominantShareOf(used: Resources, capacity: Resources): number {
+  const fractions = RESOURCE_DIMENSIONS.map((dimension) =>
+    capacity[dimension] > 0 ? used[dimension] / capacity[dimension] : 0,
+  );
+  return Math.max(...fractions);
+}
+
 /** Shares of the teams, for the order of a queue. */
 export interface PlacementShares {
   /** Tells the queue about weights, usage and capacity, unless it was told a moment ago. */
   refresh(queue: TaskQueue): void;
+  capacity(): Resources;
+  /** @returns part of the cell that some resources take */
+  shareOf(resources: Resources): number;
+  /** @returns positions of the configured teams against their shares of the whole cell */
+  positions(): Readonly<Record<string, TeamPosition>>;
 }
 
 /**
@@ -37,6 +52,8 @@
   configuration: ConfigurationView,
 ): PlacementShares {
   let refreshedAt = Number.NEGATIVE_INFINITY;
+  let computedAt = Number.NEGATIVE_INFINITY;
+  let positions: Readonly<Record<string, TeamPosition>> = {};
 
   function usageOfCell(): Readonly<Record<string, Resources>> {
     const total: Record<string, Resources> = {};
@@ -48,16 +65,40 @@
     return total;
   }
 
+  function capacity(): Resources {
+    return vmDirectory.workers().reduce((sum, vm) => add(sum, vm.capacity), NONE);
+  }
+
+  function computePositions(): Readonly<Record<string, TeamPosition>> {
+    const total = capacity();
+    const usage = usageOfCell();
+    const teams = Object.entries(configuration.current()?.teams ?? {});
+    const weights = teams.reduce((sum, [, { share }]) => sum + share, 0);
+    const entries = teams.map(([team, { share }]): [string, TeamPosition] => [
+      team,
+      { dominantShare: dominantShareOf(usage[team] ?? NONE, total), fairShare: share / weights },
+    ]);
+    return Object.fromEntries(entries);
+  }
+
   return {
+    capacity,
+    shareOf: (resources) => dominantShareOf(resources, capacity()),
+    positions() {
+      const now = clock.monotonicMilliseconds();
+      if (now - computedAt >= POSITIONS_VALID_MILLISECONDS) {
+        computedAt = now;
+        positions = computePositions();
+      }
+      return positions;
+    },
     refresh(queue) {
       const now = clock.monotonicMilliseconds();
       if (now - refreshedAt < SHARES_INTERVAL_MILLISECONDS) return;
       refreshedAt = now;
       const teams = Object.entries(configuration.current()?.teams ?? {});
       queue.setShares(Object.fromEntries(teams.map(([team, { share }]) => [team, share])));
-      queue.setCapacity(
-        vmDirectory.workers().reduce((sum, { capacity }) => add(sum, capacity), NONE),
-      );
+      queue.setCapacity(capacity());
       queue.setUsage(usageOfCell());
     },
   };
--- /dev/null
+++ b/packages/daemon/src/core/reclaimRequests.ts
@@ -0,0 +1,138 @@
+/**
+ * Asks the owners of workers to take room back from running tasks, for urgent work and for teams below their
+ * share that found no room.
+ */
+import type { QueuePriority } from '@chicorybend/decisions';
+
+import type { ConfigurationView } from '../types/configurationView.js';
+import { createFaultHandler } from '../utils/faults.js';
+
+import { maySend } from './jobContext.js';
+import type { JobContext } from './jobContext.js';
+import type { PlacementShares } from './placementShares.js';
+import { priorityOf } from './queuePolicy.js';
+import { HOLD_TTL_MILLISECONDS } from './roomHolds.js';
+import type { RoomHolds, RoomNeed } from './roomHolds.js';
+import { isEnding } from './taskRules.js';
+import type { WorkerTargets } from './workerTargets.js';
+
+const RECLAIM_DEADLINE_MILLISECONDS = 500;
+/** Room often becomes free by itself within this time. */
+const PATIENCE_MILLISECONDS: Readonly<Record<QueuePriority, number>> = {
+  urgent: 250,
+  normal: 2_000,
+  overnight: 10_000,
+};
+/** Bounds the work lost to one job partition. */
+const INTERVAL_MILLISECONDS = 500;
+/** A stopped task is reported with the next renewal, after at most one second; then the work is tried. */
+const SETTLE_MILLISECONDS = 2_000;
+const MOST_TASKS = 4;
+const MOST_PARTITIONS = 8;
+
+/** Requests for room of running tasks. */
+export interface ReclaimRequests {
+  /** Asks for a job that found no room, if it is entitled to the room of others. */
+  consider(need: RoomNeed): void;
+}
+
+/** What the requests need. */
+export interface ReclaimRequestsOptions {
+  readonly context: JobContext;
+  readonly targets: WorkerTargets;
+  readonly holds: RoomHolds;
+  readonly shares: PlacementShares;
+  readonly configuration: ConfigurationView;
+}
+
+/**
+ * Creates the requests of one job partition.
+ *
+ * @param options parts of the partition
+ * @returns the requests
+ */
+export function createReclaimRequests(options: ReclaimRequestsOptions): ReclaimRequests {
+  const { context, targets, holds, shares, configuration } = options;
+  const { partition, callPartition, clock, random, counters, log } = context;
+  /** Monotonic times at which the room for a job should be free, in milliseconds. */
+  const settledAt = new Map<string, number>();
+  let nextRequestAt = Number.NEGATIVE_INFINITY;
+
+  /** @returns tasks that the job may get at the cost of others */
+  function countEntitled({ job, count }: RoomNeed, priority: QueuePriority): number {
+    const most = Math.min(count, MOST_TASKS);
+    if (priority === 'urgent') return most;
+    const position = shares.positions()[job.team];
+    const gap = position ? position.fairShare - position.dominantShare : 0;
+    if (gap <= 0) return 0;
+    const taskShare = shares.shareOf(job.request.resources);
+    return Math.max(1, Math.min(most, Math.floor(gap / taskShare)));
+  }
+
+  function orderOfPartitions(): readonly number[] {
+    const all = targets.all();
+    const first = Math.floor(random() * all.length);
+    return [...all.slice(first), ...all.slice(0, first)].slice(0, MOST_PARTITIONS);
+  }
+
+  async function askAt(workerPartition: number, need: RoomNeed, count: number): Promise<number> {
+    if (!maySend(context)) return 0;
+    const { job, since, avoidWorkers } = need;
+    const outcome = await callPartition(
+      workerPartition,
+      'worker.reclaim',
+      {
+        workerPartition,
+        workId: job.jobId,
+        resources: job.request.resources,
+        count,
+        waitedMilliseconds: clock.monotonicMilliseconds() - since,
+        avoidWorkers,
+        ttlMilliseconds: HOLD_TTL_MILLISECONDS,
+        team: job.team,
+        priority: priorityOf(job, configuration),
+        teams: shares.positions(),
+        capacity: shares.capacity(),
+      },
+      RECLAIM_DEADLINE_MILLISECONDS,
+    );
+    if (outcome.isOk()) return outcome.value.helped;
+    if (outcome.error.kind === 'lost') targets.noteUnanswered(workerPartition);
+    return 0;
+  }
+
+  async function ask(need: RoomNeed, count: number): Promise<void> {
+    let missing = count;
+    for (const number of orderOfPartitions()) {
+      if (missing === 0 || partition.isClosed() || isEnding(need.job)) break;
+      const helped = await askAt(number, need, missing);
+      if (helped > 0) {
+        holds.adopt(need, number);
+        settledAt.set(need.job.jobId, clock.monotonicMilliseconds() + SETTLE_MILLISECONDS);
+      }
+      missing -= helped;
+    }
+  }
+
+  function forgetSettled(now: number): void {
+    settledAt.forEach((at, jobId) => {
+      if (at <= now) settledAt.delete(jobId);
+    });
+  }
+
+  return {
+    consider(need) {
+      const now = clock.monotonicMilliseconds();
+      const priority = priorityOf(need.job, configuration);
+      if (now < nextRequestAt || now - need.since < PATIENCE_MILLISECONDS[priority]) return;
+      if (need.job.request.kind === 'gang') return;
+      forgetSettled(now);
+      if (settledAt.has(need.job.jobId)) return;
+      const count = countEntitled(need, priority);
+      if (count === 0) return;
+      nextRequestAt = now + INTERVAL_MILLISECONDS;
+      counters.increment('reclaims.asked');
+      ask(need, count).catch(createFaultHandler(log, 'a reclaim failed'));
+    },
+  };
+}
--- a/packages/daemon/src/core/reserver.ts
+++ b/packages/daemon/src/core/reserver.ts
@@ -23,6 +23,8 @@
   readonly taskIds: readonly string[];
   readonly avoidRacks: readonly string[];
   readonly avoidWorkers: readonly string[];
+  /** Whether room that is held for other work may be used. */
+  readonly isUrgent: boolean;
   /** Partitions that hold room for the job, in ascending order. */
   readonly holders: readonly number[];
 }
@@ -54,7 +56,7 @@
     isAllOrNothing: boolean,
   ): Promise<readonly Reservation[]> {
     if (!maySend(context)) return [];
-    const { job, taskIds, avoidRacks, avoidWorkers } = wish;
+    const { job, taskIds, avoidRacks, avoidWorkers, isUrgent } = wish;
     const isGang = job.request.kind === 'gang';
     const outcome = await callPartition(
       workerPartition,
@@ -70,7 +72,7 @@
         avoidWorkers,
         ttlMilliseconds: isGang ? GANG_RESERVATION_TTL_MILLISECONDS : RESERVATION_TTL_MILLISECONDS,
         heldFor: job.jobId,
-        isUrgent: job.request.urgent,
+        isUrgent,
       },
       isGang ? GANG_RESERVE_DEADLINE_MILLISECONDS : RESERVE_DEADLINE_MILLISECONDS,
     );
--- a/packages/daemon/src/core/roomHolds.ts
+++ b/packages/daemon/src/core/roomHolds.ts
@@ -11,7 +11,7 @@
 const HOLD_DEADLINE_MILLISECONDS = 500;
 const RENEWAL_INTERVAL_MILLISECONDS = 1_000;
 /** Several renewals, so that a lost one does not give the room away; ends the holds of a dead owner. */
-const HOLD_TTL_MILLISECONDS = 5_000;
+export const HOLD_TTL_MILLISECONDS = 5_000;
 /** After an attempt that found too little; spread, so that two gangs do not collide again. */
 const RETRY_MILLISECONDS = 1_000;
 
@@ -32,6 +32,8 @@
    * that one job partition holds room for one piece of work at a time.
    */
   keep(need: RoomNeed): void;
+  /** Takes notice of room that a partition holds for the job already. */
+  adopt(need: RoomNeed, workerPartition: number): void;
   /** @returns partitions that hold room for the job, in ascending order */
   partitionsOf(job: Job): readonly number[];
   /** Ends what is held for the job, because it was started or is not to be started. */
@@ -192,6 +194,11 @@
           hold.isAsking = false;
         });
     },
+    adopt(need, workerPartition) {
+      const notBefore = clock.monotonicMilliseconds() + RENEWAL_INTERVAL_MILLISECONDS;
+      current ??= { need, partitions: new Set(), notBefore, isAsking: false };
+      if (current.need.job === need.job) current.partitions.add(workerPartition);
+    },
     partitionsOf: (job) =>
       current?.need.job === job ? [...current.partitions].sort((left, right) => left - right) : [],
     drop(job) {
--- a/packages/daemon/src/core/taskLookups.ts
+++ b/packages/daemon/src/core/taskLookups.ts
@@ -5,13 +5,13 @@
 import { computeBackoff } from '@chicorybend/common';
 import type { CancelTimer, TaskAttempt } from '@chicorybend/common';
 
-import type { ExecutionState, TaskEvent } from '../types/peerMethods.js';
+import type { ExecutionState, ReclaimTerms, TaskEvent } from '../types/peerMethods.js';
 
 import { createFaultHandler } from '../utils/faults.js';
 import { maySend } from './jobContext.js';
 import type { JobContext } from './jobContext.js';
 import { findTask, isExecuting } from './jobState.js';
-import type { Task } from './jobState.js';
+import type { Job, LocatedTask, Task } from './jobState.js';
 import { executionKey, toAttempt } from './workerEntry.js';
 
 const LOOKUP_DEADLINE_MILLISECONDS = 1_000;
@@ -28,6 +28,8 @@
 
 /** What a lookup leads to. */
 export interface TaskLookupsListener {
+  /** Tells the owner of the worker whether the tasks of a job may have to give way. */
+  describeTerms(job: Job): ReclaimTerms;
   /** The worker runs the execution. */
   onRunning(task: Task): void;
   /** The start certainly had no effect. */
@@ -52,10 +54,11 @@
   const timers = new Set<CancelTimer>();
   let inFlight = 0;
 
-  /** @returns the task, if the execution is still its present one */
-  function findExecuting({ taskId, attempt }: TaskAttempt): Task | null {
-    const task = findTask(partition.state, taskId)?.task;
-    return task && task.attempt === attempt && isExecuting(task) ? task : null;
+  /** @returns the task with its job, if the execution is still its present one */
+  function findExecuting({ taskId, attempt }: TaskAttempt): LocatedTask | null {
+    const located = findTask(partition.state, taskId);
+    const isPresent = located?.task.attempt === attempt && isExecuting(located.task);
+    return isPresent ? located : null;
   }
 
   async function recordEnd(task: Task, event: TaskEvent['event']): Promise<boolean> {
@@ -91,8 +94,10 @@
   }
 
   async function lookUp(lookup: PendingLookup): Promise<boolean> {
-    const task = findExecuting(lookup);
-    if (!task || task.workerId === null || task.workerPartition === null) return true;
+    const located = findExecuting(lookup);
+    if (!located) return true;
+    const { job, task } = located;
+    if (task.workerId === null || task.workerPartition === null) return true;
     if (!maySend(context)) return false;
     const { workerPartition, workerId, incarnation } = task;
     const outcome = await callPartition(
@@ -105,12 +110,13 @@
         ...(incarnation === null ? {} : { incarnation }),
         jobPartition: partition.lease.partition,
         jobEpoch: partition.lease.epoch,
+        terms: listener.describeTerms(job),
       },
       LOOKUP_DEADLINE_MILLISECONDS,
     );
     const current = findExecuting(lookup);
     if (!current) return true;
-    return outcome.isOk() ? apply(current, outcome.value) : false;
+    return outcome.isOk() ? apply(current.task, outcome.value) : false;
   }
 
   function retryLater(lookup: PendingLookup): void {
--- a/packages/daemon/src/core/taskStarter.ts
+++ b/packages/daemon/src/core/taskStarter.ts
@@ -6,7 +6,7 @@
 
 import type { TaskIntentRecord } from '../types/journalRecord.js';
 import type { PeerError } from '../types/peer.js';
-import type { Reservation, ReservedStart } from '../types/peerMethods.js';
+import type { ReclaimTerms, Reservation, ReservedStart } from '../types/peerMethods.js';
 
 import { maySend } from './jobContext.js';
 import type { JobContext } from './jobContext.js';
@@ -26,6 +26,8 @@
 export interface TaskStarterOptions {
   readonly context: JobContext;
   readonly reserver: Reserver;
+  /** Tells the owner of the worker whether the tasks of a job may have to give way. */
+  readonly describeTerms: (job: Job) => ReclaimTerms;
   /** The worker runs the execution. */
   readonly onRunning: (task: Task) => void;
   /** Nobody knows whether the worker runs the execution. */
@@ -116,6 +118,7 @@
     return {
       reservationId: reservation.reservationId,
       workerId: reservation.workerId,
+      terms: options.describeTerms(job),
       start: {
         taskId: task.taskId,
         attempt,
--- a/packages/daemon/src/core/workBacklog.ts
+++ b/packages/daemon/src/core/workBacklog.ts
@@ -3,12 +3,13 @@
  */
 import { computeBackoff } from '@chicorybend/common';
 import type { Clock } from '@chicorybend/common';
-import type { QueuedWork, QueuePriority, TaskQueue } from '@chicorybend/decisions';
+import type { QueuedWork, TaskQueue } from '@chicorybend/decisions';
 
 import type { ConfigurationView } from '../types/configurationView.js';
 
 import type { JobPartition } from './jobPartition.js';
 import type { Job, Task } from './jobState.js';
+import { priorityOf } from './queuePolicy.js';
 
 const RETRY_BACKOFF = { firstMilliseconds: 50, maximumMilliseconds: 1_000 };
 
@@ -68,11 +69,6 @@
   const waiting = new Map<string, Waiting>();
   const queued = new Set<string>();
 
-  function priorityOf(job: Job): QueuePriority {
-    if (job.request.urgent) return 'urgent';
-    return configuration.current()?.queues[job.request.queue]?.priority ?? 'normal';
-  }
-
   function add(work: QueuedWork): void {
     queued.add(work.workId);
     queue.add(work);
@@ -114,7 +110,7 @@
       workId,
       jobId: job.jobId,
       team: job.team,
-      priority: priorityOf(job),
+      priority: priorityOf(job, configuration),
       resources: job.request.resources,
       tasks: isGang ? job.tasks.length : 1,
       enqueuedAt: since,
--- a/packages/daemon/src/core/workerEntry.ts
+++ b/packages/daemon/src/core/workerEntry.ts
@@ -3,7 +3,7 @@
  */
 import type { Resources, RunningTask, TaskAttempt, VmRecord } from '@chicorybend/common';
 
-import type { TaskEvent } from '../types/peerMethods.js';
+import type { ReclaimTerms, TaskEvent } from '../types/peerMethods.js';
 
 /** An execution that occupies a worker. */
 export interface Execution extends TaskAttempt {
@@ -18,6 +18,8 @@
   readonly notAfter: number;
   /** Last report of the worker. */
   report: RunningTask | null;
+  /** Null until the owner of the job has told them. */
+  terms: ReclaimTerms | null;
 }
 
 /** A reading of a worker's clock. */
--- a/packages/daemon/src/core/workerPartition.ts
+++ b/packages/daemon/src/core/workerPartition.ts
@@ -21,6 +21,7 @@
   ExecutionState,
   HoldRequest,
   PeerMethods,
+  ReclaimRequest,
   Reservation,
   ReservedStart,
   ReserveRequest,
@@ -36,6 +37,7 @@
 import { createWorkerContacts } from './workerContacts.js';
 import { createWorkerEntry, executionKey, toAttempt } from './workerEntry.js';
 import type { Execution, WorkerEntry } from './workerEntry.js';
+import { createWorkerReclaim } from './workerReclaim.js';
 import { createWorkerReports } from './workerReports.js';
 import { createWorkerRoom } from './workerRoom.js';
 import { createWorkerStarts } from './workerStarts.js';
@@ -67,6 +69,8 @@
   /** Keeps room for work that does not fit yet. @returns tasks that room is held for */
   hold(request: HoldRequest): number;
   dropHold(workId: string): void;
+  /** Takes room back from running tasks. @returns tasks that room will become free for */
+  reclaim(request: ReclaimRequest): number;
   /** Starts reserved tasks. A start without a result may have happened. */
   start(starts: readonly ReservedStart[]): Promise<readonly StartResult[]>;
   stop(
@@ -109,6 +113,13 @@
     onSilent,
     onStart: noteStart,
   });
+  const reclaim = createWorkerReclaim({
+    ...options,
+    workers,
+    starts,
+    isSchedulable,
+    hold: room.hold,
+  });
   const contacts = createWorkerContacts({ ...options, reports, onSilent, onChanged: refresh });
 
   function onSilent(worker: WorkerEntry): void {
@@ -240,7 +251,10 @@
     if (!worker) return { kind: now() > formerLeasesEndBy ? 'lapsed' : 'silent' };
     const key = executionKey(attempt);
     const execution = worker.executions.get(key);
-    if (execution) return lookupExecution(worker, execution);
+    if (execution) {
+      execution.terms ??= params.terms ?? null;
+      return lookupExecution(worker, execution);
+    }
     const ended = worker.unconfirmed.get(key)?.event;
     if (ended?.kind === 'finished') return ended;
     if (worker.lapsed.has(key)) return { kind: 'lapsed' };
@@ -254,6 +268,7 @@
     release: room.release,
     hold: room.hold,
     dropHold: room.dropHold,
+    reclaim: reclaim.reclaim,
     start: (reserved) => starts.start(reserved),
     stop,
     lookup,
--- /dev/null
+++ b/packages/daemon/src/core/workerReclaim.ts
@@ -0,0 +1,184 @@
+/**
+ * Takes room back from running tasks on the workers of one partition, for urgent work and for teams below their
+ * share. Tasks are stopped only if they may run again; those that may run only once never give way.
+ */
+import { RESOURCE_DIMENSIONS } from '@chicorybend/common';
+import type { Clock, Counters, Log, Resources } from '@chicorybend/common';
+import { chooseReclaim } from '@chicorybend/decisions';
+import type { ReclaimAction, ReclaimNeed, ReclaimTask, WorkerPool } from '@chicorybend/decisions';
+
+import type { HoldRequest, ReclaimRequest } from '../types/peerMethods.js';
+import { createFaultHandler } from '../utils/faults.js';
+
+import { executionKey, toAttempt } from './workerEntry.js';
+import type { Execution, WorkerEntry } from './workerEntry.js';
+import type { WorkerStarts } from './workerStarts.js';
+
+/**
+ * Bounds how fast work is lost: usage is heard with a delay, so that several askers may choose the same team
+ * before any of them hears that it has given room.
+ */
+const MOST_STOPS = 8;
+const STOPS_WINDOW_MILLISECONDS = 1_000;
+
+/** What the reclaim needs. */
+export interface WorkerReclaimOptions {
+  readonly pool: WorkerPool;
+  readonly workers: ReadonlyMap<string, WorkerEntry>;
+  readonly starts: WorkerStarts;
+  readonly isSchedulable: (worker: WorkerEntry) => boolean;
+  /** Keeps room for the work. @returns tasks that room is held for */
+  readonly hold: (request: HoldRequest) => number;
+  readonly clock: Clock;
+  readonly counters: Counters;
+  readonly log: Log;
+}
+
+/** Reclaim on the workers of one partition. */
+export interface WorkerReclaim {
+  /** @returns tasks of the work that room will become free for */
+  reclaim(request: ReclaimRequest): number;
+}
+
+interface Victim {
+  readonly worker: WorkerEntry;
+  readonly execution: Execution;
+}
+
+/**
+ * Creates the reclaim of one partition.
+ *
+ * @param options workers and their commands
+ * @returns the reclaim
+ */
+export function createWorkerReclaim(options: WorkerReclaimOptions): WorkerReclaim {
+  const { pool, workers, starts, isSchedulable, hold, clock, counters, log } = options;
+  /** Executions that were told to stop, until they have ended. */
+  const stopping = new WeakSet<Execution>();
+  let windowBeganAt = Number.NEGATIVE_INFINITY;
+  let stopsInWindow = 0;
+
+  function countPermittedStops(): number {
+    const now = clock.monotonicMilliseconds();
+    if (now - windowBeganAt >= STOPS_WINDOW_MILLISECONDS) {
+      windowBeganAt = now;
+      stopsInWindow = 0;
+    }
+    return MOST_STOPS - stopsInWindow;
+  }
+
+  /** A worker that has room now was passed over because the room is held for other work. */
+  function listWorkers(resources: Resources): readonly WorkerEntry[] {
+    return [...workers.values()].filter((worker) => {
+      const free = pool.freeOf(worker.workerId);
+      if (!free || !isSchedulable(worker)) return false;
+      return RESOURCE_DIMENSIONS.some((dimension) => free[dimension] < resources[dimension]);
+    });
+  }
+
+  function listVictims(candidates: readonly WorkerEntry[]): ReadonlyMap<string, Victim> {
+    const victims = candidates.flatMap((worker) =>
+      [...worker.executions.values()]
+        .filter(
+          (execution) =>
+            execution.state === 'running' &&
+            execution.terms?.isStoppable === true &&
+            !stopping.has(execution),
+        )
+        .map((execution): [string, Victim] => [executionKey(execution), { worker, execution }]),
+    );
+    return new Map(victims);
+  }
+
+  function toReclaimTask(key: string, { worker, execution }: Victim): ReclaimTask {
+    const startedAt = execution.report?.startedAt ?? clock.wallMilliseconds();
+    return {
+      taskId: key,
+      workerId: worker.workerId,
+      team: execution.team,
+      priority: execution.terms?.priority ?? 'normal',
+      resources: execution.resources,
+      // A throttled task stays charged with what it declared, so that throttling makes no room.
+      throttleProcessors: 0,
+      unsavedMilliseconds: Math.max(0, clock.wallMilliseconds() - startedAt),
+      // The protocol of the workers has no restore; a checkpoint loses as much as a stop.
+      checkpointMilliseconds: null,
+    };
+  }
+
+  function listNeeds(request: ReclaimRequest): readonly ReclaimNeed[] {
+    const { team, priority, resources, waitedMilliseconds } = request;
+    const enqueuedAt = clock.monotonicMilliseconds() - waitedMilliseconds;
+    return Array.from({ length: request.count }, (_, index) => ({
+      workId: String(index),
+      team,
+      priority,
+      resources,
+      enqueuedAt,
+    }));
+  }
+
+  function choose(
+    request: ReclaimRequest,
+    candidates: readonly WorkerEntry[],
+    victims: ReadonlyMap<string, Victim>,
+  ): readonly ReclaimAction[] {
+    const free = candidates.map(({ workerId }) => [workerId, pool.freeOf(workerId)]);
+    return chooseReclaim({
+      needs: listNeeds(request),
+      tasks: [...victims].map(([key, victim]) => toReclaimTask(key, victim)),
+      freeByWorker: Object.fromEntries(free) as Record<string, Resources>,
+      teams: request.teams,
+      capacity: request.capacity,
+    });
+  }
+
+  /** Whole needs only: part of the stops for one task would lose work for nothing. */
+  function limit(actions: readonly ReclaimAction[]): readonly ReclaimAction[] {
+    const permitted = countPermittedStops();
+    const next = actions[permitted];
+    if (!next) return actions;
+    return actions.slice(0, permitted).filter(({ forWorkId }) => forWorkId !== next.forWorkId);
+  }
+
+  async function stopOn(worker: WorkerEntry, executions: readonly Execution[]): Promise<void> {
+    const outcome = await starts.command(worker, 'stop', executions.map(toAttempt));
+    // A stop that did not arrive may be chosen again.
+    if (outcome.isErr()) executions.forEach((execution) => stopping.delete(execution));
+  }
+
+  function stop(victims: readonly Victim[]): void {
+    const groups = new Map<WorkerEntry, Execution[]>();
+    victims.forEach(({ worker, execution }) => {
+      stopping.add(execution);
+      const group = groups.get(worker) ?? [];
+      groups.set(worker, group);
+      group.push(execution);
+    });
+    stopsInWindow += victims.length;
+    counters.increment('tasks.reclaimed', victims.length);
+    groups.forEach((executions, worker) => {
+      stopOn(worker, executions).catch(
+        createFaultHandler(log, 'the stop of reclaimed tasks failed'),
+      );
+    });
+  }
+
+  return {
+    reclaim(request) {
+      const candidates = listWorkers(request.resources);
+      const victims = listVictims(candidates);
+      if (victims.size === 0) return 0;
+      const actions = limit(choose(request, candidates, victims));
+      if (actions.length === 0) return 0;
+      const chosen = new Set(actions.map(({ workerId }) => workerId));
+      const others = [...workers.keys()].filter((workerId) => !chosen.has(workerId));
+      const count = new Set(actions.map(({ forWorkId }) => forWorkId)).size;
+      const held = hold({ ...request, count, avoidWorkers: others });
+      // Urgent work may use any room; other work would lose it to whoever asks first.
+      if (held < count && request.priority !== 'urgent') return 0;
+      stop(actions.flatMap(({ taskId }) => victims.get(taskId) ?? []));
+      return count;
+    },
+  };
+}
--- a/packages/daemon/src/core/workerReports.ts
+++ b/packages/daemon/src/core/workerReports.ts
@@ -95,6 +95,7 @@
       confirmedAt: now(),
       notAfter: 0,
       report: running,
+      terms: null,
     };
     worker.executions.set(executionKey(running), execution);
     pool.adopt(worker.workerId, running.resources);
--- a/packages/daemon/src/core/workerService.ts
+++ b/packages/daemon/src/core/workerService.ts
@@ -112,6 +112,9 @@
       return {};
     }),
   );
+  link.handle('worker.reclaim', async (params) =>
+    find(params.workerPartition).map((own) => ({ helped: own.reclaim(params) })),
+  );
   link.handle('worker.start', async ({ workerPartition, starts }) => {
     const own = find(workerPartition);
     return own.isOk() ? Ok(await own.value.start(starts)) : own;
--- a/packages/daemon/src/core/workerStarts.ts
+++ b/packages/daemon/src/core/workerStarts.ts
@@ -120,6 +120,7 @@
       confirmedAt: 0,
       notAfter: notAfterOf(worker),
       report: null,
+      terms: reserved.terms ?? null,
     };
     worker.executions.set(executionKey(task), execution);
     options.onStart(worker);
--- a/packages/daemon/src/types/peerMethods.ts
+++ b/packages/daemon/src/types/peerMethods.ts
@@ -12,6 +12,7 @@
   TaskAttempt,
   TaskStart,
 } from '@chicorybend/common';
+import type { QueuePriority, TeamPosition } from '@chicorybend/decisions';
 
 import type { MembershipRecord } from './membershipView.js';
 import type { PartitionLoad } from './partition.js';
@@ -95,11 +96,30 @@
   readonly ttlMilliseconds: number;
 }
 
+/** Whether and for whom a running task may have to give way. */
+export interface ReclaimTerms {
+  readonly priority: QueuePriority;
+  /** Whether it may be stopped and run again later; never true of tasks that may run only once. */
+  readonly isStoppable: boolean;
+}
+
 /** A start of a reserved task. */
 export interface ReservedStart {
   readonly reservationId: string;
   readonly workerId: string;
   readonly start: TaskStart;
+  /** Without terms the task never gives way. */
+  readonly terms?: ReclaimTerms;
+}
+
+/** Asks the owner of a partition to take room back from running tasks for work that does not fit. */
+export interface ReclaimRequest extends HoldRequest {
+  readonly team: string;
+  readonly priority: QueuePriority;
+  /** Positions of the teams against their shares, as the asker has heard. */
+  readonly teams: Readonly<Record<string, TeamPosition>>;
+  /** Capacity of the cell, for dominant shares. */
+  readonly capacity: Resources;
 }
 
 /** What the owner of a worker's partition knows about an execution. */
@@ -201,6 +221,8 @@
   /** Holds room for as many tasks as possible, in place of what was held for the work before. */
   'worker.hold': { params: HoldRequest; result: { held: number } };
   'worker.drop-hold': { params: { workerPartition: number; workId: string }; result: object };
+  /** Tasks of the work that room will become free for; the room is held for it. */
+  'worker.reclaim': { params: ReclaimRequest; result: { helped: number } };
   'worker.start': {
     params: { workerPartition: number; starts: readonly ReservedStart[] };
     result: readonly StartResult[];
@@ -224,6 +246,8 @@
       /** Job partition and epoch of the asker; starts of lower epochs are refused from then on. */
       jobPartition?: number;
       jobEpoch?: number;
+      /** Terms of the execution, which a new owner of the worker does not know. */
+      terms?: ReclaimTerms;
     };
     result: ExecutionState;
   };
