--- a/packages/daemon/src/__tests__/durableSubmission.test.ts
+++ b/packages/daemon/src/__tests__/durableSubmission.test.ts
@@ -1,17 +1,17 @@
-import type { Configuration, Result } from '@chicorybend/common';
+import type { Result } from '@chicorybend/common';
 import test from 'ava';
 
-import { createRunningCell, PLAIN_JOB, WORKER_CAPACITY } from './durableKit.js';
+import {
+  createConfiguration,
+  createRunningCell,
+  PLAIN_JOB,
+  WORKER_CAPACITY,
+} from './durableKit.js';
 import type { TestCell } from './durableKit.js';
 import type { PeerError } from '../index.js';
 
 const DAY_MILLISECONDS = 24 * 3_600_000;
 
-const CONFIGURATION = {
-  teams: { harbour: { share: 1, limits: { tasks: 5, requests: 5 } } },
-  queues: {},
-} as unknown as Configuration;
-
 function failureOf(outcome: Result<unknown, PeerError>) {
   return outcome.isErr() && outcome.error.kind === 'refused' ? outcome.error.failure : null;
 }
@@ -102,7 +102,11 @@
 
 // Guards against a gang that waits forever for more tasks than its team may run.
 test('a gang over the upper limit of its team is refused at once', async (t) => {
-  const { cell } = await createRunningCell({ workers: 2, configuration: CONFIGURATION });
+  const { cell } = await createRunningCell({ workers: 2 });
+  const policy = { order: 'share-first' as const, agingMilliseconds: 60_000 };
+  const configuration = createConfiguration({ harbour: 1 }, policy);
+  const limits = { tasks: 5, requests: 5 };
+  cell.configure({ ...configuration, teams: { harbour: { share: 1, limits } } });
   const gang = { ...PLAIN_JOB, kind: 'gang' as const, tasks: 6 };
   const failure = failureOf(await submit(cell, 'one', 'a', gang));
   t.is(failure?.code, 'never-fits');
--- a/packages/daemon/src/core/workerStarts.ts
+++ b/packages/daemon/src/core/workerStarts.ts
@@ -38,6 +38,8 @@
   readonly reports: WorkerReports;
   readonly releaseReservation: (reservation: HeldReservation) => void;
   readonly onSilent: (worker: WorkerEntry) => void;
+  /** A start is about to be sent. */
+  readonly onStart: (worker: WorkerEntry) => void;
 }
 
 /** Commands to the workers of one partition. */
@@ -118,8 +120,10 @@
       confirmedAt: 0,
       notAfter: notAfterOf(worker),
       report: null,
+      terms: reserved.terms ?? null,
     };
     worker.executions.set(executionKey(task), execution);
+    options.onStart(worker);
     return execution;
   }
 
--- a/packages/daemon/src/types/peerMethods.ts
+++ b/packages/daemon/src/types/peerMethods.ts
@@ -12,6 +12,7 @@
   TaskAttempt,
   TaskStart,
 } from '@chicorybend/common';
+import type { QueuePriority, TeamPosition } from '@chicorybend/decisions';
 
 import type { MembershipRecord } from './membershipView.js';
 import type { PartitionLoad } from './partition.js';
@@ -80,6 +81,33 @@
   /** Workers on which the job has failed; not used. */
   readonly avoidWorkers: readonly string[];
   readonly ttlMilliseconds: number;
+  /** Work whose held room may be used too. */
+  readonly heldFor?: string;
+  /** Whether room that is held for other work may be used, if there is no other. */
+  readonly isUrgent?: boolean;
+}
+
+/** Asks the owner of a partition to keep room for work that does not fit yet. */
+export interface HoldRequest {
+  readonly workerPartition: number;
+  /** Work that is to use the room. */
+  readonly workId: string;
+  /** Resources of each task. */
+  readonly resources: Resources;
+  /** Tasks to hold room for at most. */
+  readonly count: number;
+  /** How long the work has waited, in milliseconds; it displaces holds of work that has waited less. */
+  readonly waitedMilliseconds: number;
+  readonly avoidWorkers: readonly string[];
+  /** The hold ends after this time unless it is asked for again. */
+  readonly ttlMilliseconds: number;
+}
+
+/** Whether and for whom a running task may have to give way. */
+export interface ReclaimTerms {
+  readonly priority: QueuePriority;
+  /** Whether it may be stopped and run again later; never true of tasks that may run only once. */
+  readonly isStoppable: boolean;
 }
 
 /** A start of a reserved task. */
@@ -87,6 +115,18 @@
   readonly reservationId: string;
   readonly workerId: string;
   readonly start: TaskStart;
+  /** Without terms the task never gives way. */
+  readonly terms?: ReclaimTerms;
+}
+
+/** Asks the owner of a partition to take room back from running tasks for work that does not fit. */
+export interface ReclaimRequest extends HoldRequest {
+  readonly team: string;
+  readonly priority: QueuePriority;
+  /** Positions of the teams against their shares, as the asker has heard. */
+  readonly teams: Readonly<Record<string, TeamPosition>>;
+  /** Capacity of the cell, for dominant shares. */
+  readonly capacity: Resources;
 }
 
 /** What the owner of a worker's partition knows about an execution. */
@@ -185,6 +225,11 @@
     params: { workerPartition: number; reservationIds: readonly string[] };
     result: object;
   };
+  /** Holds room for as many tasks as possible, in place of what was held for the work before. */
+  'worker.hold': { params: HoldRequest; result: { held: number } };
+  'worker.drop-hold': { params: { workerPartition: number; workId: string }; result: object };
+  /** Tasks of the work that room will become free for; the room is held for it. */
+  'worker.reclaim': { params: ReclaimRequest; result: { helped: number } };
   'worker.start': {
     params: { workerPartition: number; starts: readonly ReservedStart[] };
     result: readonly StartResult[];
@@ -208,6 +253,8 @@
       /** Job partition and epoch of the asker; starts of lower epochs are refused from then on. */
       jobPartition?: number;
       jobEpoch?: number;
+      /** Terms of the execution, which a new owner of the worker does not know. */
+      terms?: ReclaimTerms;
     };
     result: ExecutionState;
   };
