Count running executions in the usage report

A report now adds the time up to the last report of each worker. The owner of the job asks the owners of the workers (worker.runs) and joins the answers with its own state in one step. A task's state holds until when each attempt has been counted; records count only what lies after that, so that overlaps, repeats and late ends count once. Partitions of which workers have not been heard are named in the report.

usage.read now answers rows together with the number of unmeasured executions.

--- a/packages/client/src/core/reportCommands.ts
+++ b/packages/client/src/core/reportCommands.ts
@@ -70,7 +70,9 @@
 
 function warnOfMissing(session: Session, report: PartitionReport<unknown>): void {
   report.missing.forEach(({ partition, reason }) =>
-    session.environment.printError(`Partition ${partition} is missing from the report: ${reason}`),
+    session.environment.printError(
+      `Partition ${partition} is missing from the report, or part of it: ${reason}`,
+    ),
   );
 }
 
--- a/packages/common/src/utils/errors.ts
+++ b/packages/common/src/utils/errors.ts
@@ -57,6 +57,11 @@
   'unknown-key': { status: 404, run: 'not-run', text: 'There is no key {keyId}.' },
   'unknown-job': { status: 404, run: 'not-run', text: 'There is no job {jobId}.' },
   'unknown-daemon': { status: 404, run: 'not-run', text: 'There is no daemon {daemonId}.' },
+  'usage-incomplete': {
+    status: 503,
+    run: 'not-run',
+    text: 'Of {count} running executions only the use up to their last checkpoint is known now.',
+  },
   'unknown-worker': { status: 404, run: 'not-run', text: 'There is no worker {workerId}.' },
   'idempotency-key-required': {
     status: 400,
--- a/packages/daemon/src/__tests__/operatorApi.test.ts
+++ b/packages/daemon/src/__tests__/operatorApi.test.ts
@@ -290,14 +290,21 @@
     tasks: 3,
   };
   ['a', 'b'].forEach((id) =>
-    cell.daemon(id).link.handle('usage.read', async () => Ok([row, { ...row, team: 'sorting' }])),
+    cell
+      .daemon(id)
+      .link.handle('usage.read', async () =>
+        Ok({ rows: [row, { ...row, team: 'sorting' }], unmeasured: id === 'a' ? 2 : 0 }),
+      ),
   );
   const usage = await call({ method: 'GET', url: '/v1/usage?team=harbour' });
-  const report = usage.json<{ rows: UsageRow[]; missing: { partition: number }[] }>();
+  const report = usage.json<{
+    rows: UsageRow[];
+    missing: { partition: number; reason: string }[];
+  }>();
   t.deepEqual(report.rows, [{ ...row, processorSeconds: 2, memoryByteSeconds: 4, tasks: 6 }]);
   t.deepEqual(
-    report.missing.map((missing) => missing.partition),
-    [2],
+    report.missing.map(({ partition, reason }) => `${partition} ${reason.slice(0, 4)}`),
+    ['2 Part', '0 Of 2'],
   );
   const workers = (await call({ method: 'GET', url: '/v1/workers' })).json<{
     missing: unknown[];
--- a/packages/daemon/src/core/cellReports.ts
+++ b/packages/daemon/src/core/cellReports.ts
@@ -4,13 +4,19 @@
 import type { MembershipView } from '../types/membershipView.js';
 import type { PartitionDirectory } from '../types/partition.js';
 import type { PeerLink } from '../types/peer.js';
-import type { DaemonView, PeerMethods, UsageRow, WorkerView } from '../types/peerMethods.js';
+import type {
+  DaemonView,
+  PartitionUsage,
+  PeerMethods,
+  UsageRow,
+  WorkerView,
+} from '../types/peerMethods.js';
 import { describePeerError } from './operatorFailures.js';
 
 /** Time for one daemon's part of a report, in milliseconds. */
 const REPORT_MILLISECONDS = 2_000;
 
-/** A partition that is not part of a report. */
+/** A partition that is not, or not wholly, part of a report. */
 export interface MissingPartition {
   readonly partition: number;
   readonly reason: string;
@@ -58,9 +64,9 @@
 
 type PartitionMethod = 'worker.list' | 'job.list' | 'usage.read';
 
-/** Rows of one partition, or why there are none. */
-type PartitionRows<Row> =
-  | { readonly partition: number; readonly rows: readonly Row[] }
+/** Answer of one partition, or why there is none. */
+type PartitionAnswer<Answer> =
+  | { readonly partition: number; readonly answer: Answer }
   | { readonly partition: number; readonly failure: Failure };
 
 function mergeUsage(rows: readonly UsageRow[]): readonly UsageRow[] {
@@ -91,6 +97,24 @@
   return isTeam && row.hour >= (filter.from ?? 0) && row.hour < (filter.to ?? Infinity);
 }
 
+function joinAnswers<Answer, Row>(
+  answers: readonly PartitionAnswer<Answer>[],
+  rowsOf: (answer: Answer) => readonly Row[],
+): PartitionReport<Row> {
+  return {
+    rows: answers.flatMap((part) => ('answer' in part ? rowsOf(part.answer) : [])),
+    missing: answers.flatMap((part) =>
+      'failure' in part ? [{ partition: part.partition, reason: part.failure.message }] : [],
+    ),
+  };
+}
+
+function describeUnmeasured(part: PartitionAnswer<PartitionUsage>): readonly MissingPartition[] {
+  if ('failure' in part || part.answer.unmeasured === 0) return [];
+  const { message } = createFailure('usage-incomplete', { count: part.answer.unmeasured });
+  return [{ partition: part.partition, reason: message }];
+}
+
 /**
  * Creates the reports over all daemons.
  *
@@ -104,11 +128,11 @@
     partition: number,
     method: Method,
     params: PeerMethods[Method]['params'],
-  ): Promise<PartitionRows<PeerMethods[Method]['result'][number]>> {
+  ): Promise<PartitionAnswer<PeerMethods[Method]['result']>> {
     const owner = directory.ownerOf(partition);
     if (!owner) return { partition, failure: createFailure('no-owner', { partition }) };
     const answer = await link.call(owner.daemonId, method, params, REPORT_MILLISECONDS);
-    if (answer.isOk()) return { partition, rows: answer.value };
+    if (answer.isOk()) return { partition, answer: answer.value };
     const failure = describePeerError(owner.daemonId, answer.error);
     if (failure.code === 'not-owner') directory.refresh(partition);
     return { partition, failure };
@@ -117,17 +141,11 @@
   async function readAll<Method extends PartitionMethod>(
     method: Method,
     paramsOf: (partition: number) => PeerMethods[Method]['params'],
-  ): Promise<PartitionReport<PeerMethods[Method]['result'][number]>> {
+  ): Promise<readonly PartitionAnswer<PeerMethods[Method]['result']>[]> {
     const partitions = Array.from({ length: directory.partitionCount }, (_, index) => index);
-    const parts = await Promise.all(
+    return Promise.all(
       partitions.map((partition) => readPartition(partition, method, paramsOf(partition))),
     );
-    return {
-      rows: parts.flatMap((part) => ('rows' in part ? part.rows : [])),
-      missing: parts.flatMap((part) =>
-        'failure' in part ? [{ partition: part.partition, reason: part.failure.message }] : [],
-      ),
-    };
   }
 
   return {
@@ -143,12 +161,21 @@
         }),
       );
     },
-    workers: () => readAll('worker.list', (partition) => ({ partition })),
-    jobs: (team) => readAll('job.list', (partition) => ({ partition, team })),
+    async workers() {
+      const answers = await readAll('worker.list', (partition) => ({ partition }));
+      return joinAnswers(answers, (rows) => rows);
+    },
+    async jobs(team) {
+      const answers = await readAll('job.list', (partition) => ({ partition, team }));
+      return joinAnswers(answers, (rows) => rows);
+    },
     async usage(filter) {
-      const report = await readAll('usage.read', (partition) => ({ partition }));
-      const rows = mergeUsage(report.rows.filter((row) => isWanted(row, filter)));
-      return { rows, missing: report.missing };
+      const answers = await readAll('usage.read', (partition) => ({ partition }));
+      const report = joinAnswers(answers, ({ rows }) => rows);
+      return {
+        rows: mergeUsage(report.rows.filter((row) => isWanted(row, filter))),
+        missing: [...report.missing, ...answers.flatMap(describeUnmeasured)],
+      };
     },
   };
 }
--- a/packages/daemon/src/core/jobPartition.ts
+++ b/packages/daemon/src/core/jobPartition.ts
@@ -6,13 +6,21 @@
 import type { Clock, Counters, Failure, Log, Result } from '@chicorybend/common';
 import { v7 as createUuid } from 'uuid';
 
-import type { JournalRecord, TaskEndedRecord, UsageRecord } from '../types/journalRecord.js';
+import type { JournalRecord, TaskEndedRecord } from '../types/journalRecord.js';
 import type { JournalError, PartitionLease } from '../types/partition.js';
 import type { PeerMethods, TaskEvent } from '../types/peerMethods.js';
 
 import { createFaultHandler } from '../utils/faults.js';
-import { applyRecord, findTask, forgetOldJobs, isExecuting, keyOf } from './jobState.js';
+import {
+  applyRecord,
+  describeUncounted,
+  findTask,
+  forgetOldJobs,
+  isExecuting,
+  keyOf,
+} from './jobState.js';
 import type { Job, JobsState, Task } from './jobState.js';
+import { describeUsage } from './usage.js';
 
 /** Store outages last up to hours; records other than acceptances wait them out. */
 const RECORD_DEADLINE_MILLISECONDS = 3_600_000;
@@ -273,6 +281,7 @@
   function describeEnd(event: TaskEvent): TaskEndedRecord {
     const now = clock.wallMilliseconds();
     if (event.event.kind === 'lapsed') {
+      const { ran } = event.event;
       return {
         type: 'task-ended',
         taskId: event.event.attempt.taskId,
@@ -280,8 +289,8 @@
         workerId: event.workerId,
         end: 'lost',
         result: null,
-        startedAt: now,
-        endedAt: now,
+        startedAt: ran?.startedAt ?? now,
+        endedAt: ran?.until ?? now,
         peak: { processors: 0, memoryBytes: 0, accelerators: 0 },
       };
     }
@@ -290,35 +299,14 @@
     return { type: 'task-ended', taskId, attempt, workerId, end, result, startedAt, endedAt, peak };
   }
 
-  /** The execution was taken for lost before; its usage still counts once. */
-  function describeLateUsage(job: Job, ended: TaskEndedRecord): UsageRecord {
-    const { taskId, attempt, startedAt, endedAt } = ended;
-    const { queue, resources } = job.request;
-    const seconds = (endedAt - startedAt) / 1_000;
-    return {
-      type: 'usage',
-      taskId,
-      attempt,
-      team: job.team,
-      queue,
-      startedAt,
-      endedAt,
-      processorSeconds: resources.processors * seconds,
-      memoryByteSeconds: resources.memoryBytes * seconds,
-      acceleratorSeconds: resources.accelerators * seconds,
-    };
-  }
-
-  function needsUsage(task: Task, ended: TaskEndedRecord): boolean {
-    return ended.endedAt > ended.startedAt && !task.countedAttempts.includes(ended.attempt);
-  }
-
   async function recordEnd(ended: TaskEndedRecord): Promise<Result<void, Failure>> {
     const located = findTask(state, ended.taskId);
     if (!located) return Ok(undefined);
     const isNews = wasExecuting(ended.taskId, ended.attempt);
-    if (!isNews && !needsUsage(located.task, ended)) return Ok(undefined);
-    const outcome = await append(isNews ? ended : describeLateUsage(located.job, ended));
+    const isCounted = describeUncounted(located, ended) === null;
+    if (!isNews && isCounted) return Ok(undefined);
+    // The execution was taken for lost before; the rest of its usage still counts.
+    const outcome = await append(isNews ? ended : describeUsage(located.job, ended));
     return outcome.isOk() ? Ok(undefined) : Err(createFailure('store-unavailable'));
   }
 
--- a/packages/daemon/src/core/jobService.ts
+++ b/packages/daemon/src/core/jobService.ts
@@ -26,7 +26,11 @@
 import { explainNeverFits } from './neverFits.js';
 import { createPlacementLoop } from './placementLoop.js';
 import type { PlacementLoop } from './placementLoop.js';
+import { createRunningUsage } from './runningUsage.js';
+import type { RunningUsage } from './runningUsage.js';
 import { stateOfJob } from './taskRules.js';
+import { startUsageCheckpoints } from './usageCheckpoints.js';
+import type { UsageCheckpoints } from './usageCheckpoints.js';
 
 /** Leaves time for the answer to reach the caller within its deadline. */
 const ANSWER_MARGIN_MILLISECONDS = 50;
@@ -52,6 +56,8 @@
 interface OpenPartition {
   readonly jobs: JobPartition;
   readonly loop: PlacementLoop;
+  readonly usage: RunningUsage;
+  readonly checkpoints: UsageCheckpoints;
   isReleased: boolean;
 }
 
@@ -154,7 +160,9 @@
       quarantine: options.createQuarantine(),
     });
     jobs.setListener(loop);
-    partitions.set(lease.partition, { jobs, loop, isReleased: false });
+    const usage = createRunningUsage(jobs, callPartition);
+    const checkpoints = startUsageCheckpoints({ partition: jobs, usage, clock, log });
+    partitions.set(lease.partition, { jobs, loop, usage, checkpoints, isReleased: false });
     loop.start();
     return Ok(undefined);
   }
@@ -164,6 +172,7 @@
     partitions.delete(partition);
     own?.jobs.close();
     own?.loop.close();
+    own?.checkpoints.close();
   }
 
   link.handle('job.submit', submit);
@@ -173,9 +182,12 @@
   link.handle('job.list', async ({ partition, team }) =>
     find(partition).map((own) => list(own, team)),
   );
-  link.handle('usage.read', async ({ partition }) =>
-    find(partition).map((own) => own.jobs.state.usage.rows()),
-  );
+  link.handle('usage.read', async ({ partition }) => {
+    const own = find(partition);
+    if (own.isErr()) return own;
+    const usage = await own.value.usage.read();
+    return find(partition).map(() => usage);
+  });
   link.handle('task.event', async (event) => {
     const own = find(event.jobPartition);
     if (own.isErr()) return own;
@@ -190,6 +202,7 @@
       if (!own) return null;
       own.isReleased = true;
       own.loop.close();
+      own.checkpoints.close();
       // Everything is in the journal; starts without an answer are looked up by the next owner.
       await own.jobs.settle();
       return null;
--- a/packages/daemon/src/core/jobState.ts
+++ b/packages/daemon/src/core/jobState.ts
@@ -7,6 +7,7 @@
 import type { JobRequest, TaskState } from '@chicorybend/common';
 
 import type {
+  CountedRun,
   JobAcceptedRecord,
   JobStateRecord,
   JournalRecord,
@@ -19,7 +20,7 @@
 
 import { eventsOfEnd, isEnding, mayRunAgain } from './taskRules.js';
 import { createUsageLedger } from './usage.js';
-import type { UsageLedger } from './usage.js';
+import type { MeasuredExecution, UsageLedger } from './usage.js';
 
 /** Time for which an ended job and its idempotency key are remembered. */
 export const JOB_RETENTION_MILLISECONDS = 24 * 3_600_000;
@@ -39,8 +40,8 @@
   workerPartition: number | null;
   incarnation: string | null;
   result: unknown;
-  /** Attempts whose usage has been counted. */
-  countedAttempts: number[];
+  /** How much of the usage of each attempt has been counted. */
+  counted: CountedRun[];
 }
 
 /** One accepted job. */
@@ -152,7 +153,7 @@
     workerPartition: null,
     incarnation: null,
     result: undefined,
-    countedAttempts: [],
+    counted: [],
   };
 }
 
@@ -185,6 +186,14 @@
   addJob(state, record, tasks);
 }
 
+function restoreCounted({ counted, countedAttempts }: TaskSnapshot): CountedRun[] {
+  const whole = (countedAttempts ?? []).map((attempt) => ({
+    attempt,
+    until: Number.MAX_SAFE_INTEGER,
+  }));
+  return [...(counted ?? []), ...whole];
+}
+
 function restoreTask(taskId: string, snapshot: TaskSnapshot): Task {
   return {
     ...createTask(taskId),
@@ -196,7 +205,7 @@
     workerPartition: snapshot.workerPartition ?? null,
     incarnation: snapshot.incarnation ?? null,
     result: snapshot.result,
-    countedAttempts: [...(snapshot.countedAttempts ?? [])],
+    counted: restoreCounted(snapshot),
   };
 }
 
@@ -257,15 +266,44 @@
   }
 }
 
+/**
+ * Tells until when the usage of an execution has been counted.
+ *
+ * @param task task of the execution
+ * @param attempt number of the execution
+ * @returns wall-clock time in milliseconds since the Unix epoch, or null before the first part
+ */
+export function countedUntil(task: Task, attempt: number): number | null {
+  return task.counted.find((run) => run.attempt === attempt)?.until ?? null;
+}
+
+/**
+ * Gives the part of an execution that has not been counted.
+ *
+ * @param located task with its job
+ * @param run attempt, and wall-clock times in milliseconds since the Unix epoch
+ * @returns interval to count, or null if there is none
+ */
+export function describeUncounted(
+  { job, task }: LocatedTask,
+  { attempt, startedAt, endedAt }: Pick<UsageRecord, 'attempt' | 'startedAt' | 'endedAt'>,
+): MeasuredExecution | null {
+  const until = countedUntil(task, attempt);
+  const from = until ?? startedAt;
+  if (endedAt <= from) return null;
+  const { queue, resources } = job.request;
+  const isContinued = until !== null;
+  return { team: job.team, queue, startedAt: from, endedAt, resources, isContinued };
+}
+
 function countUsage(state: JobsState, record: TaskEndedRecord | UsageRecord): void {
   const located = findTask(state, record.taskId);
-  if (!located || record.endedAt <= record.startedAt) return;
-  const { job, task } = located;
-  if (task.countedAttempts.includes(record.attempt)) return;
-  task.countedAttempts.push(record.attempt);
-  const { startedAt, endedAt } = record;
-  const { queue, resources } = job.request;
-  state.usage.add({ team: job.team, queue, startedAt, endedAt, resources });
+  const uncounted = located ? describeUncounted(located, record) : null;
+  if (!located || !uncounted) return;
+  const { attempt, endedAt } = record;
+  const others = located.task.counted.filter((run) => run.attempt !== attempt);
+  located.task.counted = [...others, { attempt, until: endedAt }];
+  state.usage.add(uncounted);
 }
 
 function noteFailure(job: Job, task: Task, record: TaskEndedRecord): void {
@@ -348,7 +386,7 @@
     ...(task.workerPartition === null ? {} : { workerPartition: task.workerPartition }),
     ...(task.incarnation === null ? {} : { incarnation: task.incarnation }),
     ...(task.result === undefined ? {} : { result: task.result }),
-    ...(task.countedAttempts.length === 0 ? {} : { countedAttempts: [...task.countedAttempts] }),
+    ...(task.counted.length === 0 ? {} : { counted: [...task.counted] }),
   };
 }
 
--- /dev/null
+++ b/packages/daemon/src/core/runningUsage.ts
@@ -0,0 +1,106 @@
+/**
+ * Usage of the executions of one job partition up to the last reports of their workers. What an execution has
+ * used is known at the owners of the workers' partitions; what of it is counted, only here, so that the two are
+ * joined here, without an await in between.
+ */
+import type { MeasuredRun, MeasuredRuns, PartitionUsage } from '../types/peerMethods.js';
+import type { CallPartition } from '../utils/partitionCalls.js';
+
+import type { JobPartition } from './jobPartition.js';
+import { describeUncounted, findTask, isExecuting } from './jobState.js';
+import type { LocatedTask, Task } from './jobState.js';
+import { createUsageLedger } from './usage.js';
+import { executionKey } from './workerEntry.js';
+
+/** Within the time that a report gives to each partition. */
+const RUNS_DEADLINE_MILLISECONDS = 1_000;
+
+/** An execution of this partition with what its worker reported. */
+export interface OpenRun {
+  readonly located: LocatedTask;
+  readonly run: MeasuredRun;
+}
+
+/** Runs as collected, and the worker partitions of which all were heard. */
+export interface OpenRuns {
+  readonly runs: readonly OpenRun[];
+  /** Executions that may run and were not reported. */
+  readonly unmeasured: number;
+}
+
+/** Usage that goes on. */
+export interface RunningUsage {
+  /** Asks the owners of the workers for the executions whose ends are not durable. */
+  collect(): Promise<OpenRuns>;
+  /** @returns usage up to the last reports of the workers */
+  read(): Promise<PartitionUsage>;
+}
+
+/**
+ * Creates the reading of one job partition's usage.
+ *
+ * @param partition jobs
+ * @param callPartition calls to owners of worker partitions
+ * @returns the reading
+ */
+export function createRunningUsage(
+  partition: JobPartition,
+  callPartition: CallPartition,
+): RunningUsage {
+  const { state, lease } = partition;
+
+  function listExecuting(): Task[] {
+    return [...state.jobs.values()]
+      .filter((job) => job.endedAt === null)
+      .flatMap((job) => job.tasks.filter(isExecuting));
+  }
+
+  /** A run that the worker has ended counts although its task may have been taken for lost. */
+  function locate(run: MeasuredRun): OpenRun[] {
+    const located = findTask(state, run.taskId);
+    if (!located) return [];
+    const isPresent = located.task.attempt === run.attempt && isExecuting(located.task);
+    return isPresent || !run.isRunning ? [{ located, run }] : [];
+  }
+
+  async function ask(workerPartition: number): Promise<readonly [number, MeasuredRuns]> {
+    const params = { workerPartition, jobPartition: lease.partition };
+    const answer = await callPartition(
+      workerPartition,
+      'worker.runs',
+      params,
+      RUNS_DEADLINE_MILLISECONDS,
+    );
+    return [workerPartition, answer.unwrapOr({ runs: [], isComplete: false })];
+  }
+
+  function join(answers: ReadonlyMap<number, MeasuredRuns>): OpenRuns {
+    const runs = [...answers.values()].flatMap((answer) => answer.runs).flatMap(locate);
+    const measured = new Set(runs.map(({ run }) => executionKey(run)));
+    const unmeasured = listExecuting().filter(
+      (task) =>
+        !measured.has(executionKey(task)) &&
+        answers.get(task.workerPartition ?? -1)?.isComplete === false,
+    );
+    return { runs, unmeasured: unmeasured.length };
+  }
+
+  async function collect(): Promise<OpenRuns> {
+    const asked = new Set(listExecuting().flatMap(({ workerPartition }) => workerPartition ?? []));
+    return join(new Map(await Promise.all([...asked].map(ask))));
+  }
+
+  return {
+    collect,
+    async read() {
+      const { runs, unmeasured } = await collect();
+      const ledger = createUsageLedger();
+      state.usage.rows().forEach((row) => ledger.addTotal({ type: 'usage-total', ...row }));
+      runs.forEach(({ located, run }) => {
+        const uncounted = describeUncounted(located, { ...run, endedAt: run.until });
+        if (uncounted) ledger.add(uncounted);
+      });
+      return { rows: ledger.rows(), unmeasured };
+    },
+  };
+}
--- a/packages/daemon/src/core/usage.ts
+++ b/packages/daemon/src/core/usage.ts
@@ -1,10 +1,11 @@
 /**
- * Usage per team, queue and hour. An execution is counted once, from its worker's own start and end times.
+ * Usage per team, queue and hour. An execution is counted in one or more intervals that follow one another,
+ * from its worker's own start and end times.
  */
 
-import type { Resources } from '@chicorybend/common';
+import type { JobRequest, Resources } from '@chicorybend/common';
 
-import type { UsageTotalRecord } from '../types/journalRecord.js';
+import type { TaskEndedRecord, UsageRecord, UsageTotalRecord } from '../types/journalRecord.js';
 import type { UsageRow } from '../types/peerMethods.js';
 
 const HOUR_MILLISECONDS = 3_600_000;
@@ -23,11 +24,13 @@
   readonly endedAt: number;
   /** Declared resources. */
   readonly resources: Resources;
+  /** Whether an earlier part of the execution has been added. */
+  readonly isContinued: boolean;
 }
 
 /** Usage of one partition. */
 export interface UsageLedger {
-  /** Adds an execution, divided over the hours that it ran in. */
+  /** Adds an interval of an execution, divided over the hours that it ran in. */
   add(execution: MeasuredExecution): void;
   /** Adds a total from a snapshot. */
   addTotal(total: UsageTotalRecord): void;
@@ -73,9 +76,9 @@
   }
 
   return {
-    add({ team, queue, startedAt, endedAt, resources }) {
+    add({ team, queue, startedAt, endedAt, resources, isContinued }) {
       let hour = Math.floor(startedAt / HOUR_MILLISECONDS) * HOUR_MILLISECONDS;
-      rowOf(team, queue, hour).tasks += 1;
+      if (!isContinued) rowOf(team, queue, hour).tasks += 1;
       let from = startedAt;
       while (from < endedAt) {
         const until = Math.min(endedAt, hour + HOUR_MILLISECONDS);
@@ -99,3 +102,31 @@
     },
   };
 }
+
+/**
+ * Describes the usage of an execution that goes on, or whose end is known already.
+ *
+ * @param job team and request of the job
+ * @param run execution, and wall-clock times in milliseconds since the Unix epoch
+ * @returns record of the usage from its start
+ */
+export function describeUsage(
+  job: { readonly team: string; readonly request: JobRequest },
+  run: Pick<TaskEndedRecord, 'taskId' | 'attempt' | 'startedAt' | 'endedAt'>,
+): UsageRecord {
+  const { taskId, attempt, startedAt, endedAt } = run;
+  const { queue, resources } = job.request;
+  const seconds = (endedAt - startedAt) / SECOND_MILLISECONDS;
+  return {
+    type: 'usage',
+    taskId,
+    attempt,
+    team: job.team,
+    queue,
+    startedAt,
+    endedAt,
+    processorSeconds: resources.processors * seconds,
+    memoryByteSeconds: resources.memoryBytes * seconds,
+    acceleratorSeconds: resources.accelerators * seconds,
+  };
+}
--- a/packages/daemon/src/core/workerEntry.ts
+++ b/packages/daemon/src/core/workerEntry.ts
@@ -18,6 +18,8 @@
   readonly notAfter: number;
   /** Last report of the worker. */
   report: RunningTask | null;
+  /** Wall-clock time of this daemon at the last report, in milliseconds since the Unix epoch. */
+  reportedAt?: number;
 }
 
 /** A reading of a worker's clock. */
--- a/packages/daemon/src/core/workerPartition.ts
+++ b/packages/daemon/src/core/workerPartition.ts
@@ -21,6 +21,7 @@
 import type { PartitionLease, PartitionLoad } from '../types/partition.js';
 import type {
   ExecutionState,
+  MeasuredRuns,
   PeerMethods,
   Reservation,
   ReservedStart,
@@ -32,6 +33,7 @@
 
 import { createFaultHandler } from '../utils/faults.js';
 import { createEndReporter } from './endReporter.js';
+import { measureRuns } from './measuredRuns.js';
 import { createReservationTable } from './reservations.js';
 import type { HeldReservation } from './reservations.js';
 import { lapseAfter } from './taskLease.js';
@@ -80,6 +82,8 @@
     params: PeerMethods['worker.stop']['params'],
   ): Promise<Result<{ affected: readonly TaskAttempt[] }, Failure>>;
   lookup(params: PeerMethods['worker.lookup']['params']): ExecutionState;
+  /** Lists the executions of a job partition whose ends are not durable. */
+  measureRuns(jobPartition: number): MeasuredRuns;
   list(): readonly WorkerView[];
   load(): WorkerLoad;
   close(): void;
@@ -99,7 +103,14 @@
   const formerLeasesEndBy = lapseAfter(options.formerOwnerStoppedAt);
   let lastExpiryAt = 0;
   const now = () => clock.monotonicMilliseconds();
-  const reports = createWorkerReports({ pool, now, onEnd, onZombie, onIncarnation: freeReserved });
+  const reports = createWorkerReports({
+    pool,
+    now,
+    wallNow: () => clock.wallMilliseconds(),
+    onEnd,
+    onZombie,
+    onIncarnation: freeReserved,
+  });
   const starts = createWorkerStarts({
     ...options,
     workers,
@@ -350,6 +361,7 @@
     start: (reserved) => starts.start(reserved),
     stop,
     lookup,
+    measureRuns: (jobPartition) => measureRuns([...workers.values()], jobPartition),
     list: () => [...workers.values()].map(viewWorker),
     load,
     close() {
--- a/packages/daemon/src/core/workerReports.ts
+++ b/packages/daemon/src/core/workerReports.ts
@@ -9,12 +9,15 @@
 
 import { executionKey, toAttempt } from './workerEntry.js';
 import type { Execution, WorkerEntry } from './workerEntry.js';
+import { describeRun } from './measuredRuns.js';
 
 /** What the reports of workers change. */
 export interface WorkerReportsOptions {
   readonly pool: WorkerPool;
   /** Monotonic time in milliseconds. */
   readonly now: () => number;
+  /** Wall-clock time in milliseconds since the Unix epoch. */
+  readonly wallNow: () => number;
   /** An execution ended, or its lease lapsed. */
   readonly onEnd: (worker: WorkerEntry, event: TaskEvent) => void;
   /** The worker runs an execution that was declared lapsed. */
@@ -46,7 +49,7 @@
  * @returns the part
  */
 export function createWorkerReports(options: WorkerReportsOptions): WorkerReports {
-  const { pool, now, onEnd, onZombie, onIncarnation } = options;
+  const { pool, now, wallNow, onEnd, onZombie, onIncarnation } = options;
 
   function drop(worker: WorkerEntry, execution: Execution): void {
     if (worker.executions.delete(executionKey(execution))) {
@@ -57,10 +60,15 @@
   function lapse(worker: WorkerEntry, execution: Execution): void {
     drop(worker, execution);
     worker.lapsed.add(executionKey(execution));
+    const run = describeRun(execution);
     onEnd(worker, {
       jobPartition: execution.jobPartition,
       workerId: worker.workerId,
-      event: { kind: 'lapsed', attempt: toAttempt(execution) },
+      event: {
+        kind: 'lapsed',
+        attempt: toAttempt(execution),
+        ...(run ? { ran: { startedAt: run.startedAt, until: run.until } } : {}),
+      },
     });
   }
 
@@ -107,6 +115,7 @@
     if (execution.state !== 'running') execution.confirmedAt = now();
     execution.state = 'running';
     execution.report = running;
+    execution.reportedAt = wallNow();
     if (worker.lapsed.has(key)) onZombie(worker, execution);
   }
 
--- a/packages/daemon/src/core/workerService.ts
+++ b/packages/daemon/src/core/workerService.ts
@@ -113,6 +113,9 @@
   link.handle('worker.lookup', async (params) =>
     find(params.workerPartition).map((own) => own.lookup(params)),
   );
+  link.handle('worker.runs', async ({ workerPartition, jobPartition }) =>
+    find(workerPartition).map((own) => own.measureRuns(jobPartition)),
+  );
   link.handle('worker.list', async ({ partition }) => find(partition).map((own) => own.list()));
 
   return {
--- a/packages/daemon/src/types/journalRecord.ts
+++ b/packages/daemon/src/types/journalRecord.ts
@@ -69,7 +69,7 @@
   readonly ownerId: string;
 }
 
-/** Usage of one execution, counted once by its identity. */
+/** Usage of one execution up to a time; what was counted of it before is not counted again. */
 export interface UsageRecord {
   readonly type: 'usage';
   readonly taskId: string;
@@ -83,6 +83,13 @@
   readonly acceleratorSeconds: number;
 }
 
+/** How much of an execution's usage has been counted. */
+export interface CountedRun {
+  readonly attempt: number;
+  /** Wall-clock time in milliseconds since the Unix epoch. */
+  readonly until: number;
+}
+
 /** State of one task in a snapshot. */
 export interface TaskSnapshot {
   readonly state: TaskState;
@@ -93,7 +100,8 @@
   readonly workerPartition?: number;
   readonly incarnation?: string;
   readonly result?: unknown;
-  /** Attempts whose usage has been counted. */
+  readonly counted?: readonly CountedRun[];
+  /** Attempts whose usage has been counted in full; written by version 0.1.0 before checkpoints. */
   readonly countedAttempts?: readonly number[];
 }
 
--- a/packages/daemon/src/types/peerMethods.ts
+++ b/packages/daemon/src/types/peerMethods.ts
@@ -99,7 +99,39 @@
   readonly workerId: string;
   readonly event:
     | { readonly kind: 'finished'; readonly finished: FinishedTask }
-    | { readonly kind: 'lapsed'; readonly attempt: TaskAttempt };
+    | {
+        readonly kind: 'lapsed';
+        readonly attempt: TaskAttempt;
+        /** Interval in which the worker is known to have run it; absent if it never reported it. */
+        readonly ran?: RunInterval;
+      };
+}
+
+/** Time in which an execution ran, in wall-clock milliseconds since the Unix epoch. */
+export interface RunInterval {
+  /** By the worker's clock. */
+  readonly startedAt: number;
+  readonly until: number;
+}
+
+/** An execution whose end is not durable, as the owner of its worker's partition knows it. */
+export interface MeasuredRun extends TaskAttempt, RunInterval {
+  /** Whether it goes on; `until` is then the last report of the worker, by the owner's clock. */
+  readonly isRunning: boolean;
+}
+
+/** Executions of one job partition on the workers of one worker partition. */
+export interface MeasuredRuns {
+  readonly runs: readonly MeasuredRun[];
+  /** False while some workers have not been heard at this epoch. */
+  readonly isComplete: boolean;
+}
+
+/** Usage of one partition up to the last reports of the workers. */
+export interface PartitionUsage {
+  readonly rows: readonly UsageRow[];
+  /** Executions of which only the part up to their last checkpoint is in the rows. */
+  readonly unmeasured: number;
 }
 
 /** One row of a usage report. */
@@ -204,6 +236,10 @@
     };
     result: ExecutionState;
   };
+  'worker.runs': {
+    params: { workerPartition: number; jobPartition: number };
+    result: MeasuredRuns;
+  };
   'worker.list': { params: { partition: number }; result: readonly WorkerView[] };
   /** Told until answered; the answer means that the event is durable and may be acknowledged. */
   'task.event': { params: TaskEvent; result: object };
@@ -212,7 +248,7 @@
     params: { partition: number; team: string; dimension: 'tasks' | 'requests' };
     result: { returned: number };
   };
-  'usage.read': { params: { partition: number }; result: readonly UsageRow[] };
+  'usage.read': { params: { partition: number }; result: PartitionUsage };
   'daemon.read': { params: object; result: DaemonView };
   'daemon.drain': { params: object; result: object };
 }
