Write the usage report as an HTML page with plots

Plots show the largest teams and queues, tables show all. A team's page (--team) names no other team, but its parts are parts of the whole cell, and partitions that could not be read are named.

--- a/packages/client/src/__tests__/client.test.ts
+++ b/packages/client/src/__tests__/client.test.ts
@@ -195,8 +195,13 @@
   const csv = await cell.run('usage', '--csv');
   t.true(csv.output.startsWith('hour,team,queue,tasks,'));
   t.regex(csv.errors, /Partition 1 is missing from the report/);
-  const json = JSON.parse((await cell.run('usage', '--json')).output) as { rows: unknown[] };
-  t.deepEqual(json.rows, []);
+  const json = JSON.parse((await cell.run('usage', '--json')).output) as {
+    rows: { processorSeconds: number }[];
+  };
+  t.deepEqual(
+    json.rows.map(({ processorSeconds }) => processorSeconds),
+    [3_600],
+  );
 });
 
 test('the program itself sets the exit code', (t) => {
--- a/packages/client/src/__tests__/clientCell.ts
+++ b/packages/client/src/__tests__/clientCell.ts
@@ -37,6 +37,16 @@
   },
 };
 
+const USAGE_ROW = {
+  team: 'harbour',
+  queue: 'sorting',
+  hour: Date.UTC(2026, 2, 1),
+  processorSeconds: 3_600,
+  memoryByteSeconds: 0,
+  acceleratorSeconds: 0,
+  tasks: 1,
+};
+
 /** What a run of the client printed. */
 export interface Run {
   readonly exitCode: ExitCode;
@@ -132,6 +142,7 @@
     edit: () => Ok({ baseRevision: 0, sections: SECTIONS }),
   });
   applied.unwrap();
+  link.handle('usage.read', async () => Ok({ rows: [USAGE_ROW], unmeasured: 0 }));
   const server = fastify({ forceCloseConnections: true });
   const directory = {
     partitionCount: 2,
--- a/packages/client/src/core/client.ts
+++ b/packages/client/src/core/client.ts
@@ -10,11 +10,11 @@
 import {
   createAuditCommand,
   createDaemonCommands,
-  createUsageCommand,
   createWorkerCommands,
 } from './reportCommands.js';
 import type { ClientEnvironment } from './session.js';
 import { createKeyCommands, createQueueCommands, createTeamCommands } from './teamCommands.js';
+import { createUsageCommand } from './usageCommand.js';
 import { createJobCommands, createRequestCommands } from './workCommands.js';
 
 const PROGRAM = 'chicorybend';
--- a/packages/client/src/core/reportCommands.ts
+++ b/packages/client/src/core/reportCommands.ts
@@ -1,12 +1,10 @@
-import { Err, Ok } from '@chicorybend/common';
-import type { Resources, Result } from '@chicorybend/common';
+import { Err } from '@chicorybend/common';
+import type { Resources } from '@chicorybend/common';
 import type { CommandDef } from 'citty';
-import { stringify } from 'csv-stringify/sync';
 
 import { createCommand, createGroup } from './commandLine.js';
 import type { CommandContext } from './commandLine.js';
 import { usageProblem } from './problem.js';
-import type { Problem } from './problem.js';
 import { DONE, drawTable, formatTime } from './session.js';
 import type { CommandOutcome, Session } from './session.js';
 
@@ -35,16 +33,6 @@
   readonly isFresh?: boolean;
 }
 
-interface UsageRow {
-  readonly team: string;
-  readonly queue: string;
-  readonly hour: number;
-  readonly processorSeconds: number;
-  readonly memoryByteSeconds: number;
-  readonly acceleratorSeconds: number;
-  readonly tasks: number;
-}
-
 interface AuditRow {
   readonly sequence: number;
   readonly at: number;
@@ -58,17 +46,13 @@
 
 const BYTES_PER_GIBIBYTE = 1_073_741_824;
 
-const USAGE_HEAD = [
-  'hour',
-  'team',
-  'queue',
-  'tasks',
-  'processor seconds',
-  'memory byte seconds',
-  'accelerator seconds',
-];
-
-function warnOfMissing(session: Session, report: PartitionReport<unknown>): void {
+/**
+ * Names the partitions that are not, or not wholly, in a report.
+ *
+ * @param session run of the client
+ * @param report rows
+ */
+export function warnOfMissing(session: Session, report: PartitionReport<unknown>): void {
   report.missing.forEach(({ partition, reason }) =>
     session.environment.printError(
       `Partition ${partition} is missing from the report, or part of it: ${reason}`,
@@ -190,74 +174,6 @@
   });
 }
 
-interface UsageArgs {
-  readonly team?: string | undefined;
-  readonly from?: string | undefined;
-  readonly to?: string | undefined;
-  readonly csv?: boolean | undefined;
-}
-
-function describeQuery(args: UsageArgs): Result<string, Problem> {
-  const query = new URLSearchParams(args.team === undefined ? {} : { team: args.team });
-  for (const name of ['from', 'to'] as const) {
-    const text = args[name];
-    const time = text === undefined ? 0 : Date.parse(text);
-    if (Number.isNaN(time)) {
-      return Err(
-        usageProblem(`--${name} ${text} is not a time.`, 'Write it as 2026-03-01T00:00:00Z.'),
-      );
-    }
-    if (text !== undefined) query.set(name, String(time));
-  }
-  return Ok(query.size > 0 ? `?${query.toString()}` : '');
-}
-
-function toUsageCells(row: UsageRow): (string | number)[] {
-  return [
-    formatTime(row.hour),
-    row.team,
-    row.queue,
-    row.tasks,
-    row.processorSeconds,
-    row.memoryByteSeconds,
-    row.acceleratorSeconds,
-  ];
-}
-
-async function showUsage(session: Session, args: UsageArgs): Promise<CommandOutcome> {
-  const query = describeQuery(args);
-  if (query.isErr()) return query;
-  const answer = await session.callAsOperator<PartitionReport<UsageRow>>({
-    method: 'GET',
-    path: `/v1/usage${query.value}`,
-  });
-  if (answer.isErr()) return answer;
-  if (!args.csv) return showReport(session, answer.value, USAGE_HEAD, toUsageCells);
-  warnOfMissing(session, answer.value);
-  const records = [USAGE_HEAD, ...answer.value.rows.map(toUsageCells)];
-  session.environment.print(stringify(records).trimEnd());
-  return DONE;
-}
-
-/** @returns command `usage` */
-export function createUsageCommand(context: CommandContext): CommandDef {
-  return createCommand(context, {
-    name: 'usage',
-    description: 'What the teams used, by hour and queue',
-    args: {
-      team: { type: 'string', description: 'Only this team' },
-      from: { type: 'string', description: 'First hour, as 2026-03-01T00:00:00Z' },
-      to: { type: 'string', description: 'End, not included' },
-      csv: { type: 'boolean', description: 'Print CSV' },
-    },
-    examples: [
-      'chicorybend usage',
-      'chicorybend usage --team harbour --from 2026-03-01T00:00:00Z --csv',
-    ],
-    run: (session, args) => showUsage(session, args),
-  });
-}
-
 async function showAudit(session: Session, limit: string): Promise<CommandOutcome> {
   if (!/^[1-9]\d*$/.test(limit)) return Err(usageProblem('--limit must be a whole number.'));
   const answer = await session.callAsOperator<{ entries: readonly AuditRow[] }>({
--- /dev/null
+++ b/packages/client/src/core/usagePage.ts
@@ -0,0 +1,207 @@
+/**
+ * A usage report as one HTML file for readers outside: no scripts and nothing that is fetched.
+ */
+import type { ConfigurationDocument } from '@chicorybend/common';
+
+import { drawParts, drawUseByQueue, drawUseOverTime } from './usagePlots.js';
+import { sumByQueue, sumByTeam, sumOverTime, sumUse } from './usageSummary.js';
+import type { TeamUse, UsageRow, Use } from './usageSummary.js';
+
+/** What a page is made from. */
+export interface UsagePageInput {
+  /** Rows of all teams; the parts are parts of the whole cell. */
+  readonly rows: readonly UsageRow[];
+  /** Team whose use is shown; absent means all. */
+  readonly team?: string | undefined;
+  readonly sections: ConfigurationDocument;
+  readonly missing: readonly { readonly partition: number; readonly reason: string }[];
+  /** As the operator gave them. */
+  readonly from?: string | undefined;
+  readonly to?: string | undefined;
+  /** Wall-clock time in milliseconds since the Unix epoch. */
+  readonly createdAt: number;
+}
+
+const MAXIMUM_BARS = 20;
+
+const STYLE = `
+  body { font: 16px/1.5 sans-serif; color: #222; max-width: 60rem; margin: 2rem auto; padding: 0 1rem; }
+  table { border-collapse: collapse; width: 100%; margin: 1rem 0; }
+  th, td { border-bottom: 1px solid #ccc; padding: 0.3rem 0.6rem; text-align: right; }
+  th:first-child, td:first-child, .name { text-align: left; }
+  tfoot { font-weight: bold; }
+  caption { text-align: left; font-weight: bold; padding: 0.3rem 0; }
+  svg { max-width: 100%; height: auto; }
+  figure { margin: 1rem 0; }
+  .warning { border-left: 4px solid #D55E00; padding-left: 1rem; }
+`;
+
+const UNITS = `
+  <p>The report counts durable work: batches, gangs and services. An execution counts from its start to its end
+  by the clock of the worker that ran it, and one that still runs up to the last report of its worker, about a
+  second before this page was made. It counts with what it reserved, whether it used all of that or not.
+  Interactive requests are not counted.</p>
+  <ul>
+    <li>1 <strong>core hour</strong>: one processor core, reserved for one hour.</li>
+    <li>1 <strong>GiB hour</strong>: 1 GiB (1,073,741,824 bytes) of memory, reserved for one hour.</li>
+    <li>1 <strong>accelerator hour</strong>: one accelerator, reserved for one hour.</li>
+    <li><strong>Executions</strong>: how often a task was started; a task that was started again counts again.</li>
+  </ul>`;
+
+const ESCAPES: Readonly<Record<string, string>> = {
+  '&': '&amp;',
+  '<': '&lt;',
+  '>': '&gt;',
+  '"': '&quot;',
+};
+
+function escapeText(text: string): string {
+  return text.replace(/[&<>"]/g, (character) => ESCAPES[character] ?? '');
+}
+
+function formatNumber(value: number): string {
+  return value.toLocaleString('en-GB', { minimumFractionDigits: 2, maximumFractionDigits: 2 });
+}
+
+function formatPart(part: number): string {
+  return part.toLocaleString('en-GB', { style: 'percent', maximumFractionDigits: 1 });
+}
+
+function formatUse(use: Use): string[] {
+  return [
+    formatNumber(use.coreHours),
+    formatNumber(use.gibibyteHours),
+    formatNumber(use.acceleratorHours),
+    use.tasks.toLocaleString('en-GB'),
+  ];
+}
+
+const USE_HEAD = ['core hours', 'GiB hours', 'accelerator hours', 'executions'];
+
+function describeRow(tag: 'td' | 'th', cells: readonly string[]): string {
+  return `<tr>${cells.map((cell) => `<${tag}>${escapeText(cell)}</${tag}>`).join('')}</tr>`;
+}
+
+function describeTable(
+  caption: string,
+  head: readonly string[],
+  rows: readonly (readonly string[])[],
+  foot: readonly string[],
+): string {
+  return [
+    `<table><caption>${escapeText(caption)}</caption>`,
+    `<thead>${describeRow('th', head)}</thead>`,
+    `<tbody>${rows.map((row) => describeRow('td', row)).join('\n')}</tbody>`,
+    `<tfoot>${describeRow('td', foot)}</tfoot></table>`,
+  ].join('\n');
+}
+
+/** The tables hold all; a plot of hundreds of bars shows nothing. */
+function takeLargest<Row extends Use>(uses: readonly Row[]): readonly Row[] {
+  const sorted = [...uses].sort((left, right) => right.coreHours - left.coreHours);
+  const largest = new Set(sorted.slice(0, MAXIMUM_BARS));
+  return uses.filter((use) => largest.has(use));
+}
+
+function describeBars<Row extends Use>(
+  label: string,
+  uses: readonly Row[],
+  draw: (uses: readonly Row[]) => string,
+): string {
+  const isWhole = uses.length <= MAXIMUM_BARS;
+  const note = isWhole ? '' : `, the ${MAXIMUM_BARS} largest of ${uses.length}`;
+  return describePlot(`${label}${note}`, draw(takeLargest(uses)));
+}
+
+function describePlot(label: string, svg: string): string {
+  const labelled = svg.replace('<svg ', `<svg role="img" aria-label="${escapeText(label)}" `);
+  return `<figure>${labelled}<figcaption>${escapeText(label)}</figcaption></figure>`;
+}
+
+function describeMissing({ missing }: UsagePageInput): string {
+  if (missing.length === 0) return '';
+  const items = missing.map(
+    ({ partition, reason }) => `<li>Partition ${partition}: ${escapeText(reason)}</li>`,
+  );
+  return `<div class="warning"><p><strong>This report is not complete.</strong> These parts of the cell could
+  not be read in full; make the page again later.</p><ul>${items.join('')}</ul></div>`;
+}
+
+function describeTime({ from, to, createdAt }: UsagePageInput): string {
+  const until = new Date(createdAt).toISOString();
+  const start = from ?? 'the oldest hour that is kept (40 days)';
+  return `<p>From ${escapeText(start)} to ${escapeText(to ?? until)}, in UTC. Made at ${until}.</p>`;
+}
+
+function describeShares(uses: readonly TeamUse[], total: Use): string {
+  const cells = uses.map((use) => [
+    use.team,
+    ...formatUse(use),
+    use.share === null ? '-' : String(use.share),
+    formatPart(use.part),
+    formatPart(use.usedPart),
+  ]);
+  const head = ['team', ...USE_HEAD, 'share', 'part by share', 'part used'];
+  return describeTable('Teams', head, cells, ['total', ...formatUse(total), '', '', '']);
+}
+
+function describeQueues(rows: readonly UsageRow[]): string {
+  const uses = sumByQueue(rows);
+  const cells = uses.map((use) => [`${use.team}, ${use.queue}`, ...formatUse(use)]);
+  const foot = ['total', ...formatUse(sumUse(rows))];
+  return [
+    describeBars('Core hours by team and queue', uses, drawUseByQueue),
+    describeTable('Teams and queues', ['team, queue', ...USE_HEAD], cells, foot),
+  ].join('\n');
+}
+
+function describeUse(input: UsagePageInput, rows: readonly UsageRow[]): string {
+  if (rows.length === 0) return '<p>Nothing was used in this time.</p>';
+  const time = sumOverTime(rows);
+  const teams = sumByTeam(input.rows, input.sections).filter(
+    ({ team }) => input.team === undefined || team === input.team,
+  );
+  return [
+    '<h2>By team, against its share</h2>',
+    `<p>A team's share is its weight when the cell is full. Its part by share is that weight divided by the
+    weights of all teams; its part used is its core hours divided by those of all teams. A team may use more than
+    its part while others use less.</p>`,
+    describeBars('Part of all core hours, used and by share', teams, drawParts),
+    describeShares(teams, sumUse(rows)),
+    '<h2>By queue</h2>',
+    describeQueues(rows),
+    '<h2>Over time</h2>',
+    describePlot(`Core hours per ${time.unit} (UTC), by team`, drawUseOverTime(time)),
+  ].join('\n');
+}
+
+/**
+ * Writes a usage report as an HTML page.
+ *
+ * @param input rows, configuration and times
+ * @returns the whole page
+ */
+export function describeUsagePage(input: UsagePageInput): string {
+  const { team, sections } = input;
+  const { name = 'cell' } = (sections.cell ?? {}) as { readonly name?: string };
+  const title = `Use of ${name}${team === undefined ? '' : ` by ${team}`}`;
+  const rows = input.rows.filter((row) => team === undefined || row.team === team);
+  return `<!doctype html>
+<html lang="en">
+<head>
+<meta charset="utf-8">
+<meta name="viewport" content="width=device-width, initial-scale=1">
+<title>${escapeText(title)}</title>
+<style>${STYLE}</style>
+</head>
+<body>
+<h1>${escapeText(title)}</h1>
+${describeTime(input)}
+${describeMissing(input)}
+<h2>Units</h2>
+${UNITS}
+${describeUse(input, rows)}
+</body>
+</html>
+`;
+}
--- /dev/null
+++ b/packages/client/src/core/usageSummary.ts
@@ -0,0 +1,177 @@
+/**
+ * Sums of a usage report in the units of a bill.
+ */
+import { sectionKindOf } from '@chicorybend/common';
+import type { ConfigurationDocument, TeamsSection } from '@chicorybend/common';
+
+const HOUR_MILLISECONDS = 3_600_000;
+const DAY_HOURS = 24;
+const SECONDS_PER_HOUR = 3_600;
+const BYTES_PER_GIBIBYTE = 1_073_741_824;
+/** Longer reports are drawn by day, as more bars cannot be told apart. */
+const MAXIMUM_HOUR_BARS = 96;
+/** More colours cannot be told apart. */
+const MAXIMUM_TEAMS_OVER_TIME = 7;
+const OTHER_TEAMS = 'other teams';
+
+/** One row of `GET /v1/usage`. */
+export interface UsageRow {
+  readonly team: string;
+  readonly queue: string;
+  /** Start of the hour, in milliseconds since the Unix epoch. */
+  readonly hour: number;
+  readonly processorSeconds: number;
+  readonly memoryByteSeconds: number;
+  readonly acceleratorSeconds: number;
+  readonly tasks: number;
+}
+
+/** Use in the units of a bill. */
+export interface Use {
+  readonly coreHours: number;
+  readonly gibibyteHours: number;
+  readonly acceleratorHours: number;
+  readonly tasks: number;
+}
+
+/** Use of one team in one queue. */
+export interface QueueUse extends Use {
+  readonly team: string;
+  readonly queue: string;
+}
+
+/** Use of a team against its part of the cell. */
+export interface TeamUse extends Use {
+  readonly team: string;
+  /** Weight from the configuration; null for a team that is no longer there. */
+  readonly share: number | null;
+  /** Weight divided by the weights of all teams. */
+  readonly part: number;
+  /** Core hours divided by those of all teams. */
+  readonly usedPart: number;
+}
+
+/** Core hours per team over the hours or days of a report. */
+export interface UseOverTime {
+  readonly unit: 'hour' | 'day';
+  /** Starts of the intervals, in milliseconds since the Unix epoch, without gaps. */
+  readonly starts: readonly number[];
+  readonly series: readonly { readonly team: string; readonly coreHours: readonly number[] }[];
+}
+
+/**
+ * Adds rows up.
+ *
+ * @param rows rows of a report
+ * @returns sum
+ */
+export function sumUse(rows: readonly UsageRow[]): Use {
+  const sum = (valueOf: (row: UsageRow) => number): number =>
+    rows.reduce((total, row) => total + valueOf(row), 0);
+  return {
+    coreHours: sum((row) => row.processorSeconds) / SECONDS_PER_HOUR,
+    gibibyteHours: sum((row) => row.memoryByteSeconds) / BYTES_PER_GIBIBYTE / SECONDS_PER_HOUR,
+    acceleratorHours: sum((row) => row.acceleratorSeconds) / SECONDS_PER_HOUR,
+    tasks: sum((row) => row.tasks),
+  };
+}
+
+function groupRows(
+  rows: readonly UsageRow[],
+  keyOf: (row: UsageRow) => string,
+): ReadonlyMap<string, readonly UsageRow[]> {
+  const groups = new Map<string, UsageRow[]>();
+  rows.forEach((row) => {
+    const group = groups.get(keyOf(row));
+    if (group) group.push(row);
+    else groups.set(keyOf(row), [row]);
+  });
+  return groups;
+}
+
+/**
+ * Sums a report by team and queue, largest first.
+ *
+ * @param rows rows of a report
+ * @returns use per team and queue
+ */
+export function sumByQueue(rows: readonly UsageRow[]): readonly QueueUse[] {
+  const groups = groupRows(rows, ({ team, queue }) => JSON.stringify([team, queue]));
+  return [...groups.values()]
+    .flatMap((group) =>
+      group.slice(0, 1).map(({ team, queue }) => ({ team, queue, ...sumUse(group) })),
+    )
+    .sort((left, right) => right.coreHours - left.coreHours);
+}
+
+/**
+ * Sums a report by team and compares it with the teams' shares, in the order of the names.
+ *
+ * @param rows rows of all teams
+ * @param sections configuration
+ * @returns use per team
+ */
+export function sumByTeam(
+  rows: readonly UsageRow[],
+  sections: ConfigurationDocument,
+): readonly TeamUse[] {
+  const teams = Object.entries(sections)
+    .filter(([name]) => sectionKindOf(name) === 'teams')
+    .map(([, content]) => content as TeamsSection)
+    .reduce<TeamsSection>((all, content) => ({ ...all, ...content }), {});
+  const groups = groupRows(rows, ({ team }) => team);
+  const names = [...new Set([...Object.keys(teams), ...groups.keys()])].sort();
+  const shares = Object.values(teams).reduce((sum, { share }) => sum + share, 0);
+  const total = sumUse(rows).coreHours;
+  return names.map((team) => {
+    const share = teams[team]?.share ?? null;
+    const use = sumUse(groups.get(team) ?? []);
+    return {
+      team,
+      ...use,
+      share,
+      part: shares > 0 ? (share ?? 0) / shares : 0,
+      usedPart: total > 0 ? use.coreHours / total : 0,
+    };
+  });
+}
+
+function listStarts(rows: readonly UsageRow[], step: number): readonly number[] {
+  const starts = rows.map(({ hour }) => Math.floor(hour / step) * step);
+  const first = starts.reduce((least, start) => Math.min(least, start), Infinity);
+  const last = starts.reduce((most, start) => Math.max(most, start), -Infinity);
+  const count = starts.length === 0 ? 0 : (last - first) / step + 1;
+  return Array.from({ length: count }, (_, index) => first + index * step);
+}
+
+function takeLargestTeams(rows: readonly UsageRow[]): ReadonlySet<string> {
+  const teams = [...groupRows(rows, ({ team }) => team)].map(
+    ([team, own]) => [team, sumUse(own).coreHours] as const,
+  );
+  const sorted = teams.sort(([, left], [, right]) => right - left);
+  return new Set(sorted.slice(0, MAXIMUM_TEAMS_OVER_TIME).map(([team]) => team));
+}
+
+/**
+ * Sums a report over time: by hour, or by day if it is long; the largest teams each, and the others together.
+ *
+ * @param rows rows of a report
+ * @returns core hours per interval and team
+ */
+export function sumOverTime(rows: readonly UsageRow[]): UseOverTime {
+  const isShort = listStarts(rows, HOUR_MILLISECONDS).length <= MAXIMUM_HOUR_BARS;
+  const step = isShort ? HOUR_MILLISECONDS : HOUR_MILLISECONDS * DAY_HOURS;
+  const starts = listStarts(rows, step);
+  const largest = takeLargestTeams(rows);
+  const byTeam = groupRows(rows, ({ team }) => (largest.has(team) ? team : OTHER_TEAMS));
+  const series = [...byTeam.keys()].sort().map((team) => {
+    const byStart = groupRows(byTeam.get(team) ?? [], ({ hour }) =>
+      String(Math.floor(hour / step) * step),
+    );
+    return {
+      team,
+      coreHours: starts.map((start) => sumUse(byStart.get(String(start)) ?? []).coreHours),
+    };
+  });
+  return { unit: isShort ? 'hour' : 'day', starts, series };
+}
