--- /dev/null
+++ b/packages/daemon/src/__tests__/alarmsPage.test.ts
@@ -0,0 +1,62 @@
+import { readdirSync, readFileSync } from 'node:fs';
+
+import test from 'ava';
+
+const PAGE = new URL('../../../../docs/alarms.md', import.meta.url);
+const SOURCE = new URL('../../src/', import.meta.url);
+const KINDS: Readonly<Record<string, string>> = {
+  increment: 'counter',
+  gauge: 'gauge',
+  timing: 'timing',
+};
+
+function readSources(): readonly string[] {
+  return readdirSync(SOURCE, { recursive: true, encoding: 'utf8' })
+    .filter((path) => path.endsWith('.ts') && !path.includes('__'))
+    .map((path) => readFileSync(new URL(path, SOURCE), 'utf8'));
+}
+
+/** Tags are the keys of the object that is the last argument. */
+function findTags(rest: string): string {
+  const [, tags = ''] = /\{(.*)\}\s*,?\s*$/s.exec(rest) ?? [];
+  const names = tags.split(',').map((tag) => tag.split(':')[0]?.trim() ?? '');
+  return names.filter((name) => name !== '').join(', ');
+}
+
+/** Lists `name kind tags` of each call; a name that is chosen in the call counts for each choice. */
+function listCounters(source: string): string[] {
+  const calls = [...source.matchAll(/\bcounters\.(increment|gauge|timing)\((.*?)\);/gs)];
+  return calls.flatMap(([call, method = '', parameters = '']) => {
+    const [, first = '', rest = ''] = /^([^,]*)(.*)$/s.exec(parameters) ?? [];
+    const names = [...first.matchAll(/'([^']+)'/g)].map(([, name = '']) => name);
+    if (names.length === 0) throw new Error(`the name of a counter is not in its call: ${call}`);
+    return names.map((name) => `${name} ${KINDS[method] ?? ''} ${findTags(rest)}`.trim());
+  });
+}
+
+function listPage(): string[] {
+  return readFileSync(PAGE, 'utf8')
+    .split('\n')
+    .map((line) => line.split('|').map((cell) => cell.trim()))
+    .filter(([, name, kind = '']) => name && Object.values(KINDS).includes(kind))
+    .map(([, name, kind, tags]) => `${name} ${kind} ${tags}`.replaceAll('`', '').trim());
+}
+
+/** Guards against counters that no page explains, and against alarms on counters that no longer exist. */
+test('the page on alarms lists exactly the counters of the source, with kinds and tags', (t) => {
+  const emitted = [...new Set(readSources().flatMap(listCounters))].sort();
+  t.true(emitted.length > 30);
+  t.deepEqual(listPage().sort(), emitted);
+});
+
+test('every counter has a meaning, and an alarm or the word none', (t) => {
+  const rows = readFileSync(PAGE, 'utf8')
+    .split('\n')
+    .map((line) => line.split('|').map((cell) => cell.trim()))
+    .filter(([, , kind = '']) => Object.values(KINDS).includes(kind));
+  rows.forEach(([, name, , , meaning, alarm, action]) => {
+    t.truthy(meaning, name);
+    t.truthy(alarm, name);
+    t.true(alarm?.startsWith('none') || action !== '', name);
+  });
+});
