Let operators lift a quarantine, release a held job and set a team's numbers

`workers lift` and `jobs release` ask the owner of the partition through worker.lift and job.release; POST /v1/workers/:id/lift and POST /v1/jobs/:id/release need section cell and are in the audit trail before they are performed. A release is a durable record; it clears the evidence of the quarantine and the workers that the job avoids, as otherwise the first new failure would hold the job again. The operations on daemons, workers and jobs move to operatorOperations.ts.

`--version` prints the version of the package.

New failures: not-held and not-quarantined (409).

--- a/packages/client/src/__tests__/client.test.ts
+++ b/packages/client/src/__tests__/client.test.ts
@@ -204,6 +204,35 @@
   );
 });
 
+/** Guards against a command that overwrites the limits it was not asked to change. */
+test('"teams set" changes what is given, on the revision that it read', async (t) => {
+  const cell = await createClientCell(t);
+  const run = await cell.run('teams', 'set', 'harbour', '--task-limit', '40');
+  t.is(run.output, 'Revision 2 is in effect on 1 of 1 daemons.', run.errors);
+  t.deepEqual(cell.service.current()?.teams.harbour, {
+    share: 2,
+    limits: { tasks: 40, requests: 10 },
+  });
+  const unknown = await cell.run('teams', 'set', 'harbor', '--share', '3');
+  t.is(unknown.exitCode, EXIT_CODES.refused);
+  t.regex(unknown.errors, /There is no team harbor\.\nNext: Run "chicorybend teams list"/);
+  t.is((await cell.run('teams', 'set', 'harbour')).exitCode, EXIT_CODES.usage);
+  t.is((await cell.run('teams', 'set', 'harbour', '--share', 'x')).exitCode, EXIT_CODES.usage);
+  const invalid = await cell.run('teams', 'set', 'harbour', '--share', '0');
+  t.is(invalid.exitCode, EXIT_CODES.refused);
+  t.regex(invalid.errors, /teams\.harbour\.share/);
+});
+
+test('the version is that of the package', async (t) => {
+  const cell = await createClientCell(t);
+  const { version } = JSON.parse(readFileSync(`${PACKAGE}package.json`, 'utf8')) as {
+    version: string;
+  };
+  const run = await cell.run('--version');
+  t.is(run.exitCode, EXIT_CODES.success);
+  t.is(run.output, `chicorybend ${version}`);
+});
+
 test('the program itself sets the exit code', (t) => {
   const help = spawnSync(process.execPath, [MAIN, '--help'], { encoding: 'utf8' });
   t.is(help.status, EXIT_CODES.success);
--- a/packages/client/src/__tests__/clientCell.ts
+++ b/packages/client/src/__tests__/clientCell.ts
@@ -10,7 +10,7 @@
 import { startStoreStandIn } from '@chicorybend/standins';
 import type { ExecutionContext } from 'ava';
 import { createConfigurationService, registerOperatorApi } from 'chicorybendd';
-import type { ConfigurationService, MembershipView, PeerLink } from 'chicorybendd';
+import type { ConfigurationService, MembershipView, PeerLink, WorkerView } from 'chicorybendd';
 import fastify from 'fastify';
 import type { FastifyInstance } from 'fastify';
 
@@ -101,23 +101,33 @@
   'starting-job': ['running', 'pending'],
 };
 
+const WORKER_VIEW: WorkerView = {
+  workerId: '',
+  partition: 0,
+  state: 'live',
+  capacity: { processors: 1, memoryBytes: 1, accelerators: 0 },
+  free: { processors: 1, memoryBytes: 1, accelerators: 0 },
+  runningTasks: 0,
+};
+
+function describeJob(jobId: string): JobView {
+  const [state, taskState] = JOB_STATES[jobId] ?? ['succeeded', 'succeeded'];
+  const task = { attempt: 1, workerId: 'worker-1' };
+  const tasks = [
+    { ...task, taskId: `${jobId}/0`, state: 'succeeded' as const },
+    { ...task, taskId: `${jobId}/1`, state: taskState },
+  ];
+  return { jobId, team: 'harbour', queue: 'sorting', kind: 'batch', state, acceptedAt: 1, tasks };
+}
+
 /** Stands in for the callers' routes, which belong to another module. */
 function addCallerRoutes(server: FastifyInstance): void {
-  const job = (jobId: string): JobView => {
-    const [state, taskState] = JOB_STATES[jobId] ?? ['succeeded', 'succeeded'];
-    const task = { attempt: 1, workerId: 'worker-1' };
-    const tasks = [
-      { ...task, taskId: `${jobId}/0`, state: 'succeeded' as const },
-      { ...task, taskId: `${jobId}/1`, state: taskState },
-    ];
-    return { jobId, team: 'harbour', queue: 'sorting', kind: 'batch', state, acceptedAt: 1, tasks };
-  };
   const idOf = (parameters: unknown) => (parameters as { id: string }).id;
   server.post('/v1/requests', async () => ({ requestId: '1', endpointId: 'ledger-1', result: 7 }));
   server.post('/v1/jobs', (_, reply) => reply.status(201).send({ jobId: '3-1' }));
-  server.get('/v1/jobs/:id', async (request) => job(idOf(request.params)));
-  server.get('/v1/jobs/:id/result', async (request) => job(idOf(request.params)));
-  server.post('/v1/jobs/:id/cancel', async (request) => job(idOf(request.params)));
+  server.get('/v1/jobs/:id', async (request) => describeJob(idOf(request.params)));
+  server.get('/v1/jobs/:id/result', async (request) => describeJob(idOf(request.params)));
+  server.post('/v1/jobs/:id/cancel', async (request) => describeJob(idOf(request.params)));
 }
 
 /**
@@ -143,6 +153,8 @@
   });
   applied.unwrap();
   link.handle('usage.read', async () => Ok({ rows: [USAGE_ROW], unmeasured: 0 }));
+  link.handle('worker.lift', async ({ workerId }) => Ok({ ...WORKER_VIEW, workerId }));
+  link.handle('job.release', async ({ jobId }) => Ok(describeJob(jobId)));
   const server = fastify({ forceCloseConnections: true });
   const directory = {
     partitionCount: 2,
--- a/packages/client/src/core/client.ts
+++ b/packages/client/src/core/client.ts
@@ -1,3 +1,5 @@
+import { readFileSync } from 'node:fs';
+
 import { defineCommand, renderUsage, runCommand } from 'citty';
 import type { CommandDef } from 'citty';
 
@@ -19,9 +21,16 @@
 
 const PROGRAM = 'chicorybend';
 const HELP_FLAGS = new Set(['--help', '-h']);
+const VERSION_FLAGS = new Set(['--version', '-v']);
+const PACKAGE = new URL('../../package.json', import.meta.url);
 // eslint-disable-next-line no-control-regex -- the command line library colours its texts
 const COLOURS = /\u001B\[\d+m/g;
 
+function readVersion(): string {
+  const { version } = JSON.parse(readFileSync(PACKAGE, 'utf8')) as { version: string };
+  return version;
+}
+
 function createRoot(context: CommandContext): CommandDef {
   return defineCommand({
     meta: { name: PROGRAM, description: 'Operate a chicorybend cell' },
@@ -110,6 +119,10 @@
     environment.print(await describeHelp(command, path));
     return argv.length === 0 ? EXIT_CODES.usage : EXIT_CODES.success;
   }
+  if (argv.length === 1 && VERSION_FLAGS.has(argv[0] ?? '')) {
+    environment.print(`${PROGRAM} ${readVersion()}`);
+    return EXIT_CODES.success;
+  }
   try {
     await runCommand(root, { rawArgs: [...argv] });
   } catch (error) {
--- a/packages/client/src/core/configCommands.ts
+++ b/packages/client/src/core/configCommands.ts
@@ -163,7 +163,17 @@
   return DONE;
 }
 
-async function runApply(session: Session, edit: ConfigurationEdit): Promise<CommandOutcome> {
+/**
+ * Makes a change of the configuration and shows where it is in effect.
+ *
+ * @param session run of the client
+ * @param edit revision and sections
+ * @returns outcome of the command
+ */
+export async function applyEdit(
+  session: Session,
+  edit: ConfigurationEdit,
+): Promise<CommandOutcome> {
   const answer = await session.callAsOperator<ChangeAnswer>({
     method: 'POST',
     path: '/v1/configuration/apply',
@@ -240,7 +250,7 @@
         'chicorybend config apply configuration.json',
         'chicorybend config apply configuration.json --json',
       ],
-      run: (session, args) => withEdit(session, args, (edit) => runApply(session, edit)),
+      run: (session, args) => withEdit(session, args, (edit) => applyEdit(session, edit)),
     }),
     history: createCommand(context, {
       name: 'history',
--- a/packages/client/src/core/problem.ts
+++ b/packages/client/src/core/problem.ts
@@ -30,6 +30,9 @@
   'unknown-queue': 'Run "chicorybend queues list" for the names of the queues.',
   'wrong-queue-kind': 'Run "chicorybend queues list" for the kinds of the queues.',
   'unknown-daemon': 'Run "chicorybend daemons list" for the ids of the daemons.',
+  'unknown-worker': 'Run "chicorybend workers list" for the ids of the workers.',
+  'not-held': 'Run "chicorybend jobs list" for the states of the jobs.',
+  'not-quarantined': 'Run "chicorybend workers list" for the states of the workers.',
   'unknown-job': 'Check the job id, and that the key belongs to the team of the job.',
   'missing-key': 'Set --key (CHICORYBEND_KEY) to a key of an allowed team.',
   'wrong-key':
--- a/packages/client/src/core/reportCommands.ts
+++ b/packages/client/src/core/reportCommands.ts
@@ -86,9 +86,29 @@
   return `${processors} cores, ${gibibytes} GiB, ${accelerators} accelerators`;
 }
 
+async function liftQuarantine(session: Session, workerId: string): Promise<CommandOutcome> {
+  const answer = await session.callAsOperator<WorkerRow>({
+    method: 'POST',
+    path: `/v1/workers/${encodeURIComponent(workerId)}/lift`,
+  });
+  if (answer.isErr()) return answer;
+  session.show(
+    answer.value,
+    `The quarantine of worker ${workerId} is lifted. Its state is ${answer.value.state}.`,
+  );
+  return DONE;
+}
+
 /** @returns group `workers` */
 export function createWorkerCommands(context: CommandContext): CommandDef {
   return createGroup('workers', 'Workers', {
+    lift: createCommand(context, {
+      name: 'lift',
+      description: 'Lift the quarantine of a worker; its cause should be gone',
+      args: { id: { type: 'positional', description: 'Worker id', required: true } },
+      examples: ['chicorybend workers lift worker-01'],
+      run: (session, args) => liftQuarantine(session, args.id),
+    }),
     list: createCommand(context, {
       name: 'list',
       description: 'List the workers',
--- a/packages/client/src/core/teamCommands.ts
+++ b/packages/client/src/core/teamCommands.ts
@@ -1,12 +1,20 @@
-import { Err, sectionKindOf } from '@chicorybend/common';
-import type { KeyRecord, QueueSettings, SectionKind, TeamSettings } from '@chicorybend/common';
+import { Err, Ok, sectionKindOf } from '@chicorybend/common';
+import type {
+  KeyRecord,
+  QueueSettings,
+  Result,
+  SectionKind,
+  TeamSettings,
+} from '@chicorybend/common';
 import type { CommandDef } from 'citty';
 
 import { createCommand, createGroup } from './commandLine.js';
 import type { CommandContext } from './commandLine.js';
-import { formatChange, readConfiguration } from './configCommands.js';
+import { applyEdit, formatChange, readConfiguration } from './configCommands.js';
 import type { ChangeAnswer, StoredConfiguration } from './configCommands.js';
-import { usageProblem } from './problem.js';
+import { EXIT_CODES } from './exitCodes.js';
+import { nextStepFor, usageProblem } from './problem.js';
+import type { Problem } from './problem.js';
 import { DONE, drawTable, formatTime } from './session.js';
 import type { CommandOutcome, Session } from './session.js';
 
@@ -59,9 +67,88 @@
   return DONE;
 }
 
+const TEAM_NUMBERS = {
+  share: 'share',
+  'task-limit': 'tasks',
+  'request-limit': 'requests',
+} as const;
+
+type TeamArgs = Readonly<Partial<Record<keyof typeof TEAM_NUMBERS, string | undefined>>>;
+
+function parseTeamNumber(
+  args: TeamArgs,
+  flag: keyof typeof TEAM_NUMBERS,
+): Result<number | undefined, Problem> {
+  const text = args[flag];
+  if (text === undefined) return Ok(undefined);
+  const value = Number(text);
+  if (text !== '' && Number.isFinite(value)) return Ok(value);
+  return Err(usageProblem(`--${flag} ${text} is not a number.`));
+}
+
+function editTeam(team: TeamSettings, args: TeamArgs): Result<TeamSettings, Problem> {
+  const share = parseTeamNumber(args, 'share');
+  if (share.isErr()) return share;
+  const tasks = parseTeamNumber(args, 'task-limit');
+  if (tasks.isErr()) return tasks;
+  const requests = parseTeamNumber(args, 'request-limit');
+  if (requests.isErr()) return requests;
+  const { limits } = team;
+  return Ok({
+    ...team,
+    share: share.value ?? team.share,
+    limits: {
+      ...limits,
+      tasks: tasks.value ?? limits.tasks,
+      requests: requests.value ?? limits.requests,
+    },
+  });
+}
+
+function unknownTeam(name: string): Problem {
+  return {
+    exitCode: EXIT_CODES.refused,
+    message: `There is no team ${name}.`,
+    details: [],
+    nextStep: nextStepFor('unknown-team', false),
+  };
+}
+
+/** The change is based on the revision that was read, so that no other operator's change is lost. */
+async function setTeam(session: Session, name: string, args: TeamArgs): Promise<CommandOutcome> {
+  if (Object.keys(TEAM_NUMBERS).every((flag) => args[flag as keyof TeamArgs] === undefined)) {
+    return Err(usageProblem('Give at least one of --share, --task-limit and --request-limit.'));
+  }
+  const stored = await readConfiguration(session);
+  if (stored.isErr()) return stored;
+  const { revision, sections } = stored.value;
+  const found = collect<TeamSettings>(stored.value, 'teams').find(([, team]) => team === name);
+  if (!found) return Err(unknownTeam(name));
+  const [section, , team] = found;
+  const edited = editTeam(team, args);
+  if (edited.isErr()) return edited;
+  const content = { ...(sections[section] as object), [name]: edited.value };
+  return applyEdit(session, { baseRevision: revision, sections: { [section]: content } });
+}
+
 /** @returns group `teams` */
 export function createTeamCommands(context: CommandContext): CommandDef {
   return createGroup('teams', 'Teams, their shares and upper limits', {
+    set: createCommand(context, {
+      name: 'set',
+      description: "Change a team's share or upper limits; what is not given stays as it is",
+      args: {
+        team: { type: 'positional', description: 'Team', required: true },
+        share: { type: 'string', description: 'Weight when the cell is full' },
+        'task-limit': { type: 'string', description: 'Most tasks that run at once' },
+        'request-limit': { type: 'string', description: 'Most requests in flight at once' },
+      },
+      examples: [
+        'chicorybend teams set harbour --share 3',
+        'chicorybend teams set harbour --task-limit 40 --request-limit 20',
+      ],
+      run: (session, args) => setTeam(session, args.team, args),
+    }),
     list: createCommand(context, {
       name: 'list',
       description: 'List the teams',
--- a/packages/client/src/core/workCommands.ts
+++ b/packages/client/src/core/workCommands.ts
@@ -233,6 +233,16 @@
   );
 }
 
+async function releaseJob(session: Session, jobId: string): Promise<CommandOutcome> {
+  const answer = await session.callAsOperator<JobView>({
+    method: 'POST',
+    path: `/v1/jobs/${encodeURIComponent(jobId)}/release`,
+  });
+  if (answer.isErr()) return answer;
+  session.show(answer.value, `Job ${jobId} is released. Its state is ${answer.value.state}.`);
+  return DONE;
+}
+
 /** @returns group `jobs` */
 export function createJobCommands(context: CommandContext): CommandDef {
   return createGroup('jobs', 'Batches, gangs and services', {
@@ -297,6 +307,13 @@
       run: (session, args) =>
         showJob(session, 'POST', `/v1/jobs/${encodeURIComponent(args.id)}/cancel`),
     }),
+    release: createCommand(context, {
+      name: 'release',
+      description: 'Let a held job go on, for operators; its cause should be gone',
+      args: JOB_ARGS,
+      examples: ['chicorybend jobs release 0-018f2c9e-7a51-7c3d-9b1e-2f64d0a8c511'],
+      run: (session, args) => releaseJob(session, args.id),
+    }),
     list: createCommand(context, {
       name: 'list',
       description: 'List the jobs of all teams, for operators',
--- a/packages/common/src/utils/errors.ts
+++ b/packages/common/src/utils/errors.ts
@@ -56,6 +56,12 @@
   'unknown-team': { status: 404, run: 'not-run', text: 'There is no team {team}.' },
   'unknown-key': { status: 404, run: 'not-run', text: 'There is no key {keyId}.' },
   'unknown-job': { status: 404, run: 'not-run', text: 'There is no job {jobId}.' },
+  'not-held': { status: 409, run: 'not-run', text: 'Job {jobId} is {state}, not held.' },
+  'not-quarantined': {
+    status: 409,
+    run: 'not-run',
+    text: 'Worker {workerId} is {state}, not quarantined.',
+  },
   'unknown-daemon': { status: 404, run: 'not-run', text: 'There is no daemon {daemonId}.' },
   'usage-incomplete': {
     status: 503,
--- a/packages/daemon/src/__tests__/durableQuarantine.test.ts
+++ b/packages/daemon/src/__tests__/durableQuarantine.test.ts
@@ -90,3 +90,47 @@
   t.is((await cell.read(jobId)).state, 'failed');
   t.is(cell.workers.flatMap((worker) => worker.executions).length, 1);
 });
+
+/** Guards against a worker that an operator repaired and that waits for its next probe all the same. */
+test('a quarantine that an operator lifts ends at once', async (t) => {
+  const { cell } = await createRunningCell({ workers: 1 });
+  const worker = cell.workers[0]!;
+  let isBroken = true;
+  endTasks(cell, () => isBroken);
+  const lift = () => cell.call(0, 'worker.lift', { workerPartition: 0, workerId: worker.id });
+  const early = await lift();
+  t.like(early.isErr() && early.error, { failure: { code: 'not-quarantined' } });
+  for (let index = 0; index < 4; index += 1) await cell.submit(0, { tasks: 1 });
+  await cell.pass(1_500);
+  isBroken = false;
+  const before = worker.executions.length;
+  const jobId = await cell.submit(0, { tasks: 3 });
+  await cell.pass(1_000);
+  t.is(worker.executions.length, before);
+  t.is((await lift()).unwrap().state, 'live');
+  await cell.pass(1_000);
+  t.is(worker.executions.length, before + 3, 'all tasks are placed at once, not one as a probe');
+  await cell.pass(2_000);
+  t.is((await cell.read(jobId)).state, 'succeeded');
+});
+
+/** Guards against a held job that can only be cancelled, and against a release that a takeover forgets. */
+test('a held job that an operator releases goes on, also at the next owner', async (t) => {
+  const { cell, daemon } = await createRunningCell({ workers: 3 });
+  let isBroken = true;
+  endTasks(cell, () => isBroken);
+  const jobId = await cell.submit(0, { tasks: 40, idempotent: true });
+  const release = () => cell.call(0, 'job.release', { jobId });
+  await cell.pass(1_000);
+  t.is((await cell.read(jobId)).state, 'held');
+  isBroken = false;
+  t.not((await release()).unwrap().state, 'held');
+  const again = await release();
+  t.like(again.isErr() && again.error, { failure: { code: 'not-held' } });
+  cell.abandon(daemon, 0);
+  await cell.takeOver(cell.createDaemon('second'), 0);
+  await cell.pass(15_000);
+  t.is((await cell.read(jobId)).state, 'succeeded');
+  const unknown = await cell.call(0, 'job.release', { jobId: '0-none' });
+  t.like(unknown.isErr() && unknown.error, { failure: { code: 'unknown-job' } });
+});
--- a/packages/daemon/src/__tests__/operatorApi.test.ts
+++ b/packages/daemon/src/__tests__/operatorApi.test.ts
@@ -1,4 +1,4 @@
-import { Ok, sha256 } from '@chicorybend/common';
+import { createFailure, Err, Ok, sha256 } from '@chicorybend/common';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 import fastify from 'fastify';
@@ -82,6 +82,8 @@
     { method: 'GET', url: '/v1/daemons' },
     { method: 'POST', url: '/v1/daemons/a/drain' },
     { method: 'GET', url: '/v1/workers' },
+    { method: 'POST', url: '/v1/workers/w/lift' },
+    { method: 'POST', url: '/v1/jobs/0-a/release' },
     { method: 'GET', url: '/v1/jobs' },
     { method: 'GET', url: '/v1/usage' },
     { method: 'GET', url: '/v1/audit' },
@@ -265,6 +267,36 @@
   ]);
 });
 
+test('operations on workers and jobs reach the owner, are in the audit trail and need the section cell', async (t) => {
+  const { cell, call } = await createApi(t);
+  const asked: unknown[] = [];
+  cell.daemon('b').link.handle('job.release', async (params) => {
+    asked.push(params);
+    return Err(createFailure('not-held', { jobId: '1-a', state: 'running' }));
+  });
+  const released = await call({ method: 'POST', url: '/v1/jobs/1-a/release' });
+  t.is(released.statusCode, 409);
+  t.deepEqual(asked, [{ jobId: '1-a' }]);
+  t.is((await call({ method: 'POST', url: '/v1/jobs/7-a/release' })).statusCode, 404);
+  t.is((await call({ method: 'POST', url: '/v1/jobs/odd/release' })).statusCode, 404);
+  await call(applyBody(1, { operators: OPERATORS }));
+  const refused = await call({
+    method: 'POST',
+    url: '/v1/workers/w/lift',
+    headers: ANNA_HEADERS,
+  });
+  t.is(refused.json<{ code: string }>().code, 'section-not-allowed');
+  const { entries } = (await cell.daemon('a').service.audit(10)).unwrap();
+  t.deepEqual(
+    entries.map(({ action, subject }) => [action, subject]),
+    [
+      ['configuration.apply', null],
+      ['job.release', '1-a'],
+      ['configuration.apply', null],
+    ],
+  );
+});
+
 test('differences in the audit trail are bounded and show no hash of a secret', async (t) => {
   const { cell, call } = await createApi(t);
   const limits = { tasks: 1, requests: 1 };
--- a/packages/daemon/src/core/jobPartition.ts
+++ b/packages/daemon/src/core/jobPartition.ts
@@ -35,6 +35,8 @@
   executionEnded(job: Job, task: Task, record: TaskEndedRecord | null): void;
   /** A job was cancelled. */
   jobCancelled(job: Job): void;
+  /** A held job was released. */
+  jobReleased(job: Job): void;
 }
 
 /** What a job partition needs. */
@@ -65,6 +67,8 @@
   submit(submission: Submission, deadlineMilliseconds: number): Promise<Result<string, Failure>>;
   /** Cancels a job; a job that has ended is refused. */
   cancel(job: Job): Promise<Result<void, Failure>>;
+  /** Lets a held job go on. */
+  release(job: Job): Promise<Result<void, Failure>>;
   /** @returns whether a cancellation is durable or on its way */
   isCancelling(job: Job): boolean;
   /** Makes the end of an execution durable; success means that the worker may forget it. */
@@ -82,6 +86,10 @@
   outcome: Promise<Result<string, Failure>>;
 }
 
+function describeJournalError({ kind }: JournalError): Failure {
+  return createFailure(kind === 'not-durable' ? 'store-unavailable' : 'acceptance-unknown');
+}
+
 /**
  * Creates the jobs of an owned partition.
  *
@@ -137,15 +145,15 @@
     if (!job) return;
     if (!isRepeated) listener?.jobAccepted(job);
     if (record.type === 'job-cancelled') listener?.jobCancelled(job);
+    if (record.type === 'job-held' && !job.isHeld) listener?.jobReleased(job);
     wakeWaiters(job);
   }
 
   function apply(record: JournalRecord): void {
     counters.increment('journal.applied', 1, { type: record.type });
     if (record.type === 'task-ended' || record.type === 'task-not-started') applyEnd(record);
-    else if (record.type === 'job-accepted' || record.type === 'job-cancelled') {
-      applyJobRecord(record);
-    } else applyRecord(state, record);
+    else if ('jobId' in record) applyJobRecord(record);
+    else applyRecord(state, record);
   }
 
   async function appendOnce(
@@ -270,12 +278,12 @@
     cancelling.set(job.jobId, running);
     const outcome = await running;
     cancelling.delete(job.jobId);
-    if (outcome.isOk()) return Ok(undefined);
-    return Err(
-      createFailure(
-        outcome.error.kind === 'not-durable' ? 'store-unavailable' : 'acceptance-unknown',
-      ),
-    );
+    return outcome.mapErr(describeJournalError);
+  }
+
+  async function release(job: Job): Promise<Result<void, Failure>> {
+    const outcome = await append({ type: 'job-held', jobId: job.jobId, held: false });
+    return outcome.mapErr(describeJournalError);
   }
 
   function describeEnd(event: TaskEvent): TaskEndedRecord {
@@ -353,6 +361,7 @@
     appendSurely,
     submit,
     cancel,
+    release,
     isCancelling: (job) => job.isCancelled || cancelling.has(job.jobId),
     recordEvent,
     waitForEnd,
--- a/packages/daemon/src/core/jobService.ts
+++ b/packages/daemon/src/core/jobService.ts
@@ -83,7 +83,8 @@
     return isServing ? Ok(own) : Err(createFailure('not-owner', { daemonId, partition }));
   }
 
-  function findJob(jobId: string, team: string): Result<FoundJob, Failure> {
+  /** @param team team that asks, or null for an operator */
+  function findJob(jobId: string, team: string | null): Result<FoundJob, Failure> {
     const partition = Number.parseInt(jobId, 10);
     if (!(partition >= 0 && partition < directory.partitionCount)) {
       return Err(createFailure('unknown-job', { jobId }));
@@ -91,7 +92,7 @@
     return find(partition).andThen((own) => {
       const job = own.jobs.state.jobs.get(jobId);
       // Another team's job is answered like one that does not exist.
-      const isVisible = job !== undefined && job.team === team;
+      const isVisible = job !== undefined && (team === null || job.team === team);
       return isVisible ? Ok({ own, job }) : Err(createFailure('unknown-job', { jobId }));
     });
   }
@@ -141,6 +142,17 @@
     return outcome.map(() => view(found.value));
   }
 
+  async function release({
+    jobId,
+  }: PeerMethods['job.release']['params']): Promise<Result<JobView, Failure>> {
+    const found = findJob(jobId, null);
+    if (found.isErr()) return found;
+    const { own, job } = found.value;
+    if (!job.isHeld) return Err(createFailure('not-held', { jobId, state: stateOfJob(job) }));
+    const outcome = await own.jobs.release(job);
+    return outcome.map(() => view(found.value));
+  }
+
   function list(own: OpenPartition, team: string | null): readonly JobView[] {
     return [...own.jobs.state.jobs.values()]
       .filter((job) => team === null || job.team === team)
@@ -179,6 +191,7 @@
   link.handle('job.read', async ({ jobId, team }) => findJob(jobId, team).map(view));
   link.handle('job.wait', wait);
   link.handle('job.cancel', cancel);
+  link.handle('job.release', release);
   link.handle('job.list', async ({ partition, team }) =>
     find(partition).map((own) => list(own, team)),
   );
--- a/packages/daemon/src/core/jobState.ts
+++ b/packages/daemon/src/core/jobState.ts
@@ -335,7 +335,10 @@
 
 function holdJob(state: JobsState, jobId: string, isHeld: boolean): void {
   const job = state.jobs.get(jobId);
-  if (job) job.isHeld = isHeld;
+  if (!job) return;
+  job.isHeld = isHeld;
+  // An operator who releases a job says that the cause is gone.
+  if (!isHeld) job.failedWorkers = [];
 }
 
 /**
--- a/packages/daemon/src/core/operatorApi.ts
+++ b/packages/daemon/src/core/operatorApi.ts
@@ -14,19 +14,16 @@
 import { authenticateOperator } from './operatorAuthentication.js';
 import {
   describeInvalidBody,
-  describePeerError,
   describeServerError,
   sendFailure,
   sendResult,
 } from './operatorFailures.js';
+import { createOperatorOperations } from './operatorOperations.js';
 
 /** Largest document that operators may send, in bytes. Sections are limited further, each on its own. */
 const DOCUMENT_LIMIT_BYTES = 32 * 1_024 * 1_024;
-const DRAIN_MILLISECONDS = 2_000;
 const DEFAULT_AUDIT_ENTRIES = 100;
 const MAXIMUM_AUDIT_ENTRIES = 20_000;
-/** Operators who may change this section may drain daemons. */
-const DRAIN_SECTION = 'cell';
 const STATUS_CREATED = 201;
 const STATUS_ACCEPTED = 202;
 
@@ -91,6 +88,7 @@
 export function registerOperatorApi(server: FastifyInstance, options: OperatorApiOptions): void {
   const { clock, configuration, link, membership, directory } = options;
   const reports = createCellReports({ link, membership, directory });
+  const operations = createOperatorOperations(options);
 
   const operators = new WeakMap<FastifyRequest, OperatorIdentity>();
 
@@ -156,25 +154,19 @@
     );
   }
 
-  /** The operation is recorded before it is performed, so that no drain is missing from the audit trail. */
   async function drainDaemon({ operator, request, reply }: OperatorCall): Promise<FastifyReply> {
-    const daemonId = readParameter(request, 'id');
-    const isMember = membership.record()?.members.some((member) => member.daemonId === daemonId);
-    if (!isMember) return sendFailure(reply, createFailure('unknown-daemon', { daemonId }));
-    const recorded = await configuration.record({
-      operator,
-      action: 'daemon.drain',
-      subject: daemonId,
-      section: DRAIN_SECTION,
-    });
-    if (recorded.isErr()) return sendFailure(reply, recorded.error);
-    const answer = await link.call(daemonId, 'daemon.drain', {}, DRAIN_MILLISECONDS);
-    const outcome = answer
-      .map(() => ({ daemonId, state: 'draining' }))
-      .mapErr((error) => describePeerError(daemonId, error));
+    const outcome = await operations.drain(operator, readParameter(request, 'id'));
     return sendResult(reply, outcome, STATUS_ACCEPTED);
   }
 
+  async function liftQuarantine({ operator, request, reply }: OperatorCall): Promise<FastifyReply> {
+    return sendResult(reply, await operations.lift(operator, readParameter(request, 'id')));
+  }
+
+  async function releaseJob({ operator, request, reply }: OperatorCall): Promise<FastifyReply> {
+    return sendResult(reply, await operations.release(operator, readParameter(request, 'id')));
+  }
+
   async function readDocument({ reply }: OperatorCall): Promise<FastifyReply> {
     const document = await configuration.readDocument();
     const inEffectHere = configuration.current()?.revision ?? 0;
@@ -225,6 +217,8 @@
     scope.delete('/v1/keys/:keyId', authenticated(revokeKey));
     scope.get('/v1/daemons', authenticated(listDaemons));
     scope.post('/v1/daemons/:id/drain', authenticated(drainDaemon));
+    scope.post('/v1/workers/:id/lift', authenticated(liftQuarantine));
+    scope.post('/v1/jobs/:id/release', authenticated(releaseJob));
     scope.get('/v1/workers', authenticated(listWorkers));
     scope.get('/v1/jobs', authenticated(listJobs));
     scope.get('/v1/usage', authenticated(readUsage));
--- /dev/null
+++ b/packages/daemon/src/core/operatorOperations.ts
@@ -0,0 +1,91 @@
+/**
+ * Operations of operators on daemons, workers and jobs.
+ */
+import { createFailure, Err, partitionOf } from '@chicorybend/common';
+import type { Clock, Failure, JobView, Result } from '@chicorybend/common';
+
+import type { AuditAction, OperatorIdentity } from '../types/configurationRecords.js';
+import type { MembershipView } from '../types/membershipView.js';
+import type { PartitionDirectory } from '../types/partition.js';
+import type { PeerLink } from '../types/peer.js';
+import type { WorkerView } from '../types/peerMethods.js';
+import type { ConfigurationService } from './configurationService.js';
+import { describePeerError } from './operatorFailures.js';
+import { createOwnerCaller } from './ownerCall.js';
+
+const DRAIN_MILLISECONDS = 2_000;
+/** Covers a handover; after a takeover the operator asks again. */
+const OWNER_MILLISECONDS = 3_000;
+/** Operators who may change this section may operate daemons, workers and jobs. */
+const OPERATION_SECTION = 'cell';
+
+/** What the operations need. */
+export interface OperatorOperationsOptions {
+  readonly clock: Clock;
+  readonly configuration: Pick<ConfigurationService, 'record'>;
+  readonly link: PeerLink;
+  readonly membership: Pick<MembershipView, 'record'>;
+  readonly directory: PartitionDirectory;
+}
+
+/** Operations of operators. Each is recorded before it is performed, so that none is missing from the trail. */
+export interface OperatorOperations {
+  drain(
+    operator: OperatorIdentity,
+    daemonId: string,
+  ): Promise<Result<{ daemonId: string; state: string }, Failure>>;
+  /** Lifts the quarantine of a worker. */
+  lift(operator: OperatorIdentity, workerId: string): Promise<Result<WorkerView, Failure>>;
+  /** Lets a held job go on. */
+  release(operator: OperatorIdentity, jobId: string): Promise<Result<JobView, Failure>>;
+}
+
+/**
+ * Creates the operations.
+ *
+ * @param options audit trail, peers and partitions
+ * @returns the operations
+ */
+export function createOperatorOperations(options: OperatorOperationsOptions): OperatorOperations {
+  const { clock, configuration, link, membership, directory } = options;
+  const callOwner = createOwnerCaller(options);
+
+  function record(
+    operator: OperatorIdentity,
+    action: AuditAction,
+    subject: string,
+  ): Promise<Result<void, Failure>> {
+    return configuration.record({ operator, action, subject, section: OPERATION_SECTION });
+  }
+
+  return {
+    async drain(operator, daemonId) {
+      const isMember = membership.record()?.members.some((member) => member.daemonId === daemonId);
+      if (!isMember) return Err(createFailure('unknown-daemon', { daemonId }));
+      const recorded = await record(operator, 'daemon.drain', daemonId);
+      if (recorded.isErr()) return recorded;
+      const answer = await link.call(daemonId, 'daemon.drain', {}, DRAIN_MILLISECONDS);
+      return answer
+        .map(() => ({ daemonId, state: 'draining' }))
+        .mapErr((error) => describePeerError(daemonId, error));
+    },
+    async lift(operator, workerId) {
+      const recorded = await record(operator, 'worker.lift', workerId);
+      if (recorded.isErr()) return recorded;
+      const partition = partitionOf(workerId, directory.partitionCount);
+      const params = { workerPartition: partition, workerId };
+      const deadlineAt = clock.monotonicMilliseconds() + OWNER_MILLISECONDS;
+      return callOwner({ partition, method: 'worker.lift', params, deadlineAt });
+    },
+    async release(operator, jobId) {
+      const partition = /^\d{1,4}-/.test(jobId) ? Number.parseInt(jobId, 10) : Infinity;
+      if (partition >= directory.partitionCount) {
+        return Err(createFailure('unknown-job', { jobId }));
+      }
+      const recorded = await record(operator, 'job.release', jobId);
+      if (recorded.isErr()) return recorded;
+      const deadlineAt = clock.monotonicMilliseconds() + OWNER_MILLISECONDS;
+      return callOwner({ partition, method: 'job.release', params: { jobId }, deadlineAt });
+    },
+  };
+}
--- a/packages/daemon/src/core/placementLoop.ts
+++ b/packages/daemon/src/core/placementLoop.ts
@@ -347,6 +347,14 @@
     inPieces(job, (tasks) => dropOrStop(tasks));
   }
 
+  function jobReleased(job: Job): void {
+    quarantine.release(job.jobId);
+    inPieces(job, (tasks) => {
+      const idle = tasks.filter(({ taskId }) => !isInHand(taskId));
+      requeue(job, idle, 'room on a worker');
+    });
+  }
+
   function holdJob(job: Job): void {
     if (job.isHeld || job.endedAt !== null) return;
     log.info('job held after failures on distinct workers', { jobId: job.jobId });
@@ -398,6 +406,7 @@
     jobAccepted,
     executionEnded,
     jobCancelled: stopJob,
+    jobReleased,
     close() {
       cancelTimer?.();
       wave.clear();
--- a/packages/daemon/src/core/workerPartition.ts
+++ b/packages/daemon/src/core/workerPartition.ts
@@ -84,6 +84,8 @@
   lookup(params: PeerMethods['worker.lookup']['params']): ExecutionState;
   /** Lists the executions of a job partition whose ends are not durable. */
   measureRuns(jobPartition: number): MeasuredRuns;
+  /** Lifts the quarantine of a worker. */
+  lift(workerId: string): Result<WorkerView, Failure>;
   list(): readonly WorkerView[];
   load(): WorkerLoad;
   close(): void;
@@ -334,6 +336,21 @@
     return { workerId, partition, state, capacity, free, runningTasks: executions.size };
   }
 
+  function lift(workerId: string): Result<WorkerView, Failure> {
+    const worker = workers.get(workerId);
+    if (!worker) return Err(createFailure('unknown-worker', { workerId }));
+    const state = stateOf(worker);
+    // A worker whose probe is due is not quarantined, but gets one task at a time.
+    if (state !== 'quarantined' && !worker.isSuspect) {
+      return Err(createFailure('not-quarantined', { workerId, state }));
+    }
+    quarantine.lift(workerId);
+    worker.isSuspect = false;
+    refresh(worker);
+    log.info('quarantine lifted by an operator', { workerId });
+    return Ok(viewWorker(worker));
+  }
+
   function load(): WorkerLoad {
     expireReservations();
     const { freeTotal, freeLargest } = pool.totals();
@@ -361,6 +378,7 @@
     start: (reserved) => starts.start(reserved),
     stop,
     lookup,
+    lift,
     measureRuns: (jobPartition) => measureRuns([...workers.values()], jobPartition),
     list: () => [...workers.values()].map(viewWorker),
     load,
--- a/packages/daemon/src/core/workerService.ts
+++ b/packages/daemon/src/core/workerService.ts
@@ -113,6 +113,9 @@
   link.handle('worker.lookup', async (params) =>
     find(params.workerPartition).map((own) => own.lookup(params)),
   );
+  link.handle('worker.lift', async ({ workerPartition, workerId }) =>
+    find(workerPartition).andThen((own) => own.lift(workerId)),
+  );
   link.handle('worker.runs', async ({ workerPartition, jobPartition }) =>
     find(workerPartition).map((own) => own.measureRuns(jobPartition)),
   );
--- a/packages/daemon/src/types/configurationRecords.ts
+++ b/packages/daemon/src/types/configurationRecords.ts
@@ -6,7 +6,13 @@
 } from '@chicorybend/common';
 
 /** Operations that the audit trail records. */
-export type AuditAction = 'configuration.apply' | 'keys.issue' | 'keys.revoke' | 'daemon.drain';
+export type AuditAction =
+  | 'configuration.apply'
+  | 'keys.issue'
+  | 'keys.revoke'
+  | 'daemon.drain'
+  | 'job.release'
+  | 'worker.lift';
 
 /** One operation of an operator, as kept in the store. */
 export interface AuditEntry {
--- a/packages/daemon/src/types/peerMethods.ts
+++ b/packages/daemon/src/types/peerMethods.ts
@@ -204,6 +204,8 @@
     result: JobView;
   };
   'job.cancel': { params: { jobId: string; team: string }; result: JobView };
+  /** Lets a held job go on, for an operator. */
+  'job.release': { params: { jobId: string }; result: JobView };
   'job.list': { params: { partition: number; team: string | null }; result: readonly JobView[] };
   'worker.reserve': { params: ReserveRequest; result: readonly Reservation[] };
   'worker.release': {
@@ -240,6 +242,8 @@
     params: { workerPartition: number; jobPartition: number };
     result: MeasuredRuns;
   };
+  /** Lifts the quarantine of a worker, for an operator. */
+  'worker.lift': { params: { workerPartition: number; workerId: string }; result: WorkerView };
   'worker.list': { params: { partition: number }; result: readonly WorkerView[] };
   /** Told until answered; the answer means that the event is durable and may be acknowledged. */
   'task.event': { params: TaskEvent; result: object };
--- a/packages/decisions/src/__tests__/quarantine.test.ts
+++ b/packages/decisions/src/__tests__/quarantine.test.ts
@@ -139,3 +139,13 @@
   t.false(quarantine.isQuarantined('bad', 1));
   t.is(quarantine.recordEnd('bad', 'job-3', false, 2), 'none');
 });
+
+/** Guards against a released job that its first failure holds again. */
+test('a released job is held again only after failures on three workers anew', (t) => {
+  const quarantine = createQuarantine(OPTIONS);
+  const fail = (workerId: string) => quarantine.recordEnd(workerId, 'job', false, 0);
+  ['w-0', 'w-1', 'w-2'].forEach(fail);
+  t.is(fail('w-3'), 'hold-job');
+  quarantine.release('job');
+  t.deepEqual(['w-0', 'w-1', 'w-2'].map(fail), ['none', 'none', 'hold-job']);
+});
--- a/packages/decisions/src/core/quarantine.ts
+++ b/packages/decisions/src/core/quarantine.ts
@@ -162,5 +162,9 @@
       confinement.probeAt = now + confinement.backoffMilliseconds;
     },
     lift,
+    release(jobId) {
+      failuresOfJob.delete(jobId);
+      heldJobs.delete(jobId);
+    },
   };
 }
--- a/packages/decisions/src/types/quarantine.ts
+++ b/packages/decisions/src/types/quarantine.ts
@@ -22,4 +22,6 @@
   recordStart?(workerId: string, now: number): void;
   /** Lifts the quarantine of a worker, for an operator. */
   lift(workerId: string): void;
+  /** Forgets the failures of a held job, for an operator. */
+  release(jobId: string): void;
 }
