Refuse to release a held job that has ended

A job can be held and fail or be cancelled afterwards; `jobs release` confirmed a release of such a job on a real cell. It answers not-held with the state now.

--- a/packages/daemon/src/__tests__/durableQuarantine.test.ts
+++ b/packages/daemon/src/__tests__/durableQuarantine.test.ts
@@ -134,3 +134,16 @@
   const unknown = await cell.call(0, 'job.release', { jobId: '0-none' });
   t.like(unknown.isErr() && unknown.error, { failure: { code: 'unknown-job' } });
 });
+
+/** Guards against a release that is confirmed although the job has ended. */
+test('a held job that has ended is not released', async (t) => {
+  const { cell } = await createRunningCell({ workers: 3 });
+  endTasks(cell, () => true);
+  const jobId = await cell.submit(0, { tasks: 40, idempotent: true });
+  await cell.pass(1_000);
+  t.is((await cell.read(jobId)).state, 'held');
+  await cell.cancel(jobId);
+  await cell.pass(3_000);
+  const released = await cell.call(0, 'job.release', { jobId });
+  t.like(released.isErr() && released.error, { failure: { code: 'not-held' } });
+});
--- a/packages/daemon/src/core/jobService.ts
+++ b/packages/daemon/src/core/jobService.ts
@@ -148,7 +148,8 @@
     const found = findJob(jobId, null);
     if (found.isErr()) return found;
     const { own, job } = found.value;
-    if (!job.isHeld) return Err(createFailure('not-held', { jobId, state: stateOfJob(job) }));
+    const state = stateOfJob(job);
+    if (state !== 'held') return Err(createFailure('not-held', { jobId, state }));
     const outcome = await own.jobs.release(job);
     return outcome.map(() => view(found.value));
   }
