--- a/packages/daemon/src/core/jobPartition.ts
+++ b/packages/daemon/src/core/jobPartition.ts
@@ -6,13 +6,21 @@
 import type { Clock, Counters, Failure, Log, Result } from '@chicorybend/common';
 import { v7 as createUuid } from 'uuid';
 
-import type { JournalRecord, TaskEndedRecord, UsageRecord } from '../types/journalRecord.js';
+import type { JournalRecord, TaskEndedRecord } from '../types/journalRecord.js';
 import type { JournalError, PartitionLease } from '../types/partition.js';
 import type { PeerMethods, TaskEvent } from '../types/peerMethods.js';
 
 import { createFaultHandler } from '../utils/faults.js';
-import { applyRecord, findTask, forgetOldJobs, isExecuting, keyOf } from './jobState.js';
+import {
+  applyRecord,
+  describeUncounted,
+  findTask,
+  forgetOldJobs,
+  isExecuting,
+  keyOf,
+} from './jobState.js';
 import type { Job, JobsState, Task } from './jobState.js';
+import { describeUsage } from './usage.js';
 
 /** Store outages last up to hours; records other than acceptances wait them out. */
 const RECORD_DEADLINE_MILLISECONDS = 3_600_000;
@@ -27,6 +35,8 @@
   executionEnded(job: Job, task: Task, record: TaskEndedRecord | null): void;
   /** A job was cancelled. */
   jobCancelled(job: Job): void;
+  /** A held job was released. */
+  jobReleased(job: Job): void;
 }
 
 /** What a job partition needs. */
@@ -57,6 +67,8 @@
   submit(submission: Submission, deadlineMilliseconds: number): Promise<Result<string, Failure>>;
   /** Cancels a job; a job that has ended is refused. */
   cancel(job: Job): Promise<Result<void, Failure>>;
+  /** Lets a held job go on. */
+  release(job: Job): Promise<Result<void, Failure>>;
   /** @returns whether a cancellation is durable or on its way */
   isCancelling(job: Job): boolean;
   /** Makes the end of an execution durable; success means that the worker may forget it. */
@@ -74,6 +86,10 @@
   outcome: Promise<Result<string, Failure>>;
 }
 
+function describeJournalError({ kind }: JournalError): Failure {
+  return createFailure(kind === 'not-durable' ? 'store-unavailable' : 'acceptance-unknown');
+}
+
 /**
  * Creates the jobs of an owned partition.
  *
@@ -129,15 +145,15 @@
     if (!job) return;
     if (!isRepeated) listener?.jobAccepted(job);
     if (record.type === 'job-cancelled') listener?.jobCancelled(job);
+    if (record.type === 'job-held' && !job.isHeld) listener?.jobReleased(job);
     wakeWaiters(job);
   }
 
   function apply(record: JournalRecord): void {
     counters.increment('journal.applied', 1, { type: record.type });
     if (record.type === 'task-ended' || record.type === 'task-not-started') applyEnd(record);
-    else if (record.type === 'job-accepted' || record.type === 'job-cancelled') {
-      applyJobRecord(record);
-    } else applyRecord(state, record);
+    else if ('jobId' in record) applyJobRecord(record);
+    else applyRecord(state, record);
   }
 
   async function appendOnce(
@@ -262,17 +278,18 @@
     cancelling.set(job.jobId, running);
     const outcome = await running;
     cancelling.delete(job.jobId);
-    if (outcome.isOk()) return Ok(undefined);
-    return Err(
-      createFailure(
-        outcome.error.kind === 'not-durable' ? 'store-unavailable' : 'acceptance-unknown',
-      ),
-    );
+    return outcome.mapErr(describeJournalError);
+  }
+
+  async function release(job: Job): Promise<Result<void, Failure>> {
+    const outcome = await append({ type: 'job-held', jobId: job.jobId, held: false });
+    return outcome.mapErr(describeJournalError);
   }
 
   function describeEnd(event: TaskEvent): TaskEndedRecord {
     const now = clock.wallMilliseconds();
     if (event.event.kind === 'lapsed') {
+      const { ran } = event.event;
       return {
         type: 'task-ended',
         taskId: event.event.attempt.taskId,
@@ -280,8 +297,8 @@
         workerId: event.workerId,
         end: 'lost',
         result: null,
-        startedAt: now,
-        endedAt: now,
+        startedAt: ran?.startedAt ?? now,
+        endedAt: ran?.until ?? now,
         peak: { processors: 0, memoryBytes: 0, accelerators: 0 },
       };
     }
@@ -290,35 +307,14 @@
     return { type: 'task-ended', taskId, attempt, workerId, end, result, startedAt, endedAt, peak };
   }
 
-  /** The execution was taken for lost before; its usage still counts once. */
-  function describeLateUsage(job: Job, ended: TaskEndedRecord): UsageRecord {
-    const { taskId, attempt, startedAt, endedAt } = ended;
-    const { queue, resources } = job.request;
-    const seconds = (endedAt - startedAt) / 1_000;
-    return {
-      type: 'usage',
-      taskId,
-      attempt,
-      team: job.team,
-      queue,
-      startedAt,
-      endedAt,
-      processorSeconds: resources.processors * seconds,
-      memoryByteSeconds: resources.memoryBytes * seconds,
-      acceleratorSeconds: resources.accelerators * seconds,
-    };
-  }
-
-  function needsUsage(task: Task, ended: TaskEndedRecord): boolean {
-    return ended.endedAt > ended.startedAt && !task.countedAttempts.includes(ended.attempt);
-  }
-
   async function recordEnd(ended: TaskEndedRecord): Promise<Result<void, Failure>> {
     const located = findTask(state, ended.taskId);
     if (!located) return Ok(undefined);
     const isNews = wasExecuting(ended.taskId, ended.attempt);
-    if (!isNews && !needsUsage(located.task, ended)) return Ok(undefined);
-    const outcome = await append(isNews ? ended : describeLateUsage(located.job, ended));
+    const isCounted = describeUncounted(located, ended) === null;
+    if (!isNews && isCounted) return Ok(undefined);
+    // The execution was taken for lost before; the rest of its usage still counts.
+    const outcome = await append(isNews ? ended : describeUsage(located.job, ended));
     return outcome.isOk() ? Ok(undefined) : Err(createFailure('store-unavailable'));
   }
 
@@ -365,6 +361,7 @@
     appendSurely,
     submit,
     cancel,
+    release,
     isCancelling: (job) => job.isCancelled || cancelling.has(job.jobId),
     recordEvent,
     waitForEnd,
--- a/packages/daemon/src/core/jobService.ts
+++ b/packages/daemon/src/core/jobService.ts
@@ -27,7 +27,11 @@
 import { createPlacementLoop } from './placementLoop.js';
 import type { PlacementLoop } from './placementLoop.js';
 import { applyPolicy } from './queuePolicy.js';
+import { createRunningUsage } from './runningUsage.js';
+import type { RunningUsage } from './runningUsage.js';
 import { stateOfJob } from './taskRules.js';
+import { startUsageCheckpoints } from './usageCheckpoints.js';
+import type { UsageCheckpoints } from './usageCheckpoints.js';
 
 /** Leaves time for the answer to reach the caller within its deadline. */
 const ANSWER_MARGIN_MILLISECONDS = 50;
@@ -54,6 +58,8 @@
   readonly jobs: JobPartition;
   readonly loop: PlacementLoop;
   readonly queue: TaskQueue;
+  readonly usage: RunningUsage;
+  readonly checkpoints: UsageCheckpoints;
   isReleased: boolean;
 }
 
@@ -79,7 +85,8 @@
     return isServing ? Ok(own) : Err(createFailure('not-owner', { daemonId, partition }));
   }
 
-  function findJob(jobId: string, team: string): Result<FoundJob, Failure> {
+  /** @param team team that asks, or null for an operator */
+  function findJob(jobId: string, team: string | null): Result<FoundJob, Failure> {
     const partition = Number.parseInt(jobId, 10);
     if (!(partition >= 0 && partition < directory.partitionCount)) {
       return Err(createFailure('unknown-job', { jobId }));
@@ -87,7 +94,7 @@
     return find(partition).andThen((own) => {
       const job = own.jobs.state.jobs.get(jobId);
       // Another team's job is answered like one that does not exist.
-      const isVisible = job !== undefined && job.team === team;
+      const isVisible = job !== undefined && (team === null || job.team === team);
       return isVisible ? Ok({ own, job }) : Err(createFailure('unknown-job', { jobId }));
     });
   }
@@ -142,6 +149,18 @@
     return outcome.map(() => view(found.value));
   }
 
+  async function release({
+    jobId,
+  }: PeerMethods['job.release']['params']): Promise<Result<JobView, Failure>> {
+    const found = findJob(jobId, null);
+    if (found.isErr()) return found;
+    const { own, job } = found.value;
+    const state = stateOfJob(job);
+    if (state !== 'held') return Err(createFailure('not-held', { jobId, state }));
+    const outcome = await own.jobs.release(job);
+    return outcome.map(() => view(found.value));
+  }
+
   function list(own: OpenPartition, team: string | null): readonly JobView[] {
     return [...own.jobs.state.jobs.values()]
       .filter((job) => team === null || job.team === team)
@@ -162,7 +181,9 @@
       quarantine: options.createQuarantine(),
     });
     jobs.setListener(loop);
-    partitions.set(lease.partition, { jobs, loop, queue, isReleased: false });
+    const usage = createRunningUsage(jobs, callPartition);
+    const checkpoints = startUsageCheckpoints({ partition: jobs, usage, clock, log });
+    partitions.set(lease.partition, { jobs, loop, queue, usage, checkpoints, isReleased: false });
     loop.start();
     return Ok(undefined);
   }
@@ -172,6 +193,7 @@
     partitions.delete(partition);
     own?.jobs.close();
     own?.loop.close();
+    own?.checkpoints.close();
   }
 
   options.configuration.onChange(() => {
@@ -181,12 +203,16 @@
   link.handle('job.read', async ({ jobId, team }) => findJob(jobId, team).map(view));
   link.handle('job.wait', wait);
   link.handle('job.cancel', cancel);
+  link.handle('job.release', release);
   link.handle('job.list', async ({ partition, team }) =>
     find(partition).map((own) => list(own, team)),
   );
-  link.handle('usage.read', async ({ partition }) =>
-    find(partition).map((own) => own.jobs.state.usage.rows()),
-  );
+  link.handle('usage.read', async ({ partition }) => {
+    const own = find(partition);
+    if (own.isErr()) return own;
+    const usage = await own.value.usage.read();
+    return find(partition).map(() => usage);
+  });
   link.handle('task.event', async (event) => {
     const own = find(event.jobPartition);
     if (own.isErr()) return own;
@@ -201,6 +227,7 @@
       if (!own) return null;
       own.isReleased = true;
       own.loop.close();
+      own.checkpoints.close();
       // Everything is in the journal; starts without an answer are looked up by the next owner.
       await own.jobs.settle();
       return null;
--- a/packages/daemon/src/core/workerEntry.ts
+++ b/packages/daemon/src/core/workerEntry.ts
@@ -20,6 +20,8 @@
   report: RunningTask | null;
   /** Null until the owner of the job has told them. */
   terms: ReclaimTerms | null;
+  /** Wall-clock time of this daemon at the last report, in milliseconds since the Unix epoch. */
+  reportedAt?: number;
 }
 
 /** A reading of a worker's clock. */
--- a/packages/daemon/src/core/workerPartition.ts
+++ b/packages/daemon/src/core/workerPartition.ts
@@ -20,6 +20,7 @@
 import type {
   ExecutionState,
   HoldRequest,
+  MeasuredRuns,
   PeerMethods,
   ReclaimRequest,
   Reservation,
@@ -32,6 +33,7 @@
 
 import { createFaultHandler } from '../utils/faults.js';
 import { createEndReporter } from './endReporter.js';
+import { measureRuns } from './measuredRuns.js';
 import { lapseAfter } from './taskLease.js';
 import type { WorkerClient } from './workerClient.js';
 import { createWorkerContacts } from './workerContacts.js';
@@ -77,6 +79,10 @@
     params: PeerMethods['worker.stop']['params'],
   ): Promise<Result<{ affected: readonly TaskAttempt[] }, Failure>>;
   lookup(params: PeerMethods['worker.lookup']['params']): ExecutionState;
+  /** Lists the executions of a job partition whose ends are not durable. */
+  measureRuns(jobPartition: number): MeasuredRuns;
+  /** Lifts the quarantine of a worker. */
+  lift(workerId: string): Result<WorkerView, Failure>;
   list(): readonly WorkerView[];
   load(): WorkerLoad;
   close(): void;
@@ -100,6 +106,7 @@
   const reports = createWorkerReports({
     pool,
     now,
+    wallNow: () => clock.wallMilliseconds(),
     onEnd,
     onZombie,
     onIncarnation: room.freeReserved,
@@ -261,6 +268,21 @@
     return lookupUnknown(worker, incarnation);
   }
 
+  function lift(workerId: string): Result<WorkerView, Failure> {
+    const worker = workers.get(workerId);
+    if (!worker) return Err(createFailure('unknown-worker', { workerId }));
+    const { state } = views.view(worker);
+    // A worker whose probe is due is not quarantined, but gets one task at a time.
+    if (state !== 'quarantined' && !worker.isSuspect) {
+      return Err(createFailure('not-quarantined', { workerId, state }));
+    }
+    quarantine.lift(workerId);
+    worker.isSuspect = false;
+    refresh(worker);
+    log.info('quarantine lifted by an operator', { workerId });
+    return Ok(views.view(worker));
+  }
+
   return {
     lease,
     setWorkers,
@@ -277,6 +299,8 @@
       room.expire();
       return views.load();
     },
+    lift,
+    measureRuns: (jobPartition) => measureRuns([...workers.values()], jobPartition),
     close() {
       contacts.close();
       reporter.close();
--- a/packages/daemon/src/core/workerViews.ts
+++ b/packages/daemon/src/core/workerViews.ts
@@ -28,6 +28,7 @@
 
 /** Views of the workers of one partition. */
 export interface WorkerViews {
+  view(worker: WorkerEntry): WorkerView;
   list(): readonly WorkerView[];
   load(): WorkerLoad;
 }
@@ -72,5 +73,5 @@
     return { partition, freeTotal, freeLargest, runningByTeam, usedByTeam };
   }
 
-  return { list: () => [...workers.values()].map(viewWorker), load };
+  return { view: viewWorker, list: () => [...workers.values()].map(viewWorker), load };
 }
