Find queued work through a table that creates nothing on a removal

A wave of 100,000 cancellations created 45 bytes a removal, nearly all of it the copies that the maps of the queue made while they shrank, and an addition kept three objects a piece of work.

The entries are now linked in the buckets of a table of 128 shards, which grows by shard and never shrinks. The test of the map is replaced by the same comparison with a plain map for the table, and one of growth.

--- /dev/null
+++ b/packages/decisions/src/__tests__/idTable.test.ts
@@ -0,0 +1,53 @@
+import test from 'ava';
+import fc from 'fast-check';
+
+import { createIdTable } from '../utils/idTable.js';
+import type { TableEntry } from '../utils/idTable.js';
+import { PROPERTY } from './properties.js';
+
+interface Item extends TableEntry<Item> {
+  readonly id: string;
+  readonly value: number;
+}
+
+const ID = fc.oneof(
+  fc.string({ maxLength: 12 }),
+  // Few ids in all, so that removals often meet a present one.
+  fc.nat({ max: 30 }).map((index) => `task-${index}`),
+);
+
+test('a table by id agrees with a plain map, also for short and empty ids', (t) => {
+  fc.assert(
+    fc.property(
+      fc.array(fc.tuple(fc.constantFrom('set', 'remove'), ID, fc.nat()), { maxLength: 300 }),
+      (steps) => {
+        const table = createIdTable<Item>(({ id }) => id);
+        const model = new Map<string, number>();
+        steps.forEach(([kind, id, value]) => {
+          const removed = table.remove(id);
+          if (removed?.value !== model.get(id)) throw new Error('remove differs');
+          model.delete(id);
+          if (kind === 'remove') return;
+          table.add({ id, value, nextInBucket: null });
+          model.set(id, value);
+        });
+        return (
+          table.size() === model.size &&
+          [...model].every(([id, value]) => table.get(id)?.value === value)
+        );
+      },
+    ),
+    PROPERTY,
+  );
+  t.pass();
+});
+
+test('a table by id keeps every entry while it grows and gives each back once', (t) => {
+  const table = createIdTable<Item>(({ id }) => id);
+  const ids = Array.from({ length: 5_000 }, (_, index) => `${index % 7}-job-${index}/0`);
+  ids.forEach((id, value) => table.add({ id, value, nextInBucket: null }));
+  t.true(ids.every((id, value) => table.get(id)?.value === value));
+  t.true(ids.every((id, value) => table.remove(id)?.value === value));
+  t.is(table.size(), 0);
+  t.is(table.remove(ids[0]!), null);
+});
--- a/packages/decisions/src/core/taskQueue.ts
+++ b/packages/decisions/src/core/taskQueue.ts
@@ -1,11 +1,10 @@
 import type { QueuedWork, QueueOrderPolicy, TaskQueue } from '../types/taskQueue.js';
+import { createIdTable } from '../utils/idTable.js';
 import { createIndexedHeap } from '../utils/indexedHeap.js';
-import type { HeapNode, IndexedHeap } from '../utils/indexedHeap.js';
-import { createShardedMap } from '../utils/shardedMap.js';
 import { createActiveLines } from './activeLines.js';
 import type { IsEligible } from './activeLines.js';
 import { createTeamUsage } from './teamUsage.js';
-import { createWorkLine } from './workLine.js';
+import { createWorkEntry, createWorkLine } from './workLine.js';
 import type { WorkEntry, WorkLine } from './workLine.js';
 
 /** Bounds the time of one `take` after a wave of deferrals that end together. */
@@ -17,11 +16,6 @@
   readonly agingMilliseconds: number;
 }
 
-interface Placed {
-  readonly heap: IndexedHeap<WorkEntry>;
-  readonly node: HeapNode<WorkEntry>;
-}
-
 const isDueEarlier = (left: WorkEntry, right: WorkEntry): boolean =>
   left.work.notBefore < right.work.notBefore;
 
@@ -42,7 +36,7 @@
   const usage = createTeamUsage();
   const lines = new Map<string, WorkLine>();
   const active = createActiveLines(policy, options.agingMilliseconds);
-  const entries = createShardedMap<Placed>();
+  const entries = createIdTable<WorkEntry>(({ work }) => work.workId);
   const deferred = createIndexedHeap<WorkEntry>(isDueEarlier);
   let nextSequence = 0;
   let latestNow = -Infinity;
@@ -55,13 +49,14 @@
   }
 
   function makeDue(entry: WorkEntry): void {
-    const { line, work } = entry;
-    entries.set(work.workId, { heap: line.due, node: line.due.push(entry) });
-    active.refresh(line);
+    entry.isDue = true;
+    entry.node = entry.line.due.push(entry);
+    active.refresh(entry.line);
   }
 
   function defer(entry: WorkEntry): void {
-    entries.set(entry.work.workId, { heap: deferred, node: deferred.push(entry) });
+    entry.isDue = false;
+    entry.node = deferred.push(entry);
   }
 
   function releaseDeferred(now: number): number {
@@ -76,20 +71,16 @@
     return released;
   }
 
-  function takeOut(entry: WorkEntry): void {
-    const { line, work } = entry;
-    const { heap, node } = entries.get(work.workId)!;
-    heap.remove(node);
-    entries.delete(work.workId);
+  function takeOut({ isDue, line, node }: WorkEntry): void {
+    if (node) (isDue ? line.due : deferred).remove(node);
     line.team.waiting -= 1;
-    active.refresh(line);
+    if (isDue) active.refresh(line);
   }
 
   function remove(workId: string): boolean {
-    const placed = entries.get(workId);
-    if (!placed) return false;
-    takeOut(placed.node.value);
-    return true;
+    const entry = entries.remove(workId);
+    if (entry) takeOut(entry);
+    return entry !== null;
   }
 
   function chooseLine(now: number, isEligible: IsEligible): WorkLine | null {
@@ -106,7 +97,8 @@
     add(work) {
       remove(work.workId);
       const line = lineOf(work);
-      const entry = { work, sequence: nextSequence, line };
+      const entry = createWorkEntry(work, nextSequence, line);
+      entries.add(entry);
       nextSequence += 1;
       line.team.waiting += 1;
       const isDue = work.notBefore <= Math.max(latestNow, work.enqueuedAt);
@@ -120,7 +112,7 @@
       if (!line) return null;
       const entry = line.due.peek()!;
       line.servedAt = now;
-      takeOut(entry);
+      remove(entry.work.workId);
       return entry.work;
     },
     setShares: usage.setShares,
