Measure stalls of the queue without the bench's garbage and other processes

The waves now run in one queue, as a partition keeps its queue, with ids made beforehand. The bounded row counts at most the processor time of all threads since the last reading, which includes collections; the time with other processes is reported beside it.

--- a/packages/decisions/src/__performance_tests__/cancellationRows.ts
+++ b/packages/decisions/src/__performance_tests__/cancellationRows.ts
@@ -17,60 +17,125 @@
 /** Cost per call may grow with the depth of a heap, not with the length of the queue. */
 const MOST_GROWTH = 10;
 
+/** Calls between two readings of the processor time. */
+const CALLS_PER_READING = 100;
+const MICROSECONDS = 1_000;
+
 const EVERYONE = (): boolean => true;
 
 interface Stall {
   readonly longestMilliseconds: number;
+  /** The same without the time in which the machine ran other processes instead. */
+  readonly longestRunningMilliseconds: number;
   readonly meanMicroseconds: number;
   readonly removed: number;
 }
 
-function createFullQueue(size: number): TaskQueue {
-  const random = createRandom(SEED);
+/** Processor time of all threads, those of the garbage collector included. */
+function readProcessorMilliseconds(): number {
+  const { user, system } = process.cpuUsage();
+  return (user + system) / MICROSECONDS;
+}
+
+function createQueue(): TaskQueue {
   const queue = createTaskQueue(createQueueOrderPolicy('share-first'), {
     agingMilliseconds: 60_000,
   });
   queue.setCapacity({ processors: 1e6, memoryBytes: 1e15, accelerators: 27_000 });
-  for (let index = 0; index < size; index += 1) {
+  return queue;
+}
+
+function fill(queue: TaskQueue, workIds: readonly string[], now: number): void {
+  const random = createRandom(SEED);
+  workIds.forEach((workId, index) => {
     queue.add({
-      workId: `task-${index}`,
+      workId,
       jobId: `job-${index % 100}`,
       // One team holds half of the work, as it does when a wave of cancellations follows a mistake.
       team: index % 2 === 0 ? 'team-0' : `team-${Math.floor(random() * TEAMS)}`,
       priority: 'normal',
       resources: drawTaskSize(random),
       tasks: 1,
-      enqueuedAt: index,
-      notBefore: index % 4 === 0 ? size + 1_000 : 0,
+      enqueuedAt: now + index,
+      notBefore: index % 4 === 0 ? now + workIds.length + 1_000 : now,
     });
-  }
-  return queue;
+  });
 }
 
 /** Removes everything in a scattered order and takes work in between. */
-function measureStall(size: number): Stall {
-  const queue = createFullQueue(size);
+function measureStall(queue: TaskQueue, workIds: readonly string[], now: number): Stall {
+  const size = workIds.length;
   let longestMilliseconds = 0;
-  let totalMilliseconds = 0;
+  let longestRunningMilliseconds = 0;
   let removed = 0;
   // The step has no common factor with the sizes, so that every item is met once.
   const step = 7_919;
+  const startedAt = performance.now();
+  // One reading of the clock a call, and no new ids, because collections of the bench's own garbage
+  // would count as stalls of the queue.
+  let endedAt = startedAt;
+  let processorBefore = 0;
   for (let index = 0; index < size; index += 1) {
-    const workId = `task-${(index * step) % size}`;
-    const beganAt = performance.now();
-    if (queue.remove(workId)) removed += 1;
-    if (index % 100 === 0 && queue.take(size + index, EVERYONE)) removed += 1;
-    const elapsed = performance.now() - beganAt;
+    if (index % CALLS_PER_READING === 0) processorBefore = readProcessorMilliseconds();
+    const beganAt = endedAt;
+    if (queue.remove(workIds[(index * step) % size]!)) removed += 1;
+    if (index % 100 === 0 && queue.take(now + size + index, EVERYONE)) removed += 1;
+    endedAt = performance.now();
+    const elapsed = endedAt - beganAt;
     longestMilliseconds = Math.max(longestMilliseconds, elapsed);
-    totalMilliseconds += elapsed;
+    if (elapsed > longestRunningMilliseconds) {
+      // At most the processor time since the reading before the call went into the call.
+      const running = Math.min(elapsed, readProcessorMilliseconds() - processorBefore);
+      longestRunningMilliseconds = Math.max(longestRunningMilliseconds, running);
+    }
   }
+  const totalMilliseconds = endedAt - startedAt;
   return {
     longestMilliseconds,
-    meanMicroseconds: (totalMilliseconds * 1_000) / size,
-    removed: removed + queue.size() === size ? removed : -1,
+    longestRunningMilliseconds,
+    meanMicroseconds: (totalMilliseconds * MICROSECONDS) / size,
+    removed: queue.size() === 0 ? removed : -1,
   };
 }
 
+/**
+ * Measures waves in one queue, as a partition keeps its queue. With a new queue for each wave, the engine
+ * drops and compiles the code of the former one again within the wave.
+ */
+function measureWaves(size: number, count: number): readonly Stall[] {
+  const queue = createQueue();
+  const workIds = Array.from({ length: size }, (_, index) => `task-${index}`);
+  return Array.from({ length: count }, (_, wave) => {
+    // Later than every time of the wave before.
+    const now = wave * 3 * size;
+    fill(queue, workIds, now);
+    return measureStall(queue, workIds, now);
+  });
+}
+
+const sortNumbers = (values: readonly number[]): readonly number[] =>
+  [...values].sort((left, right) => left - right);
+
+/** Rows about the longest stall of each wave. */
+function describeStalls(size: number, waves: readonly Stall[]): readonly BenchRow[] {
+  const running = sortNumbers(waves.map((wave) => wave.longestRunningMilliseconds));
+  const elapsed = sortNumbers(waves.map((wave) => wave.longestMilliseconds));
+  const middle = Math.floor(waves.length / 2);
+  const row = (name: string, measured: number, bound: number | null): BenchRow => ({
+    name: `cancellations: longest stall with ${size}, ${name}`,
+    measured,
+    bound,
+    direction: 'at-most',
+    unit: 'ms',
+  });
+  return [
+    row(`median of ${WAVES} waves`, running[middle]!, MOST_STALL_MILLISECONDS),
+    row(`worst of ${WAVES} waves`, running[WAVES - 1]!, null),
+    row(`other processes included, median of ${WAVES} waves`, elapsed[middle]!, null),
+    row(`other processes included, worst of ${WAVES} waves`, elapsed[WAVES - 1]!, null),
+  ];
+}
+
 /** The least of several means is the one with the fewest pauses of the machine in it. */
 const leastMean = (waves: readonly Stall[]): number =>
   Math.min(...waves.map(({ meanMicroseconds }) => meanMicroseconds));
@@ -83,13 +148,10 @@
  */
 export function collectCancellationRows({ isShort }: BenchOptions): readonly BenchRow[] {
   const size = isShort ? SHORT_CANCELLATIONS : CANCELLATIONS;
-  measureStall(size / 10);
-  const smallWaves = Array.from({ length: WAVES }, () => measureStall(size / 10));
-  const waves = Array.from({ length: isShort ? SHORT_WAVES : WAVES }, () => measureStall(size));
+  measureWaves(size / 10, 1);
+  const smallWaves = measureWaves(size / 10, WAVES);
+  const waves = measureWaves(size, isShort ? SHORT_WAVES : WAVES);
   const large = waves[0]!;
-  const stalls = waves
-    .map(({ longestMilliseconds }) => longestMilliseconds)
-    .sort((left, right) => left - right);
   const growth: BenchRow = {
     name: `cancellations: cost per call with ${size} in the queue over ${size / 10}`,
     measured: leastMean(waves) / leastMean(smallWaves),
@@ -105,22 +167,5 @@
     unit: 'count',
   };
   if (isShort) return [growth, removed];
-  return [
-    {
-      name: `cancellations: longest stall with ${size}, median of ${WAVES} waves`,
-      measured: stalls[Math.floor(WAVES / 2)]!,
-      bound: MOST_STALL_MILLISECONDS,
-      direction: 'at-most',
-      unit: 'ms',
-    },
-    {
-      name: `cancellations: longest stall with ${size}, worst of ${WAVES} waves`,
-      measured: stalls[WAVES - 1]!,
-      bound: null,
-      direction: 'at-most',
-      unit: 'ms',
-    },
-    growth,
-    removed,
-  ];
+  return [...describeStalls(size, waves), growth, removed];
 }
