Measure the store calls of durable work from acceptance to end

A local cell of six daemons takes jobs of one task at 50/s, at 200/s and at as many as the machine carries with at most 600 unfinished, and the calls that its store took in a window of steady load are divided by the accepted tasks.

--- a/packages/proving/src/__performance_tests__/index.ts
+++ b/packages/proving/src/__performance_tests__/index.ts
@@ -2,3 +2,4 @@
 export { collectCellRows } from './cellRows.js';
 export { collectSlopeRows } from './slopeRows.js';
 export { produceStoreClientRows } from './storeClient.js';
+export { collectStoreCallRows } from './storeCallRows.js';
--- /dev/null
+++ b/packages/proving/src/__performance_tests__/storeCallRows.ts
@@ -0,0 +1,252 @@
+/** Store calls that durable work costs from its acceptance to its end, at several rates of a local cell. */
+import { createSystemClock, sleep } from '@chicorybend/common';
+import type { BenchOptions, BenchRow } from '@chicorybend/common';
+
+import { applyExample } from '../core/demoRun.js';
+import { startLocalCell } from '../core/localCell.js';
+import type { LocalCell } from '../core/localCell.js';
+import { createWorkCaller } from '../core/workCaller.js';
+import type { Example } from '../types/cellPlan.js';
+import { readExample } from '../utils/readExample.js';
+import { waitUntil } from '../utils/waitUntil.js';
+
+/** Task starts per second of the whole cell at the peak. */
+const PEAK_STARTS_PER_SECOND = 6_300;
+/** Writes per second of the whole cell that the store allows. */
+const STORE_WRITES_PER_SECOND = 300;
+const RATES = [50, 200] as const;
+/** Accepted tasks without an end at the highest rate, so that no backlog builds up unseen. */
+const MOST_UNFINISHED = 600;
+/** Far above every rate, so that only the unfinished tasks limit it. */
+const UNLIMITED_RATE = 100_000;
+const MOST_OPEN_CALLS = 400;
+const TICK_MILLISECONDS = 10;
+const SETTLE_MILLISECONDS = 8_000;
+const MILLISECONDS_PER_SECOND = 1_000;
+const DRAIN_LIMIT_MILLISECONDS = 30_000;
+const TEAMS = ['taoyuan-works', 'kaohsiung-works', 'taichung-works'] as const;
+const QUEUE = 'certificates';
+/** Limits that no load here reaches, because refused starts would hide calls. */
+const TEAM_LIMITS = { tasks: 20_000, requests: 100 };
+const RUN_MILLISECONDS = 100;
+const TASK_RESOURCES = { processors: 0.1, memoryBytes: 1_048_576, accelerators: 0 };
+
+const clock = createSystemClock();
+
+/** What one rate cost, in a window of steady load. */
+interface RateCost {
+  readonly acceptedPerSecond: number;
+  readonly endedPerSecond: number;
+  readonly writesPerSecond: number;
+  readonly readsPerSecond: number;
+}
+
+interface Totals {
+  readonly at: number;
+  readonly accepted: number;
+  readonly ended: number;
+  readonly writes: number;
+  readonly reads: number;
+}
+
+interface Load {
+  /** Runs a rate, and measures after a time in which groups, parts of limits and leases settle. */
+  measure(rate: number, measureMilliseconds: number): Promise<RateCost>;
+  close(): Promise<void>;
+}
+
+function readExampleWithRoom(): Example {
+  const example = readExample('coldline');
+  const teams = example.configuration.teams as Record<string, object>;
+  const roomy = Object.fromEntries(
+    Object.entries(teams).map(([name, team]) => [name, { ...team, limits: TEAM_LIMITS }]),
+  );
+  return { ...example, configuration: { ...example.configuration, teams: roomy } };
+}
+
+/** Counts the ends in the record without reading an entry twice. */
+function createEndCounter(cell: LocalCell): () => number {
+  let read = 0;
+  let ended = 0;
+  return () => {
+    const entries = cell.platform.record.entries();
+    for (; read < entries.length; read += 1) {
+      if (entries[read]?.type === 'task-ended') ended += 1;
+    }
+    return ended;
+  };
+}
+
+function subtract(after: Totals, before: Totals): RateCost {
+  const perSecond = (field: 'accepted' | 'ended' | 'writes' | 'reads'): number =>
+    ((after[field] - before[field]) / (after.at - before.at)) * MILLISECONDS_PER_SECOND;
+  return {
+    acceptedPerSecond: perSecond('accepted'),
+    endedPerSecond: perSecond('ended'),
+    writesPerSecond: perSecond('writes'),
+    readsPerSecond: perSecond('reads'),
+  };
+}
+
+function createLoad(cell: LocalCell, example: Example, warmMilliseconds: number): Load {
+  const caller = createWorkCaller();
+  const countEnds = createEndCounter(cell);
+  let submitted = 0;
+  let accepted = 0;
+  let open = 0;
+
+  function readTotals(): Totals {
+    const { reads, writes } = cell.platform.store.counts;
+    return { at: clock.monotonicMilliseconds(), accepted, ended: countEnds(), reads, writes };
+  }
+
+  async function submit(): Promise<void> {
+    const daemon = cell.daemons[submitted % cell.daemons.length];
+    const team = TEAMS[submitted % TEAMS.length] ?? TEAMS[0];
+    submitted += 1;
+    open += 1;
+    const outcome = await caller.submitJob(
+      daemon?.apiAddress ?? '',
+      {
+        queue: QUEUE,
+        kind: 'batch',
+        tasks: 1,
+        resources: TASK_RESOURCES,
+        idempotent: true,
+        urgent: false,
+        expectedRunMilliseconds: RUN_MILLISECONDS,
+        payload: { runMilliseconds: RUN_MILLISECONDS },
+      },
+      { keyText: example.keys.teams[team] ?? '' },
+    );
+    open -= 1;
+    if (outcome.kind === 'answered') accepted += 1;
+  }
+
+  function mayBeSent(): boolean {
+    return open < MOST_OPEN_CALLS && accepted + open - countEnds() < MOST_UNFINISHED;
+  }
+
+  async function sendFor(rate: number, milliseconds: number): Promise<void> {
+    const startedAt = clock.monotonicMilliseconds();
+    let sent = 0;
+    let elapsed = 0;
+    while (elapsed < milliseconds) {
+      while (sent < (elapsed * rate) / MILLISECONDS_PER_SECOND && mayBeSent()) {
+        void submit();
+        sent += 1;
+      }
+      await sleep(clock, TICK_MILLISECONDS);
+      elapsed = clock.monotonicMilliseconds() - startedAt;
+    }
+  }
+
+  return {
+    async measure(rate, measureMilliseconds) {
+      await sendFor(rate, warmMilliseconds);
+      const before = readTotals();
+      await sendFor(rate, measureMilliseconds);
+      const cost = subtract(readTotals(), before);
+      const isDrained = await waitUntil(
+        () => open === 0 && countEnds() >= accepted,
+        DRAIN_LIMIT_MILLISECONDS,
+      );
+      if (!isDrained) throw new Error(`${accepted - countEnds()} accepted tasks have not ended`);
+      return cost;
+    },
+    close: () => caller.close(),
+  };
+}
+
+function writesPerTask(cost: RateCost): number {
+  return cost.writesPerSecond / cost.acceptedPerSecond;
+}
+
+function report(name: string, measured: number, unit: string): BenchRow {
+  return { name: `store calls: ${name}`, measured, bound: null, direction: 'at-most', unit };
+}
+
+function describeRate(name: string, cost: RateCost): BenchRow[] {
+  return [
+    report(`tasks accepted ${name}`, cost.acceptedPerSecond, '1/s'),
+    report(`tasks ended ${name}`, cost.endedPerSecond, '1/s'),
+    report(`writes per accepted task ${name}`, writesPerTask(cost), 'calls'),
+    report(
+      `reads per accepted task ${name}`,
+      cost.readsPerSecond / cost.acceptedPerSecond,
+      'calls',
+    ),
+  ];
+}
+
+/** Commits are shared by more tasks the more there are, so the cost a task may not grow with the rate. */
+function describeSharing(few: RateCost, many: RateCost): BenchRow {
+  return {
+    ...report('writes per accepted task at 200/s over 50/s', 0, 'ratio'),
+    measured: writesPerTask(many) / writesPerTask(few),
+    bound: 1,
+  };
+}
+
+/**
+ * The slope falls with the rate, so the line through the two highest rates lies above the real figure. It
+ * starts from the most writes of both rates, because daemons that lack processor time commit less often.
+ */
+function describeSlope(lower: RateCost, highest: RateCost): BenchRow[] {
+  const slope =
+    (highest.writesPerSecond - lower.writesPerSecond) /
+    (highest.acceptedPerSecond - lower.acceptedPerSecond);
+  const mostWrites = Math.max(lower.writesPerSecond, highest.writesPerSecond);
+  const missing = PEAK_STARTS_PER_SECOND - highest.acceptedPerSecond;
+  return [
+    report('further writes per further task, from 200/s to the highest rate', slope, 'calls'),
+    {
+      ...report('writes of the whole cell at 6,300 tasks/s, from the slope', 0, 'calls/s'),
+      measured: mostWrites + Math.max(0, slope) * missing,
+      bound: STORE_WRITES_PER_SECOND,
+    },
+  ];
+}
+
+async function measureRates(cell: LocalCell, example: Example, isShort: boolean) {
+  const load = createLoad(cell, example, isShort ? 2_000 : 4_000);
+  const milliseconds = isShort ? 5_000 : 8_000;
+  try {
+    const few = await load.measure(RATES[0], milliseconds);
+    const many = await load.measure(RATES[1], milliseconds);
+    const sharing = describeSharing(few, many);
+    if (isShort) return [sharing];
+    const highest = await load.measure(UNLIMITED_RATE, milliseconds);
+    return [
+      ...describeRate('at 50/s', few),
+      ...describeRate('at 200/s', many),
+      ...describeRate('at the highest rate', highest),
+      report('writes of the whole cell at the highest rate', highest.writesPerSecond, 'calls/s'),
+      sharing,
+      ...describeSlope(many, highest),
+    ];
+  } finally {
+    await load.close();
+  }
+}
+
+/**
+ * Measures the store calls per accepted task, with all that the cell does meanwhile: acceptance, intent and
+ * end, parts of upper limits, snapshots, sessions and owner records.
+ *
+ * @param options extent of the run; a short run gives the ratio between two rates only
+ * @returns rows; the bound on the writes of the whole cell is the stated target
+ */
+export async function collectStoreCallRows(options: BenchOptions): Promise<readonly BenchRow[]> {
+  const example = readExampleWithRoom();
+  const cell = await startLocalCell({
+    plan: example.plan,
+    prepare: (started) => applyExample(started, example),
+  });
+  try {
+    await sleep(clock, SETTLE_MILLISECONDS);
+    return await measureRates(cell, example, options.isShort);
+  } finally {
+    await cell.close();
+  }
+}
