Ask for reclaim only while some team is above its share

Cause: work that found no room asked owners of workers to reclaim even if no team was above its share, each request carried the positions of all teams, and each start refreshed the worker in the index of its pool.

Change: requests carry only the teams above their share and are left out when there are none; an owner that has used up its stops answers at once; only a suspect worker is refreshed by a start. The placement of tasks stands in a file of its own.

--- a/packages/daemon/src/core/placementLoop.ts
+++ b/packages/daemon/src/core/placementLoop.ts
@@ -7,7 +7,6 @@
 import type { Allotments } from '../types/allotment.js';
 import type { ConfigurationView } from '../types/configurationView.js';
 import type { TaskEndedRecord } from '../types/journalRecord.js';
-import type { Reservation } from '../types/peerMethods.js';
 import { createTurnQueue } from '../utils/turnQueue.js';
 
 import { createFaultHandler } from '../utils/faults.js';
@@ -20,15 +19,15 @@
 import { createPlacementAdmission } from './placementAdmission.js';
 import type { Placement } from './placementAdmission.js';
 import { createPlacementShares } from './placementShares.js';
-import { priorityOf, readPolicy, termsOf } from './queuePolicy.js';
+import { termsOf } from './queuePolicy.js';
 import { createReclaimRequests } from './reclaimRequests.js';
 import { createReserver } from './reserver.js';
-import type { ReservationWish } from './reserver.js';
 import { createRoomHolds } from './roomHolds.js';
 import { createRoomShortages } from './roomShortages.js';
 import { createServiceRacks } from './serviceRacks.js';
 import { createTaskLookups } from './taskLookups.js';
-import { isEnding, mustStop } from './taskRules.js';
+import { mustStop } from './taskRules.js';
+import { createTaskPlacer } from './taskPlacer.js';
 import { createTaskStarter } from './taskStarter.js';
 import { createTaskStops } from './taskStops.js';
 import { createWorkBacklog } from './workBacklog.js';
@@ -42,8 +41,6 @@
 /** Tasks handled together in one piece of a wave. */
 const TASKS_PER_PIECE = 100;
 const PIECES_PER_TURN = 500;
-/** A small cell may have no worker left on which the job has not failed. Takes about two seconds. */
-const TRIES_WITH_AVOIDED_WORKERS = 20;
 
 /** What the loop needs. */
 export interface PlacementLoopOptions {
@@ -111,6 +108,16 @@
     onIntended: (task) => epochWatch.add(task),
     onNotIntended: () => {},
   });
+  const placer = createTaskPlacer({
+    context,
+    configuration,
+    reserver,
+    starter,
+    holds,
+    reclaims,
+    shortages,
+    racks,
+  });
   let cancelTimer: CancelTimer | null = null;
 
   function schedule(delayMilliseconds: number): void {
@@ -156,7 +163,7 @@
   /** Replicas of a service are placed one after the other, so that each sees the racks of those before. */
   async function runInOrder(placements: readonly Placement[]): Promise<void> {
     for (const placement of placements) {
-      finish(placement, await placeTasks(placement));
+      finish(placement, await placer.place(placement));
     }
   }
 
@@ -164,62 +171,6 @@
     runInOrder(placements).catch(createFaultHandler(log, 'a placement failed'));
   }
 
-  function describeWish({ job, tasks, tries }: Placement): ReservationWish {
-    return {
-      job,
-      taskIds: tasks.map(({ taskId }) => taskId),
-      avoidRacks: job.request.kind === 'service' ? racks.crowded(job) : [],
-      avoidWorkers: tries < TRIES_WITH_AVOIDED_WORKERS ? job.failedWorkers : [],
-      isUrgent: priorityOf(job, configuration) === 'urgent',
-      holders: holds.partitionsOf(job),
-    };
-  }
-
-  function reserve(wish: ReservationWish): Promise<readonly Reservation[]> {
-    return wish.job.request.kind === 'gang'
-      ? reserver.reserveAll(wish)
-      : reserver.reserveSome(wish);
-  }
-
-  function noteRacks({ job }: Placement, reservations: readonly Reservation[]): void {
-    reservations.forEach(({ taskId, rack }) => {
-      const task = findTask(state, taskId)?.task;
-      if (task) racks.set(job, task, rack);
-    });
-  }
-
-  /** Work past its aging bound gets room that smaller work may not take first. */
-  function noteNoRoom({ job, tasks, since }: Placement, { avoidWorkers }: ReservationWish): void {
-    if (isEnding(job)) return;
-    reclaims.consider({ job, count: tasks.length, since, avoidWorkers });
-    const waited = clock.monotonicMilliseconds() - since;
-    if (waited < readPolicy(configuration).agingMilliseconds) return;
-    const count = job.request.kind === 'gang' ? tasks.length : 1;
-    holds.keep({ job, count, since, avoidWorkers });
-  }
-
-  /**
-   * @returns monotonic time of the next try of tasks without room, in milliseconds; undefined if all had room,
-   *   so that those that were not started wait for a backoff
-   */
-  async function placeTasks(placement: Placement): Promise<number | undefined> {
-    const { job, tasks } = placement;
-    const reservedAt = clock.monotonicMilliseconds();
-    const wish = describeWish(placement);
-    const reservations = await reserve(wish);
-    if (partition.isClosed()) return undefined;
-    const isShort = reservations.length < tasks.length;
-    const retryAt = isShort ? shortages.note(job, tasks.length) : undefined;
-    if (reservations.length === 0) {
-      noteNoRoom(placement, wish);
-      return retryAt;
-    }
-    if (job.request.kind === 'service') noteRacks(placement, reservations);
-    await starter.start(job, reservations, reservedAt);
-    holds.drop(job);
-    return retryAt;
-  }
-
   /** Tasks that were not started wait for another turn. */
   function finish(placement: Placement, retryAt?: number): void {
     if (partition.isClosed()) return;
--- a/packages/daemon/src/core/reclaimRequests.ts
+++ b/packages/daemon/src/core/reclaimRequests.ts
@@ -2,7 +2,7 @@
  * Asks the owners of workers to take room back from running tasks, for urgent work and for teams below their
  * share that found no room.
  */
-import type { QueuePriority } from '@chicorybend/decisions';
+import type { QueuePriority, TeamPosition } from '@chicorybend/decisions';
 
 import type { ConfigurationView } from '../types/configurationView.js';
 import { createFaultHandler } from '../utils/faults.js';
@@ -58,6 +58,13 @@
   const settledAt = new Map<string, number>();
   let nextRequestAt = Number.NEGATIVE_INFINITY;
 
+  /** Only these teams give room, so that nothing is asked when there are none. */
+  function listTeamsAbove(): readonly (readonly [string, TeamPosition])[] {
+    return Object.entries(shares.positions()).filter(
+      ([, { dominantShare, fairShare }]) => dominantShare > fairShare,
+    );
+  }
+
   /** @returns tasks that the job may get at the cost of others */
   function countEntitled({ job, count }: RoomNeed, priority: QueuePriority): number {
     const most = Math.min(count, MOST_TASKS);
@@ -91,7 +98,7 @@
         ttlMilliseconds: HOLD_TTL_MILLISECONDS,
         team: job.team,
         priority: priorityOf(job, configuration),
-        teams: shares.positions(),
+        teams: Object.fromEntries(listTeamsAbove()),
         capacity: shares.capacity(),
       },
       RECLAIM_DEADLINE_MILLISECONDS,
@@ -129,7 +136,7 @@
       forgetSettled(now);
       if (settledAt.has(need.job.jobId)) return;
       const count = countEntitled(need, priority);
-      if (count === 0) return;
+      if (count === 0 || listTeamsAbove().length === 0) return;
       nextRequestAt = now + INTERVAL_MILLISECONDS;
       counters.increment('reclaims.asked');
       ask(need, count).catch(createFaultHandler(log, 'a reclaim failed'));
--- a/packages/daemon/src/core/workerPartition.ts
+++ b/packages/daemon/src/core/workerPartition.ts
@@ -133,7 +133,7 @@
   /** On a quarantined worker the task is a probe, and no other one follows until it has ended. */
   function noteStart(worker: WorkerEntry): void {
     quarantine.recordStart?.(worker.workerId, now());
-    refresh(worker);
+    if (worker.isSuspect) refresh(worker);
   }
 
   function learn(worker: WorkerEntry, event: TaskEvent['event']): void {
--- a/packages/daemon/src/core/workerReclaim.ts
+++ b/packages/daemon/src/core/workerReclaim.ts
@@ -166,6 +166,7 @@
 
   return {
     reclaim(request) {
+      if (countPermittedStops() <= 0) return 0;
       const candidates = listWorkers(request.resources);
       const victims = listVictims(candidates);
       if (victims.size === 0) return 0;
--- a/packages/daemon/src/types/peerMethods.ts
+++ b/packages/daemon/src/types/peerMethods.ts
@@ -116,7 +116,7 @@
 export interface ReclaimRequest extends HoldRequest {
   readonly team: string;
   readonly priority: QueuePriority;
-  /** Positions of the teams against their shares, as the asker has heard. */
+  /** Positions of the teams above their share, as the asker has heard; only these give room. */
   readonly teams: Readonly<Record<string, TeamPosition>>;
   /** Capacity of the cell, for dominant shares. */
   readonly capacity: Resources;
