--- /dev/null
+++ b/packages/daemon/src/__tests__/daemonStop.test.ts
@@ -0,0 +1,68 @@
+import { createSilentLog, createSystemClock } from '@chicorybend/common';
+import test from 'ava';
+
+import { createDaemonLife } from '../core/daemonLife.js';
+import { createDaemonStop } from '../core/daemonStop.js';
+import { pause, waitUntil } from './interactiveStubs.js';
+
+const DEADLINE_MILLISECONDS = 5_000;
+/** Longer than the grace and several turns of the drain. */
+const OBSERVED_MILLISECONDS = 1_500;
+
+/** A planned stop over stubs that note the order of its steps. */
+function createStop(options: { readonly deadlineMilliseconds?: number } = {}) {
+  const steps: string[] = [];
+  const flights = { calls: 0, executions: 0 };
+  const life = createDaemonLife(createSilentLog());
+  life.advance('JOINED');
+  const stop = createDaemonStop({
+    clock: createSystemClock(),
+    life,
+    callers: {
+      startDrain() {
+        steps.push('refuse');
+      },
+      inFlight: () => flights.calls,
+    },
+    http: { closeConnectionsAfterAnswers: () => {} },
+    router: { inFlight: () => flights.executions },
+    ownership: {
+      async drain() {
+        steps.push('hand over');
+        return true;
+      },
+    },
+    membership: {
+      async leave() {
+        steps.push('leave');
+      },
+    },
+    drainDeadlineMilliseconds: options.deadlineMilliseconds ?? DEADLINE_MILLISECONDS,
+    async closeAll() {
+      steps.push('close');
+    },
+  });
+  return { stop, steps, flights };
+}
+
+(['calls', 'executions'] as const).forEach((kind) => {
+  const whose = kind === 'calls' ? 'an own caller' : "another daemon's caller";
+  test(`a planned stop neither leaves nor closes before the request of ${whose} has ended`, async (t) => {
+    const { stop, steps, flights } = createStop();
+    flights[kind] = 1;
+    const stopped = stop();
+    await waitUntil(() => steps.includes('hand over'));
+    await pause(OBSERVED_MILLISECONDS);
+    t.deepEqual(steps, ['refuse', 'hand over']);
+    flights[kind] = 0;
+    t.is(await stopped, 'drained');
+    t.deepEqual(steps, ['refuse', 'hand over', 'leave', 'close']);
+  });
+});
+
+test('a stop that its deadline ends with a request in flight does not count as drained', async (t) => {
+  const { stop, steps, flights } = createStop({ deadlineMilliseconds: 1_200 });
+  flights.executions = 1;
+  t.is(await stop(), 'deadline');
+  t.deepEqual(steps, ['refuse', 'hand over', 'leave', 'close']);
+});
--- a/packages/daemon/src/core/daemonStop.ts
+++ b/packages/daemon/src/core/daemonStop.ts
@@ -20,11 +20,11 @@
 export interface DaemonStopOptions {
   readonly clock: Clock;
   readonly life: DaemonLife;
-  readonly callers: CallerApi;
-  readonly http: HttpServer;
-  readonly router: RequestRouter;
-  readonly ownership: Ownership;
-  readonly membership: Membership;
+  readonly callers: Pick<CallerApi, 'startDrain' | 'inFlight'>;
+  readonly http: Pick<HttpServer, 'closeConnectionsAfterAnswers'>;
+  readonly router: Pick<RequestRouter, 'inFlight'>;
+  readonly ownership: Pick<Ownership, 'drain'>;
+  readonly membership: Pick<Membership, 'leave'>;
   /** Time for a planned stop, in milliseconds. */
   readonly drainDeadlineMilliseconds: number;
   /** Ends loops and connections once the daemon has left. */
