Bound the planned stop during a store outage and let the last daemon stop

Without a live daemon to hand over to, the drain counted as missed although everything accepted was in the store. The members learnt of the departure only from their next reading of the record, up to 3 s later. A handover whose owner record could not be written left the partition unserved during the outage. Changes: the drain starts no handover while the store does not answer, so that the partitions stay in service; a release is given up after 5 s; a third of the deadline is kept for the requests in flight; leaving is bounded too. A daemon without a successor finishes its requests, then its journals, and has drained. A leaving daemon sends the record without itself to the members.

--- a/packages/daemon/src/__tests__/daemonStop.test.ts
+++ b/packages/daemon/src/__tests__/daemonStop.test.ts
@@ -3,14 +3,22 @@
 
 import { createDaemonLife } from '../core/daemonLife.js';
 import { createDaemonStop } from '../core/daemonStop.js';
+import type { DrainOutcome } from '../core/ownership.js';
 import { pause, waitUntil } from './interactiveStubs.js';
 
 const DEADLINE_MILLISECONDS = 5_000;
 /** Longer than the grace and several turns of the drain. */
 const OBSERVED_MILLISECONDS = 1_500;
 
+interface StopOptions {
+  readonly deadlineMilliseconds?: number;
+  readonly handover?: DrainOutcome;
+  /** Whether the records of a daemon without a successor become durable in time. */
+  readonly isDurable?: boolean;
+}
+
 /** A planned stop over stubs that note the order of its steps. */
-function createStop(options: { readonly deadlineMilliseconds?: number } = {}) {
+function createStop(options: StopOptions = {}) {
   const steps: string[] = [];
   const flights = { calls: 0, executions: 0 };
   const life = createDaemonLife(createSilentLog());
@@ -29,7 +37,11 @@
     ownership: {
       async drain() {
         steps.push('hand over');
-        return true;
+        return options.handover ?? 'handed-over';
+      },
+      async finish() {
+        steps.push('finish');
+        return options.isDurable ?? true;
       },
     },
     membership: {
@@ -66,3 +78,20 @@
   t.is(await stop(), 'deadline');
   t.deepEqual(steps, ['refuse', 'hand over', 'leave', 'close']);
 });
+
+test('the last daemon finishes its requests, then makes its records durable, and is drained', async (t) => {
+  const { stop, steps, flights } = createStop({ handover: 'no-successor' });
+  flights.executions = 1;
+  const stopped = stop();
+  await waitUntil(() => steps.includes('hand over'));
+  await pause(OBSERVED_MILLISECONDS);
+  t.deepEqual(steps, ['refuse', 'hand over']);
+  flights.executions = 0;
+  t.is(await stopped, 'drained');
+  t.deepEqual(steps, ['refuse', 'hand over', 'finish', 'leave', 'close']);
+});
+
+test('the last daemon is not drained if its records are not durable in time', async (t) => {
+  const { stop } = createStop({ handover: 'no-successor', isDurable: false });
+  t.is(await stop(), 'deadline');
+});
--- a/packages/daemon/src/__tests__/ownership.test.ts
+++ b/packages/daemon/src/__tests__/ownership.test.ts
@@ -114,7 +114,7 @@
   const cell = await startCell(t, 3);
   await waitUntil(() => cell.nodes.every((node) => node.ownership.owned().length === 4), 15_000);
   const [leaving, ...others] = cell.nodes;
-  t.true(await leaving?.ownership.drain(10_000));
+  t.is(await leaving?.ownership.drain(() => 10_000), 'handed-over');
   t.not(await waitUntil(() => isFullyServed(others, PARTITIONS), 3_000), null);
   t.true(others.every((node) => node.counters.read('partitions.taken-over') === 0));
   assertOneOwner(t, cell);
--- a/packages/daemon/src/core/daemonStop.ts
+++ b/packages/daemon/src/core/daemonStop.ts
@@ -1,4 +1,4 @@
-import { sleep } from '@chicorybend/common';
+import { sleep, withTimeout } from '@chicorybend/common';
 import type { Clock } from '@chicorybend/common';
 
 import { DRAIN_GRACE_MILLISECONDS } from './callerApi.js';
@@ -6,12 +6,16 @@
 import type { DaemonLife } from './daemonLife.js';
 import type { HttpServer } from './httpServer.js';
 import type { Membership } from './membership.js';
-import type { Ownership } from './ownership.js';
+import type { DrainOutcome, Ownership } from './ownership.js';
 import type { RequestRouter } from './requestRouter.js';
 
 /** A second request to stop leaves this much time, in milliseconds. */
 const SECOND_STOP_MILLISECONDS = 2_000;
 const DRAIN_PAUSE_MILLISECONDS = 20;
+/** Part of the time for a stop that is kept for the requests in flight when the handover takes too long. */
+const REQUESTS_PART = 1 / 3;
+/** Leaving is tried for at least this long, so that others need not wait for the session to lapse. */
+const SHORTEST_LEAVE_MILLISECONDS = 1_000;
 
 /** How a planned stop ended. */
 export type StopOutcome = 'drained' | 'deadline';
@@ -23,7 +27,7 @@
   readonly callers: Pick<CallerApi, 'startDrain' | 'inFlight'>;
   readonly http: Pick<HttpServer, 'closeConnectionsAfterAnswers'>;
   readonly router: Pick<RequestRouter, 'inFlight'>;
-  readonly ownership: Pick<Ownership, 'drain'>;
+  readonly ownership: Pick<Ownership, 'drain' | 'finish'>;
   readonly membership: Pick<Membership, 'leave'>;
   /** Time for a planned stop, in milliseconds. */
   readonly drainDeadlineMilliseconds: number;
@@ -58,6 +62,12 @@
     return inFlight() === 0;
   }
 
+  /** The last daemon has nobody to hand over to; what it has accepted is in the store. */
+  async function settle(handover: DrainOutcome): Promise<boolean> {
+    if (handover !== 'no-successor') return handover === 'handed-over';
+    return ownership.finish(remainingMilliseconds);
+  }
+
   /** Stops accepting, hands partitions over, finishes the requests in flight and leaves. */
   async function drain(): Promise<StopOutcome> {
     life.advance('TERMINATE');
@@ -65,10 +75,13 @@
     // The load balancer needs this time to notice that the daemon is no longer ready.
     await sleep(clock, Math.min(DRAIN_GRACE_MILLISECONDS, remainingMilliseconds()));
     http.closeConnectionsAfterAnswers();
-    const isHandedOver = await ownership.drain(remainingMilliseconds());
+    const kept = options.drainDeadlineMilliseconds * REQUESTS_PART;
+    const handover = await ownership.drain(() => remainingMilliseconds() - kept);
     const isIdle = await waitForRequests();
-    await membership.leave();
-    const outcome: StopOutcome = isIdle && isHandedOver ? 'drained' : 'deadline';
+    const isSettled = await settle(handover);
+    const leaveLimit = Math.max(SHORTEST_LEAVE_MILLISECONDS, remainingMilliseconds());
+    await withTimeout(clock, membership.leave(), leaveLimit);
+    const outcome: StopOutcome = isIdle && isSettled ? 'drained' : 'deadline';
     life.advance(outcome === 'drained' ? 'DRAINED' : 'DEADLINE');
     await options.closeAll();
     return outcome;
--- a/packages/daemon/src/core/membership.ts
+++ b/packages/daemon/src/core/membership.ts
@@ -366,6 +366,8 @@
     },
     async leave() {
       await change(createRemoval(self.daemonId, self.incarnation), LEAVE_DEADLINE_MILLISECONDS);
+      // Carries the record without this daemon, which the others would read only at their next turn.
+      await Promise.all(otherMembers().map(beat));
       isStopped = true;
       await session.release();
     },
--- a/packages/daemon/src/core/ownership.ts
+++ b/packages/daemon/src/core/ownership.ts
@@ -1,5 +1,5 @@
-import { Err, Ok, sleep } from '@chicorybend/common';
-import type { Clock, Counters, Log, Result, StoreClient } from '@chicorybend/common';
+import { Ok, sleep, TIMED_OUT, withTimeout } from '@chicorybend/common';
+import type { Clock, Counters, Log, StoreClient } from '@chicorybend/common';
 
 import type { PartitionDirectory, PartitionService } from '../types/partition.js';
 import type { PeerLink } from '../types/peer.js';
@@ -20,8 +20,13 @@
 const HANDOVER_DEADLINE_MILLISECONDS = 3_000;
 /** A new owner waits this long for the state of a handover before it recovers without it, in milliseconds. */
 const HANDOVER_WAIT_MILLISECONDS = 1_000;
+/** Releasing waits for the journal; while the store gives no answer that would be for ever, in milliseconds. */
+const RELEASE_LIMIT_MILLISECONDS = 5_000;
 const DRAIN_PAUSE_MILLISECONDS = 20;
 
+/** How the handover of all partitions ended. */
+export type DrainOutcome = 'handed-over' | 'no-successor' | 'deadline';
+
 /** What the ownership needs. */
 export interface OwnershipOptions {
   readonly selfId: string;
@@ -43,12 +48,20 @@
 export interface Ownership extends PartitionDirectory {
   start(): void;
   /**
-   * Hands all partitions over and claims none from now on.
+   * Hands all partitions over and claims none from now on. Partitions that are left at the deadline are given up;
+   * they are kept if there is no other live daemon to take them.
    *
-   * @param deadlineMilliseconds time for it, in milliseconds
-   * @returns whether nothing is left
+   * @param remainingMilliseconds tells the time that is left for it, in milliseconds
+   * @returns how it ended
    */
-  drain(deadlineMilliseconds: number): Promise<boolean>;
+  drain(remainingMilliseconds: () => number): Promise<DrainOutcome>;
+  /**
+   * Gives up the partitions that no other daemon could take, once all their records are durable.
+   *
+   * @param remainingMilliseconds tells the time that is left for it, in milliseconds
+   * @returns whether all records are durable
+   */
+  finish(remainingMilliseconds: () => number): Promise<boolean>;
   stop(): void;
   /** @returns partitions served, with their epochs, for heartbeats */
   describeOwned(): readonly { partition: number; epoch: number }[];
@@ -113,6 +126,11 @@
     served.clear();
   }
 
+  function giveUp(entry: ServedPartition): void {
+    entry.close();
+    if (served.get(entry.partition) === entry) served.delete(entry.partition);
+  }
+
   /** Ownership from before a lapse of the authority must be claimed again at a new epoch. */
   function dropAfterLapse(): void {
     const generation = membership.generation();
@@ -150,8 +168,7 @@
     const recovered = await entry.recover();
     if (recovered.isOk()) return;
     log.warn('partition not recovered', { partition, epoch, reason: recovered.error });
-    entry.close();
-    if (served.get(partition) === entry) served.delete(partition);
+    giveUp(entry);
   }
 
   async function writeOwner(
@@ -210,7 +227,12 @@
     const target = findMember(targetId);
     const owner = owners.get(entry.partition);
     if (!target || !owner || entry.state() !== 'serving') return;
-    const state = await entry.release();
+    const state = await withTimeout(clock, entry.release(), RELEASE_LIMIT_MILLISECONDS);
+    if (state === TIMED_OUT) {
+      log.warn('partition not released in time', { partition: entry.partition });
+      giveUp(entry);
+      return;
+    }
     const epoch = entry.epoch + 1;
     const record = {
       daemonId: targetId,
@@ -219,8 +241,7 @@
       isHandover: true,
     };
     const isWritten = await writeOwner(entry.partition, record, owner.version);
-    entry.close();
-    served.delete(entry.partition);
+    giveUp(entry);
     // Without the write this daemon is still the owner and claims the partition again at the next epoch.
     if (!isWritten) return;
     counters.increment('partitions.handed-over');
@@ -256,10 +277,7 @@
   function dropLost(): void {
     served.forEach((entry, partition) => {
       const owner = owners.get(partition);
-      if (owner && owner.epoch > entry.epoch) {
-        entry.close();
-        served.delete(partition);
-      }
+      if (owner && owner.epoch > entry.epoch) giveUp(entry);
     });
   }
 
@@ -312,12 +330,39 @@
     return stored ? { daemonId: stored.daemonId, epoch: stored.epoch } : null;
   }
 
-  async function drainOne(): Promise<Result<void, string>> {
-    await readOwnerRecords();
+  /** @returns whether there is a daemon to hand over to */
+  async function drainOne(): Promise<boolean> {
+    // Without the store no handover is possible, and the partitions stay in service meanwhile.
+    if (!(await readOwnerRecords())) return true;
     const intended = watchLiveMembers();
-    if (intended.length === 0) return Err('no other daemon is live');
+    if (intended.length === 0) return false;
     await rebalance(intended);
-    return Ok(undefined);
+    return true;
+  }
+
+  async function drain(remainingMilliseconds: () => number): Promise<DrainOutcome> {
+    isDraining = true;
+    while (served.size > 0 && remainingMilliseconds() > 0) {
+      if (!(await drainOne())) return 'no-successor';
+      if (served.size > 0) await sleep(clock, DRAIN_PAUSE_MILLISECONDS);
+    }
+    if (served.size === 0) return 'handed-over';
+    dropAll('the time for the handover is over');
+    return 'deadline';
+  }
+
+  async function finish(remainingMilliseconds: () => number): Promise<boolean> {
+    while (served.size > 0 && remainingMilliseconds() > 0) {
+      [...served.values()]
+        .filter((entry) => entry.state() === 'serving')
+        .forEach((entry) => {
+          void entry.release().then(() => giveUp(entry));
+        });
+      await sleep(clock, DRAIN_PAUSE_MILLISECONDS);
+    }
+    const isDurable = served.size === 0;
+    dropAll('the time for the last records is over');
+    return isDurable;
   }
 
   return {
@@ -337,16 +382,8 @@
     start() {
       void run();
     },
-    async drain(deadlineMilliseconds) {
-      isDraining = true;
-      const deadline = clock.monotonicMilliseconds() + deadlineMilliseconds;
-      while (served.size > 0 && clock.monotonicMilliseconds() < deadline) {
-        const moved = await drainOne();
-        if (moved.isErr()) break;
-        if (served.size > 0) await sleep(clock, DRAIN_PAUSE_MILLISECONDS);
-      }
-      return served.size === 0;
-    },
+    drain,
+    finish,
     stop() {
       isStopped = true;
       dropAll('daemon stops');
--- /dev/null
+++ b/packages/proving/src/__tests__/plannedStop.test.ts
@@ -0,0 +1,133 @@
+import { createSystemClock, sleep } from '@chicorybend/common';
+import type { JobRequest } from '@chicorybend/common';
+import { request } from 'undici';
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+
+import {
+  applyExample,
+  createWorkCaller,
+  readExample,
+  startLocalCell,
+  waitUntil,
+} from '../index.js';
+import type { LocalCell, LocalDaemon } from '../index.js';
+
+const DRAIN_DEADLINE_MILLISECONDS = 6_000;
+/** The deadline, and time to leave and to end the process. */
+const STOP_LIMIT_MILLISECONDS = DRAIN_DEADLINE_MILLISECONDS + 2_000;
+const SETTLE_LIMIT_MILLISECONDS = 30_000;
+const example = readExample('coldline');
+const TEAM_KEY = example.keys.teams['certificate-office'] ?? '';
+const clock = createSystemClock();
+
+async function startCell(t: ExecutionContext, daemons: number): Promise<LocalCell> {
+  const cell = await startLocalCell({
+    plan: { ...example.plan, daemons: example.plan.daemons.slice(0, daemons) },
+    extraArguments: ['--drain-deadline-milliseconds', String(DRAIN_DEADLINE_MILLISECONDS)],
+    prepare: (started) => applyExample(started, example),
+  });
+  t.teardown(() => cell.close());
+  return cell;
+}
+
+function daemonAt(cell: LocalCell, index: number): LocalDaemon {
+  const daemon = cell.daemons[index];
+  if (!daemon) throw new Error(`no daemon ${index}`);
+  return daemon;
+}
+
+const job: JobRequest = {
+  queue: 'certificates',
+  kind: 'batch',
+  tasks: 1,
+  resources: { processors: 1, memoryBytes: 1, accelerators: 0 },
+  idempotent: false,
+  urgent: false,
+  expectedRunMilliseconds: 100,
+  payload: { runMilliseconds: 100, result: 'done' },
+};
+
+interface DaemonRow {
+  readonly daemonId: string;
+  readonly state: string;
+  readonly partitions?: readonly number[];
+}
+
+async function listDaemons(cell: LocalCell, asked: LocalDaemon): Promise<readonly DaemonRow[]> {
+  const response = await request(`${asked.apiAddress}/v1/daemons`, {
+    headers: { authorization: `Bearer ${cell.operatorToken}`, 'x-operator': 'bootstrap' },
+  });
+  return ((await response.body.json()) as { rows: readonly DaemonRow[] }).rows;
+}
+
+/** A daemon that owns nothing yet has nothing to hand over. */
+function waitForEvenPartitions(cell: LocalCell): Promise<boolean> {
+  const share = cell.plan.partitions / cell.daemons.length;
+  return waitUntil(async () => {
+    const rows = await listDaemons(cell, daemonAt(cell, 0));
+    return rows.every(({ partitions }) => partitions?.length === share);
+  }, SETTLE_LIMIT_MILLISECONDS);
+}
+
+test.serial('a planned stop while the store is down ends by its deadline', async (t) => {
+  const cell = await startCell(t, 3);
+  const caller = createWorkCaller();
+  t.teardown(() => caller.close());
+  t.true(await waitForEvenPartitions(cell));
+  const [stopped, ...others] = cell.daemons;
+  cell.platform.store.faults.isDown = true;
+  // Leaves records on their way in the journals of all daemons.
+  const submissions = Array.from({ length: 30 }, () =>
+    caller.submitJob(others[0]?.apiAddress ?? '', job, { keyText: TEAM_KEY }),
+  );
+  await sleep(clock, 500);
+  const startedAt = clock.monotonicMilliseconds();
+  const exit = await stopped?.terminate(STOP_LIMIT_MILLISECONDS);
+  t.log(`ended after ${Math.round(clock.monotonicMilliseconds() - startedAt)} ms`);
+  t.deepEqual(exit, { code: 1, signal: null });
+  await Promise.all(submissions);
+});
+
+test.serial('the planned stop of the last daemon keeps its jobs and exits with 0', async (t) => {
+  const cell = await startCell(t, 1);
+  const daemon = daemonAt(cell, 0);
+  const caller = createWorkCaller();
+  t.teardown(() => caller.close());
+  const accepted = await caller.submitJob(daemon.apiAddress, job, { keyText: TEAM_KEY });
+  t.is(accepted.kind, 'answered');
+  const interactive = caller.submitRequest(
+    daemon.apiAddress,
+    {
+      queue: 'bench-entries',
+      idempotent: true,
+      deadlineMilliseconds: 4_000,
+      payload: { serviceMilliseconds: 2_000, result: 'served' },
+    },
+    { keyText: example.keys.teams['hsinchu-bench'] ?? '' },
+  );
+  await sleep(clock, 100);
+  const exit = await daemon.terminate(STOP_LIMIT_MILLISECONDS);
+  t.deepEqual(exit, { code: 0, signal: null });
+  t.is((await interactive).kind, 'answered');
+  daemon.start();
+  t.true(await daemon.waitReady(SETTLE_LIMIT_MILLISECONDS));
+  if (accepted.kind !== 'answered') return;
+  const view = await caller.waitForJob(daemon.apiAddress, accepted.value.jobId, 9_000, TEAM_KEY);
+  t.is(view.kind === 'answered' && view.value.state, 'succeeded');
+});
+
+test.serial('a daemon that has left is not listed any more', async (t) => {
+  const cell = await startCell(t, 3);
+  t.true(await waitForEvenPartitions(cell));
+  const [first, second, stopped] = cell.daemons;
+  if (!first || !second || !stopped) throw new Error('three daemons are needed');
+  t.deepEqual(await stopped.terminate(STOP_LIMIT_MILLISECONDS), { code: 0, signal: null });
+  for (const asked of [first, second]) {
+    const rows = await listDaemons(cell, asked);
+    t.deepEqual(
+      rows.map(({ daemonId, state }) => `${daemonId} ${state}`),
+      ['entry-1 serving', 'entry-2 serving'],
+    );
+  }
+});
