Split a team's requests equally again after bursts and changed limits

Cause: a partition that had given its idle request units to others, or had shrunk to none under a lowered limit, kept none until it asked the store for more. Change: every 5 s, and at once after a change of the configuration, a partition returns request units above its equal share that it did not need at once since the last time, or takes unassigned ones up to that share. The loop that shrinks a team's parts exists once. The new test of allotments fails without the step ("unit 3 of 0"); the 8 tests pass with it.

--- a/packages/daemon/src/__tests__/allotments.test.ts
+++ b/packages/daemon/src/__tests__/allotments.test.ts
@@ -17,6 +17,7 @@
   returnUnits,
   setLimits,
   sumParts,
+  topUpUnits,
   usableUnits,
 } from '../core/allotmentLedger.js';
 import type { AllotmentLedger } from '../core/allotmentLedger.js';
@@ -48,6 +49,7 @@
           ? grantUnits(ledger, partition, 'tasks', units)
           : returnUnits(ledger, partition, 'tasks', units);
         ledger = changed ?? ledger;
+        ledger = topUpUnits(ledger, (partition + 1) % PARTITIONS, 'tasks', units) ?? ledger;
         t.true(sumParts(ledger, 'tasks') <= limit);
       });
       t.is(sumParts(ledger, 'requests'), limit);
@@ -76,6 +78,8 @@
   readonly client: StoreClient;
   setLimit(tasks: number): void;
   ledger(): Promise<AllotmentLedger>;
+  /** Stops or restores the store's answers. */
+  setStoreDown(isDown: boolean): void;
 }
 
 function createJournalStub(): Journal {
@@ -144,6 +148,9 @@
       const entry = await client.get<AllotmentLedger>(`${ALLOTMENT_PREFIX}harbour`);
       return entry.unwrap()?.data as AllotmentLedger;
     },
+    setStoreDown(isDown) {
+      store.faults.isDown = isDown;
+    },
   };
 }
 
@@ -225,3 +232,31 @@
   await chargeFor(cell, 0, 10, 300);
   t.deepEqual((await cell.ledger()).parts['0'], before);
 });
+
+test('after a burst and a change of the limit every partition serves requests without the store', async (t) => {
+  const cell = await createCell(t, 16);
+  const [burst] = cell.services;
+  const charge = (partition: number) =>
+    cell.services[partition]?.allotments.charge(partition, 'harbour', 'requests', 1).isOk();
+  // The other partitions give their idle units away to this one.
+  let charged = 0;
+  const until = clock.monotonicMilliseconds() + 4_000;
+  while (charged < 16 && clock.monotonicMilliseconds() < until) {
+    if (charge(0)) charged += 1;
+    else await sleep(clock, 5);
+  }
+  t.is(charged, 16);
+  burst?.allotments.release(0, 'harbour', 'requests', 16);
+  cell.setLimit(2);
+  await sleep(clock, 3_000);
+  cell.setLimit(16);
+  await sleep(clock, 12_000);
+  cell.setStoreDown(true);
+  [0, 1, 2, 3].forEach((partition) => {
+    [1, 2, 3, 4].forEach((unit) => t.true(charge(partition), `unit ${unit} of ${partition}`));
+  });
+  t.true(
+    [0, 1, 2, 3].every((partition) => !charge(partition)),
+    'the limit is kept',
+  );
+});
--- a/packages/daemon/src/core/allotmentLedger.ts
+++ b/packages/daemon/src/core/allotmentLedger.ts
@@ -64,7 +64,13 @@
   });
 }
 
-function shareOf(units: number, partition: number, partitionCount: number): number {
+/**
+ * @param units units to split equally
+ * @param partition partition number
+ * @param partitionCount number of partitions
+ * @returns units of the partition
+ */
+export function shareOf(units: number, partition: number, partitionCount: number): number {
   const remainder = units % partitionCount;
   return Math.floor(units / partitionCount) + (partition < remainder ? 1 : 0);
 }
@@ -136,6 +142,30 @@
   return after;
 }
 
+/**
+ * Grants units to a partition up to a target, as far as there are unassigned ones.
+ *
+ * @param ledger ledger of a team
+ * @param partition partition number
+ * @param dimension what is counted
+ * @param target units that the partition shall hold
+ * @returns the ledger with the grant, or null if there is nothing to grant
+ */
+export function topUpUnits(
+  ledger: AllotmentLedger,
+  partition: number,
+  dimension: LimitDimension,
+  target: number,
+): AllotmentLedger | null {
+  const part = partOf(ledger, partition);
+  const unassigned = ledger.limits[dimension] - sumParts(ledger, dimension);
+  const granted = Math.min(target - part[dimension], unassigned);
+  if (granted <= 0) return null;
+  const after = withPart(ledger, partition, { ...part, [dimension]: part[dimension] + granted });
+  assertWithinLimits(ledger, after);
+  return after;
+}
+
 /**
  * Gives units of a partition back.
  *
--- a/packages/daemon/src/core/allotments.ts
+++ b/packages/daemon/src/core/allotments.ts
@@ -17,7 +17,9 @@
   partOf,
   portionOfLimit,
   returnUnits,
+  shareOf,
   sumParts,
+  topUpUnits,
   usableUnits,
 } from './allotmentLedger.js';
 import type { AllotmentLedger } from './allotmentLedger.js';
@@ -27,6 +29,8 @@
 const MAINTENANCE_INTERVAL_MILLISECONDS = 1_000;
 /** Units idle for this long are given back, in milliseconds. */
 const IDLE_AFTER_MILLISECONDS = 5_000;
+/** Time between two steps towards an equal split of a team's requests, in milliseconds. */
+const LEVEL_INTERVAL_MILLISECONDS = 5_000;
 /** Idle units that a partition keeps. */
 const IDLE_RESERVE = 2;
 /** A grant takes a reading and a write of the store. */
@@ -62,6 +66,10 @@
   readonly used: Record<LimitDimension, number>;
   /** Monotonic time of the last charge, in milliseconds. */
   chargedAt: number;
+  /** Most requests in use at once since the last step towards an equal split. */
+  mostRequests: number;
+  /** Monotonic time before which the split is left as it is, in milliseconds. */
+  levelNotBefore: number;
   isRequesting: boolean;
   /** Requests in a row that found too few units, per dimension. */
   readonly shortfalls: Record<LimitDimension, number>;
@@ -104,6 +112,8 @@
       ledger: null,
       used: { tasks: 0, requests: 0 },
       chargedAt: clock.monotonicMilliseconds(),
+      mostRequests: 0,
+      levelNotBefore: clock.monotonicMilliseconds() + LEVEL_INTERVAL_MILLISECONDS,
       isRequesting: false,
       shortfalls: { tasks: 0, requests: 0 },
       requestNotBefore: { tasks: 0, requests: 0 },
@@ -257,14 +267,40 @@
     await returnIdle(entry, use, dimension, Math.max(0, target - use.used[dimension]));
   }
 
+  async function shrinkTeam(entry: PartitionUse, use: TeamUse): Promise<void> {
+    for (const dimension of LIMIT_DIMENSIONS) await shrinkToLimit(entry, use, dimension);
+  }
+
   async function shrinkAll(entry: PartitionUse): Promise<void> {
-    for (const use of [...entry.teams.values()]) {
-      for (const dimension of LIMIT_DIMENSIONS) await shrinkToLimit(entry, use, dimension);
+    for (const use of [...entry.teams.values()]) await shrinkTeam(entry, use);
+  }
+
+  /**
+   * Moves towards an equal split of the requests. Without the store no units can be granted, and then a partition
+   * that gave its units away would refuse every request of the team.
+   */
+  async function levelRequests(entry: PartitionUse, use: TeamUse): Promise<void> {
+    const now = clock.monotonicMilliseconds();
+    if (now < use.levelNotBefore) return;
+    const peak = use.mostRequests;
+    use.mostRequests = use.used.requests;
+    use.levelNotBefore = now + LEVEL_INTERVAL_MILLISECONDS;
+    const { partition } = entry.lease;
+    const limit = limitsOf(use.team)?.requests;
+    if (limit === undefined || !use.ledger) return;
+    const share = shareOf(limit, partition, directory.partitionCount);
+    const held = partOf(use.ledger, partition).requests;
+    if (held > share) {
+      await returnIdle(entry, use, 'requests', Math.max(share, peak) - use.used.requests);
+    } else if (held < share) {
+      const topUp = (ledger: AllotmentLedger) => topUpUnits(ledger, partition, 'requests', share);
+      await runExclusively(use, () => updateLedger(entry, use, topUp));
     }
   }
 
   async function maintainTeam(entry: PartitionUse, use: TeamUse): Promise<void> {
-    for (const dimension of LIMIT_DIMENSIONS) await shrinkToLimit(entry, use, dimension);
+    await shrinkTeam(entry, use);
+    await levelRequests(entry, use);
     const idleFor = clock.monotonicMilliseconds() - use.chargedAt;
     if (idleFor >= IDLE_AFTER_MILLISECONDS) await returnIdle(entry, use, 'tasks', IDLE_RESERVE);
   }
@@ -303,6 +339,8 @@
   });
   configuration.onChange(() => {
     partitions.forEach((entry) => {
+      // A changed limit is split at once.
+      entry.teams.forEach((use) => Object.assign(use, { levelNotBefore: -Infinity }));
       void takeOverParts(entry).then(() => shrinkAll(entry));
     });
   });
@@ -315,6 +353,7 @@
       if (use.used[dimension] + count <= usable(entry, use, dimension)) {
         use.used[dimension] += count;
         use.chargedAt = clock.monotonicMilliseconds();
+        use.mostRequests = Math.max(use.mostRequests, use.used.requests);
         return Ok(undefined);
       }
       counters.increment('allotments.refused');
