Use the stand-ins' relay in the ownership test

Cause: the test had a TCP proxy of its own that repeats startRelay. Change: it uses the relay and cuts it.

--- a/packages/daemon/src/__tests__/ownership.test.ts
+++ b/packages/daemon/src/__tests__/ownership.test.ts
@@ -1,4 +1,4 @@
-import { startStoreStandIn } from '@chicorybend/standins';
+import { startRelay, startStoreStandIn } from '@chicorybend/standins';
 import type { StoreStandIn } from '@chicorybend/standins';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
@@ -89,10 +89,11 @@
   const store = await startStoreStandIn();
   const intervals: ActingInterval[] = [];
   const others = await startTestNodes(store, 3, PARTITIONS, intervals);
-  const ownStore = await startStoreProxy(store);
+  const { hostname, port } = new URL(store.address);
+  const ownStore = await startRelay({ targetHost: hostname, targetPort: Number(port) });
   const isolated = await startTestNode({
     daemonId: 'entry-9',
-    storeAddress: ownStore.address,
+    storeAddress: `http://${ownStore.host}:${ownStore.port}`,
     partitionCount: PARTITIONS,
     intervals,
   });
@@ -102,7 +103,7 @@
     await store.close();
   });
   await waitUntil(() => isolated.ownership.owned().length === 3, 20_000);
-  ownStore.cut();
+  ownStore.apply({}, { kind: 'cut' });
   isolated.setIsolated(true);
   const gap = await waitUntil(() => isFullyServed(others, PARTITIONS), SETTLE_MILLISECONDS);
   t.true(gap !== null && gap < URGENT_START_MILLISECONDS, `gap ${gap}`);
@@ -119,47 +120,3 @@
   t.true(others.every((node) => node.counters.read('partitions.taken-over') === 0));
   assertOneOwner(t, cell);
 });
-
-interface StoreProxy {
-  readonly address: string;
-  cut(): void;
-  close(): Promise<void>;
-}
-
-/** Forwards connections to the store until it is cut. */
-async function startStoreProxy(store: StoreStandIn): Promise<StoreProxy> {
-  const { createServer, connect } = await import('node:net');
-  const target = new URL(store.address);
-  let isCut = false;
-  const sockets = new Set<import('node:net').Socket>();
-  const server = createServer((socket) => {
-    if (isCut) {
-      socket.destroy();
-      return;
-    }
-    const upstream = connect(Number(target.port), target.hostname);
-    [socket, upstream].forEach((end) => {
-      sockets.add(end);
-      end.on('error', () => end.destroy());
-      end.on('close', () => sockets.delete(end));
-    });
-    socket.pipe(upstream).pipe(socket);
-  });
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address() as import('node:net').AddressInfo;
-  return {
-    address: `http://127.0.0.1:${port}`,
-    cut() {
-      isCut = true;
-      sockets.forEach((socket) => socket.destroy());
-    },
-    async close() {
-      sockets.forEach((socket) => socket.destroy());
-      await new Promise((resolve) => {
-        server.close(resolve);
-      });
-    },
-  };
-}
