Merge the twins of the HTTP interface, the client's tables and usage counting

The operators' routes had their own parsing, failure bodies and error handler beside those of httpServer.ts. They register like the callers' routes now; a route may name a body limit and a check of the caller, which runs before the body is read. Failures of operators thereby get the retry-after header, name unknown fields one by one, and count in http.failures, which docs/alarms.md watches for wrong tokens and which left them out so far; a test counts them. describePeerError is shared with the calls to owners.

In the client, showRows draws every list, and reads and changes of the configuration are in configurationCalls.ts. The counting of usage moves from jobState.ts to countedUsage.ts.

--- a/packages/client/src/__tests__/clientCell.ts
+++ b/packages/client/src/__tests__/clientCell.ts
@@ -9,9 +9,8 @@
 import type { JobState, JobView, TaskState } from '@chicorybend/common';
 import { startStoreStandIn } from '@chicorybend/standins';
 import type { ExecutionContext } from 'ava';
-import { createConfigurationService, registerOperatorApi } from 'chicorybendd';
+import { createConfigurationService, createHttpServer, registerOperatorApi } from 'chicorybendd';
 import type { ConfigurationService, MembershipView, PeerLink, WorkerView } from 'chicorybendd';
-import fastify from 'fastify';
 import type { FastifyInstance } from 'fastify';
 
 import { runClient } from '../index.js';
@@ -155,7 +154,13 @@
   link.handle('usage.read', async () => Ok({ rows: [USAGE_ROW], unmeasured: 0 }));
   link.handle('worker.lift', async ({ workerId }) => Ok({ ...WORKER_VIEW, workerId }));
   link.handle('job.release', async ({ jobId }) => Ok(describeJob(jobId)));
-  const server = fastify({ forceCloseConnections: true });
+  const server = createHttpServer({
+    host: '127.0.0.1',
+    port: 0,
+    log,
+    counters,
+    readiness: () => Ok(undefined),
+  });
   const directory = {
     partitionCount: 2,
     ownerOf: (partition: number) => (partition === 0 ? { daemonId: DAEMON_ID, epoch: 1 } : null),
@@ -171,8 +176,8 @@
     membership,
     directory,
   });
-  addCallerRoutes(server);
-  const address = await server.listen({ host: '127.0.0.1', port: 0 });
+  addCallerRoutes(server.instance);
+  const address = await server.listen();
   t.teardown(async () => {
     await server.close();
     await store.close();
@@ -186,7 +191,7 @@
     CHICORYBEND_KEY: 'cb_4f2a91c0d3e7_secret',
   };
   return {
-    server,
+    server: server.instance,
     service,
     files,
     variables,
--- a/packages/client/src/core/configCommands.ts
+++ b/packages/client/src/core/configCommands.ts
@@ -1,37 +1,17 @@
 import { diffDocuments, Err } from '@chicorybend/common';
-import type {
-  ConfigurationDocument,
-  Result,
-  SectionDifference,
-  ValueDifference,
-} from '@chicorybend/common';
+import type { SectionDifference, ValueDifference } from '@chicorybend/common';
 import type { CommandDef } from 'citty';
 
 import { createCommand, createGroup } from './commandLine.js';
 import type { CommandContext } from './commandLine.js';
+import { applyEdit, readConfiguration } from './configurationCalls.js';
 import { describeFile, readEdit } from './configurationFile.js';
 import type { ConfigurationEdit } from './configurationFile.js';
 import { EXIT_CODES } from './exitCodes.js';
 import { usageProblem } from './problem.js';
-import type { Problem } from './problem.js';
-import { DONE, drawTable, formatTime } from './session.js';
+import { DONE, formatTime, showRows } from './session.js';
 import type { CommandOutcome, Session } from './session.js';
 
-/** Answer of `GET /v1/configuration`. */
-export interface StoredConfiguration {
-  readonly revision: number;
-  readonly sections: ConfigurationDocument;
-}
-
-/** Answer of a change of the configuration. */
-export interface ChangeAnswer {
-  readonly revision: number;
-  readonly changedSections: readonly string[];
-  readonly inEffectOn: number;
-  readonly members: number;
-  readonly notConfirmedBy: readonly string[];
-}
-
 interface HistoryAnswer {
   readonly entries: readonly {
     readonly toRevision: number;
@@ -76,28 +56,6 @@
     .join('\n');
 }
 
-/**
- * Describes a change that was made.
- *
- * @param answer answer of the daemon
- * @returns text for people
- */
-export function formatChange(answer: ChangeAnswer): string {
-  const effect = `Revision ${answer.revision} is in effect on ${answer.inEffectOn} of ${answer.members} daemons.`;
-  if (answer.notConfirmedBy.length === 0) return effect;
-  return `${effect}\nNot confirmed by ${answer.notConfirmedBy.join(', ')}; these serve no keyed work until they have it.`;
-}
-
-/**
- * Reads the stored configuration.
- *
- * @param session run of the client
- * @returns revision and sections
- */
-export function readConfiguration(session: Session): Promise<Result<StoredConfiguration, Problem>> {
-  return session.callAsOperator<StoredConfiguration>({ method: 'GET', path: '/v1/configuration' });
-}
-
 async function runGet(
   session: Session,
   section: string | undefined,
@@ -163,47 +121,24 @@
   return DONE;
 }
 
-/**
- * Makes a change of the configuration and shows where it is in effect.
- *
- * @param session run of the client
- * @param edit revision and sections
- * @returns outcome of the command
- */
-export async function applyEdit(
-  session: Session,
-  edit: ConfigurationEdit,
-): Promise<CommandOutcome> {
-  const answer = await session.callAsOperator<ChangeAnswer>({
-    method: 'POST',
-    path: '/v1/configuration/apply',
-    body: edit,
-  });
-  if (answer.isErr()) return answer;
-  const isChanged = answer.value.changedSections.length > 0;
-  const text = formatChange(answer.value);
-  session.show(answer.value, isChanged ? text : `Nothing had to change. ${text}`);
-  return DONE;
-}
-
 async function runHistory(session: Session): Promise<CommandOutcome> {
   const answer = await session.callAsOperator<HistoryAnswer>({
     method: 'GET',
     path: '/v1/configuration/history',
   });
   if (answer.isErr()) return answer;
-  const rows = answer.value.entries.map((entry) => [
-    entry.toRevision,
-    formatTime(entry.at),
-    entry.operator,
-    entry.action,
-    entry.sections.join(', '),
-  ]);
-  session.show(
+  return showRows(
+    session,
     answer.value,
-    drawTable(['revision', 'time', 'operator', 'action', 'sections'], rows),
+    ['revision', 'time', 'operator', 'action', 'sections'],
+    answer.value.entries.map((entry) => [
+      entry.toRevision,
+      formatTime(entry.at),
+      entry.operator,
+      entry.action,
+      entry.sections.join(', '),
+    ]),
   );
-  return DONE;
 }
 
 /**
--- a/packages/client/src/core/reportCommands.ts
+++ b/packages/client/src/core/reportCommands.ts
@@ -5,7 +5,7 @@
 import { createCommand, createGroup } from './commandLine.js';
 import type { CommandContext } from './commandLine.js';
 import { usageProblem } from './problem.js';
-import { DONE, drawTable, formatTime } from './session.js';
+import { DONE, formatTime, showRows } from './session.js';
 import type { CommandOutcome, Session } from './session.js';
 
 /** Rows of all partitions that answered. */
@@ -76,8 +76,7 @@
   toCells: (row: Row) => readonly (string | number)[],
 ): CommandOutcome {
   warnOfMissing(session, report);
-  session.show(report, drawTable(head, report.rows.map(toCells)));
-  return DONE;
+  return showRows(session, report, head, report.rows.map(toCells));
 }
 
 function formatResources(resources: Resources): string {
@@ -152,14 +151,12 @@
     row.configurationRevision ?? '-',
     row.isFresh === undefined ? '-' : String(row.isFresh),
   ]);
-  session.show(
+  return showRows(
+    session,
     answer.value,
-    drawTable(
-      ['daemon', 'state', 'data centre', 'address', 'partitions', 'revision', 'fresh'],
-      rows,
-    ),
+    ['daemon', 'state', 'data centre', 'address', 'partitions', 'revision', 'fresh'],
+    rows,
   );
-  return DONE;
 }
 
 async function drainDaemon(session: Session, daemonId: string): Promise<CommandOutcome> {
@@ -210,11 +207,12 @@
     `${entry.fromRevision} -> ${entry.toRevision}`,
     entry.sections.join(', '),
   ]);
-  session.show(
+  return showRows(
+    session,
     answer.value,
-    drawTable(['number', 'time', 'operator', 'action', 'subject', 'revision', 'sections'], rows),
+    ['number', 'time', 'operator', 'action', 'subject', 'revision', 'sections'],
+    rows,
   );
-  return DONE;
 }
 
 /** @returns command `audit` */
--- a/packages/client/src/core/session.ts
+++ b/packages/client/src/core/session.ts
@@ -70,6 +70,25 @@
   return table.toString();
 }
 
+/**
+ * Shows rows as a table, or the value that they were taken from as JSON.
+ *
+ * @param session run of the client
+ * @param value value for programs
+ * @param head titles of the columns
+ * @param rows cells
+ * @returns outcome of the command
+ */
+export function showRows(
+  session: Session,
+  value: unknown,
+  head: readonly string[],
+  rows: readonly (readonly (string | number)[])[],
+): CommandOutcome {
+  session.show(value, drawTable(head, rows));
+  return DONE;
+}
+
 /**
  * Writes a wall-clock time for people.
  *
--- a/packages/client/src/core/teamCommands.ts
+++ b/packages/client/src/core/teamCommands.ts
@@ -10,12 +10,12 @@
 
 import { createCommand, createGroup } from './commandLine.js';
 import type { CommandContext } from './commandLine.js';
-import { applyEdit, formatChange, readConfiguration } from './configCommands.js';
-import type { ChangeAnswer, StoredConfiguration } from './configCommands.js';
+import { applyEdit, formatChange, readConfiguration } from './configurationCalls.js';
+import type { ChangeAnswer, StoredConfiguration } from './configurationCalls.js';
 import { EXIT_CODES } from './exitCodes.js';
 import { nextStepFor, usageProblem } from './problem.js';
 import type { Problem } from './problem.js';
-import { DONE, drawTable, formatTime } from './session.js';
+import { DONE, formatTime, showRows } from './session.js';
 import type { CommandOutcome, Session } from './session.js';
 
 type Cells = readonly (string | number)[];
@@ -55,15 +55,12 @@
   const stored = await readConfiguration(session);
   if (stored.isErr()) return stored;
   const entries = collect<Value>(stored.value, kind).filter(([, , value]) => isWanted(value));
-  session.show(
-    entries.map(([section, name, value]) => ({ section, name, ...value })),
-    isQuiet
-      ? entries.map(([, name]) => name).join('\n')
-      : drawTable(
-          head,
-          entries.map(([section, name, value]) => toCells(name, value, section)),
-        ),
-  );
+  const described = entries.map(([section, name, value]) => ({ section, name, ...value }));
+  if (!isQuiet) {
+    const rows = entries.map(([section, name, value]) => toCells(name, value, section));
+    return showRows(session, described, head, rows);
+  }
+  session.show(described, entries.map(([, name]) => name).join('\n'));
   return DONE;
 }
 
--- a/packages/client/src/core/usageCommand.ts
+++ b/packages/client/src/core/usageCommand.ts
@@ -5,7 +5,7 @@
 
 import { createCommand } from './commandLine.js';
 import type { CommandContext } from './commandLine.js';
-import { readConfiguration } from './configCommands.js';
+import { readConfiguration } from './configurationCalls.js';
 import { usageProblem } from './problem.js';
 import type { Problem } from './problem.js';
 import { showReport, warnOfMissing } from './reportCommands.js';
--- a/packages/daemon/src/__tests__/operatorApi.test.ts
+++ b/packages/daemon/src/__tests__/operatorApi.test.ts
@@ -1,9 +1,17 @@
-import { createFailure, Err, Ok, sha256 } from '@chicorybend/common';
+import {
+  createFailure,
+  createLocalCounters,
+  createSilentLog,
+  Err,
+  Ok,
+  sha256,
+} from '@chicorybend/common';
+import type { LocalCounters } from '@chicorybend/common';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
-import fastify from 'fastify';
 import type { InjectOptions, LightMyRequestResponse } from 'fastify';
 
+import { createHttpServer } from '../core/httpServer.js';
 import { registerOperatorApi } from '../core/operatorApi.js';
 import type { SectionEdits } from '../types/configurationRecords.js';
 import type { UsageRow } from '../types/peerMethods.js';
@@ -20,6 +28,7 @@
 
 interface Api {
   readonly cell: TestCell;
+  readonly counters: LocalCounters;
   call(options: InjectOptions): Promise<LightMyRequestResponse>;
 }
 
@@ -38,7 +47,14 @@
 
 async function createApi(t: ExecutionContext): Promise<Api> {
   const cell = await createStartedCell(t, THREE);
-  const server = fastify();
+  const counters = createLocalCounters();
+  const server = createHttpServer({
+    host: '127.0.0.1',
+    port: 0,
+    log: createSilentLog(),
+    counters,
+    readiness: () => Ok(undefined),
+  });
   const { service, link, membership } = cell.daemon('a');
   registerOperatorApi(server, {
     clock: cell.clock,
@@ -48,14 +64,15 @@
     membership,
     directory: DIRECTORY,
   });
-  await server.ready();
+  await server.instance.ready();
   t.teardown(() => server.close());
   return {
     cell,
+    counters,
     call: (options) =>
       cell.settle(
         Promise.resolve(
-          server.inject({ ...options, headers: options.headers ?? BOOTSTRAP_HEADERS }),
+          server.instance.inject({ ...options, headers: options.headers ?? BOOTSTRAP_HEADERS }),
         ),
       ),
   };
@@ -71,7 +88,7 @@
 }
 
 test('every route refuses calls without an operator, with a wrong token or with a wrong name', async (t) => {
-  const { call } = await createApi(t);
+  const { call, counters } = await createApi(t);
   const routes: readonly InjectOptions[] = [
     { method: 'GET', url: '/v1/configuration' },
     { method: 'POST', url: '/v1/configuration/check' },
@@ -102,6 +119,7 @@
       t.like(response.json(), { code: 'operator-required', run: 'not-run' });
     }
   }
+  t.is(counters.read('http.failures'), routes.length * wrongHeaders.length);
 });
 
 test('an operator may change only the sections that the configuration gives to them', async (t) => {
--- a/packages/daemon/src/core/cellReports.ts
+++ b/packages/daemon/src/core/cellReports.ts
@@ -11,7 +11,7 @@
   UsageRow,
   WorkerView,
 } from '../types/peerMethods.js';
-import { describePeerError } from './operatorFailures.js';
+import { describePeerError } from '../utils/peerFailures.js';
 
 /** Time for one daemon's part of a report, in milliseconds. */
 const REPORT_MILLISECONDS = 2_000;
--- a/packages/daemon/src/core/daemon.ts
+++ b/packages/daemon/src/core/daemon.ts
@@ -149,7 +149,7 @@
     directory: ownership,
     router: services.router,
   });
-  registerOperatorApi(http.instance, {
+  registerOperatorApi(http, {
     clock,
     operatorToken: settings.operatorToken,
     configuration,
--- a/packages/daemon/src/core/httpServer.ts
+++ b/packages/daemon/src/core/httpServer.ts
@@ -5,7 +5,7 @@
 import { createFailure, Err, InvariantError, Ok } from '@chicorybend/common';
 import type { Counters, Failure, Log, Result } from '@chicorybend/common';
 
-import type { HttpReply, HttpRoute, HttpRoutes } from '../types/http.js';
+import type { HttpReply, HttpRoute, HttpRoutes, ReadHeader } from '../types/http.js';
 import {
   BODY_LIMIT_BYTES,
   classifyHttpError,
@@ -67,9 +67,11 @@
   return Err(createFailure('invalid-body', {}, { details: describeIssues(checked.error) }));
 }
 
-function readHeader(request: FastifyRequest, name: string): string | null {
-  const value = request.headers[name];
-  return (Array.isArray(value) ? value[0] : value) ?? null;
+function headerReader(request: FastifyRequest): ReadHeader {
+  return (name) => {
+    const value = request.headers[name];
+    return (Array.isArray(value) ? value[0] : value) ?? null;
+  };
 }
 
 function pathOf(request: FastifyRequest): string {
@@ -110,7 +112,7 @@
     body: body.value,
     query: query.value,
     params: request.params as Record<string, string>,
-    header: (name) => readHeader(request, name),
+    header: headerReader(request),
   });
 }
 
@@ -136,7 +138,11 @@
 
   function sendError(error: unknown, request: FastifyRequest, reply: FastifyReply): FastifyReply {
     if (error instanceof InvariantError) stopProcess(error);
-    const failure = classifyHttpError(error, { method: request.method, path: pathOf(request) });
+    const failure = classifyHttpError(error, {
+      method: request.method,
+      path: pathOf(request),
+      bodyLimitBytes: request.routeOptions?.bodyLimit ?? BODY_LIMIT_BYTES,
+    });
     if (failure.status >= STATUS_SERVER_ERROR) log.error('unexpected failure of a call', error);
     return sendFailure(reply, failure);
   }
@@ -173,6 +179,11 @@
     instance.route({
       method: route.method,
       url: route.path,
+      bodyLimit: route.bodyLimitBytes ?? BODY_LIMIT_BYTES,
+      async onRequest(request, reply) {
+        const caller = route.authorize?.(headerReader(request));
+        if (caller?.isErr()) await sendFailure(reply, caller.error);
+      },
       async handler(request, reply) {
         const outcome = await runRoute(route, request);
         if (outcome.isErr()) return sendFailure(reply, outcome.error);
--- a/packages/daemon/src/core/jobPartition.ts
+++ b/packages/daemon/src/core/jobPartition.ts
@@ -11,14 +11,8 @@
 import type { PeerMethods, TaskEvent } from '../types/peerMethods.js';
 
 import { createFaultHandler } from '../utils/faults.js';
-import {
-  applyRecord,
-  describeUncounted,
-  findTask,
-  forgetOldJobs,
-  isExecuting,
-  keyOf,
-} from './jobState.js';
+import { describeUncounted } from './countedUsage.js';
+import { applyRecord, findTask, forgetOldJobs, isExecuting, keyOf } from './jobState.js';
 import type { Job, JobsState, Task } from './jobState.js';
 import { describeUsage } from './usage.js';
 
--- a/packages/daemon/src/core/jobState.ts
+++ b/packages/daemon/src/core/jobState.ts
@@ -15,12 +15,12 @@
   TaskIntentRecord,
   TaskNotStartedRecord,
   TaskSnapshot,
-  UsageRecord,
 } from '../types/journalRecord.js';
 
+import { countUsage, restoreCounted } from './countedUsage.js';
 import { eventsOfEnd, isEnding, mayRunAgain } from './taskRules.js';
 import { createUsageLedger } from './usage.js';
-import type { MeasuredExecution, UsageLedger } from './usage.js';
+import type { UsageLedger } from './usage.js';
 
 /** Time for which an ended job and its idempotency key are remembered. */
 export const JOB_RETENTION_MILLISECONDS = 24 * 3_600_000;
@@ -186,14 +186,6 @@
   addJob(state, record, tasks);
 }
 
-function restoreCounted({ counted, countedAttempts }: TaskSnapshot): CountedRun[] {
-  const whole = (countedAttempts ?? []).map((attempt) => ({
-    attempt,
-    until: Number.MAX_SAFE_INTEGER,
-  }));
-  return [...(counted ?? []), ...whole];
-}
-
 function restoreTask(taskId: string, snapshot: TaskSnapshot): Task {
   return {
     ...createTask(taskId),
@@ -266,46 +258,6 @@
   }
 }
 
-/**
- * Tells until when the usage of an execution has been counted.
- *
- * @param task task of the execution
- * @param attempt number of the execution
- * @returns wall-clock time in milliseconds since the Unix epoch, or null before the first part
- */
-export function countedUntil(task: Task, attempt: number): number | null {
-  return task.counted.find((run) => run.attempt === attempt)?.until ?? null;
-}
-
-/**
- * Gives the part of an execution that has not been counted.
- *
- * @param located task with its job
- * @param run attempt, and wall-clock times in milliseconds since the Unix epoch
- * @returns interval to count, or null if there is none
- */
-export function describeUncounted(
-  { job, task }: LocatedTask,
-  { attempt, startedAt, endedAt }: Pick<UsageRecord, 'attempt' | 'startedAt' | 'endedAt'>,
-): MeasuredExecution | null {
-  const until = countedUntil(task, attempt);
-  const from = until ?? startedAt;
-  if (endedAt <= from) return null;
-  const { queue, resources } = job.request;
-  const isContinued = until !== null;
-  return { team: job.team, queue, startedAt: from, endedAt, resources, isContinued };
-}
-
-function countUsage(state: JobsState, record: TaskEndedRecord | UsageRecord): void {
-  const located = findTask(state, record.taskId);
-  const uncounted = located ? describeUncounted(located, record) : null;
-  if (!located || !uncounted) return;
-  const { attempt, endedAt } = record;
-  const others = located.task.counted.filter((run) => run.attempt !== attempt);
-  located.task.counted = [...others, { attempt, until: endedAt }];
-  state.usage.add(uncounted);
-}
-
 function noteFailure(job: Job, task: Task, record: TaskEndedRecord): void {
   if (record.end !== 'failed') return;
   task.failures += 1;
@@ -313,7 +265,7 @@
 }
 
 function endTask(state: JobsState, record: TaskEndedRecord): void {
-  countUsage(state, record);
+  countUsage(state.usage, findTask(state, record.taskId), record);
   const located = findTask(state, record.taskId);
   if (!located || located.task.attempt !== record.attempt || !isExecuting(located.task)) return;
   const { job, task } = located;
@@ -365,7 +317,7 @@
     case 'job-held':
       return holdJob(state, record.jobId, record.held);
     case 'usage':
-      return countUsage(state, record);
+      return countUsage(state.usage, findTask(state, record.taskId), record);
     case 'usage-total':
       return state.usage.addTotal(record);
     default:
--- a/packages/daemon/src/core/operatorOperations.ts
+++ b/packages/daemon/src/core/operatorOperations.ts
@@ -10,7 +10,7 @@
 import type { PeerLink } from '../types/peer.js';
 import type { WorkerView } from '../types/peerMethods.js';
 import type { ConfigurationService } from './configurationService.js';
-import { describePeerError } from './operatorFailures.js';
+import { describePeerError } from '../utils/peerFailures.js';
 import { createOwnerCaller } from './ownerCall.js';
 
 const DRAIN_MILLISECONDS = 2_000;
--- a/packages/daemon/src/core/ownerCall.ts
+++ b/packages/daemon/src/core/ownerCall.ts
@@ -4,6 +4,7 @@
 import type { PartitionDirectory } from '../types/partition.js';
 import type { PeerError, PeerLink, PeerMethod } from '../types/peer.js';
 import type { PeerMethods } from '../types/peerMethods.js';
+import { describePeerError } from '../utils/peerFailures.js';
 
 /** What calls to partition owners need. */
 export interface OwnerCallerOptions {
@@ -37,11 +38,8 @@
 const RETRY_OPTIONS = { retryAfterMilliseconds: OWNER_RETRY_MILLISECONDS };
 
 function describeError(error: PeerError, daemonId: string): Failure {
-  if (error.kind === 'refused') return error.failure;
-  if (error.kind === 'not-sent') {
-    return createFailure('peer-unreachable', { daemonId }, RETRY_OPTIONS);
-  }
-  return createFailure('peer-lost', { daemonId });
+  const failure = describePeerError(daemonId, error);
+  return error.kind === 'not-sent' ? { ...failure, ...RETRY_OPTIONS } : failure;
 }
 
 function isRetried(error: PeerError): boolean {
--- a/packages/daemon/src/core/runningUsage.ts
+++ b/packages/daemon/src/core/runningUsage.ts
@@ -7,7 +7,8 @@
 import type { CallPartition } from '../utils/partitionCalls.js';
 
 import type { JobPartition } from './jobPartition.js';
-import { describeUncounted, findTask, isExecuting } from './jobState.js';
+import { describeUncounted } from './countedUsage.js';
+import { findTask, isExecuting } from './jobState.js';
 import type { LocatedTask, Task } from './jobState.js';
 import { createUsageLedger } from './usage.js';
 import { executionKey } from './workerEntry.js';
--- a/packages/daemon/src/core/usageCheckpoints.ts
+++ b/packages/daemon/src/core/usageCheckpoints.ts
@@ -9,7 +9,8 @@
 import { CLOCK_SKEW_MILLISECONDS } from '../utils/interactiveTimes.js';
 
 import type { JobPartition } from './jobPartition.js';
-import { countedUntil, describeUncounted, findTask } from './jobState.js';
+import { countedUntil, describeUncounted } from './countedUsage.js';
+import { findTask } from './jobState.js';
 import type { OpenRun, RunningUsage } from './runningUsage.js';
 import { describeUsage } from './usage.js';
 
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -60,5 +60,7 @@
 export type { AuditAction, AuditEntry, ChangeOutcome } from './types/configurationRecords.js';
 export type { AuditReading } from './core/audit.js';
 export type { DaemonReport, MissingPartition, PartitionReport } from './core/cellReports.js';
+export { createHttpServer } from './core/httpServer.js';
+export type { HttpServer } from './core/httpServer.js';
 export { registerOperatorApi } from './core/operatorApi.js';
 export type { OperatorApiOptions } from './core/operatorApi.js';
--- a/packages/daemon/src/types/http.ts
+++ b/packages/daemon/src/types/http.ts
@@ -1,17 +1,21 @@
 import type { Failure, Result } from '@chicorybend/common';
 import type { z } from 'zod';
 
+/**
+ * Reads a header of a call.
+ *
+ * @param name name of a header, in lower case
+ * @returns value of the header, or null if it is absent
+ */
+export type ReadHeader = (name: string) => string | null;
+
 /** One call of an HTTP route, with its body and query checked. */
 export interface HttpCall<Body, Query> {
   readonly body: Body;
   readonly query: Query;
   /** Parts of the path, by name. */
   readonly params: Readonly<Record<string, string>>;
-  /**
-   * @param name name of a header, in lower case
-   * @returns value of the header, or null if it is absent
-   */
-  header(name: string): string | null;
+  readonly header: ReadHeader;
 }
 
 /** A successful answer. */
@@ -29,6 +33,10 @@
   readonly bodySchema?: z.ZodType<Body>;
   /** Schema of the query; absent if the route takes no query. */
   readonly querySchema?: z.ZodType<Query>;
+  /** Largest body in bytes, if it differs from that of other routes. */
+  readonly bodyLimitBytes?: number;
+  /** Checks who calls, before the body is read, so that nobody else can send large bodies. */
+  authorize?(header: ReadHeader): Result<unknown, Failure>;
   handle(call: HttpCall<Body, Query>): Promise<Result<HttpReply, Failure>>;
 }
 
--- a/packages/daemon/src/utils/httpFailures.ts
+++ b/packages/daemon/src/utils/httpFailures.ts
@@ -38,21 +38,22 @@
  * Turns an error of the HTTP framework or of a handler into a failure.
  *
  * @param error what was thrown
- * @param request method and path of the call
+ * @param request method and path of the call, and largest body of its route in bytes
  * @returns failure for the caller
  */
 export function classifyHttpError(
   error: unknown,
-  request: { readonly method: string; readonly path: string },
+  request: { readonly method: string; readonly path: string; readonly bodyLimitBytes: number },
 ): Failure {
+  const { method, path, bodyLimitBytes } = request;
   if (error instanceof FailureError) return error.failure;
   const code = codeOf(error);
   const reason = error instanceof Error ? error.message : String(error);
   if (TOO_LARGE_CODES.has(code)) {
-    return createFailure('body-too-large', { limit: BODY_LIMIT_BYTES });
+    return createFailure('body-too-large', { limit: bodyLimitBytes });
   }
   if (MEDIA_TYPE_CODES.has(code)) return createFailure('unsupported-media-type');
-  if (ROUTE_CODES.has(code)) return createFailure('unknown-route', { ...request });
+  if (ROUTE_CODES.has(code)) return createFailure('unknown-route', { method, path });
   if (MALFORMED_CODES.has(code) || error instanceof SyntaxError) {
     return createFailure('malformed-json', { reason });
   }
