Limit the young generation before the modules are loaded

An idle daemon held up to 67 MB of private memory. A module's static imports are all parsed before the first of them runs, so the heap limits came after most of the garbage of parsing, and the young generation had grown to 16 MB by then. It stayed at that size until the first full collection, which comes at a different time in each daemon. The limit of the semi-space's size is read only when the heap is set up, so the flag had no effect and is removed; the growth factor is what keeps the young generation small.

The entry file now loads the other modules dynamically, after the limits.

--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,10 +1,12 @@
 #!/usr/bin/env node
 import './utils/heapLimits.js';
-import { formatSettingsHelp } from './core/settingsHelp.js';
-import { readSettings } from './core/settingsReader.js';
-import { startDaemon } from './core/daemon.js';
 import type { Daemon } from './core/daemon.js';
-import { createStatsdCounters } from './plugins/statsd.js';
+
+// Static imports are all parsed before the first of them runs, so that the heap limits would come too late for them.
+const { formatSettingsHelp } = await import('./core/settingsHelp.js');
+const { readSettings } = await import('./core/settingsReader.js');
+const { startDaemon } = await import('./core/daemon.js');
+const { createStatsdCounters } = await import('./plugins/statsd.js');
 
 const EXIT_INVALID_SETTINGS = 2;
 const EXIT_BROKEN = 70;
--- a/packages/daemon/src/utils/heapLimits.ts
+++ b/packages/daemon/src/utils/heapLimits.ts
@@ -1,10 +1,8 @@
 /**
- * Limits the young generation of the heap before the program's modules are loaded. With the default of 16 MB per
- * semi-space an idle daemon grows past the 64 MB that control may use.
+ * Keeps the young generation of the heap at its initial size. It grows to 16 MB and more while modules are loaded
+ * and shrinks only with a later full collection, which takes an idle daemon past the 64 MB that control may use.
+ * The limits hold for the modules that are loaded afterwards.
  */
 import { setFlagsFromString } from 'node:v8';
 
-const SEMI_SPACE_MEBIBYTES = 2;
-
-setFlagsFromString(`--max-semi-space-size=${SEMI_SPACE_MEBIBYTES}`);
 setFlagsFromString('--semi-space-growth-factor=1');
