--- a/packages/daemon/src/utils/heapLimits.ts
+++ b/packages/daemon/src/utils/heapLimits.ts
@@ -6,3 +6,5 @@
 import { setFlagsFromString } from 'node:v8';
 
 setFlagsFromString('--semi-space-growth-factor=1');
+// Three full collections in a row after the start take 0.2 s of processor time on the helper threads.
+setFlagsFromString('--memory-reducer-single-gc');
