Contact workers without tasks every two seconds

Renewing five idle workers every second took about a quarter of the processor time of an idle daemon. A worker without tasks and without unacknowledged ends has no lease to renew; the call only tells whether it still answers. It is now made every 2 s. A worker that gets a task is renewed within a second of it, as before, and stays at that interval until its ends are acknowledged. An interval of 3 s was tried and let a former owner believe in its free room for too long (durableStarts test).

--- a/packages/daemon/src/__tests__/workerPartition.test.ts
+++ b/packages/daemon/src/__tests__/workerPartition.test.ts
@@ -201,6 +201,28 @@
   own.close();
 });
 
+// Guards against a lease or an end that waits for the long interval of a worker without tasks.
+test('a worker is renewed every second from its first task to the acknowledgement of its end', async (t) => {
+  const { own, worker, clock, calls } = await openPartition();
+  const countRenewals = (): number => worker.calls.filter((name) => name === 'renew').length;
+  await pass(clock, 4_500);
+  t.is(countRenewals(), 2);
+  const { reservationId, workerId } = reserve(own, '0-a/0')!;
+  await own.start([{ reservationId, workerId, start: createStart('0-a/0') }]);
+  await pass(clock, 1_020);
+  t.is(countRenewals(), 3);
+  await pass(clock, 4_080);
+  t.is(countRenewals(), 7);
+  worker.finish('0-a/0', 'succeeded');
+  await pass(clock, 1_020);
+  t.true(calls.includes('task.event'));
+  const seen = countRenewals();
+  // The owner of the job does not answer, so that the end is not acknowledged.
+  await pass(clock, 4_080);
+  t.is(countRenewals(), seen + 4);
+  own.close();
+});
+
 test('the load tells running tasks and their resources per team', async (t) => {
   const { own } = await openPartition();
   const { reservationId, workerId } = reserve(own, '0-a/0')!;
--- a/packages/daemon/src/core/taskLease.ts
+++ b/packages/daemon/src/core/taskLease.ts
@@ -8,6 +8,8 @@
 export const LEASE_MARGIN_MILLISECONDS = 500;
 /** Leases are renewed twelve times before they would lapse. */
 export const RENEW_INTERVAL_MILLISECONDS = 1_000;
+/** A worker without tasks has no lease to lose; it is only asked whether it still answers. */
+export const IDLE_CONTACT_INTERVAL_MILLISECONDS = 2_000;
 /** A command that a worker has not received by then is refused by it, so that a late one grants no lease. */
 export const COMMAND_WINDOW_MILLISECONDS = 1_000;
 
--- a/packages/daemon/src/core/workerContacts.ts
+++ b/packages/daemon/src/core/workerContacts.ts
@@ -9,6 +9,7 @@
 import { createFaultHandler } from '../utils/faults.js';
 import {
   COMMAND_WINDOW_MILLISECONDS,
+  IDLE_CONTACT_INTERVAL_MILLISECONDS,
   lapseAfter,
   lapseAfterEnd,
   RENEW_INTERVAL_MILLISECONDS,
@@ -40,10 +41,22 @@
 /** Regular calls to the workers of one partition. */
 export interface WorkerContacts {
   add(worker: WorkerEntry): void;
+  /** Renews within the interval of a busy worker from now on, because the worker got a task. */
+  noteBusy(worker: WorkerEntry): void;
   remove(worker: WorkerEntry): void;
   close(): void;
 }
 
+/** Ends that the worker holds until they are acknowledged count like tasks that run. */
+function isIdle(worker: WorkerEntry): boolean {
+  return worker.executions.size + worker.unconfirmed.size + worker.confirmed.size === 0;
+}
+
+function intervalOf(worker: WorkerEntry): number {
+  if (worker.contact !== 'live') return SEAL_RETRY_MILLISECONDS;
+  return isIdle(worker) ? IDLE_CONTACT_INTERVAL_MILLISECONDS : RENEW_INTERVAL_MILLISECONDS;
+}
+
 /**
  * Creates the regular calls.
  *
@@ -53,6 +66,8 @@
 export function createWorkerContacts(options: WorkerContactsOptions): WorkerContacts {
   const { lease, clock, random, client, reports, log, onSilent, onChanged } = options;
   const timers = new Map<string, CancelTimer>();
+  /** Workers whose next call is an idle interval away. */
+  const unhurried = new Set<string>();
   let closed = false;
 
   function schedule(worker: WorkerEntry, delayMilliseconds: number): void {
@@ -62,14 +77,18 @@
     timers.set(worker.workerId, cancel);
   }
 
+  function scheduleNext(worker: WorkerEntry): void {
+    const interval = intervalOf(worker);
+    if (interval === IDLE_CONTACT_INTERVAL_MILLISECONDS) unhurried.add(worker.workerId);
+    schedule(worker, interval * (1 - INTERVAL_JITTER * random()));
+  }
+
   function runTick(worker: WorkerEntry): void {
+    unhurried.delete(worker.workerId);
     tick(worker)
       .catch(createFaultHandler(log, 'the contact of a worker failed'))
       .finally(() => {
-        if (!timers.has(worker.workerId)) return;
-        const interval =
-          worker.contact === 'live' ? RENEW_INTERVAL_MILLISECONDS : SEAL_RETRY_MILLISECONDS;
-        schedule(worker, interval * (1 - INTERVAL_JITTER * random()));
+        if (timers.has(worker.workerId)) scheduleNext(worker);
       });
   }
 
@@ -154,7 +173,11 @@
 
   return {
     add: (worker) => schedule(worker, random() * SEAL_RETRY_MILLISECONDS * 0.2),
+    noteBusy(worker) {
+      if (unhurried.delete(worker.workerId)) scheduleNext(worker);
+    },
     remove(worker) {
+      unhurried.delete(worker.workerId);
       timers.get(worker.workerId)?.();
       timers.delete(worker.workerId);
     },
--- a/packages/daemon/src/core/workerPartition.ts
+++ b/packages/daemon/src/core/workerPartition.ts
@@ -107,6 +107,7 @@
     reports,
     releaseReservation,
     onSilent,
+    onOccupied: (worker) => contacts.noteBusy(worker),
   });
   const contacts = createWorkerContacts({ ...options, reports, onSilent, onChanged: refresh });
 
--- a/packages/daemon/src/core/workerStarts.ts
+++ b/packages/daemon/src/core/workerStarts.ts
@@ -38,6 +38,8 @@
   readonly reports: WorkerReports;
   readonly releaseReservation: (reservation: HeldReservation) => void;
   readonly onSilent: (worker: WorkerEntry) => void;
+  /** An execution occupies the worker. */
+  readonly onOccupied: (worker: WorkerEntry) => void;
 }
 
 /** Commands to the workers of one partition. */
@@ -120,6 +122,7 @@
       report: null,
     };
     worker.executions.set(executionKey(task), execution);
+    options.onOccupied(worker);
     return execution;
   }
 
