--- a/packages/daemon/src/core/workerPartition.ts
+++ b/packages/daemon/src/core/workerPartition.ts
@@ -139,6 +139,7 @@
 
   /** On a quarantined worker the task is a probe, and no other one follows until it has ended. */
   function noteStart(worker: WorkerEntry): void {
+    contacts.noteBusy(worker);
     quarantine.recordStart?.(worker.workerId, now());
     if (worker.isSuspect) refresh(worker);
   }
