Let a daemon that was removed from the membership join again

Cause: a daemon that is cut off from the store and its peers for more than 30 s is removed by the others. It read the record again after the cut and stayed outside for good: it owned no partition until its process was replaced. Seen in a soak with a data centre cut off for 1 minute: entry-1 and entry-5 held no partition after it. Change: a daemon that does not find itself in the record joins again at its next turn, unless it is leaving or a newer process has its place.

--- a/packages/daemon/src/__tests__/ownership.test.ts
+++ b/packages/daemon/src/__tests__/ownership.test.ts
@@ -1,8 +1,11 @@
+import { createStoreClient, createSystemClock } from '@chicorybend/common';
 import { startRelay, startStoreStandIn } from '@chicorybend/standins';
 import type { StoreStandIn } from '@chicorybend/standins';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 
+import { createRemoval, MEMBERSHIP_KEY } from '../core/membershipRecord.js';
+import type { MembershipRecord } from '../types/membershipView.js';
 import {
   findOverlaps,
   isFullyServed,
@@ -120,3 +123,27 @@
   t.true(others.every((node) => node.counters.read('partitions.taken-over') === 0));
   assertOneOwner(t, cell);
 });
+
+test('a daemon that was removed while it was cut off joins again and gets partitions', async (t) => {
+  const cell = await startCell(t, 3);
+  const isEven = () => cell.nodes.every((node) => node.ownership.owned().length === 4);
+  t.not(await waitUntil(isEven, SETTLE_MILLISECONDS), null);
+  const [removed, ...others] = cell.nodes;
+  if (!removed) throw new Error('three daemons are needed');
+  removed.setIsolated(true);
+  const store = createStoreClient({ address: cell.store.address, clock: createSystemClock() });
+  const entry = (await store.get<MembershipRecord>(MEMBERSHIP_KEY)).unwrap();
+  const members = entry?.data.members ?? [];
+  const own = members.find(({ daemonId }) => daemonId === removed.daemonId);
+  const remaining = createRemoval(removed.daemonId, own?.incarnation ?? '')(members);
+  const next = { version: (entry?.data.version ?? 0) + 1, members: remaining };
+  await store.put({ key: MEMBERSHIP_KEY, data: next, expectedVersion: entry?.version ?? 0 });
+  await store.close();
+  const isRemoved = () => others.every((node) => node.membership.record()?.members.length === 2);
+  t.not(await waitUntil(isRemoved, SETTLE_MILLISECONDS), null);
+  removed.setIsolated(false);
+  const isWhole = () => cell.nodes.every((node) => node.membership.liveMembers().length === 3);
+  t.not(await waitUntil(isWhole, SETTLE_MILLISECONDS), null, 'it is a member again');
+  t.not(await waitUntil(isEven, 2 * SETTLE_MILLISECONDS), null, 'the partitions are even again');
+  assertOneOwner(t, cell);
+});
--- a/packages/daemon/src/core/membership.ts
+++ b/packages/daemon/src/core/membership.ts
@@ -26,6 +26,7 @@
 export const MEMBER_REMOVAL_AFTER_MILLISECONDS = 30_000;
 const SILENCE_CALL_DEADLINE_MILLISECONDS = 800;
 const REMOVAL_DEADLINE_MILLISECONDS = 3_000;
+const REJOIN_DEADLINE_MILLISECONDS = 3_000;
 const LEAVE_DEADLINE_MILLISECONDS = 5_000;
 const JOIN_ATTEMPT_MILLISECONDS = 10_000;
 
@@ -111,6 +112,7 @@
   let record: MembershipRecord | null = null;
   let recordHeldSince = clock.monotonicMilliseconds();
   let isStopped = false;
+  let isLeaving = false;
 
   function identityOf(daemonId: string, incarnation: string): string {
     return `${daemonId}/${incarnation}`;
@@ -299,6 +301,14 @@
     if (removed.isOk()) log.info('member removed', { daemonId: silent.daemonId });
   }
 
+  /** The others remove a daemon that was cut off for long. A newer process of the same daemon keeps its place. */
+  async function rejoinIfRemoved(): Promise<void> {
+    const isListed = record?.members.some((member) => member.daemonId === self.daemonId) ?? true;
+    if (isListed || isLeaving || isStopped) return;
+    log.warn('removed from the membership, joining again');
+    await change(createJoin(self), REJOIN_DEADLINE_MILLISECONDS);
+  }
+
   async function keepBeating(): Promise<void> {
     while (!isStopped) {
       otherMembers().forEach((member) => {
@@ -313,6 +323,7 @@
       await sleep(clock, MEMBER_REMOVAL_AFTER_MILLISECONDS / 10);
       if (isStopped) return;
       await refreshRecord();
+      await rejoinIfRemoved();
       await removeSilentMember();
     }
   }
@@ -365,6 +376,7 @@
       session.stop();
     },
     async leave() {
+      isLeaving = true;
       await change(createRemoval(self.daemonId, self.incarnation), LEAVE_DEADLINE_MILLISECONDS);
       // Carries the record without this daemon, which the others would read only at their next turn.
       await Promise.all(otherMembers().map(beat));
