Run long store outages and splits of data centres under load

Cause: the longest outage under load was 15 s, and no run cut data centres off from each other or one of them from the store as well. Random soaks draw from 28 kinds instead of 26, so a seed gives another schedule than before.

--- a/packages/proving/src/__tests__/plannedStop.test.ts
+++ b/packages/proving/src/__tests__/plannedStop.test.ts
@@ -1,17 +1,17 @@
 import { createSystemClock, sleep } from '@chicorybend/common';
 import type { JobRequest } from '@chicorybend/common';
-import { request } from 'undici';
 import test from 'ava';
 import type { ExecutionContext } from 'ava';
 
 import {
   applyExample,
+  createOperatorCaller,
   createWorkCaller,
   readExample,
   startLocalCell,
   waitUntil,
 } from '../index.js';
-import type { LocalCell, LocalDaemon } from '../index.js';
+import type { DaemonRow, LocalCell, LocalDaemon } from '../index.js';
 
 const DRAIN_DEADLINE_MILLISECONDS = 6_000;
 /** The deadline, and time to leave and to end the process. */
@@ -48,17 +48,11 @@
   payload: { runMilliseconds: 100, result: 'done' },
 };
 
-interface DaemonRow {
-  readonly daemonId: string;
-  readonly state: string;
-  readonly partitions?: readonly number[];
-}
-
 async function listDaemons(cell: LocalCell, asked: LocalDaemon): Promise<readonly DaemonRow[]> {
-  const response = await request(`${asked.apiAddress}/v1/daemons`, {
-    headers: { authorization: `Bearer ${cell.operatorToken}`, 'x-operator': 'bootstrap' },
-  });
-  return ((await response.body.json()) as { rows: readonly DaemonRow[] }).rows;
+  const operator = createOperatorCaller('bootstrap', cell.operatorToken);
+  const outcome = await operator.listDaemons(asked.apiAddress);
+  await operator.close();
+  return outcome.kind === 'answered' ? outcome.value.rows : [];
 }
 
 /** A daemon that owns nothing yet has nothing to hand over. */
@@ -66,7 +60,7 @@
   const share = cell.plan.partitions / cell.daemons.length;
   return waitUntil(async () => {
     const rows = await listDaemons(cell, daemonAt(cell, 0));
-    return rows.every(({ partitions }) => partitions?.length === share);
+    return rows.length > 0 && rows.every(({ partitions }) => partitions?.length === share);
   }, SETTLE_LIMIT_MILLISECONDS);
 }
 
--- a/packages/proving/src/core/faultRunner.ts
+++ b/packages/proving/src/core/faultRunner.ts
@@ -62,6 +62,27 @@
   return () => cell.platform.vmList.setState(vmId, 'live');
 }
 
+function joinReverts(reverts: readonly (() => void)[]): () => void {
+  return () => reverts.forEach((revert) => revert());
+}
+
+/** Silences the selected links between daemons of different data centres. */
+function silenceBetweenDataCentres(
+  cell: LocalCell,
+  isSelected: (pair: readonly [LocalDaemon, LocalDaemon]) => boolean,
+): () => void {
+  const pairs = cell.daemons.flatMap((first, index) =>
+    cell.daemons
+      .slice(index + 1)
+      .filter((second) => second.dataCentre !== first.dataCentre)
+      .map((second) => [first, second] as const),
+  );
+  const selected = pairs.filter(isSelected);
+  return joinReverts(
+    selected.map(([first, second]) => cell.disturbLink(first, second, { kind: 'silence' })),
+  );
+}
+
 const nothingToRevert: Revert = () => {};
 
 /** How to apply each kind of fault. */
@@ -102,6 +123,14 @@
   'store-answers-lost': ({ cell }) =>
     setFields(cell.platform.store.faults, { lostAnswers: LOST_ANSWERS }),
   'store-cut-off': ({ cell, daemon }) => cell.disturbStore(daemon, { kind: 'silence' }),
+  'data-centres-split': ({ cell }) => silenceBetweenDataCentres(cell, () => true),
+  'data-centre-cut-off': ({ cell, daemon: { dataCentre } }) => {
+    const inside = cell.daemons.filter((daemon) => daemon.dataCentre === dataCentre);
+    return joinReverts([
+      silenceBetweenDataCentres(cell, (pair) => pair.some((end) => inside.includes(end))),
+      ...inside.map((daemon) => cell.disturbStore(daemon, { kind: 'silence' })),
+    ]);
+  },
   'worker-crashed': async ({ worker }) => {
     await worker.crash();
     return () => worker.restart();
--- /dev/null
+++ b/packages/proving/src/core/faultWindow.ts
@@ -0,0 +1,165 @@
+import type { RunEntry, TaskEndedEntry, TaskStartedEntry } from '@chicorybend/standins';
+
+import type {
+  FaultWindow,
+  StoreSample,
+  WindowExpectations,
+  WindowReport,
+} from '../types/faultWindow.js';
+import type { JobObservation, Observations, RequestObservation } from '../types/observation.js';
+import { executionOf } from '../utils/timeline.js';
+import { ISSUED_KEY_PREFIX } from './soakOperator.js';
+import { findPeak } from './storeMeter.js';
+
+/** Calls that the store takes in a second. */
+const STORE_WRITES_PER_SECOND = 500;
+const STORE_READS_PER_SECOND = 2_000;
+/** A submission that is sent later may be accepted after the fault. */
+const SUBMISSION_MILLISECONDS = 5_500;
+
+function isWithin(at: number, { from, to }: FaultWindow): boolean {
+  return at >= from && at < to;
+}
+
+function findAnsweredPart(requests: readonly RequestObservation[]): number {
+  const answered = requests.filter(({ outcomes }) => outcomes.at(-1)?.kind === 'answered').length;
+  return requests.length === 0 ? 0 : answered / requests.length;
+}
+
+function countFailures(requests: readonly RequestObservation[]): Record<string, number> {
+  const counts: Record<string, number> = {};
+  requests.forEach(({ outcomes }) => {
+    const last = outcomes.at(-1);
+    if (!last || last.kind === 'answered') return;
+    const code = last.kind === 'failed' ? last.code : last.kind;
+    counts[code] = (counts[code] ?? 0) + 1;
+  });
+  return counts;
+}
+
+function countFirst(jobs: readonly JobObservation[], isMeant: (job: JobObservation) => boolean) {
+  return jobs.filter(isMeant).length;
+}
+
+function isRefused({ outcomes: [first] }: JobObservation, run: 'not-run' | 'unknown'): boolean {
+  return first?.kind === 'failed' && first.run === run;
+}
+
+function isStart(entry: RunEntry): entry is TaskStartedEntry {
+  return entry.type === 'task-started';
+}
+
+function isEnd(entry: RunEntry): entry is TaskEndedEntry {
+  return entry.type === 'task-ended';
+}
+
+/** Executions of services that were running at a time. */
+function findServices(
+  starts: readonly TaskStartedEntry[],
+  ends: readonly TaskEndedEntry[],
+  jobs: readonly JobObservation[],
+  at: number,
+): ReadonlySet<string> {
+  const services = new Set(jobs.filter(({ kind }) => kind === 'service').map((job) => job.marker));
+  const running = new Set(
+    starts
+      .filter((start) => start.at < at && start.marker !== null && services.has(start.marker))
+      .map(executionOf),
+  );
+  ends.filter((end) => end.at < at).forEach((end) => running.delete(executionOf(end)));
+  return running;
+}
+
+function reportExecutions(
+  entries: readonly RunEntry[],
+  jobs: readonly JobObservation[],
+  window: FaultWindow,
+) {
+  const starts = entries.filter(isStart);
+  const ends = entries.filter(isEnd);
+  const during = ends.filter((end) => isWithin(end.at, window));
+  const services = findServices(starts, ends, jobs, window.from);
+  const resumedAt = starts.find((start) => start.at >= window.to)?.at;
+  return {
+    tasksEnded: during.filter(({ end }) => end === 'succeeded' || end === 'failed').length,
+    leasesLapsed: during.filter(({ end }) => end === 'lease-lapsed').length,
+    servicesRunning: services.size,
+    servicesInterrupted: during.filter(
+      (end) => services.has(executionOf(end)) && end.end !== 'stopped',
+    ).length,
+    resumedAfterMilliseconds: resumedAt === undefined ? null : resumedAt - window.to,
+  };
+}
+
+function reportStore(samples: readonly StoreSample[], { to }: FaultWindow) {
+  const after = samples.filter(({ at }) => at >= to);
+  return {
+    storeReadsPerSecond: findPeak(after, 'reads'),
+    storeWritesPerSecond: findPeak(after, 'writes'),
+    storeCallsLimited: (after.at(-1)?.limited ?? 0) - (after[0]?.limited ?? 0),
+  };
+}
+
+/**
+ * Reports what went on while a fault lasted and after it.
+ *
+ * @param entries record of what ran
+ * @param observations what callers saw
+ * @param samples calls of the store by time
+ * @param window when the fault lasted
+ * @returns counts
+ */
+export function reportWindow(
+  entries: readonly RunEntry[],
+  { requests, jobs }: Observations,
+  samples: readonly StoreSample[],
+  window: FaultWindow,
+): WindowReport {
+  // Requests under issued keys are meant to be refused from some time on.
+  const steady = requests.filter(({ keyId }) => !keyId?.startsWith(ISSUED_KEY_PREFIX));
+  const before = steady.filter(({ sentAt }) => sentAt < window.from);
+  const during = steady.filter(({ sentAt }) => isWithin(sentAt, window));
+  const answerable = { from: window.from, to: window.to - SUBMISSION_MILLISECONDS };
+  const submitted = jobs.filter(({ sentAt }) => isWithin(sentAt, answerable));
+  return {
+    requestsBefore: before.length,
+    answeredPartBefore: findAnsweredPart(before),
+    requestsDuring: during.length,
+    answeredPartDuring: findAnsweredPart(during),
+    failuresDuring: countFailures(during),
+    ...reportExecutions(entries, jobs, window),
+    jobsAccepted: countFirst(submitted, ({ outcomes: [first] }) => first?.kind === 'answered'),
+    jobsNotRun: countFirst(submitted, (job) => isRefused(job, 'not-run')),
+    jobsUnknown: countFirst(submitted, (job) => isRefused(job, 'unknown')),
+    jobsLost: countFirst(submitted, ({ outcomes: [first] }) => first?.kind === 'lost'),
+    ...reportStore(samples, window),
+  };
+}
+
+/**
+ * Judges what went on while a fault lasted.
+ *
+ * @param report what went on
+ * @param expectations what must go on
+ * @returns texts that say what did not go on
+ */
+export function judgeWindow(report: WindowReport, expectations: WindowExpectations): string[] {
+  const least = report.answeredPartBefore * expectations.answeredPart;
+  const resumed = report.resumedAfterMilliseconds ?? Infinity;
+  const rules: readonly (readonly [boolean, string])[] = [
+    [report.answeredPartDuring >= least, 'too few requests were answered during the fault'],
+    [report.leasesLapsed === 0, 'leases of tasks lapsed during the fault'],
+    [report.servicesInterrupted === 0, 'services were interrupted by the fault'],
+    [report.jobsLost === 0, 'submissions got no answer during the fault'],
+    [expectations.takesJobs === report.jobsAccepted > 0, 'jobs accepted during the fault'],
+    [resumed <= expectations.resumesWithinMilliseconds, 'tasks did not start soon after the fault'],
+    [
+      report.storeCallsLimited === 0 &&
+        report.storeWritesPerSecond <= STORE_WRITES_PER_SECOND &&
+        report.storeReadsPerSecond <= STORE_READS_PER_SECOND,
+      'the store was called too often after the fault',
+    ],
+  ];
+  const values = JSON.stringify(report);
+  return rules.flatMap(([isMet, text]) => (isMet ? [] : [`${text}: ${values}`]));
+}
--- a/packages/proving/src/core/operatorCaller.ts
+++ b/packages/proving/src/core/operatorCaller.ts
@@ -16,6 +16,14 @@
   readonly revision: number;
 }
 
+/** A row of `GET /v1/daemons`, as far as it is used here. */
+export interface DaemonRow {
+  readonly daemonId: string;
+  readonly state: string;
+  /** Owned partitions; absent if the daemon did not answer. */
+  readonly partitions?: readonly number[];
+}
+
 /** An operator; each call goes to the daemon at the given base address. */
 export interface OperatorCaller {
   readConfiguration(address: string): Promise<CallOutcome<ConfigurationAnswer>>;
@@ -25,6 +33,7 @@
     baseRevision: number,
     sections: ConfigurationDocument,
   ): Promise<CallOutcome<ApplyAnswer>>;
+  listDaemons(address: string): Promise<CallOutcome<{ readonly rows: readonly DaemonRow[] }>>;
   drainDaemon(address: string, daemonId: string): Promise<CallOutcome<unknown>>;
   close(): Promise<void>;
 }
@@ -51,6 +60,7 @@
     });
   return {
     readConfiguration: (address) => call({ method: 'GET', address, path: '/v1/configuration' }),
+    listDaemons: (address) => call({ method: 'GET', address, path: '/v1/daemons' }),
     applyConfiguration: (address, baseRevision, sections) =>
       call({
         method: 'POST',
--- a/packages/proving/src/core/soakOperator.ts
+++ b/packages/proving/src/core/soakOperator.ts
@@ -28,6 +28,8 @@
   readonly applied: number;
 }
 
+/** Begins the ids of the keys that the operator issues and revokes. */
+export const ISSUED_KEY_PREFIX = 'soak-';
 const CHANGE_INTERVAL_MILLISECONDS = 4_000;
 const LOWEST_LIMIT_FRACTION = 0.2;
 const HIGHEST_LIMIT_FACTOR = 2;
@@ -120,7 +122,7 @@
   /** Issues a key, sends requests under it, revokes it, and goes on sending. */
   async function issueAndRevoke(): Promise<void> {
     issued += 1;
-    const keyId = `soak-${issued}`;
+    const keyId = `${ISSUED_KEY_PREFIX}${issued}`;
     const secret = sha256(`${keyId} ${random.fraction()}`);
     const submission = random.pick(options.submissions);
     const issuedAt = Math.floor(Date.now());
--- a/packages/proving/src/core/soakRun.ts
+++ b/packages/proving/src/core/soakRun.ts
@@ -1,19 +1,24 @@
 import type { Example } from '../types/cellPlan.js';
 import type { PlannedFault } from '../types/fault.js';
+import type { WindowExpectations, WindowReport } from '../types/faultWindow.js';
 import { createRandom } from '../utils/random.js';
 import type { Random } from '../utils/random.js';
+import { waitUntil } from '../utils/waitUntil.js';
 import { runChecks } from './checkers.js';
 import type { CheckResult } from './checkers.js';
 import { applyExample } from './demoRun.js';
 import { createExampleQueues } from './exampleQueues.js';
 import { runFaults } from './faultRunner.js';
 import { planFaults } from './faultSchedule.js';
+import { judgeWindow, reportWindow } from './faultWindow.js';
 import { startLocalCell } from './localCell.js';
 import type { LocalCell } from './localCell.js';
 import type { LocalDaemon } from './localDaemon.js';
 import { createOperatorCaller } from './operatorCaller.js';
+import type { OperatorCaller } from './operatorCaller.js';
 import { runSoakLoad } from './soakLoad.js';
 import { runSoakOperator } from './soakOperator.js';
+import { startStoreMeter } from './storeMeter.js';
 import { summarize } from './summary.js';
 import type { SummaryRow } from './summary.js';
 import { createWorkCaller } from './workCaller.js';
@@ -31,6 +36,8 @@
   readonly report: (line: string) => void;
   /** Faults to apply instead of those that the seed determines. */
   readonly faults?: readonly PlannedFault[];
+  /** What must go on while the first fault lasts. */
+  readonly expectations?: WindowExpectations;
 }
 
 /** Outcome of a soak. */
@@ -40,10 +47,13 @@
   readonly checks: readonly CheckResult[];
   /** Reasons for a failure apart from the checks. */
   readonly failures: readonly string[];
+  /** What went on while the first fault lasted; null without expectations. */
+  readonly window: WindowReport | null;
 }
 
 const READY_LIMIT_MILLISECONDS = 60_000;
 const JOBS_LIMIT_MILLISECONDS = 120_000;
+const OWNERS_LIMIT_MILLISECONDS = 30_000;
 const READINESS_POLL_MILLISECONDS = 500;
 // Separate sequences, so that the load does not change with the number of faults.
 const LOAD_SEED_OFFSET = 1_000_003;
@@ -78,6 +88,32 @@
   ];
 }
 
+/** After a long fault every daemon must own partitions again. */
+async function findIdleDaemons(cell: LocalCell, operator: OperatorCaller): Promise<string[]> {
+  const address = cell.daemons[0]?.apiAddress ?? '';
+  let missing: readonly string[] = [];
+  const areAllBack = await waitUntil(async () => {
+    const listed = await operator.listDaemons(address);
+    const rows = listed.kind === 'answered' ? listed.value.rows : [];
+    const owners = rows.filter(({ partitions }) => (partitions?.length ?? 0) > 0);
+    const ownerIds = owners.map(({ daemonId }) => daemonId);
+    missing = cell.daemons.map(({ id }) => id).filter((id) => !ownerIds.includes(id));
+    return missing.length === 0;
+  }, OWNERS_LIMIT_MILLISECONDS);
+  return areAllBack ? [] : [`${missing.join(', ')} own no partition after the fault`];
+}
+
+/** Judges the time of the first fault if there are expectations. */
+function watchWindow(
+  { expectations }: SoakOptions,
+  [first]: readonly PlannedFault[],
+  report: (from: number, to: number) => WindowReport,
+): { readonly report: WindowReport | null; readonly failures: readonly string[] } {
+  if (!expectations || !first) return { report: null, failures: [] };
+  const window = report(first.at, first.at + first.durationMilliseconds);
+  return { report: window, failures: judgeWindow(window, expectations) };
+}
+
 async function runUnderFaults(
   cell: LocalCell,
   options: SoakOptions,
@@ -100,22 +136,35 @@
     limits: queues.limitsFrom(0),
     now: record.now,
   };
+  const meter = startStoreMeter(cell.platform.store, record.now);
+  const startedAt = record.now();
   const [applied, operations] = await Promise.all([
     runFaults(cell, faults),
     runSoakOperator(changes, durationMilliseconds),
     runSoakLoad({ workload, queues, random }, durationMilliseconds),
   ]);
-  await operator.close();
   report(`applied ${applied.length} of ${faults.length} faults and ${operations.applied} changes`);
-  const failures = await settle(cell, workload);
+  const failures = [
+    ...(await settle(cell, workload)),
+    ...(options.expectations ? await findIdleDaemons(cell, operator) : []),
+  ];
+  await operator.close();
+  meter.stop();
   balancer.stop();
   await caller.close();
   const observations = workload.observations(operations.limits, operations.revokedKeys);
   const entries = record.entries();
+  const window = watchWindow(options, faults, (from, to) =>
+    reportWindow(entries, observations, meter.samples(), {
+      from: startedAt + from,
+      to: startedAt + to,
+    }),
+  );
   return {
     rows: summarize(entries, observations),
     checks: runChecks(entries, observations),
-    failures,
+    failures: [...failures, ...window.failures],
+    window: window.report,
   };
 }
 
--- a/packages/proving/src/index.ts
+++ b/packages/proving/src/index.ts
@@ -35,7 +35,12 @@
 export { createIdempotencyKey, createWorkCaller } from './core/workCaller.js';
 export type { SubmitOptions, WorkCaller } from './core/workCaller.js';
 export { applyFirstConfiguration, createOperatorCaller } from './core/operatorCaller.js';
-export type { ApplyAnswer, ConfigurationAnswer, OperatorCaller } from './core/operatorCaller.js';
+export type {
+  ApplyAnswer,
+  ConfigurationAnswer,
+  DaemonRow,
+  OperatorCaller,
+} from './core/operatorCaller.js';
 
 /** Waiting. */
 export { waitUntil } from './utils/waitUntil.js';
@@ -62,6 +67,9 @@
 export type { SoakOptions, SoakOutcome } from './core/soakRun.js';
 export { planFaults } from './core/faultSchedule.js';
 export { runFaults } from './core/faultRunner.js';
+export { LONG_FAULT_NAMES, planLongFault } from './core/longFaults.js';
+export type { LongFault, LongFaultName, LongFaultTimes } from './core/longFaults.js';
+export type { FaultWindow, WindowExpectations, WindowReport } from './types/faultWindow.js';
 export { FAULT_KINDS } from './types/fault.js';
 export type { FaultKind, PlannedFault } from './types/fault.js';
 export { createRandom } from './utils/random.js';
--- a/packages/proving/src/soak.ts
+++ b/packages/proving/src/soak.ts
@@ -1,11 +1,15 @@
 import { defineCommand, runMain } from 'citty';
 
+import { LONG_FAULT_NAMES, planLongFault } from './core/longFaults.js';
+import type { LongFaultName } from './core/longFaults.js';
 import { runSoak } from './core/soakRun.js';
 import { formatChecks, formatSummary } from './core/summary.js';
 import { EXAMPLE_NAMES, readExample } from './utils/readExample.js';
 
 const MILLISECONDS_PER_MINUTE = 60_000;
 const LARGEST_SEED = 1_000_000_000;
+const BEFORE_LONG_FAULT_MILLISECONDS = 10_000;
+const AFTER_LONG_FAULT_MILLISECONDS = 30_000;
 
 function readNumber(name: string, text: string): number {
   const value = Number(text);
@@ -14,12 +18,32 @@
   return process.exit(2);
 }
 
+/** Random faults begin for the given time; a long fault lasts for it, with load before and after it. */
+function planSoak(faults: 'random' | LongFaultName, durationMilliseconds: number) {
+  if (faults === 'random') return { durationMilliseconds };
+  return planLongFault(faults, {
+    before: BEFORE_LONG_FAULT_MILLISECONDS,
+    during: durationMilliseconds,
+    after: AFTER_LONG_FAULT_MILLISECONDS,
+  });
+}
+
 /** Runs random faults under load; the seed determines them. Exits with 0 only if all checks hold. */
 const command = defineCommand({
   meta: { name: 'soak', description: 'Runs a mixed load on a local cell under random faults' },
   args: {
     seed: { type: 'string', description: 'Seed of the faults and the load; random by default' },
-    minutes: { type: 'string', default: '2', description: 'How long faults begin' },
+    minutes: {
+      type: 'string',
+      default: '2',
+      description: 'How long faults begin, or how long the long fault lasts',
+    },
+    faults: {
+      type: 'enum',
+      options: ['random', ...LONG_FAULT_NAMES],
+      default: 'random',
+      description: 'Random faults, or one that lasts for all the minutes',
+    },
     example: {
       type: 'enum',
       options: [...EXAMPLE_NAMES],
@@ -32,14 +56,15 @@
     const seed = Math.floor(readNumber('seed', args.seed ?? randomSeed));
     const minutes = readNumber('minutes', args.minutes);
     console.log(`seed: ${seed}`);
-    const { faults, rows, checks, failures } = await runSoak({
+    const { faults, rows, checks, failures, window } = await runSoak({
       example: readExample(args.example),
       seed,
-      durationMilliseconds: minutes * MILLISECONDS_PER_MINUTE,
+      ...planSoak(args.faults, minutes * MILLISECONDS_PER_MINUTE),
       report: (line) => console.log(line),
     });
     console.log(formatSummary(rows));
     console.log(formatChecks(checks));
+    if (window) console.log(`during the fault: ${JSON.stringify(window, null, 2)}`);
     failures.forEach((failure) => console.log(`failed: ${failure}`));
     const isGood =
       failures.length === 0 && checks.every(({ violations }) => violations.length === 0);
--- a/packages/proving/src/types/fault.ts
+++ b/packages/proving/src/types/fault.ts
@@ -12,6 +12,8 @@
   'store-slow',
   'store-answers-lost',
   'store-cut-off',
+  'data-centres-split',
+  'data-centre-cut-off',
   'worker-crashed',
   'worker-silent',
   'worker-paused',
