--- a/packages/daemon/src/__tests__/daemonStop.test.ts
+++ b/packages/daemon/src/__tests__/daemonStop.test.ts
@@ -1,4 +1,4 @@
-import { createSilentLog, createSystemClock } from '@chicorybend/common';
+import { createSilentLog, createSystemClock, InvariantError } from '@chicorybend/common';
 import test from 'ava';
 
 import { createDaemonLife } from '../core/daemonLife.js';
@@ -15,6 +15,8 @@
   readonly handover?: DrainOutcome;
   /** Whether the records of a daemon without a successor become durable in time. */
   readonly isDurable?: boolean;
+  /** Calls taken against the rule, after the wait for the last one. */
+  readonly lateCalls?: number;
 }
 
 /** A planned stop over stubs that note the order of its steps. */
@@ -47,6 +49,7 @@
     membership: {
       async leave() {
         steps.push('leave');
+        flights.calls += options.lateCalls ?? 0;
       },
     },
     drainDeadlineMilliseconds: options.deadlineMilliseconds ?? DEADLINE_MILLISECONDS,
@@ -95,3 +98,9 @@
   const { stop } = createStop({ handover: 'no-successor', isDurable: false });
   t.is(await stop(), 'deadline');
 });
+
+test('a planned stop that would interrupt a call breaks an invariant', async (t) => {
+  const { stop, steps } = createStop({ lateCalls: 1 });
+  await t.throwsAsync(stop(), { instanceOf: InvariantError, message: /drained-idle/ });
+  t.false(steps.includes('close'));
+});
--- a/packages/daemon/src/__tests__/interactiveStubs.ts
+++ b/packages/daemon/src/__tests__/interactiveStubs.ts
@@ -184,6 +184,10 @@
   return allotments;
 }
 
+function createStubKey(team: string) {
+  return { team, secretHash: '0'.repeat(64), issuedAt: 0, issuedBy: 'test' };
+}
+
 export const CONFIGURATION: Configuration = {
   revision: 1,
   cell: { name: 'test', maximumRequestMilliseconds: 10_000, maximumQueuedRequests: 256 },
@@ -199,7 +203,7 @@
     certificates: { kind: 'batch', access: 'keyed', priority: 'normal' },
     samples: { kind: 'batch', access: 'open', team: 'quotes', priority: 'normal' },
   },
-  keys: {},
+  keys: { bench: createStubKey('bench'), quotes: createStubKey('quotes') },
 };
 
 /** Keys are `cb_<team>_secret`; `cb_revoked_secret` is a revoked one. */
--- a/packages/daemon/src/core/callerAccess.ts
+++ b/packages/daemon/src/core/callerAccess.ts
@@ -1,4 +1,4 @@
-import { createFailure, Err, Ok } from '@chicorybend/common';
+import { assertInvariant, createFailure, Err, Ok } from '@chicorybend/common';
 import type { Configuration, Failure, QueueSettings, Result } from '@chicorybend/common';
 
 import type { ConfigurationView } from '../types/configurationView.js';
@@ -12,6 +12,8 @@
 /** Kinds of work that a queue may take. */
 export type QueueKind = QueueSettings['kind'];
 
+/** The key id in the text of a key. */
+const KEY_ID = /^cb_([a-z0-9-]+)_/;
 const BEARER_PREFIX = /^bearer +/i;
 
 /** When to ask again at a daemon that cannot confirm its configuration, in milliseconds. */
@@ -103,6 +105,37 @@
   return Ok({ team: team.value, configuration });
 }
 
+/**
+ * Asserts right before work is passed on that it is charged to the team of its queue or its key, and that the key is
+ * not revoked in the configuration that allowed it. Reads the key again instead of trusting the authorization.
+ *
+ * @param access what the authorization gave
+ * @param queueName queue named in the body
+ * @param authorization value of the `authorization` header, or null
+ * @throws InvariantError if the team or the key is not the right one
+ */
+export function assertAdmitted(
+  { team, configuration }: QueueAccess,
+  queueName: string,
+  authorization: string | null,
+): void {
+  const queue = configuration.queues[queueName];
+  if (queue?.access === 'open') {
+    const isCharged = queue.team === team;
+    assertInvariant(isCharged, 'own-team', () => `${team} is charged for queue ${queueName}`);
+    return;
+  }
+  const keyText = (authorization ?? '').replace(BEARER_PREFIX, '').trim();
+  const [, keyId = ''] = KEY_ID.exec(keyText) ?? [];
+  const key = configuration.keys[keyId];
+  assertInvariant(key?.team === team, 'own-team', () => `${team} is charged for key ${keyId}`);
+  assertInvariant(
+    key.revokedAt === undefined,
+    'revoked-key',
+    () => `work under the revoked key ${keyId} is passed on`,
+  );
+}
+
 /** Whose jobs a call may see. */
 export interface JobAccess {
   readonly teams: readonly string[];
--- a/packages/daemon/src/core/callerApi.ts
+++ b/packages/daemon/src/core/callerApi.ts
@@ -13,7 +13,7 @@
 import type { VmDirectory } from '../types/vmDirectory.js';
 import { createInFlight } from '../utils/inFlight.js';
 import { readKeyTimestamp } from '../utils/requestKey.js';
-import { authorizeQueue } from './callerAccess.js';
+import { assertAdmitted, authorizeQueue } from './callerAccess.js';
 import { createCallerJobs } from './callerJobs.js';
 import type { JobCall } from './callerJobs.js';
 import { createOwnerCaller } from './ownerCall.js';
@@ -145,6 +145,7 @@
     const key = checkRequestKey(body, call.header('idempotency-key'));
     if (key.isErr()) return key;
     const { team } = access.value;
+    assertAdmitted(access.value, body.queue, call.header('authorization'));
     const outcome = await router.route({ team, idempotencyKey: key.value, request: body });
     const result = outcome.isOk() ? 'answered' : outcome.error.run;
     counters.increment('requests', 1, { team, result });
--- a/packages/daemon/src/core/callerJobs.ts
+++ b/packages/daemon/src/core/callerJobs.ts
@@ -6,7 +6,7 @@
 import type { VmDirectory } from '../types/vmDirectory.js';
 import { hashBody } from '../utils/bodyHash.js';
 import { describeMisfit } from '../utils/largestWorker.js';
-import { authorizeJobCall, authorizeQueue } from './callerAccess.js';
+import { assertAdmitted, authorizeJobCall, authorizeQueue } from './callerAccess.js';
 import type { OwnerCaller } from './ownerCall.js';
 
 /** What the callers' job calls need. */
@@ -98,6 +98,7 @@
     const misfit = describeMisfit(request.resources, options.vms?.workers() ?? []);
     if (misfit) return Err(createFailure('never-fits', { reason: misfit }));
     const { team } = access.value;
+    assertAdmitted(access.value, request.queue, authorization);
     const partition = partitionOf(`${team}/${key.value}`, directory.partitionCount);
     const params = {
       partition,
--- a/packages/daemon/src/core/daemonStop.ts
+++ b/packages/daemon/src/core/daemonStop.ts
@@ -1,4 +1,4 @@
-import { sleep, withTimeout } from '@chicorybend/common';
+import { assertInvariant, sleep, withTimeout } from '@chicorybend/common';
 import type { Clock } from '@chicorybend/common';
 
 import { DRAIN_GRACE_MILLISECONDS } from './callerApi.js';
@@ -82,6 +82,12 @@
     const leaveLimit = Math.max(SHORTEST_LEAVE_MILLISECONDS, remainingMilliseconds());
     await withTimeout(clock, membership.leave(), leaveLimit);
     const outcome: StopOutcome = isIdle && isSettled ? 'drained' : 'deadline';
+    // Requests of other daemons may still arrive, and are refused; own callers are not taken since the grace.
+    assertInvariant(
+      outcome !== 'drained' || callers.inFlight() === 0,
+      'drained-idle',
+      () => `a planned stop interrupts ${callers.inFlight()} calls`,
+    );
     life.advance(outcome === 'drained' ? 'DRAINED' : 'DEADLINE');
     await options.closeAll();
     return outcome;
--- a/packages/daemon/src/core/endpoint.ts
+++ b/packages/daemon/src/core/endpoint.ts
@@ -311,6 +311,7 @@
       body: JSON.stringify(request),
       mayStart() {
         if (!execution.mayStart()) return false;
+        assertInvariant(!isLeaving, 'leaving-endpoint', () => `${endpointId} is sent new work`);
         isSent = true;
         slot.start();
         return true;
