--- a/packages/daemon/src/core/callerJobs.ts
+++ b/packages/daemon/src/core/callerJobs.ts
@@ -4,7 +4,7 @@
 import type { ConfigurationView } from '../types/configurationView.js';
 import type { PartitionDirectory } from '../types/partition.js';
 import { hashBody } from '../utils/bodyHash.js';
-import { authorizeJobCall, authorizeQueue } from './callerAccess.js';
+import { assertAdmitted, authorizeJobCall, authorizeQueue } from './callerAccess.js';
 import type { OwnerCaller } from './ownerCall.js';
 
 /** What the callers' job calls need. */
@@ -92,6 +92,7 @@
     const key = checkJobKey(submission.idempotencyKey);
     if (key.isErr()) return key;
     const { team } = access.value;
+    assertAdmitted(access.value, request.queue, authorization);
     const partition = partitionOf(`${team}/${key.value}`, directory.partitionCount);
     const params = {
       partition,
