Name the usage call between daemons anew, as its answer has changed

A daemon of the former version answers usage.read with a list; one of this version would have read rows from it and failed the whole report. It asks usage.report now, so that partitions of former daemons are named as missing while daemons are replaced one after the other.

--- a/packages/client/src/__tests__/clientCell.ts
+++ b/packages/client/src/__tests__/clientCell.ts
@@ -151,7 +151,7 @@
     edit: () => Ok({ baseRevision: 0, sections: SECTIONS }),
   });
   applied.unwrap();
-  link.handle('usage.read', async () => Ok({ rows: [USAGE_ROW], unmeasured: 0 }));
+  link.handle('usage.report', async () => Ok({ rows: [USAGE_ROW], unmeasured: 0 }));
   link.handle('worker.lift', async ({ workerId }) => Ok({ ...WORKER_VIEW, workerId }));
   link.handle('job.release', async ({ jobId }) => Ok(describeJob(jobId)));
   const server = createHttpServer({
--- a/packages/daemon/src/__tests__/durableLoss.test.ts
+++ b/packages/daemon/src/__tests__/durableLoss.test.ts
@@ -145,7 +145,7 @@
   t.is(startedAt, 1);
   worker.finish(`${jobId}/0`, 'succeeded');
   await cell.pass(10_000);
-  const { rows } = (await cell.call(0, 'usage.read', { partition: 0 })).unwrap();
+  const { rows } = (await cell.call(0, 'usage.report', { partition: 0 })).unwrap();
   t.is(rows.length, 1);
   t.is(rows[0]?.tasks, 1);
   const seconds = rows[0]?.processorSeconds ?? 0;
@@ -159,13 +159,13 @@
   worker.fault = 'silent';
   await cell.pass(AFTER_LAPSE_MILLISECONDS);
   t.is((await cell.read(jobId)).state, 'unknown');
-  const known = (await cell.call(0, 'usage.read', { partition: 0 })).unwrap().rows;
+  const known = (await cell.call(0, 'usage.report', { partition: 0 })).unwrap().rows;
   t.is(known[0]?.tasks, 1);
   const knownSeconds = known[0]?.processorSeconds ?? 0;
   t.true(knownSeconds >= 4 && knownSeconds <= 5.2, String(knownSeconds));
   worker.fault = 'none';
   await cell.pass(3_000);
-  const { rows } = (await cell.call(0, 'usage.read', { partition: 0 })).unwrap();
+  const { rows } = (await cell.call(0, 'usage.report', { partition: 0 })).unwrap();
   t.is(rows.length, 1);
   t.is(rows[0]?.tasks, 1);
   // The worker stops the task itself when its lease lapses.
--- a/packages/daemon/src/__tests__/durableTakeover.test.ts
+++ b/packages/daemon/src/__tests__/durableTakeover.test.ts
@@ -182,6 +182,6 @@
   const after = await Promise.all([jobId, second].map((id) => cell.read(id)));
   t.deepEqual(after, before);
   t.is((await cell.read(cancelled)).state, 'cancelled');
-  const usage = (await cell.call(0, 'usage.read', { partition: 0 })).unwrap();
+  const usage = (await cell.call(0, 'usage.report', { partition: 0 })).unwrap();
   t.is(usage.rows[0]?.tasks, 1 + 2 + 3);
 });
--- a/packages/daemon/src/__tests__/operatorApi.test.ts
+++ b/packages/daemon/src/__tests__/operatorApi.test.ts
@@ -342,7 +342,7 @@
   ['a', 'b'].forEach((id) =>
     cell
       .daemon(id)
-      .link.handle('usage.read', async () =>
+      .link.handle('usage.report', async () =>
         Ok({ rows: [row, { ...row, team: 'sorting' }], unmeasured: id === 'a' ? 2 : 0 }),
       ),
   );
--- a/packages/daemon/src/__tests__/runningUsage.test.ts
+++ b/packages/daemon/src/__tests__/runningUsage.test.ts
@@ -15,7 +15,7 @@
 const STARTED_AT = 1_700_000_000_000;
 
 async function readSeconds(cell: TestCell): Promise<number> {
-  const usage = (await cell.call(0, 'usage.read', { partition: 0 })).unwrap();
+  const usage = (await cell.call(0, 'usage.report', { partition: 0 })).unwrap();
   return usage.rows.reduce((sum, row) => sum + row.processorSeconds, 0);
 }
 
@@ -86,7 +86,8 @@
   await cell.submit(0, {});
   await cell.passUntil(() => cell.workers[0]?.executions.length === 1);
   await cell.pass(1_500);
-  const read = async () => (await cell.call(0, 'usage.read', { partition: 0 })).unwrap().unmeasured;
+  const read = async () =>
+    (await cell.call(0, 'usage.report', { partition: 0 })).unwrap().unmeasured;
   t.is(await read(), 0);
   cell.abandon(daemon, 1);
   t.is(await read(), 1);
--- a/packages/daemon/src/core/cellReports.ts
+++ b/packages/daemon/src/core/cellReports.ts
@@ -62,7 +62,7 @@
   readonly directory: PartitionDirectory;
 }
 
-type PartitionMethod = 'worker.list' | 'job.list' | 'usage.read';
+type PartitionMethod = 'worker.list' | 'job.list' | 'usage.report';
 
 /** Answer of one partition, or why there is none. */
 type PartitionAnswer<Answer> =
@@ -170,7 +170,7 @@
       return joinAnswers(answers, (rows) => rows);
     },
     async usage(filter) {
-      const answers = await readAll('usage.read', (partition) => ({ partition }));
+      const answers = await readAll('usage.report', (partition) => ({ partition }));
       const report = joinAnswers(answers, ({ rows }) => rows);
       return {
         rows: mergeUsage(report.rows.filter((row) => isWanted(row, filter))),
--- a/packages/daemon/src/core/jobService.ts
+++ b/packages/daemon/src/core/jobService.ts
@@ -196,7 +196,7 @@
   link.handle('job.list', async ({ partition, team }) =>
     find(partition).map((own) => list(own, team)),
   );
-  link.handle('usage.read', async ({ partition }) => {
+  link.handle('usage.report', async ({ partition }) => {
     const own = find(partition);
     if (own.isErr()) return own;
     const usage = await own.value.usage.read();
--- a/packages/daemon/src/types/peerMethods.ts
+++ b/packages/daemon/src/types/peerMethods.ts
@@ -252,7 +252,7 @@
     params: { partition: number; team: string; dimension: 'tasks' | 'requests' };
     result: { returned: number };
   };
-  'usage.read': { params: { partition: number }; result: PartitionUsage };
+  'usage.report': { params: { partition: number }; result: PartitionUsage };
   'daemon.read': { params: object; result: DaemonView };
   'daemon.drain': { params: object; result: object };
 }
