Ask several partitions for idle units of an upper limit at once

Change: a request asks the partitions with the largest parts until their parts cover what is missing, at most 8. A single missing unit still costs one call.

Result: in the new test one request for 8 units held idle by three other partitions finds them all; with one call per request it fails.

--- a/packages/daemon/src/__tests__/allotments.test.ts
+++ b/packages/daemon/src/__tests__/allotments.test.ts
@@ -182,6 +182,20 @@
   t.is(await chargeFor(cell, 3, 8, 4_000), 8);
 });
 
+test('a gang gets the whole limit at once after one request for idle units', async (t) => {
+  const cell = await createCell(t, 8);
+  for (const partition of [0, 1, 2]) {
+    t.is(await chargeFor(cell, partition, 2, 1_000), 2);
+    cell.services[partition]?.allotments.release(partition, 'harbour', 'tasks', 2);
+  }
+  t.true(cell.services[3]?.allotments.charge(3, 'harbour', 'tasks', 8).isErr());
+  const isGranted = async () => (await cell.ledger()).parts['3']?.tasks === 8;
+  // A charge makes one request, so that the time to wait does not matter.
+  const until = clock.monotonicMilliseconds() + 2_000;
+  while (!(await isGranted()) && clock.monotonicMilliseconds() < until) await sleep(clock, 5);
+  t.is((await cell.ledger()).parts['3']?.tasks, 8);
+});
+
 test('after a lowered limit nothing starts until enough has ended', async (t) => {
   const cell = await createCell(t, 10);
   t.is(await chargeFor(cell, 0, 6, 2_000), 6);
--- a/packages/daemon/src/core/allotmentLedger.ts
+++ b/packages/daemon/src/core/allotmentLedger.ts
@@ -25,6 +25,9 @@
 const NO_PART: AllotmentPart = { tasks: 0, requests: 0, epoch: 0 };
 /** A grant takes this part of what is unassigned, so that later ones find something too. */
 const GRANT_FRACTION = 1 / 8;
+const RETURN_CANDIDATES = 3;
+/** Each call costs the store a write of the team's ledger. */
+const MOST_RETURN_CALLS = 8;
 
 /**
  * @param ledger ledger of a team
@@ -156,6 +159,42 @@
   return withPart(ledger, partition, { ...part, [dimension]: kept });
 }
 
+/** Units that a partition lacks. */
+export interface UnitShortage {
+  readonly partition: number;
+  readonly dimension: LimitDimension;
+  readonly missing: number;
+}
+
+/**
+ * Chooses partitions to ask for idle units: those with the largest parts, until their parts cover what is missing.
+ * A gang needs its units together; one partition per request, each after a longer backoff, took many seconds.
+ *
+ * @param ledger ledger of a team
+ * @param shortage what is missing
+ * @param random source of random numbers in [0, 1)
+ * @returns partition numbers
+ */
+export function chooseReturning(
+  ledger: AllotmentLedger,
+  { partition, dimension, missing }: UnitShortage,
+  random: () => number,
+): readonly number[] {
+  const largest = Object.entries(ledger.parts)
+    .filter(([other, part]) => Number(other) !== partition && part[dimension] > 0)
+    .sort(([, left], [, right]) => right[dimension] - left[dimension]);
+  // The first is chosen among a few, so that partitions that ask at once do not all ask the same one.
+  const first = Math.floor(random() * Math.min(RETURN_CANDIDATES, largest.length));
+  const chosen: number[] = [];
+  let covered = 0;
+  [...largest.slice(first), ...largest.slice(0, first)].forEach(([other, part]) => {
+    if (covered >= missing || chosen.length >= MOST_RETURN_CALLS) return;
+    chosen.push(Number(other));
+    covered += part[dimension];
+  });
+  return chosen;
+}
+
 /**
  * @param left limits
  * @param right other limits
--- a/packages/daemon/src/core/allotments.ts
+++ b/packages/daemon/src/core/allotments.ts
@@ -11,6 +11,7 @@
 } from '../types/partition.js';
 import type { PeerLink } from '../types/peer.js';
 import {
+  chooseReturning,
   grantUnits,
   isSameLimits,
   LIMIT_DIMENSIONS,
@@ -33,7 +34,6 @@
 const RETRY_AFTER_MILLISECONDS = 25;
 const REQUEST_BACKOFF = { firstMilliseconds: 50, maximumMilliseconds: 2_000 };
 const RETURN_CALL_DEADLINE_MILLISECONDS = 500;
-const RETURN_CANDIDATES = 3;
 
 /** What the allotments need. */
 export interface AllotmentsOptions {
@@ -146,26 +146,26 @@
     return usableUnits(use.ledger, partition, dimension);
   }
 
-  /** Asks one of the partitions with the largest parts to give idle units up. */
+  /** Asks other partitions to give idle units up. */
   async function askForReturn(
     use: TeamUse,
     partition: number,
     dimension: LimitDimension,
+    missing: number,
   ): Promise<void> {
-    const largest = Object.entries(use.ledger?.parts ?? {})
-      .filter(([other, part]) => Number(other) !== partition && part[dimension] > 0)
-      .sort(([, left], [, right]) => right[dimension] - left[dimension])
-      .slice(0, RETURN_CANDIDATES);
-    const chosen = largest[Math.floor(options.random() * largest.length)];
-    if (!chosen) return;
-    const other = Number(chosen[0]);
-    const owner = directory.ownerOf(other);
-    if (!owner) return;
-    await link.call(
-      owner.daemonId,
-      'allotment.return',
-      { partition: other, team: use.team, dimension },
-      RETURN_CALL_DEADLINE_MILLISECONDS,
+    if (!use.ledger) return;
+    const chosen = chooseReturning(use.ledger, { partition, dimension, missing }, options.random);
+    await Promise.all(
+      chosen.map(async (other) => {
+        const owner = directory.ownerOf(other);
+        if (!owner) return;
+        await link.call(
+          owner.daemonId,
+          'allotment.return',
+          { partition: other, team: use.team, dimension },
+          RETURN_CALL_DEADLINE_MILLISECONDS,
+        );
+      }),
     );
   }
 
@@ -185,8 +185,10 @@
     count: number,
   ): Promise<void> {
     const { partition } = entry.lease;
+    const countMissing = (ledger: AllotmentLedger | null) =>
+      use.used[dimension] + count - (ledger ? partOf(ledger, partition)[dimension] : 0);
     const grant = (ledger: AllotmentLedger) => {
-      const missing = use.used[dimension] + count - partOf(ledger, partition)[dimension];
+      const missing = countMissing(ledger);
       return missing <= 0 ? ledger : grantUnits(ledger, partition, dimension, missing);
     };
     const tryGrant = () => runExclusively(use, () => updateLedger(entry, use, grant));
@@ -195,7 +197,7 @@
 
     async function askAndRetry(): Promise<boolean> {
       counters.increment('allotments.short');
-      await askForReturn(use, partition, dimension);
+      await askForReturn(use, partition, dimension, countMissing(use.ledger));
       return tryGrant();
     }
   }
