Keep a partition's units when their return cannot be written

Cause: a partition that is asked for idle units withholds them before it writes their return. Change: units are withheld only after the store has answered a reading. Measured: the new test of allotments fails without the reading and passes with it; the 9 tests pass.

--- a/packages/daemon/src/__tests__/allotments.test.ts
+++ b/packages/daemon/src/__tests__/allotments.test.ts
@@ -260,3 +260,20 @@
     'the limit is kept',
   );
 });
+
+test('a partition that is asked for units without the store keeps them', async (t) => {
+  const cell = await createCell(t, 16);
+  const charge = (partition: number) =>
+    cell.services[partition]?.allotments.charge(partition, 'harbour', 'requests', 1).isOk();
+  cell.setStoreDown(true);
+  [1, 2, 3, 4].forEach(() => t.true(charge(0)));
+  // Asks the others, again and again, as a team over its part does during an outage.
+  const until = clock.monotonicMilliseconds() + 12_000;
+  while (clock.monotonicMilliseconds() < until) {
+    t.false(charge(0));
+    await sleep(clock, 100);
+  }
+  [1, 2, 3].forEach((partition) => {
+    [1, 2, 3, 4].forEach((unit) => t.true(charge(partition), `unit ${unit} of ${partition}`));
+  });
+});
--- a/packages/daemon/src/core/allotments.ts
+++ b/packages/daemon/src/core/allotments.ts
@@ -240,6 +240,8 @@
     reserve: number,
   ): Promise<number> {
     const { partition } = entry.lease;
+    // Units whose return is not known to be written stay withheld; during an outage all of them would end so.
+    if (!(await writer.canReach(use.team))) return 0;
     const before = use.ledger ? partOf(use.ledger, partition)[dimension] : 0;
     // The units are withheld from new charges before the write, so that no charge can use them meanwhile.
     const kept = Math.min(before, use.used[dimension] + reserve);
--- a/packages/daemon/src/core/ledgerWriter.ts
+++ b/packages/daemon/src/core/ledgerWriter.ts
@@ -51,6 +51,13 @@
   update(lease: PartitionLease, team: string, change: LedgerChange): Promise<LedgerUpdate>;
   /** Runs work on one team after the other, so that this daemon's partitions do not race each other. */
   runExclusively<Value>(team: string, work: () => Promise<Value>): Promise<Value>;
+  /**
+   * Reads a team's ledger, to learn whether the store answers.
+   *
+   * @param team name of the team
+   * @returns whether it does
+   */
+  canReach(team: string): Promise<boolean>;
 }
 
 interface StoredLedger {
@@ -155,6 +162,11 @@
 
   return {
     update,
+    async canReach(team) {
+      const stored = await read(team);
+      if (stored) known.set(team, stored);
+      return stored !== null;
+    },
     runExclusively(team, work) {
       const next = (lastChanges.get(team) ?? Promise.resolve()).then(work);
       lastChanges.set(team, next);
