Give each local cell a loopback network of its own

All cells used the same addresses and sample keys, and the markers of their work are alike, so that a daemon or stand-in of one cell could take a port that another cell's had just freed and serve its calls.

Change: a cell without a chosen port takes a random loopback network for its daemons and stand-ins.

--- a/packages/proving/src/core/localCell.ts
+++ b/packages/proving/src/core/localCell.ts
@@ -1,4 +1,4 @@
-import { randomBytes } from 'node:crypto';
+import { randomBytes, randomInt } from 'node:crypto';
 import { existsSync, mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -20,7 +20,10 @@
   readonly plan: CellPlan;
   /** Program of the daemons; the built daemon by default. */
   readonly program?: string;
-  /** Preferred port of the daemons' HTTP interfaces; free ones if it is absent or taken. */
+  /**
+   * Preferred port of the daemons' HTTP interfaces, on 127.0.0.11 and the following addresses. If it is absent, the
+   * cell takes free ports on a loopback network of its own.
+   */
   readonly apiPort?: number;
   /** Further flags of each daemon. */
   readonly extraArguments?: readonly string[];
@@ -57,12 +60,19 @@
   close(keepsOutput?: boolean): Promise<void>;
 }
 
+const STAND_INS_HOST_NUMBER = 1;
 const FIRST_HOST_NUMBER = 11;
+/** Network of cells whose ports are chosen by their user. */
+const KNOWN_NETWORK = '127.0.0';
 const TOKEN_BYTES = 24;
 const READY_LIMIT_MILLISECONDS = 30_000;
 
-function hostOf(index: number): string {
-  return `127.0.0.${FIRST_HOST_NUMBER + index}`;
+/**
+ * Chooses a loopback network. Two cells on one network can take over the port of a daemon or stand-in that the other
+ * one has just stopped, and then serve each other's calls with the same keys of the examples.
+ */
+function chooseNetwork(): string {
+  return `127.${randomInt(1, 255)}.${randomInt(0, 256)}`;
 }
 
 function createToken(): string {
@@ -97,6 +107,7 @@
 function createDaemons(
   options: LocalCellOptions,
   platform: Platform,
+  network: string,
   operatorToken: string,
   outputFolder: string,
 ): Promise<LocalDaemon[]> {
@@ -113,7 +124,7 @@
   };
   return Promise.all(
     options.plan.daemons.map((daemon, index) =>
-      createLocalDaemon({ ...daemon, host: hostOf(index) }, shared),
+      createLocalDaemon({ ...daemon, host: `${network}.${FIRST_HOST_NUMBER + index}` }, shared),
     ),
   );
 }
@@ -176,10 +187,11 @@
 export async function startLocalCell(options: LocalCellOptions): Promise<LocalCell> {
   const program = options.program ?? DAEMON_PROGRAM;
   if (!existsSync(program)) throw new Error(`there is no program ${program}`);
-  const platform = await startPlatform(options.plan);
+  const network = options.apiPort === undefined ? chooseNetwork() : KNOWN_NETWORK;
+  const platform = await startPlatform(options.plan, `${network}.${STAND_INS_HOST_NUMBER}`);
   const operatorToken = createToken();
   const outputFolder = mkdtempSync(join(tmpdir(), 'chicorybend-cell-'));
-  const daemons = await createDaemons(options, platform, operatorToken, outputFolder);
+  const daemons = await createDaemons(options, platform, network, operatorToken, outputFolder);
   applyDistances(options.plan, daemons);
   const cell = createCell(options, platform, daemons, operatorToken, outputFolder);
   try {
--- a/packages/proving/src/core/platform.ts
+++ b/packages/proving/src/core/platform.ts
@@ -28,19 +28,26 @@
 /** Time between a change and its appearance in the VM list, in milliseconds. */
 const VM_LIST_LAG_MILLISECONDS = 1_000;
 
-function startWorkers(plan: CellPlan, record: RunRecord): Promise<WorkerStandIn[]> {
+function startWorkers(plan: CellPlan, host: string, record: RunRecord): Promise<WorkerStandIn[]> {
   const places = plan.racks.flatMap((rack) =>
     rack.workers.map((workerId) => ({ workerId, rack: rack.name, dataCentre: rack.dataCentre })),
   );
   return Promise.all(
-    places.map((place) => startWorkerStandIn({ ...place, capacity: plan.workerCapacity, record })),
+    places.map((place) =>
+      startWorkerStandIn({ ...place, host, capacity: plan.workerCapacity, record }),
+    ),
   );
 }
 
-function startEndpoints(plan: CellPlan, record: RunRecord): Promise<EndpointStandIn[]> {
+function startEndpoints(
+  plan: CellPlan,
+  host: string,
+  record: RunRecord,
+): Promise<EndpointStandIn[]> {
   return Promise.all(
     plan.endpoints.map(({ id, dataCentre, rack }) =>
       startEndpointStandIn({
+        host,
         endpointId: id,
         dataCentre,
         rack,
@@ -56,16 +63,18 @@
  * Starts the stand-ins of a cell: store, VM list, workers and endpoints.
  *
  * @param plan what the cell consists of
+ * @param host IP address of all stand-ins
  * @returns the running stand-ins
  */
-export async function startPlatform(plan: CellPlan): Promise<Platform> {
+export async function startPlatform(plan: CellPlan, host: string): Promise<Platform> {
   const record = createRunRecord();
   const [store, workers, endpoints] = await Promise.all([
-    startStoreStandIn(),
-    startWorkers(plan, record),
-    startEndpoints(plan, record),
+    startStoreStandIn({ host }),
+    startWorkers(plan, host, record),
+    startEndpoints(plan, host, record),
   ]);
   const vmList = await startVmListStandIn({
+    host,
     vms: [...workers, ...endpoints].map((standIn) => standIn.vm),
     lagMilliseconds: VM_LIST_LAG_MILLISECONDS,
     record,
