Announce draining in the ownership tests as the daemon does

Cause: the drain test failed once in three runs under load. Its fixture never told the other daemons about the drain, so that they could hand partitions back to the draining one, which a daemon process announces in its heartbeats.

Measured: ownership tests, all passed; not repeated under load.

--- a/packages/daemon/src/__tests__/ownershipFixture.ts
+++ b/packages/daemon/src/__tests__/ownershipFixture.ts
@@ -125,6 +125,7 @@
     );
   const port = await link.listen();
   const shared = { link, store, clock, counters, log, random: Math.random };
+  let isDraining = false;
   const membership: Membership = createMembership({
     ...shared,
     self: {
@@ -138,7 +139,7 @@
     facts: () => ({
       configurationRevision: 0,
       freshnessAgeMilliseconds: 0,
-      isDraining: false,
+      isDraining,
       owned: ownership.describeOwned(),
       loads: [],
     }),
@@ -158,7 +159,13 @@
   return {
     daemonId,
     membership,
-    ownership,
+    ownership: {
+      ...ownership,
+      drain(remainingMilliseconds) {
+        isDraining = true;
+        return ownership.drain(remainingMilliseconds);
+      },
+    },
     counters,
     setIsolated(value) {
       isIsolated = value;
