Move the requests for units out of the allotments

Change: allotmentRequests.ts asks for units, allotmentUse.ts holds what a partition knows of a team.

--- /dev/null
+++ b/packages/daemon/src/core/allotmentRequests.ts
@@ -0,0 +1,119 @@
+/**
+ * Requests for more units of a team's upper limit: from what is unassigned, then from other partitions' idle units.
+ */
+import { computeBackoff } from '@chicorybend/common';
+import type { Clock, Counters } from '@chicorybend/common';
+
+import type { LimitDimension } from '../types/allotment.js';
+import type { PartitionDirectory } from '../types/partition.js';
+import type { PeerLink } from '../types/peer.js';
+import { chooseReturning, grantUnits, partOf } from './allotmentLedger.js';
+import type { AllotmentLedger } from './allotmentLedger.js';
+import type { PartitionUse, TeamUse } from './allotmentUse.js';
+import type { LedgerChange } from './ledgerWriter.js';
+
+const REQUEST_BACKOFF = { firstMilliseconds: 50, maximumMilliseconds: 2_000 };
+const RETURN_CALL_DEADLINE_MILLISECONDS = 500;
+
+/** What the requests need. */
+export interface AllotmentRequestsOptions {
+  readonly directory: PartitionDirectory;
+  readonly link: PeerLink;
+  readonly clock: Clock;
+  readonly counters: Counters;
+  /** Source of random numbers in [0, 1). */
+  readonly random: () => number;
+  /** Changes a team's ledger for a partition, one change of the team at a time. */
+  readonly update: (entry: PartitionUse, use: TeamUse, change: LedgerChange) => Promise<boolean>;
+}
+
+/** Requests for units. */
+export interface AllotmentRequests {
+  /**
+   * Requests units in the background, unless a request is running or has found too few a moment ago.
+   *
+   * @param entry partition that lacks units
+   * @param use the team's part there
+   * @param dimension what is counted
+   * @param count units beyond those in use
+   */
+  start(entry: PartitionUse, use: TeamUse, dimension: LimitDimension, count: number): void;
+}
+
+/**
+ * Creates the requests of this daemon's partitions.
+ *
+ * @param options collaborators
+ * @returns the requests
+ */
+export function createAllotmentRequests(options: AllotmentRequestsOptions): AllotmentRequests {
+  const { directory, link, clock, counters } = options;
+
+  /** Asks other partitions to give idle units up. */
+  async function askForReturn(
+    use: TeamUse,
+    partition: number,
+    dimension: LimitDimension,
+    missing: number,
+  ): Promise<void> {
+    if (!use.ledger) return;
+    const chosen = chooseReturning(use.ledger, { partition, dimension, missing }, options.random);
+    await Promise.all(
+      chosen.map(async (other) => {
+        const owner = directory.ownerOf(other);
+        if (!owner) return;
+        await link.call(
+          owner.daemonId,
+          'allotment.return',
+          { partition: other, team: use.team, dimension },
+          RETURN_CALL_DEADLINE_MILLISECONDS,
+        );
+      }),
+    );
+  }
+
+  /** A team at its limit is asked about less and less often, to spare the store. */
+  function recordRequest(use: TeamUse, dimension: LimitDimension, isGranted: boolean): void {
+    use.shortfalls[dimension] = isGranted ? 0 : use.shortfalls[dimension] + 1;
+    const delay = isGranted
+      ? 0
+      : computeBackoff(REQUEST_BACKOFF, use.shortfalls[dimension], options.random);
+    use.requestNotBefore[dimension] = clock.monotonicMilliseconds() + delay;
+  }
+
+  async function requestUnits(
+    entry: PartitionUse,
+    use: TeamUse,
+    dimension: LimitDimension,
+    count: number,
+  ): Promise<void> {
+    const { partition } = entry.lease;
+    const countMissing = (ledger: AllotmentLedger | null) =>
+      use.used[dimension] + count - (ledger ? partOf(ledger, partition)[dimension] : 0);
+    const grant = (ledger: AllotmentLedger) => {
+      const missing = countMissing(ledger);
+      return missing <= 0 ? ledger : grantUnits(ledger, partition, dimension, missing);
+    };
+    const tryGrant = () => options.update(entry, use, grant);
+    const isGranted = (await tryGrant()) || (await askAndRetry());
+    recordRequest(use, dimension, isGranted);
+
+    async function askAndRetry(): Promise<boolean> {
+      counters.increment('allotments.short');
+      await askForReturn(use, partition, dimension, countMissing(use.ledger));
+      return tryGrant();
+    }
+  }
+
+  return {
+    start(entry, use, dimension, count) {
+      if (use.isRequesting || clock.monotonicMilliseconds() < use.requestNotBefore[dimension]) {
+        return;
+      }
+      use.isRequesting = true;
+      void requestUnits(entry, use, dimension, count).finally(() => {
+        use.isRequesting = false;
+      });
+    },
+  };
+}
--- a/packages/daemon/src/core/allotments.ts
+++ b/packages/daemon/src/core/allotments.ts
@@ -1,18 +1,11 @@
-import { computeBackoff, createFailure, Err, Ok, sleep } from '@chicorybend/common';
+import { createFailure, Err, Ok, sleep } from '@chicorybend/common';
 import type { Clock, Counters, StoreClient } from '@chicorybend/common';
 
 import type { Allotments, LimitDimension } from '../types/allotment.js';
 import type { ConfigurationView } from '../types/configurationView.js';
-import type {
-  PartitionDirectory,
-  PartitionLease,
-  PartitionOpening,
-  PartitionService,
-} from '../types/partition.js';
+import type { PartitionDirectory, PartitionOpening, PartitionService } from '../types/partition.js';
 import type { PeerLink } from '../types/peer.js';
 import {
-  chooseReturning,
-  grantUnits,
   isSameLimits,
   LIMIT_DIMENSIONS,
   partOf,
@@ -24,22 +17,21 @@
   usableUnits,
 } from './allotmentLedger.js';
 import type { AllotmentLedger } from './allotmentLedger.js';
+import { createAllotmentRequests } from './allotmentRequests.js';
+import { createTeamUse, LEVEL_INTERVAL_MILLISECONDS } from './allotmentUse.js';
+import type { PartitionUse, TeamUse } from './allotmentUse.js';
 import { createLedgerWriter } from './ledgerWriter.js';
 import type { CurrentLimits, LedgerChange } from './ledgerWriter.js';
 
 const MAINTENANCE_INTERVAL_MILLISECONDS = 1_000;
 /** Units idle for this long are given back, in milliseconds. */
 const IDLE_AFTER_MILLISECONDS = 5_000;
-/** Time between two steps towards an equal split of a team's requests, in milliseconds. */
-const LEVEL_INTERVAL_MILLISECONDS = 5_000;
 /** Each step that finds nothing unassigned costs a reading of the store, in milliseconds. */
 const LEVEL_RETRY_MILLISECONDS = 30_000;
 /** Idle units that a partition keeps. */
 const IDLE_RESERVE = 2;
 /** A grant takes a reading and a write of the store. */
 const RETRY_AFTER_MILLISECONDS = 25;
-const REQUEST_BACKOFF = { firstMilliseconds: 50, maximumMilliseconds: 2_000 };
-const RETURN_CALL_DEADLINE_MILLISECONDS = 500;
 
 /** What the allotments need. */
 export interface AllotmentsOptions {
@@ -61,29 +53,6 @@
   stop(): void;
 }
 
-interface TeamUse {
-  readonly team: string;
-  /** Ledger as last read or written. */
-  ledger: AllotmentLedger | null;
-  readonly used: Record<LimitDimension, number>;
-  /** Monotonic time of the last charge, in milliseconds. */
-  chargedAt: number;
-  /** Most requests in use at once since the last step towards an equal split. */
-  mostRequests: number;
-  /** Monotonic time before which the split is left as it is, in milliseconds. */
-  levelNotBefore: number;
-  isRequesting: boolean;
-  /** Requests in a row that found too few units, per dimension. */
-  readonly shortfalls: Record<LimitDimension, number>;
-  /** Monotonic time before which no units are requested, in milliseconds. */
-  readonly requestNotBefore: Record<LimitDimension, number>;
-}
-
-interface PartitionUse {
-  readonly lease: PartitionLease;
-  readonly teams: Map<string, TeamUse>;
-}
-
 /**
  * Creates this daemon's parts of the teams' upper limits. The parts of all partitions never sum to more than the
  * limit; each is charged before work starts and given back when the work has certainly ended.
@@ -102,6 +71,10 @@
     partitionCount: directory.partitionCount,
     limitsOf: currentLimits,
   });
+  const requests = createAllotmentRequests({
+    ...options,
+    update: (entry, use, change) => runExclusively(use, () => updateLedger(entry, use, change)),
+  });
   let isStopped = false;
 
   function useOf(partition: number, team: string): TeamUse | null {
@@ -109,17 +82,7 @@
     if (!entry) return null;
     const existing = entry.teams.get(team);
     if (existing) return existing;
-    const created: TeamUse = {
-      team,
-      ledger: null,
-      used: { tasks: 0, requests: 0 },
-      chargedAt: clock.monotonicMilliseconds(),
-      mostRequests: 0,
-      levelNotBefore: clock.monotonicMilliseconds() + LEVEL_INTERVAL_MILLISECONDS,
-      isRequesting: false,
-      shortfalls: { tasks: 0, requests: 0 },
-      requestNotBefore: { tasks: 0, requests: 0 },
-    };
+    const created = createTeamUse(team, clock.monotonicMilliseconds());
     entry.teams.set(team, created);
     return created;
   }
@@ -158,75 +121,6 @@
     return usableUnits(use.ledger, partition, dimension);
   }
 
-  /** Asks other partitions to give idle units up. */
-  async function askForReturn(
-    use: TeamUse,
-    partition: number,
-    dimension: LimitDimension,
-    missing: number,
-  ): Promise<void> {
-    if (!use.ledger) return;
-    const chosen = chooseReturning(use.ledger, { partition, dimension, missing }, options.random);
-    await Promise.all(
-      chosen.map(async (other) => {
-        const owner = directory.ownerOf(other);
-        if (!owner) return;
-        await link.call(
-          owner.daemonId,
-          'allotment.return',
-          { partition: other, team: use.team, dimension },
-          RETURN_CALL_DEADLINE_MILLISECONDS,
-        );
-      }),
-    );
-  }
-
-  /** A team at its limit is asked about less and less often, to spare the store. */
-  function recordRequest(use: TeamUse, dimension: LimitDimension, isGranted: boolean): void {
-    use.shortfalls[dimension] = isGranted ? 0 : use.shortfalls[dimension] + 1;
-    const delay = isGranted
-      ? 0
-      : computeBackoff(REQUEST_BACKOFF, use.shortfalls[dimension], options.random);
-    use.requestNotBefore[dimension] = clock.monotonicMilliseconds() + delay;
-  }
-
-  async function requestUnits(
-    entry: PartitionUse,
-    use: TeamUse,
-    dimension: LimitDimension,
-    count: number,
-  ): Promise<void> {
-    const { partition } = entry.lease;
-    const countMissing = (ledger: AllotmentLedger | null) =>
-      use.used[dimension] + count - (ledger ? partOf(ledger, partition)[dimension] : 0);
-    const grant = (ledger: AllotmentLedger) => {
-      const missing = countMissing(ledger);
-      return missing <= 0 ? ledger : grantUnits(ledger, partition, dimension, missing);
-    };
-    const tryGrant = () => runExclusively(use, () => updateLedger(entry, use, grant));
-    const isGranted = (await tryGrant()) || (await askAndRetry());
-    recordRequest(use, dimension, isGranted);
-
-    async function askAndRetry(): Promise<boolean> {
-      counters.increment('allotments.short');
-      await askForReturn(use, partition, dimension, countMissing(use.ledger));
-      return tryGrant();
-    }
-  }
-
-  function requestInBackground(
-    entry: PartitionUse,
-    use: TeamUse,
-    dimension: LimitDimension,
-    count: number,
-  ): void {
-    if (use.isRequesting || clock.monotonicMilliseconds() < use.requestNotBefore[dimension]) return;
-    use.isRequesting = true;
-    void requestUnits(entry, use, dimension, count).finally(() => {
-      use.isRequesting = false;
-    });
-  }
-
   /** Gives back all but the units in use and a reserve. */
   function returnIdle(
     entry: PartitionUse,
@@ -367,7 +261,7 @@
         return Ok(undefined);
       }
       counters.increment('allotments.refused');
-      requestInBackground(entry, use, dimension, count);
+      requests.start(entry, use, dimension, count);
       const limit = limitsOf(team)?.[dimension] ?? 0;
       const wait = use.requestNotBefore[dimension] - clock.monotonicMilliseconds();
       const retry = { retryAfterMilliseconds: Math.max(RETRY_AFTER_MILLISECONDS, wait) };
