Measure processor time and memory of daemons under durable work

Change: the rows of store calls read the daemons' usage as well. Names in the contacts of workers and in reclaim say what the values are.

--- a/packages/daemon/src/core/reclaimRequests.ts
+++ b/packages/daemon/src/core/reclaimRequests.ts
@@ -18,7 +18,7 @@
 
 const RECLAIM_DEADLINE_MILLISECONDS = 500;
 /** Room often becomes free by itself within this time. */
-const PATIENCE_MILLISECONDS: Readonly<Record<QueuePriority, number>> = {
+const RECLAIM_DELAY_MILLISECONDS: Readonly<Record<QueuePriority, number>> = {
   urgent: 250,
   normal: 2_000,
   overnight: 10_000,
@@ -131,7 +131,7 @@
     consider(need) {
       const now = clock.monotonicMilliseconds();
       const priority = priorityOf(need.job, configuration);
-      if (now < nextRequestAt || now - need.since < PATIENCE_MILLISECONDS[priority]) return;
+      if (now < nextRequestAt || now - need.since < RECLAIM_DELAY_MILLISECONDS[priority]) return;
       if (need.job.request.kind === 'gang') return;
       forgetSettled(now);
       if (settledAt.has(need.job.jobId)) return;
--- a/packages/daemon/src/core/workerContacts.ts
+++ b/packages/daemon/src/core/workerContacts.ts
@@ -67,7 +67,7 @@
   const { lease, clock, random, client, reports, log, onSilent, onChanged } = options;
   const timers = new Map<string, CancelTimer>();
   /** Workers whose next call is an idle interval away. */
-  const unhurried = new Set<string>();
+  const onIdleInterval = new Set<string>();
   let closed = false;
 
   function schedule(worker: WorkerEntry, delayMilliseconds: number): void {
@@ -79,12 +79,12 @@
 
   function scheduleNext(worker: WorkerEntry): void {
     const interval = intervalOf(worker);
-    if (interval === IDLE_CONTACT_INTERVAL_MILLISECONDS) unhurried.add(worker.workerId);
+    if (interval === IDLE_CONTACT_INTERVAL_MILLISECONDS) onIdleInterval.add(worker.workerId);
     schedule(worker, interval * (1 - INTERVAL_JITTER * random()));
   }
 
   function runTick(worker: WorkerEntry): void {
-    unhurried.delete(worker.workerId);
+    onIdleInterval.delete(worker.workerId);
     tick(worker)
       .catch(createFaultHandler(log, 'the contact of a worker failed'))
       .finally(() => {
@@ -176,10 +176,10 @@
     noteBusy(worker) {
       // A part of the interval, so that the end of a short task waits no longer than on a worker in use.
       const delay = random() * RENEW_INTERVAL_MILLISECONDS;
-      if (unhurried.delete(worker.workerId)) schedule(worker, delay);
+      if (onIdleInterval.delete(worker.workerId)) schedule(worker, delay);
     },
     remove(worker) {
-      unhurried.delete(worker.workerId);
+      onIdleInterval.delete(worker.workerId);
       timers.get(worker.workerId)?.();
       timers.delete(worker.workerId);
     },
--- a/packages/daemon/src/core/workerReclaim.ts
+++ b/packages/daemon/src/core/workerReclaim.ts
@@ -40,7 +40,7 @@
   reclaim(request: ReclaimRequest): number;
 }
 
-interface Victim {
+interface StoppableTask {
   readonly worker: WorkerEntry;
   readonly execution: Execution;
 }
@@ -76,8 +76,8 @@
     });
   }
 
-  function listVictims(candidates: readonly WorkerEntry[]): ReadonlyMap<string, Victim> {
-    const victims = candidates.flatMap((worker) =>
+  function listStoppable(candidates: readonly WorkerEntry[]): ReadonlyMap<string, StoppableTask> {
+    const stoppable = candidates.flatMap((worker) =>
       [...worker.executions.values()]
         .filter(
           (execution) =>
@@ -85,12 +85,15 @@
             execution.terms?.isStoppable === true &&
             !stopping.has(execution),
         )
-        .map((execution): [string, Victim] => [executionKey(execution), { worker, execution }]),
+        .map((execution): [string, StoppableTask] => [
+          executionKey(execution),
+          { worker, execution },
+        ]),
     );
-    return new Map(victims);
+    return new Map(stoppable);
   }
 
-  function toReclaimTask(key: string, { worker, execution }: Victim): ReclaimTask {
+  function toReclaimTask(key: string, { worker, execution }: StoppableTask): ReclaimTask {
     const startedAt = execution.report?.startedAt ?? clock.wallMilliseconds();
     return {
       taskId: key,
@@ -121,12 +124,12 @@
   function choose(
     request: ReclaimRequest,
     candidates: readonly WorkerEntry[],
-    victims: ReadonlyMap<string, Victim>,
+    stoppable: ReadonlyMap<string, StoppableTask>,
   ): readonly ReclaimAction[] {
     const free = candidates.map(({ workerId }) => [workerId, pool.freeOf(workerId)]);
     return chooseReclaim({
       needs: listNeeds(request),
-      tasks: [...victims].map(([key, victim]) => toReclaimTask(key, victim)),
+      tasks: [...stoppable].map(([key, task]) => toReclaimTask(key, task)),
       freeByWorker: Object.fromEntries(free) as Record<string, Resources>,
       teams: request.teams,
       capacity: request.capacity,
@@ -147,16 +150,16 @@
     if (outcome.isErr()) executions.forEach((execution) => stopping.delete(execution));
   }
 
-  function stop(victims: readonly Victim[]): void {
+  function stop(stoppable: readonly StoppableTask[]): void {
     const groups = new Map<WorkerEntry, Execution[]>();
-    victims.forEach(({ worker, execution }) => {
+    stoppable.forEach(({ worker, execution }) => {
       stopping.add(execution);
       const group = groups.get(worker) ?? [];
       groups.set(worker, group);
       group.push(execution);
     });
-    stopsInWindow += victims.length;
-    counters.increment('tasks.reclaimed', victims.length);
+    stopsInWindow += stoppable.length;
+    counters.increment('tasks.reclaimed', stoppable.length);
     groups.forEach((executions, worker) => {
       stopOn(worker, executions).catch(
         createFaultHandler(log, 'the stop of reclaimed tasks failed'),
@@ -168,9 +171,9 @@
     reclaim(request) {
       if (countPermittedStops() <= 0) return 0;
       const candidates = listWorkers(request.resources);
-      const victims = listVictims(candidates);
-      if (victims.size === 0) return 0;
-      const actions = limit(choose(request, candidates, victims));
+      const stoppable = listStoppable(candidates);
+      if (stoppable.size === 0) return 0;
+      const actions = limit(choose(request, candidates, stoppable));
       if (actions.length === 0) return 0;
       const chosen = new Set(actions.map(({ workerId }) => workerId));
       const others = [...workers.keys()].filter((workerId) => !chosen.has(workerId));
@@ -178,7 +181,7 @@
       const held = hold({ ...request, count, avoidWorkers: others });
       // Urgent work may use any room; other work would lose it to whoever asks first.
       if (held < count && request.priority !== 'urgent') return 0;
-      stop(actions.flatMap(({ taskId }) => victims.get(taskId) ?? []));
+      stop(actions.flatMap(({ taskId }) => stoppable.get(taskId) ?? []));
       return count;
     },
   };
--- a/packages/proving/src/__performance_tests__/storeCallRows.ts
+++ b/packages/proving/src/__performance_tests__/storeCallRows.ts
@@ -1,10 +1,12 @@
-/** Store calls that durable work costs from its acceptance to its end, at several rates of a local cell. */
+/** Store calls, processor time and memory that durable work costs from its acceptance to its end, at several rates. */
 import { createSystemClock, sleep } from '@chicorybend/common';
 import type { BenchOptions, BenchRow } from '@chicorybend/common';
 
 import { applyExample } from '../core/demoRun.js';
 import { startLocalCell } from '../core/localCell.js';
 import type { LocalCell } from '../core/localCell.js';
+import { readProcessUsage } from '../core/processUsage.js';
+import type { ProcessUsage } from '../core/processUsage.js';
 import { createWorkCaller } from '../core/workCaller.js';
 import type { Example } from '../types/cellPlan.js';
 import { readExample } from '../utils/readExample.js';
@@ -39,6 +41,8 @@
   readonly endedPerSecond: number;
   readonly writesPerSecond: number;
   readonly readsPerSecond: number;
+  /** Processor time of all daemons, in milliseconds per second. */
+  readonly processorPerSecond: number;
 }
 
 interface Totals {
@@ -47,6 +51,7 @@
   readonly ended: number;
   readonly writes: number;
   readonly reads: number;
+  readonly processorMilliseconds: number;
 }
 
 interface Load {
@@ -64,6 +69,14 @@
   return { ...example, configuration: { ...example.configuration, teams: roomy } };
 }
 
+function readDaemons(cell: LocalCell): readonly ProcessUsage[] {
+  return cell.daemons.flatMap((daemon) => daemon.processId() ?? []).map(readProcessUsage);
+}
+
+function sumOf(usages: readonly ProcessUsage[], field: keyof ProcessUsage): number {
+  return usages.reduce((sum, usage) => sum + usage[field], 0);
+}
+
 /** Counts the ends in the record without reading an entry twice. */
 function createEndCounter(cell: LocalCell): () => number {
   let read = 0;
@@ -78,13 +91,14 @@
 }
 
 function subtract(after: Totals, before: Totals): RateCost {
-  const perSecond = (field: 'accepted' | 'ended' | 'writes' | 'reads'): number =>
+  const perSecond = (field: Exclude<keyof Totals, 'at'>): number =>
     ((after[field] - before[field]) / (after.at - before.at)) * MILLISECONDS_PER_SECOND;
   return {
     acceptedPerSecond: perSecond('accepted'),
     endedPerSecond: perSecond('ended'),
     writesPerSecond: perSecond('writes'),
     readsPerSecond: perSecond('reads'),
+    processorPerSecond: perSecond('processorMilliseconds'),
   };
 }
 
@@ -97,7 +111,14 @@
 
   function readTotals(): Totals {
     const { reads, writes } = cell.platform.store.counts;
-    return { at: clock.monotonicMilliseconds(), accepted, ended: countEnds(), reads, writes };
+    return {
+      at: clock.monotonicMilliseconds(),
+      accepted,
+      ended: countEnds(),
+      reads,
+      writes,
+      processorMilliseconds: sumOf(readDaemons(cell), 'processorMilliseconds'),
+    };
   }
 
   async function submit(): Promise<void> {
@@ -208,6 +229,25 @@
   ];
 }
 
+/** Control goes on at every rate, so that the difference between two rates is the cost of the work alone. */
+function describeDaemons(cell: LocalCell, few: RateCost, many: RateCost): BenchRow[] {
+  const perTask =
+    (many.processorPerSecond - few.processorPerSecond) /
+    (many.acceptedPerSecond - few.acceptedPerSecond);
+  const memory = readDaemons(cell).map(({ privateBytes }) => privateBytes);
+  const shared = { bound: null, direction: 'at-most' as const };
+  const name = 'loaded daemons: processor time per further task, from 50/s to 200/s';
+  return [
+    { ...shared, name, measured: perTask, unit: 'ms' },
+    {
+      ...shared,
+      name: 'loaded daemons: private memory after the highest rate, largest',
+      measured: Math.max(...memory),
+      unit: 'bytes',
+    },
+  ];
+}
+
 async function measureRates(cell: LocalCell, example: Example, isShort: boolean) {
   const load = createLoad(cell, example, isShort ? 2_000 : 4_000);
   const milliseconds = isShort ? 5_000 : 8_000;
@@ -224,6 +264,7 @@
       report('writes of the whole cell at the highest rate', highest.writesPerSecond, 'calls/s'),
       sharing,
       ...describeSlope(many, highest),
+      ...describeDaemons(cell, few, many),
     ];
   } finally {
     await load.close();
