Read loads only for the heartbeats that carry them

Cause: each answer to a heartbeat had all loads of the own workers computed and left them out; each round of heartbeats turned the same loads into text once for every peer. The daemon also filled an identity with empty addresses that was overwritten a few lines below.

Change: loads are a reading of their own, made for the heartbeats that are sent, and their text is made once a round. The fixture of the ownership tests gives loads the same way; no assertion changed.

The processor time of an idle daemon was not measured again.

--- a/packages/daemon/src/__tests__/ownershipFixture.ts
+++ b/packages/daemon/src/__tests__/ownershipFixture.ts
@@ -140,9 +140,8 @@
       configurationRevision: 0,
       freshnessAgeMilliseconds: 0,
       isDraining,
-      owned: ownership.describeOwned(),
-      loads: [],
     }),
+    loads: () => ({ owned: ownership.describeOwned(), loads: [] }),
   });
   const recorder = createActingRecorder(daemonId, options.intervals);
   const ownership: Ownership = createOwnership({
--- a/packages/daemon/src/core/daemon.ts
+++ b/packages/daemon/src/core/daemon.ts
@@ -11,8 +11,7 @@
 } from '@chicorybend/common';
 import type { Counters, Failure, Result } from '@chicorybend/common';
 
-import type { Member } from '../types/membershipView.js';
-import type { DaemonView } from '../types/peerMethods.js';
+import type { DaemonView, HeartbeatLoads } from '../types/peerMethods.js';
 import type { Settings } from '../types/settings.js';
 import { registerCallerApi } from './callerApi.js';
 import { readOrCreateCell } from './cellSettings.js';
@@ -33,9 +32,8 @@
   configurationRevision: 0,
   freshnessAgeMilliseconds: Number.MAX_SAFE_INTEGER,
   isDraining: false,
-  owned: [],
-  loads: [],
 };
+const NO_LOADS: HeartbeatLoads = { owned: [], loads: [] };
 
 /** A running daemon. */
 export interface Daemon {
@@ -98,14 +96,8 @@
     readiness,
   });
   const shared = { clock, log, counters, random: Math.random, store, link };
-  const self: Member = {
-    daemonId: settings.id,
-    incarnation,
-    peerAddress: '',
-    apiAddress: '',
-    dataCentre: settings.dataCentre,
-  };
   let facts = (): HeartbeatFacts => NO_FACTS;
+  let loads = (): HeartbeatLoads => NO_LOADS;
   let membership: ReturnType<typeof createMembership> | null = null;
 
   await vms.start();
@@ -115,13 +107,16 @@
     ...shared,
     vms,
     self: {
-      ...self,
+      daemonId: settings.id,
+      incarnation,
+      dataCentre: settings.dataCentre,
       peerAddress: settings.peerAdvertise ?? `${settings.host}:${peerPort}`,
       get apiAddress() {
         return apiAddress;
       },
     },
     facts: () => facts(),
+    loads: () => loads(),
   });
   membership = joined;
   const configuration = createConfigurationService({ ...shared, membership: joined });
@@ -160,9 +155,8 @@
   facts = () => ({
     ...configuration.heartbeatFacts(),
     isDraining: life.state() === 'draining',
-    owned: ownership.describeOwned(),
-    loads: services.loads.own(),
   });
+  loads = () => ({ owned: ownership.describeOwned(), loads: services.loads.own() });
   link.handle('daemon.read', () => Promise.resolve(Ok(describe())));
   link.handle('daemon.drain', () => {
     options.onDrainRequested?.();
--- a/packages/daemon/src/core/heartbeatLoads.ts
+++ b/packages/daemon/src/core/heartbeatLoads.ts
@@ -51,6 +51,17 @@
  */
 export function createLoadsForPeers(clock: Clock): LoadsForPeers {
   const peers = new Map<string, PeerState>();
+  let lastLoads: readonly PartitionLoad[] = [];
+  let lastSerialized: ReadonlyMap<number, string> = new Map();
+
+  /** One round of heartbeats tells all peers of the same loads. */
+  function serializeOnce(loads: readonly PartitionLoad[]): ReadonlyMap<number, string> {
+    if (loads !== lastLoads) {
+      lastLoads = loads;
+      lastSerialized = serializeLoads(loads);
+    }
+    return lastSerialized;
+  }
 
   function findCurrent(daemonId: string): PeerState | undefined {
     const state = peers.get(daemonId);
@@ -79,7 +90,7 @@
     prepare(daemonId, current) {
       const known = findCurrent(daemonId);
       const owned = JSON.stringify(current.owned);
-      const serialized = serializeLoads(current.loads);
+      const serialized = serializeOnce(current.loads);
       const isChanged = ({ partition }: PartitionLoad) =>
         known?.loads.get(partition) !== serialized.get(partition);
       const changed = current.loads.filter(isChanged);
--- a/packages/daemon/src/core/membership.ts
+++ b/packages/daemon/src/core/membership.ts
@@ -32,7 +32,7 @@
 const JOIN_ATTEMPT_MILLISECONDS = 10_000;
 
 /** Facts that other modules add to this daemon's heartbeats. */
-export interface HeartbeatFacts extends HeartbeatLoads {
+export interface HeartbeatFacts {
   readonly configurationRevision: number;
   readonly freshnessAgeMilliseconds: number;
   readonly isDraining: boolean;
@@ -49,6 +49,8 @@
   readonly log: Log;
   readonly random: () => number;
   readonly facts: () => HeartbeatFacts;
+  /** Owned partitions and their loads; read only for what is sent. */
+  readonly loads: () => HeartbeatLoads;
 }
 
 /** The cell's daemons, and this daemon's right to act among them. */
@@ -144,15 +146,12 @@
     });
   }
 
-  function describeSelf(receiverVersion: number, facts: HeartbeatFacts): Heartbeat {
-    const { configurationRevision, freshnessAgeMilliseconds, isDraining } = facts;
+  function describeSelf(receiverVersion: number): Heartbeat {
     const isReceiverBehind = record !== null && receiverVersion < record.version;
     return {
       incarnation: self.incarnation,
       membershipVersion: record?.version ?? 0,
-      configurationRevision,
-      freshnessAgeMilliseconds,
-      isDraining,
+      ...options.facts(),
       ...(isReceiverBehind && record ? { record } : {}),
     };
   }
@@ -182,12 +181,11 @@
     const sentAt = clock.monotonicMilliseconds();
     const sentVersion = record?.version ?? 0;
     const knownVersion = heard.get(member.daemonId)?.heartbeat.membershipVersion ?? sentVersion;
-    const facts = options.facts();
-    const pending = loadsForPeers.prepare(member.daemonId, facts);
+    const pending = loadsForPeers.prepare(member.daemonId, options.loads());
     const reply = await link.call(
       member.daemonId,
       'membership.heartbeat',
-      { ...describeSelf(knownVersion, facts), ...(pending.loads ? { loads: pending.loads } : {}) },
+      { ...describeSelf(knownVersion), ...(pending.loads ? { loads: pending.loads } : {}) },
       HEARTBEAT_DEADLINE_MILLISECONDS,
     );
     if (reply.isErr()) {
@@ -341,7 +339,7 @@
 
   link.handle('membership.heartbeat', async (heartbeat, { from }) => {
     recordHeard(from, heartbeat, -Infinity);
-    return Ok(describeSelf(heartbeat.membershipVersion, options.facts()));
+    return Ok(describeSelf(heartbeat.membershipVersion));
   });
   link.handle('membership.silence', async ({ daemonId, incarnation }) =>
     Ok({
