--- a/packages/daemon/src/core/reclaimRequests.ts
+++ b/packages/daemon/src/core/reclaimRequests.ts
@@ -11,7 +11,7 @@
 import type { JobContext } from './jobContext.js';
 import type { PlacementShares } from './placementShares.js';
 import { priorityOf } from './queuePolicy.js';
-import { HOLD_TTL_MILLISECONDS } from './roomHolds.js';
+import { describeHold } from './roomHolds.js';
 import type { RoomHolds, RoomNeed } from './roomHolds.js';
 import { isEnding } from './taskRules.js';
 import type { WorkerTargets } from './workerTargets.js';
@@ -84,18 +84,12 @@
 
   async function askAt(workerPartition: number, need: RoomNeed, count: number): Promise<number> {
     if (!maySend(context)) return 0;
-    const { job, since, avoidWorkers } = need;
+    const { job } = need;
     const outcome = await callPartition(
       workerPartition,
       'worker.reclaim',
       {
-        workerPartition,
-        workId: job.jobId,
-        resources: job.request.resources,
-        count,
-        waitedMilliseconds: clock.monotonicMilliseconds() - since,
-        avoidWorkers,
-        ttlMilliseconds: HOLD_TTL_MILLISECONDS,
+        ...describeHold(workerPartition, need, count, clock.monotonicMilliseconds()),
         team: job.team,
         priority: priorityOf(job, configuration),
         teams: Object.fromEntries(listTeamsAbove()),
--- a/packages/daemon/src/core/roomHolds.ts
+++ b/packages/daemon/src/core/roomHolds.ts
@@ -2,6 +2,7 @@
  * Asks the owners of worker partitions to keep room for work that has waited past its aging bound. Without it a
  * gang or a large task waits for as long as smaller work takes the room first.
  */
+import type { HoldRequest } from '../types/peerMethods.js';
 import { createFaultHandler } from '../utils/faults.js';
 import { maySend } from './jobContext.js';
 import type { JobContext } from './jobContext.js';
@@ -11,7 +12,7 @@
 const HOLD_DEADLINE_MILLISECONDS = 500;
 const RENEWAL_INTERVAL_MILLISECONDS = 1_000;
 /** Several renewals, so that a lost one does not give the room away; ends the holds of a dead owner. */
-export const HOLD_TTL_MILLISECONDS = 5_000;
+const HOLD_TTL_MILLISECONDS = 5_000;
 /** After an attempt that found too little; spread, so that two gangs do not collide again. */
 const RETRY_MILLISECONDS = 1_000;
 
@@ -25,6 +26,32 @@
   readonly avoidWorkers: readonly string[];
 }
 
+/**
+ * Describes a hold, as the owner of workers is asked for it.
+ *
+ * @param workerPartition partition to ask
+ * @param need work that is to be given room
+ * @param count tasks to hold room for at most
+ * @param now monotonic time in milliseconds
+ * @returns the request
+ */
+export function describeHold(
+  workerPartition: number,
+  { job, since, avoidWorkers }: RoomNeed,
+  count: number,
+  now: number,
+): HoldRequest {
+  return {
+    workerPartition,
+    workId: job.jobId,
+    resources: job.request.resources,
+    count,
+    waitedMilliseconds: now - since,
+    avoidWorkers,
+    ttlMilliseconds: HOLD_TTL_MILLISECONDS,
+  };
+}
+
 /** Room that is held for the work of one job partition. */
 export interface RoomHolds {
   /**
@@ -87,22 +114,14 @@
   /** @returns tasks that room is held for, or null if the owner gave no answer */
   async function askAt(
     workerPartition: number,
-    { job, since, avoidWorkers }: RoomNeed,
+    need: RoomNeed,
     count: number,
   ): Promise<number | null> {
     if (!maySend(context)) return 0;
     const outcome = await callPartition(
       workerPartition,
       'worker.hold',
-      {
-        workerPartition,
-        workId: job.jobId,
-        resources: job.request.resources,
-        count,
-        waitedMilliseconds: clock.monotonicMilliseconds() - since,
-        avoidWorkers,
-        ttlMilliseconds: HOLD_TTL_MILLISECONDS,
-      },
+      describeHold(workerPartition, need, count, clock.monotonicMilliseconds()),
       HOLD_DEADLINE_MILLISECONDS,
     );
     if (outcome.isOk()) return outcome.value.held;
--- a/packages/daemon/src/types/journalRecord.ts
+++ b/packages/daemon/src/types/journalRecord.ts
@@ -1,5 +1,7 @@
 import type { FinishedTask, JobRequest, TaskEnd, TaskState } from '@chicorybend/common';
 
+import type { UsageRow } from './peerMethods.js';
+
 /** A job as accepted. */
 export interface JobAcceptedRecord {
   readonly type: 'job-accepted';
@@ -118,16 +120,8 @@
 }
 
 /** Usage of one team and queue in one hour, in snapshots only. */
-export interface UsageTotalRecord {
+export interface UsageTotalRecord extends UsageRow {
   readonly type: 'usage-total';
-  readonly team: string;
-  readonly queue: string;
-  /** Start of the hour, in milliseconds since the Unix epoch. */
-  readonly hour: number;
-  readonly processorSeconds: number;
-  readonly memoryByteSeconds: number;
-  readonly acceleratorSeconds: number;
-  readonly tasks: number;
 }
 
 /** A durable record of a partition. */
