Use the decisions package's arithmetic of resources in the daemon

Cause: the daemon had its own sum, dominant share, comparison and zero of resources beside those of the decisions package. The capacity of all workers was summed again for each owner that a reclaim asks.

Change: the decisions package exports addResources, coversResources, computeDominantShare and NO_RESOURCES; placement, views of workers and shortages call them. The sum of the capacity is kept for 100 ms, as the positions of teams are.

--- a/packages/daemon/src/core/jobPartition.ts
+++ b/packages/daemon/src/core/jobPartition.ts
@@ -4,6 +4,7 @@
  */
 import { createFailure, Err, Ok, sleep, TIMED_OUT, withTimeout } from '@chicorybend/common';
 import type { Clock, Counters, Failure, Log, Result } from '@chicorybend/common';
+import { NO_RESOURCES } from '@chicorybend/decisions';
 import { v7 as createUuid } from 'uuid';
 
 import type { JournalRecord, TaskEndedRecord } from '../types/journalRecord.js';
@@ -293,7 +294,7 @@
         result: null,
         startedAt: ran?.startedAt ?? now,
         endedAt: ran?.until ?? now,
-        peak: { processors: 0, memoryBytes: 0, accelerators: 0 },
+        peak: NO_RESOURCES,
       };
     }
     const { taskId, attempt, end, result, startedAt, endedAt, peak } = event.event.finished;
--- a/packages/daemon/src/core/placementShares.ts
+++ b/packages/daemon/src/core/placementShares.ts
@@ -1,8 +1,8 @@
 /**
  * Capacity of the cell and what its teams use, as last heard from the owners of workers.
  */
-import { RESOURCE_DIMENSIONS } from '@chicorybend/common';
 import type { Resources } from '@chicorybend/common';
+import { addResources, computeDominantShare, NO_RESOURCES } from '@chicorybend/decisions';
 import type { TaskQueue, TeamPosition } from '@chicorybend/decisions';
 
 import type { ConfigurationView } from '../types/configurationView.js';
@@ -10,24 +10,8 @@
 import type { JobContext } from './jobContext.js';
 
 const SHARES_INTERVAL_MILLISECONDS = 500;
-/** Positions are read for each piece of work that finds no room. */
-const POSITIONS_VALID_MILLISECONDS = 100;
-const NONE: Resources = { processors: 0, memoryBytes: 0, accelerators: 0 };
-
-function add(left: Resources, right: Resources | undefined): Resources {
-  return {
-    processors: left.processors + (right?.processors ?? 0),
-    memoryBytes: left.memoryBytes + (right?.memoryBytes ?? 0),
-    accelerators: left.accelerators + (right?.accelerators ?? 0),
-  };
-}
-
-function dominantShareOf(used: Resources, capacity: Resources): number {
-  const fractions = RESOURCE_DIMENSIONS.map((dimension) =>
-    capacity[dimension] > 0 ? used[dimension] / capacity[dimension] : 0,
-  );
-  return Math.max(...fractions);
-}
+/** Capacity and positions are read for each piece of work that finds no room, and for each owner asked. */
+const READING_VALID_MILLISECONDS = 100;
 
 /** Shares of the teams, for the order of a queue. */
 export interface PlacementShares {
@@ -53,20 +37,28 @@
 ): PlacementShares {
   let refreshedAt = Number.NEGATIVE_INFINITY;
   let computedAt = Number.NEGATIVE_INFINITY;
+  let summedAt = Number.NEGATIVE_INFINITY;
+  let summedCapacity = NO_RESOURCES;
   let positions: Readonly<Record<string, TeamPosition>> = {};
 
   function usageOfCell(): Readonly<Record<string, Resources>> {
     const total: Record<string, Resources> = {};
     loadBoard.loads().forEach(({ usedByTeam }) => {
       Object.entries(usedByTeam ?? {}).forEach(([team, used]) => {
-        total[team] = add(total[team] ?? NONE, used);
+        total[team] = addResources(total[team] ?? NO_RESOURCES, used);
       });
     });
     return total;
   }
 
   function capacity(): Resources {
-    return vmDirectory.workers().reduce((sum, vm) => add(sum, vm.capacity), NONE);
+    const now = clock.monotonicMilliseconds();
+    if (now - summedAt < READING_VALID_MILLISECONDS) return summedCapacity;
+    summedAt = now;
+    summedCapacity = vmDirectory
+      .workers()
+      .reduce((sum, vm) => addResources(sum, vm.capacity ?? NO_RESOURCES), NO_RESOURCES);
+    return summedCapacity;
   }
 
   function computePositions(): Readonly<Record<string, TeamPosition>> {
@@ -76,17 +68,20 @@
     const weights = teams.reduce((sum, [, { share }]) => sum + share, 0);
     const entries = teams.map(([team, { share }]): [string, TeamPosition] => [
       team,
-      { dominantShare: dominantShareOf(usage[team] ?? NONE, total), fairShare: share / weights },
+      {
+        dominantShare: computeDominantShare(usage[team] ?? NO_RESOURCES, total),
+        fairShare: share / weights,
+      },
     ]);
     return Object.fromEntries(entries);
   }
 
   return {
     capacity,
-    shareOf: (resources) => dominantShareOf(resources, capacity()),
+    shareOf: (resources) => computeDominantShare(resources, capacity()),
     positions() {
       const now = clock.monotonicMilliseconds();
-      if (now - computedAt >= POSITIONS_VALID_MILLISECONDS) {
+      if (now - computedAt >= READING_VALID_MILLISECONDS) {
         computedAt = now;
         positions = computePositions();
       }
--- a/packages/daemon/src/core/roomShortages.ts
+++ b/packages/daemon/src/core/roomShortages.ts
@@ -2,8 +2,8 @@
  * What was found to have no room a moment ago, so that the owners of workers are not asked the same for each of
  * many tasks that wait.
  */
-import { RESOURCE_DIMENSIONS } from '@chicorybend/common';
 import type { Clock, Resources } from '@chicorybend/common';
+import { coversResources } from '@chicorybend/decisions';
 
 import type { Job } from './jobState.js';
 
@@ -36,10 +36,6 @@
   return job.request.kind === 'gang' ? count : 1;
 }
 
-function isAtLeast(left: Resources, right: Resources): boolean {
-  return RESOURCE_DIMENSIONS.every((dimension) => left[dimension] >= right[dimension]);
-}
-
 /**
  * Creates the record, without shortages.
  *
@@ -56,7 +52,7 @@
     return (
       (shortage.isUrgent || !urgent) &&
       count >= shortage.count &&
-      isAtLeast(resources, shortage.resources)
+      coversResources(resources, shortage.resources)
     );
   }
 
--- a/packages/daemon/src/core/workerEntry.ts
+++ b/packages/daemon/src/core/workerEntry.ts
@@ -2,6 +2,7 @@
  * What the owner of a worker's partition knows about one worker.
  */
 import type { Resources, RunningTask, TaskAttempt, VmRecord } from '@chicorybend/common';
+import { NO_RESOURCES } from '@chicorybend/decisions';
 
 import type { ReclaimTerms, TaskEvent } from '../types/peerMethods.js';
 
@@ -86,7 +87,7 @@
     contact: 'unsealed',
     incarnation: null,
     reading: null,
-    capacity: vm.capacity ?? { processors: 0, memoryBytes: 0, accelerators: 0 },
+    capacity: vm.capacity ?? NO_RESOURCES,
     leaseEndsBy,
     executions: new Map(),
     unconfirmed: new Map(),
--- a/packages/daemon/src/core/workerTargets.ts
+++ b/packages/daemon/src/core/workerTargets.ts
@@ -2,6 +2,7 @@
  * Chooses the worker partitions that are asked for room, from advertised loads and recent answers.
  */
 import type { Resources } from '@chicorybend/common';
+import { addResources, coversResources, NO_RESOURCES } from '@chicorybend/decisions';
 
 import type { PartitionLoad } from '../types/partition.js';
 
@@ -30,22 +31,12 @@
 }
 
 function fits(load: PartitionLoad, resources: Resources): boolean {
-  const { freeLargest } = load;
-  return (
-    freeLargest.processors >= resources.processors &&
-    freeLargest.memoryBytes >= resources.memoryBytes &&
-    freeLargest.accelerators >= resources.accelerators
-  );
+  return coversResources(load.freeLargest, resources);
 }
 
 function fitsAll(load: PartitionLoad, resources: Resources, count: number): boolean {
-  const { freeTotal } = load;
-  return (
-    fits(load, resources) &&
-    freeTotal.processors >= count * resources.processors &&
-    freeTotal.memoryBytes >= count * resources.memoryBytes &&
-    freeTotal.accelerators >= count * resources.accelerators
-  );
+  const needed = addResources(NO_RESOURCES, resources, count);
+  return fits(load, resources) && coversResources(load.freeTotal, needed);
 }
 
 /**
--- a/packages/daemon/src/core/workerViews.ts
+++ b/packages/daemon/src/core/workerViews.ts
@@ -2,6 +2,7 @@
  * What the owner of a worker partition tells about its workers: to operators, and to other daemons in heartbeats.
  */
 import type { Resources } from '@chicorybend/common';
+import { addResources, NO_RESOURCES } from '@chicorybend/decisions';
 import type { Quarantine, WorkerPool } from '@chicorybend/decisions';
 
 import type { PartitionLoad } from '../types/partition.js';
@@ -9,8 +10,6 @@
 
 import type { WorkerEntry } from './workerEntry.js';
 
-const NONE: Resources = { processors: 0, memoryBytes: 0, accelerators: 0 };
-
 /** What heartbeats tell about the workers of a partition. */
 export type WorkerLoad = Required<
   Pick<PartitionLoad, 'partition' | 'freeTotal' | 'freeLargest' | 'runningByTeam' | 'usedByTeam'>
@@ -50,7 +49,7 @@
 
   function viewWorker(worker: WorkerEntry): WorkerView {
     const { workerId, capacity, executions } = worker;
-    const free = worker.contact === 'live' ? (pool.freeOf(workerId) ?? NONE) : NONE;
+    const free = worker.contact === 'live' ? (pool.freeOf(workerId) ?? NO_RESOURCES) : NO_RESOURCES;
     const state = stateOf(worker);
     return { workerId, partition, state, capacity, free, runningTasks: executions.size };
   }
@@ -61,13 +60,8 @@
     const usedByTeam: WorkerLoad['usedByTeam'] & Record<string, Resources> = {};
     workers.forEach(({ executions }) => {
       executions.forEach(({ team, resources }) => {
-        const used = usedByTeam[team] ?? NONE;
         runningByTeam[team] = (runningByTeam[team] ?? 0) + 1;
-        usedByTeam[team] = {
-          processors: used.processors + resources.processors,
-          memoryBytes: used.memoryBytes + resources.memoryBytes,
-          accelerators: used.accelerators + resources.accelerators,
-        };
+        usedByTeam[team] = addResources(usedByTeam[team] ?? NO_RESOURCES, resources);
       });
     });
     return { partition, freeTotal, freeLargest, runningByTeam, usedByTeam };
--- a/packages/decisions/src/__performance_tests__/replay.ts
+++ b/packages/decisions/src/__performance_tests__/replay.ts
@@ -10,7 +10,8 @@
   TaskQueue,
   WorkerPool,
 } from '../index.js';
-import { addResources, computeDominantShare, NO_RESOURCES } from '../utils/dominantShare.js';
+import { computeDominantShare } from '../utils/dominantShare.js';
+import { addResources, NO_RESOURCES } from '../utils/resourceAmounts.js';
 import { createIndexedHeap } from '../utils/indexedHeap.js';
 import type { IndexedHeap } from '../utils/indexedHeap.js';
 import { createFleet } from './fleet.js';
--- a/packages/decisions/src/core/chooseReclaim.ts
+++ b/packages/decisions/src/core/chooseReclaim.ts
@@ -11,7 +11,8 @@
   ReclaimTask,
 } from '../types/reclaim.js';
 import type { QueuePriority } from '../types/taskQueue.js';
-import { addResources, computeDominantShare, NO_RESOURCES } from '../utils/dominantShare.js';
+import { computeDominantShare } from '../utils/dominantShare.js';
+import { addResources, NO_RESOURCES } from '../utils/resourceAmounts.js';
 
 const RANK_BY_PRIORITY: Readonly<Record<QueuePriority, number>> = {
   urgent: 0,
--- a/packages/decisions/src/core/teamUsage.ts
+++ b/packages/decisions/src/core/teamUsage.ts
@@ -1,6 +1,7 @@
 import type { Resources } from '@chicorybend/common';
 
-import { addResources, computeDominantShare, NO_RESOURCES } from '../utils/dominantShare.js';
+import { computeDominantShare } from '../utils/dominantShare.js';
+import { addResources, NO_RESOURCES } from '../utils/resourceAmounts.js';
 
 const DEFAULT_SHARE = 1;
 
--- a/packages/decisions/src/core/workerHolds.ts
+++ b/packages/decisions/src/core/workerHolds.ts
@@ -3,7 +3,7 @@
 import type { CandidateQuery } from '../types/candidateIndex.js';
 import type { PlacementRequest } from '../types/workerPool.js';
 import type { WorkerRecord } from '../types/workerRecord.js';
-import { NO_RESOURCES } from '../utils/dominantShare.js';
+import { NO_RESOURCES } from '../utils/resourceAmounts.js';
 import { countFits, toChargedUnits } from '../utils/units.js';
 import type { Units } from '../utils/units.js';
 
--- a/packages/decisions/src/core/workerPool.ts
+++ b/packages/decisions/src/core/workerPool.ts
@@ -10,7 +10,7 @@
   WorkerPool,
 } from '../types/workerPool.js';
 import type { WorkerRecord } from '../types/workerRecord.js';
-import { addResources, NO_RESOURCES } from '../utils/dominantShare.js';
+import { addResources, NO_RESOURCES } from '../utils/resourceAmounts.js';
 import { countFits, toChargedUnits, toOfferedUnits, toResources } from '../utils/units.js';
 import type { Units } from '../utils/units.js';
 import { createCapacityClasses } from './capacityClasses.js';
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -31,6 +31,10 @@
 
 export { createQueueOrderPolicy } from './core/queueOrderPolicy.js';
 
+/** Amounts of resources. */
+export { computeDominantShare } from './utils/dominantShare.js';
+export { addResources, coversResources, NO_RESOURCES } from './utils/resourceAmounts.js';
+
 /** Interactive requests. */
 export type {
   Admission,
--- a/packages/decisions/src/utils/dominantShare.ts
+++ b/packages/decisions/src/utils/dominantShare.ts
@@ -1,9 +1,6 @@
 import { RESOURCE_DIMENSIONS } from '@chicorybend/common';
 import type { Resources } from '@chicorybend/common';
 
-/** No resources at all. */
-export const NO_RESOURCES: Resources = { processors: 0, memoryBytes: 0, accelerators: 0 };
-
 /**
  * Computes the largest fraction of the capacity over all dimensions.
  *
@@ -19,19 +16,3 @@
   }
   return share;
 }
-
-/**
- * Adds a multiple of some resources.
- *
- * @param base first summand
- * @param added second summand
- * @param count how often the second is added; may be negative
- * @returns sum
- */
-export function addResources(base: Resources, added: Resources, count = 1): Resources {
-  return {
-    processors: base.processors + count * added.processors,
-    memoryBytes: base.memoryBytes + count * added.memoryBytes,
-    accelerators: base.accelerators + count * added.accelerators,
-  };
-}
