--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -69,3 +69,9 @@
 /** Learning from what has run. */
 export { createRunTimeEstimator } from './core/runTimeEstimator.js';
 export type { ExecutionSample, RunTimeEstimator, UsageSample } from './core/runTimeEstimator.js';
+
+/** Placement and order of the steps of jobs. */
+export { chooseEndpoint } from './core/chooseEndpoint.js';
+export type { EndpointCandidate, EndpointRequest } from './core/chooseEndpoint.js';
+export { compareWork } from './core/workOrder.js';
+export type { OrderedWork } from './core/workOrder.js';
--- /dev/null
+++ b/packages/scheduler/src/core/authority.ts
@@ -0,0 +1,266 @@
+import { sleep } from '@chicorybend/common';
+import type { Clock, Log } from '@chicorybend/common';
+
+import type { ClusterStore, StoredItem } from '../types/clusterStore.js';
+import { createLatencyEstimate } from '../utils/latencyEstimate.js';
+import { EPOCH_KEY, OWNER_KEY } from '../utils/storeKeys.js';
+
+/** Longest wait of one watch for the owner key, in milliseconds; bounds how long a silent connection is trusted. */
+const WATCH_MILLISECONDS = 5_000;
+/** Pause before a failed call to the store is repeated, in milliseconds. */
+const RETRY_MILLISECONDS = 100;
+/** The lease is renewed this many times within its time to live. */
+const RENEWALS_PER_LEASE = 4;
+/** Authority ends this long before the lease can, in milliseconds; covers the way of an order to the network. */
+const EXPIRY_MARGIN_MILLISECONDS = 50;
+/** A larger step between wall clock and monotonic clock means that the VM may have been suspended. */
+const SUSPENSION_MILLISECONDS = 250;
+/** Bounds of the time-outs of single calls, in milliseconds. */
+const CALL_TIMEOUTS = { minimumMilliseconds: 250, maximumMilliseconds: 1_000 };
+
+/** Who owns the cell's work. */
+export interface OwnerRecord {
+  /** Address for calls between VMs. */
+  readonly address: string;
+  /** Fencing token of the term; each term has a higher one. */
+  readonly epoch: number;
+}
+
+/** A term of ownership of this process. */
+export interface OwnedTerm {
+  readonly epoch: number;
+  /** Revision of the owner key, the condition of each write of the term. */
+  readonly ownerRevision: number;
+}
+
+/** What the authority needs and reports to. */
+export interface AuthorityOptions {
+  readonly store: ClusterStore;
+  readonly clock: Clock;
+  readonly log: Log;
+  /** Address of this process for calls between VMs. */
+  readonly address: string;
+  /** Time to live of the owner's lease, in milliseconds. */
+  readonly leaseMilliseconds: number;
+  readonly onOwnerChange: (owner: OwnerRecord | null) => void;
+  readonly onTermStart: (term: OwnedTerm) => void;
+  readonly onTermEnd: (reason: string) => void;
+}
+
+/** Decides through the store alone which process may act. */
+export interface Authority {
+  /** Follows the owner key, and claims it when it is absent, until {@link Authority.release}. */
+  run(): Promise<void>;
+  owner(): OwnerRecord | null;
+  /** @returns whether this process may act for its term now */
+  mayAct(): boolean;
+  /** Ends the term because a write or an endpoint has shown that another owner exists. */
+  abandon(reason: string): void;
+  /** Stops claiming, and ends the lease so that another process takes over at once. The owner is still followed. */
+  release(): Promise<void>;
+  /** Ends {@link Authority.run}. */
+  stop(): void;
+}
+
+function parseOwner(item: StoredItem): OwnerRecord | null {
+  try {
+    const { address, epoch } = JSON.parse(item.value) as Partial<OwnerRecord>;
+    return typeof address === 'string' && typeof epoch === 'number' ? { address, epoch } : null;
+  } catch {
+    return null;
+  }
+}
+
+/**
+ * Creates the authority of a process; {@link Authority.run} starts it.
+ *
+ * @param options collaborators
+ * @returns authority
+ */
+export function createAuthority(options: AuthorityOptions): Authority {
+  const { store, clock, log, address, leaseMilliseconds } = options;
+  const latency = createLatencyEstimate(CALL_TIMEOUTS);
+  let isStopped = false;
+  let mayClaim = true;
+  let owner: OwnerRecord | null = null;
+  let ownerRevision = 0;
+  let term: (OwnedTerm & { leaseId: number }) | null = null;
+  let validUntil = -Infinity;
+  let clockOffset = readClockOffset();
+
+  function readClockOffset(): number {
+    return clock.wallMilliseconds() - clock.monotonicMilliseconds();
+  }
+
+  /** The monotonic clock stands still while a VM is suspended, so that the lease may be over unnoticed. */
+  function checkSuspension(): void {
+    const offset = readClockOffset();
+    if (Math.abs(offset - clockOffset) <= SUSPENSION_MILLISECONDS) return;
+    log.warn('clock step or suspension', { milliseconds: Math.round(offset - clockOffset) });
+    clockOffset = offset;
+    validUntil = -Infinity;
+  }
+
+  function setOwner(next: OwnerRecord | null): void {
+    const isSame = owner?.epoch === next?.epoch && owner?.address === next?.address;
+    if (isSame) return;
+    // A late answer about a former owner does not replace a later one.
+    if (owner && next && next.epoch < owner.epoch) return;
+    owner = next;
+    log.info('owner changed', { owner: next?.address ?? null, epoch: next?.epoch ?? null });
+    options.onOwnerChange(next);
+  }
+
+  async function timed<Outcome>(
+    call: (timeoutMilliseconds: number) => Promise<Outcome>,
+    hasFailed: (outcome: Outcome) => boolean,
+  ): Promise<Outcome> {
+    const startedAt = clock.monotonicMilliseconds();
+    const outcome = await call(latency.timeoutMilliseconds());
+    if (hasFailed(outcome)) latency.recordTimeout();
+    else latency.recordAnswer(clock.monotonicMilliseconds() - startedAt);
+    return outcome;
+  }
+
+  function endTerm(reason: string): void {
+    if (!term) return;
+    log.warn('term ended', { epoch: term.epoch, reason });
+    term = null;
+    validUntil = -Infinity;
+    options.onTermEnd(reason);
+  }
+
+  async function renew(): Promise<void> {
+    const renewed = term;
+    if (!renewed) return;
+    checkSuspension();
+    const sentAt = clock.monotonicMilliseconds();
+    const offsetBefore = clockOffset;
+    const outcome = await timed(
+      (timeout) => store.renewLease(renewed.leaseId, timeout),
+      (result) => result === 'failed',
+    );
+    checkSuspension();
+    if (term !== renewed) return;
+    if (outcome === 'ended') endTerm('lease ended');
+    else if (outcome === 'renewed' && clockOffset === offsetBefore) {
+      validUntil = sentAt + leaseMilliseconds - EXPIRY_MARGIN_MILLISECONDS;
+    }
+  }
+
+  async function keepLease(): Promise<void> {
+    const kept = term;
+    while (term === kept && !isStopped) {
+      await renew();
+      const pause = mayAct() ? leaseMilliseconds / RENEWALS_PER_LEASE : RETRY_MILLISECONDS;
+      await sleep(clock, pause);
+    }
+  }
+
+  function mayAct(): boolean {
+    checkSuspension();
+    return term !== null && clock.monotonicMilliseconds() < validUntil;
+  }
+
+  async function readEpoch(): Promise<{ epoch: number; revision: number } | null> {
+    const outcome = await timed(
+      (timeout) => store.read(EPOCH_KEY, timeout),
+      (result) => result.kind === 'failed',
+    );
+    if (outcome.kind === 'failed') return null;
+    const epoch = Number(outcome.value?.value ?? 0);
+    return {
+      epoch: Number.isSafeInteger(epoch) ? epoch : 0,
+      revision: outcome.value?.revision ?? 0,
+    };
+  }
+
+  async function claim(): Promise<void> {
+    const last = await readEpoch();
+    if (!last || !mayClaim) return;
+    checkSuspension();
+    const sentAt = clock.monotonicMilliseconds();
+    const lease = await timed(
+      (timeout) => store.grantLease(leaseMilliseconds, timeout),
+      (result) => result.kind === 'failed',
+    );
+    if (lease.kind === 'failed' || !mayClaim) return;
+    const epoch = last.epoch + 1;
+    const outcome = await timed(
+      (timeout) =>
+        store.write(
+          {
+            conditions: [
+              { key: OWNER_KEY, revision: 0 },
+              { key: EPOCH_KEY, revision: last.revision },
+            ],
+            puts: [
+              { key: OWNER_KEY, value: JSON.stringify({ address, epoch }), leaseId: lease.leaseId },
+              { key: EPOCH_KEY, value: String(epoch) },
+            ],
+            removals: [],
+          },
+          timeout,
+        ),
+      (result) => result.kind === 'unknown',
+    );
+    // After a lost answer the lease runs out by itself; a later claim then finds the key absent again.
+    if (outcome.kind !== 'written') return;
+    if (!mayClaim) {
+      await store.endLease(lease.leaseId, latency.timeoutMilliseconds());
+      return;
+    }
+    term = { epoch, ownerRevision: outcome.revision, leaseId: lease.leaseId };
+    ownerRevision = outcome.revision;
+    validUntil = sentAt + leaseMilliseconds - EXPIRY_MARGIN_MILLISECONDS;
+    log.info('term started', { epoch });
+    setOwner({ address, epoch });
+    options.onTermStart(term);
+    void keepLease();
+  }
+
+  async function follow(): Promise<void> {
+    const outcome = await timed(
+      (timeout) => store.read(OWNER_KEY, timeout),
+      (result) => result.kind === 'failed',
+    );
+    if (outcome.kind === 'failed') {
+      await sleep(clock, RETRY_MILLISECONDS);
+      return;
+    }
+    if (!outcome.value) {
+      setOwner(null);
+      endTerm('owner key is absent');
+      if (mayClaim) await claim();
+      if (!term) await sleep(clock, RETRY_MILLISECONDS);
+      return;
+    }
+    ownerRevision = outcome.value.revision;
+    if (term && term.ownerRevision !== ownerRevision) endTerm('another process owns the work');
+    const record = parseOwner(outcome.value);
+    // The record of an earlier life of this process names nobody who can answer.
+    setOwner(record && (record.address !== address || term) ? record : null);
+    const change = await store.awaitChange(OWNER_KEY, outcome.revision, WATCH_MILLISECONDS);
+    if (change === 'failed') await sleep(clock, RETRY_MILLISECONDS);
+  }
+
+  return {
+    async run() {
+      while (!isStopped) await follow();
+    },
+    owner: () => owner,
+    mayAct,
+    abandon: endTerm,
+    async release() {
+      mayClaim = false;
+      const released = term;
+      if (!released) return;
+      endTerm('released');
+      await store.endLease(released.leaseId, CALL_TIMEOUTS.maximumMilliseconds);
+    },
+    stop() {
+      mayClaim = false;
+      isStopped = true;
+    },
+  };
+}
--- /dev/null
+++ b/packages/scheduler/src/core/callerService.ts
@@ -0,0 +1,215 @@
+import { createFailure, TIMED_OUT, withTimeout } from '@chicorybend/common';
+import type { Failure, FailureOptions } from '@chicorybend/common';
+
+import type { CallerAnswer, CallerRequest } from '../types/caller.js';
+import type { ClusterConfiguration, JobQueueSettings, TeamQuota } from '../types/configuration.js';
+import type { JobRecord } from '../types/jobRecord.js';
+import type { JobStatus } from '../types/job.js';
+import type { TermContext } from '../types/termContext.js';
+import { specificationKey } from '../utils/storeKeys.js';
+import { createJobRecord, encodeAccepted } from './jobRecords.js';
+import type { TaskTransitions } from './taskTransitions.js';
+
+/** Keys are honoured this long after the configuration was last read, in milliseconds. */
+const FRESHNESS_MILLISECONDS = 3_500;
+/** A job that has not been sent to the store within this time is refused, in milliseconds. */
+const ACCEPT_MILLISECONDS = 1_000;
+/** Longest time that an acceptance may stay unresolved before the caller is told so, in milliseconds. */
+const UNRESOLVED_MILLISECONDS = 2_500;
+const RETRY_AFTER_MILLISECONDS = 1_000;
+const JOB_ID = /^[0-9a-f]{16}$/;
+
+/** Answers calls of callers, at the owner. */
+export interface CallerService {
+  handle(request: CallerRequest): Promise<CallerAnswer>;
+}
+
+/** What the service needs besides the context. */
+export interface CallerServiceOptions {
+  readonly context: TermContext;
+  readonly transitions: TaskTransitions;
+  /** Monotonic time at which the read of the configuration in effect began, in milliseconds. */
+  readonly configurationReadAt: () => number;
+  /** A job was accepted. */
+  readonly onAccepted: (job: JobRecord) => void;
+}
+
+/** @returns the queue whose host and path prefix a call begins with; the longest prefix wins */
+export function matchQueue(
+  configuration: ClusterConfiguration,
+  host: string,
+  path: string,
+): JobQueueSettings | null {
+  const matching = configuration.queues.filter(
+    (queue) => queue.host === host && path.startsWith(queue.pathPrefix),
+  );
+  return matching.reduce<JobQueueSettings | null>(
+    (best, queue) => (best && best.pathPrefix.length >= queue.pathPrefix.length ? best : queue),
+    null,
+  );
+}
+
+/** @returns the state of a job as callers see it; an end shows once it is durable */
+export function describeStatus(job: JobRecord): JobStatus {
+  if (job.shownPhase !== 'open') return job.shownPhase;
+  return job.hasStarted ? 'running' : 'pending';
+}
+
+/**
+ * Creates the service of a term.
+ *
+ * @param options collaborators
+ * @returns service
+ */
+export function createCallerService(options: CallerServiceOptions): CallerService {
+  const { context, transitions } = options;
+  const { clock, log, metrics, jobs, commits } = context;
+  /** Jobs whose acceptance is not durable yet. */
+  const accepting = new Map<string, { job: JobRecord; durable: Promise<boolean> }>();
+
+  function refuse(
+    code: Parameters<typeof createFailure>[0],
+    values: Record<string, string | number> = {},
+    failureOptions: FailureOptions = {},
+  ): CallerAnswer {
+    metrics.count('calls_refused');
+    const failure: Failure = createFailure(code, values, failureOptions);
+    return { kind: 'failed', failure };
+  }
+
+  function findTeam(configuration: ClusterConfiguration, key: string): TeamQuota | undefined {
+    return configuration.teams.find(({ keys }) => keys.includes(key));
+  }
+
+  function isFresh(): boolean {
+    return clock.monotonicMilliseconds() - options.configurationReadAt() <= FRESHNESS_MILLISECONDS;
+  }
+
+  function countWaiting(queue: string): number {
+    let count = 0;
+    jobs.forEach((job) => {
+      const isWaiting = job.queue === queue && job.phase === 'open' && !job.hasStarted;
+      if (isWaiting && !job.specification.schedule) count += 1;
+    });
+    return count;
+  }
+
+  async function awaitAcceptance(jobId: string): Promise<CallerAnswer> {
+    const entry = accepting.get(jobId);
+    if (!entry) return { kind: 'accepted' };
+    const first = await withTimeout(clock, entry.durable, ACCEPT_MILLISECONDS);
+    const isRefused = first === TIMED_OUT && commits.withdraw(specificationKey(jobId));
+    if (isRefused) {
+      log.info('job refused', { job: jobId, reason: 'store is not answering' });
+      return refuse('store-unavailable', {}, { retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS });
+    }
+    const rest = UNRESOLVED_MILLISECONDS - ACCEPT_MILLISECONDS;
+    const second = first === TIMED_OUT ? await withTimeout(clock, entry.durable, rest) : first;
+    return second === true ? { kind: 'accepted' } : refuse('acceptance-unknown');
+  }
+
+  function accept(
+    jobId: string,
+    queue: JobQueueSettings,
+    team: string,
+    request: CallerRequest,
+  ): void {
+    const job = createJobRecord({
+      jobId,
+      queue: queue.name,
+      team,
+      acceptedAt: clock.wallMilliseconds(),
+      specification: request.specification!,
+    });
+    const startedAt = clock.monotonicMilliseconds();
+    const durable = commits.stage(specificationKey(jobId), () => encodeAccepted(job));
+    accepting.set(jobId, { job, durable });
+    void durable.then((isDurable) => {
+      accepting.delete(jobId);
+      if (!isDurable) return;
+      jobs.set(jobId, job);
+      metrics.count('jobs_accepted');
+      metrics.record('accept_milliseconds', clock.monotonicMilliseconds() - startedAt);
+      log.info('job accepted', {
+        job: jobId,
+        queue: queue.name,
+        team,
+        steps: job.specification.steps.map(({ count }) => count),
+      });
+      options.onAccepted(job);
+    });
+  }
+
+  async function submit(
+    jobId: string,
+    queue: JobQueueSettings,
+    team: string,
+    request: CallerRequest,
+  ): Promise<CallerAnswer> {
+    const known = jobs.get(jobId) ?? accepting.get(jobId)?.job;
+    if (known && (known.queue !== queue.name || known.team !== team)) {
+      return refuse('team-not-allowed', { team, queue: queue.name });
+    }
+    if (!known) accept(jobId, queue, team, request);
+    return awaitAcceptance(jobId);
+  }
+
+  async function cancel(job: JobRecord): Promise<CallerAnswer> {
+    const isDurable = await withTimeout(
+      clock,
+      transitions.closeJob(job, 'cancelled'),
+      UNRESOLVED_MILLISECONDS,
+    );
+    return isDurable === true ? { kind: 'cancelled' } : refuse('acceptance-unknown');
+  }
+
+  async function handleJob(
+    jobId: string,
+    queue: JobQueueSettings,
+    team: string,
+    request: CallerRequest,
+  ): Promise<CallerAnswer> {
+    if (!JOB_ID.test(jobId)) {
+      return request.action === 'submit' ? refuse('invalid-body') : { kind: 'no-job' };
+    }
+    if (request.action === 'submit') return submit(jobId, queue, team, request);
+    const unresolved = accepting.get(jobId);
+    if (unresolved) await withTimeout(clock, unresolved.durable, UNRESOLVED_MILLISECONDS);
+    const job = jobs.get(jobId);
+    if (!job && accepting.has(jobId)) return refuse('acceptance-unknown');
+    if (!job || job.queue !== queue.name) return { kind: 'no-job' };
+    if (!queue.isPublic && job.team !== team) {
+      return refuse('team-not-allowed', { team, queue: queue.name });
+    }
+    if (request.action === 'cancel') return cancel(job);
+    return { kind: 'status', status: describeStatus(job) };
+  }
+
+  return {
+    async handle(request) {
+      const configuration = context.configuration();
+      if (!configuration) return refuse('not-ready');
+      const queue = matchQueue(configuration, request.host, request.path);
+      if (!isFresh() && !queue?.isPublic) {
+        return refuse(
+          'configuration-not-fresh',
+          {},
+          { retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS },
+        );
+      }
+      if (!queue) return refuse('unknown-queue', { queue: request.path });
+      const team = findTeam(configuration, request.key);
+      if (!team && !queue.isPublic) {
+        return refuse(request.key ? 'wrong-key' : 'missing-key', { queue: queue.name });
+      }
+      if (request.bodyBytes > configuration.maximumBodyBytes) {
+        return refuse('body-too-large', { limit: configuration.maximumBodyBytes });
+      }
+      const rest = request.path.slice(queue.pathPrefix.length);
+      if (rest === '' && request.action === 'status') {
+        return { kind: 'waiting', count: countWaiting(queue.name) };
+      }
+      return handleJob(rest, queue, team?.name ?? '', request);
+    },
+  };
+}
--- /dev/null
+++ b/packages/scheduler/src/core/commitQueue.ts
@@ -0,0 +1,232 @@
+import { assertInvariant, sleep } from '@chicorybend/common';
+import type { Clock, Log } from '@chicorybend/common';
+
+import { MAXIMUM_WRITE_ENTRIES } from '../types/clusterStore.js';
+import type { ClusterStore, StoredItem, StoreWrite, WriteOutcome } from '../types/clusterStore.js';
+import { createLatencyEstimate } from '../utils/latencyEstimate.js';
+import { COMMIT_KEY, OWNER_KEY } from '../utils/storeKeys.js';
+import type { OwnedTerm } from './authority.js';
+
+/** Changes within this time share a write, in milliseconds; bounds the writes of one owner. */
+const GATHER_MILLISECONDS = 8;
+/** Pause after a refused write, in milliseconds. */
+const RETRY_MILLISECONDS = 60;
+/** Conditions on the owner and the chain, and the new end of the chain. */
+const CHAIN_ENTRIES = 3;
+const MAXIMUM_KEYS = MAXIMUM_WRITE_ENTRIES - CHAIN_ENTRIES;
+/** Bounds of the time-out of a write, in milliseconds. */
+const WRITE_TIMEOUTS = { minimumMilliseconds: 150, maximumMilliseconds: 1_500 };
+
+/** Text of a key at the time of the write; null removes the key. */
+export type Encode = () => string | null;
+
+/** What the commit queue needs. */
+export interface CommitQueueOptions {
+  readonly store: ClusterStore;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly term: OwnedTerm;
+  /** Revision of the commit key before the first commit; 0 if it is absent. */
+  readonly chainRevision: number;
+  /** Called once when a write has shown that another process owns the work. */
+  readonly onLost: (reason: string) => void;
+  readonly onCommit: (keys: number, milliseconds: number) => void;
+}
+
+/** Durable changes of one term, in groups; each group is conditional on the one before it. */
+export interface CommitQueue {
+  /**
+   * Makes the present state of a key durable.
+   *
+   * @param key key to write
+   * @param encode gives the text when the write is sent
+   * @returns whether the state at the time of this call is durable; false if the term ended first
+   */
+  stage(key: string, encode: Encode): Promise<boolean>;
+  /** Takes back a key that no write has carried yet. @returns whether it certainly was not written */
+  withdraw(key: string): boolean;
+  /** @returns how long the oldest staged key has been waiting, in milliseconds */
+  delayMilliseconds(): number;
+  close(): void;
+}
+
+interface StagedKey {
+  encode: Encode;
+  readonly stagedAt: number;
+  readonly settle: ((isDurable: boolean) => void)[];
+}
+
+/**
+ * Creates the commit queue of a term.
+ *
+ * @param options collaborators
+ * @returns commit queue
+ */
+export function createCommitQueue(options: CommitQueueOptions): CommitQueue {
+  const { store, clock, log, term } = options;
+  const latency = createLatencyEstimate(WRITE_TIMEOUTS);
+  const staged = new Map<string, StagedKey>();
+  let inFlight: [string, StagedKey][] = [];
+  let { chainRevision } = options;
+  let sequence = 0;
+  let isClosed = false;
+  let isRunning = false;
+
+  function settleAll(keys: Iterable<StagedKey>, isDurable: boolean): void {
+    for (const { settle } of keys) settle.forEach((callback) => callback(isDurable));
+  }
+
+  function close(): void {
+    if (isClosed) return;
+    isClosed = true;
+    settleAll(staged.values(), false);
+    settleAll(
+      inFlight.map(([, entry]) => entry),
+      false,
+    );
+    staged.clear();
+    inFlight = [];
+  }
+
+  function lose(reason: string): void {
+    close();
+    options.onLost(reason);
+  }
+
+  function takeGroup(): StoreWrite {
+    inFlight = [...staged].slice(0, MAXIMUM_KEYS);
+    inFlight.forEach(([key]) => staged.delete(key));
+    sequence += 1;
+    const texts = inFlight.map(([key, { encode }]) => ({ key, value: encode() }));
+    return {
+      conditions: [
+        { key: OWNER_KEY, revision: term.ownerRevision },
+        { key: COMMIT_KEY, revision: chainRevision },
+      ],
+      puts: [
+        { key: COMMIT_KEY, value: `${term.epoch}.${sequence}` },
+        ...texts.flatMap(({ key, value }) => (value === null ? [] : [{ key, value }])),
+      ],
+      removals: texts.flatMap(({ key, value }) => (value === null ? [key] : [])),
+    };
+  }
+
+  function restage(): void {
+    const group = inFlight;
+    inFlight = [];
+    sequence -= 1;
+    const later = [...staged];
+    staged.clear();
+    group.forEach(([key, entry]) => staged.set(key, entry));
+    later.forEach(([key, entry]) => {
+      const earlier = staged.get(key);
+      if (!earlier) staged.set(key, entry);
+      else {
+        earlier.encode = entry.encode;
+        earlier.settle.push(...entry.settle);
+      }
+    });
+  }
+
+  function finishGroup(revision: number, startedAt: number): void {
+    chainRevision = revision;
+    const group = inFlight;
+    inFlight = [];
+    options.onCommit(group.length, clock.monotonicMilliseconds() - startedAt);
+    settleAll(
+      group.map(([, entry]) => entry),
+      true,
+    );
+  }
+
+  /** A conflict after a lost answer shows whether the lost write was executed. */
+  function findOwnCommit(items: readonly StoredItem[]): StoredItem | null {
+    const owner = items.find(({ key }) => key === OWNER_KEY);
+    const commit = items.find(({ key }) => key === COMMIT_KEY);
+    if (owner?.revision !== term.ownerRevision) return null;
+    return commit?.value === `${term.epoch}.${sequence}` ? commit : null;
+  }
+
+  async function send(write: StoreWrite): Promise<WriteOutcome> {
+    const startedAt = clock.monotonicMilliseconds();
+    const outcome = await store.write(write, latency.timeoutMilliseconds());
+    if (outcome.kind === 'unknown') latency.recordTimeout();
+    else latency.recordAnswer(clock.monotonicMilliseconds() - startedAt);
+    return outcome;
+  }
+
+  function applyConflict(items: readonly StoredItem[], isUncertain: boolean, startedAt: number) {
+    const own = findOwnCommit(items);
+    assertInvariant(!own || isUncertain, 'commit-chain', () => `group ${sequence} twice`);
+    if (own) finishGroup(own.revision, startedAt);
+    else lose('another process owns the work');
+  }
+
+  /** The same group is sent until its outcome is known, because its lost copy may still be executed. */
+  async function commitGroup(): Promise<void> {
+    const startedAt = clock.monotonicMilliseconds();
+    const write = takeGroup();
+    let isUncertain = false;
+    while (!isClosed) {
+      const outcome = await send(write);
+      if (isClosed) return;
+      if (outcome.kind === 'written') {
+        finishGroup(outcome.revision, startedAt);
+        return;
+      }
+      if (outcome.kind === 'conflict') {
+        applyConflict(outcome.items, isUncertain, startedAt);
+        return;
+      }
+      if (outcome.kind === 'no-lease') {
+        lose('lease ended');
+        return;
+      }
+      log.debug('commit not confirmed', { outcome: outcome.kind, reason: outcome.reason });
+      if (outcome.kind === 'unknown') isUncertain = true;
+      else await sleep(clock, RETRY_MILLISECONDS);
+      if (!isUncertain && !isClosed) {
+        restage();
+        return;
+      }
+    }
+  }
+
+  async function run(): Promise<void> {
+    isRunning = true;
+    await sleep(clock, GATHER_MILLISECONDS);
+    while (!isClosed && staged.size > 0) {
+      await commitGroup();
+      if (!isClosed && staged.size > 0) await sleep(clock, GATHER_MILLISECONDS);
+    }
+    isRunning = false;
+  }
+
+  return {
+    stage(key, encode) {
+      if (isClosed) return Promise.resolve(false);
+      return new Promise((resolve) => {
+        const entry = staged.get(key);
+        if (entry) {
+          entry.encode = encode;
+          entry.settle.push(resolve);
+        } else {
+          staged.set(key, { encode, stagedAt: clock.monotonicMilliseconds(), settle: [resolve] });
+        }
+        if (!isRunning) void run();
+      });
+    },
+    withdraw(key) {
+      const entry = staged.get(key);
+      if (!entry) return false;
+      staged.delete(key);
+      settleAll([entry], false);
+      return true;
+    },
+    delayMilliseconds() {
+      const oldest = inFlight[0]?.[1] ?? staged.values().next().value;
+      return oldest ? clock.monotonicMilliseconds() - oldest.stagedAt : 0;
+    },
+    close,
+  };
+}
--- /dev/null
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -0,0 +1,342 @@
+import { sleep } from '@chicorybend/common';
+
+import type { EndReport, HoldOutcome, RunId, RunReport } from '../types/endpoint.js';
+import type { TaskRecord } from '../types/jobRecord.js';
+import type { TermContext } from '../types/termContext.js';
+import type { EndpointState } from './endpointTable.js';
+import { hasRun } from './jobRecords.js';
+import type { TaskTransitions } from './taskTransitions.js';
+
+/** How long an endpoint may wait for an end before it answers a hold, in milliseconds. */
+const WAIT_MILLISECONDS = 1_500;
+/** Lease that a hold asks for, in milliseconds; outlives a takeover and is over soon after an endpoint is lost. */
+const HOLD_MILLISECONDS = 6_000;
+/** Time after which a start is not carried out any more, in milliseconds; shorter than any late execution. */
+const START_MILLISECONDS = 1_900;
+/** Lease clocks may be this much slower than the clock of this process. */
+const CLOCK_RATE_FACTOR = 1.02;
+/** Margin for the time of an order on its way, in milliseconds. */
+const LAPSE_MARGIN_MILLISECONDS = 300;
+/** Pause after a hold without an answer, in milliseconds. */
+const RETRY_MILLISECONDS = 200;
+/** Longest wait for ends to become durable before the lease is extended again, in milliseconds. */
+const DURABLE_WAIT_MILLISECONDS = 1_000;
+/** Most ends of one list; a full list may leave out ends and so does not prove that a run is absent. */
+const FULL_LIST = 500;
+/** No new work for an endpoint that refused or did not answer a start, in milliseconds. */
+const AVOID_MILLISECONDS = 1_000;
+/** Pause before a task whose start was refused is placed again, in milliseconds. */
+const REPLACE_MILLISECONDS = 50;
+
+/** Orders to one endpoint, and what it reports. */
+export interface EndpointSession {
+  readonly state: EndpointState;
+  /** Extends the leases and applies the lists until the endpoint is gone or the term ends. */
+  run(): Promise<void>;
+  /** Sends the recorded start of a task. */
+  start(task: TaskRecord, ticket: string | null): Promise<void>;
+  /** Ends the run of a task, however often the order has to be repeated. */
+  stop(task: TaskRecord): Promise<void>;
+  /** Sets the share at which the run of a task may work, in percent. */
+  pace(task: TaskRecord, percent: number): Promise<void>;
+}
+
+/** What a session reports. */
+export interface SessionEvents {
+  /** The ticket of a start was refused. */
+  onTicketRefused(task: TaskRecord): void;
+  /** The endpoint is not listed and nothing runs there. */
+  onGone(state: EndpointState): void;
+  /** A run of a serving task reported its tail. */
+  onLoad(state: EndpointState, task: TaskRecord, report: RunReport): void;
+}
+
+/**
+ * Creates the session of an endpoint.
+ *
+ * @param context state and collaborators of the term
+ * @param transitions changes of tasks
+ * @param state the endpoint
+ * @param events what is reported
+ * @returns session
+ */
+export function createEndpointSession(
+  context: TermContext,
+  transitions: TaskTransitions,
+  state: EndpointState,
+  events: SessionEvents,
+): EndpointSession {
+  const { clock, log, metrics, endpoints, table, epoch } = context;
+  const holdMilliseconds = Math.min(HOLD_MILLISECONDS, context.times.maximumHoldMilliseconds);
+
+  function now(): number {
+    return clock.monotonicMilliseconds();
+  }
+
+  function target() {
+    return table.target(state, epoch);
+  }
+
+  /** Notes the lease that a call may grant, before the call is sent. */
+  function deadlineAfter(milliseconds: number): number | null {
+    if (state.clockOffset === null) return null;
+    const lapsesAt = now() + milliseconds * CLOCK_RATE_FACTOR + LAPSE_MARGIN_MILLISECONDS;
+    state.lapsesAt = Math.max(state.lapsesAt, lapsesAt);
+    return Math.floor(now() + state.clockOffset + milliseconds);
+  }
+
+  function runsOnOtherIncarnation(): TaskRecord[] {
+    return [...state.runs.values()].filter(({ endpointBornAt }) => endpointBornAt !== state.bornAt);
+  }
+
+  /** A start that got no answer may reach the new incarnation, so that it is ruled out there first. */
+  async function endLostRun(task: TaskRecord): Promise<void> {
+    const { run } = task;
+    if (task.phase === 'placed' && Number.isFinite(task.settledAt) === false) {
+      while (!context.hasEnded() && task.run === run && hasRun(task)) {
+        const outcome = await endpoints.stop(target(), { taskId: task.taskId, run });
+        if (outcome.kind === 'done' || now() > state.lapsesAt) break;
+        await sleep(clock, RETRY_MILLISECONDS);
+      }
+    }
+    if (context.hasEnded() || task.run !== run || !hasRun(task)) return;
+    transitions.endRun(task, 'lapsed', task.checkpoint);
+    void transitions.save(task.step.job);
+  }
+
+  function changeIncarnation(bornAt: number): void {
+    log.info('endpoint incarnation changed', {
+      endpoint: state.entry.endpointId,
+      from: state.bornAt,
+      to: bornAt,
+    });
+    state.bornAt = bornAt;
+    state.appliedSequence = 0;
+    state.durableSequence = 0;
+    state.clockOffset = null;
+    runsOnOtherIncarnation().forEach((task) => {
+      void endLostRun(task);
+    });
+  }
+
+  function applyEnd(end: EndReport, touched: Set<TaskRecord>): void {
+    const task = state.runs.get(end.taskId);
+    if (!task || task.run !== end.run) return;
+    touched.add(task);
+    transitions.endRun(task, end.kind, end.checkpoint);
+  }
+
+  function applyRunning(report: RunReport): void {
+    const task = state.runs.get(report.taskId);
+    if (!task || task.run !== report.run) {
+      log.warn('unknown run stopped', { task: report.taskId, run: report.run });
+      void endpoints.stop(target(), report);
+      return;
+    }
+    if (task.phase === 'placed') confirm(task);
+    if (report.checkpoint !== '') task.checkpoint = report.checkpoint;
+    task.pacePercent = report.pacePercent;
+    if (task.step.specification.targetMilliseconds > 0) events.onLoad(state, task, report);
+  }
+
+  /** Runs that are neither listed nor ended do not exist, if the list is later than their start. */
+  function endAbsentRuns(listed: ReadonlySet<string>, sentAt: number, touched: Set<TaskRecord>) {
+    [...state.runs.values()].forEach((task) => {
+      if (listed.has(`${task.taskId}/${task.run}`) || task.settledAt >= sentAt) return;
+      touched.add(task);
+      log.info('run is absent', { task: task.taskId, run: task.run, phase: task.phase });
+      transitions.endRun(task, 'lapsed', task.checkpoint);
+    });
+  }
+
+  function seal(): void {
+    if (state.isSealed) return;
+    state.isSealed = true;
+    context.requestDispatch();
+  }
+
+  /** @returns whether all applied ends are durable, which may take a moment */
+  async function applyLists(
+    outcome: HoldOutcome & { kind: 'answered' },
+    sentAt: number,
+  ): Promise<boolean> {
+    if (outcome.bornAt !== null && outcome.bornAt < state.bornAt) return true;
+    if (outcome.bornAt !== null && outcome.bornAt > state.bornAt) changeIncarnation(outcome.bornAt);
+    state.silentCalls = 0;
+    state.clockOffset = outcome.endpointClockMilliseconds - now();
+    const touched = new Set<TaskRecord>();
+    const ends = outcome.ends.filter(({ sequence }) => sequence > state.appliedSequence);
+    ends.forEach((end) => applyEnd(end, touched));
+    const appliedSequence = ends.reduce(
+      (highest, { sequence }) => Math.max(highest, sequence),
+      state.appliedSequence,
+    );
+    state.appliedSequence = appliedSequence;
+    outcome.running.forEach(applyRunning);
+    if (outcome.ends.length < FULL_LIST) {
+      const listed = new Set(outcome.running.map(({ taskId, run }) => `${taskId}/${run}`));
+      endAbsentRuns(listed, sentAt, touched);
+    }
+    seal();
+    const jobs = new Set([...touched].map(({ step }) => step.job));
+    const saved = await Promise.all([...jobs].map((job) => transitions.save(job)));
+    if (saved.every(Boolean)) {
+      state.durableSequence = Math.max(state.durableSequence, appliedSequence);
+    }
+    return true;
+  }
+
+  function handleSilence(reason: string): void {
+    state.silentCalls += 1;
+    metrics.count('holds_failed');
+    if (state.silentCalls === 1) {
+      log.info('endpoint silent', { endpoint: state.entry.endpointId, reason });
+    }
+    if (now() < state.lapsesAt) return;
+    const lapsed = [...state.runs.values()];
+    if (lapsed.length === 0) return;
+    log.info('runs lapsed with their endpoint', {
+      endpoint: state.entry.endpointId,
+      runs: lapsed.length,
+    });
+    state.isSealed = false;
+    lapsed.forEach((task) => {
+      transitions.endRun(task, 'lapsed', task.checkpoint);
+      void transitions.save(task.step.job);
+    });
+  }
+
+  async function hold(waitMilliseconds: number): Promise<void> {
+    const sentAt = now();
+    const { bornAt } = state;
+    metrics.count('holds_sent');
+    const outcome = await endpoints.hold(target(), {
+      deadlineOnEndpointMilliseconds: deadlineAfter(holdMilliseconds),
+      acknowledgedSequence: state.durableSequence,
+      waitMilliseconds,
+    });
+    if (context.hasEnded() || bornAt !== state.bornAt) return;
+    if (outcome.kind === 'answered') {
+      const durable = applyLists(outcome, sentAt);
+      await Promise.race([durable, sleep(clock, DURABLE_WAIT_MILLISECONDS)]);
+    } else if (outcome.kind === 'refused' && outcome.reason === 'fenced') {
+      context.abandon(`endpoint ${state.entry.endpointId} has seen a higher fencing token`);
+    } else {
+      handleSilence(outcome.reason);
+      await sleep(clock, RETRY_MILLISECONDS);
+    }
+  }
+
+  function isGone(): boolean {
+    return !state.isListed && state.runs.size === 0 && now() >= state.lapsesAt;
+  }
+
+  function confirm(task: TaskRecord): void {
+    const { job } = task.step;
+    if (task.phase !== 'placed') return;
+    task.phase = job.phase === 'open' ? 'running' : 'stopping';
+    task.startedAt = now();
+    task.settledAt = now();
+    if (task.phase === 'stopping') void stop(task);
+  }
+
+  function isPresent(task: TaskRecord, run: number): boolean {
+    return !context.hasEnded() && task.run === run && state.runs.get(task.taskId) === task;
+  }
+
+  /**
+   * The list tells whether a start without an answer was executed. If it was not, a stop rules out that it
+   * still is; the list after the stop then shows whether the run existed.
+   */
+  async function resolveStart(task: TaskRecord, run: number): Promise<void> {
+    metrics.count('starts_unanswered');
+    state.avoidUntil = now() + AVOID_MILLISECONDS;
+    log.info('start unanswered', { task: task.taskId, run, endpoint: state.entry.endpointId });
+    await hold(0);
+    while (isPresent(task, run) && task.phase === 'placed') {
+      await repeatStop(task, run);
+    }
+  }
+
+  function refuseStart(task: TaskRecord, reason: string): void {
+    metrics.count('starts_refused');
+    log.info('start refused', { task: task.taskId, endpoint: state.entry.endpointId, reason });
+    if (reason === 'invalid-ticket') events.onTicketRefused(task);
+    else state.avoidUntil = now() + AVOID_MILLISECONDS;
+    if (reason === 'late') state.clockOffset = null;
+    task.notBefore = now() + REPLACE_MILLISECONDS;
+    transitions.endRun(task, 'lapsed', task.checkpoint);
+    void transitions.save(task.step.job);
+  }
+
+  async function repeatStop(task: TaskRecord, run: number): Promise<void> {
+    metrics.count('stops_sent');
+    const order: RunId = { taskId: task.taskId, run };
+    const { bornAt } = state;
+    const outcome = context.mayAct()
+      ? await endpoints.stop(target(), order)
+      : ({ kind: 'unknown', reason: 'no authority' } as const);
+    if (!isPresent(task, run)) return;
+    if (outcome.kind === 'refused' && outcome.reason === 'fenced') {
+      context.abandon(`endpoint ${state.entry.endpointId} has seen a higher fencing token`);
+      return;
+    }
+    if (outcome.kind === 'done' && bornAt === state.bornAt) {
+      task.settledAt = Math.min(task.settledAt, now());
+      // The end is listed once the run has stopped.
+      await sleep(clock, 2 * context.times.stopMilliseconds);
+      if (isPresent(task, run)) await hold(0);
+    }
+    await sleep(clock, RETRY_MILLISECONDS);
+  }
+
+  async function stop(task: TaskRecord): Promise<void> {
+    const { run } = task;
+    if (task.phase === 'running') task.phase = 'stopping';
+    while (isPresent(task, run) && hasRun(task)) await repeatStop(task, run);
+  }
+
+  return {
+    state,
+    async run() {
+      while (!context.hasEnded() && !isGone()) {
+        if (!context.mayAct()) await sleep(clock, RETRY_MILLISECONDS / 4);
+        else {
+          const isSettled = state.isSealed && state.durableSequence === state.appliedSequence;
+          await hold(isSettled && state.clockOffset !== null ? WAIT_MILLISECONDS : 0);
+        }
+      }
+      if (!context.hasEnded()) events.onGone(state);
+    },
+    async start(task, ticket) {
+      const { run } = task;
+      const deadline = deadlineAfter(START_MILLISECONDS);
+      if (!context.mayAct() || deadline === null || task.endpointBornAt !== state.bornAt) {
+        refuseStart(task, 'not sent');
+        return;
+      }
+      metrics.count('starts_sent');
+      const outcome = await endpoints.start(target(), {
+        taskId: task.taskId,
+        run,
+        payload: task.step.job.specification.payload,
+        deadlineOnEndpointMilliseconds: deadline,
+        checkpoint: task.checkpoint,
+        ticket,
+      });
+      if (!isPresent(task, run) || task.phase === 'running') return;
+      if (outcome.kind === 'done') confirm(task);
+      else if (outcome.kind === 'unknown') await resolveStart(task, run);
+      else {
+        refuseStart(task, outcome.reason);
+        if (outcome.reason === 'fenced') context.abandon('an endpoint refused a start as fenced');
+      }
+    },
+    stop,
+    async pace(task, percent) {
+      if (!context.mayAct() || task.phase !== 'running') return;
+      task.pacePercent = percent;
+      await endpoints.pace(target(), { taskId: task.taskId, run: task.run }, percent);
+    },
+  };
+}
--- /dev/null
+++ b/packages/scheduler/src/core/jobRecords.ts
@@ -0,0 +1,208 @@
+import type { JobSpecification } from '../types/job.js';
+import type {
+  JobPhase,
+  JobRecord,
+  OccurrenceRecord,
+  StepRecord,
+  TaskPhase,
+  TaskRecord,
+} from '../types/jobRecord.js';
+
+/** What a specification key holds. */
+export interface AcceptedJob {
+  readonly jobId: string;
+  readonly queue: string;
+  readonly team: string;
+  readonly acceptedAt: number;
+  readonly specification: JobSpecification;
+}
+
+/** Creates the record of a job without occurrences. */
+export function createJobRecord(accepted: AcceptedJob): JobRecord {
+  return {
+    ...accepted,
+    phase: 'open',
+    shownPhase: 'open',
+    endedAt: 0,
+    hasStarted: false,
+    occurrenceCount: 0,
+    occurrences: new Map(),
+  };
+}
+
+function createTask(step: StepRecord, index: number): TaskRecord {
+  return {
+    taskId: `${step.stepId}.${index}`,
+    step,
+    index,
+    phase: 'pending',
+    run: 0,
+    failures: 0,
+    endpointId: null,
+    endpointBornAt: 0,
+    checkpoint: '',
+    startedAt: 0,
+    settledAt: Infinity,
+    notBefore: 0,
+    pacePercent: 100,
+  };
+}
+
+/** Adds an occurrence with all its tasks pending. */
+export function addOccurrence(job: JobRecord, index: number): OccurrenceRecord {
+  const occurrence: OccurrenceRecord = { index, steps: [], doneSteps: 0 };
+  job.specification.steps.forEach((specification, stepIndex) => {
+    const step: StepRecord = {
+      stepId: `${job.jobId}.${index}.${stepIndex}`,
+      job,
+      occurrence: index,
+      index: stepIndex,
+      specification,
+      tasks: [],
+      doneCount: 0,
+      gangFailures: 0,
+      isReleased: false,
+      releasedAt: 0,
+    };
+    for (let task = 0; task < specification.count; task += 1) {
+      step.tasks.push(createTask(step, task));
+    }
+    occurrence.steps.push(step);
+  });
+  job.occurrences.set(index, occurrence);
+  job.occurrenceCount = Math.max(job.occurrenceCount, index + 1);
+  return occurrence;
+}
+
+/** @returns number of times that the job runs */
+export function countOccurrences(job: JobRecord): number {
+  return job.specification.schedule?.repetitions ?? 1;
+}
+
+/** @returns when an occurrence is due, in milliseconds since the Unix epoch; 0 for at once */
+export function dueTime(job: JobRecord, index: number): number {
+  const { schedule } = job.specification;
+  return schedule ? schedule.startAt + index * schedule.intervalMilliseconds : 0;
+}
+
+/** @returns whether all earlier steps that the step waits for are done */
+export function areDependenciesDone(occurrence: OccurrenceRecord, step: StepRecord): boolean {
+  return step.specification.after.every((index) => {
+    const earlier = occurrence.steps[index];
+    return earlier !== undefined && earlier.doneCount === earlier.specification.count;
+  });
+}
+
+/** @returns whether a run of the task may exist on an endpoint */
+export function hasRun(task: TaskRecord): boolean {
+  return task.phase === 'placed' || task.phase === 'running' || task.phase === 'stopping';
+}
+
+/** Applies a function to all tasks of the occurrences that are not complete. */
+export function forEachTask(job: JobRecord, apply: (task: TaskRecord) => void): void {
+  job.occurrences.forEach(({ steps }) => steps.forEach(({ tasks }) => tasks.forEach(apply)));
+}
+
+/** Rows of a stored task: step, index, phase, run, failures, index of the endpoint, checkpoint. */
+type StoredTask = [number, number, TaskPhase, number, number, number, string];
+
+interface StoredState {
+  phase: JobPhase;
+  endedAt: number;
+  hasStarted: boolean;
+  occurrenceCount: number;
+  /** Endpoints named by the tasks, with their incarnations. */
+  endpoints: [string, number][];
+  /** Incomplete occurrences: index, failures of gangs by step, tasks that are not new. */
+  occurrences: [number, number[], StoredTask[]][];
+}
+
+/** Encodes what was accepted, for the specification key. */
+export function encodeAccepted(job: JobRecord): string {
+  const { jobId, queue, team, acceptedAt, specification } = job;
+  return JSON.stringify({ jobId, queue, team, acceptedAt, specification } satisfies AcceptedJob);
+}
+
+/** Encodes the progress of a job, for the state key. */
+export function encodeState(job: JobRecord): string {
+  const endpoints: [string, number][] = [];
+  const indexOf = new Map<string, number>();
+
+  function endpointIndex(task: TaskRecord): number {
+    if (task.endpointId === null) return -1;
+    const name = `${task.endpointId}@${task.endpointBornAt}`;
+    const known = indexOf.get(name);
+    if (known !== undefined) return known;
+    indexOf.set(name, endpoints.length);
+    endpoints.push([task.endpointId, task.endpointBornAt]);
+    return endpoints.length - 1;
+  }
+
+  const isOpen = job.phase === 'open' || [...job.occurrences.values()].some(hasAnyRun);
+  const occurrences = !isOpen
+    ? []
+    : [...job.occurrences.values()].map(({ index, steps }): StoredState['occurrences'][number] => [
+        index,
+        steps.map(({ gangFailures }) => gangFailures),
+        steps.flatMap((step) =>
+          step.tasks
+            .filter((task) => task.phase !== 'pending' || task.run > 0)
+            .map((task): StoredTask => [
+              step.index,
+              task.index,
+              task.phase,
+              task.run,
+              task.failures,
+              hasRun(task) ? endpointIndex(task) : -1,
+              task.phase === 'done' ? '' : task.checkpoint,
+            ]),
+        ),
+      ]);
+  const { phase, endedAt, hasStarted, occurrenceCount } = job;
+  return JSON.stringify({
+    phase,
+    endedAt,
+    hasStarted,
+    occurrenceCount,
+    endpoints,
+    occurrences,
+  } satisfies StoredState);
+}
+
+function hasAnyRun({ steps }: OccurrenceRecord): boolean {
+  return steps.some(({ tasks }) => tasks.some(hasRun));
+}
+
+/** Applies a stored state to a new record. Runs are `placed` until their endpoints confirm them. */
+export function applyState(job: JobRecord, text: string): void {
+  const stored = JSON.parse(text) as StoredState;
+  job.phase = stored.phase;
+  job.shownPhase = stored.phase;
+  job.endedAt = stored.endedAt;
+  job.hasStarted = stored.hasStarted;
+  job.occurrenceCount = stored.occurrenceCount;
+  stored.occurrences.forEach(([index, gangFailures, tasks]) => {
+    const occurrence = addOccurrence(job, index);
+    tasks.forEach(([stepIndex, taskIndex, phase, run, failures, endpoint, checkpoint]) => {
+      const task = occurrence.steps[stepIndex]?.tasks[taskIndex];
+      if (!task) return;
+      Object.assign(task, { run, failures, checkpoint });
+      task.phase = phase === 'running' ? 'placed' : phase;
+      const place = stored.endpoints[endpoint];
+      if (place) [task.endpointId, task.endpointBornAt] = place;
+    });
+    occurrence.steps.forEach((step) => {
+      step.gangFailures = gangFailures[step.index] ?? 0;
+      step.doneCount = step.tasks.filter(({ phase }) => phase === 'done').length;
+    });
+    occurrence.doneSteps = occurrence.steps.filter(
+      ({ doneCount, specification }) => doneCount === specification.count,
+    ).length;
+  });
+  job.occurrenceCount = Math.max(job.occurrenceCount, stored.occurrenceCount);
+}
+
+/** Reads the text of a specification key. */
+export function parseAccepted(text: string): AcceptedJob {
+  return JSON.parse(text) as AcceptedJob;
+}
--- /dev/null
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -0,0 +1,422 @@
+import { createFailure, sleep } from '@chicorybend/common';
+import type { Clock, Log } from '@chicorybend/common';
+
+import type { AdviceClient } from '../types/advice.js';
+import type { CallerAnswer, CallerRequest } from '../types/caller.js';
+import type { ClusterStore, StoredItem } from '../types/clusterStore.js';
+import type { ClusterConfiguration, ConfigurationSource } from '../types/configuration.js';
+import type { EndpointClient, EndpointDirectory, EndpointEntry } from '../types/endpoint.js';
+import type { JobRecord, TaskRecord } from '../types/jobRecord.js';
+import type { EndpointTimes, TermContext } from '../types/termContext.js';
+import {
+  COMMIT_KEY,
+  JOB_PREFIX,
+  parseJobKey,
+  specificationKey,
+  stateKey,
+} from '../utils/storeKeys.js';
+import { createAdviceDesk } from './adviceDesk.js';
+import type { OwnedTerm } from './authority.js';
+import { createCallerService } from './callerService.js';
+import { createCommitQueue } from './commitQueue.js';
+import { createDispatcher } from './dispatcher.js';
+import { createEndpointSession } from './endpointSession.js';
+import type { EndpointSession } from './endpointSession.js';
+import { createEndpointTable } from './endpointTable.js';
+import type { EndpointState } from './endpointTable.js';
+import {
+  applyState,
+  countOccurrences,
+  createJobRecord,
+  forEachTask,
+  hasRun,
+  parseAccepted,
+} from './jobRecords.js';
+import type { SchedulerMetrics } from './schedulerMetrics.js';
+import { createTaskTransitions } from './taskTransitions.js';
+
+/** Interval of reading the configuration, in milliseconds; bounds how long a change takes to be in effect. */
+const CONFIGURATION_INTERVAL_MILLISECONDS = 600;
+/** Interval of reading the directory, in milliseconds; bounds how long a leaving endpoint gets work. */
+const DIRECTORY_INTERVAL_MILLISECONDS = 600;
+/** Interval of looking for due occurrences and for jobs to forget, in milliseconds. */
+const HOUSEKEEPING_INTERVAL_MILLISECONDS = 100;
+/** Pause before a failed read of the store is repeated, in milliseconds. */
+const RETRY_MILLISECONDS = 100;
+/** Limit of a read of the store, in milliseconds. */
+const READ_TIMEOUT_MILLISECONDS = 1_000;
+/** Lease clocks may be this much slower than the clock of this process. */
+const CLOCK_RATE_FACTOR = 1.02;
+/** Margin for the time of an order on its way, in milliseconds. */
+const LAPSE_MARGIN_MILLISECONDS = 500;
+/** A draining endpoint's checkpointed work is moved this long before the endpoint leaves, in milliseconds. */
+const DRAIN_MARGIN_MILLISECONDS = 1_000;
+
+/** What a term needs. */
+export interface OwnerTermOptions {
+  readonly store: ClusterStore;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: SchedulerMetrics;
+  readonly endpoints: EndpointClient;
+  readonly directory: EndpointDirectory;
+  readonly configurationSource: ConfigurationSource;
+  readonly times: EndpointTimes;
+  /** How long an ended job is known, in milliseconds. */
+  readonly retentionMilliseconds: number;
+  readonly term: OwnedTerm;
+  readonly mayAct: () => boolean;
+  readonly onLost: (reason: string) => void;
+}
+
+/** All that the owner does between a claim and the loss of its authority. */
+export interface OwnerTerm {
+  /** Recovers the state and works until {@link OwnerTerm.end}. */
+  run(): Promise<void>;
+  handle(request: CallerRequest): Promise<CallerAnswer>;
+  /** Adds a VM from which advice can be asked. @returns function that removes it */
+  addAdviceLine(client: AdviceClient): () => void;
+  end(): void;
+}
+
+/** @returns an entry for an endpoint that is known only from the runs recorded for it */
+function describeUnlisted(endpointId: string, bornAt: number): EndpointEntry {
+  return {
+    endpointId,
+    service: '',
+    address: '',
+    dataCentre: '',
+    isDraining: true,
+    drainRemainingMilliseconds: null,
+    capacity: { processors: 0, memoryBytes: 0, accelerators: 0 },
+    hardware: '',
+    rack: '',
+    bornAt,
+  };
+}
+
+/**
+ * Creates a term; {@link OwnerTerm.run} starts it.
+ *
+ * @param options collaborators
+ * @returns term
+ */
+export function createOwnerTerm(options: OwnerTermOptions): OwnerTerm {
+  const { store, clock, log, metrics, directory, configurationSource, term, times } = options;
+  const table = createEndpointTable();
+  const jobs = new Map<string, JobRecord>();
+  const sessions = new Map<string, EndpointSession>();
+  let configuration: ClusterConfiguration | null = null;
+  let configurationReadAt = -Infinity;
+  let hasEnded = false;
+  let parts: ReturnType<typeof createParts> | null = null;
+  const startedAt = clock.monotonicMilliseconds();
+  const formerLeasesLapseAt =
+    startedAt + times.maximumHoldMilliseconds * CLOCK_RATE_FACTOR + LAPSE_MARGIN_MILLISECONDS;
+
+  const desk = createAdviceDesk({
+    clock,
+    log,
+    metrics,
+    onAdvice: () => parts?.dispatcher.request(),
+  });
+
+  function createParts(chainRevision: number) {
+    const commits = createCommitQueue({
+      store,
+      clock,
+      log,
+      term,
+      chainRevision,
+      onLost: options.onLost,
+      onCommit(keys, milliseconds) {
+        metrics.count('commits');
+        metrics.count('commit_keys', keys);
+        metrics.record('commit_milliseconds', milliseconds);
+      },
+    });
+    const context: TermContext = {
+      clock,
+      log,
+      metrics,
+      epoch: term.epoch,
+      times,
+      endpoints: options.endpoints,
+      table,
+      jobs,
+      commits,
+      configuration: () => configuration,
+      mayAct: () => !hasEnded && options.mayAct(),
+      hasEnded: () => hasEnded,
+      abandon: options.onLost,
+      requestDispatch: () => dispatcher.request(),
+    };
+    const transitions = createTaskTransitions(context);
+    const dispatcher = createDispatcher({
+      context,
+      transitions,
+      desk,
+      session: (endpointId) => sessions.get(endpointId),
+    });
+    const caller = createCallerService({
+      context,
+      transitions,
+      configurationReadAt: () => configurationReadAt,
+      onAccepted(job) {
+        transitions.release(job);
+        job.occurrences.forEach(({ steps }) =>
+          steps.filter(({ isReleased }) => isReleased).forEach((step) => dispatcher.prepare(step)),
+        );
+      },
+    });
+    transitions.onJobClosed(stopRuns);
+    return { context, commits, transitions, dispatcher, caller };
+  }
+
+  function stopRuns(job: JobRecord): void {
+    forEachTask(job, (task) => {
+      if (hasRun(task)) stopRun(task);
+    });
+  }
+
+  /** A run whose start is on its way is stopped once the start is resolved. */
+  function stopRun(task: TaskRecord): void {
+    if (task.phase !== 'running' || task.endpointId === null) return;
+    void sessions.get(task.endpointId)?.stop(task);
+  }
+
+  async function repeatUntilAnswered<Outcome extends { kind: string }>(
+    call: () => Promise<Outcome>,
+  ): Promise<Exclude<Outcome, { kind: 'failed' }> | null> {
+    while (!hasEnded) {
+      const outcome = await call();
+      if (outcome.kind !== 'failed') return outcome as Exclude<Outcome, { kind: 'failed' }>;
+      await sleep(clock, RETRY_MILLISECONDS);
+    }
+    return null;
+  }
+
+  async function readConfiguration(): Promise<boolean> {
+    const readAt = clock.monotonicMilliseconds();
+    const outcome = await configurationSource.read();
+    if (outcome.kind === 'failed' || hasEnded) return false;
+    const next = outcome.configuration;
+    configurationReadAt = readAt;
+    if (!next || (configuration && next.version <= configuration.version)) return true;
+    log.info('configuration in effect', { version: next.version, queues: next.queues.length });
+    configuration = next;
+    parts?.dispatcher.request();
+    return true;
+  }
+
+  function startSession(state: EndpointState): EndpointSession {
+    const { context, transitions, dispatcher } = parts!;
+    const session = createEndpointSession(context, transitions, state, {
+      onTicketRefused(task) {
+        desk.dropTicket(task.step.stepId, state.entry.endpointId);
+      },
+      onGone(gone) {
+        log.info('endpoint gone', { endpoint: gone.entry.endpointId });
+        table.remove(gone.entry.endpointId);
+        sessions.delete(gone.entry.endpointId);
+      },
+      onLoad(loaded, task, report) {
+        watchTarget(loaded, task, report.load);
+      },
+    });
+    sessions.set(state.entry.endpointId, session);
+    if (state.entry.address !== '') void session.run();
+    else void awaitLapse(state, dispatcher.request);
+    return session;
+  }
+
+  /** Runs on an endpoint that is not listed cannot be asked about; their leases end by themselves. */
+  async function awaitLapse(state: EndpointState, onLapsed: () => void): Promise<void> {
+    const { transitions } = parts!;
+    await sleep(clock, Math.max(0, state.lapsesAt - clock.monotonicMilliseconds()));
+    if (hasEnded || state.entry.address !== '') return;
+    log.info('runs lapsed with their endpoint', {
+      endpoint: state.entry.endpointId,
+      runs: state.runs.size,
+    });
+    [...state.runs.values()].forEach((task) => {
+      transitions.endRun(task, 'lapsed', task.checkpoint);
+      void transitions.save(task.step.job);
+    });
+    table.remove(state.entry.endpointId);
+    sessions.delete(state.entry.endpointId);
+    onLapsed();
+  }
+
+  /** A serving task over its target has the filling tasks beside it stopped, which resume elsewhere. */
+  function watchTarget(state: EndpointState, task: TaskRecord, load: number): void {
+    if (load <= task.step.specification.targetMilliseconds) {
+      state.overTargetSince.delete(task.taskId);
+      return;
+    }
+    if (!state.overTargetSince.has(task.taskId)) {
+      state.overTargetSince.set(task.taskId, clock.monotonicMilliseconds());
+    }
+    state.runs.forEach((other) => {
+      if (other.step.specification.isFilling) stopRun(other);
+    });
+  }
+
+  function applyDrain(state: EndpointState): void {
+    const remaining = state.entry.drainRemainingMilliseconds ?? 0;
+    state.runs.forEach((task) => {
+      const { isLongRunning, hasCheckpoints } = task.step.specification;
+      const mustMove = hasCheckpoints && remaining <= DRAIN_MARGIN_MILLISECONDS;
+      if (isLongRunning || mustMove) stopRun(task);
+    });
+  }
+
+  function applyEntry(entry: EndpointEntry): void {
+    const known = table.get(entry.endpointId);
+    if (!known) {
+      startSession(table.add(entry, clock.monotonicMilliseconds()));
+      return;
+    }
+    if (entry.bornAt < known.entry.bornAt) return;
+    const wasUnlisted = known.entry.address === '';
+    if (entry.isDraining && !known.entry.isDraining) {
+      log.info('endpoint draining', {
+        endpoint: entry.endpointId,
+        remaining: entry.drainRemainingMilliseconds,
+      });
+    }
+    known.entry = entry;
+    known.isListed = true;
+    if (wasUnlisted) void sessions.get(entry.endpointId)?.run();
+    if (entry.isDraining) applyDrain(known);
+  }
+
+  async function readDirectory(): Promise<boolean> {
+    const outcome = await directory.list();
+    if (outcome.kind === 'failed' || hasEnded) return false;
+    const listed = new Set(outcome.entries.map(({ endpointId }) => endpointId));
+    outcome.entries.forEach(applyEntry);
+    for (const state of table.all()) {
+      if (listed.has(state.entry.endpointId) || !state.isListed) continue;
+      state.isListed = false;
+      log.info('endpoint not listed', { endpoint: state.entry.endpointId });
+    }
+    parts?.dispatcher.request();
+    return true;
+  }
+
+  async function repeat(interval: number, call: () => Promise<boolean>): Promise<void> {
+    while (!hasEnded) {
+      const isDone = await call();
+      await sleep(clock, isDone ? interval : RETRY_MILLISECONDS);
+    }
+  }
+
+  function restoreJobs(items: readonly StoredItem[]): void {
+    const states = new Map<string, string>();
+    items.forEach(({ key, value }) => {
+      const parsed = parseJobKey(key);
+      if (parsed?.part === 'state') states.set(parsed.jobId, value);
+    });
+    items.forEach(({ key, value }) => {
+      const parsed = parseJobKey(key);
+      if (parsed?.part !== 'specification') return;
+      const job = createJobRecord(parseAccepted(value));
+      const state = states.get(parsed.jobId);
+      if (state !== undefined) applyState(job, state);
+      jobs.set(job.jobId, job);
+    });
+  }
+
+  /** Recorded runs are charged where they may exist; their endpoints' lists then tell which of them do. */
+  function restoreRuns(): void {
+    jobs.forEach((job) =>
+      forEachTask(job, (task) => {
+        if (!hasRun(task) || task.endpointId === null) return;
+        let state = table.get(task.endpointId);
+        if (!state) {
+          const now = clock.monotonicMilliseconds();
+          state = table.add(describeUnlisted(task.endpointId, task.endpointBornAt), now);
+          state.isListed = false;
+        }
+        state.lapsesAt = formerLeasesLapseAt;
+        task.settledAt = -Infinity;
+        table.charge(state, task);
+      }),
+    );
+  }
+
+  async function recover(): Promise<boolean> {
+    const [chain, items, entries] = await Promise.all([
+      repeatUntilAnswered(() => store.read(COMMIT_KEY, READ_TIMEOUT_MILLISECONDS)),
+      repeatUntilAnswered(() => store.list(JOB_PREFIX, READ_TIMEOUT_MILLISECONDS)),
+      repeatUntilAnswered(() => directory.list()),
+      readConfiguration(),
+    ]);
+    if (!chain || !items || !entries || hasEnded) return false;
+    entries.entries.forEach((entry) => {
+      table.add(entry, clock.monotonicMilliseconds()).lapsesAt = formerLeasesLapseAt;
+    });
+    restoreJobs(items.value);
+    restoreRuns();
+    parts = createParts(chain.value?.revision ?? 0);
+    for (const state of table.all()) startSession(state);
+    jobs.forEach((job) => parts!.transitions.release(job));
+    log.info('state recovered', {
+      epoch: term.epoch,
+      jobs: jobs.size,
+      endpoints: sessions.size,
+      milliseconds: Math.round(clock.monotonicMilliseconds() - startedAt),
+    });
+    return true;
+  }
+
+  function forget(job: JobRecord): void {
+    const { commits } = parts!;
+    jobs.delete(job.jobId);
+    void commits.stage(stateKey(job.jobId), () => null);
+    void commits.stage(specificationKey(job.jobId), () => null);
+  }
+
+  function keepHouse(): Promise<boolean> {
+    const wallNow = clock.wallMilliseconds();
+    jobs.forEach((job) => {
+      if (job.phase === 'open') {
+        const isDueOften = job.occurrenceCount < countOccurrences(job);
+        if (isDueOften) parts!.transitions.release(job);
+      } else if (
+        job.occurrences.size === 0 &&
+        wallNow - job.endedAt > options.retentionMilliseconds
+      ) {
+        forget(job);
+      }
+    });
+    for (const state of table.all()) {
+      if (state.isListed && state.entry.isDraining) applyDrain(state);
+    }
+    parts!.dispatcher.request();
+    return Promise.resolve(true);
+  }
+
+  return {
+    async run() {
+      if (!(await recover())) return;
+      void repeat(CONFIGURATION_INTERVAL_MILLISECONDS, readConfiguration);
+      void repeat(DIRECTORY_INTERVAL_MILLISECONDS, readDirectory);
+      await repeat(HOUSEKEEPING_INTERVAL_MILLISECONDS, keepHouse);
+    },
+    handle(request) {
+      if (parts && !hasEnded) return parts.caller.handle(request);
+      return Promise.resolve({ kind: 'failed', failure: createFailure('not-ready') });
+    },
+    addAdviceLine(client) {
+      const line = desk.addLine(client);
+      return () => desk.removeLine(line);
+    },
+    end() {
+      hasEnded = true;
+      parts?.commits.close();
+      parts?.dispatcher.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/scheduler/src/core/peerChannel.ts
@@ -0,0 +1,155 @@
+import { connect, createServer } from 'node:net';
+import type { Server, Socket } from 'node:net';
+
+import { TIMED_OUT, withTimeout } from '@chicorybend/common';
+import type { Clock } from '@chicorybend/common';
+import { JSONRPCClient, JSONRPCServer, JSONRPCServerAndClient } from 'json-rpc-2.0';
+
+/** Longest message, in characters; a longer one ends the connection. */
+const MAXIMUM_MESSAGE_LENGTH = 4 * 1024 * 1024;
+
+/** Methods that a VM offers to its peers. */
+export type PeerHandlers = Readonly<Record<string, (parameters: unknown) => Promise<unknown>>>;
+
+/** Outcome of a call to a peer: `lost` leaves open whether the peer executed it. */
+export type PeerOutcome =
+  | { readonly kind: 'answered'; readonly result: unknown }
+  | { readonly kind: 'lost'; readonly reason: string };
+
+/** A connection between two VMs on which both may call. */
+export interface PeerChannel {
+  call(method: string, parameters: unknown, timeoutMilliseconds: number): Promise<PeerOutcome>;
+  /** Resolves when the connection has ended. */
+  readonly closed: Promise<void>;
+  isOpen(): boolean;
+  close(): void;
+}
+
+function createChannel(socket: Socket, handlers: PeerHandlers, clock: Clock): PeerChannel {
+  const server = new JSONRPCServer({ errorListener: () => {} });
+  Object.entries(handlers).forEach(([method, handler]) => server.addMethod(method, handler));
+  const endpoint = new JSONRPCServerAndClient(
+    server,
+    new JSONRPCClient((message: unknown) => {
+      if (socket.destroyed) return Promise.reject(new Error('the connection has ended'));
+      socket.write(`${JSON.stringify(message)}\n`);
+      return Promise.resolve();
+    }),
+    { errorListener: () => {} },
+  );
+  let buffered = '';
+  let isOpen = true;
+  const closed = new Promise<void>((resolve) => {
+    socket.once('close', () => {
+      isOpen = false;
+      endpoint.rejectAllPendingRequests('the connection has ended');
+      resolve();
+    });
+  });
+
+  function receive(line: string): void {
+    try {
+      void endpoint.receiveAndSend(JSON.parse(line)).catch(() => socket.destroy());
+    } catch {
+      socket.destroy();
+    }
+  }
+
+  socket.setNoDelay(true);
+  socket.setEncoding('utf8');
+  socket.on('error', () => socket.destroy());
+  socket.on('data', (chunk: string) => {
+    const lines = (buffered + chunk).split('\n');
+    buffered = lines.pop() ?? '';
+    lines.forEach(receive);
+    if (buffered.length > MAXIMUM_MESSAGE_LENGTH) socket.destroy();
+  });
+
+  return {
+    closed,
+    isOpen: () => isOpen,
+    async call(method, parameters, timeoutMilliseconds) {
+      try {
+        const request = Promise.resolve(endpoint.request(method, parameters));
+        const result: unknown = await withTimeout(clock, request, timeoutMilliseconds);
+        if (result === TIMED_OUT) return { kind: 'lost', reason: 'no answer in time' };
+        return { kind: 'answered', result };
+      } catch (error) {
+        return { kind: 'lost', reason: error instanceof Error ? error.message : String(error) };
+      }
+    },
+    close: () => socket.destroy(),
+  };
+}
+
+/** @returns host and port of `<address>:<port>` */
+export function splitAddress(address: string): { host: string; port: number } {
+  const separator = address.lastIndexOf(':');
+  return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) };
+}
+
+/**
+ * Connects to a peer.
+ *
+ * @param address `<address>:<port>` of the peer
+ * @param handlers methods offered to the peer
+ * @param clock source of time
+ * @param timeoutMilliseconds limit of connecting, in milliseconds
+ * @returns channel, or null if no connection was made in time
+ */
+export async function openPeerChannel(
+  address: string,
+  handlers: PeerHandlers,
+  clock: Clock,
+  timeoutMilliseconds: number,
+): Promise<PeerChannel | null> {
+  const socket = connect(splitAddress(address));
+  const connected = new Promise<boolean>((resolve) => {
+    socket.once('connect', () => resolve(true));
+    socket.once('error', () => resolve(false));
+  });
+  const outcome = await withTimeout(clock, connected, timeoutMilliseconds);
+  if (outcome === true) return createChannel(socket, handlers, clock);
+  socket.on('error', () => {});
+  socket.destroy();
+  return null;
+}
+
+/** Accepts the connections of peers. */
+export interface PeerListener {
+  close(): void;
+}
+
+/**
+ * Listens for peers.
+ *
+ * @param address `<address>:<port>` to listen on
+ * @param clock source of time
+ * @param handlers methods offered to each peer
+ * @param onChannel called for each connection
+ * @returns listener, once it listens
+ */
+export async function listenForPeers(
+  address: string,
+  clock: Clock,
+  handlers: PeerHandlers,
+  onChannel: (channel: PeerChannel) => void,
+): Promise<PeerListener> {
+  const channels = new Set<PeerChannel>();
+  const server: Server = createServer((socket) => {
+    const channel = createChannel(socket, handlers, clock);
+    channels.add(channel);
+    void channel.closed.then(() => channels.delete(channel));
+    onChannel(channel);
+  });
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(splitAddress(address), resolve);
+  });
+  return {
+    close() {
+      server.close();
+      channels.forEach((channel) => channel.close());
+    },
+  };
+}
--- /dev/null
+++ b/packages/scheduler/src/core/schedulerMetrics.ts
@@ -0,0 +1,104 @@
+import { build } from 'hdr-histogram-js';
+import type { Histogram } from 'hdr-histogram-js';
+
+/** Counters of the scheduler, with what they count. */
+export const COUNTERS = {
+  jobs_accepted: 'Jobs accepted.',
+  jobs_completed: 'Jobs that ended as completed.',
+  jobs_failed: 'Jobs that ended as failed.',
+  jobs_cancelled: 'Jobs cancelled.',
+  calls_refused: 'Calls of callers answered with a failure.',
+  starts_sent: 'Orders to start a run.',
+  starts_refused: 'Orders to start that an endpoint refused.',
+  starts_unanswered: 'Orders to start without an answer.',
+  stops_sent: 'Orders to stop a run.',
+  holds_sent: 'Calls that extend leases on an endpoint.',
+  holds_failed: 'Such calls without an answer.',
+  runs_done: 'Runs that ended as done.',
+  runs_failed: 'Runs that ended as failed.',
+  runs_lost: 'Runs that ended otherwise and may be repeated.',
+  commits: 'Groups of changes made durable.',
+  commit_keys: 'Keys written by them.',
+  advice_calls: 'Calls for eligibility advice.',
+  advice_failed: 'Such calls without tickets in time.',
+  terms: 'Terms of ownership of this process.',
+} as const;
+
+/** Name of a counter. */
+export type CounterName = keyof typeof COUNTERS;
+
+/** Histograms of the scheduler in milliseconds, with what they measure. */
+export const HISTOGRAMS = {
+  commit_milliseconds: 'Time from sending a group of changes until it is durable.',
+  accept_milliseconds: 'Time from the arrival of a job at the owner until it is durable.',
+  first_start_milliseconds: 'Time from the acceptance of a job until its first run is confirmed.',
+  advice_milliseconds: 'Time of a call for eligibility advice.',
+} as const;
+
+/** Name of a histogram. */
+export type HistogramName = keyof typeof HISTOGRAMS;
+
+/** Counters and histograms of a process. */
+export interface SchedulerMetrics {
+  count(name: CounterName, amount?: number): void;
+  record(name: HistogramName, milliseconds: number): void;
+  /** @returns all values in the text format of Prometheus */
+  expose(): string;
+}
+
+const QUANTILES = [50, 95, 99];
+/** Longest time that a histogram tells apart, in milliseconds. */
+const HIGHEST_MILLISECONDS = 600_000;
+
+function describeHistogram(name: HistogramName, histogram: Histogram): string[] {
+  const rows = QUANTILES.map(
+    (percent) =>
+      `chicorybend_${name}{quantile="${percent / 100}"} ${histogram.getValueAtPercentile(percent)}`,
+  );
+  return [
+    `# HELP chicorybend_${name} ${HISTOGRAMS[name]}`,
+    `# TYPE chicorybend_${name} summary`,
+    ...rows,
+    `chicorybend_${name}_count ${histogram.totalCount}`,
+  ];
+}
+
+/**
+ * Creates counters and histograms that start at zero.
+ *
+ * @returns metrics
+ */
+export function createSchedulerMetrics(): SchedulerMetrics {
+  const counters = new Map<CounterName, number>();
+  const histograms = new Map<HistogramName, Histogram>();
+
+  return {
+    count(name, amount = 1) {
+      counters.set(name, (counters.get(name) ?? 0) + amount);
+    },
+    record(name, milliseconds) {
+      let histogram = histograms.get(name);
+      if (!histogram) {
+        histogram = build({
+          bitBucketSize: 32,
+          autoResize: true,
+          highestTrackableValue: HIGHEST_MILLISECONDS,
+          numberOfSignificantValueDigits: 2,
+        });
+        histograms.set(name, histogram);
+      }
+      histogram.recordValue(Math.max(0, Math.round(milliseconds)));
+    },
+    expose() {
+      const counterLines = (Object.keys(COUNTERS) as CounterName[]).flatMap((name) => [
+        `# HELP chicorybend_${name}_total ${COUNTERS[name]}`,
+        `# TYPE chicorybend_${name}_total counter`,
+        `chicorybend_${name}_total ${counters.get(name) ?? 0}`,
+      ]);
+      const histogramLines = [...histograms].flatMap(([name, histogram]) =>
+        describeHistogram(name, histogram),
+      );
+      return `${[...counterLines, ...histogramLines].join('\n')}\n`;
+    },
+  };
+}
--- /dev/null
+++ b/packages/scheduler/src/core/schedulerNode.ts
@@ -0,0 +1,268 @@
+import { createFailure, sleep, TIMED_OUT, withTimeout } from '@chicorybend/common';
+import type { Clock, Log } from '@chicorybend/common';
+
+import type { AdviceClient, AdviceOutcome } from '../types/advice.js';
+import type { CallerAnswer, CallerRequest } from '../types/caller.js';
+import type { ClusterStore } from '../types/clusterStore.js';
+import type { ConfigurationSource } from '../types/configuration.js';
+import type { EndpointClient, EndpointDirectory } from '../types/endpoint.js';
+import type { EndpointTimes } from '../types/termContext.js';
+import { createAuthority } from './authority.js';
+import type { OwnerRecord } from './authority.js';
+import { createOwnerTerm } from './ownerTerm.js';
+import type { OwnerTerm } from './ownerTerm.js';
+import { listenForPeers, openPeerChannel } from './peerChannel.js';
+import type { PeerChannel, PeerHandlers, PeerListener } from './peerChannel.js';
+import type { SchedulerMetrics } from './schedulerMetrics.js';
+
+/** Interval of checking the connection to the owner, in milliseconds. */
+const PING_INTERVAL_MILLISECONDS = 1_000;
+/** A connection on which nothing is answered for this long is replaced, in milliseconds. */
+const PING_TIMEOUT_MILLISECONDS = 1_000;
+const CONNECT_TIMEOUT_MILLISECONDS = 500;
+/** Pause before a connection to the owner is tried again, in milliseconds. */
+const RECONNECT_MILLISECONDS = 100;
+/** Longest wait for an owner that answers, in milliseconds; a takeover takes less. */
+const OWNER_WAIT_MILLISECONDS = 2_500;
+const RETRY_AFTER_MILLISECONDS = 1_000;
+
+/** What a node needs. */
+export interface SchedulerNodeOptions {
+  readonly store: ClusterStore;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: SchedulerMetrics;
+  readonly endpoints: EndpointClient;
+  readonly directory: EndpointDirectory;
+  readonly configurationSource: ConfigurationSource;
+  readonly advice: AdviceClient | null;
+  readonly times: EndpointTimes;
+  readonly retentionMilliseconds: number;
+  readonly leaseMilliseconds: number;
+  /** `<address>:<port>` for calls between VMs. */
+  readonly peerAddress: string;
+}
+
+/** The scheduler on one VM: owner of the work, or standby that passes calls on to the owner. */
+export interface SchedulerNode {
+  start(): Promise<void>;
+  /**
+   * Answers a call, at the owner.
+   *
+   * @param request the call
+   * @param limitMilliseconds longest time that the caller waits, in milliseconds
+   */
+  handle(request: CallerRequest, limitMilliseconds: number): Promise<CallerAnswer>;
+  /** @returns whether an owner is known that answers */
+  isReady(): boolean;
+  /** Hands ownership over; calls are still passed on to the new owner. */
+  handOver(): Promise<void>;
+  /** Ends all work and connections. */
+  stop(): void;
+}
+
+/**
+ * Creates the scheduler of a VM.
+ *
+ * @param options collaborators
+ * @returns node
+ */
+export function createSchedulerNode(options: SchedulerNodeOptions): SchedulerNode {
+  const { clock, log, metrics, peerAddress } = options;
+  let term: OwnerTerm | null = null;
+  let ownerChannel: { owner: OwnerRecord; channel: PeerChannel } | null = null;
+  let listener: PeerListener | null = null;
+  let isStopped = false;
+  const peers = new Map<PeerChannel, () => void>();
+  const ownerListeners = new Set<() => void>();
+
+  const authority = createAuthority({
+    store: options.store,
+    clock,
+    log,
+    address: peerAddress,
+    leaseMilliseconds: options.leaseMilliseconds,
+    onOwnerChange: () => announceChange(),
+    onTermStart(owned) {
+      metrics.count('terms');
+      term = createOwnerTerm({
+        ...options,
+        term: owned,
+        mayAct: () => authority.mayAct(),
+        onLost: (reason) => authority.abandon(reason),
+      });
+      if (options.advice) term.addAdviceLine(options.advice);
+      [...peers.keys()].forEach(addPeerLine);
+      void term.run();
+    },
+    onTermEnd() {
+      term?.end();
+      term = null;
+      announceChange();
+    },
+  });
+
+  function announceChange(): void {
+    [...ownerListeners].forEach((listen) => listen());
+  }
+
+  function createPeerAdvice(channel: PeerChannel): AdviceClient {
+    return {
+      async advise(stepId, endpointIds, timeoutMilliseconds) {
+        const parameters = { stepId, endpointIds, timeoutMilliseconds };
+        const outcome = await channel.call('advise', parameters, timeoutMilliseconds);
+        return outcome.kind === 'answered'
+          ? (outcome.result as AdviceOutcome)
+          : { kind: 'failed', reason: outcome.reason };
+      },
+    };
+  }
+
+  function addPeerLine(channel: PeerChannel): void {
+    peers.set(channel, term?.addAdviceLine(createPeerAdvice(channel)) ?? (() => {}));
+  }
+
+  const handlers: PeerHandlers = {
+    ping: () => Promise.resolve(true),
+    handle: (request) => answerAsOwner(request as CallerRequest),
+    async advise(parameters) {
+      const { stepId, endpointIds, timeoutMilliseconds } = parameters as {
+        stepId: string;
+        endpointIds: string[];
+        timeoutMilliseconds: number;
+      };
+      if (!options.advice) return { kind: 'failed', reason: 'no advice service' };
+      return options.advice.advise(stepId, endpointIds, timeoutMilliseconds);
+    },
+  };
+
+  function answerAsOwner(request: CallerRequest): Promise<CallerAnswer> {
+    if (term) return term.handle(request);
+    return Promise.resolve({
+      kind: 'failed',
+      failure: createFailure('not-owner', { daemonId: peerAddress, partition: 0 }),
+    });
+  }
+
+  async function keepAlive(channel: PeerChannel): Promise<void> {
+    while (channel.isOpen() && !isStopped) {
+      const outcome = await channel.call('ping', null, PING_TIMEOUT_MILLISECONDS);
+      if (outcome.kind === 'lost') channel.close();
+      else await sleep(clock, PING_INTERVAL_MILLISECONDS);
+    }
+  }
+
+  /** Keeps a connection to the present owner, whoever that is. */
+  async function followOwner(): Promise<void> {
+    while (!isStopped) {
+      const owner = authority.owner();
+      const isCurrent = ownerChannel?.channel.isOpen() && ownerChannel.owner.epoch === owner?.epoch;
+      if (!isCurrent) ownerChannel?.channel.close();
+      if (owner && owner.address !== peerAddress && !isCurrent) {
+        const channel = await openPeerChannel(
+          owner.address,
+          handlers,
+          clock,
+          CONNECT_TIMEOUT_MILLISECONDS,
+        );
+        if (channel) {
+          log.info('connected to owner', { owner: owner.address, epoch: owner.epoch });
+          ownerChannel = { owner, channel };
+          void keepAlive(channel);
+          void channel.closed.then(() => {
+            log.info('connection to owner ended', { owner: owner.address, epoch: owner.epoch });
+            announceChange();
+          });
+          announceChange();
+        }
+      }
+      await awaitOwnerChange(isCurrent ? PING_INTERVAL_MILLISECONDS : RECONNECT_MILLISECONDS);
+    }
+  }
+
+  async function awaitOwnerChange(milliseconds: number): Promise<void> {
+    let listen = () => {};
+    const changed = new Promise<void>((resolve) => {
+      listen = resolve;
+      ownerListeners.add(listen);
+    });
+    await withTimeout(clock, changed, milliseconds);
+    ownerListeners.delete(listen);
+  }
+
+  function isRetriable(answer: CallerAnswer): boolean {
+    if (answer.kind !== 'failed') return false;
+    return answer.failure.code === 'not-owner' || answer.failure.code === 'not-ready';
+  }
+
+  /** The same call is repeated, at the next owner if need be, because job ids make it idempotent. */
+  function isUnresolved(answer: CallerAnswer | 'not-sent'): boolean {
+    return (
+      answer !== 'not-sent' &&
+      answer.kind === 'failed' &&
+      answer.failure.code === 'acceptance-unknown'
+    );
+  }
+
+  /** @returns the answer of the owner; `not-sent` and `lost` if there is none */
+  async function askOwner(
+    request: CallerRequest,
+    timeoutMilliseconds: number,
+  ): Promise<CallerAnswer | 'not-sent' | 'lost'> {
+    if (term) {
+      const outcome = await withTimeout(clock, term.handle(request), timeoutMilliseconds);
+      return outcome === TIMED_OUT ? 'lost' : outcome;
+    }
+    const channel = ownerChannel?.channel;
+    if (!channel?.isOpen()) return 'not-sent';
+    const outcome = await channel.call('handle', request, timeoutMilliseconds);
+    return outcome.kind === 'answered' ? (outcome.result as CallerAnswer) : 'lost';
+  }
+
+  function giveUp(wasSent: boolean): CallerAnswer {
+    const failure = wasSent
+      ? createFailure('acceptance-unknown')
+      : createFailure(
+          'no-owner',
+          { partition: 0 },
+          { retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS },
+        );
+    return { kind: 'failed', failure };
+  }
+
+  return {
+    async start() {
+      listener = await listenForPeers(peerAddress, clock, handlers, (channel) => {
+        addPeerLine(channel);
+        void channel.closed.then(() => {
+          peers.get(channel)?.();
+          peers.delete(channel);
+        });
+      });
+      void authority.run();
+      void followOwner();
+    },
+    async handle(request, limitMilliseconds) {
+      const startedAt = clock.monotonicMilliseconds();
+      const limit = Math.min(limitMilliseconds, OWNER_WAIT_MILLISECONDS);
+      let wasSent = false;
+      for (;;) {
+        const remaining = limit - (clock.monotonicMilliseconds() - startedAt);
+        if (remaining <= 0) return giveUp(wasSent);
+        const answer = await askOwner(request, remaining);
+        if (answer === 'lost' || isUnresolved(answer)) wasSent = true;
+        else if (answer !== 'not-sent' && !isRetriable(answer)) return answer;
+        await awaitOwnerChange(Math.min(remaining, RECONNECT_MILLISECONDS));
+      }
+    },
+    isReady: () => term !== null || ownerChannel?.channel.isOpen() === true,
+    handOver: () => authority.release(),
+    stop() {
+      authority.stop();
+      isStopped = true;
+      ownerChannel?.channel.close();
+      listener?.close();
+      announceChange();
+    },
+  };
+}
--- /dev/null
+++ b/packages/scheduler/src/core/taskTransitions.ts
@@ -0,0 +1,214 @@
+import { createQuarantine } from '@chicorybend/decisions';
+
+import type { EndKind } from '../types/endpoint.js';
+import type {
+  JobPhase,
+  JobRecord,
+  OccurrenceRecord,
+  StepRecord,
+  TaskRecord,
+} from '../types/jobRecord.js';
+import type { TermContext } from '../types/termContext.js';
+import { stateKey } from '../utils/storeKeys.js';
+import {
+  addOccurrence,
+  areDependenciesDone,
+  countOccurrences,
+  dueTime,
+  encodeState,
+  forEachTask,
+  hasRun,
+} from './jobRecords.js';
+
+/** An endpoint that fails tasks of this many jobs, with no success in between, gets no new work for a time. */
+const QUARANTINE_JOBS = 3;
+/** Time until a quarantined endpoint is tried again, in milliseconds; doubles with each failed trial. */
+const QUARANTINE_MILLISECONDS = 5_000;
+const MAXIMUM_QUARANTINE_MILLISECONDS = 30_000;
+
+/** Changes of the phases of tasks and jobs. */
+export interface TaskTransitions {
+  /** Steps whose turn has come and that have tasks to start. */
+  readonly releasedSteps: Set<StepRecord>;
+  /** Makes the progress of a job durable. @returns whether it is durable */
+  save(job: JobRecord): Promise<boolean>;
+  /** Creates occurrences that are due and releases steps whose turn has come. */
+  release(job: JobRecord): void;
+  /** Applies the end of the present run of a task. */
+  endRun(task: TaskRecord, kind: EndKind, checkpoint: string): void;
+  /** Ends a job; its running tasks are to be stopped by the caller of {@link TaskTransitions.onJobClosed}. */
+  closeJob(job: JobRecord, phase: JobPhase): Promise<boolean>;
+  /** Registers what stops the runs of a job that has ended. */
+  onJobClosed(listener: (job: JobRecord) => void): void;
+  /** @returns whether an endpoint gets no new work because of failures */
+  isQuarantined(endpointId: string): boolean;
+  /** Notes a start, so that a quarantined endpoint gets one trial at a time. */
+  noteStart(endpointId: string): void;
+}
+
+/**
+ * Creates the transitions of a term.
+ *
+ * @param context state and collaborators of the term
+ * @returns transitions
+ */
+export function createTaskTransitions(context: TermContext): TaskTransitions {
+  const { clock, log, metrics, table, commits } = context;
+  const releasedSteps = new Set<StepRecord>();
+  const quarantine = createQuarantine({
+    distinctJobs: QUARANTINE_JOBS,
+    firstBackoffMilliseconds: QUARANTINE_MILLISECONDS,
+    maximumBackoffMilliseconds: MAXIMUM_QUARANTINE_MILLISECONDS,
+  });
+  let notifyClosed: (job: JobRecord) => void = () => {};
+
+  function save(job: JobRecord): Promise<boolean> {
+    return commits.stage(stateKey(job.jobId), () => encodeState(job));
+  }
+
+  function maximumAttempts(job: JobRecord): number {
+    const queues = context.configuration()?.queues ?? [];
+    return queues.find(({ name }) => name === job.queue)?.maximumAttempts ?? 1;
+  }
+
+  async function closeJob(job: JobRecord, phase: JobPhase): Promise<boolean> {
+    if (job.phase !== 'open') return save(job);
+    job.phase = phase;
+    job.endedAt = clock.wallMilliseconds();
+    if (phase === 'completed') metrics.count('jobs_completed');
+    if (phase === 'failed') metrics.count('jobs_failed');
+    if (phase === 'cancelled') metrics.count('jobs_cancelled');
+    log.info('job closed', { job: job.jobId, phase });
+    job.occurrences.forEach(({ steps }) => steps.forEach((step) => releasedSteps.delete(step)));
+    notifyClosed(job);
+    const isDurable = await save(job);
+    if (isDurable) job.shownPhase = phase;
+    return isDurable;
+  }
+
+  function releaseSteps(occurrence: OccurrenceRecord): void {
+    occurrence.steps.forEach((step) => {
+      if (step.isReleased || !areDependenciesDone(occurrence, step)) return;
+      step.isReleased = true;
+      step.releasedAt = clock.monotonicMilliseconds();
+      if (step.doneCount < step.specification.count) releasedSteps.add(step);
+    });
+  }
+
+  function release(job: JobRecord): void {
+    if (job.phase !== 'open') return;
+    const total = countOccurrences(job);
+    while (
+      job.occurrenceCount < total &&
+      dueTime(job, job.occurrenceCount) <= clock.wallMilliseconds()
+    ) {
+      addOccurrence(job, job.occurrenceCount);
+    }
+    job.occurrences.forEach(releaseSteps);
+    context.requestDispatch();
+  }
+
+  function completeOccurrence(job: JobRecord, occurrence: OccurrenceRecord): void {
+    job.occurrences.delete(occurrence.index);
+    const isComplete = job.occurrences.size === 0 && job.occurrenceCount === countOccurrences(job);
+    if (isComplete) void closeJob(job, 'completed');
+  }
+
+  function finishTask(task: TaskRecord): void {
+    const { step } = task;
+    task.phase = 'done';
+    step.doneCount += 1;
+    if (step.doneCount < step.specification.count) return;
+    releasedSteps.delete(step);
+    const occurrence = step.job.occurrences.get(step.occurrence);
+    if (!occurrence) return;
+    occurrence.doneSteps += 1;
+    if (occurrence.doneSteps === occurrence.steps.length) completeOccurrence(step.job, occurrence);
+    else releaseSteps(occurrence);
+  }
+
+  function detach(task: TaskRecord): void {
+    table.release(task);
+    task.endpointId = null;
+    task.phase = 'pending';
+    task.settledAt = Infinity;
+    task.pacePercent = 100;
+  }
+
+  /** A gang works as one, so that one member's success is the success of all. */
+  function finishGang(task: TaskRecord): void {
+    const { run } = task;
+    task.step.tasks
+      .filter((member) => member.run === run && member.phase !== 'done')
+      .forEach((member) => {
+        detach(member);
+        finishTask(member);
+      });
+  }
+
+  function countFailure(task: TaskRecord): void {
+    const { step } = task;
+    const { isGang, isLongRunning } = step.specification;
+    task.failures += 1;
+    if (isGang) step.gangFailures += 1;
+    const failures = isGang ? step.gangFailures : task.failures;
+    if (isLongRunning || failures < maximumAttempts(step.job)) return;
+    task.phase = 'failed';
+    log.info('attempts used up', { task: task.taskId, failures });
+    void closeJob(step.job, 'failed');
+  }
+
+  function endRun(task: TaskRecord, kind: EndKind, checkpoint: string): void {
+    if (!hasRun(task)) return;
+    const { step } = task;
+    const { specification, job } = step;
+    const { endpointId } = task;
+    log.info('run ended', { task: task.taskId, run: task.run, kind, endpoint: endpointId });
+    if (kind === 'done') metrics.count('runs_done');
+    else metrics.count(kind === 'failed' ? 'runs_failed' : 'runs_lost');
+    if (endpointId !== null && (kind === 'done' || kind === 'failed')) {
+      const now = clock.monotonicMilliseconds();
+      quarantine.recordEnd(endpointId, job.jobId, kind === 'done', now);
+    }
+    const { run } = task;
+    if (kind === 'done' && specification.isGang && !specification.isLongRunning) {
+      detach(task);
+      task.run = run;
+      finishGang(task);
+    } else {
+      detach(task);
+      if (checkpoint !== '') task.checkpoint = checkpoint;
+      if (kind === 'done' && !specification.isLongRunning) finishTask(task);
+      else if (kind === 'failed') countFailure(task);
+    }
+    if (job.phase === 'open' && task.phase === 'pending' && step.isReleased) {
+      releasedSteps.add(step);
+    }
+    context.requestDispatch();
+  }
+
+  function dropClosed(job: JobRecord): void {
+    let runs = 0;
+    forEachTask(job, (task) => {
+      if (hasRun(task)) runs += 1;
+    });
+    if (runs === 0) job.occurrences.clear();
+  }
+
+  return {
+    releasedSteps,
+    save,
+    release,
+    endRun(task, kind, checkpoint) {
+      endRun(task, kind, checkpoint);
+      if (task.step.job.phase !== 'open') dropClosed(task.step.job);
+    },
+    closeJob,
+    onJobClosed(listener) {
+      notifyClosed = listener;
+    },
+    isQuarantined: (endpointId) =>
+      quarantine.isQuarantined(endpointId, clock.monotonicMilliseconds()),
+    noteStart: (endpointId) => quarantine.recordStart?.(endpointId, clock.monotonicMilliseconds()),
+  };
+}
--- /dev/null
+++ b/packages/scheduler/src/index.ts
@@ -0,0 +1,62 @@
+/** Scheduling of durable work by one elected owner on a cluster store. */
+
+/** The scheduler of one VM. */
+export { createSchedulerNode } from './core/schedulerNode.js';
+export type { SchedulerNode, SchedulerNodeOptions } from './core/schedulerNode.js';
+
+/** Parts, for tests and programs that compose them differently. */
+export { createAuthority } from './core/authority.js';
+export type { Authority, AuthorityOptions, OwnedTerm, OwnerRecord } from './core/authority.js';
+export { createCommitQueue } from './core/commitQueue.js';
+export type { CommitQueue, CommitQueueOptions } from './core/commitQueue.js';
+export { createOwnerTerm } from './core/ownerTerm.js';
+export type { OwnerTerm, OwnerTermOptions } from './core/ownerTerm.js';
+export { splitAddress } from './core/peerChannel.js';
+
+/** Counters and histograms. */
+export { COUNTERS, createSchedulerMetrics, HISTOGRAMS } from './core/schedulerMetrics.js';
+export type { CounterName, HistogramName, SchedulerMetrics } from './core/schedulerMetrics.js';
+
+/** What the scheduler needs of its surroundings. */
+export { MAXIMUM_WRITE_ENTRIES } from './types/clusterStore.js';
+export type {
+  ChangeOutcome,
+  ClusterStore,
+  LeaseOutcome,
+  ReadOutcome,
+  RenewOutcome,
+  StoredItem,
+  StoredValue,
+  StoreWrite,
+  WriteCondition,
+  WriteOutcome,
+} from './types/clusterStore.js';
+export type {
+  EndKind,
+  EndpointClient,
+  EndpointDirectory,
+  EndpointEntry,
+  EndReport,
+  HoldOrder,
+  HoldOutcome,
+  OrderOutcome,
+  OrderRefusal,
+  OrderTarget,
+  RunId,
+  RunReport,
+  StartOrder,
+} from './types/endpoint.js';
+export type { AdviceClient, AdviceOutcome, AdviceTicket } from './types/advice.js';
+export type {
+  AdviceSettings,
+  ClusterConfiguration,
+  ConfigurationSource,
+  JobQueueSettings,
+  ServiceSettings,
+  TeamQuota,
+} from './types/configuration.js';
+export type { EndpointTimes } from './types/termContext.js';
+
+/** Calls of callers. */
+export type { CallerAnswer, CallerRequest } from './types/caller.js';
+export type { JobSpecification, JobStatus, Schedule, StepSpecification } from './types/job.js';
--- /dev/null
+++ b/packages/scheduler/src/types/termContext.ts
@@ -0,0 +1,39 @@
+import type { Clock, Log } from '@chicorybend/common';
+
+import type { CommitQueue } from '../core/commitQueue.js';
+import type { EndpointTable } from '../core/endpointTable.js';
+import type { SchedulerMetrics } from '../core/schedulerMetrics.js';
+import type { ClusterConfiguration } from './configuration.js';
+import type { EndpointClient } from './endpoint.js';
+import type { JobRecord } from './jobRecord.js';
+
+/** Times that the platform sets for work on endpoints, in milliseconds. */
+export interface EndpointTimes {
+  /** Longest lease of what runs on an endpoint. */
+  readonly maximumHoldMilliseconds: number;
+  /** Longest time that a stop takes. */
+  readonly stopMilliseconds: number;
+}
+
+/** State and collaborators that the parts of a term share. */
+export interface TermContext {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: SchedulerMetrics;
+  readonly epoch: number;
+  readonly times: EndpointTimes;
+  readonly endpoints: EndpointClient;
+  readonly table: EndpointTable;
+  readonly jobs: Map<string, JobRecord>;
+  readonly commits: CommitQueue;
+  /** @returns the configuration in effect; null before the first one */
+  configuration(): ClusterConfiguration | null;
+  /** @returns whether the term may give orders now */
+  mayAct(): boolean;
+  /** @returns whether the term has ended */
+  hasEnded(): boolean;
+  /** Ends the term because an endpoint has seen a higher fencing token. */
+  abandon(reason: string): void;
+  /** Asks for a round of placements soon. */
+  requestDispatch(): void;
+}
--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,25 @@
+// Bundles the daemon for the platform into one file, which starts faster than separate modules.
+import { build } from 'esbuild';
+import { fileURLToPath } from 'node:url';
+
+const ROOT = fileURLToPath(new URL('..', import.meta.url));
+const SOURCES = ['common', 'decisions', 'scheduler'];
+
+await build({
+  absWorkingDir: ROOT,
+  entryPoints: ['platform/src/main.ts'],
+  outfile: 'target/chicorybendd.mjs',
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'esm',
+  minifySyntax: true,
+  legalComments: 'none',
+  alias: Object.fromEntries(
+    SOURCES.map((name) => [`@chicorybend/${name}`, `./packages/${name}/src/index.ts`]),
+  ),
+  // Packages in the older module format call require.
+  banner: {
+    js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);",
+  },
+});
