Stop the other members of a gang that a member has left

Change: the end of a member stops the others of that run at once; the starts of a gang are sent only if all of them can be sent.

Test that failed first: gangs.

Conclusion: no member waits for one that does not come.

--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -244,19 +244,38 @@
     });
   }
 
-  async function startAll(step: StepRecord, placements: readonly Placement[]): Promise<void> {
+  function withdraw(task: TaskRecord): void {
+    transitions.endRun(task, 'stopped', task.checkpoint);
+    void transitions.save(task.step.job);
+  }
+
+  /** Sends the starts once they are durable; those that can't be sent any more never were. */
+  async function startAll(
+    step: StepRecord,
+    queue: JobQueueSettings,
+    placements: readonly Placement[],
+  ): Promise<void> {
     const runs = placements.map(({ task }) => task.run);
     const isDurable = await transitions.save(step.job);
     if (!isDurable || context.hasEnded()) return;
-    placements.forEach(({ task, state }, position) => {
-      if (task.run !== runs[position] || task.phase !== 'placed') return;
-      if (step.job.phase !== 'open') {
-        transitions.endRun(task, 'stopped', task.checkpoint);
-        return;
-      }
-      const session = options.session(state.entry.endpointId);
-      const ticket = desk.ticketFor(step.stepId, asked(state));
-      void session?.start(task, ticket);
+    const starts = placements
+      .filter(({ task }, position) => task.run === runs[position] && task.phase === 'placed')
+      .map(({ task, state }) => ({
+        task,
+        session: options.session(state.entry.endpointId),
+        ticket: desk.ticketFor(step.stepId, asked(state)),
+      }));
+    const ready = starts.filter(
+      ({ task, session, ticket }) =>
+        step.job.phase === 'open' &&
+        session?.canStart(task) === true &&
+        (ticket !== null || !queue.advice),
+    );
+    const isComplete = ready.length === placements.length;
+    const sent = new Set(step.specification.isGang && !isComplete ? [] : ready);
+    starts.forEach((start) => {
+      if (sent.has(start)) void start.session?.start(start.task, start.ticket);
+      else withdraw(start.task);
     });
   }
 
@@ -289,7 +308,7 @@
       pending: pending.length,
       candidates: candidates.length,
     });
-    void startAll(step, placements);
+    void startAll(step, queue, placements);
     return placements.length;
   }
 
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -28,6 +28,8 @@
   readonly state: EndpointState;
   /** Extends the leases and applies the lists until the endpoint is gone or the term ends. */
   run(): Promise<void>;
+  /** @returns whether a recorded start can be sent now */
+  canStart(task: TaskRecord): boolean;
   /** Sends the recorded start of a task. */
   start(task: TaskRecord, ticket: string | null): Promise<void>;
   /** Ends the run of a task, however often the order has to be repeated. */
@@ -232,9 +234,10 @@
   }
 
   function confirm(task: TaskRecord): void {
-    const { job } = task.step;
+    const { job, specification, brokenRun } = task.step;
     if (task.phase !== 'placed') return;
-    task.phase = job.phase === 'open' ? 'running' : 'stopping';
+    const isWanted = job.phase === 'open' && !(specification.isGang && brokenRun >= task.run);
+    task.phase = isWanted ? 'running' : 'stopping';
     task.startedAt = now();
     task.settledAt = now();
     if (task.phase === 'stopping') void stop(task);
@@ -269,6 +272,10 @@
     void transitions.save(task.step.job);
   }
 
+  function canStart(task: TaskRecord): boolean {
+    return context.mayAct() && state.clockOffset !== null && task.endpointBornAt === state.bornAt;
+  }
+
   async function repeatStop(task: TaskRecord, run: number): Promise<void> {
     metrics.count('stops_sent');
     const order: RunId = { taskId: task.taskId, run };
@@ -308,10 +315,11 @@
       }
       if (!context.hasEnded()) events.onGone(state);
     },
+    canStart,
     async start(task, ticket) {
       const { run } = task;
-      const deadline = deadlineAfter(START_MILLISECONDS);
-      if (!context.mayAct() || deadline === null || task.endpointBornAt !== state.bornAt) {
+      const deadline = canStart(task) ? deadlineAfter(START_MILLISECONDS) : null;
+      if (deadline === null) {
         refuseStart(task, 'not sent');
         return;
       }
--- a/packages/scheduler/src/core/jobRecords.ts
+++ b/packages/scheduler/src/core/jobRecords.ts
@@ -61,6 +61,7 @@
       tasks: [],
       doneCount: 0,
       gangFailures: 0,
+      brokenRun: 0,
       isReleased: false,
       releasedAt: 0,
     };
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -166,6 +166,7 @@
       },
     });
     transitions.onJobClosed(stopRuns);
+    transitions.onGangBroken((step) => step.tasks.filter(hasRun).forEach(stopRun));
     return { context, commits, transitions, dispatcher, caller };
   }
 
--- a/packages/scheduler/src/core/taskTransitions.ts
+++ b/packages/scheduler/src/core/taskTransitions.ts
@@ -40,6 +40,8 @@
   closeJob(job: JobRecord, phase: JobPhase): Promise<boolean>;
   /** Registers what stops the runs of a job that has ended. */
   onJobClosed(listener: (job: JobRecord) => void): void;
+  /** Registers what stops the other members of a gang that a member has left. */
+  onGangBroken(listener: (step: StepRecord) => void): void;
   /** @returns whether an endpoint gets no new work because of failures */
   isQuarantined(endpointId: string): boolean;
   /** Notes a start, so that a quarantined endpoint gets one trial at a time. */
@@ -61,6 +63,7 @@
     maximumBackoffMilliseconds: MAXIMUM_QUARANTINE_MILLISECONDS,
   });
   let notifyClosed: (job: JobRecord) => void = () => {};
+  let notifyBroken: (step: StepRecord) => void = () => {};
 
   function save(job: JobRecord): Promise<boolean> {
     return commits.stage(stateKey(job.jobId), () => encodeState(job));
@@ -158,6 +161,13 @@
     void closeJob(step.job, 'failed');
   }
 
+  /** A gang works only when it is complete, so that the members that are left would wait in vain. */
+  function breakGang(step: StepRecord, run: number): void {
+    if (step.brokenRun >= run) return;
+    step.brokenRun = run;
+    notifyBroken(step);
+  }
+
   function endRun(task: TaskRecord, kind: EndKind, checkpoint: string): void {
     if (!hasRun(task)) return;
     const { step } = task;
@@ -180,6 +190,7 @@
       if (checkpoint !== '') task.checkpoint = checkpoint;
       if (kind === 'done' && !specification.isLongRunning) finishTask(task);
       else if (kind === 'failed') countFailure(task);
+      if (specification.isGang) breakGang(step, run);
     }
     if (job.phase === 'open' && task.phase === 'pending' && step.isReleased) {
       releasedSteps.add(step);
@@ -207,6 +218,9 @@
     onJobClosed(listener) {
       notifyClosed = listener;
     },
+    onGangBroken(listener) {
+      notifyBroken = listener;
+    },
     isQuarantined: (endpointId) =>
       quarantine.isQuarantined(endpointId, clock.monotonicMilliseconds()),
     noteStart: (endpointId) => quarantine.recordStart?.(endpointId, clock.monotonicMilliseconds()),
--- a/packages/scheduler/src/types/jobRecord.ts
+++ b/packages/scheduler/src/types/jobRecord.ts
@@ -54,6 +54,8 @@
   doneCount: number;
   /** Failed runs of the gang. */
   gangFailures: number;
+  /** Last run of the gang that a member has left; the other members of that run are to stop. */
+  brokenRun: number;
   /** Whether the steps before it are complete and its time has come. */
   isReleased: boolean;
   /** When it was released, in monotonic milliseconds. */
--- a/packages/standins/src/core/endpointFleetStandIn.ts
+++ b/packages/standins/src/core/endpointFleetStandIn.ts
@@ -189,8 +189,9 @@
     const { taskId, run } = order;
     const done: OrderOutcome = { kind: 'done', endpointClockMilliseconds: clockOf(endpoint) };
     if (endpoint.running.get(taskId)?.run.run === run) return done;
-    if (run <= (endpoint.superseded.get(taskId) ?? 0))
+    if (run <= (endpoint.superseded.get(taskId) ?? 0)) {
       return { kind: 'refused', reason: 'superseded' };
+    }
     if (order.deadlineOnEndpointMilliseconds <= clockOf(endpoint)) {
       return { kind: 'refused', reason: 'late' };
     }
