Ask for advice in the order of work, and keep room while it is asked

Ruled out: room and processor time (0.36 of a core at most).

Change: each round decides in order, keeps room for work whose tickets are on their way, and replaces what is to be asked next; long calls leave two lines for short ones; steps whose turn is near are asked for ahead.

--- a/packages/scheduler/src/core/adviceDesk.ts
+++ b/packages/scheduler/src/core/adviceDesk.ts
@@ -11,6 +11,10 @@
 const CALL_MARGIN_MILLISECONDS = 1_000;
 /** Most endpoints of one call. */
 const MAXIMUM_ENDPOINTS = 100;
+/** Calls that take longer than this leave lines free for shorter ones, in milliseconds. */
+const LONG_CALL_MILLISECONDS = 200;
+/** Lines that are kept free of long calls, where there are more than this. */
+const LINES_FOR_SHORT_CALLS = 2;
 /** Pause of a line after a failed call, in milliseconds. */
 const FAILURE_PAUSE_MILLISECONDS = 100;
 
@@ -29,17 +33,18 @@
   isAsking: boolean;
 }
 
-interface AdviceRequest {
+/** What is to be asked. */
+export interface AdviceRequest {
   readonly stepId: string;
   readonly endpoints: readonly AskedEndpoint[];
   readonly settings: AdviceSettings;
-  readonly priority: number;
 }
 
 /** One VM from which the advice service takes one call at a time. */
 export interface AdviceLine {
   readonly client: AdviceClient;
-  isBusy: boolean;
+  /** The call that it is busy with. */
+  current: AdviceRequest | null;
 }
 
 /** Tickets for steps, asked for over all VMs at once. */
@@ -48,13 +53,8 @@
   ticketFor(stepId: string, endpoint: AskedEndpoint): string | null;
   /** @returns whether the endpoint may run the step; null if it is not known */
   verdictOf(stepId: string, endpoint: AskedEndpoint): boolean | null;
-  /** Asks about endpoints, unless the step is being asked for already. */
-  ask(
-    stepId: string,
-    endpoints: readonly AskedEndpoint[],
-    settings: AdviceSettings,
-    priority: number,
-  ): void;
+  /** Sets what is to be asked next, in order; replaces what was set before and is not being asked. */
+  setRequests(requests: readonly AdviceRequest[]): void;
   dropTicket(stepId: string, endpointId: string): void;
   forget(stepId: string): void;
   addLine(client: AdviceClient): AdviceLine;
@@ -79,7 +79,7 @@
   const { clock, log, metrics } = options;
   const steps = new Map<string, StepAdvice>();
   const lines: AdviceLine[] = [];
-  const queue: AdviceRequest[] = [];
+  let requests: readonly AdviceRequest[] = [];
 
   function incarnation({ endpointId, bornAt }: AskedEndpoint): string {
     return `${endpointId}@${bornAt}`;
@@ -109,9 +109,9 @@
   }
 
   async function serve(line: AdviceLine, request: AdviceRequest): Promise<void> {
-    const { stepId, endpoints, settings } = request;
+    const { stepId, endpoints } = request;
     const askedAt = clock.monotonicMilliseconds();
-    const announced = settings.callMilliseconds + settings.endpointMilliseconds * endpoints.length;
+    const announced = announcedTime(request);
     metrics.count('advice_calls');
     const outcome = await line.client.advise(
       stepId,
@@ -139,14 +139,31 @@
     options.onAdvice();
   }
 
+  function announcedTime({ settings, endpoints }: AdviceRequest): number {
+    return settings.callMilliseconds + settings.endpointMilliseconds * endpoints.length;
+  }
+
+  function isLong(request: AdviceRequest): boolean {
+    return announcedTime(request) > LONG_CALL_MILLISECONDS;
+  }
+
+  function mayStart(request: AdviceRequest): boolean {
+    if (steps.get(request.stepId)?.isAsking) return false;
+    if (!isLong(request)) return true;
+    const longCalls = lines.filter(({ current }) => current !== null && isLong(current)).length;
+    return longCalls < Math.max(1, lines.length - LINES_FOR_SHORT_CALLS);
+  }
+
   function dispatch(): void {
-    while (queue.length > 0) {
-      const line = lines.find(({ isBusy }) => !isBusy);
-      if (!line) return;
-      const request = queue.shift()!;
-      line.isBusy = true;
+    for (const line of lines) {
+      if (line.current) continue;
+      const request = requests.find(mayStart);
+      if (!request) return;
+      requests = requests.filter((other) => other !== request);
+      adviceFor(request.stepId).isAsking = true;
+      line.current = request;
       void serve(line, request).then(() => {
-        line.isBusy = false;
+        line.current = null;
         dispatch();
       });
     }
@@ -159,19 +176,11 @@
       return entry.usableUntil > clock.monotonicMilliseconds() ? entry.ticket : null;
     },
     verdictOf: (stepId, endpoint) => steps.get(stepId)?.verdicts.get(incarnation(endpoint)) ?? null,
-    ask(stepId, endpoints, settings, priority) {
-      const advice = adviceFor(stepId);
-      if (advice.isAsking || endpoints.length === 0) return;
-      advice.isAsking = true;
-      const request: AdviceRequest = {
-        stepId,
-        endpoints: endpoints.slice(0, MAXIMUM_ENDPOINTS),
-        settings,
-        priority,
-      };
-      const position = queue.findIndex((other) => other.priority > priority);
-      if (position < 0) queue.push(request);
-      else queue.splice(position, 0, request);
+    setRequests(next) {
+      requests = next.map((request) => ({
+        ...request,
+        endpoints: request.endpoints.slice(0, MAXIMUM_ENDPOINTS),
+      }));
       dispatch();
     },
     dropTicket(stepId, endpointId) {
@@ -181,7 +190,7 @@
       steps.delete(stepId);
     },
     addLine(client) {
-      const line: AdviceLine = { client, isBusy: false };
+      const line: AdviceLine = { client, current: null };
       lines.push(line);
       dispatch();
       return line;
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -12,7 +12,7 @@
 import type { JobQueueSettings, TeamQuota } from '../types/configuration.js';
 import type { JobRecord, StepRecord, TaskRecord } from '../types/jobRecord.js';
 import type { TermContext } from '../types/termContext.js';
-import type { AdviceDesk } from './adviceDesk.js';
+import type { AdviceDesk, AdviceRequest } from './adviceDesk.js';
 import type { EndpointSession } from './endpointSession.js';
 import { chargedResources } from './endpointTable.js';
 import type { EndpointState } from './endpointTable.js';
@@ -22,6 +22,9 @@
 /** Placements that become possible within this time are decided together, in milliseconds. */
 const GATHER_MILLISECONDS = 5;
 
+/** Advice for a step is asked this much longer before its turn than the call takes, in milliseconds. */
+const PREFETCH_LEAD_MILLISECONDS = 300;
+
 /** What the dispatcher needs. */
 export interface DispatcherOptions {
   readonly context: TermContext;
@@ -34,20 +37,28 @@
 export interface Dispatcher {
   /** Asks for a round soon. */
   request(): void;
-  /** Asks for the advice that a step is going to need. */
-  prepare(step: StepRecord): void;
+  /** Asks ahead for the advice that steps are going to need soon. */
+  prefetch(): void;
   close(): void;
 }
 
+/** Room of an endpoint in one round, with what the work decided before is going to take. */
 interface Candidate extends EndpointCandidate {
   readonly state: EndpointState;
   used: Resources;
   tasksOfStep: number;
 }
 
+/** Work of one round. */
+interface RoundWork {
+  readonly step: StepRecord;
+  readonly queue: JobQueueSettings;
+  readonly order: OrderedWork;
+}
+
 interface Placement {
   readonly task: TaskRecord;
-  readonly state: EndpointState;
+  readonly candidate: Candidate;
 }
 
 /** @returns what remains on the longest chain of an occurrence from a step on, in milliseconds */
@@ -73,6 +84,8 @@
   const { context, transitions, desk } = options;
   const { clock, log, table } = context;
   let cancelRound: CancelTimer | null = null;
+  /** Steps whose turn comes soon. */
+  let prefetched: StepRecord[] = [];
 
   function queueOf(step: StepRecord): JobQueueSettings | undefined {
     return context.configuration()?.queues.find(({ name }) => name === step.job.queue);
@@ -104,29 +117,24 @@
     };
   }
 
-  function isUsable(state: EndpointState, step: StepRecord, queue: JobQueueSettings): boolean {
+  function isUsable(state: EndpointState): boolean {
     const { entry } = state;
-    const { requiredHardware } = step.specification;
     return (
       state.isListed &&
       state.isSealed &&
       !entry.isDraining &&
-      entry.service === queue.service &&
       entry.bornAt === state.bornAt &&
       state.clockOffset !== null &&
       state.silentCalls === 0 &&
       state.avoidUntil <= clock.monotonicMilliseconds() &&
-      (requiredHardware === '' || entry.hardware === requiredHardware) &&
       !transitions.isQuarantined(entry.endpointId)
     );
   }
 
-  function describeCandidate(state: EndpointState, step: StepRecord): Candidate {
-    let tasksOfStep = 0;
+  function describeCandidate(state: EndpointState): Candidate {
     let fillingTasks = 0;
     let servingTasks = 0;
     state.runs.forEach((task) => {
-      if (task.step === step) tasksOfStep += 1;
       if (task.step.specification.isFilling) fillingTasks += 1;
       else if (task.step.specification.targetMilliseconds > 0) servingTasks += 1;
     });
@@ -136,43 +144,53 @@
       rack: state.entry.rack,
       capacity: state.entry.capacity,
       used: state.used,
-      tasksOfStep,
+      tasksOfStep: 0,
       fillingTasks,
       servingTasks,
       slowness: 1,
     };
   }
 
-  function collectCandidates(step: StepRecord, queue: JobQueueSettings): Candidate[] {
-    return [...table.all()]
-      .filter((state) => isUsable(state, step, queue))
-      .map((state) => describeCandidate(state, step));
+  /** @returns endpoints that may run the step as far as is known */
+  function selectCandidates(
+    step: StepRecord,
+    queue: JobQueueSettings,
+    all: readonly Candidate[],
+  ): Candidate[] {
+    const { requiredHardware, maximumPerEndpoint } = step.specification;
+    const selected = all.filter(
+      ({ state }) =>
+        state.entry.service === queue.service &&
+        (requiredHardware === '' || state.entry.hardware === requiredHardware) &&
+        (!queue.advice || desk.verdictOf(step.stepId, asked(state)) !== false),
+    );
+    if (maximumPerEndpoint > 0) {
+      selected.forEach((candidate) => {
+        candidate.tasksOfStep = 0;
+      });
+      step.tasks.filter(hasRun).forEach(({ endpointId }) => {
+        const host = selected.find((candidate) => candidate.endpointId === endpointId);
+        if (host) host.tasksOfStep += 1;
+      });
+    }
+    return selected;
   }
 
   function asked({ entry, bornAt }: EndpointState) {
     return { endpointId: entry.endpointId, bornAt };
   }
 
-  /** Asks about endpoints with room: those known to be good, or else those that are not known. */
-  function askAdvice(step: StepRecord, queue: JobQueueSettings, candidates: readonly Candidate[]) {
-    if (!queue.advice) return;
-    const withRoom = candidates.filter((candidate) =>
-      chooseEndpoint([candidate], requestOf(step, [])),
-    );
-    const unknown = withRoom.filter(
-      ({ state }) => desk.verdictOf(step.stepId, asked(state)) === null,
-    );
-    const good = withRoom.filter(
-      ({ state }) =>
-        desk.verdictOf(step.stepId, asked(state)) === true &&
-        desk.ticketFor(step.stepId, asked(state)) === null,
-    );
-    desk.ask(
-      step.stepId,
-      [...good, ...unknown].map(({ state }) => asked(state)),
-      queue.advice,
-      queue.priority,
-    );
+  /** @returns a call about endpoints with room: those known to be good, and those that are not known */
+  function adviceFor(
+    { step, queue }: RoundWork,
+    withRoom: readonly Candidate[],
+  ): AdviceRequest | null {
+    if (!queue.advice) return null;
+    const endpoints = withRoom
+      .map(({ state }) => asked(state))
+      .filter((endpoint) => desk.ticketFor(step.stepId, endpoint) === null);
+    if (endpoints.length === 0) return null;
+    return { stepId: step.stepId, endpoints, settings: queue.advice };
   }
 
   function requestOf(step: StepRecord, racksInUse: readonly string[]) {
@@ -195,7 +213,7 @@
     );
   }
 
-  /** Chooses endpoints for as many tasks as fit, without charging them. */
+  /** Chooses endpoints for as many tasks as fit, and takes their room for this round. */
   function plan(
     step: StepRecord,
     tasks: readonly TaskRecord[],
@@ -213,12 +231,19 @@
       chosen.used = addResources(chosen.used, request.resources);
       chosen.tasksOfStep += 1;
       if (!racks.includes(chosen.rack)) racks.push(chosen.rack);
-      placements.push({ task, state: chosen.state });
+      placements.push({ task, candidate: chosen });
     }
     return placements;
   }
 
-  function commitPlacement({ task, state }: Placement, run: number): void {
+  function unplan(step: StepRecord, placements: readonly Placement[]): void {
+    placements.forEach(({ candidate }) => {
+      candidate.used = addResources(candidate.used, chargedResources(step.specification), -1);
+      candidate.tasksOfStep -= 1;
+    });
+  }
+
+  function commitPlacement({ task, candidate: { state } }: Placement, run: number): void {
     task.run = run;
     task.phase = 'placed';
     task.endpointId = state.entry.endpointId;
@@ -234,7 +259,7 @@
   }
 
   function stopFillingBeside(placements: readonly Placement[]): void {
-    placements.forEach(({ task, state }) => {
+    placements.forEach(({ task, candidate: { state } }) => {
       if (task.step.specification.targetMilliseconds <= 0) return;
       [...state.runs.values()]
         .filter((other) => other.step.specification.isFilling && other.phase === 'running')
@@ -260,7 +285,7 @@
     if (!isDurable || context.hasEnded()) return;
     const starts = placements
       .filter(({ task }, position) => task.run === runs[position] && task.phase === 'placed')
-      .map(({ task, state }) => ({
+      .map(({ task, candidate: { state } }) => ({
         task,
         session: options.session(state.entry.endpointId),
         ticket: desk.ticketFor(step.stepId, asked(state)),
@@ -279,22 +304,21 @@
     });
   }
 
-  function place(step: StepRecord, queue: JobQueueSettings): number {
+  function pendingTasks(step: StepRecord): TaskRecord[] {
     const now = clock.monotonicMilliseconds();
-    const { isGang } = step.specification;
     const pending = step.tasks.filter(
       ({ phase, notBefore }) => phase === 'pending' && notBefore <= now,
     );
-    if (pending.length === 0) return 0;
-    if (isGang && (pending.length < step.specification.count || step.tasks.some(hasRun))) return 0;
-    const candidates = collectCandidates(step, queue);
-    const ticketed = queue.advice
-      ? candidates.filter(({ state }) => desk.ticketFor(step.stepId, asked(state)) !== null)
-      : candidates;
-    const placements = plan(step, pending, ticketed);
-    if (isGang && placements.length < pending.length) placements.length = 0;
-    if (placements.length < pending.length) askAdvice(step, queue, collectCandidates(step, queue));
-    if (placements.length === 0) return 0;
+    const isWhole = pending.length === step.specification.count && !step.tasks.some(hasRun);
+    return step.specification.isGang && !isWhole ? [] : pending;
+  }
+
+  function startPlacements(
+    { step, queue }: RoundWork,
+    pending: readonly TaskRecord[],
+    placements: readonly Placement[],
+  ): void {
+    const { isGang } = step.specification;
     const gangRun = Math.max(...pending.map(({ run }) => run)) + 1;
     const checkpoint = pending.find((task) => task.checkpoint !== '')?.checkpoint ?? '';
     stopFillingBeside(placements);
@@ -306,42 +330,99 @@
       step: step.stepId,
       tasks: placements.length,
       pending: pending.length,
-      candidates: candidates.length,
     });
     void startAll(step, queue, placements);
-    return placements.length;
   }
 
-  function runRound(): void {
-    cancelRound = null;
-    if (!context.mayAct() || !context.configuration()) return;
+  /**
+   * Starts what fits where tickets are at hand. For the rest, room is kept for this round and tickets are asked
+   * for, so that later work does not take the room while the answer is on its way.
+   */
+  function place(work: RoundWork, all: readonly Candidate[]): AdviceRequest | null {
+    const { step, queue } = work;
+    const { isGang } = step.specification;
+    const pending = pendingTasks(step);
+    if (pending.length === 0) return null;
+    const candidates = selectCandidates(step, queue, all);
+    const ticketed = queue.advice
+      ? candidates.filter(({ state }) => desk.ticketFor(step.stepId, asked(state)) !== null)
+      : candidates;
+    const placements = plan(step, pending, ticketed);
+    const isComplete = placements.length === pending.length;
+    const mayStart = placements.length > 0 && (!isGang || isComplete);
+    if (mayStart) startPlacements(work, pending, placements);
+    if (isComplete) return null;
+    const missing = mayStart ? pending.filter(({ phase }) => phase === 'pending') : pending;
+    if (!mayStart) unplan(step, placements);
+    const request = requestOf(step, []);
+    const withRoom = candidates.filter((candidate) => chooseEndpoint([candidate], request));
+    const kept = plan(step, missing, candidates);
+    // Room that is kept for a gang grows until all its tasks fit.
+    const needsAdvice = isGang ? kept.length === missing.length : kept.length > 0;
+    return needsAdvice ? adviceFor(work, withRoom) : null;
+  }
+
+  function collectWork(): RoundWork[] {
     const total = totalCapacity();
     const work = [...transitions.releasedSteps].flatMap((step) => {
       const queue = queueOf(step);
       if (!queue || step.job.phase !== 'open') return [];
       return [{ step, queue, order: describeWork(step, queue, total) }];
     });
-    work.sort((left, right) => compareWork(left.order, right.order));
-    work.forEach(({ step, queue }) => {
-      const started = place(step, queue);
-      const isAllStarted = !step.tasks.some(({ phase }) => phase === 'pending');
-      if (started > 0 && isAllStarted) transitions.releasedSteps.delete(step);
-      if (started > 0 && isAllStarted) prepareLater(step);
+    return work.sort((left, right) => compareWork(left.order, right.order));
+  }
+
+  function runRound(): void {
+    cancelRound = null;
+    if (!context.mayAct() || !context.configuration()) return;
+    const candidates = [...table.all()].filter(isUsable).map(describeCandidate);
+    const requests: AdviceRequest[] = [];
+    collectWork().forEach((work) => {
+      const request = place(work, candidates);
+      if (request) requests.push(request);
+      if (!work.step.tasks.some(({ phase }) => phase === 'pending')) {
+        transitions.releasedSteps.delete(work.step);
+      }
+    });
+    desk.setRequests([
+      ...requests,
+      ...prefetched.flatMap((step) => prefetchRequest(step, candidates)),
+    ]);
+  }
+
+  /** @returns the time until all tasks of the step have probably ended, in milliseconds; null if some do not run */
+  function remainingTime(step: StepRecord): number | null {
+    const now = clock.monotonicMilliseconds();
+    const remaining = step.tasks.map((task) => {
+      if (task.phase === 'done') return 0;
+      if (task.phase !== 'running') return Infinity;
+      return Math.max(0, step.specification.estimatedMilliseconds - (now - task.startedAt));
     });
+    const longest = Math.max(0, ...remaining);
+    return Number.isFinite(longest) ? longest : null;
   }
 
-  /** The next steps need their tickets when this one ends. */
-  function prepareLater(step: StepRecord): void {
-    const occurrence = step.job.occurrences.get(step.occurrence);
-    occurrence?.steps
-      .filter(({ specification }) => specification.after.includes(step.index))
-      .forEach((later) => prepare(later));
+  function isNearlyReleased(step: StepRecord, queue: JobQueueSettings): boolean {
+    if (step.isReleased || !queue.advice || step.job.phase !== 'open') return false;
+    const steps = step.job.occurrences.get(step.occurrence)?.steps ?? [];
+    const lead = queue.advice.callMilliseconds + PREFETCH_LEAD_MILLISECONDS;
+    return step.specification.after.every((index) => {
+      const earlier = steps[index];
+      const remaining = earlier ? remainingTime(earlier) : null;
+      return remaining !== null && remaining <= lead;
+    });
   }
 
-  function prepare(step: StepRecord): void {
+  function prefetchRequest(step: StepRecord, candidates: readonly Candidate[]): AdviceRequest[] {
     const queue = queueOf(step);
-    if (!queue?.advice) return;
-    askAdvice(step, queue, collectCandidates(step, queue));
+    if (!queue || step.isReleased || step.job.phase !== 'open') return [];
+    const selected = selectCandidates(step, queue, candidates);
+    const hasTicket = selected.some(
+      ({ state }) => desk.ticketFor(step.stepId, asked(state)) !== null,
+    );
+    const order = { priority: 0, objectiveAt: 0, remainingMilliseconds: 0, weightedShare: 0 };
+    const request = hasTicket ? null : adviceFor({ step, queue, order }, selected);
+    return request ? [request] : [];
   }
 
   return {
@@ -349,7 +430,16 @@
       if (cancelRound) return;
       cancelRound = clock.setTimer(runRound, GATHER_MILLISECONDS);
     },
-    prepare,
+    prefetch() {
+      prefetched = [];
+      context.jobs.forEach((job) => {
+        const queue = context.configuration()?.queues.find(({ name }) => name === job.queue);
+        if (!queue?.advice || job.phase !== 'open') return;
+        job.occurrences.forEach(({ steps }) =>
+          prefetched.push(...steps.filter((step) => isNearlyReleased(step, queue))),
+        );
+      });
+    },
     close() {
       cancelRound?.();
       cancelRound = null;
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -158,12 +158,7 @@
       context,
       transitions,
       configurationReadAt: () => configurationReadAt,
-      onAccepted(job) {
-        transitions.release(job);
-        job.occurrences.forEach(({ steps }) =>
-          steps.filter(({ isReleased }) => isReleased).forEach((step) => dispatcher.prepare(step)),
-        );
-      },
+      onAccepted: transitions.release,
     });
     transitions.onJobClosed(stopRuns);
     transitions.onGangBroken((step) => step.tasks.filter(hasRun).forEach(stopRun));
@@ -389,6 +384,7 @@
     for (const state of table.all()) {
       if (state.isListed && state.entry.isDraining) applyDrain(state);
     }
+    parts!.dispatcher.prefetch();
     parts!.dispatcher.request();
     return Promise.resolve(true);
   }
