--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -15,7 +15,7 @@
       'import-x/resolver-next': [
         createTypeScriptImportResolver({
           noWarnOnMultipleProjects: true,
-          project: ['packages/*/tsconfig.json'],
+          project: ['packages/*/tsconfig.json', 'platform/tsconfig.json'],
         }),
       ],
     },
--- a/packages/scheduler/src/core/schedulerNode.ts
+++ b/packages/scheduler/src/core/schedulerNode.ts
@@ -259,6 +259,8 @@
     handOver: () => authority.release(),
     stop() {
       authority.stop();
+      term?.end();
+      term = null;
       isStopped = true;
       ownerChannel?.channel.close();
       listener?.close();
