--- /dev/null
+++ b/packages/decisions/src/__tests__/stepPlacement.test.ts
@@ -0,0 +1,72 @@
+import test from 'ava';
+
+import { chooseEndpoint } from '../core/chooseEndpoint.js';
+import { compareWork } from '../core/workOrder.js';
+
+const CANDIDATE = {
+  endpointId: 'a',
+  rack: 'r1',
+  capacity: { processors: 8, memoryBytes: 100, accelerators: 1 },
+  used: { processors: 6, memoryBytes: 10, accelerators: 0 },
+  tasksOfStep: 0,
+  fillingTasks: 0,
+  servingTasks: 0,
+  slowness: 1,
+};
+const REQUEST = {
+  resources: { processors: 2, memoryBytes: 10, accelerators: 0 },
+  preferredRacks: [] as string[],
+  maximumPerEndpoint: 0,
+  isFilling: false,
+  isServing: false,
+};
+const WORK = { priority: 1, objectiveAt: 1_000, remainingMilliseconds: 0, weightedShare: 0 };
+
+test('a task goes only where it fits in every dimension', (t) => {
+  t.is(chooseEndpoint([CANDIDATE], REQUEST)?.endpointId, 'a');
+  const dimensions = [
+    { processors: 2.001, memoryBytes: 10, accelerators: 0 },
+    { processors: 2, memoryBytes: 91, accelerators: 0 },
+    { processors: 2, memoryBytes: 10, accelerators: 2 },
+  ];
+  dimensions.forEach((resources) => {
+    t.is(chooseEndpoint([CANDIDATE], { ...REQUEST, resources }), null);
+  });
+});
+
+test('the tightest fit is chosen, unless the data is elsewhere', (t) => {
+  const empty = {
+    ...CANDIDATE,
+    endpointId: 'b',
+    rack: 'r2',
+    used: { ...CANDIDATE.used, processors: 0 },
+  };
+  t.is(chooseEndpoint([empty, CANDIDATE], REQUEST)?.endpointId, 'a');
+  t.is(chooseEndpoint([empty, CANDIDATE], { ...REQUEST, preferredRacks: ['r2'] })?.endpointId, 'b');
+});
+
+test('the number of tasks on one endpoint is bounded', (t) => {
+  const full = { ...CANDIDATE, tasksOfStep: 2 };
+  t.is(chooseEndpoint([full], { ...REQUEST, maximumPerEndpoint: 2 }), null);
+  t.is(chooseEndpoint([full], { ...REQUEST, maximumPerEndpoint: 3 })?.endpointId, 'a');
+});
+
+test('filling tasks never join serving ones, and serving ones join filling ones last', (t) => {
+  const serving = { ...CANDIDATE, servingTasks: 1 };
+  t.is(chooseEndpoint([serving], { ...REQUEST, isFilling: true }), null);
+  const filled = { ...CANDIDATE, fillingTasks: 1 };
+  const other = { ...CANDIDATE, endpointId: 'b', used: { ...CANDIDATE.used, processors: 0 } };
+  t.is(chooseEndpoint([filled, other], { ...REQUEST, isServing: true })?.endpointId, 'b');
+  t.is(chooseEndpoint([filled], { ...REQUEST, isServing: true })?.endpointId, 'a');
+});
+
+test('order: priority, then the team below its share, then the least time to spare', (t) => {
+  const urgent = { ...WORK, priority: 0, weightedShare: 5 };
+  t.true(compareWork(urgent, WORK) < 0);
+  const heavy = { ...WORK, weightedShare: 0.5, objectiveAt: 0 };
+  t.true(compareWork(WORK, heavy) < 0);
+  const long = { ...WORK, remainingMilliseconds: 500 };
+  t.true(compareWork(long, WORK) < 0);
+  const similar = { ...WORK, weightedShare: 0.04, objectiveAt: 900 };
+  t.true(compareWork(similar, WORK) < 0);
+});
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -12,8 +12,8 @@
 const WAIT_MILLISECONDS = 1_500;
 /** Time after which a start is not carried out any more, in milliseconds; shorter than any late execution. */
 const START_MILLISECONDS = 1_900;
-/** Pause after an order without an answer, in milliseconds. */
-const RETRY_MILLISECONDS = 100;
+/** Pause after a hold without an answer, in milliseconds. */
+const RETRY_MILLISECONDS = 200;
 /** Longest wait for ends to become durable before the lease is extended again, in milliseconds. */
 const DURABLE_WAIT_MILLISECONDS = 1_000;
 /** Most ends of one list; a full list may leave out ends and so does not prove that a run is absent. */
@@ -229,14 +229,6 @@
     }
   }
 
-  /** @returns whether the next hold may wait: nothing is to be acknowledged, learnt or regained first */
-  function maySettle(): boolean {
-    const isAcknowledged = state.durableSequence === state.appliedSequence;
-    return (
-      state.isSealed && isAcknowledged && state.clockOffset !== null && state.silentCalls === 0
-    );
-  }
-
   function isGone(): boolean {
     return !state.isListed && state.runs.size === 0 && now() >= state.lapsesAt;
   }
@@ -297,13 +289,10 @@
       return;
     }
     if (outcome.kind === 'done' && bornAt === state.bornAt) {
-      const isUnconfirmed = task.phase === 'placed';
       task.settledAt = Math.min(task.settledAt, now());
-      if (isUnconfirmed) await hold(0);
-      // The end of a run is listed once it has stopped, and ends the hold that waits for ends.
-      if (isPresent(task, run)) await sleep(clock, 2 * context.times.stopMilliseconds);
-      if (isPresent(task, run) && !isUnconfirmed) await hold(0);
-      return;
+      // The end is listed once the run has stopped.
+      await sleep(clock, 2 * context.times.stopMilliseconds);
+      if (isPresent(task, run)) await hold(0);
     }
     await sleep(clock, RETRY_MILLISECONDS);
   }
@@ -318,9 +307,10 @@
     state,
     async run() {
       while (!context.hasEnded() && !isGone()) {
-        if (!context.mayAct()) await sleep(clock, RETRY_MILLISECONDS / 2);
+        if (!context.mayAct()) await sleep(clock, RETRY_MILLISECONDS / 4);
         else {
-          await hold(maySettle() ? WAIT_MILLISECONDS : 0);
+          const isSettled = state.isSealed && state.durableSequence === state.appliedSequence;
+          await hold(isSettled && state.clockOffset !== null ? WAIT_MILLISECONDS : 0);
         }
       }
       if (!context.hasEnded()) events.onGone(state);
--- a/scripts/run.mjs
+++ b/scripts/run.mjs
@@ -60,5 +60,6 @@
 
 const [command, ...rest] = process.argv.slice(2);
 install();
-if (command === 'test') process.exit(runTests(rest));
-process.exit(runProving(command, rest));
+// Setting the code lets the output reach a slow reader before the process ends.
+if (command === 'test') process.exitCode = runTests(rest);
+else process.exitCode = runProving(command, rest);
