--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,7 +2,15 @@
 import { createTypeScriptImportResolver } from 'eslint-import-resolver-typescript';
 
 export default [
-  { ignores: ['**/dist/**', '**/target/**', '**/node_modules/**', 'eslint.config.mjs', 'prettier.config.mjs'] },
+  {
+    ignores: [
+      '**/dist/**',
+      '**/target/**',
+      '**/node_modules/**',
+      'eslint.config.mjs',
+      'prettier.config.mjs',
+    ],
+  },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
