Count a closed channel between VMs as closed at once

Cause: when a check of the connection to the owner was lost, the standby closed the channel and looped, because the channel counted as open until its socket ended; the loop gave the socket no turn, so that it never did. The standby answered nothing any more, and the owner lost its line for advice.

Test that failed first: peerChannel.

--- a/packages/scheduler/src/core/peerChannel.ts
+++ b/packages/scheduler/src/core/peerChannel.ts
@@ -78,7 +78,10 @@
         return { kind: 'lost', reason: error instanceof Error ? error.message : String(error) };
       }
     },
-    close: () => socket.destroy(),
+    close() {
+      isOpen = false;
+      socket.destroy();
+    },
   };
 }
 
