Ask again for a usage report that says it is not whole

A report without the answer of a daemon in time is marked so, as docs/operators.md says; the test took its first reading for the whole.

Change: the test asks until the report is whole, within the limit it has for the rest, and then compares that reading with the same bounds.

--- a/packages/proving/src/__tests__/usageReport.test.ts
+++ b/packages/proving/src/__tests__/usageReport.test.ts
@@ -117,10 +117,21 @@
   const { jobId } = submitted.value;
   t.true(await waitUntil(() => record.entriesOf('task-started').length === 3, LIMIT_MILLISECONDS));
   const agree = async (place: string, daemon: LocalDaemon): Promise<void> => {
-    const least = sumOfRecord(cell, record.now()) - 3 * REPORT_AGE_SECONDS;
-    const { seconds, tasks, isWhole } = await reader.readUsage(daemon);
-    const most = sumOfRecord(cell, record.now()) + EXACT_SECONDS;
-    const isAgreed = isWhole && tasks === 3 && seconds >= least && seconds <= most;
+    // A report that a daemon did not answer in time says that it is not whole, and is asked for again.
+    const read = async () => {
+      const least = sumOfRecord(cell, record.now()) - 3 * REPORT_AGE_SECONDS;
+      const reading = await reader.readUsage(daemon);
+      const most = sumOfRecord(cell, record.now()) + EXACT_SECONDS;
+      return { ...reading, least, most };
+    };
+    let report = await read();
+    await waitUntil(async () => {
+      if (!report.isWhole) report = await read();
+      return report.isWhole;
+    }, LIMIT_MILLISECONDS);
+    const { seconds, tasks, isWhole, least, most } = report;
+    t.true(isWhole, `${place}: the report is whole in the end`);
+    const isAgreed = tasks === 3 && seconds >= least && seconds <= most;
     t.true(isAgreed, `${place}: ${seconds} of ${least} to ${most}, ${tasks} tasks`);
   };
   await waitUntil(() => sumOfRecord(cell, record.now()) > 9, LIMIT_MILLISECONDS);
