Drop state of the scheduler that nothing reads, and forget advice of closed jobs

Read on review: the pace of a task, the time of a release, the times over a target, a second copy of the owner's revision and the session's order to pace were written and never read. The advice of a step was never forgotten, because nothing called the function that does, so that an owner kept a record of every step of its term; closed jobs take it with them now.

--- /dev/null
+++ b/packages/scheduler/src/__tests__/adviceDesk.test.ts
@@ -0,0 +1,61 @@
+import { setImmediate } from 'node:timers/promises';
+
+import { createManualClock, createSilentLog } from '@chicorybend/common';
+import test from 'ava';
+
+import { createAdviceDesk } from '../core/adviceDesk.js';
+import { createSchedulerMetrics } from '../core/schedulerMetrics.js';
+
+const ENDPOINT = { endpointId: 'endpoint-1', bornAt: 1 };
+const SHORT = { callMilliseconds: 20, endpointMilliseconds: 1, ticketMilliseconds: 2_000 };
+const LONG = { ...SHORT, callMilliseconds: 600 };
+
+function createDesk(lineCount: number) {
+  const clock = createManualClock();
+  const asked: string[] = [];
+  const desk = createAdviceDesk({
+    clock,
+    log: createSilentLog(),
+    metrics: createSchedulerMetrics(),
+    onAdvice: () => {},
+  });
+  const answers: (() => void)[] = [];
+  for (let line = 0; line < lineCount; line += 1) {
+    desk.addLine({
+      advise(stepId, endpointIds) {
+        asked.push(stepId);
+        return new Promise((resolve) => {
+          const tickets = endpointIds.map((endpointId) => ({ endpointId, ticket: 'ticket' }));
+          answers.push(() => resolve({ kind: 'answered', tickets, validMilliseconds: 2_000 }));
+        });
+      },
+    });
+  }
+  return { clock, desk, asked, answers };
+}
+
+test('a ticket is used until shortly before its end, a verdict stays, and both go with their step', async (t) => {
+  const { clock, desk, answers } = createDesk(1);
+  desk.setRequests([{ stepId: 'a.0.0', endpoints: [ENDPOINT], settings: SHORT }]);
+  answers[0]!();
+  await setImmediate();
+  t.is(desk.ticketFor('a.0.0', ENDPOINT), 'ticket');
+  t.is(desk.ticketFor('a.0.0', { ...ENDPOINT, bornAt: 2 }), null);
+  clock.advance(1_900);
+  t.is(desk.ticketFor('a.0.0', ENDPOINT), null);
+  t.true(desk.verdictOf('a.0.0', ENDPOINT));
+  desk.forget('a.0.0');
+  t.is(desk.verdictOf('a.0.0', ENDPOINT), null);
+});
+
+test('one call of a VM at a time, in the order set, and lines stay free of long calls', (t) => {
+  const { desk, asked } = createDesk(4);
+  const request = (stepId: string, settings: typeof SHORT) => ({
+    stepId,
+    endpoints: [ENDPOINT],
+    settings,
+  });
+  const long = ['l1', 'l2', 'l3'].map((stepId) => request(stepId, LONG));
+  desk.setRequests([...long, ...['s1', 's2', 's3'].map((stepId) => request(stepId, SHORT))]);
+  t.deepEqual(asked, ['l1', 'l2', 's1', 's2']);
+});
--- a/packages/scheduler/src/core/authority.ts
+++ b/packages/scheduler/src/core/authority.ts
@@ -83,7 +83,6 @@
   let isStopped = false;
   let mayClaim = true;
   let owner: OwnerRecord | null = null;
-  let ownerRevision = 0;
   let term: (OwnedTerm & { leaseId: number }) | null = null;
   let validUntil = -Infinity;
   let clockOffset = readClockOffset();
@@ -211,7 +210,6 @@
       return;
     }
     term = { epoch, ownerRevision: outcome.revision, leaseId: lease.leaseId };
-    ownerRevision = outcome.revision;
     validUntil = sentAt + leaseMilliseconds - EXPIRY_MARGIN_MILLISECONDS;
     log.info('term started', { epoch });
     setOwner({ address, epoch });
@@ -235,8 +233,9 @@
       if (!term) await sleep(clock, RETRY_MILLISECONDS);
       return;
     }
-    ownerRevision = outcome.value.revision;
-    if (term && term.ownerRevision !== ownerRevision) endTerm('another process owns the work');
+    if (term && term.ownerRevision !== outcome.value.revision) {
+      endTerm('another process owns the work');
+    }
     const record = parseOwner(outcome.value);
     // The record of an earlier life of this process names nobody who can answer.
     setOwner(record && (record.address !== address || term) ? record : null);
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -34,8 +34,6 @@
   start(task: TaskRecord, ticket: string | null): Promise<void>;
   /** Ends the run of a task, however often the order has to be repeated. */
   stop(task: TaskRecord): Promise<void>;
-  /** Sets the share at which the run of a task may work, in percent. */
-  pace(task: TaskRecord, percent: number): Promise<void>;
 }
 
 /** What a session reports. */
@@ -133,7 +131,6 @@
     }
     if (task.phase === 'placed') confirm(task);
     if (report.checkpoint !== '') task.checkpoint = report.checkpoint;
-    task.pacePercent = report.pacePercent;
     if (task.step.specification.targetMilliseconds > 0) events.onLoad(state, task, report);
   }
 
@@ -341,10 +338,5 @@
       }
     },
     stop,
-    async pace(task, percent) {
-      if (!context.mayAct() || task.phase !== 'running') return;
-      task.pacePercent = percent;
-      await endpoints.pace(target(), { taskId: task.taskId, run: task.run }, percent);
-    },
   };
 }
--- a/packages/scheduler/src/core/endpointTable.ts
+++ b/packages/scheduler/src/core/endpointTable.ts
@@ -32,8 +32,6 @@
   silentCalls: number;
   /** No new starts before this time, in monotonic milliseconds. */
   avoidUntil: number;
-  /** Tail in milliseconds of each serving task above its target, since when, in monotonic milliseconds. */
-  readonly overTargetSince: Map<string, number>;
 }
 
 /** @returns what a task takes of the capacity of an endpoint; filling tasks use processors that others leave */
@@ -83,7 +81,6 @@
         lapsesAt: now,
         silentCalls: 0,
         avoidUntil: 0,
-        overTargetSince: new Map(),
       };
       states.set(entry.endpointId, state);
       return state;
@@ -106,7 +103,6 @@
       const state = task.endpointId === null ? undefined : states.get(task.endpointId);
       const { team } = task.step.job;
       if (!state?.runs.delete(task.taskId)) return;
-      state.overTargetSince.delete(task.taskId);
       state.used = addResources(state.used, chargedResources(task.step.specification), -1);
       teams.set(
         team,
--- a/packages/scheduler/src/core/jobRecords.ts
+++ b/packages/scheduler/src/core/jobRecords.ts
@@ -44,16 +44,26 @@
     startedAt: 0,
     settledAt: Infinity,
     notBefore: 0,
-    pacePercent: 100,
   };
 }
 
+/** @returns ids of all steps of the occurrences that a job has had */
+export function listStepIds(job: JobRecord): string[] {
+  return Array.from({ length: job.occurrenceCount }).flatMap((_, occurrence) =>
+    job.specification.steps.map((__, step) => stepIdOf(job.jobId, occurrence, step)),
+  );
+}
+
+function stepIdOf(jobId: string, occurrence: number, step: number): string {
+  return `${jobId}.${occurrence}.${step}`;
+}
+
 /** Adds an occurrence with all its tasks pending. */
 export function addOccurrence(job: JobRecord, index: number): OccurrenceRecord {
   const occurrence: OccurrenceRecord = { index, steps: [], doneSteps: 0 };
   job.specification.steps.forEach((specification, stepIndex) => {
     const step: StepRecord = {
-      stepId: `${job.jobId}.${index}.${stepIndex}`,
+      stepId: stepIdOf(job.jobId, index, stepIndex),
       job,
       occurrence: index,
       index: stepIndex,
@@ -63,7 +73,6 @@
       gangFailures: 0,
       brokenRun: 0,
       isReleased: false,
-      releasedAt: 0,
     };
     for (let task = 0; task < specification.count; task += 1) {
       step.tasks.push(createTask(step, task));
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -31,6 +31,7 @@
   createJobRecord,
   forEachTask,
   hasRun,
+  listStepIds,
   parseAccepted,
 } from './jobRecords.js';
 import type { SchedulerMetrics } from './schedulerMetrics.js';
@@ -160,7 +161,10 @@
       configurationReadAt: () => configurationReadAt,
       onAccepted: transitions.release,
     });
-    transitions.onJobClosed(stopRuns);
+    transitions.onJobClosed((job) => {
+      stopRuns(job);
+      listStepIds(job).forEach(desk.forget);
+    });
     transitions.onGangBroken((step) => step.tasks.filter(hasRun).forEach(stopRun));
     return { context, commits, transitions, dispatcher, caller };
   }
@@ -242,13 +246,7 @@
 
   /** A serving task over its target has the filling tasks beside it stopped, which resume elsewhere. */
   function watchTarget(state: EndpointState, task: TaskRecord, load: number): void {
-    if (load <= task.step.specification.targetMilliseconds) {
-      state.overTargetSince.delete(task.taskId);
-      return;
-    }
-    if (!state.overTargetSince.has(task.taskId)) {
-      state.overTargetSince.set(task.taskId, clock.monotonicMilliseconds());
-    }
+    if (load <= task.step.specification.targetMilliseconds) return;
     state.runs.forEach((other) => {
       if (other.step.specification.isFilling) stopRun(other);
     });
--- a/packages/scheduler/src/core/schedulerMetrics.ts
+++ b/packages/scheduler/src/core/schedulerMetrics.ts
@@ -31,7 +31,7 @@
 export const HISTOGRAMS = {
   commit_milliseconds: 'Time from sending a group of changes until it is durable.',
   accept_milliseconds: 'Time from the arrival of a job at the owner until it is durable.',
-  first_start_milliseconds: 'Time from the acceptance of a job until its first run is confirmed.',
+  first_start_milliseconds: 'Time from the acceptance of a job until its first run is placed.',
   advice_milliseconds: 'Time of a call for eligibility advice.',
 } as const;
 
--- a/packages/scheduler/src/core/taskTransitions.ts
+++ b/packages/scheduler/src/core/taskTransitions.ts
@@ -93,7 +93,6 @@
     occurrence.steps.forEach((step) => {
       if (step.isReleased || !areDependenciesDone(occurrence, step)) return;
       step.isReleased = true;
-      step.releasedAt = clock.monotonicMilliseconds();
       if (step.doneCount < step.specification.count) releasedSteps.add(step);
     });
   }
@@ -135,7 +134,6 @@
     task.endpointId = null;
     task.phase = 'pending';
     task.settledAt = Infinity;
-    task.pacePercent = 100;
   }
 
   /** A gang works as one, so that one member's success is the success of all. */
@@ -182,8 +180,6 @@
     }
     const { run } = task;
     if (kind === 'done' && specification.isGang && !specification.isLongRunning) {
-      detach(task);
-      task.run = run;
       finishGang(task);
     } else {
       detach(task);
--- a/packages/scheduler/src/types/jobRecord.ts
+++ b/packages/scheduler/src/types/jobRecord.ts
@@ -37,8 +37,6 @@
   settledAt: number;
   /** Not started again before this time, in monotonic milliseconds. */
   notBefore: number;
-  /** Share at which the run may work, in percent. */
-  pacePercent: number;
 }
 
 /** A step of one occurrence of a job. */
@@ -58,8 +56,6 @@
   brokenRun: number;
   /** Whether the steps before it are complete and its time has come. */
   isReleased: boolean;
-  /** When it was released, in monotonic milliseconds. */
-  releasedAt: number;
 }
 
 /** One time of a job: the only one, or one of its repetitions. */
