--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -31,6 +31,8 @@
   readonly transitions: TaskTransitions;
   readonly desk: AdviceDesk;
   readonly session: (endpointId: string) => EndpointSession | undefined;
+  /** Stops the filling tasks on an endpoint. */
+  readonly stopFilling: (state: EndpointState) => void;
 }
 
 /** Starts pending tasks where they fit. */
@@ -258,22 +260,6 @@
     }
   }
 
-  function stopFillingBeside(placements: readonly Placement[]): void {
-    placements.forEach(({ task, candidate: { state } }) => {
-      if (task.step.specification.targetMilliseconds <= 0) return;
-      [...state.runs.values()]
-        .filter((other) => other.step.specification.isFilling && other.phase === 'running')
-        .forEach((other) => {
-          void options.session(state.entry.endpointId)?.stop(other);
-        });
-    });
-  }
-
-  function withdraw(task: TaskRecord): void {
-    transitions.endRun(task, 'stopped', task.checkpoint);
-    void transitions.save(task.step.job);
-  }
-
   /** Sends the starts once they are durable; those that can't be sent any more never were. */
   async function startAll(
     step: StepRecord,
@@ -300,7 +286,7 @@
     const sent = new Set(step.specification.isGang && !isComplete ? [] : ready);
     starts.forEach((start) => {
       if (sent.has(start)) void start.session?.start(start.task, start.ticket);
-      else withdraw(start.task);
+      else transitions.dropRun(start.task, 'stopped');
     });
   }
 
@@ -321,7 +307,9 @@
     const { isGang } = step.specification;
     const gangRun = Math.max(...pending.map(({ run }) => run)) + 1;
     const checkpoint = pending.find((task) => task.checkpoint !== '')?.checkpoint ?? '';
-    stopFillingBeside(placements);
+    if (step.specification.targetMilliseconds > 0) {
+      placements.forEach(({ candidate }) => options.stopFilling(candidate.state));
+    }
     placements.forEach((placement) => {
       if (isGang) placement.task.checkpoint = checkpoint;
       commitPlacement(placement, isGang ? gangRun : placement.task.run + 1);
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -81,6 +81,10 @@
     return Math.floor(now() + state.clockOffset + milliseconds);
   }
 
+  function abandonFenced(): void {
+    context.abandon(`endpoint ${state.entry.endpointId} has seen a higher fencing token`);
+  }
+
   function runsOnOtherIncarnation(): TaskRecord[] {
     return [...state.runs.values()].filter(({ endpointBornAt }) => endpointBornAt !== state.bornAt);
   }
@@ -96,8 +100,7 @@
       }
     }
     if (context.hasEnded() || task.run !== run || !hasRun(task)) return;
-    transitions.endRun(task, 'lapsed', task.checkpoint);
-    void transitions.save(task.step.job);
+    transitions.dropRun(task, 'lapsed');
   }
 
   function changeIncarnation(bornAt: number): void {
@@ -190,17 +193,8 @@
       log.info('endpoint silent', { endpoint: state.entry.endpointId, reason });
     }
     if (now() < state.lapsesAt) return;
-    const lapsed = [...state.runs.values()];
-    if (lapsed.length === 0) return;
-    log.info('runs lapsed with their endpoint', {
-      endpoint: state.entry.endpointId,
-      runs: lapsed.length,
-    });
-    state.isSealed = false;
-    lapsed.forEach((task) => {
-      transitions.endRun(task, 'lapsed', task.checkpoint);
-      void transitions.save(task.step.job);
-    });
+    if (state.runs.size > 0) state.isSealed = false;
+    transitions.lapseRuns(state);
   }
 
   async function hold(waitMilliseconds: number): Promise<void> {
@@ -219,7 +213,7 @@
       const durable = applyLists(outcome, sentAt);
       await Promise.race([durable, sleep(clock, DURABLE_WAIT_MILLISECONDS)]);
     } else if (outcome.kind === 'refused' && outcome.reason === 'fenced') {
-      context.abandon(`endpoint ${state.entry.endpointId} has seen a higher fencing token`);
+      abandonFenced();
     } else {
       handleSilence(outcome.reason);
       await sleep(clock, RETRY_MILLISECONDS);
@@ -265,8 +259,7 @@
     else state.avoidUntil = now() + AVOID_MILLISECONDS;
     if (reason === 'late') state.clockOffset = null;
     task.notBefore = now() + REPLACE_MILLISECONDS;
-    transitions.endRun(task, 'lapsed', task.checkpoint);
-    void transitions.save(task.step.job);
+    transitions.dropRun(task, 'lapsed');
   }
 
   function canStart(task: TaskRecord): boolean {
@@ -282,7 +275,7 @@
       : ({ kind: 'unknown', reason: 'no authority' } as const);
     if (!isPresent(task, run)) return;
     if (outcome.kind === 'refused' && outcome.reason === 'fenced') {
-      context.abandon(`endpoint ${state.entry.endpointId} has seen a higher fencing token`);
+      abandonFenced();
       return;
     }
     if (outcome.kind === 'done' && bornAt === state.bornAt) {
@@ -334,7 +327,7 @@
       else if (outcome.kind === 'unknown') await resolveStart(task, run);
       else {
         refuseStart(task, outcome.reason);
-        if (outcome.reason === 'fenced') context.abandon('an endpoint refused a start as fenced');
+        if (outcome.reason === 'fenced') abandonFenced();
       }
     },
     stop,
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -1,13 +1,13 @@
 import { createFailure, sleep } from '@chicorybend/common';
-import type { Clock, Log } from '@chicorybend/common';
 
 import type { AdviceClient } from '../types/advice.js';
 import type { CallerAnswer, CallerRequest } from '../types/caller.js';
-import type { ClusterStore, StoredItem } from '../types/clusterStore.js';
-import type { ClusterConfiguration, ConfigurationSource } from '../types/configuration.js';
-import type { EndpointClient, EndpointDirectory, EndpointEntry } from '../types/endpoint.js';
+import type { StoredItem } from '../types/clusterStore.js';
+import type { ClusterConfiguration } from '../types/configuration.js';
+import type { EndpointEntry } from '../types/endpoint.js';
 import type { JobRecord, TaskRecord } from '../types/jobRecord.js';
-import type { EndpointTimes, TermContext } from '../types/termContext.js';
+import type { SchedulerSurroundings } from '../types/surroundings.js';
+import type { TermContext } from '../types/termContext.js';
 import { holdTime, lapseTime } from '../utils/leaseTimes.js';
 import {
   COMMIT_KEY,
@@ -34,7 +34,6 @@
   listStepIds,
   parseAccepted,
 } from './jobRecords.js';
-import type { SchedulerMetrics } from './schedulerMetrics.js';
 import { createTaskTransitions } from './taskTransitions.js';
 
 /** Interval of reading the configuration, in milliseconds; bounds how long a change takes to be in effect. */
@@ -51,17 +50,7 @@
 const DRAIN_MARGIN_MILLISECONDS = 1_000;
 
 /** What a term needs. */
-export interface OwnerTermOptions {
-  readonly store: ClusterStore;
-  readonly clock: Clock;
-  readonly log: Log;
-  readonly metrics: SchedulerMetrics;
-  readonly endpoints: EndpointClient;
-  readonly directory: EndpointDirectory;
-  readonly configurationSource: ConfigurationSource;
-  readonly times: EndpointTimes;
-  /** How long an ended job is known, in milliseconds. */
-  readonly retentionMilliseconds: number;
+export interface OwnerTermOptions extends SchedulerSurroundings {
   readonly term: OwnedTerm;
   readonly mayAct: () => boolean;
   readonly onLost: (reason: string) => void;
@@ -154,6 +143,7 @@
       transitions,
       desk,
       session: (endpointId) => sessions.get(endpointId),
+      stopFilling,
     });
     const caller = createCallerService({
       context,
@@ -181,6 +171,13 @@
     void sessions.get(task.endpointId)?.stop(task);
   }
 
+  /** Filling tasks make room for serving ones, and resume elsewhere. */
+  function stopFilling(state: EndpointState): void {
+    state.runs.forEach((task) => {
+      if (task.step.specification.isFilling) stopRun(task);
+    });
+  }
+
   async function repeatUntilAnswered<Outcome extends { kind: string }>(
     call: () => Promise<Outcome>,
   ): Promise<Exclude<Outcome, { kind: 'failed' }> | null> {
@@ -231,14 +228,7 @@
     const { transitions } = parts!;
     await sleep(clock, Math.max(0, state.lapsesAt - clock.monotonicMilliseconds()));
     if (hasEnded || state.entry.address !== '') return;
-    log.info('runs lapsed with their endpoint', {
-      endpoint: state.entry.endpointId,
-      runs: state.runs.size,
-    });
-    [...state.runs.values()].forEach((task) => {
-      transitions.endRun(task, 'lapsed', task.checkpoint);
-      void transitions.save(task.step.job);
-    });
+    transitions.lapseRuns(state);
     table.remove(state.entry.endpointId);
     sessions.delete(state.entry.endpointId);
     onLapsed();
@@ -247,9 +237,7 @@
   /** A serving task over its target has the filling tasks beside it stopped, which resume elsewhere. */
   function watchTarget(state: EndpointState, task: TaskRecord, load: number): void {
     if (load <= task.step.specification.targetMilliseconds) return;
-    state.runs.forEach((other) => {
-      if (other.step.specification.isFilling) stopRun(other);
-    });
+    stopFilling(state);
   }
 
   function applyDrain(state: EndpointState): void {
--- a/packages/scheduler/src/core/schedulerNode.ts
+++ b/packages/scheduler/src/core/schedulerNode.ts
@@ -1,19 +1,14 @@
 import { createFailure, sleep, TIMED_OUT, withTimeout } from '@chicorybend/common';
-import type { Clock, Log } from '@chicorybend/common';
 
 import type { AdviceClient, AdviceOutcome } from '../types/advice.js';
 import type { CallerAnswer, CallerRequest } from '../types/caller.js';
-import type { ClusterStore } from '../types/clusterStore.js';
-import type { ConfigurationSource } from '../types/configuration.js';
-import type { EndpointClient, EndpointDirectory } from '../types/endpoint.js';
-import type { EndpointTimes } from '../types/termContext.js';
+import type { SchedulerSurroundings } from '../types/surroundings.js';
 import { createAuthority } from './authority.js';
 import type { OwnerRecord } from './authority.js';
 import { createOwnerTerm } from './ownerTerm.js';
 import type { OwnerTerm } from './ownerTerm.js';
 import { listenForPeers, openPeerChannel } from './peerChannel.js';
 import type { PeerChannel, PeerHandlers, PeerListener } from './peerChannel.js';
-import type { SchedulerMetrics } from './schedulerMetrics.js';
 
 /** Interval of checking the connection to the owner, in milliseconds. */
 const PING_INTERVAL_MILLISECONDS = 1_000;
@@ -27,17 +22,10 @@
 const RETRY_AFTER_MILLISECONDS = 1_000;
 
 /** What a node needs. */
-export interface SchedulerNodeOptions {
-  readonly store: ClusterStore;
-  readonly clock: Clock;
-  readonly log: Log;
-  readonly metrics: SchedulerMetrics;
-  readonly endpoints: EndpointClient;
-  readonly directory: EndpointDirectory;
-  readonly configurationSource: ConfigurationSource;
+export interface SchedulerNodeOptions extends SchedulerSurroundings {
+  /** Null where the platform has no advice service. */
   readonly advice: AdviceClient | null;
-  readonly times: EndpointTimes;
-  readonly retentionMilliseconds: number;
+  /** Time to live of the owner's lease, in milliseconds. */
   readonly leaseMilliseconds: number;
   /** `<address>:<port>` for calls between VMs. */
   readonly peerAddress: string;
--- a/packages/scheduler/src/core/taskTransitions.ts
+++ b/packages/scheduler/src/core/taskTransitions.ts
@@ -10,6 +10,7 @@
 } from '../types/jobRecord.js';
 import type { TermContext } from '../types/termContext.js';
 import { stateKey } from '../utils/storeKeys.js';
+import type { EndpointState } from './endpointTable.js';
 import {
   addOccurrence,
   areDependenciesDone,
@@ -36,6 +37,10 @@
   release(job: JobRecord): void;
   /** Applies the end of the present run of a task. */
   endRun(task: TaskRecord, kind: EndKind, checkpoint: string): void;
+  /** Ends the present run of a task without a result and saves the job; the task resumes from its checkpoint. */
+  dropRun(task: TaskRecord, kind: 'lapsed' | 'stopped'): void;
+  /** Drops all runs that may exist on an endpoint, whose leases are certainly over. */
+  lapseRuns(state: EndpointState): void;
   /** Ends a job; its running tasks are to be stopped by the caller of {@link TaskTransitions.onJobClosed}. */
   closeJob(job: JobRecord, phase: JobPhase): Promise<boolean>;
   /** Registers what stops the runs of a job that has ended. */
@@ -194,6 +199,16 @@
     context.requestDispatch();
   }
 
+  function endAndClear(task: TaskRecord, kind: EndKind, checkpoint: string): void {
+    endRun(task, kind, checkpoint);
+    if (task.step.job.phase !== 'open') dropClosed(task.step.job);
+  }
+
+  function dropRun(task: TaskRecord, kind: 'lapsed' | 'stopped'): void {
+    endAndClear(task, kind, task.checkpoint);
+    void save(task.step.job);
+  }
+
   function dropClosed(job: JobRecord): void {
     let runs = 0;
     forEachTask(job, (task) => {
@@ -206,9 +221,12 @@
     releasedSteps,
     save,
     release,
-    endRun(task, kind, checkpoint) {
-      endRun(task, kind, checkpoint);
-      if (task.step.job.phase !== 'open') dropClosed(task.step.job);
+    endRun: endAndClear,
+    dropRun,
+    lapseRuns({ entry, runs }) {
+      if (runs.size === 0) return;
+      log.info('runs lapsed with their endpoint', { endpoint: entry.endpointId, runs: runs.size });
+      [...runs.values()].forEach((task) => dropRun(task, 'lapsed'));
     },
     closeJob,
     onJobClosed(listener) {
