Look queues and teams up by name, and estimate the chains of a job once

Found on review: each round of placements searched the queues and teams of the configuration for every waiting step, and computed the longest chain of its job twice, although a job's steps never change. A configuration with hundreds of queues and an overload of waiting steps multiplied both.

The tests pass unchanged.

--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -9,8 +9,8 @@
 import { RESOURCE_DIMENSIONS } from '@chicorybend/common';
 import type { CancelTimer, Resources } from '@chicorybend/common';
 
-import type { JobQueueSettings, TeamQuota } from '../types/configuration.js';
-import type { JobRecord, StepRecord, TaskRecord } from '../types/jobRecord.js';
+import type { JobQueueSettings } from '../types/configuration.js';
+import type { StepRecord, TaskRecord } from '../types/jobRecord.js';
 import type { TermContext } from '../types/termContext.js';
 import type { AdviceDesk, AdviceRequest } from './adviceDesk.js';
 import type { EndpointSession } from './endpointSession.js';
@@ -63,19 +63,6 @@
   readonly candidate: Candidate;
 }
 
-/** @returns what remains on the longest chain of an occurrence from a step on, in milliseconds */
-export function estimateChain(job: JobRecord, fromStep: number): number {
-  const { steps } = job.specification;
-  const lengths = new Array<number>(steps.length).fill(0);
-  for (let index = steps.length - 1; index >= 0; index -= 1) {
-    const later = steps.flatMap(({ after }, position) =>
-      after.includes(index) ? [lengths[position]!] : [],
-    );
-    lengths[index] = steps[index]!.estimatedMilliseconds + Math.max(0, ...later);
-  }
-  return lengths[fromStep] ?? 0;
-}
-
 /**
  * Creates the dispatcher of a term.
  *
@@ -89,14 +76,6 @@
   /** Steps whose turn comes soon. */
   let prefetched: StepRecord[] = [];
 
-  function queueOf(step: StepRecord): JobQueueSettings | undefined {
-    return context.configuration()?.queues.find(({ name }) => name === step.job.queue);
-  }
-
-  function teamOf(step: StepRecord): TeamQuota | undefined {
-    return context.configuration()?.teams.find(({ name }) => name === step.job.team);
-  }
-
   function totalCapacity(): Resources {
     let total = NO_RESOURCES;
     for (const { entry, isListed } of table.all()) {
@@ -107,15 +86,17 @@
 
   function describeWork(step: StepRecord, queue: JobQueueSettings, total: Resources): OrderedWork {
     const { job } = step;
-    const chain = estimateChain(job, 0);
     const age = clock.wallMilliseconds() - job.acceptedAt;
     const acceptedAt = clock.monotonicMilliseconds() - age;
     const share = computeDominantShare(table.usedByTeam(job.team), total);
     return {
       priority: queue.priority,
-      objectiveAt: acceptedAt + queue.stretch * chain + queue.targetCompletionMilliseconds,
-      remainingMilliseconds: estimateChain(job, step.index),
-      weightedShare: share / Math.max(teamOf(step)?.weight ?? 1, 1e-9),
+      objectiveAt:
+        acceptedAt +
+        queue.stretch * (job.remainingChains[0] ?? 0) +
+        queue.targetCompletionMilliseconds,
+      remainingMilliseconds: job.remainingChains[step.index] ?? 0,
+      weightedShare: share / Math.max(context.team(step.job.team)?.weight ?? 1, 1e-9),
     };
   }
 
@@ -208,7 +189,7 @@
   }
 
   function fitsLimit(step: StepRecord, used: Resources): boolean {
-    const limit = teamOf(step)?.limit;
+    const limit = context.team(step.job.team)?.limit;
     if (!limit) return true;
     return RESOURCE_DIMENSIONS.every(
       (dimension) => limit[dimension] === 0 || used[dimension] <= limit[dimension],
@@ -353,7 +334,7 @@
   function collectWork(): RoundWork[] {
     const total = totalCapacity();
     const work = [...transitions.releasedSteps].flatMap((step) => {
-      const queue = queueOf(step);
+      const queue = context.queue(step.job.queue);
       if (!queue || step.job.phase !== 'open') return [];
       return [{ step, queue, order: describeWork(step, queue, total) }];
     });
@@ -402,7 +383,7 @@
   }
 
   function prefetchRequest(step: StepRecord, candidates: readonly Candidate[]): AdviceRequest[] {
-    const queue = queueOf(step);
+    const queue = context.queue(step.job.queue);
     if (!queue || step.isReleased || step.job.phase !== 'open') return [];
     const selected = selectCandidates(step, queue, candidates);
     const hasTicket = selected.some(
@@ -421,7 +402,7 @@
     prefetch() {
       prefetched = [];
       context.jobs.forEach((job) => {
-        const queue = context.configuration()?.queues.find(({ name }) => name === job.queue);
+        const queue = context.queue(job.queue);
         if (!queue?.advice || job.phase !== 'open') return;
         job.occurrences.forEach(({ steps }) =>
           prefetched.push(...steps.filter((step) => isNearlyReleased(step, queue))),
--- a/packages/scheduler/src/core/jobRecords.ts
+++ b/packages/scheduler/src/core/jobRecords.ts
@@ -17,10 +17,23 @@
   readonly specification: JobSpecification;
 }
 
+/** @returns by step, what remains on the longest chain from the step on, in milliseconds */
+export function estimateChains({ steps }: JobSpecification): number[] {
+  const lengths = new Array<number>(steps.length).fill(0);
+  for (let index = steps.length - 1; index >= 0; index -= 1) {
+    const later = steps.flatMap(({ after }, position) =>
+      after.includes(index) ? [lengths[position]!] : [],
+    );
+    lengths[index] = steps[index]!.estimatedMilliseconds + Math.max(0, ...later);
+  }
+  return lengths;
+}
+
 /** Creates the record of a job without occurrences. */
 export function createJobRecord(accepted: AcceptedJob): JobRecord {
   return {
     ...accepted,
+    remainingChains: estimateChains(accepted.specification),
     phase: 'open',
     shownPhase: 'open',
     endedAt: 0,
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -3,7 +3,7 @@
 import type { AdviceClient } from '../types/advice.js';
 import type { CallerAnswer, CallerRequest } from '../types/caller.js';
 import type { StoredItem } from '../types/clusterStore.js';
-import type { ClusterConfiguration } from '../types/configuration.js';
+import type { ClusterConfiguration, JobQueueSettings, TeamQuota } from '../types/configuration.js';
 import type { EndpointEntry } from '../types/endpoint.js';
 import type { JobRecord, TaskRecord } from '../types/jobRecord.js';
 import type { SchedulerSurroundings } from '../types/surroundings.js';
@@ -94,6 +94,8 @@
   const jobs = new Map<string, JobRecord>();
   const sessions = new Map<string, EndpointSession>();
   let configuration: ClusterConfiguration | null = null;
+  let queues: ReadonlyMap<string, JobQueueSettings> = new Map();
+  let teams: ReadonlyMap<string, TeamQuota> = new Map();
   let configurationReadAt = -Infinity;
   let hasEnded = false;
   let parts: ReturnType<typeof createParts> | null = null;
@@ -132,6 +134,8 @@
       jobs,
       commits,
       configuration: () => configuration,
+      queue: (name) => queues.get(name),
+      team: (name) => teams.get(name),
       mayAct: () => !hasEnded && options.mayAct(),
       hasEnded: () => hasEnded,
       abandon: options.onLost,
@@ -198,6 +202,8 @@
     if (!next || (configuration && next.version <= configuration.version)) return true;
     log.info('configuration in effect', { version: next.version, queues: next.queues.length });
     configuration = next;
+    queues = new Map(next.queues.map((queue) => [queue.name, queue]));
+    teams = new Map(next.teams.map((team) => [team.name, team]));
     parts?.dispatcher.request();
     return true;
   }
--- a/packages/scheduler/src/core/taskTransitions.ts
+++ b/packages/scheduler/src/core/taskTransitions.ts
@@ -75,8 +75,7 @@
   }
 
   function maximumAttempts(job: JobRecord): number {
-    const queues = context.configuration()?.queues ?? [];
-    return queues.find(({ name }) => name === job.queue)?.maximumAttempts ?? 1;
+    return context.queue(job.queue)?.maximumAttempts ?? 1;
   }
 
   async function closeJob(job: JobRecord, phase: JobPhase): Promise<boolean> {
--- a/packages/scheduler/src/types/jobRecord.ts
+++ b/packages/scheduler/src/types/jobRecord.ts
@@ -72,6 +72,8 @@
   /** Team that the job is charged to; empty for a public queue. */
   readonly team: string;
   readonly specification: JobSpecification;
+  /** By step, what remains on the longest chain from the step on, in milliseconds. */
+  readonly remainingChains: readonly number[];
   /** In milliseconds since the Unix epoch. */
   readonly acceptedAt: number;
   phase: JobPhase;
--- a/packages/scheduler/src/types/termContext.ts
+++ b/packages/scheduler/src/types/termContext.ts
@@ -3,7 +3,7 @@
 import type { CommitQueue } from '../core/commitQueue.js';
 import type { EndpointTable } from '../core/endpointTable.js';
 import type { SchedulerMetrics } from '../core/schedulerMetrics.js';
-import type { ClusterConfiguration } from './configuration.js';
+import type { ClusterConfiguration, JobQueueSettings, TeamQuota } from './configuration.js';
 import type { EndpointClient } from './endpoint.js';
 import type { JobRecord } from './jobRecord.js';
 
@@ -28,6 +28,10 @@
   readonly commits: CommitQueue;
   /** @returns the configuration in effect; null before the first one */
   configuration(): ClusterConfiguration | null;
+  /** @returns a queue of the configuration in effect */
+  queue(name: string): JobQueueSettings | undefined;
+  /** @returns a team of the configuration in effect */
+  team(name: string): TeamQuota | undefined;
   /** @returns whether the term may give orders now */
   mayAct(): boolean;
   /** @returns whether the term has ended */
