--- /dev/null
+++ b/packages/proving/src/__tests__/ownerTakeover.test.ts
@@ -0,0 +1,93 @@
+import test from 'ava';
+
+import { createSchedulerCell, jobId, jobOf } from './schedulerCell.js';
+
+test('an end is not acknowledged before it is durable, so that a new owner does not repeat the run', async (t) => {
+  const cell = createSchedulerCell({ durationOf: () => 1_000 });
+  const first = cell.startProcess('first');
+  await cell.pass(200);
+  const answer = await cell.call({ specification: jobOf({ count: 3 }) });
+  t.is(answer.kind, 'accepted');
+  await cell.pass(900);
+  // No write takes effect any more, while the owner keeps its lease and goes on calling the endpoints.
+  Object.assign(cell.store.faultsOf('first'), { lostShare: 1, lateMilliseconds: 1e6 });
+  await cell.pass(3_000);
+  t.true(cell.fleet.history.every(({ kind }) => kind === 'done'));
+  first.kill();
+  cell.startProcess('second');
+  await cell.pass(4_000);
+  t.deepEqual(cell.fleet.violations(), []);
+  const status = await cell.call({ action: 'status' });
+  t.deepEqual(status, { kind: 'status', status: 'completed' });
+  t.is(cell.fleet.history.length, 3);
+});
+
+test('the runs of an endpoint that is lost for good lapse and are repeated elsewhere', async (t) => {
+  const cell = createSchedulerCell({ count: 2, durationOf: () => 8_000 });
+  cell.startProcess('first');
+  await cell.pass(200);
+  await cell.call({ specification: jobOf({ count: 2 }) });
+  await cell.pass(500);
+  const [run] = cell.fleet.history;
+  cell.fleet.kill(run!.endpointId);
+  cell.fleet.unlist(run!.endpointId);
+  await cell.pass(9_000);
+  t.is(cell.fleet.history.filter(({ taskId }) => taskId === run!.taskId).length, 2);
+  t.deepEqual(cell.fleet.violations(), []);
+});
+
+test('a new owner adopts what runs, and starts what never reached an endpoint', async (t) => {
+  const cell = createSchedulerCell({ durationOf: () => 5_000 });
+  const first = cell.startProcess('first');
+  await cell.pass(200);
+  await cell.call({ specification: jobOf({ count: 4 }) });
+  await cell.pass(300);
+  first.kill();
+  cell.startProcess('second');
+  await cell.pass(3_000);
+  t.is(cell.fleet.history.length, 4);
+  await cell.pass(3_000);
+  t.deepEqual(await cell.call({ action: 'status' }), { kind: 'status', status: 'completed' });
+  t.deepEqual(cell.fleet.violations(), []);
+});
+
+test('a start that is carried out late neither runs twice nor is lost', async (t) => {
+  const cell = createSchedulerCell({ count: 2, durationOf: () => 1_000 });
+  cell.startProcess('first');
+  await cell.pass(200);
+  cell.fleet.faultsOf('endpoint-0').lateStartMilliseconds = 2_500;
+  cell.fleet.faultsOf('endpoint-1').lateStartMilliseconds = 2_500;
+  await cell.call({ specification: jobOf({ count: 2 }) });
+  await cell.pass(200);
+  cell.fleet.faultsOf('endpoint-0').lateStartMilliseconds = null;
+  cell.fleet.faultsOf('endpoint-1').lateStartMilliseconds = null;
+  await cell.pass(8_000);
+  t.deepEqual(cell.fleet.violations(), []);
+  t.deepEqual(await cell.call({ action: 'status' }), { kind: 'status', status: 'completed' });
+});
+
+test('commits go on over lost answers and late executions, each change exactly once', async (t) => {
+  let draw = 0;
+  const random = () => {
+    draw = (draw * 16_807 + 11) % 2_147_483_647;
+    return draw / 2_147_483_647;
+  };
+  const cell = createSchedulerCell({ durationOf: () => 300 }, random);
+  cell.startProcess('first');
+  await cell.pass(200);
+  const faults = cell.store.faultsOf('first');
+  faults.lostShare = 0.4;
+  faults.lateMilliseconds = 1_500;
+  for (let index = 1; index <= 6; index += 1) {
+    const path = `/work/${jobId(index)}`;
+    await cell.call({ path, specification: jobOf({ count: 2 }, { after: [0] }) });
+  }
+  await cell.pass(9_000);
+  faults.lostShare = 0;
+  await cell.pass(6_000);
+  for (let index = 1; index <= 6; index += 1) {
+    const answer = await cell.call({ action: 'status', path: `/work/${jobId(index)}` });
+    t.deepEqual(answer, { kind: 'status', status: 'completed' });
+  }
+  t.deepEqual(cell.fleet.violations(), []);
+});
--- /dev/null
+++ b/packages/proving/src/__tests__/schedulerCell.ts
@@ -0,0 +1,222 @@
+import { setImmediate } from 'node:timers/promises';
+
+import { createManualClock, createSilentLog } from '@chicorybend/common';
+import type { ManualClock } from '@chicorybend/common';
+import { createAuthority, createOwnerTerm, createSchedulerMetrics } from '@chicorybend/scheduler';
+import type {
+  Authority,
+  CallerAnswer,
+  CallerRequest,
+  ClusterConfiguration,
+  JobSpecification,
+  OwnerTerm,
+  StepSpecification,
+} from '@chicorybend/scheduler';
+import { createClusterStoreStandIn, createEndpointFleetStandIn } from '@chicorybend/standins';
+import type {
+  ClusterStoreStandIn,
+  EndpointFleetOptions,
+  EndpointFleetStandIn,
+} from '@chicorybend/standins';
+
+const LEASE_MILLISECONDS = 1_200;
+const STEP_MILLISECONDS = 2;
+
+/** One process of the cell: it owns the work or stands by. */
+export interface CellProcess {
+  readonly authority: Authority;
+  term(): OwnerTerm | null;
+  /** Ends the process without any notice. */
+  kill(): void;
+}
+
+/** Processes of the scheduler with stand-ins, on a clock that only moves when told to. */
+export interface SchedulerCell {
+  readonly clock: ManualClock;
+  readonly store: ClusterStoreStandIn;
+  readonly fleet: EndpointFleetStandIn;
+  configuration: ClusterConfiguration;
+  startProcess(name: string): CellProcess;
+  /** Lets time pass, and all that falls due in it happen. */
+  pass(milliseconds: number): Promise<void>;
+  /** @returns the answer of the owner, while time passes */
+  call(request: Partial<CallerRequest>): Promise<CallerAnswer>;
+  owner(): OwnerTerm | null;
+}
+
+/** A configuration with one queue, `/work/`, and one team. */
+export const CONFIGURATION: ClusterConfiguration = {
+  version: 1,
+  queues: [
+    {
+      name: 'work',
+      host: 'cell.example',
+      pathPrefix: '/work/',
+      service: 'ledger',
+      priority: 0,
+      maximumAttempts: 2,
+      stretch: 2,
+      targetCompletionMilliseconds: 300,
+      advice: null,
+      isPublic: false,
+    },
+  ],
+  services: [{ name: 'ledger', enforcesCapacity: false }],
+  teams: [
+    {
+      name: 'bench',
+      keys: ['key-1'],
+      weight: 1,
+      limit: { processors: 0, memoryBytes: 0, accelerators: 0 },
+    },
+  ],
+  maximumBodyBytes: 262_144,
+};
+
+/** A step of one task of one core. */
+export const STEP: StepSpecification = {
+  count: 1,
+  resources: { processors: 1, memoryBytes: 1, accelerators: 0 },
+  estimatedMilliseconds: 500,
+  after: [],
+  hasCheckpoints: false,
+  isGang: false,
+  prefersOneRack: false,
+  requiredHardware: '',
+  preferredRack: '',
+  maximumPerEndpoint: 0,
+  isSpeculative: false,
+  isLongRunning: false,
+  image: '',
+  targetMilliseconds: 0,
+  isFilling: false,
+  disruptionBudget: null,
+};
+
+/** @returns a job with the given steps */
+export function jobOf(...steps: Partial<StepSpecification>[]): JobSpecification {
+  return { payload: '', steps: steps.map((step) => ({ ...STEP, ...step })), schedule: null };
+}
+
+/** @returns id of the n-th job of a test */
+export function jobId(index: number): string {
+  return index.toString(16).padStart(16, '0');
+}
+
+/**
+ * Creates a cell without processes.
+ *
+ * @param options settings of the endpoints that differ from the usual
+ * @param random source of random numbers for lost answers
+ * @returns cell
+ */
+export function createSchedulerCell(
+  options: Partial<EndpointFleetOptions> = {},
+  random: () => number = () => 0.5,
+): SchedulerCell {
+  const clock = createManualClock();
+  const store = createClusterStoreStandIn(clock, random);
+  const fleet = createEndpointFleetStandIn({
+    clock,
+    count: 4,
+    service: 'ledger',
+    capacity: { processors: 8, memoryBytes: 1_000, accelerators: 0 },
+    rackSize: 2,
+    durationOf: () => 500,
+    ...options,
+  });
+  const processes: CellProcess[] = [];
+
+  const cell: SchedulerCell = {
+    clock,
+    store,
+    fleet,
+    configuration: CONFIGURATION,
+    startProcess(name) {
+      let term: OwnerTerm | null = null;
+      let isKilled = false;
+      const log = createSilentLog();
+      const client = store.client(name);
+      const authority = createAuthority({
+        store: client,
+        clock,
+        log,
+        address: name,
+        leaseMilliseconds: LEASE_MILLISECONDS,
+        onOwnerChange: () => {},
+        onTermStart(owned) {
+          if (isKilled) return;
+          term = createOwnerTerm({
+            store: client,
+            clock,
+            log,
+            metrics: createSchedulerMetrics(),
+            endpoints: fleet.client,
+            directory: fleet.directory,
+            configurationSource: {
+              async read() {
+                const outcome = await client.read('any', 500);
+                if (outcome.kind === 'failed') return outcome;
+                return { kind: 'answered', configuration: cell.configuration };
+              },
+            },
+            times: { maximumHoldMilliseconds: 10_000, stopMilliseconds: 200 },
+            retentionMilliseconds: 120_000,
+            term: owned,
+            mayAct: () => !isKilled && authority.mayAct(),
+            onLost: (reason) => authority.abandon(reason),
+          });
+          term.addAdviceLine(fleet.advice);
+          void term.run();
+        },
+        onTermEnd() {
+          term?.end();
+          term = null;
+        },
+      });
+      void authority.run();
+      const started: CellProcess = {
+        authority,
+        term: () => term,
+        kill() {
+          isKilled = true;
+          term?.end();
+          term = null;
+          authority.stop();
+          store.faultsOf(name).outage = 'silent';
+        },
+      };
+      processes.push(started);
+      return started;
+    },
+    async pass(milliseconds) {
+      const endsAt = clock.monotonicMilliseconds() + milliseconds;
+      while (clock.monotonicMilliseconds() < endsAt) {
+        clock.advance(STEP_MILLISECONDS);
+        await setImmediate();
+      }
+    },
+    owner: () => processes.map((entry) => entry.term()).find((term) => term !== null) ?? null,
+    async call(request) {
+      const owner = cell.owner();
+      if (!owner) throw new Error('there is no owner');
+      let answer: CallerAnswer | null = null;
+      void owner
+        .handle({
+          action: 'submit',
+          host: 'cell.example',
+          path: `/work/${jobId(1)}`,
+          key: 'key-1',
+          specification: null,
+          bodyBytes: 100,
+          ...request,
+        })
+        .then((result) => {
+          answer = result;
+        });
+      while (!answer) await cell.pass(STEP_MILLISECONDS);
+      return answer;
+    },
+  };
+  return cell;
+}
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -3,20 +3,15 @@
 import type { EndReport, HoldOutcome, RunId, RunReport } from '../types/endpoint.js';
 import type { TaskRecord } from '../types/jobRecord.js';
 import type { TermContext } from '../types/termContext.js';
+import { holdTime, lapseTime } from '../utils/leaseTimes.js';
 import type { EndpointState } from './endpointTable.js';
 import { hasRun } from './jobRecords.js';
 import type { TaskTransitions } from './taskTransitions.js';
 
 /** How long an endpoint may wait for an end before it answers a hold, in milliseconds. */
 const WAIT_MILLISECONDS = 1_500;
-/** Lease that a hold asks for, in milliseconds; outlives a takeover and is over soon after an endpoint is lost. */
-const HOLD_MILLISECONDS = 6_000;
 /** Time after which a start is not carried out any more, in milliseconds; shorter than any late execution. */
 const START_MILLISECONDS = 1_900;
-/** Lease clocks may be this much slower than the clock of this process. */
-const CLOCK_RATE_FACTOR = 1.02;
-/** Margin for the time of an order on its way, in milliseconds. */
-const LAPSE_MARGIN_MILLISECONDS = 300;
 /** Pause after a hold without an answer, in milliseconds. */
 const RETRY_MILLISECONDS = 200;
 /** Longest wait for ends to become durable before the lease is extended again, in milliseconds. */
@@ -67,7 +62,9 @@
   events: SessionEvents,
 ): EndpointSession {
   const { clock, log, metrics, endpoints, table, epoch } = context;
-  const holdMilliseconds = Math.min(HOLD_MILLISECONDS, context.times.maximumHoldMilliseconds);
+  /** Whether all ends applied so far are durable. */
+  let applied: Promise<boolean> = Promise.resolve(true);
+  const holdMilliseconds = holdTime(context.times.maximumHoldMilliseconds);
 
   function now(): number {
     return clock.monotonicMilliseconds();
@@ -80,8 +77,7 @@
   /** Notes the lease that a call may grant, before the call is sent. */
   function deadlineAfter(milliseconds: number): number | null {
     if (state.clockOffset === null) return null;
-    const lapsesAt = now() + milliseconds * CLOCK_RATE_FACTOR + LAPSE_MARGIN_MILLISECONDS;
-    state.lapsesAt = Math.max(state.lapsesAt, lapsesAt);
+    state.lapsesAt = Math.max(state.lapsesAt, now() + lapseTime(milliseconds));
     return Math.floor(now() + state.clockOffset + milliseconds);
   }
 
@@ -155,12 +151,12 @@
     context.requestDispatch();
   }
 
-  /** @returns whether all applied ends are durable, which may take a moment */
+  /** Applies the lists at once; resolves when the ends are durable and may be acknowledged. */
   async function applyLists(
     outcome: HoldOutcome & { kind: 'answered' },
     sentAt: number,
-  ): Promise<boolean> {
-    if (outcome.bornAt !== null && outcome.bornAt < state.bornAt) return true;
+  ): Promise<void> {
+    if (outcome.bornAt !== null && outcome.bornAt < state.bornAt) return;
     if (outcome.bornAt !== null && outcome.bornAt > state.bornAt) changeIncarnation(outcome.bornAt);
     state.silentCalls = 0;
     state.clockOffset = outcome.endpointClockMilliseconds - now();
@@ -179,11 +175,13 @@
     }
     seal();
     const jobs = new Set([...touched].map(({ step }) => step.job));
-    const saved = await Promise.all([...jobs].map((job) => transitions.save(job)));
-    if (saved.every(Boolean)) {
+    const { bornAt } = state;
+    applied = Promise.all([applied, ...[...jobs].map((job) => transitions.save(job))]).then(
+      (saved) => saved.every(Boolean),
+    );
+    if ((await applied) && bornAt === state.bornAt) {
       state.durableSequence = Math.max(state.durableSequence, appliedSequence);
     }
-    return true;
   }
 
   function handleSilence(reason: string): void {
@@ -210,8 +208,10 @@
     const sentAt = now();
     const { bornAt } = state;
     metrics.count('holds_sent');
+    // An endpoint that may be lost gets no longer lease, so that its runs lapse at a known time.
+    const deadline = state.silentCalls > 0 ? null : deadlineAfter(holdMilliseconds);
     const outcome = await endpoints.hold(target(), {
-      deadlineOnEndpointMilliseconds: deadlineAfter(holdMilliseconds),
+      deadlineOnEndpointMilliseconds: deadline,
       acknowledgedSequence: state.durableSequence,
       waitMilliseconds,
     });
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -8,6 +8,7 @@
 import type { EndpointClient, EndpointDirectory, EndpointEntry } from '../types/endpoint.js';
 import type { JobRecord, TaskRecord } from '../types/jobRecord.js';
 import type { EndpointTimes, TermContext } from '../types/termContext.js';
+import { holdTime, lapseTime } from '../utils/leaseTimes.js';
 import {
   COMMIT_KEY,
   JOB_PREFIX,
@@ -45,10 +46,6 @@
 const RETRY_MILLISECONDS = 100;
 /** Limit of a read of the store, in milliseconds. */
 const READ_TIMEOUT_MILLISECONDS = 1_000;
-/** Lease clocks may be this much slower than the clock of this process. */
-const CLOCK_RATE_FACTOR = 1.02;
-/** Margin for the time of an order on its way, in milliseconds. */
-const LAPSE_MARGIN_MILLISECONDS = 500;
 /** A draining endpoint's checkpointed work is moved this long before the endpoint leaves, in milliseconds. */
 const DRAIN_MARGIN_MILLISECONDS = 1_000;
 
@@ -111,8 +108,7 @@
   let hasEnded = false;
   let parts: ReturnType<typeof createParts> | null = null;
   const startedAt = clock.monotonicMilliseconds();
-  const formerLeasesLapseAt =
-    startedAt + times.maximumHoldMilliseconds * CLOCK_RATE_FACTOR + LAPSE_MARGIN_MILLISECONDS;
+  const formerLeasesLapseAt = startedAt + lapseTime(holdTime(times.maximumHoldMilliseconds));
 
   const desk = createAdviceDesk({
     clock,
@@ -354,9 +350,7 @@
       readConfiguration(),
     ]);
     if (!chain || !items || !entries || hasEnded) return false;
-    entries.entries.forEach((entry) => {
-      table.add(entry, clock.monotonicMilliseconds()).lapsesAt = formerLeasesLapseAt;
-    });
+    entries.entries.forEach((entry) => table.add(entry, clock.monotonicMilliseconds()));
     restoreJobs(items.value);
     restoreRuns();
     parts = createParts(chain.value?.revision ?? 0);
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -29,6 +29,17 @@
 } from './core/endpointStandIn.js';
 export type { RequestPayload, TaskPayload } from './types/payload.js';
 
+/** Store and endpoints of the scheduler, in memory and on a clock that the caller controls. */
+export { createClusterStoreStandIn } from './core/clusterStoreStandIn.js';
+export type { ClusterStoreFaults, ClusterStoreStandIn } from './core/clusterStoreStandIn.js';
+export { createEndpointFleetStandIn } from './core/endpointFleetStandIn.js';
+export type {
+  EndpointFleetOptions,
+  EndpointFleetStandIn,
+  FleetFaults,
+  FleetRun,
+} from './core/endpointFleetStandIn.js';
+
 /** Links between processes. */
 export { startRelay } from './core/relay.js';
 export type {
