Do not ask again for advice that an answer has made needless

Cause: rounds that ran while a step's call was on its way found no ticket and set the request anew. Ruled out: room (650 to 950 of 1,264 processors in use at 5 to 17 s) and limits of teams. Change: requests of a step go with its answer. Test: adviceDesk 'a step is not asked about again', which failed first. A line each second tells what work waits for (limit, room, advice).

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -73,5 +73,5 @@
 /** Placement and order of the steps of jobs. */
 export { chooseEndpoint } from './core/chooseEndpoint.js';
 export type { EndpointCandidate, EndpointRequest } from './core/chooseEndpoint.js';
-export { compareWork } from './core/workOrder.js';
-export type { OrderedWork } from './core/workOrder.js';
+export { compareWork, judgePunctuality } from './core/workOrder.js';
+export type { ObjectiveTimes, OrderedWork, Punctuality } from './core/workOrder.js';
--- a/packages/scheduler/src/__tests__/adviceDesk.test.ts
+++ b/packages/scheduler/src/__tests__/adviceDesk.test.ts
@@ -59,3 +59,16 @@
   desk.setRequests([...long, ...['s1', 's2', 's3'].map((stepId) => request(stepId, SHORT))]);
   t.deepEqual(asked, ['l1', 'l2', 's1', 's2']);
 });
+
+test('a step is not asked about again for what its answer has made needless', async (t) => {
+  const { desk, asked, answers } = createDesk(1);
+  const request = { stepId: 'a.0.0', endpoints: [ENDPOINT], settings: SHORT };
+  desk.setRequests([request]);
+  // A round while the call is on its way still finds no ticket, and sets the request anew.
+  desk.setRequests([request]);
+  answers[0]!();
+  await setImmediate();
+  t.deepEqual(asked, ['a.0.0']);
+  desk.setRequests([{ ...request, endpoints: [{ endpointId: 'endpoint-2', bornAt: 1 }] }]);
+  t.deepEqual(asked, ['a.0.0', 'a.0.0']);
+});
--- a/packages/scheduler/src/core/adviceDesk.ts
+++ b/packages/scheduler/src/core/adviceDesk.ts
@@ -55,6 +55,8 @@
   verdictOf(stepId: string, endpoint: AskedEndpoint): boolean | null;
   /** Sets what is to be asked next, in order; replaces what was set before and is not being asked. */
   setRequests(requests: readonly AdviceRequest[]): void;
+  /** @returns number of calls that are being answered */
+  busyLines(): number;
   dropTicket(stepId: string, endpointId: string): void;
   forget(stepId: string): void;
   addLine(client: AdviceClient): AdviceLine;
@@ -136,6 +138,8 @@
     }
     const advice = steps.get(stepId);
     if (advice) advice.isAsking = false;
+    // Requests for the step were set before the answer was known; the next round sets what is still missing.
+    requests = requests.filter((other) => other.stepId !== stepId);
     options.onAdvice();
   }
 
@@ -183,6 +187,7 @@
       }));
       dispatch();
     },
+    busyLines: () => lines.filter(({ current }) => current !== null).length,
     dropTicket(stepId, endpointId) {
       steps.get(stepId)?.tickets.delete(endpointId);
     },
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -3,6 +3,7 @@
   compareWork,
   computeDominantShare,
   addResources,
+  judgePunctuality,
   NO_RESOURCES,
 } from '@chicorybend/decisions';
 import type { EndpointCandidate, OrderedWork } from '@chicorybend/decisions';
@@ -16,7 +17,7 @@
 import type { EndpointSession } from './endpointSession.js';
 import { chargedResources } from './endpointTable.js';
 import type { EndpointState } from './endpointTable.js';
-import { hasRun } from './jobRecords.js';
+import { dueTime, hasRun } from './jobRecords.js';
 import type { TaskTransitions } from './taskTransitions.js';
 
 /** Placements that become possible within this time are decided together, in milliseconds. */
@@ -41,6 +42,8 @@
   request(): void;
   /** Asks ahead for the advice that steps are going to need soon. */
   prefetch(): void;
+  /** Writes a line about the room and the work that waits, if any does. */
+  logBacklog(): void;
   close(): void;
 }
 
@@ -51,6 +54,12 @@
   tasksOfStep: number;
 }
 
+/** Why tasks of a step were not started in a round. */
+type Obstacle = 'limit' | 'room' | 'advice';
+
+/** Tasks that wait, by queue and obstacle, as `<queue>/<obstacle>`. */
+type Obstacles = Map<string, number>;
+
 /** Work of one round. */
 interface RoundWork {
   readonly step: StepRecord;
@@ -75,6 +84,8 @@
   let cancelRound: CancelTimer | null = null;
   /** Steps whose turn comes soon. */
   let prefetched: StepRecord[] = [];
+  /** Why work waited in the last round. */
+  let obstacles: Obstacles = new Map();
 
   function totalCapacity(): Resources {
     let total = NO_RESOURCES;
@@ -84,18 +95,26 @@
     return total;
   }
 
+  /** Time since a step's occurrence was due or its job was accepted, whichever is later, in milliseconds. */
+  function ageOf({ job, occurrence }: StepRecord): number {
+    return clock.wallMilliseconds() - Math.max(job.acceptedAt, dueTime(job, occurrence));
+  }
+
   function describeWork(step: StepRecord, queue: JobQueueSettings, total: Resources): OrderedWork {
     const { job } = step;
-    const age = clock.wallMilliseconds() - job.acceptedAt;
-    const acceptedAt = clock.monotonicMilliseconds() - age;
+    const ageMilliseconds = ageOf(step);
+    const objectiveMilliseconds =
+      queue.stretch * Math.max(...job.remainingChains) + queue.targetCompletionMilliseconds;
+    const remainingMilliseconds = job.remainingChains[step.index] ?? 0;
     const share = computeDominantShare(table.usedByTeam(job.team), total);
     return {
       priority: queue.priority,
-      objectiveAt:
-        acceptedAt +
-        queue.stretch * (job.remainingChains[0] ?? 0) +
-        queue.targetCompletionMilliseconds,
-      remainingMilliseconds: job.remainingChains[step.index] ?? 0,
+      // Callers use long-running tasks from their start on, however late that is.
+      punctuality: step.specification.isLongRunning
+        ? 'on-time'
+        : judgePunctuality({ ageMilliseconds, objectiveMilliseconds, remainingMilliseconds }),
+      objectiveAt: clock.monotonicMilliseconds() - ageMilliseconds + objectiveMilliseconds,
+      remainingMilliseconds,
       weightedShare: share / Math.max(context.team(step.job.team)?.weight ?? 1, 1e-9),
     };
   }
@@ -165,7 +184,8 @@
 
   /** @returns a call about endpoints with room: those known to be good, and those that are not known */
   function adviceFor(
-    { step, queue }: RoundWork,
+    step: StepRecord,
+    queue: JobQueueSettings,
     withRoom: readonly Candidate[],
   ): AdviceRequest | null {
     if (!queue.advice) return null;
@@ -201,13 +221,13 @@
     step: StepRecord,
     tasks: readonly TaskRecord[],
     candidates: readonly Candidate[],
-  ): Placement[] {
+  ): { placements: Placement[]; obstacle: Obstacle } {
     const placements: Placement[] = [];
     const racks: string[] = [];
     let used = table.usedByTeam(step.job.team);
     for (const task of tasks) {
       used = addResources(used, step.specification.resources);
-      if (!fitsLimit(step, used)) break;
+      if (!fitsLimit(step, used)) return { placements, obstacle: 'limit' };
       const request = requestOf(step, step.specification.prefersOneRack ? racks : []);
       const chosen = chooseEndpoint(candidates, request);
       if (!chosen) break;
@@ -216,7 +236,12 @@
       if (!racks.includes(chosen.rack)) racks.push(chosen.rack);
       placements.push({ task, candidate: chosen });
     }
-    return placements;
+    return { placements, obstacle: 'room' };
+  }
+
+  function noteObstacle({ queue }: RoundWork, obstacle: Obstacle, tasks: number): void {
+    const key = `${queue.name}/${obstacle}`;
+    obstacles.set(key, (obstacles.get(key) ?? 0) + tasks);
   }
 
   function unplan(step: StepRecord, placements: readonly Placement[]): void {
@@ -316,19 +341,21 @@
     const ticketed = queue.advice
       ? candidates.filter(({ state }) => desk.ticketFor(step.stepId, asked(state)) !== null)
       : candidates;
-    const placements = plan(step, pending, ticketed);
+    const { placements } = plan(step, pending, ticketed);
     const isComplete = placements.length === pending.length;
     const mayStart = placements.length > 0 && (!isGang || isComplete);
     if (mayStart) startPlacements(work, pending, placements);
     if (isComplete) return null;
     const missing = mayStart ? pending.filter(({ phase }) => phase === 'pending') : pending;
     if (!mayStart) unplan(step, placements);
-    const request = requestOf(step, []);
-    const withRoom = candidates.filter((candidate) => chooseEndpoint([candidate], request));
-    const kept = plan(step, missing, candidates);
+    const endpointRequest = requestOf(step, []);
+    const withRoom = candidates.filter((candidate) => chooseEndpoint([candidate], endpointRequest));
+    const { placements: kept, obstacle } = plan(step, missing, candidates);
     // Room that is kept for a gang grows until all its tasks fit.
     const needsAdvice = isGang ? kept.length === missing.length : kept.length > 0;
-    return needsAdvice ? adviceFor(work, withRoom) : null;
+    const request = needsAdvice ? adviceFor(step, queue, withRoom) : null;
+    noteObstacle(work, kept.length === missing.length ? 'advice' : obstacle, missing.length);
+    return request;
   }
 
   function collectWork(): RoundWork[] {
@@ -346,6 +373,7 @@
     if (!context.mayAct() || !context.configuration()) return;
     const candidates = [...table.all()].filter(isUsable).map(describeCandidate);
     const requests: AdviceRequest[] = [];
+    obstacles = new Map();
     collectWork().forEach((work) => {
       const request = place(work, candidates);
       if (request) requests.push(request);
@@ -389,8 +417,7 @@
     const hasTicket = selected.some(
       ({ state }) => desk.ticketFor(step.stepId, asked(state)) !== null,
     );
-    const order = { priority: 0, objectiveAt: 0, remainingMilliseconds: 0, weightedShare: 0 };
-    const request = hasTicket ? null : adviceFor({ step, queue, order }, selected);
+    const request = hasTicket ? null : adviceFor(step, queue, selected);
     return request ? [request] : [];
   }
 
@@ -409,6 +436,20 @@
         );
       });
     },
+    logBacklog() {
+      if (obstacles.size === 0) return;
+      const used = [...table.all()].reduce(
+        (sum, { used: { processors } }) => sum + processors,
+        0,
+      );
+      log.info('work waits', {
+        tasks: Object.fromEntries(obstacles),
+        steps: transitions.releasedSteps.size,
+        processorsUsed: Math.round(used),
+        processors: Math.round(totalCapacity().processors),
+        adviceLinesBusy: desk.busyLines(),
+      });
+    },
     close() {
       cancelRound?.();
       cancelRound = null;
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -42,6 +42,8 @@
 const DIRECTORY_INTERVAL_MILLISECONDS = 600;
 /** Interval of looking for due occurrences and for jobs to forget, in milliseconds. */
 const HOUSEKEEPING_INTERVAL_MILLISECONDS = 100;
+/** Interval of the log line about waiting work, in milliseconds. */
+const BACKLOG_INTERVAL_MILLISECONDS = 1_000;
 /** Pause before a failed read of the store is repeated, in milliseconds. */
 const RETRY_MILLISECONDS = 100;
 /** Limit of a read of the store, in milliseconds. */
@@ -381,11 +383,17 @@
     return Promise.resolve(true);
   }
 
+  function logBacklog(): Promise<boolean> {
+    parts!.dispatcher.logBacklog();
+    return Promise.resolve(true);
+  }
+
   return {
     async run() {
       if (!(await recover())) return;
       void repeat(CONFIGURATION_INTERVAL_MILLISECONDS, readConfiguration);
       void repeat(DIRECTORY_INTERVAL_MILLISECONDS, readDirectory);
+      void repeat(BACKLOG_INTERVAL_MILLISECONDS, logBacklog);
       await repeat(HOUSEKEEPING_INTERVAL_MILLISECONDS, keepHouse);
     },
     handle(request) {
