Learn run times and speeds, and move runs that stand still

Cause: placement took every endpoint for equally fast and every estimate for true. The fourth field of a listed run is the progress of its work, not its pace (read from lists with ages); the adapter named it wrongly. Change: a regression by queue predicts run times, endpoints are compared within steps and preferred by speed, a run that would end sooner elsewhere is stopped and started there, and a task that failed goes elsewhere.

--- /dev/null
+++ b/packages/decisions/src/__tests__/workTimes.test.ts
@@ -0,0 +1,76 @@
+import test from 'ava';
+
+import { createEndpointSpeeds } from '../core/endpointSpeeds.js';
+import { appendReport, judgeStraggler } from '../core/judgeStraggler.js';
+import type { ProgressReport } from '../core/judgeStraggler.js';
+import { createWorkTimeModel } from '../core/workTimeModel.js';
+
+/** Minimal standard generator, for the same draws in each run. */
+function createDraws(seed: number): () => number {
+  let state = seed;
+  return () => {
+    state = (state * 16_807) % 2_147_483_647;
+    return state / 2_147_483_647;
+  };
+}
+
+test('times are predicted from the mean of a kind, and from estimates as far as these tell', (t) => {
+  const model = createWorkTimeModel();
+  t.is(model.predict('quote', 5_000), 5_000);
+  const draw = createDraws(7);
+  for (let index = 0; index < 400; index += 1) {
+    const time = 800 * Math.exp(draw() - 0.5);
+    model.record('quote', time * Math.exp(2 * (draw() - 0.5)), time);
+  }
+  t.true(Math.abs(model.predict('quote', 800) / 800 - 1) < 0.15);
+  const high = model.predict('quote', 8_000);
+  t.true(high > 800 && high < 2_400, `${high}`);
+  t.is(model.predict('batch', 5_000), 5_000);
+});
+
+test('an endpoint that takes six times as long is told from the others after two runs', (t) => {
+  const speeds = createEndpointSpeeds();
+  const draw = createDraws(11);
+  for (let group = 0; group < 20; group += 1) {
+    for (let endpoint = 0; endpoint < 8; endpoint += 1) {
+      const time = (200 + 100 * group) * Math.exp(0.6 * (draw() - 0.5));
+      const isSlow = endpoint === 7 && group >= 18;
+      speeds.record(`endpoint-${endpoint}`, `${group}`, isSlow ? 6 * time : time, 0);
+    }
+    if (group !== 17) continue;
+    for (let endpoint = 0; endpoint < 8; endpoint += 1) {
+      const slowness = speeds.slowness(`endpoint-${endpoint}`, 0);
+      t.true(slowness > 0.75 && slowness < 1.33, `${slowness}`);
+    }
+  }
+  t.true(speeds.slowness('endpoint-7', 0) > 2.5);
+  t.true(speeds.slowness('endpoint-7', 60_000) < 1.1);
+});
+
+function judge(ageMilliseconds: number, reports: ProgressReport[], hasCheckpoint = false) {
+  return judgeStraggler({ ageMilliseconds, expectedMilliseconds: 600, reports, hasCheckpoint });
+}
+
+test('a run that stands still is looked at and moved, one that is only long goes on', (t) => {
+  t.is(judge(700, []), 'wait');
+  t.is(judge(800, []), 'look');
+  const first = [{ ageMilliseconds: 800, percent: 30 }];
+  t.is(judge(820, first), 'wait');
+  t.is(judge(1_100, first), 'look');
+  const still = appendReport(first, { ageMilliseconds: 1_100, percent: 30 }, 600);
+  t.is(judge(1_110, still), 'move');
+  const long = appendReport(first, { ageMilliseconds: 1_100, percent: 42 }, 600);
+  t.is(judge(1_110, long), 'wait');
+  const slow = appendReport(first, { ageMilliseconds: 1_100, percent: 34 }, 600);
+  t.is(judge(1_110, slow), 'move');
+});
+
+test('a report close to the last one replaces it, so that the rate is not read from a short time', (t) => {
+  const first = appendReport([], { ageMilliseconds: 100, percent: 10 }, 600);
+  const second = appendReport(first, { ageMilliseconds: 500, percent: 50 }, 600);
+  const third = appendReport(second, { ageMilliseconds: 510, percent: 50 }, 600);
+  t.deepEqual(third, [
+    { ageMilliseconds: 100, percent: 10 },
+    { ageMilliseconds: 510, percent: 50 },
+  ]);
+});
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -75,3 +75,16 @@
 export type { EndpointCandidate, EndpointRequest } from './core/chooseEndpoint.js';
 export { compareWork, judgePunctuality } from './core/workOrder.js';
 export type { ObjectiveTimes, OrderedWork, Punctuality } from './core/workOrder.js';
+
+/** Times of work, learnt from runs: by kind, by endpoint, and of runs in progress. */
+export { createEndpointSpeeds } from './core/endpointSpeeds.js';
+export type { EndpointSpeeds } from './core/endpointSpeeds.js';
+export {
+  appendReport,
+  chooseReference,
+  judgeStraggler,
+  projectRemaining,
+} from './core/judgeStraggler.js';
+export type { ProgressReport, SlowRun, StragglerVerdict } from './core/judgeStraggler.js';
+export { createWorkTimeModel } from './core/workTimeModel.js';
+export type { WorkTimeModel } from './core/workTimeModel.js';
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -80,7 +80,7 @@
  */
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const { context, transitions, desk } = options;
-  const { clock, log, table } = context;
+  const { clock, log, table, estimates } = context;
   let cancelRound: CancelTimer | null = null;
   /** Steps whose turn comes soon. */
   let prefetched: StepRecord[] = [];
@@ -103,9 +103,10 @@
   function describeWork(step: StepRecord, queue: JobQueueSettings, total: Resources): OrderedWork {
     const { job } = step;
     const ageMilliseconds = ageOf(step);
+    const chains = estimates.chainsOf(job, queue);
     const objectiveMilliseconds =
-      queue.stretch * Math.max(...job.remainingChains) + queue.targetCompletionMilliseconds;
-    const remainingMilliseconds = job.remainingChains[step.index] ?? 0;
+      queue.stretch * chains.longest + queue.targetCompletionMilliseconds;
+    const remainingMilliseconds = chains.remaining[step.index] ?? 0;
     const share = computeDominantShare(table.usedByTeam(job.team), total);
     return {
       priority: queue.priority,
@@ -149,7 +150,7 @@
       tasksOfStep: 0,
       fillingTasks,
       servingTasks,
-      slowness: 1,
+      slowness: estimates.slowness(state.entry.endpointId),
     };
   }
 
@@ -216,6 +217,14 @@
     );
   }
 
+  function withoutAvoided(task: TaskRecord, candidates: readonly Candidate[]) {
+    const { avoidedEndpointId, avoidedUntil } = task;
+    if (avoidedEndpointId === null || avoidedUntil <= clock.monotonicMilliseconds()) {
+      return candidates;
+    }
+    return candidates.filter(({ endpointId }) => endpointId !== avoidedEndpointId);
+  }
+
   /** Chooses endpoints for as many tasks as fit, and takes their room for this round. */
   function plan(
     step: StepRecord,
@@ -229,7 +238,7 @@
       used = addResources(used, step.specification.resources);
       if (!fitsLimit(step, used)) return { placements, obstacle: 'limit' };
       const request = requestOf(step, step.specification.prefersOneRack ? racks : []);
-      const chosen = chooseEndpoint(candidates, request);
+      const chosen = chooseEndpoint(withoutAvoided(task, candidates), request);
       if (!chosen) break;
       chosen.used = addResources(chosen.used, request.resources);
       chosen.tasksOfStep += 1;
@@ -390,10 +399,11 @@
   /** @returns the time until all tasks of the step have probably ended, in milliseconds; null if some do not run */
   function remainingTime(step: StepRecord): number | null {
     const now = clock.monotonicMilliseconds();
+    const expected = estimates.expectedTime(step);
     const remaining = step.tasks.map((task) => {
       if (task.phase === 'done') return 0;
       if (task.phase !== 'running') return Infinity;
-      return Math.max(0, step.specification.estimatedMilliseconds - (now - task.startedAt));
+      return Math.max(0, expected - (now - task.startedAt));
     });
     const longest = Math.max(0, ...remaining);
     return Number.isFinite(longest) ? longest : null;
@@ -438,10 +448,7 @@
     },
     logBacklog() {
       if (obstacles.size === 0) return;
-      const used = [...table.all()].reduce(
-        (sum, { used: { processors } }) => sum + processors,
-        0,
-      );
+      const used = [...table.all()].reduce((sum, { used: { processors } }) => sum + processors, 0);
       log.info('work waits', {
         tasks: Object.fromEntries(obstacles),
         steps: transitions.releasedSteps.size,
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -1,4 +1,5 @@
 import { sleep } from '@chicorybend/common';
+import { appendReport } from '@chicorybend/decisions';
 
 import type { EndReport, HoldOutcome, RunId, RunReport } from '../types/endpoint.js';
 import type { TaskRecord } from '../types/jobRecord.js';
@@ -34,6 +35,8 @@
   start(task: TaskRecord, ticket: string | null): Promise<void>;
   /** Ends the run of a task, however often the order has to be repeated. */
   stop(task: TaskRecord): Promise<void>;
+  /** Reads the lists now. */
+  look(): void;
 }
 
 /** What a session reports. */
@@ -64,6 +67,7 @@
   const { clock, log, metrics, endpoints, table, epoch } = context;
   /** Whether all ends applied so far are durable. */
   let applied: Promise<boolean> = Promise.resolve(true);
+  let isLooking = false;
   const holdMilliseconds = holdTime(context.times.maximumHoldMilliseconds);
 
   function now(): number {
@@ -132,7 +136,12 @@
       void endpoints.stop(target(), report);
       return;
     }
-    if (task.phase === 'placed') confirm(task);
+    if (task.phase === 'placed') confirm(task, false);
+    task.reports = appendReport(
+      task.reports,
+      { ageMilliseconds: now() - task.startedAt, percent: report.progressPercent },
+      context.estimates.expectedTime(task.step),
+    );
     if (report.checkpoint !== '') task.checkpoint = report.checkpoint;
     if (task.step.specification.targetMilliseconds > 0) events.onLoad(state, task, report);
   }
@@ -224,12 +233,14 @@
     return !state.isListed && state.runs.size === 0 && now() >= state.lapsesAt;
   }
 
-  function confirm(task: TaskRecord): void {
+  function confirm(task: TaskRecord, isStartKnown: boolean): void {
     const { job, specification, brokenRun } = task.step;
     if (task.phase !== 'placed') return;
     const isWanted = job.phase === 'open' && !(specification.isGang && brokenRun >= task.run);
     task.phase = isWanted ? 'running' : 'stopping';
     task.startedAt = now();
+    task.isStartKnown = isStartKnown;
+    task.reports = [];
     task.settledAt = now();
     if (task.phase === 'stopping') void stop(task);
   }
@@ -323,7 +334,7 @@
         ticket,
       });
       if (!isPresent(task, run) || task.phase === 'running') return;
-      if (outcome.kind === 'done') confirm(task);
+      if (outcome.kind === 'done') confirm(task, true);
       else if (outcome.kind === 'unknown') await resolveStart(task, run);
       else {
         refuseStart(task, outcome.reason);
@@ -331,5 +342,12 @@
       }
     },
     stop,
+    look() {
+      if (isLooking || !context.mayAct()) return;
+      isLooking = true;
+      void hold(0).then(() => {
+        isLooking = false;
+      });
+    },
   };
 }
--- a/packages/scheduler/src/core/jobRecords.ts
+++ b/packages/scheduler/src/core/jobRecords.ts
@@ -8,6 +8,9 @@
   TaskRecord,
 } from '../types/jobRecord.js';
 
+/** Time for which a task waits for room elsewhere than where it failed, in milliseconds. */
+const AVOID_MILLISECONDS = 2_000;
+
 /** What a specification key holds. */
 export interface AcceptedJob {
   readonly jobId: string;
@@ -17,23 +20,10 @@
   readonly specification: JobSpecification;
 }
 
-/** @returns by step, what remains on the longest chain from the step on, in milliseconds */
-export function estimateChains({ steps }: JobSpecification): number[] {
-  const lengths = new Array<number>(steps.length).fill(0);
-  for (let index = steps.length - 1; index >= 0; index -= 1) {
-    const later = steps.flatMap(({ after }, position) =>
-      after.includes(index) ? [lengths[position]!] : [],
-    );
-    lengths[index] = steps[index]!.estimatedMilliseconds + Math.max(0, ...later);
-  }
-  return lengths;
-}
-
 /** Creates the record of a job without occurrences. */
 export function createJobRecord(accepted: AcceptedJob): JobRecord {
   return {
     ...accepted,
-    remainingChains: estimateChains(accepted.specification),
     phase: 'open',
     shownPhase: 'open',
     endedAt: 0,
@@ -55,6 +45,10 @@
     endpointBornAt: 0,
     checkpoint: '',
     startedAt: 0,
+    isStartKnown: false,
+    reports: [],
+    avoidedEndpointId: null,
+    avoidedUntil: 0,
     settledAt: Infinity,
     notBefore: 0,
   };
@@ -116,6 +110,12 @@
   });
 }
 
+/** The next run of the task goes to another endpoint than the present one, unless none has room for some time. */
+export function avoidEndpoint(task: TaskRecord, now: number): void {
+  task.avoidedEndpointId = task.endpointId;
+  task.avoidedUntil = now + AVOID_MILLISECONDS;
+}
+
 /** @returns whether a run of the task may exist on an endpoint */
 export function hasRun(task: TaskRecord): boolean {
   return task.phase === 'placed' || task.phase === 'running' || task.phase === 'stopping';
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -34,7 +34,9 @@
   listStepIds,
   parseAccepted,
 } from './jobRecords.js';
+import { createStragglerWatch } from './stragglerWatch.js';
 import { createTaskTransitions } from './taskTransitions.js';
+import { createWorkEstimates } from './workEstimates.js';
 
 /** Interval of reading the configuration, in milliseconds; bounds how long a change takes to be in effect. */
 const CONFIGURATION_INTERVAL_MILLISECONDS = 600;
@@ -104,6 +106,7 @@
   const startedAt = clock.monotonicMilliseconds();
   const formerLeasesLapseAt = startedAt + lapseTime(holdTime(times.maximumHoldMilliseconds));
 
+  const estimates = createWorkEstimates(clock);
   const desk = createAdviceDesk({
     clock,
     log,
@@ -135,6 +138,7 @@
       table,
       jobs,
       commits,
+      estimates,
       configuration: () => configuration,
       queue: (name) => queues.get(name),
       team: (name) => teams.get(name),
@@ -159,10 +163,13 @@
     });
     transitions.onJobClosed((job) => {
       stopRuns(job);
-      listStepIds(job).forEach(desk.forget);
+      const stepIds = listStepIds(job);
+      stepIds.forEach(desk.forget);
+      estimates.forgetJob(job.jobId, stepIds);
     });
     transitions.onGangBroken((step) => step.tasks.filter(hasRun).forEach(stopRun));
-    return { context, commits, transitions, dispatcher, caller };
+    const stragglers = createStragglerWatch(context, (endpointId) => sessions.get(endpointId));
+    return { context, commits, transitions, dispatcher, caller, stragglers };
   }
 
   function stopRuns(job: JobRecord): void {
@@ -220,6 +227,7 @@
         log.info('endpoint gone', { endpoint: gone.entry.endpointId });
         table.remove(gone.entry.endpointId);
         sessions.delete(gone.entry.endpointId);
+        estimates.forgetEndpoint(gone.entry.endpointId);
       },
       onLoad(loaded, task, report) {
         watchTarget(loaded, task, report.load);
@@ -378,6 +386,7 @@
     for (const state of table.all()) {
       if (state.isListed && state.entry.isDraining) applyDrain(state);
     }
+    parts!.stragglers.check();
     parts!.dispatcher.prefetch();
     parts!.dispatcher.request();
     return Promise.resolve(true);
--- a/packages/scheduler/src/core/schedulerMetrics.ts
+++ b/packages/scheduler/src/core/schedulerMetrics.ts
@@ -17,6 +17,7 @@
   runs_done: 'Runs that ended as done.',
   runs_failed: 'Runs that ended as failed.',
   runs_lost: 'Runs that ended otherwise and may be repeated.',
+  runs_moved: 'Runs stopped because they would end sooner elsewhere.',
   commits: 'Groups of changes made durable.',
   commit_keys: 'Keys written by them.',
   advice_calls: 'Calls for eligibility advice.',
--- /dev/null
+++ b/packages/scheduler/src/core/stragglerWatch.ts
@@ -0,0 +1,119 @@
+import { chooseReference, judgeStraggler, projectRemaining } from '@chicorybend/decisions';
+import type { SlowRun } from '@chicorybend/decisions';
+
+import type { StepRecord, TaskRecord } from '../types/jobRecord.js';
+import type { TermContext } from '../types/termContext.js';
+import type { EndpointSession } from './endpointSession.js';
+import { avoidEndpoint } from './jobRecords.js';
+
+/** A task is moved at most this often, so that work that is long everywhere is left alone. */
+const MAXIMUM_MOVES = 2;
+/** Projection for a run that stands still, as a multiple of the expected time. */
+const STANDSTILL_FACTOR = 8;
+
+/** Finds runs that stand still or take several times as long as usual, and moves them. */
+export interface StragglerWatch {
+  /** Judges all runs once. */
+  check(): void;
+}
+
+/**
+ * Creates the watch of a term.
+ *
+ * @param context state and collaborators of the term
+ * @param sessionOf gives the session of an endpoint
+ * @returns watch
+ */
+export function createStragglerWatch(
+  context: TermContext,
+  sessionOf: (endpointId: string) => EndpointSession | undefined,
+): StragglerWatch {
+  const { clock, log, metrics, estimates, table } = context;
+  const moves = new Map<TaskRecord, number>();
+
+  function isWatched({ phase, step }: TaskRecord): boolean {
+    const { isGang, isLongRunning, isFilling } = step.specification;
+    return phase === 'running' && !isGang && !isLongRunning && !isFilling;
+  }
+
+  function move(task: TaskRecord, run: SlowRun, session: EndpointSession): void {
+    const count = moves.get(task) ?? 0;
+    if (count >= MAXIMUM_MOVES) return;
+    moves.set(task, count + 1);
+    const { endpointId } = session.state.entry;
+    const remaining = Math.min(
+      projectRemaining(run) ?? 0,
+      STANDSTILL_FACTOR * run.expectedMilliseconds,
+    );
+    estimates.recordProjection(task, run.ageMilliseconds + remaining);
+    avoidEndpoint(task, clock.monotonicMilliseconds());
+    metrics.count('runs_moved');
+    log.info('run moved', {
+      task: task.taskId,
+      run: task.run,
+      endpoint: endpointId,
+      age: Math.round(run.ageMilliseconds),
+      expected: Math.round(run.expectedMilliseconds),
+      remaining: Math.round(remaining),
+      percent: run.reports.at(-1)?.percent,
+    });
+    void session.stop(task);
+  }
+
+  function describe(task: TaskRecord): SlowRun {
+    return {
+      ageMilliseconds: clock.monotonicMilliseconds() - task.startedAt,
+      expectedMilliseconds: estimates.expectedTime(task.step),
+      reports: task.reports,
+      hasCheckpoint: task.step.specification.hasCheckpoints,
+    };
+  }
+
+  /** @returns usual time of the runs of a step in milliseconds; null while too few are known */
+  function referenceOf(step: StepRecord, runs: readonly SlowRun[]): number | null {
+    const projected = runs.flatMap((run) => {
+      const remaining = projectRemaining(run);
+      return remaining === null ? [] : [run.ageMilliseconds + remaining];
+    });
+    const totals = [...estimates.doneTimes(step), ...projected];
+    return chooseReference(totals, step.doneCount + runs.length, estimates.expectedTime(step));
+  }
+
+  function checkStep(step: StepRecord, tasks: readonly TaskRecord[]): void {
+    const runs = tasks.map(describe);
+    const reference = referenceOf(step, runs);
+    tasks.forEach((task, position) => {
+      const session = task.endpointId === null ? undefined : sessionOf(task.endpointId);
+      if (!session || session.state.silentCalls > 0) return;
+      const run = runs[position]!;
+      const verdict = judgeStraggler({
+        ...run,
+        expectedMilliseconds: reference ?? run.expectedMilliseconds,
+      });
+      if (verdict === 'look') session.look();
+      if (verdict === 'move' && reference !== null) move(task, run, session);
+    });
+  }
+
+  function collectSteps(): Map<StepRecord, TaskRecord[]> {
+    const steps = new Map<StepRecord, TaskRecord[]>();
+    for (const { runs } of table.all()) {
+      runs.forEach((task) => {
+        if (!isWatched(task)) return;
+        const tasks = steps.get(task.step);
+        if (tasks) tasks.push(task);
+        else steps.set(task.step, [task]);
+      });
+    }
+    return steps;
+  }
+
+  return {
+    check() {
+      collectSteps().forEach((tasks, step) => checkStep(step, tasks));
+      moves.forEach((_, task) => {
+        if (task.phase === 'done' || task.step.job.phase !== 'open') moves.delete(task);
+      });
+    },
+  };
+}
--- a/packages/scheduler/src/core/taskTransitions.ts
+++ b/packages/scheduler/src/core/taskTransitions.ts
@@ -14,6 +14,7 @@
 import {
   addOccurrence,
   areDependenciesDone,
+  avoidEndpoint,
   countOccurrences,
   dueTime,
   encodeState,
@@ -182,6 +183,8 @@
       const now = clock.monotonicMilliseconds();
       quarantine.recordEnd(endpointId, job.jobId, kind === 'done', now);
     }
+    if (kind === 'done') context.estimates.recordDone(task);
+    if (kind === 'failed') avoidEndpoint(task, clock.monotonicMilliseconds());
     const { run } = task;
     if (kind === 'done' && specification.isGang && !specification.isLongRunning) {
       finishGang(task);
--- /dev/null
+++ b/packages/scheduler/src/core/workEstimates.ts
@@ -0,0 +1,115 @@
+import { createEndpointSpeeds, createWorkTimeModel } from '@chicorybend/decisions';
+import type { EndpointSpeeds } from '@chicorybend/decisions';
+import type { Clock } from '@chicorybend/common';
+
+import type { JobQueueSettings } from '../types/configuration.js';
+import type { JobRecord, StepRecord, TaskRecord } from '../types/jobRecord.js';
+import type { StepSpecification } from '../types/job.js';
+
+/** Endpoints that one call for advice is about when the objective of a job is computed. */
+const ADVISED_ENDPOINTS = 30;
+/** Chains are computed again after this time, because more has been learnt, in milliseconds. */
+const CHAIN_MILLISECONDS = 1_000;
+
+/** What remains of a job. */
+export interface ChainEstimate {
+  /** By step, what remains on the longest chain from the step on, in milliseconds. */
+  readonly remaining: readonly number[];
+  /** The longest chain of the job, in milliseconds. */
+  readonly longest: number;
+}
+
+/** Expected times of work, learnt during a term. */
+export interface WorkEstimates {
+  /** Learns from a run that has ended with success. */
+  recordDone(task: TaskRecord): void;
+  /** Learns that a run is going to take this long where it is, in milliseconds. */
+  recordProjection(task: TaskRecord, milliseconds: number): void;
+  /** @returns expected time of a run of the step on a usual endpoint, in milliseconds */
+  expectedTime(step: StepRecord): number;
+  /** @returns times of the runs of the step that have ended with success, in milliseconds */
+  doneTimes(step: StepRecord): readonly number[];
+  chainsOf(job: JobRecord, queue: JobQueueSettings): ChainEstimate;
+  /** @returns time that work takes on an endpoint relative to the others; 1 for the usual */
+  slowness(endpointId: string): number;
+  forgetJob(jobId: string, stepIds: readonly string[]): void;
+  forgetEndpoint(endpointId: string): void;
+}
+
+/**
+ * Creates estimates that have learnt nothing.
+ *
+ * @param clock source of time
+ * @returns estimates
+ */
+export function createWorkEstimates(clock: Clock): WorkEstimates {
+  const model = createWorkTimeModel();
+  const speeds: EndpointSpeeds = createEndpointSpeeds();
+  /** Times of the runs of a step that have ended with success. */
+  const doneTimes = new Map<string, number[]>();
+  const chains = new Map<string, { estimate: ChainEstimate; computedAt: number }>();
+
+  function isComparable({ step, run, isStartKnown }: TaskRecord): boolean {
+    const { isGang, isLongRunning, hasCheckpoints, isFilling } = step.specification;
+    const isWhole = !hasCheckpoints || run === 1;
+    return isStartKnown && isWhole && !isGang && !isLongRunning && !isFilling;
+  }
+
+  function computeChains(job: JobRecord, queue: JobQueueSettings): ChainEstimate {
+    const { advice } = queue;
+    const adviceTime = advice
+      ? advice.callMilliseconds + ADVISED_ENDPOINTS * advice.endpointMilliseconds
+      : 0;
+    const specifications = job.specification.steps;
+    const remaining = new Array<number>(specifications.length).fill(0);
+    const timeOf = ({ estimatedMilliseconds }: StepSpecification) =>
+      adviceTime + model.predict(job.queue, estimatedMilliseconds);
+    for (let index = specifications.length - 1; index >= 0; index -= 1) {
+      const later = specifications.flatMap(({ after }, position) =>
+        after.includes(index) ? [remaining[position]!] : [],
+      );
+      remaining[index] = timeOf(specifications[index]!) + Math.max(0, ...later);
+    }
+    return { remaining, longest: Math.max(...remaining) };
+  }
+
+  return {
+    recordDone(task) {
+      if (!isComparable(task) || task.endpointId === null) return;
+      const { step } = task;
+      const now = clock.monotonicMilliseconds();
+      const took = now - task.startedAt;
+      model.record(step.job.queue, step.specification.estimatedMilliseconds, took);
+      speeds.record(task.endpointId, step.stepId, took, now);
+      doneTimes.set(step.stepId, [...(doneTimes.get(step.stepId) ?? []), took]);
+    },
+    recordProjection(task, milliseconds) {
+      if (!isComparable(task) || task.endpointId === null) return;
+      const now = clock.monotonicMilliseconds();
+      speeds.record(task.endpointId, task.step.stepId, milliseconds, now);
+    },
+    expectedTime(step) {
+      const times = doneTimes.get(step.stepId) ?? [];
+      if (times.length > 1) return times.reduce((sum, time) => sum + time, 0) / times.length;
+      return model.predict(step.job.queue, step.specification.estimatedMilliseconds);
+    },
+    doneTimes: (step) => doneTimes.get(step.stepId) ?? [],
+    chainsOf(job, queue) {
+      const now = clock.monotonicMilliseconds();
+      const known = chains.get(job.jobId);
+      if (known && now - known.computedAt < CHAIN_MILLISECONDS) return known.estimate;
+      const estimate = computeChains(job, queue);
+      chains.set(job.jobId, { estimate, computedAt: now });
+      return estimate;
+    },
+    slowness: (endpointId) => speeds.slowness(endpointId, clock.monotonicMilliseconds()),
+    forgetJob(jobId, stepIds) {
+      chains.delete(jobId);
+      stepIds.forEach((stepId) => {
+        doneTimes.delete(stepId);
+        speeds.forgetGroup(stepId);
+      });
+    },
+    forgetEndpoint: speeds.forgetEndpoint,
+  };
+}
--- a/packages/scheduler/src/types/endpoint.ts
+++ b/packages/scheduler/src/types/endpoint.ts
@@ -30,8 +30,8 @@
 export interface RunReport extends RunId {
   /** Last checkpoint; empty if there is none. */
   readonly checkpoint: string;
-  /** Share at which the run may work, in percent. */
-  readonly pacePercent: number;
+  /** Part of its work that is done; 100 for a long-running task that is at work. */
+  readonly progressPercent: number;
   /** Tail of the response times in milliseconds for a serving task, processors in use for any other. */
   readonly load: number;
 }
--- a/packages/scheduler/src/types/jobRecord.ts
+++ b/packages/scheduler/src/types/jobRecord.ts
@@ -1,3 +1,5 @@
+import type { ProgressReport } from '@chicorybend/decisions';
+
 import type { JobSpecification, StepSpecification } from './job.js';
 
 /**
@@ -33,6 +35,14 @@
   checkpoint: string;
   /** When the present run was confirmed, in monotonic milliseconds. */
   startedAt: number;
+  /** Whether its start was given by this term, so that its time is known. */
+  isStartKnown: boolean;
+  /** Progress of the present run. */
+  reports: ProgressReport[];
+  /** Endpoint on which the last run failed or took too long; null if there is none. */
+  avoidedEndpointId: string | null;
+  /** Until when that endpoint is avoided even if no other has room, in monotonic milliseconds. */
+  avoidedUntil: number;
   /** Time from which the absence of the run from a list is evidence, in monotonic milliseconds. */
   settledAt: number;
   /** Not started again before this time, in monotonic milliseconds. */
@@ -72,8 +82,6 @@
   /** Team that the job is charged to; empty for a public queue. */
   readonly team: string;
   readonly specification: JobSpecification;
-  /** By step, what remains on the longest chain from the step on, in milliseconds. */
-  readonly remainingChains: readonly number[];
   /** In milliseconds since the Unix epoch. */
   readonly acceptedAt: number;
   phase: JobPhase;
--- a/packages/scheduler/src/types/termContext.ts
+++ b/packages/scheduler/src/types/termContext.ts
@@ -3,6 +3,7 @@
 import type { CommitQueue } from '../core/commitQueue.js';
 import type { EndpointTable } from '../core/endpointTable.js';
 import type { SchedulerMetrics } from '../core/schedulerMetrics.js';
+import type { WorkEstimates } from '../core/workEstimates.js';
 import type { ClusterConfiguration, JobQueueSettings, TeamQuota } from './configuration.js';
 import type { EndpointClient } from './endpoint.js';
 import type { JobRecord } from './jobRecord.js';
@@ -26,6 +27,7 @@
   readonly table: EndpointTable;
   readonly jobs: Map<string, JobRecord>;
   readonly commits: CommitQueue;
+  readonly estimates: WorkEstimates;
   /** @returns the configuration in effect; null before the first one */
   configuration(): ClusterConfiguration | null;
   /** @returns a queue of the configuration in effect */
--- a/packages/standins/src/core/endpointFleetStandIn.ts
+++ b/packages/standins/src/core/endpointFleetStandIn.ts
@@ -22,6 +22,8 @@
   lateStartMilliseconds: number | null;
   /** Every run ends as failed. */
   failsAll: boolean;
+  /** Runs that start take this many times as long; Infinity for runs that stand still. */
+  slowness: number;
 }
 
 /** A run as it really was. */
@@ -79,7 +81,7 @@
   clockOrigin: number;
   fence: number;
   deadline: number;
-  running: Map<string, { run: FleetRun; checkpoint: string }>;
+  running: Map<string, { run: FleetRun; checkpoint: string; duration: number }>;
   ends: EndReport[];
   lastSequence: number;
   /** Highest run that was stopped or has ended here, by task. */
@@ -129,7 +131,7 @@
       ends: [],
       lastSequence: 0,
       superseded: new Map(),
-      faults: { isCutOff: false, lateStartMilliseconds: null, failsAll: false },
+      faults: { isCutOff: false, lateStartMilliseconds: null, failsAll: false, slowness: 1 },
       wake: new Set(),
     };
   }
@@ -208,8 +210,8 @@
       acknowledgedAt: null,
     };
     history.push(record);
-    endpoint.running.set(taskId, { run: record, checkpoint: '' });
-    const duration = options.durationOf(order);
+    const duration = options.durationOf(order) * endpoint.faults.slowness;
+    endpoint.running.set(taskId, { run: record, checkpoint: '', duration });
     const kind = endpoint.faults.failsAll ? 'failed' : 'done';
     if (Number.isFinite(duration)) {
       clock.setTimer(() => {
@@ -302,11 +304,11 @@
         kind: 'answered',
         endpointClockMilliseconds: clockOf(endpoint),
         bornAt: endpoint.entry.bornAt,
-        running: [...endpoint.running.values()].map(({ run, checkpoint }) => ({
+        running: [...endpoint.running.values()].map(({ run, checkpoint, duration }) => ({
           taskId: run.taskId,
           run: run.run,
           checkpoint,
-          pacePercent: 100,
+          progressPercent: Math.floor((100 * (now() - run.startedAt)) / duration),
           load: 0,
         })),
         ends: [...endpoint.ends],
