--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -73,8 +73,8 @@
 /** Placement and order of the steps of jobs. */
 export { chooseEndpoint } from './core/chooseEndpoint.js';
 export type { EndpointCandidate, EndpointRequest } from './core/chooseEndpoint.js';
-export { compareWork, judgePunctuality } from './core/workOrder.js';
-export type { ObjectiveTimes, OrderedWork, Punctuality } from './core/workOrder.js';
+export { compareWork } from './core/workOrder.js';
+export type { OrderedWork } from './core/workOrder.js';
 
 /** Times of work, learnt from runs: by kind, by endpoint, and of runs in progress. */
 export { createEndpointSpeeds } from './core/endpointSpeeds.js';
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -3,7 +3,6 @@
   compareWork,
   computeDominantShare,
   addResources,
-  judgePunctuality,
   NO_RESOURCES,
 } from '@chicorybend/decisions';
 import type { EndpointCandidate, OrderedWork } from '@chicorybend/decisions';
@@ -110,10 +109,6 @@
     const share = computeDominantShare(table.usedByTeam(job.team), total);
     return {
       priority: queue.priority,
-      // Callers use long-running tasks from their start on, however late that is.
-      punctuality: step.specification.isLongRunning
-        ? 'on-time'
-        : judgePunctuality({ ageMilliseconds, objectiveMilliseconds, remainingMilliseconds }),
       objectiveAt: clock.monotonicMilliseconds() - ageMilliseconds + objectiveMilliseconds,
       remainingMilliseconds,
       weightedShare: share / Math.max(context.team(step.job.team)?.weight ?? 1, 1e-9),
