--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -178,14 +178,19 @@
     return { endpointId: entry.endpointId, bornAt };
   }
 
-  /** @returns a call about endpoints with room: those known to be good, and those that are not known */
+  /**
+   * The announced time of a call is mostly the call itself, so that it is also about endpoints that may have room
+   * only while the tickets are valid.
+   *
+   * @returns a call about the endpoints that are known to be good and those that are not known
+   */
   function adviceFor(
     step: StepRecord,
     queue: JobQueueSettings,
-    withRoom: readonly Candidate[],
+    candidates: readonly Candidate[],
   ): AdviceRequest | null {
     if (!queue.advice) return null;
-    const endpoints = withRoom
+    const endpoints = candidates
       .map(({ state }) => asked(state))
       .filter((endpoint) => desk.ticketFor(step.stepId, endpoint) === null);
     if (endpoints.length === 0) return null;
@@ -352,12 +357,10 @@
     if (isComplete) return null;
     const missing = mayStart ? pending.filter(({ phase }) => phase === 'pending') : pending;
     if (!mayStart) unplan(step, placements);
-    const endpointRequest = requestOf(step, []);
-    const withRoom = candidates.filter((candidate) => chooseEndpoint([candidate], endpointRequest));
     const { placements: kept, obstacle } = plan(step, missing, candidates);
     // Room that is kept for a gang grows until all its tasks fit.
     const needsAdvice = isGang ? kept.length === missing.length : kept.length > 0;
-    const request = needsAdvice ? adviceFor(step, queue, withRoom) : null;
+    const request = needsAdvice ? adviceFor(step, queue, candidates) : null;
     noteObstacle(work, kept.length === missing.length ? 'advice' : obstacle, missing.length);
     return request;
   }
