Learn speeds from complete steps, and keep fast endpoints for urgent work

Cause: speeds were learnt at each end of a run against the runs of the step that had ended before. Change: a step counts once all its runs have ended; urgent tasks weigh speed above a tight fit, others leave fast endpoints free.

--- a/packages/decisions/src/__tests__/stepPlacement.test.ts
+++ b/packages/decisions/src/__tests__/stepPlacement.test.ts
@@ -18,6 +18,7 @@
   maximumPerEndpoint: 0,
   isFilling: false,
   isServing: false,
+  isUrgent: false,
 };
 
 test('a task goes only where it fits in every dimension', (t) => {
@@ -57,3 +58,16 @@
   t.is(chooseEndpoint([filled, other], { ...REQUEST, isServing: true })?.endpointId, 'b');
   t.is(chooseEndpoint([filled], { ...REQUEST, isServing: true })?.endpointId, 'a');
 });
+
+test('urgent tasks take the fastest endpoint, others leave it free, and nobody prefers an unsound one', (t) => {
+  const free = { ...CANDIDATE, used: { ...CANDIDATE.used, processors: 0 } };
+  const candidates = [
+    { ...free, endpointId: 'fast', slowness: 0.8 },
+    { ...CANDIDATE, endpointId: 'usual' },
+    { ...CANDIDATE, endpointId: 'slow', slowness: 1.25 },
+    { ...CANDIDATE, endpointId: 'unsound', slowness: 4 },
+  ];
+  t.is(chooseEndpoint(candidates, { ...REQUEST, isUrgent: true })?.endpointId, 'fast');
+  t.is(chooseEndpoint(candidates, REQUEST)?.endpointId, 'slow');
+  t.is(chooseEndpoint([candidates[3]!, candidates[0]!], REQUEST)?.endpointId, 'fast');
+});
--- a/packages/decisions/src/core/chooseEndpoint.ts
+++ b/packages/decisions/src/core/chooseEndpoint.ts
@@ -28,14 +28,20 @@
   readonly isFilling: boolean;
   /** Whether it serves users under a target for its response times. */
   readonly isServing: boolean;
+  /** Whether callers wait for it, so that it comes before other work on fast endpoints. */
+  readonly isUrgent: boolean;
 }
 
 /** Work far from its data takes a multiple of the time, which no other preference outweighs. */
 const RACK_WEIGHT = 100;
 /** A serving task beside filling ones costs stopping these. */
 const FILLING_WEIGHT = 10;
-/** A slow endpoint delays the task, a tight fit only keeps room for others. */
-const SLOWNESS_WEIGHT = 2;
+/** A slow endpoint delays urgent work, a tight fit only keeps room for others. */
+const URGENT_SLOWNESS_WEIGHT = 10;
+/** Other work leaves fast endpoints to urgent work as long as it fits as well elsewhere. */
+const FAST_ENDPOINT_WEIGHT = 2;
+/** Beyond this slowness an endpoint is not sound, and no work prefers it. */
+const SOUND_SLOWNESS = 1.5;
 
 function isAllowed(candidate: EndpointCandidate, request: EndpointRequest): boolean {
   const { maximumPerEndpoint } = request;
@@ -53,6 +59,11 @@
   return Math.min(processors, memory);
 }
 
+function slownessPenalty({ slowness }: EndpointCandidate, { isUrgent }: EndpointRequest): number {
+  if (isUrgent || slowness > SOUND_SLOWNESS) return URGENT_SLOWNESS_WEIGHT * slowness;
+  return FAST_ENDPOINT_WEIGHT * (1 - slowness);
+}
+
 function score(candidate: EndpointCandidate, request: EndpointRequest): number {
   const rackIndex = request.preferredRacks.indexOf(candidate.rack);
   const rackScore = rackIndex < 0 ? 0 : RACK_WEIGHT / (1 + rackIndex);
@@ -60,14 +71,16 @@
   return (
     rackScore -
     fillingPenalty -
-    SLOWNESS_WEIGHT * candidate.slowness -
+    slownessPenalty(candidate, request) -
     freeShareAfter(candidate, request.resources)
   );
 }
 
 /**
- * Chooses the endpoint for a task: near its data, on a fast endpoint, and where the fit is tightest, so that
- * room for large tasks stays together. Filling tasks never join serving tasks that have a target.
+ * Chooses the endpoint for a task: near its data, on a fast endpoint if it is urgent, and where the fit is
+ * tightest, so that room for large tasks stays together. Filling tasks never join serving tasks that have a target.
+ *
+ * The load that it answers: urgent steps end with their slowest task, beside batches with time to spare.
  *
  * @param candidates endpoints that may run the task
  * @param request what the task asks for
--- a/packages/decisions/src/core/endpointSpeeds.ts
+++ b/packages/decisions/src/core/endpointSpeeds.ts
@@ -9,20 +9,31 @@
 /** Evidence loses two thirds of its weight in this time, so that a recovered endpoint is used again. */
 const EVIDENCE_MILLISECONDS = 15_000;
 
+/** A run of a group. */
+export interface TimedRun {
+  readonly endpointId: string;
+  /** Time that it took, in milliseconds. */
+  readonly milliseconds: number;
+}
+
 /** Learns how slow endpoints are relative to each other. */
 export interface EndpointSpeeds {
   /**
-   * Learns from a run, by comparison with the other runs of its group on other endpoints.
+   * Learns from runs that are alike. The group has to be complete: the runs that end first are the short ones.
+   *
+   * @param runs all runs of the group
+   * @param now monotonic time, in milliseconds
+   */
+  recordGroup(runs: readonly TimedRun[], now: number): void;
+  /**
+   * Learns from a run that is going to take a multiple of the usual time.
    *
-   * @param groupId group of runs that are alike
-   * @param milliseconds time that the run took, or is going to take by its progress
+   * @param factor time relative to other runs of the group
    * @param now monotonic time, in milliseconds
    */
-  record(endpointId: string, groupId: string, milliseconds: number, now: number): void;
+  recordDeviation(endpointId: string, factor: number, now: number): void;
   /** @returns time that work takes on an endpoint relative to the others; 1 for the usual */
   slowness(endpointId: string, now: number): number;
-  /** Forgets a group whose runs have ended. */
-  forgetGroup(groupId: string): void;
   forgetEndpoint(endpointId: string): void;
 }
 
@@ -39,8 +50,6 @@
  */
 export function createEndpointSpeeds(): EndpointSpeeds {
   const endpoints = new Map<string, Evidence>();
-  /** By group, the sum of the logarithms of times, each corrected by the slowness of its endpoint. */
-  const groups = new Map<string, { sum: number; count: number }>();
 
   function logarithmAt(endpointId: string, now: number): number {
     const evidence = endpoints.get(endpointId);
@@ -48,23 +57,29 @@
     return evidence.value * Math.exp((evidence.at - now) / EVIDENCE_MILLISECONDS);
   }
 
+  function learn(endpointId: string, difference: number, now: number): void {
+    const known = logarithmAt(endpointId, now);
+    const deviation = Math.max(-MAXIMUM_DEVIATION, Math.min(MAXIMUM_DEVIATION, difference));
+    const gain = Math.abs(deviation - known) > OUTLIER_DEVIATION ? OUTLIER_GAIN : GAIN;
+    endpoints.set(endpointId, { value: known + gain * (deviation - known), at: now });
+  }
+
   return {
-    record(endpointId, groupId, milliseconds, now) {
-      const time = Math.log(Math.max(1, milliseconds));
-      const known = logarithmAt(endpointId, now);
-      const group = groups.get(groupId) ?? { sum: 0, count: 0 };
-      if (group.count > 0) {
-        const difference = time - group.sum / group.count;
-        const deviation = Math.max(-MAXIMUM_DEVIATION, Math.min(MAXIMUM_DEVIATION, difference));
-        const gain = Math.abs(deviation - known) > OUTLIER_DEVIATION ? OUTLIER_GAIN : GAIN;
-        endpoints.set(endpointId, { value: known + gain * (deviation - known), at: now });
-      }
-      groups.set(groupId, { sum: group.sum + time - known, count: group.count + 1 });
+    recordGroup(runs, now) {
+      const rows = runs.map(({ endpointId, milliseconds }) => {
+        const time = Math.log(Math.max(1, milliseconds));
+        return { endpointId, time, corrected: time - logarithmAt(endpointId, now) };
+      });
+      const sum = rows.reduce((total, { corrected }) => total + corrected, 0);
+      rows.forEach(({ endpointId, time, corrected }) => {
+        const others = (sum - corrected) / (rows.length - 1);
+        if (rows.length > 1) learn(endpointId, time - others, now);
+      });
     },
-    slowness: (endpointId, now) => Math.exp(logarithmAt(endpointId, now)),
-    forgetGroup(groupId) {
-      groups.delete(groupId);
+    recordDeviation(endpointId, factor, now) {
+      learn(endpointId, Math.log(Math.max(1, factor)), now);
     },
+    slowness: (endpointId, now) => Math.exp(logarithmAt(endpointId, now)),
     forgetEndpoint(endpointId) {
       endpoints.delete(endpointId);
     },
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -78,7 +78,7 @@
 
 /** Times of work, learnt from runs: by kind, by endpoint, and of runs in progress. */
 export { createEndpointSpeeds } from './core/endpointSpeeds.js';
-export type { EndpointSpeeds } from './core/endpointSpeeds.js';
+export type { EndpointSpeeds, TimedRun } from './core/endpointSpeeds.js';
 export {
   appendReport,
   chooseReference,
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -5,7 +5,7 @@
   addResources,
   NO_RESOURCES,
 } from '@chicorybend/decisions';
-import type { EndpointCandidate, OrderedWork } from '@chicorybend/decisions';
+import type { EndpointCandidate, EndpointRequest, OrderedWork } from '@chicorybend/decisions';
 import { RESOURCE_DIMENSIONS } from '@chicorybend/common';
 import type { CancelTimer, Resources } from '@chicorybend/common';
 
@@ -25,6 +25,9 @@
 /** Advice for a step is asked this much longer before its turn than the call takes, in milliseconds. */
 const PREFETCH_LEAD_MILLISECONDS = 300;
 
+/** Priority of queues whose callers wait. */
+const URGENT_PRIORITY = 0;
+
 /** What the dispatcher needs. */
 export interface DispatcherOptions {
   readonly context: TermContext;
@@ -197,7 +200,7 @@
     return { stepId: step.stepId, endpoints, settings: queue.advice };
   }
 
-  function requestOf(step: StepRecord, racksInUse: readonly string[]) {
+  function requestOf(step: StepRecord, racksInUse: readonly string[]): EndpointRequest {
     const { specification } = step;
     return {
       resources: chargedResources(specification),
@@ -206,6 +209,7 @@
       maximumPerEndpoint: specification.maximumPerEndpoint,
       isFilling: specification.isFilling,
       isServing: specification.targetMilliseconds > 0,
+      isUrgent: context.queue(step.job.queue)?.priority === URGENT_PRIORITY,
     };
   }
 
--- a/packages/scheduler/src/core/stragglerWatch.ts
+++ b/packages/scheduler/src/core/stragglerWatch.ts
@@ -45,7 +45,7 @@
       projectRemaining(run) ?? 0,
       STANDSTILL_FACTOR * run.expectedMilliseconds,
     );
-    estimates.recordProjection(task, run.ageMilliseconds + remaining);
+    estimates.recordStraggler(task, (run.ageMilliseconds + remaining) / run.expectedMilliseconds);
     avoidEndpoint(task, clock.monotonicMilliseconds());
     metrics.count('runs_moved');
     log.info('run moved', {
--- a/packages/scheduler/src/core/workEstimates.ts
+++ b/packages/scheduler/src/core/workEstimates.ts
@@ -1,5 +1,5 @@
 import { createEndpointSpeeds, createWorkTimeModel } from '@chicorybend/decisions';
-import type { EndpointSpeeds } from '@chicorybend/decisions';
+import type { TimedRun } from '@chicorybend/decisions';
 import type { Clock } from '@chicorybend/common';
 
 import type { JobQueueSettings } from '../types/configuration.js';
@@ -23,8 +23,8 @@
 export interface WorkEstimates {
   /** Learns from a run that has ended with success. */
   recordDone(task: TaskRecord): void;
-  /** Learns that a run is going to take this long where it is, in milliseconds. */
-  recordProjection(task: TaskRecord, milliseconds: number): void;
+  /** Learns that a run is going to take a multiple of the usual time where it is. */
+  recordStraggler(task: TaskRecord, factor: number): void;
   /** @returns expected time of a run of the step on a usual endpoint, in milliseconds */
   expectedTime(step: StepRecord): number;
   /** @returns times of the runs of the step that have ended with success, in milliseconds */
@@ -44,9 +44,9 @@
  */
 export function createWorkEstimates(clock: Clock): WorkEstimates {
   const model = createWorkTimeModel();
-  const speeds: EndpointSpeeds = createEndpointSpeeds();
+  const speeds = createEndpointSpeeds();
   /** Times of the runs of a step that have ended with success. */
-  const doneTimes = new Map<string, number[]>();
+  const doneRuns = new Map<string, TimedRun[]>();
   const chains = new Map<string, { estimate: ChainEstimate; computedAt: number }>();
 
   function isComparable({ step, run, isStartKnown }: TaskRecord): boolean {
@@ -55,6 +55,10 @@
     return isStartKnown && isWhole && !isGang && !isLongRunning && !isFilling;
   }
 
+  function doneTimesOf(step: StepRecord): number[] {
+    return (doneRuns.get(step.stepId) ?? []).map(({ milliseconds }) => milliseconds);
+  }
+
   function computeChains(job: JobRecord, queue: JobQueueSettings): ChainEstimate {
     const { advice } = queue;
     const adviceTime = advice
@@ -75,25 +79,25 @@
 
   return {
     recordDone(task) {
-      if (!isComparable(task) || task.endpointId === null) return;
-      const { step } = task;
+      const { step, endpointId } = task;
+      if (!isComparable(task) || endpointId === null) return;
       const now = clock.monotonicMilliseconds();
-      const took = now - task.startedAt;
-      model.record(step.job.queue, step.specification.estimatedMilliseconds, took);
-      speeds.record(task.endpointId, step.stepId, took, now);
-      doneTimes.set(step.stepId, [...(doneTimes.get(step.stepId) ?? []), took]);
+      const milliseconds = now - task.startedAt;
+      model.record(step.job.queue, step.specification.estimatedMilliseconds, milliseconds);
+      const runs = [...(doneRuns.get(step.stepId) ?? []), { endpointId, milliseconds }];
+      doneRuns.set(step.stepId, runs);
+      if (runs.length === step.specification.count) speeds.recordGroup(runs, now);
     },
-    recordProjection(task, milliseconds) {
-      if (!isComparable(task) || task.endpointId === null) return;
-      const now = clock.monotonicMilliseconds();
-      speeds.record(task.endpointId, task.step.stepId, milliseconds, now);
+    recordStraggler({ endpointId }, factor) {
+      if (endpointId === null) return;
+      speeds.recordDeviation(endpointId, factor, clock.monotonicMilliseconds());
     },
     expectedTime(step) {
-      const times = doneTimes.get(step.stepId) ?? [];
+      const times = doneTimesOf(step);
       if (times.length > 1) return times.reduce((sum, time) => sum + time, 0) / times.length;
       return model.predict(step.job.queue, step.specification.estimatedMilliseconds);
     },
-    doneTimes: (step) => doneTimes.get(step.stepId) ?? [],
+    doneTimes: doneTimesOf,
     chainsOf(job, queue) {
       const now = clock.monotonicMilliseconds();
       const known = chains.get(job.jobId);
@@ -106,8 +110,7 @@
     forgetJob(jobId, stepIds) {
       chains.delete(jobId);
       stepIds.forEach((stepId) => {
-        doneTimes.delete(stepId);
-        speeds.forgetGroup(stepId);
+        doneRuns.delete(stepId);
       });
     },
     forgetEndpoint: speeds.forgetEndpoint,
