Repeat reads of a takeover after a quarter of a second

Change: reads follow the latency (250 ms to 2 s), also those of the directory and the configuration. Test: ownerTakeover 'reads that were lost during a takeover are repeated soon' (fails with a first limit of 1 s).

--- a/packages/proving/src/__tests__/ownerTakeover.test.ts
+++ b/packages/proving/src/__tests__/ownerTakeover.test.ts
@@ -108,3 +108,17 @@
   await cell.pass(5_000);
   t.deepEqual(cell.fleet.violations(), []);
 });
+
+test('reads that were lost during a takeover are repeated soon', async (t) => {
+  const cell = createSchedulerCell();
+  const faults = cell.store.faultsOf('first');
+  const first = cell.startProcess('first', () => {
+    faults.outage = 'silent';
+  });
+  while (!first.term()) await cell.pass(2);
+  await cell.pass(100);
+  faults.outage = null;
+  await cell.pass(400);
+  const answer = await cell.call({ specification: jobOf({ count: 1 }) });
+  t.is(answer.kind, 'accepted');
+});
--- a/packages/proving/src/__tests__/schedulerCell.ts
+++ b/packages/proving/src/__tests__/schedulerCell.ts
@@ -36,7 +36,8 @@
   readonly store: ClusterStoreStandIn;
   readonly fleet: EndpointFleetStandIn;
   configuration: ClusterConfiguration;
-  startProcess(name: string): CellProcess;
+  /** @param onTermStart called right before a term of the process starts */
+  startProcess(name: string, onTermStart?: () => void): CellProcess;
   /** Lets time pass, and all that falls due in it happen. */
   pass(milliseconds: number): Promise<void>;
   /** @returns the answer of the owner, while time passes */
@@ -132,7 +133,7 @@
     store,
     fleet,
     configuration: CONFIGURATION,
-    startProcess(name) {
+    startProcess(name, onTermStart = () => {}) {
       let term: OwnerTerm | null = null;
       let isKilled = false;
       const log = createSilentLog();
@@ -146,6 +147,7 @@
         onOwnerChange: () => {},
         onTermStart(owned) {
           if (isKilled) return;
+          onTermStart();
           term = createOwnerTerm({
             store: client,
             clock,
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -8,6 +8,7 @@
 import type { JobRecord, TaskRecord } from '../types/jobRecord.js';
 import type { SchedulerSurroundings } from '../types/surroundings.js';
 import type { TermContext } from '../types/termContext.js';
+import { createLatencyEstimate } from '../utils/latencyEstimate.js';
 import { holdTime, lapseTime } from '../utils/leaseTimes.js';
 import {
   COMMIT_KEY,
@@ -48,8 +49,8 @@
 const BACKLOG_INTERVAL_MILLISECONDS = 1_000;
 /** Pause before a failed read of the store is repeated, in milliseconds. */
 const RETRY_MILLISECONDS = 100;
-/** Limit of a read of the store, in milliseconds. */
-const READ_TIMEOUT_MILLISECONDS = 1_000;
+/** Bounds of the time-outs of reads of the store, in milliseconds; a lost packet is repeated after the least one. */
+const READ_TIMEOUTS = { minimumMilliseconds: 250, maximumMilliseconds: 2_000 };
 /** A draining endpoint's checkpointed work is moved this long before the endpoint leaves, in milliseconds. */
 const DRAIN_MARGIN_MILLISECONDS = 1_000;
 
@@ -106,6 +107,7 @@
   const startedAt = clock.monotonicMilliseconds();
   const formerLeasesLapseAt = startedAt + lapseTime(holdTime(times.maximumHoldMilliseconds));
 
+  const readLatency = createLatencyEstimate(READ_TIMEOUTS);
   const estimates = createWorkEstimates(clock);
   const desk = createAdviceDesk({
     clock,
@@ -191,11 +193,21 @@
     });
   }
 
+  async function timedRead<Outcome extends { kind: string }>(
+    call: (timeoutMilliseconds: number) => Promise<Outcome>,
+  ): Promise<Outcome> {
+    const sentAt = clock.monotonicMilliseconds();
+    const outcome = await call(readLatency.timeoutMilliseconds());
+    if (outcome.kind === 'failed') readLatency.recordTimeout();
+    else readLatency.recordAnswer(clock.monotonicMilliseconds() - sentAt);
+    return outcome;
+  }
+
   async function repeatUntilAnswered<Outcome extends { kind: string }>(
-    call: () => Promise<Outcome>,
+    call: (timeoutMilliseconds: number) => Promise<Outcome>,
   ): Promise<Exclude<Outcome, { kind: 'failed' }> | null> {
     while (!hasEnded) {
-      const outcome = await call();
+      const outcome = await timedRead(call);
       if (outcome.kind !== 'failed') return outcome as Exclude<Outcome, { kind: 'failed' }>;
       await sleep(clock, RETRY_MILLISECONDS);
     }
@@ -204,7 +216,7 @@
 
   async function readConfiguration(): Promise<boolean> {
     const readAt = clock.monotonicMilliseconds();
-    const outcome = await configurationSource.read();
+    const outcome = await timedRead((timeout) => configurationSource.read(timeout));
     if (outcome.kind === 'failed' || hasEnded) return false;
     const next = outcome.configuration;
     configurationReadAt = readAt;
@@ -286,7 +298,7 @@
   }
 
   async function readDirectory(): Promise<boolean> {
-    const outcome = await directory.list();
+    const outcome = await timedRead((timeout) => directory.list(timeout));
     if (outcome.kind === 'failed' || hasEnded) return false;
     const listed = new Set(outcome.entries.map(({ endpointId }) => endpointId));
     outcome.entries.forEach(applyEntry);
@@ -342,9 +354,9 @@
 
   async function recover(): Promise<boolean> {
     const [chain, items, entries] = await Promise.all([
-      repeatUntilAnswered(() => store.read(COMMIT_KEY, READ_TIMEOUT_MILLISECONDS)),
-      repeatUntilAnswered(() => store.list(JOB_PREFIX, READ_TIMEOUT_MILLISECONDS)),
-      repeatUntilAnswered(() => directory.list()),
+      repeatUntilAnswered((timeout) => store.read(COMMIT_KEY, timeout)),
+      repeatUntilAnswered((timeout) => store.list(JOB_PREFIX, timeout)),
+      repeatUntilAnswered((timeout) => directory.list(timeout)),
       readConfiguration(),
     ]);
     if (!chain || !items || !entries || hasEnded) return false;
--- a/packages/scheduler/src/types/configuration.ts
+++ b/packages/scheduler/src/types/configuration.ts
@@ -58,8 +58,14 @@
 
 /** Source of the configuration in effect. */
 export interface ConfigurationSource {
-  /** Reads the newest configuration; null if there is none yet. */
-  read(): Promise<
+  /**
+   * Reads the newest configuration; null if there is none yet.
+   *
+   * @param timeoutMilliseconds limit of the call, in milliseconds
+   */
+  read(
+    timeoutMilliseconds: number,
+  ): Promise<
     | { readonly kind: 'answered'; readonly configuration: ClusterConfiguration | null }
     | { readonly kind: 'failed'; readonly reason: string }
   >;
--- a/packages/scheduler/src/types/endpoint.ts
+++ b/packages/scheduler/src/types/endpoint.ts
@@ -124,7 +124,10 @@
 
 /** List of the endpoints that have checked in lately. */
 export interface EndpointDirectory {
-  list(): Promise<
+  /** @param timeoutMilliseconds limit of each call that it takes, in milliseconds */
+  list(
+    timeoutMilliseconds: number,
+  ): Promise<
     | { readonly kind: 'answered'; readonly entries: readonly EndpointEntry[] }
     | { readonly kind: 'failed'; readonly reason: string }
   >;
--- a/packages/scheduler/src/utils/latencyEstimate.ts
+++ b/packages/scheduler/src/utils/latencyEstimate.ts
@@ -19,14 +19,14 @@
 }
 
 /**
- * Creates an estimate from no samples; the timeout starts at four times the minimum.
+ * Creates an estimate from no samples; the timeout starts at the minimum.
  *
  * @param bounds bounds of the timeout
  * @returns estimate
  */
 export function createLatencyEstimate(bounds: TimeoutBounds): LatencyEstimate {
   const { minimumMilliseconds, maximumMilliseconds } = bounds;
-  let smoothed = minimumMilliseconds;
+  let smoothed = minimumMilliseconds / TIMEOUT_FACTOR;
   function clamp(value: number): number {
     return Math.min(maximumMilliseconds, Math.max(minimumMilliseconds, value));
   }
