Let the configuration source of the test cell keep the limit that it is given

Cause: the source waited 500 ms whatever its caller asked, so that the test of repeated reads failed with the mended code too. With this, the test passes, and fails with a first limit of 1 s.

--- a/packages/proving/src/__tests__/schedulerCell.ts
+++ b/packages/proving/src/__tests__/schedulerCell.ts
@@ -156,8 +156,8 @@
             endpoints: fleet.client,
             directory: fleet.directory,
             configurationSource: {
-              async read() {
-                const outcome = await client.read('any', 500);
+              async read(timeoutMilliseconds) {
+                const outcome = await client.read('any', timeoutMilliseconds);
                 if (outcome.kind === 'failed') return outcome;
                 return { kind: 'answered', configuration: cell.configuration };
               },
