Stop the runs of a cancelled job after a takeover

Cause: runs that were being stopped when the state was written came back as stopping, and a run in that phase was taken for one that a stop is under way for. Nobody sent the new owner's stop. Ruled out: the acknowledgement (the new owner knew the job as cancelled); the change of the order of work. Change: such a run comes back as placed; its endpoint confirms it, and it is stopped if its job has ended. Test: ownerTakeover 'a new owner stops the runs of a job that was cancelled under the former one', failed first.

--- a/packages/proving/src/__tests__/ownerTakeover.test.ts
+++ b/packages/proving/src/__tests__/ownerTakeover.test.ts
@@ -138,3 +138,26 @@
   await cell.pass(2_000);
   t.not(weak.term(), null);
 });
+
+test('a new owner stops the runs of a job that was cancelled under the former one', async (t) => {
+  const cell = createSchedulerCell({ durationOf: () => Infinity });
+  const first = cell.startProcess('first');
+  await cell.pass(200);
+  await cell.call({ specification: jobOf({ count: 4, isLongRunning: true }) });
+  await cell.pass(300);
+  const endpointIds = new Set(cell.fleet.history.map(({ endpointId }) => endpointId));
+  endpointIds.forEach((endpointId) => {
+    cell.fleet.faultsOf(endpointId).isCutOff = true;
+  });
+  t.deepEqual(await cell.call({ action: 'cancel' }), { kind: 'cancelled' });
+  first.kill();
+  endpointIds.forEach((endpointId) => {
+    cell.fleet.faultsOf(endpointId).isCutOff = false;
+  });
+  cell.startProcess('second');
+  await cell.pass(2_500);
+  t.deepEqual(
+    cell.fleet.history.map(({ kind }) => kind),
+    ['stopped', 'stopped', 'stopped', 'stopped'],
+  );
+});
--- a/packages/scheduler/src/core/jobRecords.ts
+++ b/packages/scheduler/src/core/jobRecords.ts
@@ -210,7 +210,8 @@
       const task = occurrence.steps[stepIndex]?.tasks[taskIndex];
       if (!task) return;
       Object.assign(task, { run, failures, checkpoint });
-      task.phase = phase === 'running' ? 'placed' : phase;
+      // Also a run that was to be stopped: its endpoint confirms it, and it is stopped anew if still unwanted.
+      task.phase = phase === 'running' || phase === 'stopping' ? 'placed' : phase;
       const place = stored.endpoints[endpoint];
       if (place) [task.endpointId, task.endpointBornAt] = place;
     });
