Serve the newest first where a team sends more than can be on time

Ruled out: room (limits were what the work waited for) and advice. Change: in a group (team and queue) of which some work is late already, work that can still be on time comes first, the newest before the older, then late work, then overdue work. Other groups keep their places.

--- a/packages/decisions/src/__tests__/workOrder.test.ts
+++ b/packages/decisions/src/__tests__/workOrder.test.ts
@@ -1,16 +1,100 @@
 import test from 'ava';
 
-import { compareWork } from '../core/workOrder.js';
+import { judgePunctuality, orderWork } from '../core/workOrder.js';
+import type { OrderedWork } from '../core/workOrder.js';
 
-const WORK = { priority: 1, objectiveAt: 1_000, remainingMilliseconds: 0, weightedShare: 0 };
+const WORK: OrderedWork = {
+  groupId: 'bench/entries',
+  priority: 1,
+  punctuality: 'on-time',
+  objectiveAt: 1_000,
+  remainingMilliseconds: 0,
+  weightedShare: 0,
+};
+
+/** @returns whether the first of two pieces of work comes first, however they are given */
+function precedes(left: OrderedWork, right: OrderedWork, ...others: OrderedWork[]): boolean {
+  return [
+    [left, right],
+    [right, left],
+  ].every((pair) => {
+    const ordered = orderWork([...pair, ...others].map((order) => ({ order })));
+    const position = (work: OrderedWork) => ordered.findIndex(({ order }) => order === work);
+    return position(left) < position(right);
+  });
+}
 
 test('order: priority, then the team below its share, then the least time to spare', (t) => {
-  const urgent = { ...WORK, priority: 0, weightedShare: 5 };
-  t.true(compareWork(urgent, WORK) < 0);
-  const heavy = { ...WORK, weightedShare: 0.5, objectiveAt: 0 };
-  t.true(compareWork(WORK, heavy) < 0);
-  const long = { ...WORK, remainingMilliseconds: 500 };
-  t.true(compareWork(long, WORK) < 0);
-  const similar = { ...WORK, weightedShare: 0.04, objectiveAt: 900 };
-  t.true(compareWork(similar, WORK) < 0);
+  t.true(precedes({ ...WORK, priority: 0, weightedShare: 5 }, WORK));
+  t.true(precedes(WORK, { ...WORK, weightedShare: 0.5, objectiveAt: 0 }));
+  t.true(precedes({ ...WORK, remainingMilliseconds: 500 }, WORK));
+  t.true(precedes({ ...WORK, weightedShare: 0.04, objectiveAt: 900 }, WORK));
+});
+
+test('where some work of a team is late, the newest that can be on time comes first', (t) => {
+  const late: OrderedWork = { ...WORK, punctuality: 'late', objectiveAt: 100 };
+  const newer = { ...WORK, objectiveAt: 2_000 };
+  t.true(precedes(newer, WORK, late));
+  t.true(precedes(WORK, late));
+  const overdue: OrderedWork = { ...WORK, punctuality: 'overdue', objectiveAt: 0 };
+  t.true(precedes(late, overdue));
+  t.true(precedes(overdue, { ...overdue, objectiveAt: 1 }));
+});
+
+test('the flood of one team leaves the places of other teams as they are', (t) => {
+  const late: OrderedWork = { ...WORK, punctuality: 'late', objectiveAt: 100 };
+  const newer = { ...WORK, objectiveAt: 2_000 };
+  const other = { ...WORK, groupId: 'clerks/entries', objectiveAt: 1_500 };
+  const behind = { ...WORK, groupId: 'mills/sorts', weightedShare: 0.5 };
+  const ordered = orderWork([behind, newer, other, late].map((order) => ({ order })));
+  t.deepEqual(
+    ordered.map(({ order }) => order),
+    [newer, other, late, behind],
+  );
+});
+
+test('work is late past its objective, and overdue past three times that', (t) => {
+  const judge = (ageMilliseconds: number) =>
+    judgePunctuality({ ageMilliseconds, objectiveMilliseconds: 1_000, remainingMilliseconds: 200 });
+  t.deepEqual([0, 800, 801, 2_800, 2_801].map(judge), [
+    'on-time',
+    'on-time',
+    'late',
+    'late',
+    'overdue',
+  ]);
+});
+
+type Sorter = (works: { sentAt: number; order: OrderedWork }[]) => { sentAt: number }[];
+
+/** Plays a team that sends jobs of 100 ms at twice the rate that one place can run, for 20 s. */
+function playFlood(sort: Sorter): number {
+  const objective = { objectiveMilliseconds: 500, remainingMilliseconds: 100 };
+  let waiting: number[] = [];
+  let punctual = 0;
+  for (let now = 0; now < 20_000; now += 100) {
+    waiting.push(now, now);
+    const works = waiting.map((sentAt) => ({
+      sentAt,
+      order: {
+        ...WORK,
+        punctuality: judgePunctuality({ ageMilliseconds: now - sentAt, ...objective }),
+        objectiveAt: sentAt + objective.objectiveMilliseconds,
+        remainingMilliseconds: objective.remainingMilliseconds,
+      },
+    }));
+    const { sentAt } = sort(works)[0]!;
+    waiting = waiting.toSpliced(waiting.indexOf(sentAt), 1);
+    if (now + 100 - sentAt <= objective.objectiveMilliseconds) punctual += 1;
+  }
+  return punctual;
+}
+
+test('a flood serves on time nearly all that has room, which the least time to spare does not', (t) => {
+  const bySlack = playFlood((works) =>
+    works.sort((left, right) => left.order.objectiveAt - right.order.objectiveAt),
+  );
+  t.true(bySlack < 20, `${bySlack} of 200`);
+  const ordered = playFlood((works) => orderWork(works));
+  t.true(ordered > 180, `${ordered} of 200`);
 });
--- a/packages/decisions/src/core/workOrder.ts
+++ b/packages/decisions/src/core/workOrder.ts
@@ -1,7 +1,13 @@
+/** What a piece of work can still reach: its objective, a late completion, or nothing that its caller waits for. */
+export type Punctuality = 'on-time' | 'late' | 'overdue';
+
 /** Work whose turn is to be decided. */
 export interface OrderedWork {
+  /** Work of one team in one queue, which has one priority and one share. */
+  readonly groupId: string;
   /** Priority of the queue; 0 comes first. */
   readonly priority: number;
+  readonly punctuality: Punctuality;
   /** When the work should be complete, in monotonic milliseconds. */
   readonly objectiveAt: number;
   /** What remains on its longest chain, in milliseconds. */
@@ -10,23 +16,92 @@
   readonly weightedShare: number;
 }
 
+/** Times of work against its objective, in milliseconds. */
+export interface ObjectiveTimes {
+  /** Time since the work was due. */
+  readonly ageMilliseconds: number;
+  /** Time from when it was due until it should be complete. */
+  readonly objectiveMilliseconds: number;
+  /** Estimate of what remains on its longest chain. */
+  readonly remainingMilliseconds: number;
+}
+
 /** Shares that differ by less count as equal, so that small teams do not alternate with every task. */
 const SHARE_STEP = 0.05;
+/** A completion within this multiple of the objective is late; after it the caller has no use for it. */
+const LATE_FACTOR = 3;
+
+const PUNCTUALITY_ORDER: Readonly<Record<Punctuality, number>> = {
+  'on-time': 0,
+  late: 1,
+  overdue: 2,
+};
 
 /**
- * Orders work: priority, then the team that is furthest below its share, then the least time to spare until
- * the objective.
+ * Tells what a piece of work can still reach if it starts now.
  *
- * @param left work
- * @param right other work
- * @returns negative if `left` comes first, positive if `right` does
+ * @param times age, objective and remaining time of the work
+ * @returns the best outcome that is still possible
  */
-export function compareWork(left: OrderedWork, right: OrderedWork): number {
+export function judgePunctuality(times: ObjectiveTimes): Punctuality {
+  const { ageMilliseconds, objectiveMilliseconds, remainingMilliseconds } = times;
+  const earliest = ageMilliseconds + remainingMilliseconds;
+  if (earliest <= objectiveMilliseconds) return 'on-time';
+  return earliest <= LATE_FACTOR * objectiveMilliseconds ? 'late' : 'overdue';
+}
+
+function compareUrgency(left: OrderedWork, right: OrderedWork): number {
   if (left.priority !== right.priority) return left.priority - right.priority;
   const leftShare = Math.floor(left.weightedShare / SHARE_STEP);
-  const rightShare = Math.floor(right.weightedShare / SHARE_STEP);
-  if (leftShare !== rightShare) return leftShare - rightShare;
+  return leftShare - Math.floor(right.weightedShare / SHARE_STEP);
+}
+
+function compareSlack(left: OrderedWork, right: OrderedWork): number {
   const leftSlack = left.objectiveAt - left.remainingMilliseconds;
-  const rightSlack = right.objectiveAt - right.remainingMilliseconds;
-  return leftSlack - rightSlack;
+  return leftSlack - (right.objectiveAt - right.remainingMilliseconds);
+}
+
+/** The least time to spare would serve each piece of work when it has just become late. */
+function compareInFlood(left: OrderedWork, right: OrderedWork): number {
+  const order = PUNCTUALITY_ORDER[left.punctuality] - PUNCTUALITY_ORDER[right.punctuality];
+  if (order !== 0) return order;
+  if (left.punctuality === 'overdue') return compareSlack(left, right);
+  return right.objectiveAt - left.objectiveAt;
+}
+
+/** Puts the work of a group into an order of its own, in the places that the group has among the others. */
+function reorderGroup<Work extends { readonly order: OrderedWork }>(
+  ordered: Work[],
+  groupId: string,
+): void {
+  const places = [...ordered.keys()].filter((index) => ordered[index]!.order.groupId === groupId);
+  places
+    .map((index) => ordered[index]!)
+    .sort((left, right) => compareInFlood(left.order, right.order))
+    .forEach((work, position) => {
+      ordered[places[position]!] = work;
+    });
+}
+
+/**
+ * Orders work: by priority, then the team that is furthest below its share, then the least time to spare until
+ * the objective. In a group of which some work is late already, what can still be on time comes first, the
+ * newest before the older; the places of other groups do not change.
+ *
+ * The load that it answers: a team sends several times what its limit lets run.
+ *
+ * @param works work in any order
+ * @returns the same work, in the order in which it is to be placed
+ */
+export function orderWork<Work extends { readonly order: OrderedWork }>(
+  works: readonly Work[],
+): Work[] {
+  const ordered = [...works].sort(
+    ({ order: left }, { order: right }) => compareUrgency(left, right) || compareSlack(left, right),
+  );
+  const flooded = new Set(
+    works.flatMap(({ order }) => (order.punctuality === 'on-time' ? [] : [order.groupId])),
+  );
+  flooded.forEach((groupId) => reorderGroup(ordered, groupId));
+  return ordered;
 }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -75,8 +75,8 @@
 export type { AdviceTimes } from './core/chooseAdvised.js';
 export { chooseEndpoint } from './core/chooseEndpoint.js';
 export type { EndpointCandidate, EndpointRequest } from './core/chooseEndpoint.js';
-export { compareWork } from './core/workOrder.js';
-export type { OrderedWork } from './core/workOrder.js';
+export { judgePunctuality, orderWork } from './core/workOrder.js';
+export type { ObjectiveTimes, OrderedWork, Punctuality } from './core/workOrder.js';
 
 /** Times of work, learnt from runs: by kind, by endpoint, and of runs in progress. */
 export { createEndpointSpeeds } from './core/endpointSpeeds.js';
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -1,10 +1,11 @@
 import {
   chooseAdvised,
   chooseEndpoint,
-  compareWork,
   computeDominantShare,
   addResources,
+  judgePunctuality,
   NO_RESOURCES,
+  orderWork,
 } from '@chicorybend/decisions';
 import type { EndpointCandidate, EndpointRequest, OrderedWork } from '@chicorybend/decisions';
 import { RESOURCE_DIMENSIONS } from '@chicorybend/common';
@@ -116,7 +117,12 @@
     const remainingMilliseconds = chains.remaining[step.index] ?? 0;
     const share = computeDominantShare(table.usedByTeam(job.team), total);
     return {
+      groupId: `${job.team}/${queue.name}`,
       priority: queue.priority,
+      // Callers use long-running tasks from their start on, however late that is.
+      punctuality: step.specification.isLongRunning
+        ? 'on-time'
+        : judgePunctuality({ ageMilliseconds, objectiveMilliseconds, remainingMilliseconds }),
       objectiveAt: clock.monotonicMilliseconds() - ageMilliseconds + objectiveMilliseconds,
       remainingMilliseconds,
       weightedShare: share / Math.max(context.team(step.job.team)?.weight ?? 1, 1e-9),
@@ -388,7 +394,7 @@
       if (!queue || step.job.phase !== 'open') return [];
       return [{ step, queue, order: describeWork(step, queue, total) }];
     });
-    return work.sort((left, right) => compareWork(left.order, right.order));
+    return orderWork(work);
   }
 
   function runRound(): void {
