--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -1,13 +1,5 @@
-import {
-  chooseAdvised,
-  chooseEndpoint,
-  computeDominantShare,
-  addResources,
-  judgePunctuality,
-  NO_RESOURCES,
-  orderWork,
-} from '@chicorybend/decisions';
-import type { EndpointCandidate, EndpointRequest, OrderedWork } from '@chicorybend/decisions';
+import { chooseAdvised, chooseEndpoint, addResources, orderWork } from '@chicorybend/decisions';
+import type { EndpointRequest, OrderedWork } from '@chicorybend/decisions';
 import { RESOURCE_DIMENSIONS } from '@chicorybend/common';
 import type { CancelTimer, Resources } from '@chicorybend/common';
 
@@ -18,8 +10,12 @@
 import type { EndpointSession } from './endpointSession.js';
 import { chargedResources } from './endpointTable.js';
 import type { EndpointState } from './endpointTable.js';
-import { dueTime, hasRun } from './jobRecords.js';
+import { hasRun } from './jobRecords.js';
+import { findNearlyReleased } from './nearReleases.js';
+import { collectCandidates } from './roundCandidates.js';
+import type { RoundCandidate } from './roundCandidates.js';
 import type { TaskTransitions } from './taskTransitions.js';
+import { describeWork, sumCapacity } from './workDescription.js';
 
 /** Placements that become possible within this time are decided together, in milliseconds. */
 const GATHER_MILLISECONDS = 5;
@@ -27,9 +23,6 @@
 /** Part of the time that rounds may take. */
 const ROUND_SHARE = 0.5;
 
-/** Advice for a step is asked this much longer before its turn than the call takes, in milliseconds. */
-const PREFETCH_LEAD_MILLISECONDS = 300;
-
 /** Priority of queues whose callers wait. */
 const URGENT_PRIORITY = 0;
 
@@ -54,13 +47,6 @@
   close(): void;
 }
 
-/** Room of an endpoint in one round, with what the work decided before is going to take. */
-interface Candidate extends EndpointCandidate {
-  readonly state: EndpointState;
-  used: Resources;
-  tasksOfStep: number;
-}
-
 /** Why tasks of a step were not started in a round. */
 type Obstacle = 'limit' | 'room' | 'advice';
 
@@ -76,7 +62,7 @@
 
 interface Placement {
   readonly task: TaskRecord;
-  readonly candidate: Candidate;
+  readonly candidate: RoundCandidate;
 }
 
 /**
@@ -87,7 +73,7 @@
  */
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const { context, transitions, desk } = options;
-  const { clock, log, table, estimates } = context;
+  const { clock, log, table } = context;
   let cancelRound: CancelTimer | null = null;
   let gatherMilliseconds = GATHER_MILLISECONDS;
   /** Steps whose turn comes soon. */
@@ -95,80 +81,12 @@
   /** Why work waited in the last round. */
   let obstacles: Obstacles = new Map();
 
-  function totalCapacity(): Resources {
-    let total = NO_RESOURCES;
-    for (const { entry, isListed } of table.all()) {
-      if (isListed) total = addResources(total, entry.capacity);
-    }
-    return total;
-  }
-
-  /** Time since a step's occurrence was due or its job was accepted, whichever is later, in milliseconds. */
-  function ageOf({ job, occurrence }: StepRecord): number {
-    return clock.wallMilliseconds() - Math.max(job.acceptedAt, dueTime(job, occurrence));
-  }
-
-  function describeWork(step: StepRecord, queue: JobQueueSettings, total: Resources): OrderedWork {
-    const { job } = step;
-    const ageMilliseconds = ageOf(step);
-    const chains = estimates.chainsOf(job, queue);
-    const objectiveMilliseconds =
-      queue.stretch * chains.longest + queue.targetCompletionMilliseconds;
-    const remainingMilliseconds = chains.remaining[step.index] ?? 0;
-    const share = computeDominantShare(table.usedByTeam(job.team), total);
-    return {
-      groupId: `${job.team}/${queue.name}`,
-      priority: queue.priority,
-      // Callers use long-running tasks from their start on, however late that is.
-      punctuality: step.specification.isLongRunning
-        ? 'on-time'
-        : judgePunctuality({ ageMilliseconds, objectiveMilliseconds, remainingMilliseconds }),
-      objectiveAt: clock.monotonicMilliseconds() - ageMilliseconds + objectiveMilliseconds,
-      remainingMilliseconds,
-      weightedShare: share / Math.max(context.team(step.job.team)?.weight ?? 1, 1e-9),
-    };
-  }
-
-  function isUsable(state: EndpointState): boolean {
-    const { entry } = state;
-    return (
-      state.isListed &&
-      state.isSealed &&
-      !entry.isDraining &&
-      entry.bornAt === state.bornAt &&
-      state.clockOffset !== null &&
-      state.silentCalls === 0 &&
-      state.avoidUntil <= clock.monotonicMilliseconds() &&
-      !transitions.isQuarantined(entry.endpointId)
-    );
-  }
-
-  function describeCandidate(state: EndpointState): Candidate {
-    let fillingTasks = 0;
-    let servingTasks = 0;
-    state.runs.forEach((task) => {
-      if (task.step.specification.isFilling) fillingTasks += 1;
-      else if (task.step.specification.targetMilliseconds > 0) servingTasks += 1;
-    });
-    return {
-      state,
-      endpointId: state.entry.endpointId,
-      rack: state.entry.rack,
-      capacity: state.entry.capacity,
-      used: state.used,
-      tasksOfStep: 0,
-      fillingTasks,
-      servingTasks,
-      slowness: estimates.slowness(state.entry.endpointId),
-    };
-  }
-
   /** @returns endpoints that may run the step as far as is known */
   function selectCandidates(
     step: StepRecord,
     queue: JobQueueSettings,
-    all: readonly Candidate[],
-  ): Candidate[] {
+    all: readonly RoundCandidate[],
+  ): RoundCandidate[] {
     const { requiredHardware, maximumPerEndpoint } = step.specification;
     const selected = all.filter(
       ({ state }) =>
@@ -201,7 +119,7 @@
   function adviceFor(
     step: StepRecord,
     queue: JobQueueSettings,
-    candidates: readonly Candidate[],
+    candidates: readonly RoundCandidate[],
   ): AdviceRequest | null {
     if (!queue.advice) return null;
     const unknown = candidates.filter(
@@ -234,7 +152,7 @@
     );
   }
 
-  function withoutAvoided(task: TaskRecord, candidates: readonly Candidate[]) {
+  function withoutAvoided(task: TaskRecord, candidates: readonly RoundCandidate[]) {
     const { avoidedEndpointId, avoidedUntil } = task;
     if (avoidedEndpointId === null || avoidedUntil <= clock.monotonicMilliseconds()) {
       return candidates;
@@ -246,7 +164,7 @@
   function plan(
     step: StepRecord,
     tasks: readonly TaskRecord[],
-    candidates: readonly Candidate[],
+    candidates: readonly RoundCandidate[],
   ): { placements: Placement[]; obstacle: Obstacle } {
     const placements: Placement[] = [];
     const racks: string[] = [];
@@ -358,7 +276,7 @@
    * Starts what fits where tickets are at hand. For the rest, room is kept for this round and tickets are asked
    * for, so that later work does not take the room while the answer is on its way.
    */
-  function place(work: RoundWork, all: readonly Candidate[]): AdviceRequest | null {
+  function place(work: RoundWork, all: readonly RoundCandidate[]): AdviceRequest | null {
     const { step, queue } = work;
     const { isGang } = step.specification;
     const pending = pendingTasks(step);
@@ -388,11 +306,11 @@
   }
 
   function collectWork(): RoundWork[] {
-    const total = totalCapacity();
+    const total = sumCapacity(context);
     const work = [...transitions.releasedSteps].flatMap((step) => {
       const queue = context.queue(step.job.queue);
       if (!queue || step.job.phase !== 'open') return [];
-      return [{ step, queue, order: describeWork(step, queue, total) }];
+      return [{ step, queue, order: describeWork(context, step, queue, total) }];
     });
     return orderWork(work);
   }
@@ -400,7 +318,7 @@
   function runRound(): void {
     cancelRound = null;
     if (!context.mayAct() || !context.configuration()) return;
-    const candidates = [...table.all()].filter(isUsable).map(describeCandidate);
+    const candidates = collectCandidates(context, transitions);
     const requests: AdviceRequest[] = [];
     obstacles = new Map();
     collectWork().forEach((work) => {
@@ -424,31 +342,10 @@
     gatherMilliseconds = Math.max(GATHER_MILLISECONDS, took / ROUND_SHARE);
   }
 
-  /** @returns the time until all tasks of the step have probably ended, in milliseconds; null if some do not run */
-  function remainingTime(step: StepRecord): number | null {
-    const now = clock.monotonicMilliseconds();
-    const expected = estimates.expectedTime(step);
-    const remaining = step.tasks.map((task) => {
-      if (task.phase === 'done') return 0;
-      if (task.phase !== 'running') return Infinity;
-      return Math.max(0, expected - (now - task.startedAt));
-    });
-    const longest = Math.max(0, ...remaining);
-    return Number.isFinite(longest) ? longest : null;
-  }
-
-  function isNearlyReleased(step: StepRecord, queue: JobQueueSettings): boolean {
-    if (step.isReleased || !queue.advice || step.job.phase !== 'open') return false;
-    const steps = step.job.occurrences.get(step.occurrence)?.steps ?? [];
-    const lead = queue.advice.callMilliseconds + PREFETCH_LEAD_MILLISECONDS;
-    return step.specification.after.every((index) => {
-      const earlier = steps[index];
-      const remaining = earlier ? remainingTime(earlier) : null;
-      return remaining !== null && remaining <= lead;
-    });
-  }
-
-  function prefetchRequest(step: StepRecord, candidates: readonly Candidate[]): AdviceRequest[] {
+  function prefetchRequest(
+    step: StepRecord,
+    candidates: readonly RoundCandidate[],
+  ): AdviceRequest[] {
     const queue = context.queue(step.job.queue);
     const isWanted = queue && !step.isReleased && step.job.phase === 'open';
     if (!isWanted || desk.hasTickets(step.stepId)) return [];
@@ -462,14 +359,7 @@
       cancelRound = clock.setTimer(runTimedRound, gatherMilliseconds);
     },
     prefetch() {
-      prefetched = [];
-      context.jobs.forEach((job) => {
-        const queue = context.queue(job.queue);
-        if (!queue?.advice || job.phase !== 'open') return;
-        job.occurrences.forEach(({ steps }) =>
-          prefetched.push(...steps.filter((step) => isNearlyReleased(step, queue))),
-        );
-      });
+      prefetched = findNearlyReleased(context);
     },
     logBacklog() {
       if (obstacles.size === 0) return;
@@ -478,7 +368,7 @@
         tasks: Object.fromEntries(obstacles),
         steps: transitions.releasedSteps.size,
         processorsUsed: Math.round(used),
-        processors: Math.round(totalCapacity().processors),
+        processors: Math.round(sumCapacity(context).processors),
         adviceLinesBusy: desk.busyLines(),
       });
     },
--- /dev/null
+++ b/packages/scheduler/src/core/nearReleases.ts
@@ -0,0 +1,45 @@
+import type { JobQueueSettings } from '../types/configuration.js';
+import type { StepRecord } from '../types/jobRecord.js';
+import type { TermContext } from '../types/termContext.js';
+
+/** Advice for a step is asked this much longer before its turn than the call takes, in milliseconds. */
+const PREFETCH_LEAD_MILLISECONDS = 300;
+
+/** @returns the time until all tasks of the step have probably ended, in milliseconds; null if some do not run */
+function remainingTime({ clock, estimates }: TermContext, step: StepRecord): number | null {
+  const now = clock.monotonicMilliseconds();
+  const expected = estimates.expectedTime(step);
+  const remaining = step.tasks.map((task) => {
+    if (task.phase === 'done') return 0;
+    if (task.phase !== 'running') return Infinity;
+    return Math.max(0, expected - (now - task.startedAt));
+  });
+  const longest = Math.max(0, ...remaining);
+  return Number.isFinite(longest) ? longest : null;
+}
+
+function isNearlyReleased(
+  context: TermContext,
+  step: StepRecord,
+  queue: JobQueueSettings,
+): boolean {
+  if (step.isReleased || !queue.advice) return false;
+  const steps = step.job.occurrences.get(step.occurrence)?.steps ?? [];
+  const lead = queue.advice.callMilliseconds + PREFETCH_LEAD_MILLISECONDS;
+  return step.specification.after.every((index) => {
+    const earlier = steps[index];
+    const remaining = earlier ? remainingTime(context, earlier) : null;
+    return remaining !== null && remaining <= lead;
+  });
+}
+
+/** @returns steps that need advice and whose turn comes soon */
+export function findNearlyReleased(context: TermContext): StepRecord[] {
+  return [...context.jobs.values()].flatMap((job) => {
+    const queue = context.queue(job.queue);
+    if (!queue?.advice || job.phase !== 'open') return [];
+    return [...job.occurrences.values()].flatMap(({ steps }) =>
+      steps.filter((step) => isNearlyReleased(context, step, queue)),
+    );
+  });
+}
--- /dev/null
+++ b/packages/scheduler/src/core/roundCandidates.ts
@@ -0,0 +1,61 @@
+import type { EndpointCandidate } from '@chicorybend/decisions';
+import type { Resources } from '@chicorybend/common';
+
+import type { TermContext } from '../types/termContext.js';
+import type { EndpointState } from './endpointTable.js';
+import type { TaskTransitions } from './taskTransitions.js';
+
+/** Room of an endpoint in one round, with what the work decided before is going to take. */
+export interface RoundCandidate extends EndpointCandidate {
+  readonly state: EndpointState;
+  used: Resources;
+  tasksOfStep: number;
+}
+
+function isUsable(
+  { clock }: TermContext,
+  transitions: TaskTransitions,
+  state: EndpointState,
+): boolean {
+  const { entry } = state;
+  return (
+    state.isListed &&
+    state.isSealed &&
+    !entry.isDraining &&
+    entry.bornAt === state.bornAt &&
+    state.clockOffset !== null &&
+    state.silentCalls === 0 &&
+    state.avoidUntil <= clock.monotonicMilliseconds() &&
+    !transitions.isQuarantined(entry.endpointId)
+  );
+}
+
+function describeCandidate({ estimates }: TermContext, state: EndpointState): RoundCandidate {
+  let fillingTasks = 0;
+  let servingTasks = 0;
+  state.runs.forEach((task) => {
+    if (task.step.specification.isFilling) fillingTasks += 1;
+    else if (task.step.specification.targetMilliseconds > 0) servingTasks += 1;
+  });
+  return {
+    state,
+    endpointId: state.entry.endpointId,
+    rack: state.entry.rack,
+    capacity: state.entry.capacity,
+    used: state.used,
+    tasksOfStep: 0,
+    fillingTasks,
+    servingTasks,
+    slowness: estimates.slowness(state.entry.endpointId),
+  };
+}
+
+/** @returns the endpoints that may get work in this round */
+export function collectCandidates(
+  context: TermContext,
+  transitions: TaskTransitions,
+): RoundCandidate[] {
+  return [...context.table.all()]
+    .filter((state) => isUsable(context, transitions, state))
+    .map((state) => describeCandidate(context, state));
+}
