Hold the ports of a local daemon until its relays listen

Cause: a port was drawn, closed again and named to the daemon, and a relay that was started on the same address meanwhile drew the same one of some 20,000. Ruled out: load, other cells (each has an address of its own) and ephemeral ports (32768 up). Change: both ports of a daemon stay taken until its relays listen.

--- a/packages/proving/src/core/localDaemon.ts
+++ b/packages/proving/src/core/localDaemon.ts
@@ -1,11 +1,11 @@
-import { createServer } from 'node:net';
 import { join } from 'node:path';
 
 import { request } from 'undici';
 
-import { listenOnStablePort, startRelay } from '@chicorybend/standins';
+import { startRelay } from '@chicorybend/standins';
 import type { Relay } from '@chicorybend/standins';
 
+import { reservePort } from '../utils/reservePort.js';
 import { waitUntil } from '../utils/waitUntil.js';
 import { createDaemonProcess, DAEMON_PROGRAM } from './daemonProcess.js';
 import type { DaemonProcess } from './daemonProcess.js';
@@ -56,31 +56,6 @@
 const HEALTH_TIMEOUT_MILLISECONDS = 500;
 const STATUS_OK = 200;
 
-/** Finds a port that a process can be started on, also again after a kill. */
-async function reservePort(host: string): Promise<number> {
-  const server = createServer();
-  const port = await listenOnStablePort(server, { host });
-  await new Promise((resolve) => {
-    server.close(resolve);
-  });
-  return port;
-}
-
-/** Takes the preferred port if nothing listens on it, and a free one otherwise. */
-async function chooseApiPort(host: string, preferred: number | undefined): Promise<number> {
-  if (preferred === undefined || preferred === 0) return reservePort(host);
-  const server = createServer();
-  const isFree = await new Promise<boolean>((resolve) => {
-    server.once('error', () => resolve(false));
-    server.listen({ host, port: preferred }, () => resolve(true));
-  });
-  if (!isFree) return reservePort(host);
-  await new Promise((resolve) => {
-    server.close(resolve);
-  });
-  return preferred;
-}
-
 async function isHealthy(apiAddress: string, path: string): Promise<boolean> {
   try {
     const response = await request(`${apiAddress}${path}`, {
@@ -105,22 +80,24 @@
   shared: SharedDaemonSettings,
 ): Promise<LocalDaemon> {
   const { id, dataCentre, host } = place;
-  const apiPort = await chooseApiPort(host, shared.apiPort);
-  const peerPort = await reservePort(host);
+  // Held until the relays listen, so that none of them takes a port of the daemon.
+  const api = await reservePort(host, shared.apiPort);
+  const peer = await reservePort(host);
   const store = new URL(shared.storeAddress);
-  const peerRelay = await startRelay({ host, targetHost: host, targetPort: peerPort });
+  const peerRelay = await startRelay({ host, targetHost: host, targetPort: peer.port });
   const storeRelay = await startRelay({
     host,
     targetHost: store.hostname,
     targetPort: Number(store.port),
   });
-  const apiAddress = `http://${host}:${apiPort}`;
+  await Promise.all([api.release(), peer.release()]);
+  const apiAddress = `http://${host}:${api.port}`;
   const flags = {
     id,
     'data-centre': dataCentre,
     host,
-    'api-port': apiPort,
-    'peer-port': peerPort,
+    'api-port': api.port,
+    'peer-port': peer.port,
     'api-advertise': apiAddress,
     'peer-advertise': `${host}:${peerRelay.port}`,
     'store-address': `http://${host}:${storeRelay.port}`,
