--- a/packages/scheduler/src/core/authority.ts
+++ b/packages/scheduler/src/core/authority.ts
@@ -4,6 +4,7 @@
 import type { ClusterStore, StoredItem } from '../types/clusterStore.js';
 import { createLatencyEstimate } from '../utils/latencyEstimate.js';
 import { EPOCH_KEY, OWNER_KEY } from '../utils/storeKeys.js';
+import { callTimed } from '../utils/timedCall.js';
 
 /** Longest wait of one watch for the owner key, in milliseconds; bounds how long a silent connection is trusted. */
 const WATCH_MILLISECONDS = 5_000;
@@ -112,15 +113,11 @@
     options.onOwnerChange(next);
   }
 
-  async function timed<Outcome>(
+  function timed<Outcome>(
     call: (timeoutMilliseconds: number) => Promise<Outcome>,
     hasFailed: (outcome: Outcome) => boolean,
   ): Promise<Outcome> {
-    const startedAt = clock.monotonicMilliseconds();
-    const outcome = await call(latency.timeoutMilliseconds());
-    if (hasFailed(outcome)) latency.recordTimeout();
-    else latency.recordAnswer(clock.monotonicMilliseconds() - startedAt);
-    return outcome;
+    return callTimed(clock, latency, call, hasFailed);
   }
 
   function endTerm(reason: string): void {
--- a/packages/scheduler/src/core/commitQueue.ts
+++ b/packages/scheduler/src/core/commitQueue.ts
@@ -5,6 +5,7 @@
 import type { ClusterStore, StoredItem, StoreWrite, WriteOutcome } from '../types/clusterStore.js';
 import { createLatencyEstimate } from '../utils/latencyEstimate.js';
 import { COMMIT_KEY, OWNER_KEY } from '../utils/storeKeys.js';
+import { callTimed } from '../utils/timedCall.js';
 import type { OwnedTerm } from './authority.js';
 
 /** Changes within this time share a write, in milliseconds; bounds the writes of one owner. */
@@ -147,12 +148,13 @@
     return commit?.value === `${term.epoch}.${sequence}` ? commit : null;
   }
 
-  async function send(write: StoreWrite): Promise<WriteOutcome> {
-    const startedAt = clock.monotonicMilliseconds();
-    const outcome = await store.write(write, latency.timeoutMilliseconds());
-    if (outcome.kind === 'unknown') latency.recordTimeout();
-    else latency.recordAnswer(clock.monotonicMilliseconds() - startedAt);
-    return outcome;
+  function send(write: StoreWrite): Promise<WriteOutcome> {
+    return callTimed(
+      clock,
+      latency,
+      (timeout) => store.write(write, timeout),
+      ({ kind }) => kind === 'unknown',
+    );
   }
 
   function applyConflict(items: readonly StoredItem[], isUncertain: boolean, startedAt: number) {
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -13,6 +13,7 @@
 import type { TermContext } from '../types/termContext.js';
 import { createLatencyEstimate } from '../utils/latencyEstimate.js';
 import { holdTime, lapseTime } from '../utils/leaseTimes.js';
+import { callTimed } from '../utils/timedCall.js';
 import type { EndpointState } from './endpointTable.js';
 import { hasRun } from './jobRecords.js';
 import type { TaskTransitions } from './taskTransitions.js';
@@ -113,12 +114,8 @@
   }
 
   /** Learns the time-out of calls from an order, and gives back its outcome. */
-  async function timed(call: (timeout: number) => Promise<OrderOutcome>): Promise<OrderOutcome> {
-    const sentAt = now();
-    const outcome = await call(latency.timeoutMilliseconds());
-    if (outcome.kind === 'unknown') latency.recordTimeout();
-    else latency.recordAnswer(now() - sentAt);
-    return outcome;
+  function timed(call: (timeout: number) => Promise<OrderOutcome>): Promise<OrderOutcome> {
+    return callTimed(clock, latency, call, ({ kind }) => kind === 'unknown');
   }
 
   function sendStop(run: RunId): Promise<OrderOutcome> {
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -17,6 +17,7 @@
   specificationKey,
   stateKey,
 } from '../utils/storeKeys.js';
+import { callTimed } from '../utils/timedCall.js';
 import { createAdviceDesk } from './adviceDesk.js';
 import type { OwnedTerm } from './authority.js';
 import { createCallerService } from './callerService.js';
@@ -193,14 +194,10 @@
     });
   }
 
-  async function timedRead<Outcome extends { kind: string }>(
+  function timedRead<Outcome extends { kind: string }>(
     call: (timeoutMilliseconds: number) => Promise<Outcome>,
   ): Promise<Outcome> {
-    const sentAt = clock.monotonicMilliseconds();
-    const outcome = await call(readLatency.timeoutMilliseconds());
-    if (outcome.kind === 'failed') readLatency.recordTimeout();
-    else readLatency.recordAnswer(clock.monotonicMilliseconds() - sentAt);
-    return outcome;
+    return callTimed(clock, readLatency, call, ({ kind }) => kind === 'failed');
   }
 
   async function repeatUntilAnswered<Outcome extends { kind: string }>(
