Leave runs alone that are complete, and judge stragglers in fewer steps

Found on reading: a run with two reports of 100 percent, whose end is not listed yet, has a remaining time of zero by zero; that compared as not enough to stay, and the run was stopped shortly before its end. Change: a complete run has no time left. The verdict asks for a fresh report in one place, and the expected time of a step is computed once for its tasks instead of once for each. Test: workTimes 'a run that is complete but not listed as ended yet is not moved', failed first.

--- a/packages/decisions/src/__tests__/workTimes.test.ts
+++ b/packages/decisions/src/__tests__/workTimes.test.ts
@@ -75,6 +75,12 @@
   t.is(judge(1_110, slow), 'move');
 });
 
+test('a run that is complete but not listed as ended yet is not moved', (t) => {
+  const first = [{ ageMilliseconds: 800, percent: 100 }];
+  const second = appendReport(first, { ageMilliseconds: 1_100, percent: 100 }, 600);
+  t.is(judge(1_110, second), 'wait');
+});
+
 test('a report close to the last one replaces it, so that the rate is not read from a short time', (t) => {
   const first = appendReport([], { ageMilliseconds: 100, percent: 10 }, 600);
   const second = appendReport(first, { ageMilliseconds: 500, percent: 50 }, 600);
--- a/packages/decisions/src/core/judgeStraggler.ts
+++ b/packages/decisions/src/core/judgeStraggler.ts
@@ -68,6 +68,7 @@
   if (!earlier || !last) return null;
   const interval = last.ageMilliseconds - earlier.ageMilliseconds;
   if (interval < minimumInterval(run.expectedMilliseconds)) return null;
+  if (last.percent >= COMPLETE_PERCENT) return 0;
   const rate = Math.max(0, last.percent - earlier.percent) / interval;
   return (COMPLETE_PERCENT - last.percent) / rate;
 }
@@ -106,10 +107,10 @@
   const remaining = projectRemaining(run);
   const isStale =
     !last || ageMilliseconds - last.ageMilliseconds >= minimumInterval(expectedMilliseconds);
-  if (remaining === null) return isStale ? 'look' : 'wait';
-  const lostPart = hasCheckpoint ? 1 - last!.percent / COMPLETE_PERCENT : 1;
-  const elsewhere = MOVE_MILLISECONDS + lostPart * expectedMilliseconds;
-  if (elsewhere >= MOVE_PART * remaining) return isStale ? 'look' : 'wait';
   // A run that has progressed since its last report may be about to end.
-  return isStale ? 'look' : 'move';
+  if (isStale) return 'look';
+  if (remaining === null) return 'wait';
+  const lostPart = hasCheckpoint ? 1 - last.percent / COMPLETE_PERCENT : 1;
+  const elsewhere = MOVE_MILLISECONDS + lostPart * expectedMilliseconds;
+  return elsewhere < MOVE_PART * remaining ? 'move' : 'wait';
 }
--- a/packages/scheduler/src/core/stragglerWatch.ts
+++ b/packages/scheduler/src/core/stragglerWatch.ts
@@ -60,35 +60,40 @@
     void session.stop(task);
   }
 
-  function describe(task: TaskRecord): SlowRun {
+  function describe(task: TaskRecord, expectedMilliseconds: number): SlowRun {
     return {
       ageMilliseconds: clock.monotonicMilliseconds() - task.startedAt,
-      expectedMilliseconds: estimates.expectedTime(task.step),
+      expectedMilliseconds,
       reports: task.reports,
       hasCheckpoint: task.step.specification.hasCheckpoints,
     };
   }
 
   /** @returns usual time of the runs of a step in milliseconds; null while too few are known */
-  function referenceOf(step: StepRecord, runs: readonly SlowRun[]): number | null {
+  function referenceOf(
+    step: StepRecord,
+    runs: readonly SlowRun[],
+    expectedMilliseconds: number,
+  ): number | null {
     const projected = runs.flatMap((run) => {
       const remaining = projectRemaining(run);
       return remaining === null ? [] : [run.ageMilliseconds + remaining];
     });
     const totals = [...estimates.doneTimes(step), ...projected];
-    return chooseReference(totals, step.doneCount + runs.length, estimates.expectedTime(step));
+    return chooseReference(totals, step.doneCount + runs.length, expectedMilliseconds);
   }
 
   function checkStep(step: StepRecord, tasks: readonly TaskRecord[]): void {
-    const runs = tasks.map(describe);
-    const reference = referenceOf(step, runs);
+    const expectedMilliseconds = estimates.expectedTime(step);
+    const runs = tasks.map((task) => describe(task, expectedMilliseconds));
+    const reference = referenceOf(step, runs, expectedMilliseconds);
     tasks.forEach((task, position) => {
       const session = task.endpointId === null ? undefined : sessionOf(task.endpointId);
       if (!session || session.state.silentCalls > 0) return;
       const run = runs[position]!;
       const verdict = judgeStraggler({
         ...run,
-        expectedMilliseconds: reference ?? run.expectedMilliseconds,
+        expectedMilliseconds: reference ?? expectedMilliseconds,
       });
       if (verdict === 'look') session.look();
       if (verdict === 'move' && reference !== null) move(task, run, session);
