--- a/packages/proving/src/__tests__/ownerTakeover.test.ts
+++ b/packages/proving/src/__tests__/ownerTakeover.test.ts
@@ -91,3 +91,20 @@
   }
   t.deepEqual(cell.fleet.violations(), []);
 });
+
+test('a task whose start got no answer runs elsewhere within a second', async (t) => {
+  const cell = createSchedulerCell({ durationOf: () => 400 });
+  cell.startProcess('first');
+  await cell.pass(200);
+  for (let index = 1; index <= 5; index += 1) {
+    await cell.call({ path: `/work/${jobId(index)}`, specification: jobOf({ count: 8 }) });
+    await cell.pass(600);
+  }
+  cell.fleet.faultsOf('endpoint-0').lateStartMilliseconds = 4_000;
+  const path = `/work/${jobId(9)}`;
+  await cell.call({ path, specification: jobOf({ count: 32 }) });
+  await cell.pass(1_300);
+  t.deepEqual(await cell.call({ action: 'status', path }), { kind: 'status', status: 'completed' });
+  await cell.pass(5_000);
+  t.deepEqual(cell.fleet.violations(), []);
+});
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -1,16 +1,28 @@
 import { sleep } from '@chicorybend/common';
 import { appendReport } from '@chicorybend/decisions';
 
-import type { EndReport, HoldOutcome, RunId, RunReport } from '../types/endpoint.js';
+import type {
+  EndReport,
+  HoldOutcome,
+  OrderOutcome,
+  RunId,
+  RunReport,
+  StartOrder,
+} from '../types/endpoint.js';
 import type { TaskRecord } from '../types/jobRecord.js';
 import type { TermContext } from '../types/termContext.js';
+import { createLatencyEstimate } from '../utils/latencyEstimate.js';
 import { holdTime, lapseTime } from '../utils/leaseTimes.js';
 import type { EndpointState } from './endpointTable.js';
 import { hasRun } from './jobRecords.js';
 import type { TaskTransitions } from './taskTransitions.js';
 
 /** How long an endpoint may wait for an end before it answers a hold, in milliseconds. */
-const WAIT_MILLISECONDS = 1_500;
+const IDLE_WAIT_MILLISECONDS = 1_500;
+/** The same where runs may end; bounds how late an end is noticed after an answer was lost. */
+const BUSY_WAIT_MILLISECONDS = 750;
+/** Bounds of the time-outs of calls, in milliseconds; the least one covers a lost packet that is sent again. */
+const CALL_TIMEOUTS = { minimumMilliseconds: 250, maximumMilliseconds: 700 };
 /** Time after which a start is not carried out any more, in milliseconds; shorter than any late execution. */
 const START_MILLISECONDS = 1_900;
 /** Pause after a hold without an answer, in milliseconds. */
@@ -19,8 +31,12 @@
 const DURABLE_WAIT_MILLISECONDS = 1_000;
 /** Most ends of one list; a full list may leave out ends and so does not prove that a run is absent. */
 const FULL_LIST = 500;
-/** No new work for an endpoint that refused or did not answer a start, in milliseconds. */
+/** No new work for an endpoint that refused a start, in milliseconds. */
 const AVOID_MILLISECONDS = 1_000;
+/** No new work for an endpoint that did not answer a start, in milliseconds, for each one in a row. */
+const UNANSWERED_AVOID_MILLISECONDS = 250;
+/** A list is later than an order if it was asked for this long after its answer, in milliseconds. */
+const SETTLE_MILLISECONDS = 1;
 /** Pause before a task whose start was refused is placed again, in milliseconds. */
 const REPLACE_MILLISECONDS = 50;
 
@@ -68,6 +84,9 @@
   /** Whether all ends applied so far are durable. */
   let applied: Promise<boolean> = Promise.resolve(true);
   let isLooking = false;
+  const latency = createLatencyEstimate(CALL_TIMEOUTS);
+  /** Starts without an answer in a row. */
+  let unansweredStarts = 0;
   const holdMilliseconds = holdTime(context.times.maximumHoldMilliseconds);
 
   function now(): number {
@@ -93,12 +112,25 @@
     return [...state.runs.values()].filter(({ endpointBornAt }) => endpointBornAt !== state.bornAt);
   }
 
+  /** Learns the time-out of calls from an order, and gives back its outcome. */
+  async function timed(call: (timeout: number) => Promise<OrderOutcome>): Promise<OrderOutcome> {
+    const sentAt = now();
+    const outcome = await call(latency.timeoutMilliseconds());
+    if (outcome.kind === 'unknown') latency.recordTimeout();
+    else latency.recordAnswer(now() - sentAt);
+    return outcome;
+  }
+
+  function sendStop(run: RunId): Promise<OrderOutcome> {
+    return timed((timeout) => endpoints.stop(target(), run, timeout));
+  }
+
   /** A start that got no answer may reach the new incarnation, so that it is ruled out there first. */
   async function endLostRun(task: TaskRecord): Promise<void> {
     const { run } = task;
     if (task.phase === 'placed' && Number.isFinite(task.settledAt) === false) {
       while (!context.hasEnded() && task.run === run && hasRun(task)) {
-        const outcome = await endpoints.stop(target(), { taskId: task.taskId, run });
+        const outcome = await sendStop({ taskId: task.taskId, run });
         if (outcome.kind === 'done' || now() > state.lapsesAt) break;
         await sleep(clock, RETRY_MILLISECONDS);
       }
@@ -133,7 +165,7 @@
     const task = state.runs.get(report.taskId);
     if (!task || task.run !== report.run) {
       log.warn('unknown run stopped', { task: report.taskId, run: report.run });
-      void endpoints.stop(target(), report);
+      void sendStop(report);
       return;
     }
     if (task.phase === 'placed') confirm(task, false);
@@ -212,11 +244,15 @@
     metrics.count('holds_sent');
     // An endpoint that may be lost gets no longer lease, so that its runs lapse at a known time.
     const deadline = state.silentCalls > 0 ? null : deadlineAfter(holdMilliseconds);
-    const outcome = await endpoints.hold(target(), {
-      deadlineOnEndpointMilliseconds: deadline,
-      acknowledgedSequence: state.durableSequence,
-      waitMilliseconds,
-    });
+    const outcome = await endpoints.hold(
+      target(),
+      {
+        deadlineOnEndpointMilliseconds: deadline,
+        acknowledgedSequence: state.durableSequence,
+        waitMilliseconds,
+      },
+      latency.timeoutMilliseconds(),
+    );
     if (context.hasEnded() || bornAt !== state.bornAt) return;
     if (outcome.kind === 'answered') {
       const durable = applyLists(outcome, sentAt);
@@ -255,7 +291,12 @@
    */
   async function resolveStart(task: TaskRecord, run: number): Promise<void> {
     metrics.count('starts_unanswered');
-    state.avoidUntil = now() + AVOID_MILLISECONDS;
+    unansweredStarts += 1;
+    const avoidTime = Math.min(
+      AVOID_MILLISECONDS,
+      unansweredStarts * UNANSWERED_AVOID_MILLISECONDS,
+    );
+    state.avoidUntil = now() + avoidTime;
     log.info('start unanswered', { task: task.taskId, run, endpoint: state.entry.endpointId });
     await hold(0);
     while (isPresent(task, run) && task.phase === 'placed') {
@@ -282,7 +323,7 @@
     const order: RunId = { taskId: task.taskId, run };
     const { bornAt } = state;
     const outcome = context.mayAct()
-      ? await endpoints.stop(target(), order)
+      ? await sendStop(order)
       : ({ kind: 'unknown', reason: 'no authority' } as const);
     if (!isPresent(task, run)) return;
     if (outcome.kind === 'refused' && outcome.reason === 'fenced') {
@@ -291,11 +332,13 @@
     }
     if (outcome.kind === 'done' && bornAt === state.bornAt) {
       task.settledAt = Math.min(task.settledAt, now());
-      // The end is listed once the run has stopped.
-      await sleep(clock, 2 * context.times.stopMilliseconds);
+      // A run that never started is absent from the next list, one that has stopped is listed as ended later.
+      await sleep(clock, SETTLE_MILLISECONDS);
+      if (isPresent(task, run)) await hold(0);
+      if (isPresent(task, run)) await sleep(clock, context.times.stopMilliseconds);
       if (isPresent(task, run)) await hold(0);
     }
-    await sleep(clock, RETRY_MILLISECONDS);
+    if (isPresent(task, run)) await sleep(clock, RETRY_MILLISECONDS);
   }
 
   async function stop(task: TaskRecord): Promise<void> {
@@ -311,7 +354,8 @@
         if (!context.mayAct()) await sleep(clock, RETRY_MILLISECONDS / 4);
         else {
           const isSettled = state.isSealed && state.durableSequence === state.appliedSequence;
-          await hold(isSettled && state.clockOffset !== null ? WAIT_MILLISECONDS : 0);
+          const wait = state.runs.size > 0 ? BUSY_WAIT_MILLISECONDS : IDLE_WAIT_MILLISECONDS;
+          await hold(isSettled && state.clockOffset !== null ? wait : 0);
         }
       }
       if (!context.hasEnded()) events.onGone(state);
@@ -325,14 +369,16 @@
         return;
       }
       metrics.count('starts_sent');
-      const outcome = await endpoints.start(target(), {
+      const order: StartOrder = {
         taskId: task.taskId,
         run,
         payload: task.step.job.specification.payload,
         deadlineOnEndpointMilliseconds: deadline,
         checkpoint: task.checkpoint,
         ticket,
-      });
+      };
+      const outcome = await timed((timeout) => endpoints.start(target(), order, timeout));
+      if (outcome.kind === 'done') unansweredStarts = 0;
       if (!isPresent(task, run) || task.phase === 'running') return;
       if (outcome.kind === 'done') confirm(task, true);
       else if (outcome.kind === 'unknown') await resolveStart(task, run);
--- a/packages/scheduler/src/types/endpoint.ts
+++ b/packages/scheduler/src/types/endpoint.ts
@@ -107,13 +107,19 @@
   | { readonly kind: 'refused'; readonly reason: OrderRefusal }
   | { readonly kind: 'failed'; readonly reason: string };
 
-/** Orders to endpoints. */
+/** Orders to endpoints. Each call ends within the timeout given, in milliseconds. */
 export interface EndpointClient {
-  start(target: OrderTarget, order: StartOrder): Promise<OrderOutcome>;
-  stop(target: OrderTarget, run: RunId): Promise<OrderOutcome>;
-  hold(target: OrderTarget, order: HoldOrder): Promise<HoldOutcome>;
+  start(target: OrderTarget, order: StartOrder, timeoutMilliseconds: number): Promise<OrderOutcome>;
+  stop(target: OrderTarget, run: RunId, timeoutMilliseconds: number): Promise<OrderOutcome>;
+  /** The timeout comes on top of the time that the endpoint may wait. */
+  hold(target: OrderTarget, order: HoldOrder, timeoutMilliseconds: number): Promise<HoldOutcome>;
   /** Sets the share at which a run may work, in percent. */
-  pace(target: OrderTarget, run: RunId, percent: number): Promise<OrderOutcome>;
+  pace(
+    target: OrderTarget,
+    run: RunId,
+    percent: number,
+    timeoutMilliseconds: number,
+  ): Promise<OrderOutcome>;
 }
 
 /** List of the endpoints that have checked in lately. */
