Judge ends of runs only under a configuration, and keep the settings of an accepted job

A queue that was not known had a limit of one attempt, so that a first failure closed an accepted job as failed. The same default met jobs whose queue had been removed, which were also never placed again, and a team that had been removed had no upper limit.

Change: a term begins with a configuration in effect. A job stores the settings of its queue and the limit of its team at acceptance; they apply after the removal. A job whose limit is not known is not given up.

--- a/packages/proving/src/__tests__/ownerTakeover.test.ts
+++ b/packages/proving/src/__tests__/ownerTakeover.test.ts
@@ -1,6 +1,11 @@
 import test from 'ava';
 
-import { createSchedulerCell, createJobId, createJobSpecification } from './schedulerCell.js';
+import {
+  CONFIGURATION,
+  createSchedulerCell,
+  createJobId,
+  createJobSpecification,
+} from './schedulerCell.js';
 
 test('an end is not acknowledged before it is durable, so that a new owner does not repeat the run', async (t) => {
   const cell = createSchedulerCell({ durationOf: () => 1_000 });
@@ -167,3 +172,50 @@
     ['stopped', 'stopped', 'stopped', 'stopped'],
   );
 });
+
+test('a failure that a new owner learns of before the configuration counts against the configured limit', async (t) => {
+  const cell = createSchedulerCell({ durationOf: () => 800 });
+  const first = cell.startProcess('first');
+  await cell.advance(200);
+  await cell.call({ specification: createJobSpecification({ count: 1 }) });
+  await cell.advance(300);
+  const [run] = cell.fleet.history;
+  first.kill();
+  cell.fleet.failRun(run!.endpointId, run!.taskId);
+  cell.isConfigurationReadable = false;
+  const second = cell.startProcess('second');
+  while (!second.term()) await cell.advance(2);
+  await cell.advance(400);
+  cell.isConfigurationReadable = true;
+  await cell.advance(4_000);
+  t.deepEqual(await cell.call({ action: 'status' }), { kind: 'status', status: 'completed' });
+  t.deepEqual(
+    cell.fleet.history.map(({ kind }) => kind),
+    ['failed', 'done'],
+  );
+});
+
+test('a job runs to its end under the settings of its acceptance after its queue and team are removed', async (t) => {
+  const cell = createSchedulerCell({ count: 1, durationOf: () => 600 });
+  const [team] = CONFIGURATION.teams;
+  cell.configuration = {
+    ...CONFIGURATION,
+    teams: [{ ...team!, limit: { processors: 2, memoryBytes: 0, accelerators: 0 } }],
+  };
+  const first = cell.startProcess('first');
+  await cell.advance(200);
+  await cell.call({ specification: createJobSpecification({ count: 6 }) });
+  await cell.advance(100);
+  cell.configuration = { ...CONFIGURATION, version: 2, queues: [], teams: [] };
+  await cell.advance(700);
+  first.kill();
+  cell.startProcess('second');
+  await cell.advance(6_000);
+  t.is(cell.fleet.history.filter(({ kind }) => kind === 'done').length, 6);
+  cell.fleet.history.forEach((run) => {
+    const others = cell.fleet.history.filter(
+      (other) => other.startedAt <= run.startedAt && (other.endedAt ?? Infinity) > run.startedAt,
+    );
+    t.true(others.length <= 2, 'the team stays within its limit');
+  });
+});
--- a/packages/proving/src/__tests__/schedulerCell.ts
+++ b/packages/proving/src/__tests__/schedulerCell.ts
@@ -40,6 +40,8 @@
   readonly store: ClusterStoreStandIn;
   readonly fleet: EndpointFleetStandIn;
   configuration: ClusterConfiguration;
+  /** Whether reads of the configuration are answered. */
+  isConfigurationReadable: boolean;
   /** @param onTermStart called right before each term of the process starts */
   startProcess(
     name: string,
@@ -148,6 +150,7 @@
     store,
     fleet,
     configuration: CONFIGURATION,
+    isConfigurationReadable: true,
     startProcess(name, onTermStart = () => {}, claimDelayMilliseconds = 0) {
       let term: OwnerTerm | null = null;
       let isKilled = false;
@@ -175,6 +178,7 @@
               async read(timeoutMilliseconds) {
                 const outcome = await client.read('any', timeoutMilliseconds);
                 if (outcome.kind === 'failed') return outcome;
+                if (!cell.isConfigurationReadable) return { kind: 'failed', reason: 'lost' };
                 return { kind: 'answered', configuration: cell.configuration };
               },
             },
--- a/packages/scheduler/src/core/callerService.ts
+++ b/packages/scheduler/src/core/callerService.ts
@@ -108,14 +108,15 @@
   function stageAcceptance(
     jobId: string,
     queue: JobQueueSettings,
-    team: string,
+    team: TeamQuota | null,
     request: CallerRequest,
   ): void {
     const job = createJobRecord({
       jobId,
       queue: queue.name,
-      team,
+      team: team?.name ?? '',
       acceptedAt: clock.wallMilliseconds(),
+      admission: { queue, teamLimit: team?.limit ?? null },
       specification: request.specification!,
     });
     const startedAt = clock.monotonicMilliseconds();
@@ -130,7 +131,7 @@
       log.info('job accepted', {
         job: jobId,
         queue: queue.name,
-        team,
+        team: job.team,
         steps: job.specification.steps.map(({ count }) => count),
       });
       options.onAccepted(job);
@@ -140,12 +141,13 @@
   async function submit(
     jobId: string,
     queue: JobQueueSettings,
-    team: string,
+    team: TeamQuota | null,
     request: CallerRequest,
   ): Promise<CallerAnswer> {
     const known = jobs.get(jobId) ?? pendingAcceptances.get(jobId)?.job;
-    if (known && (known.queue !== queue.name || known.team !== team)) {
-      return refuse('team-not-allowed', { team, queue: queue.name });
+    const teamName = team?.name ?? '';
+    if (known && (known.queue !== queue.name || known.team !== teamName)) {
+      return refuse('team-not-allowed', { team: teamName, queue: queue.name });
     }
     if (!known) stageAcceptance(jobId, queue, team, request);
     return awaitAcceptance(jobId);
@@ -163,7 +165,7 @@
   async function handleJob(
     jobId: string,
     queue: JobQueueSettings,
-    team: string,
+    team: TeamQuota | null,
     request: CallerRequest,
   ): Promise<CallerAnswer> {
     if (!JOB_ID.test(jobId)) {
@@ -175,8 +177,8 @@
     const job = jobs.get(jobId);
     if (!job && pendingAcceptances.has(jobId)) return refuse('acceptance-unknown');
     if (!job || job.queue !== queue.name) return { kind: 'no-job' };
-    if (!queue.isPublic && job.team !== team) {
-      return refuse('team-not-allowed', { team, queue: queue.name });
+    if (!queue.isPublic && job.team !== team?.name) {
+      return refuse('team-not-allowed', { team: team?.name ?? '', queue: queue.name });
     }
     if (request.action === 'cancel') return cancel(job);
     return { kind: 'status', status: describeStatus(job) };
@@ -185,7 +187,6 @@
   return {
     async handle(request) {
       const configuration = context.configuration();
-      if (!configuration) return refuse('not-ready');
       const queue = matchQueue(configuration, request.host, request.path);
       if (!isFresh() && !queue?.isPublic) {
         return refuse(
@@ -206,7 +207,7 @@
       if (rest === '' && request.action === 'status') {
         return { kind: 'waiting', count: countWaiting(queue.name) };
       }
-      return handleJob(rest, queue, team?.name ?? '', request);
+      return handleJob(rest, queue, team ?? null, request);
     },
   };
 }
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -145,12 +145,12 @@
       maximumPerEndpoint: specification.maximumPerEndpoint,
       isFilling: specification.isFilling,
       isServing: specification.targetMilliseconds > 0,
-      isUrgent: context.queue(step.job.queue)?.priority === URGENT_PRIORITY,
+      isUrgent: context.settings.queueOf(step.job)?.priority === URGENT_PRIORITY,
     };
   }
 
   function fitsTeamLimit(step: StepRecord, used: Resources): boolean {
-    const limit = context.team(step.job.team)?.limit;
+    const limit = context.settings.teamLimitOf(step.job);
     if (!limit) return true;
     return RESOURCE_DIMENSIONS.every(
       (dimension) => limit[dimension] === 0 || used[dimension] <= limit[dimension],
@@ -323,7 +323,7 @@
   function collectReadySteps(): ReadyStep[] {
     const total = sumCapacity(context);
     const readySteps = [...transitions.releasedSteps].flatMap((step) => {
-      const queue = context.queue(step.job.queue);
+      const queue = context.settings.queueOf(step.job);
       if (!queue || step.job.phase !== 'open') return [];
       return [{ step, queue, order: computeStepOrder(context, step, queue, total) }];
     });
@@ -332,7 +332,7 @@
 
   function runRound(): void {
     cancelRound = null;
-    if (!context.isOwnerLeaseValid() || !context.configuration()) return;
+    if (!context.isOwnerLeaseValid()) return;
     const candidates = collectCandidates(context, transitions);
     const requests: AdviceRequest[] = [];
     blockedTasks = new Map();
@@ -361,7 +361,7 @@
     step: StepRecord,
     candidates: readonly RoundCandidate[],
   ): AdviceRequest[] {
-    const queue = context.queue(step.job.queue);
+    const queue = context.settings.queueOf(step.job);
     const isWanted = queue && !step.isReleased && step.job.phase === 'open';
     if (!isWanted || adviceCache.hasTickets(step.stepId)) return [];
     const request = createAdviceRequest(step, queue, selectCandidates(step, queue, candidates));
--- a/packages/scheduler/src/core/jobRecords.ts
+++ b/packages/scheduler/src/core/jobRecords.ts
@@ -1,5 +1,6 @@
 import type { JobSpecification } from '../types/job.js';
 import type {
+  AdmissionSettings,
   JobPhase,
   JobRecord,
   OccurrenceRecord,
@@ -17,9 +18,13 @@
   readonly queue: string;
   readonly team: string;
   readonly acceptedAt: number;
+  readonly admission: AdmissionSettings;
   readonly specification: JobSpecification;
 }
 
+/** A stored job; those written by earlier builds have no admission settings. */
+type StoredJob = Omit<AcceptedJob, 'admission'> & Partial<Pick<AcceptedJob, 'admission'>>;
+
 /** Creates the record of a job without occurrences. */
 export function createJobRecord(accepted: AcceptedJob): JobRecord {
   return {
@@ -142,8 +147,15 @@
 
 /** Encodes the value of the specification key. */
 export function encodeAccepted(job: JobRecord): string {
-  const { jobId, queue, team, acceptedAt, specification } = job;
-  return JSON.stringify({ jobId, queue, team, acceptedAt, specification } satisfies AcceptedJob);
+  const { jobId, queue, team, acceptedAt, admission, specification } = job;
+  return JSON.stringify({
+    jobId,
+    queue,
+    team,
+    acceptedAt,
+    admission,
+    specification,
+  } satisfies AcceptedJob);
 }
 
 /** Encodes the value of the state key. */
@@ -228,5 +240,5 @@
 
 /** Parses the value of a specification key. */
 export function parseAccepted(text: string): AcceptedJob {
-  return JSON.parse(text) as AcceptedJob;
+  return { admission: { queue: null, teamLimit: null }, ...(JSON.parse(text) as StoredJob) };
 }
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -3,7 +3,7 @@
 import type { AdviceClient } from '../types/advice.js';
 import type { CallerAnswer, CallerRequest } from '../types/caller.js';
 import type { StoredItem } from '../types/clusterStore.js';
-import type { ClusterConfiguration, JobQueueSettings, TeamQuota } from '../types/configuration.js';
+import type { ClusterConfiguration } from '../types/configuration.js';
 import type { EndpointEntry } from '../types/endpoint.js';
 import type { JobRecord, TaskRecord } from '../types/jobRecord.js';
 import type { SchedulerDependencies } from '../types/schedulerDependencies.js';
@@ -36,6 +36,7 @@
   listStepIds,
   parseAccepted,
 } from './jobRecords.js';
+import { createJobSettings } from './jobSettings.js';
 import { createStragglerWatch } from './stragglerWatch.js';
 import { createTaskTransitions } from './taskTransitions.js';
 import { createDurationEstimates } from './durationEstimates.js';
@@ -94,8 +95,7 @@
   const jobs = new Map<string, JobRecord>();
   const sessions = new Map<string, EndpointSession>();
   let configuration: ClusterConfiguration | null = null;
-  let queues: ReadonlyMap<string, JobQueueSettings> = new Map();
-  let teams: ReadonlyMap<string, TeamQuota> = new Map();
+  const settings = createJobSettings();
   let configurationReadAt = -Infinity;
   let hasEnded = false;
   let components: ReturnType<typeof createComponents> | null = null;
@@ -113,7 +113,7 @@
     onAnswer: () => components?.dispatcher.requestRound(),
   });
 
-  function createComponents(chainRevision: number) {
+  function createComponents(chainRevision: number, initialConfiguration: ClusterConfiguration) {
     const commits = createCommitQueue({
       store,
       clock,
@@ -138,9 +138,8 @@
       jobs,
       commits,
       estimates,
-      configuration: () => configuration,
-      queue: (name) => queues.get(name),
-      team: (name) => teams.get(name),
+      configuration: () => configuration ?? initialConfiguration,
+      settings,
       isOwnerLeaseValid: () => !hasEnded && options.isOwnerLeaseValid(),
       hasEnded: () => hasEnded,
       abandonTerm: options.onOwnershipLost,
@@ -216,8 +215,7 @@
     if (!next || (configuration && next.version <= configuration.version)) return true;
     log.info('configuration in effect', { version: next.version, queues: next.queues.length });
     configuration = next;
-    queues = new Map(next.queues.map((queue) => [queue.name, queue]));
-    teams = new Map(next.teams.map((team) => [team.name, team]));
+    settings.apply(next);
     components?.dispatcher.requestRound();
     return true;
   }
@@ -345,18 +343,28 @@
     );
   }
 
+  /** Ends of runs and calls of callers are judged by the configuration, so a term begins with one in effect. */
+  async function awaitConfiguration(): Promise<ClusterConfiguration | null> {
+    while (!hasEnded) {
+      await readConfiguration();
+      if (configuration) return configuration;
+      await sleep(clock, RETRY_DELAY_MILLISECONDS);
+    }
+    return null;
+  }
+
   async function recover(): Promise<boolean> {
-    const [chain, items, entries] = await Promise.all([
+    const [chain, items, entries, initialConfiguration] = await Promise.all([
       retryUntilAnswered((timeout) => store.read(COMMIT_KEY, timeout)),
       retryUntilAnswered((timeout) => store.list(JOB_PREFIX, timeout)),
       retryUntilAnswered((timeout) => directory.list(timeout)),
-      readConfiguration(),
+      awaitConfiguration(),
     ]);
-    if (!chain || !items || !entries || hasEnded) return false;
+    if (!chain || !items || !entries || !initialConfiguration || hasEnded) return false;
     entries.entries.forEach((entry) => table.add(entry, clock.monotonicMilliseconds()));
     restoreJobs(items.value);
     restoreRuns();
-    components = createComponents(chain.value?.revision ?? 0);
+    components = createComponents(chain.value?.revision ?? 0, initialConfiguration);
     for (const state of table.all()) startSession(state);
     jobs.forEach((job) => components!.transitions.releaseDueSteps(job));
     log.info('state recovered', {
--- a/packages/scheduler/src/core/stepOrder.ts
+++ b/packages/scheduler/src/core/stepOrder.ts
@@ -58,6 +58,6 @@
       : judgePunctuality({ ageMilliseconds, objectiveMilliseconds, remainingMilliseconds }),
     objectiveAt: clock.monotonicMilliseconds() - ageMilliseconds + objectiveMilliseconds,
     remainingMilliseconds,
-    weightedShare: share / Math.max(context.team(job.team)?.weight ?? 1, MINIMUM_WEIGHT),
+    weightedShare: share / Math.max(context.settings.weightOf(job), MINIMUM_WEIGHT),
   };
 }
--- a/packages/scheduler/src/core/taskTransitions.ts
+++ b/packages/scheduler/src/core/taskTransitions.ts
@@ -69,8 +69,9 @@
     return commits.stage(stateKey(job.jobId), () => encodeState(job));
   }
 
+  /** A job whose limit is not known is not given up. */
   function maximumAttempts(job: JobRecord): number {
-    return context.queue(job.queue)?.maximumAttempts ?? 1;
+    return context.settings.queueOf(job)?.maximumAttempts ?? Infinity;
   }
 
   async function closeJob(job: JobRecord, phase: JobPhase): Promise<boolean> {
--- a/packages/scheduler/src/core/upcomingSteps.ts
+++ b/packages/scheduler/src/core/upcomingSteps.ts
@@ -32,7 +32,7 @@
 /** @returns steps that need advice and are expected to be released soon */
 export function findUpcomingSteps(context: TermContext): StepRecord[] {
   return [...context.jobs.values()].flatMap((job) => {
-    const queue = context.queue(job.queue);
+    const queue = context.settings.queueOf(job);
     if (!queue?.advice || job.phase !== 'open') return [];
     return [...job.occurrences.values()].flatMap(({ steps }) =>
       steps.filter((step) => isUpcoming(context, step, queue)),
--- a/packages/scheduler/src/types/jobRecord.ts
+++ b/packages/scheduler/src/types/jobRecord.ts
@@ -1,5 +1,7 @@
+import type { Resources } from '@chicorybend/common';
 import type { ProgressReport } from '@chicorybend/decisions';
 
+import type { JobQueueSettings } from './configuration.js';
 import type { JobSpecification, StepSpecification } from './job.js';
 
 /**
@@ -77,12 +79,22 @@
   doneSteps: number;
 }
 
+/** Settings of the queue and the team of a job at the time of its acceptance. */
+export interface AdmissionSettings {
+  /** Null for a job that was stored without them. */
+  readonly queue: JobQueueSettings | null;
+  /** Null for a job of a public queue, and for one that was stored without them. */
+  readonly teamLimit: Resources | null;
+}
+
 /** State of an accepted job. */
 export interface JobRecord {
   readonly jobId: string;
   readonly queue: string;
   /** Team that the job is charged to; empty for a public queue. */
   readonly team: string;
+  /** Settings under which the job was accepted; they apply once its queue or team is no longer configured. */
+  readonly admission: AdmissionSettings;
   readonly specification: JobSpecification;
   /** Wall-clock time, in milliseconds since the Unix epoch. */
   readonly acceptedAt: number;
--- a/packages/scheduler/src/types/termContext.ts
+++ b/packages/scheduler/src/types/termContext.ts
@@ -2,9 +2,10 @@
 
 import type { CommitQueue } from '../core/commitQueue.js';
 import type { EndpointTable } from '../core/endpointTable.js';
+import type { JobSettings } from '../core/jobSettings.js';
 import type { SchedulerMetrics } from '../core/schedulerMetrics.js';
 import type { DurationEstimates } from '../core/durationEstimates.js';
-import type { ClusterConfiguration, JobQueueSettings, TeamQuota } from './configuration.js';
+import type { ClusterConfiguration } from './configuration.js';
 import type { EndpointClient } from './endpoint.js';
 import type { JobRecord } from './jobRecord.js';
 
@@ -28,12 +29,9 @@
   readonly jobs: Map<string, JobRecord>;
   readonly commits: CommitQueue;
   readonly estimates: DurationEstimates;
-  /** @returns the current configuration; null before the first read */
-  configuration(): ClusterConfiguration | null;
-  /** @returns a queue of the current configuration; undefined if there is none of that name */
-  queue(name: string): JobQueueSettings | undefined;
-  /** @returns a team of the current configuration; undefined if there is none of that name */
-  team(name: string): TeamQuota | undefined;
+  /** @returns the current configuration */
+  configuration(): ClusterConfiguration;
+  readonly settings: JobSettings;
   /** @returns whether the owner's lease is valid, so that the term may send orders */
   isOwnerLeaseValid(): boolean;
   hasEnded(): boolean;
--- a/packages/standins/src/core/endpointFleetStandIn.ts
+++ b/packages/standins/src/core/endpointFleetStandIn.ts
@@ -51,6 +51,8 @@
   /** Crashes an endpoint for good; the directory lists it until `unlist` is called. */
   kill(endpointId: string): void;
   unlist(endpointId: string): void;
+  /** Ends a run as failed; no effect if the endpoint does not execute it. */
+  failRun(endpointId: string, taskId: string): void;
   drain(endpointId: string, remainingMilliseconds: number): void;
   /** @returns violations in the record: overlapping runs of a task, or a run after an acknowledged success */
   violations(): string[];
@@ -391,6 +393,9 @@
     unlist(endpointId) {
       unlisted.add(endpointId);
     },
+    failRun(endpointId, taskId) {
+      endRun(endpoints.get(endpointId)!, taskId, 'failed');
+    },
     drain(endpointId, remainingMilliseconds) {
       const endpoint = endpoints.get(endpointId)!;
       endpoint.entry = {
