Move ownership from a weak VM to a stronger one, and take up claims whose answer was lost

Its head start for stronger VMs was 150 ms whatever the latency of the store, while a claim took three calls one after the other. A claim that took effect without an answer left the cell without an owner until its lease had expired.

Change: the delay of a weak VM grows with the latency of the store, and it reads the owner key again before it claims. A claim reads the epoch and requests its lease at the same time. VMs tell the owner their processors with each ping; an owner yields to one that has twice its processors and has been connected for a second. A claim whose answer was lost is taken up when the owner key shows that it is in effect. The lease of a claim counts only if the VM was not suspended since it was requested.

--- a/packages/proving/src/__tests__/ownerTakeover.test.ts
+++ b/packages/proving/src/__tests__/ownerTakeover.test.ts
@@ -219,3 +219,36 @@
     t.true(others.length <= 2, 'the team stays within its limit');
   });
 });
+
+test('a claim whose answer was lost is taken up before its lease could expire', async (t) => {
+  const cell = createSchedulerCell();
+  const first = cell.startProcess('first');
+  cell.store.faultsOf('first').lostAnswerFraction = 1;
+  await cell.advance(60);
+  cell.store.faultsOf('first').lostAnswerFraction = 0;
+  await cell.advance(440);
+  t.is(first.term() === null, false);
+  const answer = await cell.call({ specification: createJobSpecification({ count: 1 }) });
+  t.is(answer.kind, 'accepted');
+});
+
+test('ownership that a weak VM yields goes to another one, and returns only if nobody else claims it', async (t) => {
+  const cell = createSchedulerCell({ durationOf: () => 3_000 });
+  const weak = cell.startProcess('weak', undefined, 150);
+  await cell.advance(1_000);
+  await cell.call({ specification: createJobSpecification({ count: 4 }) });
+  await cell.advance(100);
+  const strong = cell.startProcess('strong');
+  await cell.advance(100);
+  void weak.election.yieldOwnership('test');
+  await cell.advance(200);
+  t.is(weak.term(), null);
+  t.not(strong.term(), null);
+  strong.kill();
+  await cell.advance(3_000);
+  t.not(weak.term(), null);
+  await cell.advance(3_000);
+  t.deepEqual(await cell.call({ action: 'status' }), { kind: 'status', status: 'completed' });
+  t.is(cell.fleet.history.length, 4);
+  t.deepEqual(cell.fleet.violations(), []);
+});
--- a/packages/scheduler/src/core/ownerElection.ts
+++ b/packages/scheduler/src/core/ownerElection.ts
@@ -1,7 +1,7 @@
 import { sleep } from '@chicorybend/common';
 import type { Clock, Log } from '@chicorybend/common';
 
-import type { ClusterStore, StoredItem } from '../types/clusterStore.js';
+import type { ClusterStore, ReadOutcome, StoredItem } from '../types/clusterStore.js';
 import { createLatencyEstimate } from '../utils/latencyEstimate.js';
 import { EPOCH_KEY, OWNER_KEY } from '../utils/storeKeys.js';
 import { callWithAdaptiveTimeout } from '../utils/adaptiveTimeout.js';
@@ -15,6 +15,10 @@
 const EXPIRY_MARGIN_MILLISECONDS = 50;
 /** A larger jump of the wall clock against the monotonic clock means that the VM may have been suspended. */
 const SUSPENSION_THRESHOLD_MILLISECONDS = 250;
+/** For this long, a process that has yielded the ownership leaves it to others. */
+const YIELD_PAUSE_MILLISECONDS = 3_000;
+/** Delay of its claim within that time, in case that nobody else claims. */
+const YIELDED_CLAIM_DELAY_MILLISECONDS = 1_000;
 /** Bounds of the timeout of a call to the store. */
 const CALL_TIMEOUTS = { minimumMilliseconds: 250, maximumMilliseconds: 1_000 };
 
@@ -33,6 +37,16 @@
   readonly ownerRevision: number;
 }
 
+/** An attempt to become the owner. */
+interface Claim {
+  readonly epoch: number;
+  readonly leaseId: number;
+  /** When the lease was requested, in monotonic milliseconds. */
+  readonly sentAt: number;
+  /** Wall-clock time minus monotonic time at that moment; a later difference shows a suspension. */
+  readonly offset: number;
+}
+
 export interface OwnerElectionOptions {
   readonly store: ClusterStore;
   readonly clock: Clock;
@@ -41,7 +55,7 @@
   readonly address: string;
   /** Time to live of the owner's lease, in milliseconds. */
   readonly leaseMilliseconds: number;
-  /** Delay before claiming, in milliseconds, so that VMs with more capacity claim first. */
+  /** Minimum delay before claiming, in milliseconds, so that VMs with more capacity claim first; 0 for none. */
   readonly claimDelayMilliseconds: number;
   readonly onOwnerChange: (owner: OwnerRecord | null) => void;
   readonly onTermStart: (term: TermIdentity) => void;
@@ -62,6 +76,8 @@
   abandonTerm(reason: string): void;
   /** Stops claiming and ends the lease, so that another process takes over at once. Still watches the owner key. */
   resign(): Promise<void>;
+  /** Ends the lease in favour of another process, and leaves the next claims to others unless nobody claims. */
+  yieldOwnership(reason: string): Promise<void>;
   /** Ends {@link OwnerElection.run}. */
   stop(): void;
 }
@@ -84,6 +100,9 @@
   let owner: OwnerRecord | null = null;
   let term: (TermIdentity & { leaseId: number }) | null = null;
   let leaseValidUntil = -Infinity;
+  let yieldedUntil = -Infinity;
+  /** Last claim whose write was not answered; it may be in effect. */
+  let unansweredClaim: Claim | null = null;
   let clockOffset = readClockOffset();
 
   function readClockOffset(): number {
@@ -171,17 +190,60 @@
     };
   }
 
+  /** A claim takes a few calls to the store, so the delay grows with the latency of the store. */
+  function claimDelay(): number {
+    if (clock.monotonicMilliseconds() < yieldedUntil) return YIELDED_CLAIM_DELAY_MILLISECONDS;
+    if (options.claimDelayMilliseconds === 0) return 0;
+    return Math.max(options.claimDelayMilliseconds, latency.timeoutMilliseconds());
+  }
+
+  function readOwnerKey(): Promise<ReadOutcome<StoredItem | null>> {
+    return callStore(
+      (timeout) => store.read(OWNER_KEY, timeout),
+      (result) => result.kind === 'failed',
+    );
+  }
+
+  /** Waits for processes that should claim first. @returns whether this process should claim now */
+  async function awaitTurnToClaim(): Promise<boolean> {
+    const delay = claimDelay();
+    if (delay === 0) return mayClaim;
+    await sleep(clock, delay);
+    const outcome = await readOwnerKey();
+    return mayClaim && outcome.kind === 'answered' && outcome.value === null;
+  }
+
+  async function endUnusedLease(leaseId: number): Promise<void> {
+    await store.endLease(leaseId, latency.timeoutMilliseconds());
+  }
+
+  /** Begins the term of a claim that is in effect. */
+  function beginTerm({ epoch, leaseId, sentAt, offset }: Claim, ownerRevision: number): void {
+    unansweredClaim = null;
+    checkSuspension();
+    term = { epoch, ownerRevision, leaseId };
+    leaseValidUntil =
+      clockOffset === offset ? sentAt + leaseMilliseconds - EXPIRY_MARGIN_MILLISECONDS : -Infinity;
+    log.info('term started', { epoch });
+    setOwner({ address, epoch });
+    options.onTermStart(term);
+    void keepLeaseRenewed();
+  }
+
   async function claimOwnership(): Promise<void> {
-    const storedEpoch = await readEpoch();
-    if (!storedEpoch || !mayClaim) return;
     checkSuspension();
     const sentAt = clock.monotonicMilliseconds();
-    const lease = await callStore(
-      (timeout) => store.grantLease(leaseMilliseconds, timeout),
-      (result) => result.kind === 'failed',
-    );
-    if (lease.kind === 'failed' || !mayClaim) return;
+    const offset = clockOffset;
+    const [storedEpoch, lease] = await Promise.all([
+      readEpoch(),
+      callStore(
+        (timeout) => store.grantLease(leaseMilliseconds, timeout),
+        (result) => result.kind === 'failed',
+      ),
+    ]);
+    if (!storedEpoch || lease.kind === 'failed' || !mayClaim) return;
     const epoch = storedEpoch.epoch + 1;
+    const claim: Claim = { epoch, leaseId: lease.leaseId, sentAt, offset };
     const outcome = await callStore(
       (timeout) =>
         store.write(
@@ -200,25 +262,23 @@
         ),
       (result) => result.kind === 'unknown',
     );
-    // If the answer was lost and the claim succeeded, the lease expires by itself and the key becomes absent again.
+    unansweredClaim = outcome.kind === 'unknown' ? claim : null;
     if (outcome.kind !== 'written') return;
-    if (!mayClaim) {
-      await store.endLease(lease.leaseId, latency.timeoutMilliseconds());
-      return;
-    }
-    term = { epoch, ownerRevision: outcome.revision, leaseId: lease.leaseId };
-    leaseValidUntil = sentAt + leaseMilliseconds - EXPIRY_MARGIN_MILLISECONDS;
-    log.info('term started', { epoch });
-    setOwner({ address, epoch });
-    options.onTermStart(term);
-    void keepLeaseRenewed();
+    if (mayClaim) beginTerm(claim, outcome.revision);
+    else await endUnusedLease(lease.leaseId);
+  }
+
+  /** Takes up a claim whose answer was lost, if the owner key shows that it is in effect. */
+  async function resolveUnansweredClaim(record: OwnerRecord, revision: number): Promise<void> {
+    const claim = unansweredClaim;
+    if (term || !claim || record.address !== address || record.epoch !== claim.epoch) return;
+    unansweredClaim = null;
+    if (mayClaim) beginTerm(claim, revision);
+    else await endUnusedLease(claim.leaseId);
   }
 
   async function followOwnerKey(): Promise<void> {
-    const outcome = await callStore(
-      (timeout) => store.read(OWNER_KEY, timeout),
-      (result) => result.kind === 'failed',
-    );
+    const outcome = await readOwnerKey();
     if (outcome.kind === 'failed') {
       await sleep(clock, RETRY_DELAY_MILLISECONDS);
       return;
@@ -226,10 +286,7 @@
     if (!outcome.value) {
       setOwner(null);
       endTerm('owner key is absent');
-      if (mayClaim && options.claimDelayMilliseconds > 0) {
-        await sleep(clock, options.claimDelayMilliseconds);
-      }
-      if (mayClaim) await claimOwnership();
+      if (mayClaim && (await awaitTurnToClaim())) await claimOwnership();
       if (!term) await sleep(clock, RETRY_DELAY_MILLISECONDS);
       return;
     }
@@ -237,12 +294,20 @@
       endTerm('another process is the owner');
     }
     const record = parseOwner(outcome.value);
+    if (record) await resolveUnansweredClaim(record, outcome.value.revision);
     // A record with this address but without a term here was left by a former process, which answers no calls.
     setOwner(record && (record.address !== address || term) ? record : null);
     const change = await store.awaitChange(OWNER_KEY, outcome.revision, WATCH_TIMEOUT_MILLISECONDS);
     if (change === 'failed') await sleep(clock, RETRY_DELAY_MILLISECONDS);
   }
 
+  async function release(reason: string): Promise<void> {
+    const released = term;
+    if (!released) return;
+    endTerm(reason);
+    await store.endLease(released.leaseId, CALL_TIMEOUTS.maximumMilliseconds);
+  }
+
   return {
     async run() {
       while (!isStopped) await followOwnerKey();
@@ -252,10 +317,11 @@
     abandonTerm: endTerm,
     async resign() {
       mayClaim = false;
-      const released = term;
-      if (!released) return;
-      endTerm('released');
-      await store.endLease(released.leaseId, CALL_TIMEOUTS.maximumMilliseconds);
+      await release('released');
+    },
+    async yieldOwnership(reason) {
+      yieldedUntil = clock.monotonicMilliseconds() + YIELD_PAUSE_MILLISECONDS;
+      await release(reason);
     },
     stop() {
       mayClaim = false;
--- /dev/null
+++ b/packages/scheduler/src/core/ownerPreference.ts
@@ -0,0 +1,61 @@
+/** A VM yields the ownership only to one with this many times its processors, so that equal VMs never alternate. */
+const MINIMUM_PROCESSOR_RATIO = 2;
+/** A peer has to be in contact for this long before it counts, so that it is not one that is just starting. */
+const MINIMUM_CONTACT_MILLISECONDS = 1_000;
+/** A peer counts as lost this long after its last message; longer than the interval of its messages. */
+const MAXIMUM_SILENCE_MILLISECONDS = 2_500;
+/** Minimum duration of a term before it is yielded; the state has been recovered by then. */
+const MINIMUM_TERM_MILLISECONDS = 1_000;
+
+/** A peer that is connected to the owner. */
+export interface OwnerCandidate {
+  readonly address: string;
+  /** Number of cores that its process may use. */
+  readonly processors: number;
+}
+
+/** Decides whether the owner should yield to a VM with more processors. */
+export interface OwnerPreference {
+  /** Records a message of a peer. */
+  recordContact(candidate: OwnerCandidate, now: number): void;
+  /**
+   * @param termStartedAt start of the term, in monotonic milliseconds
+   * @param now current time, in monotonic milliseconds
+   * @returns the peer that should own the cell instead; null if there is none
+   */
+  findBetterOwner(termStartedAt: number, now: number): OwnerCandidate | null;
+}
+
+interface Contact {
+  readonly candidate: OwnerCandidate;
+  readonly since: number;
+  readonly lastAt: number;
+}
+
+/**
+ * Creates a preference without contacts.
+ *
+ * @param processors number of cores that this process may use
+ */
+export function createOwnerPreference(processors: number): OwnerPreference {
+  const contacts = new Map<string, Contact>();
+
+  return {
+    recordContact(candidate, now) {
+      const known = contacts.get(candidate.address);
+      const isContinuous = known && now - known.lastAt <= MAXIMUM_SILENCE_MILLISECONDS;
+      const since = isContinuous ? known.since : now;
+      contacts.set(candidate.address, { candidate, since, lastAt: now });
+    },
+    findBetterOwner(termStartedAt, now) {
+      if (now - termStartedAt < MINIMUM_TERM_MILLISECONDS) return null;
+      const better = [...contacts.values()].find(
+        ({ candidate, since, lastAt }) =>
+          candidate.processors >= MINIMUM_PROCESSOR_RATIO * processors &&
+          now - since >= MINIMUM_CONTACT_MILLISECONDS &&
+          now - lastAt <= MAXIMUM_SILENCE_MILLISECONDS,
+      );
+      return better?.candidate ?? null;
+    },
+  };
+}
--- a/packages/scheduler/src/core/scheduler.ts
+++ b/packages/scheduler/src/core/scheduler.ts
@@ -5,6 +5,8 @@
 import type { SchedulerDependencies } from '../types/schedulerDependencies.js';
 import { createOwnerElection } from './ownerElection.js';
 import type { OwnerRecord } from './ownerElection.js';
+import { createOwnerPreference } from './ownerPreference.js';
+import type { OwnerCandidate } from './ownerPreference.js';
 import { createOwnerTerm } from './ownerTerm.js';
 import type { OwnerTerm } from './ownerTerm.js';
 import { listenForPeers, openPeerChannel } from './peerChannel.js';
@@ -28,6 +30,8 @@
   readonly leaseMilliseconds: number;
   /** Delay before claiming ownership, in milliseconds, so that VMs with more capacity claim first. */
   readonly claimDelayMilliseconds: number;
+  /** Number of cores that this process may use. */
+  readonly processors: number;
   /** `<address>:<port>` on which this VM accepts connections of its peers. */
   readonly peerAddress: string;
 }
@@ -52,7 +56,9 @@
 /** Creates the scheduler of a VM; {@link Scheduler.start} starts it. */
 export function createScheduler(options: SchedulerOptions): Scheduler {
   const { clock, log, metrics, peerAddress } = options;
+  const preference = createOwnerPreference(options.processors);
   let term: OwnerTerm | null = null;
+  let termStartedAt = -Infinity;
   let ownerChannel: { owner: OwnerRecord; channel: PeerChannel } | null = null;
   let listener: PeerListener | null = null;
   let isStopped = false;
@@ -69,6 +75,7 @@
     onOwnerChange: () => notifyOwnerChange(),
     onTermStart(identity) {
       metrics.count('terms');
+      termStartedAt = clock.monotonicMilliseconds();
       term = createOwnerTerm({
         ...options,
         term: identity,
@@ -109,8 +116,18 @@
     );
   }
 
+  /** A VM of an earlier build sends no parameters. */
+  function recordPing(parameters: unknown): void {
+    const { address, processors } = (parameters ?? {}) as Partial<OwnerCandidate>;
+    if (typeof address !== 'string' || typeof processors !== 'number') return;
+    preference.recordContact({ address, processors }, clock.monotonicMilliseconds());
+  }
+
   const handlers: PeerHandlers = {
-    ping: () => Promise.resolve(true),
+    ping(parameters) {
+      recordPing(parameters);
+      return Promise.resolve(true);
+    },
     handle: (request) => handleAsOwner(request as CallerRequest),
     async advise(parameters) {
       const { stepId, endpointIds, timeoutMilliseconds } = parameters as {
@@ -131,9 +148,24 @@
     });
   }
 
+  /** Leaves the ownership to a VM with more processors, if one is connected. */
+  async function watchForBetterOwner(): Promise<void> {
+    while (!isStopped) {
+      await sleep(clock, PING_INTERVAL_MILLISECONDS);
+      const better =
+        term && preference.findBetterOwner(termStartedAt, clock.monotonicMilliseconds());
+      if (better) {
+        log.info('ownership yielded', { to: better.address, processors: better.processors });
+        metrics.count('terms_yielded');
+        await election.yieldOwnership('a VM with more processors is connected');
+      }
+    }
+  }
+
   async function keepAlive(channel: PeerChannel): Promise<void> {
+    const self: OwnerCandidate = { address: peerAddress, processors: options.processors };
     while (channel.isOpen() && !isStopped) {
-      const outcome = await channel.call('ping', null, PING_TIMEOUT_MILLISECONDS);
+      const outcome = await channel.call('ping', self, PING_TIMEOUT_MILLISECONDS);
       if (outcome.kind === 'lost') channel.close();
       else await sleep(clock, PING_INTERVAL_MILLISECONDS);
     }
@@ -228,6 +260,7 @@
       });
       void election.run();
       void maintainOwnerConnection();
+      void watchForBetterOwner();
     },
     async handle(request, limitMilliseconds) {
       const startedAt = clock.monotonicMilliseconds();
--- a/packages/scheduler/src/core/schedulerMetrics.ts
+++ b/packages/scheduler/src/core/schedulerMetrics.ts
@@ -23,6 +23,7 @@
   advice_calls: 'Calls for eligibility advice.',
   advice_failed: 'Such calls without tickets in time.',
   terms: 'Terms of ownership of this process.',
+  terms_yielded: 'Terms ended in favour of a VM with more processors.',
 } as const;
 
 export type CounterName = keyof typeof COUNTERS;
