--- a/packages/decisions/src/__tests__/stepPlacement.test.ts
+++ b/packages/decisions/src/__tests__/stepPlacement.test.ts
@@ -1,7 +1,8 @@
 import test from 'ava';
 
 import { chooseEndpointsForAdvice } from '../core/chooseEndpointsForAdvice.js';
-import { chooseEndpoint } from '../core/chooseEndpoint.js';
+import { createEndpointChooser } from '../core/chooseEndpoint.js';
+import type { EndpointCandidate, EndpointRequirements } from '../core/chooseEndpoint.js';
 
 const CANDIDATE = {
   endpointId: 'a',
@@ -22,6 +23,14 @@
   isUrgent: false,
 };
 
+function chooseEndpoint(
+  candidates: readonly EndpointCandidate[],
+  requirements: EndpointRequirements,
+) {
+  const copies = candidates.map((candidate) => ({ ...candidate }));
+  return createEndpointChooser(copies, requirements).place(null);
+}
+
 test('a task is placed only on an endpoint where it fits in every dimension', (t) => {
   t.is(chooseEndpoint([CANDIDATE], REQUEST)?.endpointId, 'a');
   const dimensions = [
@@ -92,3 +101,41 @@
   );
   t.is(chooseEndpointsForAdvice(candidates.slice(0, 40), REQUEST, cost).length, 40);
 });
+
+test('tasks are placed until no endpoint has room, and the load of the candidates grows with them', (t) => {
+  const candidates = ['a', 'b', 'c'].map((endpointId, index) => ({
+    ...CANDIDATE,
+    endpointId,
+    rack: `r${index}`,
+  }));
+  const chooser = createEndpointChooser(candidates, {
+    ...REQUEST,
+    resources: { ...REQUEST.resources, processors: 1 },
+  });
+  const chosen = Array.from({ length: 7 }, () => chooser.place(null)?.endpointId ?? null);
+  t.deepEqual(chosen, ['a', 'a', 'b', 'b', 'c', 'c', null]);
+  t.deepEqual(
+    candidates.map(({ used }) => used.processors),
+    [8, 8, 8],
+  );
+});
+
+test('an excluded endpoint is passed over for one task only', (t) => {
+  const candidates = ['a', 'b'].map((endpointId) => ({ ...CANDIDATE, endpointId }));
+  const chooser = createEndpointChooser(candidates, REQUEST);
+  t.is(chooser.place('a')?.endpointId, 'b');
+  t.is(chooser.place('a'), null);
+  t.is(chooser.place(null)?.endpointId, 'a');
+});
+
+test('a step that keeps to racks fills the first rack before it uses another', (t) => {
+  const candidates = [0, 1, 2, 3].map((index) => ({
+    ...CANDIDATE,
+    endpointId: `e${index}`,
+    rack: `r${index % 2}`,
+    used: { ...CANDIDATE.used, processors: index === 1 ? 5 : 6 },
+  }));
+  const chooser = createEndpointChooser(candidates, REQUEST, true);
+  const racks = Array.from({ length: 4 }, () => chooser.place(null)?.rack);
+  t.deepEqual(racks, ['r0', 'r0', 'r1', 'r1']);
+});
--- a/packages/decisions/src/core/chooseEndpoint.ts
+++ b/packages/decisions/src/core/chooseEndpoint.ts
@@ -1,6 +1,6 @@
 import type { Resources } from '@chicorybend/common';
 
-import { coversResources, addResources } from '../utils/resourceAmounts.js';
+import { addResources, hasRoomBeside } from '../utils/resourceAmounts.js';
 
 /** An endpoint that may run a task. */
 export interface EndpointCandidate {
@@ -43,11 +43,12 @@
 /** An endpoint slower than this is considered unhealthy, and no task prefers it. */
 const MAXIMUM_HEALTHY_SLOWNESS = 1.5;
 
-function canHost(candidate: EndpointCandidate, requirements: EndpointRequirements): boolean {
+/** @returns whether a task may be placed on an endpoint now */
+export function canHost(candidate: EndpointCandidate, requirements: EndpointRequirements): boolean {
   const { maximumPerEndpoint } = requirements;
   if (maximumPerEndpoint > 0 && candidate.stepTaskCount >= maximumPerEndpoint) return false;
   if (requirements.isFilling && candidate.servingTaskCount > 0) return false;
-  return coversResources(candidate.capacity, addResources(candidate.used, requirements.resources));
+  return hasRoomBeside(candidate.capacity, candidate.used, requirements.resources);
 }
 
 /** Fraction of the capacity left free by the task, of processors or memory, whichever is scarcer. */
@@ -67,8 +68,12 @@
   return FAST_ENDPOINT_WEIGHT * (1 - slowness);
 }
 
-function score(candidate: EndpointCandidate, requirements: EndpointRequirements): number {
-  const rackIndex = requirements.preferredRacks.indexOf(candidate.rack);
+function score(
+  candidate: EndpointCandidate,
+  requirements: EndpointRequirements,
+  preferredRacks: readonly string[],
+): number {
+  const rackIndex = preferredRacks.indexOf(candidate.rack);
   const rackScore = rackIndex < 0 ? 0 : RACK_WEIGHT / (1 + rackIndex);
   const fillingPenalty = requirements.isServing ? FILLING_WEIGHT * candidate.fillingTaskCount : 0;
   return (
@@ -79,29 +84,77 @@
   );
 }
 
+/** A candidate whose load grows with the tasks that are placed on it. */
+export interface PlacementCandidate extends EndpointCandidate {
+  used: Resources;
+  stepTaskCount: number;
+}
+
+/** Chooses endpoints for the tasks of one step, one after the other. */
+export interface EndpointChooser<Candidate extends PlacementCandidate> {
+  /**
+   * Chooses the endpoint of the next task and adds the task to its load.
+   *
+   * @param excludedEndpointId endpoint that is not chosen; null for none
+   * @returns the chosen candidate, or null if none can run the task
+   */
+  place(excludedEndpointId: string | null): Candidate | null;
+}
+
 /**
- * Chooses the endpoint for a task: near its data, on a fast endpoint if it is urgent, and where the fit is
+ * Chooses endpoints for tasks: near their data, on a fast endpoint if they are urgent, and where the fit is
  * tightest, so that large free blocks remain for large tasks. Filling tasks are never placed on an endpoint with
  * serving tasks that have a target.
  *
  * Urgent tasks get the fast endpoints because a step ends with its slowest task, while batches that run beside
  * them have time to spare.
  *
- * @param candidates endpoints that may run the task
- * @returns the chosen candidate, or null if none can run the task
+ * A placement changes the score of one candidate only, so each task costs one pass over the scores.
+ *
+ * @param candidates endpoints that may run the tasks
+ * @param requirements requirements of each task
+ * @param keepsToRacks whether racks that the step already uses are preferred to others
  */
-export function chooseEndpoint<Candidate extends EndpointCandidate>(
+export function createEndpointChooser<Candidate extends PlacementCandidate>(
   candidates: readonly Candidate[],
   requirements: EndpointRequirements,
-): Candidate | null {
-  let best: Candidate | null = null;
-  let bestScore = -Infinity;
-  for (const candidate of candidates) {
-    if (!canHost(candidate, requirements)) continue;
-    const candidateScore = score(candidate, requirements);
-    if (candidateScore <= bestScore) continue;
-    best = candidate;
-    bestScore = candidateScore;
+  keepsToRacks = false,
+): EndpointChooser<Candidate> {
+  const hosts = candidates.filter((candidate) => canHost(candidate, requirements));
+  const racksInUse: string[] = [];
+
+  function rate(candidate: Candidate): number {
+    return score(candidate, requirements, keepsToRacks ? racksInUse : requirements.preferredRacks);
+  }
+
+  let scores = hosts.map(rate);
+
+  function findBest(excludedEndpointId: string | null): number {
+    let best = -1;
+    let bestScore = -Infinity;
+    for (let position = 0; position < hosts.length; position += 1) {
+      const isBetter = scores[position]! > bestScore;
+      if (isBetter && hosts[position]!.endpointId !== excludedEndpointId) {
+        best = position;
+        bestScore = scores[position]!;
+      }
+    }
+    return best;
   }
-  return best;
+
+  return {
+    place(excludedEndpointId) {
+      const position = findBest(excludedEndpointId);
+      const chosen = hosts[position];
+      if (!chosen) return null;
+      chosen.used = addResources(chosen.used, requirements.resources);
+      chosen.stepTaskCount += 1;
+      scores[position] = canHost(chosen, requirements) ? rate(chosen) : -Infinity;
+      if (keepsToRacks && !racksInUse.includes(chosen.rack)) {
+        racksInUse.push(chosen.rack);
+        scores = hosts.map((host, index) => (scores[index] === -Infinity ? -Infinity : rate(host)));
+      }
+      return chosen;
+    },
+  };
 }
--- a/packages/decisions/src/core/chooseEndpointsForAdvice.ts
+++ b/packages/decisions/src/core/chooseEndpointsForAdvice.ts
@@ -1,4 +1,4 @@
-import { chooseEndpoint } from './chooseEndpoint.js';
+import { canHost } from './chooseEndpoint.js';
 import type { EndpointCandidate, EndpointRequirements } from './chooseEndpoint.js';
 
 /** The endpoints in a call add at most this fraction of the fixed time of the call. */
@@ -35,7 +35,7 @@
   return candidates
     .map((candidate) => ({
       candidate,
-      hasRoom: chooseEndpoint([candidate], requirements) !== null,
+      hasRoom: canHost(candidate, requirements),
     }))
     .sort(
       (left, right) =>
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -73,8 +73,13 @@
 /** Placement and order of the steps of jobs. */
 export { chooseEndpointsForAdvice } from './core/chooseEndpointsForAdvice.js';
 export type { AdviceCallCost } from './core/chooseEndpointsForAdvice.js';
-export { chooseEndpoint } from './core/chooseEndpoint.js';
-export type { EndpointCandidate, EndpointRequirements } from './core/chooseEndpoint.js';
+export { canHost, createEndpointChooser } from './core/chooseEndpoint.js';
+export type {
+  EndpointCandidate,
+  EndpointChooser,
+  EndpointRequirements,
+  PlacementCandidate,
+} from './core/chooseEndpoint.js';
 export { judgePunctuality, orderSteps } from './core/stepOrder.js';
 export type { ObjectiveTimes, OrderingKey, Punctuality } from './core/stepOrder.js';
 
--- a/packages/decisions/src/utils/resourceAmounts.ts
+++ b/packages/decisions/src/utils/resourceAmounts.ts
@@ -16,6 +16,15 @@
   };
 }
 
+/** @returns whether a capacity covers what is in use and what is required besides, in every dimension */
+export function hasRoomBeside(capacity: Resources, used: Resources, required: Resources): boolean {
+  return (
+    capacity.processors >= used.processors + required.processors &&
+    capacity.memoryBytes >= used.memoryBytes + required.memoryBytes &&
+    capacity.accelerators >= used.accelerators + required.accelerators
+  );
+}
+
 /** @returns whether the available amounts suffice in every dimension */
 export function coversResources(available: Resources, required: Resources): boolean {
   return RESOURCE_DIMENSIONS.every((dimension) => available[dimension] >= required[dimension]);
--- a/packages/scheduler/src/__tests__/adviceCache.test.ts
+++ b/packages/scheduler/src/__tests__/adviceCache.test.ts
@@ -36,7 +36,7 @@
 
 test('a ticket is used until shortly before it expires; eligibility stays known until the step is forgotten', async (t) => {
   const { clock, cache, answers } = createCacheWithChannels(1);
-  cache.setRequests([{ stepId: 'a.0.0', endpoints: [ENDPOINT], settings: SHORT }]);
+  cache.setRequests([{ stepId: 'a.0.0', chooseEndpoints: () => [ENDPOINT], settings: SHORT }]);
   answers[0]!();
   await setImmediate();
   t.is(cache.ticketFor('a.0.0', ENDPOINT), 'ticket');
@@ -52,7 +52,7 @@
   const { cache, requestedSteps } = createCacheWithChannels(4);
   const request = (stepId: string, settings: typeof SHORT) => ({
     stepId,
-    endpoints: [ENDPOINT],
+    chooseEndpoints: () => [ENDPOINT],
     settings,
   });
   const long = ['l1', 'l2', 'l3'].map((stepId) => request(stepId, LONG));
@@ -62,13 +62,15 @@
 
 test('a request repeated while its call is in flight is dropped once the answer is known', async (t) => {
   const { cache, requestedSteps, answers } = createCacheWithChannels(1);
-  const request = { stepId: 'a.0.0', endpoints: [ENDPOINT], settings: SHORT };
+  const request = { stepId: 'a.0.0', chooseEndpoints: () => [ENDPOINT], settings: SHORT };
   cache.setRequests([request]);
   // A round during the call still finds no ticket, and sets the same request again.
   cache.setRequests([request]);
   answers[0]!();
   await setImmediate();
   t.deepEqual(requestedSteps, ['a.0.0']);
-  cache.setRequests([{ ...request, endpoints: [{ endpointId: 'endpoint-2', bornAt: 1 }] }]);
+  cache.setRequests([
+    { ...request, chooseEndpoints: () => [{ endpointId: 'endpoint-2', bornAt: 1 }] },
+  ]);
   t.deepEqual(requestedSteps, ['a.0.0', 'a.0.0']);
 });
--- a/packages/scheduler/src/core/adviceCache.ts
+++ b/packages/scheduler/src/core/adviceCache.ts
@@ -10,7 +10,7 @@
 /** Added to the configured duration of a call for its timeout. */
 const CALL_MARGIN_MILLISECONDS = 1_000;
 const MAXIMUM_ENDPOINTS_PER_CALL = 100;
-/** Longer calls count as long, and leave some channels free for shorter ones. */
+/** Calls with a longer fixed duration count as long, and leave some channels free for shorter ones. */
 const LONG_CALL_MILLISECONDS = 200;
 /** Channels that long calls may not use, provided that there are more channels than this. */
 const CHANNELS_RESERVED_FOR_SHORT_CALLS = 2;
@@ -35,8 +35,9 @@
 /** Advice call to make. */
 export interface AdviceRequest {
   readonly stepId: string;
-  readonly endpoints: readonly EndpointIncarnation[];
   readonly settings: AdviceSettings;
+  /** Called when the request is sent. @returns endpoints that the call is about; no call is made if there are none */
+  chooseEndpoints(): readonly EndpointIncarnation[];
 }
 
 /** Channel to the advice service through one VM; the service accepts one call per VM at a time. */
@@ -92,23 +93,27 @@
   }
 
   function recordAnswer(
-    request: AdviceRequest,
+    stepId: string,
+    endpoints: readonly EndpointIncarnation[],
     tickets: ReadonlyMap<string, string>,
     usableUntil: number,
   ): void {
-    const advice = steps.get(request.stepId);
+    const advice = steps.get(stepId);
     if (!advice) return;
-    request.endpoints.forEach(({ endpointId, bornAt }) => {
+    endpoints.forEach(({ endpointId, bornAt }) => {
       const ticket = tickets.get(endpointId);
       advice.eligibility.set(endpointId, { isEligible: ticket !== undefined, bornAt });
       if (ticket !== undefined) advice.tickets.set(endpointId, { ticket, bornAt, usableUntil });
     });
   }
 
-  async function fetchAdvice(channel: AdviceChannel, request: AdviceRequest): Promise<void> {
-    const { stepId, endpoints } = request;
+  async function fetchAdvice(
+    channel: AdviceChannel,
+    { stepId, settings }: AdviceRequest,
+    endpoints: readonly EndpointIncarnation[],
+  ): Promise<void> {
     const sentAt = clock.monotonicMilliseconds();
-    const expected = expectedMilliseconds(request);
+    const expected = settings.callMilliseconds + settings.endpointMilliseconds * endpoints.length;
     metrics.count('advice_calls');
     const outcome = await channel.client.advise(
       stepId,
@@ -125,7 +130,7 @@
       // long call would be too strict.
       const assumedIssuedAt = sentAt + Math.min(took, expected) / 2;
       const usableUntil = assumedIssuedAt + outcome.validMilliseconds - EXPIRY_MARGIN_MILLISECONDS;
-      recordAnswer(request, tickets, usableUntil);
+      recordAnswer(stepId, endpoints, tickets, usableUntil);
       log.debug('advice call answered', {
         step: stepId,
         asked: endpoints.length,
@@ -145,36 +150,47 @@
     options.onAnswer();
   }
 
-  function expectedMilliseconds({ settings, endpoints }: AdviceRequest): number {
-    return settings.callMilliseconds + settings.endpointMilliseconds * endpoints.length;
-  }
-
-  function isLongCall(request: AdviceRequest): boolean {
-    return expectedMilliseconds(request) > LONG_CALL_MILLISECONDS;
+  function isLongCall({ settings }: AdviceRequest): boolean {
+    return settings.callMilliseconds > LONG_CALL_MILLISECONDS;
   }
 
-  function canSend(request: AdviceRequest): boolean {
-    if (steps.get(request.stepId)?.isCallInFlight) return false;
-    if (!isLongCall(request)) return true;
-    const longCalls = channels.filter(
+  function countLongCalls(): number {
+    return channels.filter(
       ({ requestInFlight }) => requestInFlight !== null && isLongCall(requestInFlight),
     ).length;
-    return longCalls < Math.max(1, channels.length - CHANNELS_RESERVED_FOR_SHORT_CALLS);
+  }
+
+  /** @returns whether a call was made */
+  function send(channel: AdviceChannel, request: AdviceRequest): boolean {
+    const endpoints = request.chooseEndpoints().slice(0, MAXIMUM_ENDPOINTS_PER_CALL);
+    if (endpoints.length === 0) return false;
+    getOrCreateAdvice(request.stepId).isCallInFlight = true;
+    channel.requestInFlight = request;
+    void fetchAdvice(channel, request, endpoints).then(() => {
+      channel.requestInFlight = null;
+      sendWaitingRequests();
+    });
+    return true;
   }
 
   function sendWaitingRequests(): void {
-    for (const channel of channels) {
-      if (channel.requestInFlight) continue;
-      const request = requests.find(canSend);
-      if (!request) return;
-      requests = requests.filter((other) => other !== request);
-      getOrCreateAdvice(request.stepId).isCallInFlight = true;
-      channel.requestInFlight = request;
-      void fetchAdvice(channel, request).then(() => {
-        channel.requestInFlight = null;
-        sendWaitingRequests();
-      });
-    }
+    const idle = channels.filter(({ requestInFlight }) => requestInFlight === null);
+    if (idle.length === 0) return;
+    let longCallsLeft =
+      Math.max(1, channels.length - CHANNELS_RESERVED_FOR_SHORT_CALLS) - countLongCalls();
+    const remaining: AdviceRequest[] = [];
+    requests.forEach((request) => {
+      const channel = idle.at(-1);
+      const isLong = isLongCall(request);
+      const canSend =
+        channel && !steps.get(request.stepId)?.isCallInFlight && (!isLong || longCallsLeft > 0);
+      if (!canSend) remaining.push(request);
+      else if (send(channel, request)) {
+        idle.pop();
+        if (isLong) longCallsLeft -= 1;
+      }
+    });
+    requests = remaining;
   }
 
   return {
@@ -193,10 +209,7 @@
       return [...tickets].some(({ usableUntil }) => usableUntil > now);
     },
     setRequests(next) {
-      requests = next.map((request) => ({
-        ...request,
-        endpoints: request.endpoints.slice(0, MAXIMUM_ENDPOINTS_PER_CALL),
-      }));
+      requests = next;
       sendWaitingRequests();
     },
     busyChannels: () => channels.filter(({ requestInFlight }) => requestInFlight !== null).length,
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -1,7 +1,8 @@
 import {
-  chooseEndpointsForAdvice,
-  chooseEndpoint,
   addResources,
+  canHost,
+  chooseEndpointsForAdvice,
+  createEndpointChooser,
   orderSteps,
 } from '@chicorybend/decisions';
 import type { EndpointRequirements, OrderingKey } from '@chicorybend/decisions';
@@ -26,7 +27,7 @@
 const ROUND_DELAY_MILLISECONDS = 5;
 
 /** Maximum share of the time of the process that rounds take. */
-const MAXIMUM_ROUND_TIME_SHARE = 0.5;
+const MAXIMUM_ROUND_TIME_SHARE = 0.25;
 
 /** Priority of queues whose callers wait for the result. */
 const URGENT_PRIORITY = 0;
@@ -79,69 +80,69 @@
   /** Waiting tasks of the last round. */
   let blockedTasks: BlockedTaskCounts = new Map();
 
-  /** @returns endpoints that match the step and are not known to be ineligible */
-  function selectCandidates(
+  /** Sets the number of tasks of a step on each endpoint, where that number is limited. */
+  function countStepTasks(step: StepRecord, candidates: readonly RoundCandidate[]): void {
+    if (step.specification.maximumPerEndpoint === 0) return;
+    const counts = new Map<string | null, number>();
+    step.tasks.forEach((task) => {
+      if (!hasActiveRun(task)) return;
+      counts.set(task.endpointId, (counts.get(task.endpointId) ?? 0) + 1);
+    });
+    candidates.forEach((candidate) => {
+      candidate.stepTaskCount = counts.get(candidate.endpointId) ?? 0;
+    });
+  }
+
+  /** @returns whether an endpoint matches the step and is not known to be ineligible */
+  function isMatching(
     step: StepRecord,
     queue: JobQueueSettings,
-    all: readonly RoundCandidate[],
-  ): RoundCandidate[] {
-    const { requiredHardware, maximumPerEndpoint } = step.specification;
-    const selected = all.filter(
-      ({ state }) =>
-        state.entry.service === queue.service &&
-        (requiredHardware === '' || state.entry.hardware === requiredHardware) &&
-        (!queue.advice || adviceCache.isEligible(step.stepId, incarnationOf(state)) !== false),
+    candidate: RoundCandidate,
+  ): boolean {
+    const { requiredHardware } = step.specification;
+    const { entry } = candidate.state;
+    return (
+      entry.service === queue.service &&
+      (requiredHardware === '' || entry.hardware === requiredHardware) &&
+      (!queue.advice || adviceCache.isEligible(step.stepId, candidate) !== false)
     );
-    if (maximumPerEndpoint > 0) {
-      selected.forEach((candidate) => {
-        candidate.stepTaskCount = 0;
-      });
-      step.tasks.filter(hasActiveRun).forEach(({ endpointId }) => {
-        const hostingCandidate = selected.find((candidate) => candidate.endpointId === endpointId);
-        if (hostingCandidate) hostingCandidate.stepTaskCount += 1;
-      });
-    }
-    return selected;
   }
 
-  function incarnationOf({ entry, bornAt }: EndpointState) {
-    return { endpointId: entry.endpointId, bornAt };
+  function hasTicket(step: StepRecord, candidate: RoundCandidate): boolean {
+    return adviceCache.ticketFor(step.stepId, candidate) !== null;
   }
 
   /**
    * The duration of a call depends little on the number of endpoints, so the call also covers endpoints that
    * have no room now but may have some while the tickets are valid.
    *
-   * @returns request for the endpoints without a ticket; null if there are none or the queue needs no advice
+   * @returns request for the endpoints without a ticket; null if the queue needs no advice
    */
   function createAdviceRequest(
     step: StepRecord,
     queue: JobQueueSettings,
-    candidates: readonly RoundCandidate[],
+    all: readonly RoundCandidate[],
   ): AdviceRequest | null {
-    if (!queue.advice) return null;
-    const withoutTicket = candidates.filter(
-      ({ state }) => adviceCache.ticketFor(step.stepId, incarnationOf(state)) === null,
-    );
-    if (withoutTicket.length === 0) return null;
-    const chosen = chooseEndpointsForAdvice(
-      withoutTicket,
-      createEndpointRequirements(step, []),
-      queue.advice,
-    );
-    const endpoints = chosen.map(({ state }) => incarnationOf(state));
-    return { stepId: step.stepId, endpoints, settings: queue.advice };
+    const { advice } = queue;
+    if (!advice) return null;
+    return {
+      stepId: step.stepId,
+      settings: advice,
+      chooseEndpoints() {
+        const withoutTicket = all.filter(
+          (candidate) => isMatching(step, queue, candidate) && !hasTicket(step, candidate),
+        );
+        countStepTasks(step, withoutTicket);
+        return chooseEndpointsForAdvice(withoutTicket, createEndpointRequirements(step), advice);
+      },
+    };
   }
 
-  function createEndpointRequirements(
-    step: StepRecord,
-    racksInUse: readonly string[],
-  ): EndpointRequirements {
+  function createEndpointRequirements(step: StepRecord): EndpointRequirements {
     const { specification } = step;
     return {
       resources: chargedResources(specification),
-      preferredRacks:
-        specification.preferredRack === '' ? racksInUse : [specification.preferredRack],
+      preferredRacks: specification.preferredRack === '' ? [] : [specification.preferredRack],
       maximumPerEndpoint: specification.maximumPerEndpoint,
       isFilling: specification.isFilling,
       isServing: specification.targetMilliseconds > 0,
@@ -157,12 +158,8 @@
     );
   }
 
-  function excludeAvoidedEndpoint(task: TaskRecord, candidates: readonly RoundCandidate[]) {
-    const { avoidedEndpointId, avoidedUntil } = task;
-    if (avoidedEndpointId === null || avoidedUntil <= clock.monotonicMilliseconds()) {
-      return candidates;
-    }
-    return candidates.filter(({ endpointId }) => endpointId !== avoidedEndpointId);
+  function avoidedEndpoint({ avoidedEndpointId, avoidedUntil }: TaskRecord): string | null {
+    return avoidedUntil > clock.monotonicMilliseconds() ? avoidedEndpointId : null;
   }
 
   /** Chooses endpoints for as many tasks as fit, and reserves their capacity for the rest of this round. */
@@ -171,22 +168,20 @@
     tasks: readonly TaskRecord[],
     candidates: readonly RoundCandidate[],
   ): { placements: Placement[]; blockedBy: BlockingReason } {
+    const { prefersOneRack, preferredRack, resources } = step.specification;
+    const chooser = createEndpointChooser(
+      candidates,
+      createEndpointRequirements(step),
+      prefersOneRack && preferredRack === '',
+    );
     const placements: Placement[] = [];
-    const racks: string[] = [];
     let used = table.usedByTeam(step.job.team);
     for (const task of tasks) {
-      used = addResources(used, step.specification.resources);
+      used = addResources(used, resources);
       if (!fitsTeamLimit(step, used)) return { placements, blockedBy: 'limit' };
-      const requirements = createEndpointRequirements(
-        step,
-        step.specification.prefersOneRack ? racks : [],
-      );
-      const chosen = chooseEndpoint(excludeAvoidedEndpoint(task, candidates), requirements);
-      if (!chosen) break;
-      chosen.used = addResources(chosen.used, requirements.resources);
-      chosen.stepTaskCount += 1;
-      if (!racks.includes(chosen.rack)) racks.push(chosen.rack);
-      placements.push({ task, candidate: chosen });
+      const candidate = chooser.place(avoidedEndpoint(task));
+      if (!candidate) break;
+      placements.push({ task, candidate });
     }
     return { placements, blockedBy: 'room' };
   }
@@ -232,7 +227,10 @@
       .map(({ task, candidate: { state } }) => ({
         task,
         session: options.sessionOf(state.entry.endpointId),
-        ticket: adviceCache.ticketFor(step.stepId, incarnationOf(state)),
+        ticket: adviceCache.ticketFor(step.stepId, {
+          endpointId: state.entry.endpointId,
+          bornAt: state.bornAt,
+        }),
       }));
     const ready = starts.filter(
       ({ task, session, ticket }) =>
@@ -295,11 +293,14 @@
       countBlockedTasks(readyStep, 'limit', pending.length);
       return null;
     }
-    const candidates = selectCandidates(step, queue, all);
+    const requirements = createEndpointRequirements(step);
+    countStepTasks(step, all);
+    // Few endpoints have room under load, so that the other conditions are checked for these alone.
+    const candidates = all.filter(
+      (candidate) => canHost(candidate, requirements) && isMatching(step, queue, candidate),
+    );
     const candidatesWithTicket = queue.advice
-      ? candidates.filter(
-          ({ state }) => adviceCache.ticketFor(step.stepId, incarnationOf(state)) !== null,
-        )
+      ? candidates.filter((candidate) => hasTicket(step, candidate))
       : candidates;
     const { placements } = planPlacements(step, pending, candidatesWithTicket);
     const isComplete = placements.length === pending.length;
@@ -311,7 +312,7 @@
     const { placements: reserved, blockedBy } = planPlacements(step, unplaced, candidates);
     // The capacity reserved for a gang grows from round to round until all its tasks fit.
     const needsAdvice = isGang ? reserved.length === unplaced.length : reserved.length > 0;
-    const request = needsAdvice ? createAdviceRequest(step, queue, candidates) : null;
+    const request = needsAdvice ? createAdviceRequest(step, queue, all) : null;
     countBlockedTasks(
       readyStep,
       reserved.length === unplaced.length ? 'advice' : blockedBy,
@@ -364,7 +365,7 @@
     const queue = context.settings.queueOf(step.job);
     const isWanted = queue && !step.isReleased && step.job.phase === 'open';
     if (!isWanted || adviceCache.hasTickets(step.stepId)) return [];
-    const request = createAdviceRequest(step, queue, selectCandidates(step, queue, candidates));
+    const request = createAdviceRequest(step, queue, candidates);
     return request ? [request] : [];
   }
 
--- a/packages/scheduler/src/core/roundCandidates.ts
+++ b/packages/scheduler/src/core/roundCandidates.ts
@@ -1,15 +1,14 @@
-import type { EndpointCandidate } from '@chicorybend/decisions';
-import type { Resources } from '@chicorybend/common';
+import type { PlacementCandidate } from '@chicorybend/decisions';
 
 import type { TermContext } from '../types/termContext.js';
 import type { EndpointState } from './endpointTable.js';
 import type { TaskTransitions } from './taskTransitions.js';
 
 /** An endpoint in one round; `used` includes the placements that the round has decided so far. */
-export interface RoundCandidate extends EndpointCandidate {
+export interface RoundCandidate extends PlacementCandidate {
   readonly state: EndpointState;
-  used: Resources;
-  stepTaskCount: number;
+  /** Start of the incarnation, in milliseconds since the Unix epoch. */
+  readonly bornAt: number;
 }
 
 function isUsable(
@@ -40,6 +39,7 @@
   return {
     state,
     endpointId: state.entry.endpointId,
+    bornAt: state.bornAt,
     rack: state.entry.rack,
     capacity: state.entry.capacity,
     used: state.used,
--- a/packages/scheduler/src/core/stepOrder.ts
+++ b/packages/scheduler/src/core/stepOrder.ts
@@ -1,9 +1,4 @@
-import {
-  addResources,
-  computeDominantShare,
-  judgePunctuality,
-  NO_RESOURCES,
-} from '@chicorybend/decisions';
+import { computeDominantShare, judgePunctuality, NO_RESOURCES } from '@chicorybend/decisions';
 import type { OrderingKey } from '@chicorybend/decisions';
 import type { Resources } from '@chicorybend/common';
 
@@ -17,9 +12,13 @@
 
 /** @returns total capacity of the listed endpoints */
 export function sumCapacity({ table }: TermContext): Resources {
-  let total = NO_RESOURCES;
+  const total = { ...NO_RESOURCES };
   for (const { entry, isListed } of table.all()) {
-    if (isListed) total = addResources(total, entry.capacity);
+    if (isListed) {
+      total.processors += entry.capacity.processors;
+      total.memoryBytes += entry.capacity.memoryBytes;
+      total.accelerators += entry.capacity.accelerators;
+    }
   }
   return total;
 }
