Plan advice by need, and leave room to work that can start

Every step asked about the same, fastest endpoints, the known eligible ones no earlier than the others, and reserved room on endpoints of which 35% turned out eligible. One call at a time was made for a step of 100 tasks, also while two thirds of the channels were idle.

Change: a call is about the endpoints with room, known eligible ones first, as many as the waiting tasks need at the learnt probability, and different ones for different steps; wide steps use idle channels for up to three calls; 15% of the channels stay free of long calls. Only gangs and urgent steps reserve room. The endpoints of a call are chosen when it is sent.

Tests: stepPlacement.test.ts, adviceCache.test.ts. The test of the number of endpoints in a call now uses an urgent step, for which alone the order by speed is strict.

--- a/packages/decisions/src/__tests__/stepPlacement.test.ts
+++ b/packages/decisions/src/__tests__/stepPlacement.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 
-import { chooseEndpointsForAdvice } from '../core/chooseEndpointsForAdvice.js';
+import { chooseEndpointsForAdvice, countAdviceCalls } from '../core/chooseEndpointsForAdvice.js';
+import type { AdviceCandidate, AdviceNeed } from '../core/chooseEndpointsForAdvice.js';
 import { createEndpointChooser } from '../core/chooseEndpoint.js';
 import type { EndpointCandidate, EndpointRequirements } from '../core/chooseEndpoint.js';
 
@@ -82,24 +83,65 @@
   t.is(chooseEndpoint([candidates[3]!, candidates[0]!], REQUEST)?.endpointId, 'fast');
 });
 
-test('a call for advice is about as many endpoints as half of its fixed time allows, best ones first', (t) => {
-  const candidates = Array.from({ length: 200 }, (_, index) => ({
+const NEED: AdviceNeed = { stepId: 'a.0.0', waitingTasks: 1_000, eligibleProbability: 0.35 };
+const COST = { callMilliseconds: 600, endpointMilliseconds: 6 };
+
+function createAdviceCandidates(count: number): AdviceCandidate[] {
+  return Array.from({ length: count }, (_, index) => ({
     ...CANDIDATE,
     endpointId: `${index}`,
     used: index % 2 === 0 ? CANDIDATE.capacity : CANDIDATE.used,
-    slowness: 1 + index / 1_000,
+    slowness: 1 + index / 4,
+    isKnownEligible: false,
   }));
-  const cost = { callMilliseconds: 600, endpointMilliseconds: 6 };
-  const chosen = chooseEndpointsForAdvice(candidates, REQUEST, cost);
+}
+
+test('a call for advice is about as many endpoints as half of its fixed time allows, best ones first', (t) => {
+  const candidates = createAdviceCandidates(200);
+  const urgent = { ...REQUEST, isUrgent: true };
+  const chosen = chooseEndpointsForAdvice(candidates, urgent, COST, NEED);
   t.deepEqual(
     chosen.map(({ endpointId }) => Number(endpointId)),
     Array.from({ length: 50 }, (_, index) => 2 * index + 1),
   );
-  t.is(
-    chooseEndpointsForAdvice(candidates, REQUEST, { ...cost, endpointMilliseconds: 0 }).length,
-    200,
+  const free = { ...COST, endpointMilliseconds: 0 };
+  t.is(chooseEndpointsForAdvice(candidates, urgent, free, NEED).length, 200);
+  t.is(chooseEndpointsForAdvice(candidates.slice(0, 40), urgent, COST, NEED).length, 40);
+});
+
+test('a call for a few tasks is about few endpoints, those known to be eligible first', (t) => {
+  const candidates = createAdviceCandidates(200).map((candidate, index) => ({
+    ...candidate,
+    isKnownEligible: index % 20 === 1,
+  }));
+  const need = { ...NEED, waitingTasks: 2 };
+  const chosen = chooseEndpointsForAdvice(candidates, REQUEST, COST, need);
+  t.is(chosen.length, 10);
+  t.true(chosen.every(({ isKnownEligible }) => isKnownEligible));
+  const unknown = candidates.filter(({ isKnownEligible }) => !isKnownEligible);
+  t.is(chooseEndpointsForAdvice(unknown, REQUEST, COST, need).length, 12);
+});
+
+test('no call is made while no endpoint has room', (t) => {
+  const full = createAdviceCandidates(20).filter(({ used }) => used === CANDIDATE.capacity);
+  t.deepEqual(chooseEndpointsForAdvice(full, REQUEST, COST, NEED), []);
+});
+
+test('steps that wait at the same time ask about different endpoints', (t) => {
+  const candidates = createAdviceCandidates(400).map((each) => ({ ...each, slowness: 1 }));
+  const asked = ['a.0.0', 'b.0.0', 'c.0.0', 'd.0.0'].map((stepId) =>
+    chooseEndpointsForAdvice(candidates, REQUEST, COST, { ...NEED, stepId }),
   );
-  t.is(chooseEndpointsForAdvice(candidates.slice(0, 40), REQUEST, cost).length, 40);
+  t.true(asked.every((endpoints) => endpoints.length === 50));
+  const distinct = new Set(asked.flat().map(({ endpointId }) => endpointId));
+  t.true(distinct.size > 100, `${distinct.size} of 200 endpoints with room are asked about`);
+});
+
+test('a step has as many calls in flight as its waiting tasks need', (t) => {
+  t.is(countAdviceCalls({ ...NEED, waitingTasks: 1 }, COST), 1);
+  t.is(countAdviceCalls({ ...NEED, waitingTasks: 17 }, COST), 1);
+  t.is(countAdviceCalls({ ...NEED, waitingTasks: 20 }, COST), 2);
+  t.is(countAdviceCalls({ ...NEED, waitingTasks: 100 }, COST), 6);
 });
 
 test('tasks are placed until no endpoint has room, and the load of the candidates grows with them', (t) => {
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -71,8 +71,14 @@
 export type { ExecutionSample, RunTimeEstimator, UsageSample } from './core/runTimeEstimator.js';
 
 /** Placement and order of the steps of jobs. */
-export { chooseEndpointsForAdvice } from './core/chooseEndpointsForAdvice.js';
-export type { AdviceCallCost } from './core/chooseEndpointsForAdvice.js';
+export { chooseEndpointsForAdvice, countAdviceCalls } from './core/chooseEndpointsForAdvice.js';
+export type {
+  AdviceCallCost,
+  AdviceCandidate,
+  AdviceNeed,
+} from './core/chooseEndpointsForAdvice.js';
+export { createEligibilityEstimate } from './core/eligibilityEstimate.js';
+export type { EligibilityEstimate } from './core/eligibilityEstimate.js';
 export { canHost, createEndpointChooser } from './core/chooseEndpoint.js';
 export type {
   EndpointCandidate,
--- a/packages/scheduler/src/__tests__/adviceCache.test.ts
+++ b/packages/scheduler/src/__tests__/adviceCache.test.ts
@@ -4,12 +4,17 @@
 import test from 'ava';
 
 import { createAdviceCache } from '../core/adviceCache.js';
+import type { AdviceRequest } from '../core/adviceCache.js';
 import { createSchedulerMetrics } from '../core/schedulerMetrics.js';
 
 const ENDPOINT = { endpointId: 'endpoint-1', bornAt: 1 };
 const SHORT = { callMilliseconds: 20, endpointMilliseconds: 1, ticketMilliseconds: 2_000 };
 const LONG = { ...SHORT, callMilliseconds: 600 };
 
+function createRequest(stepId: string, settings: typeof SHORT, maximumCalls = 1): AdviceRequest {
+  return { stepId, queue: 'work', settings, maximumCalls, chooseEndpoints: () => [ENDPOINT] };
+}
+
 function createCacheWithChannels(channelCount: number) {
   const clock = createManualClock();
   const requestedSteps: string[] = [];
@@ -36,7 +41,7 @@
 
 test('a ticket is used until shortly before it expires; eligibility stays known until the step is forgotten', async (t) => {
   const { clock, cache, answers } = createCacheWithChannels(1);
-  cache.setRequests([{ stepId: 'a.0.0', chooseEndpoints: () => [ENDPOINT], settings: SHORT }]);
+  cache.setRequests([createRequest('a.0.0', SHORT)]);
   answers[0]!();
   await setImmediate();
   t.is(cache.ticketFor('a.0.0', ENDPOINT), 'ticket');
@@ -50,19 +55,14 @@
 
 test('each channel carries one call at a time in request order, and long calls leave channels free for short ones', (t) => {
   const { cache, requestedSteps } = createCacheWithChannels(4);
-  const request = (stepId: string, settings: typeof SHORT) => ({
-    stepId,
-    chooseEndpoints: () => [ENDPOINT],
-    settings,
-  });
-  const long = ['l1', 'l2', 'l3'].map((stepId) => request(stepId, LONG));
-  cache.setRequests([...long, ...['s1', 's2', 's3'].map((stepId) => request(stepId, SHORT))]);
+  const long = ['l1', 'l2', 'l3'].map((stepId) => createRequest(stepId, LONG));
+  cache.setRequests([...long, ...['s1', 's2', 's3'].map((stepId) => createRequest(stepId, SHORT))]);
   t.deepEqual(requestedSteps, ['l1', 'l2', 's1', 's2']);
 });
 
 test('a request repeated while its call is in flight is dropped once the answer is known', async (t) => {
   const { cache, requestedSteps, answers } = createCacheWithChannels(1);
-  const request = { stepId: 'a.0.0', chooseEndpoints: () => [ENDPOINT], settings: SHORT };
+  const request = createRequest('a.0.0', SHORT);
   cache.setRequests([request]);
   // A round during the call still finds no ticket, and sets the same request again.
   cache.setRequests([request]);
@@ -74,3 +74,32 @@
   ]);
   t.deepEqual(requestedSteps, ['a.0.0', 'a.0.0']);
 });
+
+test('a wide step uses idle channels for further calls, about other endpoints, after all steps have one', (t) => {
+  const { cache, requestedSteps } = createCacheWithChannels(4);
+  const names = ['e1', 'e2', 'e3', 'e4'];
+  const wide: AdviceRequest = {
+    ...createRequest('wide', SHORT, 3),
+    chooseEndpoints: () =>
+      names
+        .filter((endpointId) => !cache.isAsked('wide', endpointId))
+        .slice(0, 2)
+        .map((endpointId) => ({ endpointId, bornAt: 1 })),
+  };
+  cache.setRequests([wide, createRequest('narrow', SHORT)]);
+  t.deepEqual(requestedSteps, ['wide', 'narrow', 'wide']);
+});
+
+test('the probability that an endpoint is eligible is learnt from answers about unknown endpoints', async (t) => {
+  const { cache, answers } = createCacheWithChannels(1);
+  const before = cache.eligibleProbability('work');
+  cache.setRequests([createRequest('a.0.0', SHORT)]);
+  answers[0]!();
+  await setImmediate();
+  const learnt = cache.eligibleProbability('work');
+  t.true(learnt > before);
+  cache.setRequests([createRequest('a.0.0', SHORT)]);
+  answers[1]!();
+  await setImmediate();
+  t.is(cache.eligibleProbability('work'), learnt);
+});
--- a/packages/scheduler/src/core/adviceCache.ts
+++ b/packages/scheduler/src/core/adviceCache.ts
@@ -1,5 +1,6 @@
 import { sleep } from '@chicorybend/common';
 import type { Clock, Log } from '@chicorybend/common';
+import { createEligibilityEstimate } from '@chicorybend/decisions';
 
 import type { AdviceClient } from '../types/advice.js';
 import type { AdviceSettings } from '../types/configuration.js';
@@ -14,6 +15,8 @@
 const LONG_CALL_MILLISECONDS = 200;
 /** Channels that long calls may not use, provided that there are more channels than this. */
 const CHANNELS_RESERVED_FOR_SHORT_CALLS = 2;
+/** Share of the channels that long calls may not use, where that is more. */
+const SHARE_RESERVED_FOR_SHORT_CALLS = 0.15;
 /** Delay before a channel is used again after a failed call. */
 const FAILURE_DELAY_MILLISECONDS = 100;
 
@@ -29,13 +32,19 @@
   readonly tickets: Map<string, { ticket: string; bornAt: number; usableUntil: number }>;
   /** By endpoint: whether that incarnation may run the step. The answer does not expire. */
   readonly eligibility: Map<string, { isEligible: boolean; bornAt: number }>;
-  isCallInFlight: boolean;
+  /** Endpoints that the calls in flight are about. */
+  readonly askedEndpoints: Set<string>;
+  callsInFlight: number;
 }
 
 /** Advice call to make. */
 export interface AdviceRequest {
   readonly stepId: string;
+  /** Name of the queue of the step. */
+  readonly queue: string;
   readonly settings: AdviceSettings;
+  /** Maximum number of calls about the step in flight at the same time. */
+  readonly maximumCalls: number;
   /** Called when the request is sent. @returns endpoints that the call is about; no call is made if there are none */
   chooseEndpoints(): readonly EndpointIncarnation[];
 }
@@ -53,6 +62,10 @@
   ticketFor(stepId: string, endpoint: EndpointIncarnation): string | null;
   /** @returns whether the step has any ticket that is valid for long enough */
   hasTickets(stepId: string): boolean;
+  /** @returns whether a call about the step and the endpoint is in flight */
+  isAsked(stepId: string, endpointId: string): boolean;
+  /** @returns probability that an endpoint about which nothing is known may run a step of a queue */
+  eligibleProbability(queue: string): number;
   /** @returns whether the endpoint may run the step; null if that is unknown */
   isEligible(stepId: string, endpoint: EndpointIncarnation): boolean | null;
   /** Sets the requests to make next, in order. Replaces earlier requests that have not been sent. */
@@ -78,6 +91,7 @@
   const { clock, log, metrics } = options;
   const steps = new Map<string, StepAdvice>();
   const channels: AdviceChannel[] = [];
+  const estimate = createEligibilityEstimate();
   let requests: readonly AdviceRequest[] = [];
 
   function getOrCreateAdvice(stepId: string): StepAdvice {
@@ -86,20 +100,36 @@
     const created: StepAdvice = {
       tickets: new Map(),
       eligibility: new Map(),
-      isCallInFlight: false,
+      askedEndpoints: new Set(),
+      callsInFlight: 0,
     };
     steps.set(stepId, created);
     return created;
   }
 
+  /** Only endpoints about which nothing was known tell how likely an endpoint is eligible. */
+  function learnProbability(
+    queue: string,
+    advice: StepAdvice,
+    endpoints: readonly EndpointIncarnation[],
+    tickets: ReadonlyMap<string, string>,
+  ): void {
+    const unknown = endpoints.filter(
+      ({ endpointId, bornAt }) => advice.eligibility.get(endpointId)?.bornAt !== bornAt,
+    );
+    const eligible = unknown.filter(({ endpointId }) => tickets.has(endpointId));
+    if (unknown.length > 0) estimate.record(queue, unknown.length, eligible.length);
+  }
+
   function recordAnswer(
-    stepId: string,
+    { stepId, queue }: AdviceRequest,
     endpoints: readonly EndpointIncarnation[],
     tickets: ReadonlyMap<string, string>,
     usableUntil: number,
   ): void {
     const advice = steps.get(stepId);
     if (!advice) return;
+    learnProbability(queue, advice, endpoints, tickets);
     endpoints.forEach(({ endpointId, bornAt }) => {
       const ticket = tickets.get(endpointId);
       advice.eligibility.set(endpointId, { isEligible: ticket !== undefined, bornAt });
@@ -109,9 +139,10 @@
 
   async function fetchAdvice(
     channel: AdviceChannel,
-    { stepId, settings }: AdviceRequest,
+    request: AdviceRequest,
     endpoints: readonly EndpointIncarnation[],
   ): Promise<void> {
+    const { stepId, settings } = request;
     const sentAt = clock.monotonicMilliseconds();
     const expected = settings.callMilliseconds + settings.endpointMilliseconds * endpoints.length;
     metrics.count('advice_calls');
@@ -130,7 +161,7 @@
       // long call would be too strict.
       const assumedIssuedAt = sentAt + Math.min(took, expected) / 2;
       const usableUntil = assumedIssuedAt + outcome.validMilliseconds - EXPIRY_MARGIN_MILLISECONDS;
-      recordAnswer(stepId, endpoints, tickets, usableUntil);
+      recordAnswer(request, endpoints, tickets, usableUntil);
       log.debug('advice call answered', {
         step: stepId,
         asked: endpoints.length,
@@ -143,7 +174,10 @@
       await sleep(clock, FAILURE_DELAY_MILLISECONDS);
     }
     const advice = steps.get(stepId);
-    if (advice) advice.isCallInFlight = false;
+    if (advice) {
+      advice.callsInFlight -= 1;
+      endpoints.forEach(({ endpointId }) => advice.askedEndpoints.delete(endpointId));
+    }
     // Waiting requests for the step were made before this answer was known; the next round requests what is
     // still missing.
     requests = requests.filter((other) => other.stepId !== stepId);
@@ -160,37 +194,55 @@
     ).length;
   }
 
-  /** @returns whether a call was made */
-  function send(channel: AdviceChannel, request: AdviceRequest): boolean {
-    const endpoints = request.chooseEndpoints().slice(0, MAXIMUM_ENDPOINTS_PER_CALL);
-    if (endpoints.length === 0) return false;
-    getOrCreateAdvice(request.stepId).isCallInFlight = true;
+  function send(
+    channel: AdviceChannel,
+    request: AdviceRequest,
+    endpoints: readonly EndpointIncarnation[],
+  ): void {
+    const advice = getOrCreateAdvice(request.stepId);
+    advice.callsInFlight += 1;
+    endpoints.forEach(({ endpointId }) => advice.askedEndpoints.add(endpointId));
     channel.requestInFlight = request;
     void fetchAdvice(channel, request, endpoints).then(() => {
       channel.requestInFlight = null;
       sendWaitingRequests();
     });
-    return true;
   }
 
-  function sendWaitingRequests(): void {
+  /** Channels that no long call uses, so that short calls need not wait for long ones. */
+  function reservedChannels(): number {
+    return Math.max(
+      CHANNELS_RESERVED_FOR_SHORT_CALLS,
+      Math.floor(SHARE_RESERVED_FOR_SHORT_CALLS * channels.length),
+    );
+  }
+
+  /** Sends the requests of steps that have a number of calls in flight. */
+  function sendRequestsOf(callsInFlight: number): void {
     const idle = channels.filter(({ requestInFlight }) => requestInFlight === null);
-    if (idle.length === 0) return;
-    let longCallsLeft =
-      Math.max(1, channels.length - CHANNELS_RESERVED_FOR_SHORT_CALLS) - countLongCalls();
-    const remaining: AdviceRequest[] = [];
-    requests.forEach((request) => {
+    let longCallsLeft = Math.max(1, channels.length - reservedChannels()) - countLongCalls();
+    requests = requests.filter((request) => {
       const channel = idle.at(-1);
       const isLong = isLongCall(request);
-      const canSend =
-        channel && !steps.get(request.stepId)?.isCallInFlight && (!isLong || longCallsLeft > 0);
-      if (!canSend) remaining.push(request);
-      else if (send(channel, request)) {
-        idle.pop();
-        if (isLong) longCallsLeft -= 1;
-      }
+      const isDue = (steps.get(request.stepId)?.callsInFlight ?? 0) === callsInFlight;
+      const maySend = isDue && request.maximumCalls > callsInFlight;
+      if (!channel || !maySend || (isLong && longCallsLeft <= 0)) return true;
+      const endpoints = request.chooseEndpoints().slice(0, MAXIMUM_ENDPOINTS_PER_CALL);
+      if (endpoints.length === 0) return false;
+      send(channel, request, endpoints);
+      idle.pop();
+      if (isLong) longCallsLeft -= 1;
+      return true;
     });
-    requests = remaining;
+  }
+
+  /** Further calls about a step use only channels that no step without a call needs. */
+  function sendWaitingRequests(): void {
+    const levels = Math.max(0, ...requests.map(({ maximumCalls }) => maximumCalls));
+    for (let callsInFlight = 0; callsInFlight < levels; callsInFlight += 1) {
+      if (channels.every(({ requestInFlight }) => requestInFlight !== null)) return;
+      sendRequestsOf(callsInFlight);
+    }
   }
 
   return {
@@ -199,6 +251,8 @@
       if (!entry || entry.bornAt !== bornAt) return null;
       return entry.usableUntil > clock.monotonicMilliseconds() ? entry.ticket : null;
     },
+    isAsked: (stepId, endpointId) => steps.get(stepId)?.askedEndpoints.has(endpointId) ?? false,
+    eligibleProbability: (queue) => estimate.probability(queue),
     isEligible(stepId, { endpointId, bornAt }) {
       const entry = steps.get(stepId)?.eligibility.get(endpointId);
       return entry?.bornAt === bornAt ? entry.isEligible : null;
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -2,10 +2,11 @@
   addResources,
   canHost,
   chooseEndpointsForAdvice,
+  countAdviceCalls,
   createEndpointChooser,
   orderSteps,
 } from '@chicorybend/decisions';
-import type { EndpointRequirements, OrderingKey } from '@chicorybend/decisions';
+import type { AdviceNeed, EndpointRequirements, OrderingKey } from '@chicorybend/decisions';
 import { RESOURCE_DIMENSIONS } from '@chicorybend/common';
 import type { CancelTimer, Resources } from '@chicorybend/common';
 
@@ -29,6 +30,9 @@
 /** Maximum share of the time of the process that rounds take. */
 const MAXIMUM_ROUND_TIME_SHARE = 0.25;
 
+/** Maximum number of calls for advice about one step at the same time. */
+const MAXIMUM_CALLS_PER_STEP = 3;
+
 /** Priority of queues whose callers wait for the result. */
 const URGENT_PRIORITY = 0;
 
@@ -116,24 +120,42 @@
    * The duration of a call depends little on the number of endpoints, so the call also covers endpoints that
    * have no room now but may have some while the tickets are valid.
    *
-   * @returns request for the endpoints without a ticket; null if the queue needs no advice
+   * @returns request for endpoints without a ticket; null if the queue needs no advice
    */
   function createAdviceRequest(
     step: StepRecord,
     queue: JobQueueSettings,
+    waitingTasks: number,
     all: readonly RoundCandidate[],
   ): AdviceRequest | null {
     const { advice } = queue;
     if (!advice) return null;
+    const need: AdviceNeed = {
+      stepId: step.stepId,
+      waitingTasks,
+      eligibleProbability: adviceCache.eligibleProbability(queue.name),
+    };
     return {
       stepId: step.stepId,
+      queue: queue.name,
       settings: advice,
+      maximumCalls: Math.min(MAXIMUM_CALLS_PER_STEP, countAdviceCalls(need, advice)),
       chooseEndpoints() {
-        const withoutTicket = all.filter(
-          (candidate) => isMatching(step, queue, candidate) && !hasTicket(step, candidate),
-        );
-        countStepTasks(step, withoutTicket);
-        return chooseEndpointsForAdvice(withoutTicket, createEndpointRequirements(step), advice);
+        const candidates = all
+          .filter(
+            (candidate) =>
+              isMatching(step, queue, candidate) &&
+              !hasTicket(step, candidate) &&
+              !adviceCache.isAsked(step.stepId, candidate.endpointId),
+          )
+          .map((candidate) => ({
+            ...candidate,
+            // Room that is only reserved in this round, also for this step, counts as free.
+            used: candidate.state.used,
+            isKnownEligible: adviceCache.isEligible(step.stepId, candidate) === true,
+          }));
+        countStepTasks(step, candidates);
+        return chooseEndpointsForAdvice(candidates, createEndpointRequirements(step), advice, need);
       },
     };
   }
@@ -279,10 +301,7 @@
     void startWhenDurable(step, queue, placements);
   }
 
-  /**
-   * Starts the tasks that fit on endpoints with tickets. For the remaining tasks, reserves capacity for this round
-   * and requests tickets, so that steps that come later do not take the capacity while the call is in flight.
-   */
+  /** Starts the tasks that fit on endpoints with tickets. @returns request for advice about the remaining tasks */
   function placeStep(readyStep: ReadyStep, all: readonly RoundCandidate[]): AdviceRequest | null {
     const { step, queue } = readyStep;
     const { isGang } = step.specification;
@@ -302,23 +321,40 @@
     const candidatesWithTicket = queue.advice
       ? candidates.filter((candidate) => hasTicket(step, candidate))
       : candidates;
-    const { placements } = planPlacements(step, pending, candidatesWithTicket);
+    const { placements, blockedBy } = planPlacements(step, pending, candidatesWithTicket);
     const isComplete = placements.length === pending.length;
     const mayStart = placements.length > 0 && (!isGang || isComplete);
     if (mayStart) startPlacements(readyStep, pending, placements);
     if (isComplete) return null;
     const unplaced = mayStart ? pending.filter(({ phase }) => phase === 'pending') : pending;
     if (!mayStart) releasePlannedRoom(step, placements);
+    const reason = blockedBy === 'limit' ? 'limit' : planUnplaced(readyStep, unplaced, candidates);
+    countBlockedTasks(readyStep, reason, unplaced.length);
+    return reason === 'advice' ? createAdviceRequest(step, queue, unplaced.length, all) : null;
+  }
+
+  /**
+   * Reserves room for this round for the tasks of a gang, which needs it all at once, and of an urgent step, so that
+   * steps that come later do not take it while the call for advice is in flight. Other steps reserve none: most of
+   * the room would stay idle, because the answer is about other endpoints than the reserved ones.
+   *
+   * @returns what the tasks wait for
+   */
+  function planUnplaced(
+    { step, queue }: ReadyStep,
+    unplaced: readonly TaskRecord[],
+    candidates: readonly RoundCandidate[],
+  ): BlockingReason {
+    const { isGang } = step.specification;
+    if (!isGang && queue.priority !== URGENT_PRIORITY) {
+      const requirements = createEndpointRequirements(step);
+      const hasRoom = candidates.some((candidate) => canHost(candidate, requirements));
+      return queue.advice && hasRoom ? 'advice' : 'room';
+    }
     const { placements: reserved, blockedBy } = planPlacements(step, unplaced, candidates);
     // The capacity reserved for a gang grows from round to round until all its tasks fit.
-    const needsAdvice = isGang ? reserved.length === unplaced.length : reserved.length > 0;
-    const request = needsAdvice ? createAdviceRequest(step, queue, all) : null;
-    countBlockedTasks(
-      readyStep,
-      reserved.length === unplaced.length ? 'advice' : blockedBy,
-      unplaced.length,
-    );
-    return request;
+    const isWaitingForAdvice = isGang ? reserved.length === unplaced.length : reserved.length > 0;
+    return queue.advice && isWaitingForAdvice ? 'advice' : blockedBy;
   }
 
   function collectReadySteps(): ReadyStep[] {
@@ -365,7 +401,7 @@
     const queue = context.settings.queueOf(step.job);
     const isWanted = queue && !step.isReleased && step.job.phase === 'open';
     if (!isWanted || adviceCache.hasTickets(step.stepId)) return [];
-    const request = createAdviceRequest(step, queue, candidates);
+    const request = createAdviceRequest(step, queue, step.tasks.length, candidates);
     return request ? [request] : [];
   }
 
