--- a/packages/proving/src/__tests__/ownerTakeover.test.ts
+++ b/packages/proving/src/__tests__/ownerTakeover.test.ts
@@ -1,6 +1,11 @@
 import test from 'ava';
 
-import { createSchedulerCell, createJobId, createJobSpecification } from './schedulerCell.js';
+import {
+  CONFIGURATION,
+  createSchedulerCell,
+  createJobId,
+  createJobSpecification,
+} from './schedulerCell.js';
 
 test('an end is not acknowledged before it is durable, so that a new owner does not repeat the run', async (t) => {
   const cell = createSchedulerCell({ durationOf: () => 1_000 });
@@ -167,3 +172,83 @@
     ['stopped', 'stopped', 'stopped', 'stopped'],
   );
 });
+
+test('a failure that a new owner learns of before the configuration counts against the configured limit', async (t) => {
+  const cell = createSchedulerCell({ durationOf: () => 800 });
+  const first = cell.startProcess('first');
+  await cell.advance(200);
+  await cell.call({ specification: createJobSpecification({ count: 1 }) });
+  await cell.advance(300);
+  const [run] = cell.fleet.history;
+  first.kill();
+  cell.fleet.failRun(run!.endpointId, run!.taskId);
+  cell.isConfigurationReadable = false;
+  const second = cell.startProcess('second');
+  while (!second.term()) await cell.advance(2);
+  await cell.advance(400);
+  cell.isConfigurationReadable = true;
+  await cell.advance(4_000);
+  t.deepEqual(await cell.call({ action: 'status' }), { kind: 'status', status: 'completed' });
+  t.deepEqual(
+    cell.fleet.history.map(({ kind }) => kind),
+    ['failed', 'done'],
+  );
+});
+
+test('a job runs to its end under the settings of its acceptance after its queue and team are removed', async (t) => {
+  const cell = createSchedulerCell({ count: 1, durationOf: () => 600 });
+  const [team] = CONFIGURATION.teams;
+  cell.configuration = {
+    ...CONFIGURATION,
+    teams: [{ ...team!, limit: { processors: 2, memoryBytes: 0, accelerators: 0 } }],
+  };
+  const first = cell.startProcess('first');
+  await cell.advance(200);
+  await cell.call({ specification: createJobSpecification({ count: 6 }) });
+  await cell.advance(100);
+  cell.configuration = { ...CONFIGURATION, version: 2, queues: [], teams: [] };
+  await cell.advance(700);
+  first.kill();
+  cell.startProcess('second');
+  await cell.advance(6_000);
+  t.is(cell.fleet.history.filter(({ kind }) => kind === 'done').length, 6);
+  cell.fleet.history.forEach((run) => {
+    const others = cell.fleet.history.filter(
+      (other) => other.startedAt <= run.startedAt && (other.endedAt ?? Infinity) > run.startedAt,
+    );
+    t.true(others.length <= 2, 'the team stays within its limit');
+  });
+});
+
+test('a claim whose answer was lost is taken up before its lease could expire', async (t) => {
+  const cell = createSchedulerCell();
+  const first = cell.startProcess('first');
+  cell.store.faultsOf('first').lostAnswerFraction = 1;
+  await cell.advance(60);
+  cell.store.faultsOf('first').lostAnswerFraction = 0;
+  await cell.advance(440);
+  t.is(first.term() === null, false);
+  const answer = await cell.call({ specification: createJobSpecification({ count: 1 }) });
+  t.is(answer.kind, 'accepted');
+});
+
+test('ownership that a weak VM yields goes to another one, and returns only if nobody else claims it', async (t) => {
+  const cell = createSchedulerCell({ durationOf: () => 3_000 });
+  const weak = cell.startProcess('weak', undefined, 150);
+  await cell.advance(1_000);
+  await cell.call({ specification: createJobSpecification({ count: 4 }) });
+  await cell.advance(100);
+  const strong = cell.startProcess('strong');
+  await cell.advance(100);
+  void weak.election.yieldOwnership('test');
+  await cell.advance(200);
+  t.is(weak.term(), null);
+  t.not(strong.term(), null);
+  strong.kill();
+  await cell.advance(3_000);
+  t.not(weak.term(), null);
+  await cell.advance(3_000);
+  t.deepEqual(await cell.call({ action: 'status' }), { kind: 'status', status: 'completed' });
+  t.is(cell.fleet.history.length, 4);
+  t.deepEqual(cell.fleet.violations(), []);
+});
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -1,10 +1,12 @@
 import {
-  chooseEndpointsForAdvice,
-  chooseEndpoint,
   addResources,
+  canHost,
+  chooseEndpointsForAdvice,
+  countAdviceCalls,
+  createEndpointChooser,
   orderSteps,
 } from '@chicorybend/decisions';
-import type { EndpointRequirements, OrderingKey } from '@chicorybend/decisions';
+import type { AdviceNeed, EndpointRequirements, OrderingKey } from '@chicorybend/decisions';
 import { RESOURCE_DIMENSIONS } from '@chicorybend/common';
 import type { CancelTimer, Resources } from '@chicorybend/common';
 
@@ -26,7 +28,10 @@
 const ROUND_DELAY_MILLISECONDS = 5;
 
 /** Maximum share of the time of the process that rounds take. */
-const MAXIMUM_ROUND_TIME_SHARE = 0.5;
+const MAXIMUM_ROUND_TIME_SHARE = 0.25;
+
+/** Maximum number of calls for advice about one step at the same time. */
+const MAXIMUM_CALLS_PER_STEP = 3;
 
 /** Priority of queues whose callers wait for the result. */
 const URGENT_PRIORITY = 0;
@@ -79,90 +84,104 @@
   /** Waiting tasks of the last round. */
   let blockedTasks: BlockedTaskCounts = new Map();
 
-  /** @returns endpoints that match the step and are not known to be ineligible */
-  function selectCandidates(
+  /** Sets the number of tasks of a step on each endpoint, where that number is limited. */
+  function countStepTasks(step: StepRecord, candidates: readonly RoundCandidate[]): void {
+    if (step.specification.maximumPerEndpoint === 0) return;
+    const counts = new Map<string | null, number>();
+    step.tasks.forEach((task) => {
+      if (!hasActiveRun(task)) return;
+      counts.set(task.endpointId, (counts.get(task.endpointId) ?? 0) + 1);
+    });
+    candidates.forEach((candidate) => {
+      candidate.stepTaskCount = counts.get(candidate.endpointId) ?? 0;
+    });
+  }
+
+  /** @returns whether an endpoint matches the step and is not known to be ineligible */
+  function isMatching(
     step: StepRecord,
     queue: JobQueueSettings,
-    all: readonly RoundCandidate[],
-  ): RoundCandidate[] {
-    const { requiredHardware, maximumPerEndpoint } = step.specification;
-    const selected = all.filter(
-      ({ state }) =>
-        state.entry.service === queue.service &&
-        (requiredHardware === '' || state.entry.hardware === requiredHardware) &&
-        (!queue.advice || adviceCache.isEligible(step.stepId, incarnationOf(state)) !== false),
+    candidate: RoundCandidate,
+  ): boolean {
+    const { requiredHardware } = step.specification;
+    const { entry } = candidate.state;
+    return (
+      entry.service === queue.service &&
+      (requiredHardware === '' || entry.hardware === requiredHardware) &&
+      (!queue.advice || adviceCache.isEligible(step.stepId, candidate) !== false)
     );
-    if (maximumPerEndpoint > 0) {
-      selected.forEach((candidate) => {
-        candidate.stepTaskCount = 0;
-      });
-      step.tasks.filter(hasActiveRun).forEach(({ endpointId }) => {
-        const hostingCandidate = selected.find((candidate) => candidate.endpointId === endpointId);
-        if (hostingCandidate) hostingCandidate.stepTaskCount += 1;
-      });
-    }
-    return selected;
   }
 
-  function incarnationOf({ entry, bornAt }: EndpointState) {
-    return { endpointId: entry.endpointId, bornAt };
+  function hasTicket(step: StepRecord, candidate: RoundCandidate): boolean {
+    return adviceCache.ticketFor(step.stepId, candidate) !== null;
   }
 
   /**
    * The duration of a call depends little on the number of endpoints, so the call also covers endpoints that
    * have no room now but may have some while the tickets are valid.
    *
-   * @returns request for the endpoints without a ticket; null if there are none or the queue needs no advice
+   * @returns request for endpoints without a ticket; null if the queue needs no advice
    */
   function createAdviceRequest(
     step: StepRecord,
     queue: JobQueueSettings,
-    candidates: readonly RoundCandidate[],
+    waitingTasks: number,
+    all: readonly RoundCandidate[],
   ): AdviceRequest | null {
-    if (!queue.advice) return null;
-    const withoutTicket = candidates.filter(
-      ({ state }) => adviceCache.ticketFor(step.stepId, incarnationOf(state)) === null,
-    );
-    if (withoutTicket.length === 0) return null;
-    const chosen = chooseEndpointsForAdvice(
-      withoutTicket,
-      createEndpointRequirements(step, []),
-      queue.advice,
-    );
-    const endpoints = chosen.map(({ state }) => incarnationOf(state));
-    return { stepId: step.stepId, endpoints, settings: queue.advice };
+    const { advice } = queue;
+    if (!advice) return null;
+    const need: AdviceNeed = {
+      stepId: step.stepId,
+      waitingTasks,
+      eligibleProbability: adviceCache.eligibleProbability(queue.name),
+    };
+    return {
+      stepId: step.stepId,
+      queue: queue.name,
+      settings: advice,
+      maximumCalls: Math.min(MAXIMUM_CALLS_PER_STEP, countAdviceCalls(need, advice)),
+      chooseEndpoints() {
+        const candidates = all
+          .filter(
+            (candidate) =>
+              isMatching(step, queue, candidate) &&
+              !hasTicket(step, candidate) &&
+              !adviceCache.isAsked(step.stepId, candidate.endpointId),
+          )
+          .map((candidate) => ({
+            ...candidate,
+            // Room that is only reserved in this round, also for this step, counts as free.
+            used: candidate.state.used,
+            isKnownEligible: adviceCache.isEligible(step.stepId, candidate) === true,
+          }));
+        countStepTasks(step, candidates);
+        return chooseEndpointsForAdvice(candidates, createEndpointRequirements(step), advice, need);
+      },
+    };
   }
 
-  function createEndpointRequirements(
-    step: StepRecord,
-    racksInUse: readonly string[],
-  ): EndpointRequirements {
+  function createEndpointRequirements(step: StepRecord): EndpointRequirements {
     const { specification } = step;
     return {
       resources: chargedResources(specification),
-      preferredRacks:
-        specification.preferredRack === '' ? racksInUse : [specification.preferredRack],
+      preferredRacks: specification.preferredRack === '' ? [] : [specification.preferredRack],
       maximumPerEndpoint: specification.maximumPerEndpoint,
       isFilling: specification.isFilling,
       isServing: specification.targetMilliseconds > 0,
-      isUrgent: context.queue(step.job.queue)?.priority === URGENT_PRIORITY,
+      isUrgent: context.settings.queueOf(step.job)?.priority === URGENT_PRIORITY,
     };
   }
 
   function fitsTeamLimit(step: StepRecord, used: Resources): boolean {
-    const limit = context.team(step.job.team)?.limit;
+    const limit = context.settings.teamLimitOf(step.job);
     if (!limit) return true;
     return RESOURCE_DIMENSIONS.every(
       (dimension) => limit[dimension] === 0 || used[dimension] <= limit[dimension],
     );
   }
 
-  function excludeAvoidedEndpoint(task: TaskRecord, candidates: readonly RoundCandidate[]) {
-    const { avoidedEndpointId, avoidedUntil } = task;
-    if (avoidedEndpointId === null || avoidedUntil <= clock.monotonicMilliseconds()) {
-      return candidates;
-    }
-    return candidates.filter(({ endpointId }) => endpointId !== avoidedEndpointId);
+  function avoidedEndpoint({ avoidedEndpointId, avoidedUntil }: TaskRecord): string | null {
+    return avoidedUntil > clock.monotonicMilliseconds() ? avoidedEndpointId : null;
   }
 
   /** Chooses endpoints for as many tasks as fit, and reserves their capacity for the rest of this round. */
@@ -171,22 +190,20 @@
     tasks: readonly TaskRecord[],
     candidates: readonly RoundCandidate[],
   ): { placements: Placement[]; blockedBy: BlockingReason } {
+    const { prefersOneRack, preferredRack, resources } = step.specification;
+    const chooser = createEndpointChooser(
+      candidates,
+      createEndpointRequirements(step),
+      prefersOneRack && preferredRack === '',
+    );
     const placements: Placement[] = [];
-    const racks: string[] = [];
     let used = table.usedByTeam(step.job.team);
     for (const task of tasks) {
-      used = addResources(used, step.specification.resources);
+      used = addResources(used, resources);
       if (!fitsTeamLimit(step, used)) return { placements, blockedBy: 'limit' };
-      const requirements = createEndpointRequirements(
-        step,
-        step.specification.prefersOneRack ? racks : [],
-      );
-      const chosen = chooseEndpoint(excludeAvoidedEndpoint(task, candidates), requirements);
-      if (!chosen) break;
-      chosen.used = addResources(chosen.used, requirements.resources);
-      chosen.stepTaskCount += 1;
-      if (!racks.includes(chosen.rack)) racks.push(chosen.rack);
-      placements.push({ task, candidate: chosen });
+      const candidate = chooser.place(avoidedEndpoint(task));
+      if (!candidate) break;
+      placements.push({ task, candidate });
     }
     return { placements, blockedBy: 'room' };
   }
@@ -232,7 +249,10 @@
       .map(({ task, candidate: { state } }) => ({
         task,
         session: options.sessionOf(state.entry.endpointId),
-        ticket: adviceCache.ticketFor(step.stepId, incarnationOf(state)),
+        ticket: adviceCache.ticketFor(step.stepId, {
+          endpointId: state.entry.endpointId,
+          bornAt: state.bornAt,
+        }),
       }));
     const ready = starts.filter(
       ({ task, session, ticket }) =>
@@ -281,10 +301,7 @@
     void startWhenDurable(step, queue, placements);
   }
 
-  /**
-   * Starts the tasks that fit on endpoints with tickets. For the remaining tasks, reserves capacity for this round
-   * and requests tickets, so that steps that come later do not take the capacity while the call is in flight.
-   */
+  /** Starts the tasks that fit on endpoints with tickets. @returns request for advice about the remaining tasks */
   function placeStep(readyStep: ReadyStep, all: readonly RoundCandidate[]): AdviceRequest | null {
     const { step, queue } = readyStep;
     const { isGang } = step.specification;
@@ -295,35 +312,55 @@
       countBlockedTasks(readyStep, 'limit', pending.length);
       return null;
     }
-    const candidates = selectCandidates(step, queue, all);
+    const requirements = createEndpointRequirements(step);
+    countStepTasks(step, all);
+    // Few endpoints have room under load, so that the other conditions are checked for these alone.
+    const candidates = all.filter(
+      (candidate) => canHost(candidate, requirements) && isMatching(step, queue, candidate),
+    );
     const candidatesWithTicket = queue.advice
-      ? candidates.filter(
-          ({ state }) => adviceCache.ticketFor(step.stepId, incarnationOf(state)) !== null,
-        )
+      ? candidates.filter((candidate) => hasTicket(step, candidate))
       : candidates;
-    const { placements } = planPlacements(step, pending, candidatesWithTicket);
+    const { placements, blockedBy } = planPlacements(step, pending, candidatesWithTicket);
     const isComplete = placements.length === pending.length;
     const mayStart = placements.length > 0 && (!isGang || isComplete);
     if (mayStart) startPlacements(readyStep, pending, placements);
     if (isComplete) return null;
     const unplaced = mayStart ? pending.filter(({ phase }) => phase === 'pending') : pending;
     if (!mayStart) releasePlannedRoom(step, placements);
+    const reason = blockedBy === 'limit' ? 'limit' : planUnplaced(readyStep, unplaced, candidates);
+    countBlockedTasks(readyStep, reason, unplaced.length);
+    return reason === 'advice' ? createAdviceRequest(step, queue, unplaced.length, all) : null;
+  }
+
+  /**
+   * Reserves room for this round for the tasks of a gang, which needs it all at once, and of an urgent step, so that
+   * steps that come later do not take it while the call for advice is in flight. Other steps reserve none: most of
+   * the room would stay idle, because the answer is about other endpoints than the reserved ones.
+   *
+   * @returns what the tasks wait for
+   */
+  function planUnplaced(
+    { step, queue }: ReadyStep,
+    unplaced: readonly TaskRecord[],
+    candidates: readonly RoundCandidate[],
+  ): BlockingReason {
+    const { isGang } = step.specification;
+    if (!isGang && queue.priority !== URGENT_PRIORITY) {
+      const requirements = createEndpointRequirements(step);
+      const hasRoom = candidates.some((candidate) => canHost(candidate, requirements));
+      return queue.advice && hasRoom ? 'advice' : 'room';
+    }
     const { placements: reserved, blockedBy } = planPlacements(step, unplaced, candidates);
     // The capacity reserved for a gang grows from round to round until all its tasks fit.
-    const needsAdvice = isGang ? reserved.length === unplaced.length : reserved.length > 0;
-    const request = needsAdvice ? createAdviceRequest(step, queue, candidates) : null;
-    countBlockedTasks(
-      readyStep,
-      reserved.length === unplaced.length ? 'advice' : blockedBy,
-      unplaced.length,
-    );
-    return request;
+    const isWaitingForAdvice = isGang ? reserved.length === unplaced.length : reserved.length > 0;
+    return queue.advice && isWaitingForAdvice ? 'advice' : blockedBy;
   }
 
   function collectReadySteps(): ReadyStep[] {
     const total = sumCapacity(context);
     const readySteps = [...transitions.releasedSteps].flatMap((step) => {
-      const queue = context.queue(step.job.queue);
+      const queue = context.settings.queueOf(step.job);
       if (!queue || step.job.phase !== 'open') return [];
       return [{ step, queue, order: computeStepOrder(context, step, queue, total) }];
     });
@@ -332,7 +369,7 @@
 
   function runRound(): void {
     cancelRound = null;
-    if (!context.isOwnerLeaseValid() || !context.configuration()) return;
+    if (!context.isOwnerLeaseValid()) return;
     const candidates = collectCandidates(context, transitions);
     const requests: AdviceRequest[] = [];
     blockedTasks = new Map();
@@ -361,10 +398,10 @@
     step: StepRecord,
     candidates: readonly RoundCandidate[],
   ): AdviceRequest[] {
-    const queue = context.queue(step.job.queue);
+    const queue = context.settings.queueOf(step.job);
     const isWanted = queue && !step.isReleased && step.job.phase === 'open';
     if (!isWanted || adviceCache.hasTickets(step.stepId)) return [];
-    const request = createAdviceRequest(step, queue, selectCandidates(step, queue, candidates));
+    const request = createAdviceRequest(step, queue, step.tasks.length, candidates);
     return request ? [request] : [];
   }
 
