Keep endpoints free for urgent tasks while a service is busy

An urgent task that waits for the end of a batch task has missed its objective.

Urgent tasks use them first, long-running ones last.

--- a/packages/decisions/src/__tests__/stepPlacement.test.ts
+++ b/packages/decisions/src/__tests__/stepPlacement.test.ts
@@ -14,6 +14,7 @@
   fillingTaskCount: 0,
   servingTaskCount: 0,
   slowness: 1,
+  isKeptForUrgent: false,
 };
 const REQUEST = {
   resources: { processors: 2, memoryBytes: 10, accelerators: 0 },
@@ -22,6 +23,7 @@
   isFilling: false,
   isServing: false,
   isUrgent: false,
+  isLongRunning: false,
 };
 
 function chooseEndpoint(
@@ -144,6 +146,15 @@
   t.is(countAdviceCalls({ ...NEED, waitingTasks: 100 }, COST), 6);
 });
 
+test('an endpoint kept for urgent tasks gets others only if they last and fit nowhere else, and is the first choice for those', (t) => {
+  const kept = { ...CANDIDATE, endpointId: 'kept', isKeptForUrgent: true };
+  t.is(chooseEndpoint([kept], REQUEST), null);
+  t.is(chooseEndpoint([CANDIDATE, kept], { ...REQUEST, isUrgent: true })?.endpointId, 'kept');
+  const longRunning = { ...REQUEST, isLongRunning: true };
+  t.is(chooseEndpoint([kept, CANDIDATE], longRunning)?.endpointId, 'a');
+  t.is(chooseEndpoint([kept], longRunning)?.endpointId, 'kept');
+});
+
 test('tasks are placed until no endpoint has room, and the load of the candidates grows with them', (t) => {
   const candidates = ['a', 'b', 'c'].map((endpointId, index) => ({
     ...CANDIDATE,
--- a/packages/decisions/src/core/chooseEndpoint.ts
+++ b/packages/decisions/src/core/chooseEndpoint.ts
@@ -16,6 +16,8 @@
   readonly servingTaskCount: number;
   /** Run time on the endpoint relative to the others; 1 for an average endpoint. */
   readonly slowness: number;
+  /** Whether only urgent tasks are placed on the endpoint now. */
+  readonly isKeptForUrgent: boolean;
 }
 
 /** What a task requires of its endpoint. */
@@ -30,6 +32,8 @@
   readonly isServing: boolean;
   /** Whether callers wait for the task, so that it takes precedence on fast endpoints. */
   readonly isUrgent: boolean;
+  /** Whether the task runs until it is stopped, so that it uses any room there is. */
+  readonly isLongRunning: boolean;
 }
 
 /** Outweighs all other preferences, because a task far from its data takes a multiple of the time. */
@@ -38,6 +42,8 @@
 const FILLING_WEIGHT = 10;
 /** Outweighs the fit: a slow endpoint delays an urgent task, a tight fit only keeps room for others. */
 const URGENT_SLOWNESS_WEIGHT = 10;
+/** Urgent tasks use the endpoints that are kept for them first; long-running tasks use these last. */
+const KEPT_ENDPOINT_WEIGHT = 5;
 /** Other tasks leave fast endpoints to urgent ones as long as they fit as well elsewhere. */
 const FAST_ENDPOINT_WEIGHT = 2;
 /** An endpoint slower than this is considered unhealthy, and no task prefers it. */
@@ -48,6 +54,9 @@
   const { maximumPerEndpoint } = requirements;
   if (maximumPerEndpoint > 0 && candidate.stepTaskCount >= maximumPerEndpoint) return false;
   if (requirements.isFilling && candidate.servingTaskCount > 0) return false;
+  if (candidate.isKeptForUrgent && !requirements.isUrgent && !requirements.isLongRunning) {
+    return false;
+  }
   return hasRoomBeside(candidate.capacity, candidate.used, requirements.resources);
 }
 
@@ -76,8 +85,11 @@
   const rackIndex = preferredRacks.indexOf(candidate.rack);
   const rackScore = rackIndex < 0 ? 0 : RACK_WEIGHT / (1 + rackIndex);
   const fillingPenalty = requirements.isServing ? FILLING_WEIGHT * candidate.fillingTaskCount : 0;
+  const keptWeight = requirements.isUrgent ? KEPT_ENDPOINT_WEIGHT : -KEPT_ENDPOINT_WEIGHT;
+  const keptScore = candidate.isKeptForUrgent ? keptWeight : 0;
   return (
-    rackScore -
+    rackScore +
+    keptScore -
     fillingPenalty -
     slownessPenalty(candidate, requirements) -
     freeFractionAfter(candidate, requirements.resources)
--- a/packages/decisions/src/core/chooseEndpointsForAdvice.ts
+++ b/packages/decisions/src/core/chooseEndpointsForAdvice.ts
@@ -64,6 +64,13 @@
   return 0;
 }
 
+function keptRank(
+  { isKeptForUrgent }: EndpointCandidate,
+  { isUrgent }: EndpointRequirements,
+): number {
+  return Number(isKeptForUrgent === isUrgent);
+}
+
 /**
  * Chooses the endpoints that a call for eligibility advice is about: those with room for a task first, among them
  * those that are known to be eligible, then the faster ones. Among equal endpoints each step prefers others, so that
@@ -97,6 +104,7 @@
       (left, right) =>
         Number(right.hasRoom) - Number(left.hasRoom) ||
         Number(right.candidate.isKnownEligible) - Number(left.candidate.isKnownEligible) ||
+        keptRank(right.candidate, requirements) - keptRank(left.candidate, requirements) ||
         left.speed - right.speed ||
         left.preference - right.preference,
     );
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -77,6 +77,8 @@
   AdviceCandidate,
   AdviceNeed,
 } from './core/chooseEndpointsForAdvice.js';
+export { createUrgentHeadroom } from './core/urgentHeadroom.js';
+export type { HeadroomEndpoint, ServiceLoad, UrgentHeadroom } from './core/urgentHeadroom.js';
 export { createEligibilityEstimate } from './core/eligibilityEstimate.js';
 export type { EligibilityEstimate } from './core/eligibilityEstimate.js';
 export { canHost, createEndpointChooser } from './core/chooseEndpoint.js';
--- /dev/null
+++ b/packages/proving/src/__tests__/overload.test.ts
@@ -0,0 +1,73 @@
+import test from 'ava';
+
+import {
+  CONFIGURATION,
+  createJobId,
+  createJobSpecification,
+  createSchedulerCell,
+} from './schedulerCell.js';
+
+const BURSTS = 10;
+const JOBS_PER_BURST = 2;
+const BURST_INTERVAL_MILLISECONDS = 1_500;
+const URGENT_RUN_MILLISECONDS = 500;
+const BATCH_JOBS = 12;
+const URGENT_JOBS = BURSTS * JOBS_PER_BURST;
+const BATCH_RUN_MILLISECONDS = 4_000;
+/** Objective of an urgent job: one and a half times its run, and 300 ms. */
+const OBJECTIVE_MILLISECONDS = 1.5 * URGENT_RUN_MILLISECONDS + 300;
+
+test('bursts of urgent jobs meet their objective while batch jobs wait for all the room there is', async (t) => {
+  const [queue] = CONFIGURATION.queues;
+  const cell = createSchedulerCell({
+    count: 12,
+    durationOf: ({ payload }) =>
+      payload === 'batch' ? BATCH_RUN_MILLISECONDS : URGENT_RUN_MILLISECONDS,
+  });
+  cell.configuration = {
+    ...CONFIGURATION,
+    queues: [
+      { ...queue!, stretch: 1.5 },
+      { ...queue!, name: 'batch', pathPrefix: '/batch/', priority: 2 },
+    ],
+  };
+  cell.startProcess('first');
+  await cell.advance(200);
+  const resources = { processors: 4, memoryBytes: 1, accelerators: 0 };
+  const submit = (prefix: string, index: number, payload: string, count: number) =>
+    cell.call({
+      path: `/${prefix}/${createJobId(index)}`,
+      specification: { ...createJobSpecification({ count, resources }), payload },
+    });
+  for (let index = 1; index <= BATCH_JOBS; index += 1) await submit('batch', index, 'batch', 12);
+  await cell.advance(1_000);
+
+  const submittedAt = new Map<string, number>();
+  for (let burst = 0; burst < BURSTS; burst += 1) {
+    for (let job = 0; job < JOBS_PER_BURST; job += 1) {
+      const index = 100 + burst * JOBS_PER_BURST + job;
+      submittedAt.set(createJobId(index), cell.clock.monotonicMilliseconds());
+      await submit('work', index, 'urgent', 4);
+    }
+    await cell.advance(BURST_INTERVAL_MILLISECONDS);
+  }
+  await cell.advance(40_000);
+  const { history } = cell.fleet;
+  const firstBatchEnd = Math.min(
+    ...history
+      .filter(({ taskId }) => taskId < createJobId(100))
+      .map(({ endedAt }) => endedAt ?? Infinity),
+  );
+  // Until a batch task has ended there is no room that could have been kept.
+  const judged = [...submittedAt].filter(([, at]) => at > firstBatchEnd);
+  t.true(judged.length >= URGENT_JOBS / 2);
+  const late = judged.filter(([jobId, at]) => {
+    const runs = history.filter(({ taskId }) => taskId.startsWith(jobId));
+    const endedAt = Math.max(...runs.map((run) => run.endedAt ?? Infinity));
+    return endedAt - at > OBJECTIVE_MILLISECONDS;
+  });
+  t.is(late.length, 0, `of ${judged.length} urgent jobs`);
+  const done = history.filter(({ kind }) => kind === 'done');
+  t.is(done.length, 12 * BATCH_JOBS + 4 * URGENT_JOBS);
+  t.deepEqual(cell.fleet.violations(), []);
+});
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -18,6 +18,7 @@
 import { chargedResources } from './endpointTable.js';
 import type { EndpointState } from './endpointTable.js';
 import { hasActiveRun } from './jobRecords.js';
+import { createKeptEndpoints, URGENT_PRIORITY } from './keptEndpoints.js';
 import { findUpcomingSteps } from './upcomingSteps.js';
 import { collectCandidates } from './roundCandidates.js';
 import type { RoundCandidate } from './roundCandidates.js';
@@ -33,9 +34,6 @@
 /** Maximum number of calls for advice about one step at the same time. */
 const MAXIMUM_CALLS_PER_STEP = 3;
 
-/** Priority of queues whose callers wait for the result. */
-const URGENT_PRIORITY = 0;
-
 export interface DispatcherOptions {
   readonly context: TermContext;
   readonly transitions: TaskTransitions;
@@ -77,6 +75,7 @@
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const { context, transitions, adviceCache } = options;
   const { clock, log, table } = context;
+  const keptEndpoints = createKeptEndpoints(context, transitions);
   let cancelRound: CancelTimer | null = null;
   let roundDelayMilliseconds = ROUND_DELAY_MILLISECONDS;
   /** Steps that are released soon. */
@@ -168,6 +167,7 @@
       maximumPerEndpoint: specification.maximumPerEndpoint,
       isFilling: specification.isFilling,
       isServing: specification.targetMilliseconds > 0,
+      isLongRunning: specification.isLongRunning,
       isUrgent: context.settings.queueOf(step.job)?.priority === URGENT_PRIORITY,
     };
   }
@@ -370,7 +370,7 @@
   function runRound(): void {
     cancelRound = null;
     if (!context.isOwnerLeaseValid()) return;
-    const candidates = collectCandidates(context, transitions);
+    const candidates = collectCandidates(context, transitions, keptEndpoints.current());
     const requests: AdviceRequest[] = [];
     blockedTasks = new Map();
     collectReadySteps().forEach((readyStep) => {
@@ -421,6 +421,7 @@
         steps: transitions.releasedSteps.size,
         processorsUsed: Math.round(used),
         processors: Math.round(sumCapacity(context).processors),
+        keptForUrgent: keptEndpoints.current().size,
         adviceLinesBusy: adviceCache.busyChannels(),
       });
     },
--- a/packages/scheduler/src/core/roundCandidates.ts
+++ b/packages/scheduler/src/core/roundCandidates.ts
@@ -29,7 +29,11 @@
   );
 }
 
-function describeCandidate({ estimates }: TermContext, state: EndpointState): RoundCandidate {
+function describeCandidate(
+  { estimates }: TermContext,
+  kept: ReadonlySet<string>,
+  state: EndpointState,
+): RoundCandidate {
   let fillingTasks = 0;
   let servingTasks = 0;
   state.runs.forEach((task) => {
@@ -47,15 +51,20 @@
     fillingTaskCount: fillingTasks,
     servingTaskCount: servingTasks,
     slowness: estimates.slowness(state.entry.endpointId),
+    isKeptForUrgent: kept.has(state.entry.endpointId),
   };
 }
 
-/** @returns endpoints that runs may be placed on in this round */
+/**
+ * @param kept ids of the endpoints that are kept for urgent tasks
+ * @returns endpoints that runs may be placed on in this round
+ */
 export function collectCandidates(
   context: TermContext,
   transitions: TaskTransitions,
+  kept: ReadonlySet<string>,
 ): RoundCandidate[] {
   return [...context.table.all()]
     .filter((state) => isUsable(context, transitions, state))
-    .map((state) => describeCandidate(context, state));
+    .map((state) => describeCandidate(context, kept, state));
 }
