Yield only to a VM that has just reached the store, and choose endpoints for advice cheaply

Change: the owner answers pings with its processors; a VM offers itself with a ping only after a read of the owner key has just been answered, and a process yields at most once in 30 s. A call for advice is prepared only if an endpoint with room is left to ask about.

--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -4,6 +4,7 @@
   chooseEndpointsForAdvice,
   countAdviceCalls,
   createEndpointChooser,
+  hasRoomBeside,
   orderSteps,
 } from '@chicorybend/decisions';
 import type { AdviceNeed, EndpointRequirements, OrderingKey } from '@chicorybend/decisions';
@@ -140,19 +141,23 @@
       settings: advice,
       maximumCalls: Math.min(MAXIMUM_CALLS_PER_STEP, countAdviceCalls(need, advice)),
       chooseEndpoints() {
-        const candidates = all
-          .filter(
-            (candidate) =>
-              isMatching(step, queue, candidate) &&
-              !hasTicket(step, candidate) &&
-              !adviceCache.isAsked(step.stepId, candidate.endpointId),
-          )
-          .map((candidate) => ({
-            ...candidate,
-            // Room that is only reserved in this round, also for this step, counts as free.
-            used: candidate.state.used,
-            isKnownEligible: adviceCache.isEligible(step.stepId, candidate) === true,
-          }));
+        const isOpen = (candidate: RoundCandidate) =>
+          isMatching(step, queue, candidate) &&
+          !hasTicket(step, candidate) &&
+          !adviceCache.isAsked(step.stepId, candidate.endpointId);
+        const requiredRoom = chargedResources(step.specification);
+        const isWorthwhile = all.some(
+          (candidate) =>
+            hasRoomBeside(candidate.capacity, candidate.state.used, requiredRoom) &&
+            isOpen(candidate),
+        );
+        if (!isWorthwhile) return [];
+        const candidates = all.filter(isOpen).map((candidate) => ({
+          ...candidate,
+          // Room that is only reserved in this round, also for this step, counts as free.
+          used: candidate.state.used,
+          isKnownEligible: adviceCache.isEligible(step.stepId, candidate) === true,
+        }));
         countStepTasks(step, candidates);
         return chooseEndpointsForAdvice(candidates, createEndpointRequirements(step), advice, need);
       },
--- a/packages/scheduler/src/core/ownerElection.ts
+++ b/packages/scheduler/src/core/ownerElection.ts
@@ -70,6 +70,8 @@
    */
   run(): Promise<void>;
   owner(): OwnerRecord | null;
+  /** @returns whether the store answers this process now */
+  canReachStore(): Promise<boolean>;
   /** @returns whether this process is the owner and its lease is certainly valid */
   isOwnerLeaseValid(): boolean;
   /** Ends the term after a write or an endpoint has shown that there is another owner. */
@@ -313,6 +315,9 @@
       while (!isStopped) await followOwnerKey();
     },
     owner: () => owner,
+    async canReachStore() {
+      return (await readOwnerKey()).kind === 'answered';
+    },
     isOwnerLeaseValid,
     abandonTerm: endTerm,
     async resign() {
--- a/packages/scheduler/src/core/ownerPreference.ts
+++ b/packages/scheduler/src/core/ownerPreference.ts
@@ -1,5 +1,7 @@
 /** A VM yields the ownership only to one with this many times its processors, so that equal VMs never alternate. */
 const MINIMUM_PROCESSOR_RATIO = 2;
+/** A process yields at most once in this time, in case that none of the others takes the ownership over. */
+const YIELD_INTERVAL_MILLISECONDS = 30_000;
 /** A peer has to be in contact for this long before it counts, so that it is not one that is just starting. */
 const MINIMUM_CONTACT_MILLISECONDS = 1_000;
 /** A peer counts as lost this long after its last message; longer than the interval of its messages. */
@@ -16,14 +18,16 @@
 
 /** Decides whether the owner should yield to a VM with more processors. */
 export interface OwnerPreference {
-  /** Records a message of a peer. */
+  /** @returns whether this process should own the cell instead of an owner with so many processors */
+  isBetterThan(ownerProcessors: number): boolean;
+  /** Records a message of a peer that has just reached the store. */
   recordContact(candidate: OwnerCandidate, now: number): void;
   /**
    * @param termStartedAt start of the term, in monotonic milliseconds
    * @param now current time, in monotonic milliseconds
-   * @returns the peer that should own the cell instead; null if there is none
+   * @returns the peer that the ownership is yielded to now; null if there is none
    */
-  findBetterOwner(termStartedAt: number, now: number): OwnerCandidate | null;
+  chooseBetterOwner(termStartedAt: number, now: number): OwnerCandidate | null;
 }
 
 interface Contact {
@@ -39,23 +43,28 @@
  */
 export function createOwnerPreference(processors: number): OwnerPreference {
   const contacts = new Map<string, Contact>();
+  let yieldedAt = -Infinity;
 
   return {
+    isBetterThan: (ownerProcessors) => processors >= MINIMUM_PROCESSOR_RATIO * ownerProcessors,
     recordContact(candidate, now) {
       const known = contacts.get(candidate.address);
       const isContinuous = known && now - known.lastAt <= MAXIMUM_SILENCE_MILLISECONDS;
       const since = isContinuous ? known.since : now;
       contacts.set(candidate.address, { candidate, since, lastAt: now });
     },
-    findBetterOwner(termStartedAt, now) {
+    chooseBetterOwner(termStartedAt, now) {
       if (now - termStartedAt < MINIMUM_TERM_MILLISECONDS) return null;
+      if (now - yieldedAt < YIELD_INTERVAL_MILLISECONDS) return null;
       const better = [...contacts.values()].find(
         ({ candidate, since, lastAt }) =>
           candidate.processors >= MINIMUM_PROCESSOR_RATIO * processors &&
           now - since >= MINIMUM_CONTACT_MILLISECONDS &&
           now - lastAt <= MAXIMUM_SILENCE_MILLISECONDS,
       );
-      return better?.candidate ?? null;
+      if (!better) return null;
+      yieldedAt = now;
+      return better.candidate;
     },
   };
 }
--- a/packages/scheduler/src/core/scheduler.ts
+++ b/packages/scheduler/src/core/scheduler.ts
@@ -125,7 +125,7 @@
     );
   }
 
-  /** A VM of an earlier build sends no parameters. */
+  /** A peer sends itself as a candidate if it is able to own the cell; one of an earlier build never does. */
   function recordPing(parameters: unknown): void {
     const { address, processors } = (parameters ?? {}) as Partial<OwnerCandidate>;
     if (typeof address !== 'string' || typeof processors !== 'number') return;
@@ -135,7 +135,7 @@
   const handlers: PeerHandlers = {
     ping(parameters) {
       recordPing(parameters);
-      return Promise.resolve(true);
+      return Promise.resolve({ processors: options.processors });
     },
     handle: (request) => handleAsOwner(request as CallerRequest),
     async advise(parameters) {
@@ -162,7 +162,7 @@
     while (!isStopped) {
       await sleep(clock, PING_INTERVAL_MILLISECONDS);
       const better =
-        term && preference.findBetterOwner(termStartedAt, clock.monotonicMilliseconds());
+        term && preference.chooseBetterOwner(termStartedAt, clock.monotonicMilliseconds());
       if (better) {
         log.info('ownership yielded', { to: better.address, processors: better.processors });
         metrics.count('terms_yielded');
@@ -171,12 +171,23 @@
     }
   }
 
+  /** @returns this VM, if it should own the cell instead of the owner and has just reached the store */
+  async function offerAsOwner(ownerProcessors: number): Promise<OwnerCandidate | null> {
+    if (!preference.isBetterThan(ownerProcessors) || !(await election.canReachStore())) return null;
+    return { address: peerAddress, processors: options.processors };
+  }
+
   async function keepAlive(channel: PeerChannel): Promise<void> {
-    const self: OwnerCandidate = { address: peerAddress, processors: options.processors };
+    let ownerProcessors = Infinity;
     while (channel.isOpen() && !isStopped) {
-      const outcome = await channel.call('ping', self, PING_TIMEOUT_MILLISECONDS);
+      const candidate = await offerAsOwner(ownerProcessors);
+      const outcome = await channel.call('ping', candidate, PING_TIMEOUT_MILLISECONDS);
       if (outcome.kind === 'lost') channel.close();
-      else await sleep(clock, PING_INTERVAL_MILLISECONDS);
+      else {
+        const { processors } = (outcome.result ?? {}) as Partial<OwnerCandidate>;
+        if (typeof processors === 'number') ownerProcessors = processors;
+        await sleep(clock, PING_INTERVAL_MILLISECONDS);
+      }
     }
   }
 
