--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -74,7 +74,7 @@
 export { chooseEndpointsForAdvice, countAdviceCalls } from './core/chooseEndpointsForAdvice.js';
 export type {
   AdviceCallCost,
-  AdviceCandidate,
+  AdviceCandidates,
   AdviceNeed,
 } from './core/chooseEndpointsForAdvice.js';
 export { createUrgentHeadroom } from './core/urgentHeadroom.js';
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -140,21 +140,25 @@
       settings: advice,
       maximumCalls: Math.min(MAXIMUM_CALLS_PER_STEP, countAdviceCalls(need, advice)),
       chooseEndpoints() {
-        const candidates = all
-          .filter(
-            (candidate) =>
-              isMatching(step, queue, candidate) &&
-              !hasTicket(step, candidate) &&
-              !adviceCache.isAsked(step.stepId, candidate.endpointId),
-          )
-          .map((candidate) => ({
-            ...candidate,
-            // Room that is only reserved in this round, also for this step, counts as free.
-            used: candidate.state.used,
-            isKnownEligible: adviceCache.isEligible(step.stepId, candidate) === true,
-          }));
-        countStepTasks(step, candidates);
-        return chooseEndpointsForAdvice(candidates, createEndpointRequirements(step), advice, need);
+        countStepTasks(step, all);
+        const requirements = createEndpointRequirements(step);
+        const isOpen = (candidate: RoundCandidate) =>
+          isMatching(step, queue, candidate) &&
+          !hasTicket(step, candidate) &&
+          !adviceCache.isAsked(step.stepId, candidate.endpointId);
+        // Room that is only reserved in this round, also for this step, counts as free.
+        const hasRoom = (candidate: RoundCandidate) =>
+          canHost(candidate, requirements, candidate.state.used);
+        return chooseEndpointsForAdvice(
+          {
+            withRoom: all.filter((candidate) => hasRoom(candidate) && isOpen(candidate)),
+            withoutRoom: () => all.filter((candidate) => !hasRoom(candidate) && isOpen(candidate)),
+            isKnownEligible: (candidate) => adviceCache.isEligible(step.stepId, candidate) === true,
+          },
+          requirements,
+          advice,
+          need,
+        );
       },
     };
   }
