--- a/packages/proving/src/__tests__/formerOwner.test.ts
+++ b/packages/proving/src/__tests__/formerOwner.test.ts
@@ -1,32 +1,17 @@
-import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
-
-import { createSilentLog, createSystemClock, sleep } from '@chicorybend/common';
+import { createSilentLog, createSystemClock } from '@chicorybend/common';
 import { createScheduler, createSchedulerMetrics } from '@chicorybend/scheduler';
 import type { Scheduler } from '@chicorybend/scheduler';
 import { createClusterStoreStandIn, createEndpointFleetStandIn } from '@chicorybend/standins';
 import test from 'ava';
 
+import { reservePort } from '../utils/reservePort.js';
+import { waitUntil } from '../utils/waitUntil.js';
 import { CONFIGURATION, createJobId, createJobSpecification } from './schedulerCell.js';
 
+const HOST = '127.0.0.1';
+const START_LIMIT_MILLISECONDS = 10_000;
 const clock = createSystemClock();
 
-async function findAddress(): Promise<string> {
-  const server = createServer();
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => {
-    server.close(resolve);
-  });
-  return `127.0.0.1:${port}`;
-}
-
-async function waitFor(condition: () => boolean): Promise<void> {
-  while (!condition()) await sleep(clock, 10);
-}
-
 test('a VM that learns of the end of a term only from the former owner refuses calls as not run, and is not ready', async (t) => {
   t.timeout(30_000);
   const store = createClusterStoreStandIn(clock, () => 1);
@@ -39,6 +24,8 @@
     durationOf: () => 100,
   });
   const start = async (name: string): Promise<Scheduler> => {
+    const reservation = await reservePort(HOST);
+    await reservation.release();
     const scheduler = createScheduler({
       store: store.client(name),
       clock,
@@ -55,16 +42,16 @@
       leaseMilliseconds: 1_200,
       claimDelayMilliseconds: 0,
       processors: 1,
-      peerAddress: await findAddress(),
+      peerAddress: `${HOST}:${reservation.port}`,
     });
     await scheduler.start();
     t.teardown(() => scheduler.stop());
     return scheduler;
   };
   const owner = await start('owner');
-  await waitFor(owner.isReady);
+  t.true(await waitUntil(owner.isReady, START_LIMIT_MILLISECONDS));
   const standby = await start('standby');
-  await waitFor(standby.isReady);
+  t.true(await waitUntil(standby.isReady, START_LIMIT_MILLISECONDS));
   store.faultsOf('standby').outage = 'silent';
   await owner.handOver();
   const answer = await standby.handle(
