--- a/packages/scheduler/src/core/scheduler.ts
+++ b/packages/scheduler/src/core/scheduler.ts
@@ -55,6 +55,23 @@
   stop(): void;
 }
 
+/** Parameters of a call for advice that the owner makes through a peer. */
+interface AdviceCall {
+  readonly stepId: string;
+  readonly endpointIds: readonly string[];
+  readonly timeoutMilliseconds: number;
+}
+
+function isAdviceCall(parameters: unknown): parameters is AdviceCall {
+  const { stepId, endpointIds, timeoutMilliseconds } = (parameters ?? {}) as Partial<AdviceCall>;
+  return (
+    typeof stepId === 'string' &&
+    typeof timeoutMilliseconds === 'number' &&
+    Array.isArray(endpointIds) &&
+    endpointIds.every((endpointId) => typeof endpointId === 'string')
+  );
+}
+
 interface OwnerConnection {
   readonly owner: OwnerRecord;
   readonly channel: PeerChannel;
@@ -138,13 +155,12 @@
       return Promise.resolve({ processors: options.processors });
     },
     handle: (request) => handleAsOwner(request as CallerRequest),
-    async advise(parameters) {
-      const { stepId, endpointIds, timeoutMilliseconds } = parameters as {
-        stepId: string;
-        endpointIds: string[];
-        timeoutMilliseconds: number;
-      };
-      if (!options.advice) return { kind: 'failed', reason: 'no advice service' };
+    advise(parameters) {
+      if (!options.advice) return Promise.resolve({ kind: 'failed', reason: 'no advice service' });
+      if (!isAdviceCall(parameters)) {
+        return Promise.resolve({ kind: 'failed', reason: 'invalid parameters' });
+      }
+      const { stepId, endpointIds, timeoutMilliseconds } = parameters;
       return options.advice.advise(stepId, endpointIds, timeoutMilliseconds);
     },
   };
