--- a/packages/scheduler/src/__tests__/adviceCache.test.ts
+++ b/packages/scheduler/src/__tests__/adviceCache.test.ts
@@ -18,6 +18,7 @@
 function createCacheWithChannels(channelCount: number) {
   const clock = createManualClock();
   const requestedSteps: string[] = [];
+  const channelsUsed: number[] = [];
   const cache = createAdviceCache({
     clock,
     log: createSilentLog(),
@@ -29,6 +30,7 @@
     cache.addChannel({
       advise(stepId, endpointIds) {
         requestedSteps.push(stepId);
+        channelsUsed.push(channel);
         return new Promise((resolve) => {
           const tickets = endpointIds.map((endpointId) => ({ endpointId, ticket: 'ticket' }));
           answers.push(() => resolve({ kind: 'answered', tickets, validMilliseconds: 2_000 }));
@@ -36,7 +38,7 @@
       },
     });
   }
-  return { clock, cache, requestedSteps, answers };
+  return { clock, cache, requestedSteps, channelsUsed, answers };
 }
 
 test('a ticket is used until shortly before it expires; eligibility stays known until the step is forgotten', async (t) => {
@@ -103,3 +105,9 @@
   await setImmediate();
   t.is(cache.eligibleProbability('work'), learnt);
 });
+
+test('the channel that was added first, the own one of the owner, is used first', (t) => {
+  const { cache, channelsUsed } = createCacheWithChannels(3);
+  cache.setRequests([createRequest('a.0.0', SHORT), createRequest('b.0.0', SHORT)]);
+  t.deepEqual(channelsUsed, [0, 1]);
+});
--- a/packages/scheduler/src/core/adviceCache.ts
+++ b/packages/scheduler/src/core/adviceCache.ts
@@ -221,19 +221,24 @@
   function sendRequestsOf(callsInFlight: number): void {
     const idle = channels.filter(({ requestInFlight }) => requestInFlight === null);
     let longCallsLeft = Math.max(1, channels.length - reservedChannels()) - countLongCalls();
-    requests = requests.filter((request) => {
-      const channel = idle.at(-1);
+    const pointless = new Set<AdviceRequest>();
+    for (const request of requests) {
+      const [channel] = idle;
+      if (!channel) break;
       const isLong = isLongCall(request);
       const isDue = (steps.get(request.stepId)?.callsInFlight ?? 0) === callsInFlight;
       const maySend = isDue && request.maximumCalls > callsInFlight;
-      if (!channel || !maySend || (isLong && longCallsLeft <= 0)) return true;
-      const endpoints = request.chooseEndpoints().slice(0, MAXIMUM_ENDPOINTS_PER_CALL);
-      if (endpoints.length === 0) return false;
-      send(channel, request, endpoints);
-      idle.pop();
-      if (isLong) longCallsLeft -= 1;
-      return true;
-    });
+      if (maySend && (!isLong || longCallsLeft > 0)) {
+        const endpoints = request.chooseEndpoints().slice(0, MAXIMUM_ENDPOINTS_PER_CALL);
+        if (endpoints.length === 0) pointless.add(request);
+        else {
+          send(channel, request, endpoints);
+          idle.shift();
+          if (isLong) longCallsLeft -= 1;
+        }
+      }
+    }
+    requests = requests.filter((request) => !pointless.has(request));
   }
 
   /** Further calls about a step use only channels that no step without a call needs. */
