Simplify placement, headroom and the claim of ownership without a change of behaviour

Found on reading the change once more: - the room check of chooseEndpoint and coversResources were twins, as were the limit of a healthy slowness, the comparison of processors, the test for urgent queues (three places) and the end of a claim (two places); each is one piece now - the requirements of a step were built up to three times in a round, and the racks that it keeps to were a parameter beside them - a cache of hashes, a copy of addResources and a second variable for the configuration saved nothing; the demand of a step was summed task by task

Tests: the existing ones; stepPlacement passes keepsToRacks in the requirements.

--- a/packages/decisions/src/__tests__/stepPlacement.test.ts
+++ b/packages/decisions/src/__tests__/stepPlacement.test.ts
@@ -19,6 +19,7 @@
 const REQUEST = {
   resources: { processors: 2, memoryBytes: 10, accelerators: 0 },
   preferredRacks: [] as string[],
+  keepsToRacks: false,
   maximumPerEndpoint: 0,
   isFilling: false,
   isServing: false,
@@ -200,7 +201,7 @@
     rack: `r${index % 2}`,
     used: { ...CANDIDATE.used, processors: index === 1 ? 5 : 6 },
   }));
-  const chooser = createEndpointChooser(candidates, REQUEST, true);
+  const chooser = createEndpointChooser(candidates, { ...REQUEST, keepsToRacks: true });
   const racks = Array.from({ length: 4 }, () => chooser.place(null)?.rack);
   t.deepEqual(racks, ['r0', 'r0', 'r1', 'r1']);
 });
--- a/packages/decisions/src/core/chooseEndpoint.ts
+++ b/packages/decisions/src/core/chooseEndpoint.ts
@@ -25,6 +25,8 @@
   readonly resources: Resources;
   /** Racks in the order of preference; all other racks come last. */
   readonly preferredRacks: readonly string[];
+  /** Whether racks on which tasks of the step are placed are preferred to others, in the order of their use. */
+  readonly keepsToRacks: boolean;
   /** Maximum number of tasks of the step on one endpoint; 0 for no limit. */
   readonly maximumPerEndpoint: number;
   readonly isFilling: boolean;
@@ -47,7 +49,7 @@
 /** Other tasks leave fast endpoints to urgent ones as long as they fit as well elsewhere. */
 const FAST_ENDPOINT_WEIGHT = 2;
 /** An endpoint slower than this is considered unhealthy, and no task prefers it. */
-const MAXIMUM_HEALTHY_SLOWNESS = 1.5;
+export const MAXIMUM_HEALTHY_SLOWNESS = 1.5;
 
 /**
  * @param used resources in use on the endpoint, if not those of the candidate
@@ -132,18 +134,18 @@
  *
  * @param candidates endpoints that may run the tasks
  * @param requirements requirements of each task
- * @param keepsToRacks whether racks that the step already uses are preferred to others
  */
 export function createEndpointChooser<Candidate extends PlacementCandidate>(
   candidates: readonly Candidate[],
   requirements: EndpointRequirements,
-  keepsToRacks = false,
 ): EndpointChooser<Candidate> {
   const hosts = candidates.filter((candidate) => canHost(candidate, requirements));
-  const racksInUse: string[] = [];
+  const preferredRacks = [...requirements.preferredRacks];
 
   function rate(candidate: Candidate): number {
-    return score(candidate, requirements, keepsToRacks ? racksInUse : requirements.preferredRacks);
+    return canHost(candidate, requirements)
+      ? score(candidate, requirements, preferredRacks)
+      : -Infinity;
   }
 
   let scores = hosts.map(rate);
@@ -168,11 +170,10 @@
       if (!chosen) return null;
       chosen.used = addResources(chosen.used, requirements.resources);
       chosen.stepTaskCount += 1;
-      scores[position] = canHost(chosen, requirements) ? rate(chosen) : -Infinity;
-      if (keepsToRacks && !racksInUse.includes(chosen.rack)) {
-        racksInUse.push(chosen.rack);
-        scores = hosts.map((host, index) => (scores[index] === -Infinity ? -Infinity : rate(host)));
-      }
+      if (requirements.keepsToRacks && !preferredRacks.includes(chosen.rack)) {
+        preferredRacks.push(chosen.rack);
+        scores = hosts.map(rate);
+      } else scores[position] = rate(chosen);
       return chosen;
     },
   };
--- a/packages/decisions/src/core/chooseEndpointsForAdvice.ts
+++ b/packages/decisions/src/core/chooseEndpointsForAdvice.ts
@@ -1,5 +1,6 @@
 import { hashText } from '@chicorybend/common';
 
+import { MAXIMUM_HEALTHY_SLOWNESS } from './chooseEndpoint.js';
 import type { EndpointCandidate, EndpointRequirements } from './chooseEndpoint.js';
 
 /** The endpoints in a call add at most this fraction of the fixed time of the call. */
@@ -8,8 +9,6 @@
 const MINIMUM_ENDPOINTS = 10;
 /** A call is about endpoints for this many times the tasks that wait, because other steps compete for the room. */
 const COMPETITION_FACTOR = 2;
-/** Endpoints slower than this are asked about last. */
-const MAXIMUM_HEALTHY_SLOWNESS = 1.5;
 /** Endpoints whose slowness differs by less are considered equally fast. */
 const SLOWNESS_GRANULARITY = 0.25;
 
@@ -31,7 +30,7 @@
 }
 
 /** @returns maximum number of endpoints in one call */
-export function maximumEndpointsPerCall({
+function maximumEndpointsPerCall({
   callMilliseconds,
   endpointMilliseconds,
 }: AdviceCallCost): number {
--- a/packages/decisions/src/core/eligibilityEstimate.ts
+++ b/packages/decisions/src/core/eligibilityEstimate.ts
@@ -1,7 +1,7 @@
 /** Fraction of eligible endpoints that is assumed before any answer is known. */
 const INITIAL_FRACTION = 0.5;
 /** Number of answers that the initial fraction counts for. */
-const INITIAL_ANSWERS = 20;
+const INITIAL_WEIGHT = 20;
 /** Answers about this many endpoints ago have lost most of their weight. */
 const MEMORY_ANSWERS = 2_000;
 
@@ -18,16 +18,27 @@
   probability(queue: string): number;
 }
 
+interface Answers {
+  readonly asked: number;
+  readonly eligible: number;
+}
+
+const INITIAL_ANSWERS: Answers = {
+  asked: INITIAL_WEIGHT,
+  eligible: INITIAL_FRACTION * INITIAL_WEIGHT,
+};
+
 /** Creates an estimate without answers. */
 export function createEligibilityEstimate(): EligibilityEstimate {
-  const answersByQueue = new Map<string, { asked: number; eligible: number }>();
+  const answersByQueue = new Map<string, Answers>();
+
+  function answersOf(queue: string): Answers {
+    return answersByQueue.get(queue) ?? INITIAL_ANSWERS;
+  }
 
   return {
     record(queue, asked, eligible) {
-      const past = answersByQueue.get(queue) ?? {
-        asked: INITIAL_ANSWERS,
-        eligible: INITIAL_FRACTION * INITIAL_ANSWERS,
-      };
+      const past = answersOf(queue);
       const weight = Math.max(0, 1 - asked / MEMORY_ANSWERS);
       answersByQueue.set(queue, {
         asked: weight * past.asked + asked,
@@ -35,9 +46,8 @@
       });
     },
     probability(queue) {
-      const answers = answersByQueue.get(queue);
-      if (!answers) return INITIAL_FRACTION;
-      return Math.max(1, answers.eligible) / Math.max(1, answers.asked);
+      const { asked, eligible } = answersOf(queue);
+      return Math.max(1, eligible) / asked;
     },
   };
 }
--- a/packages/decisions/src/core/urgentHeadroom.ts
+++ b/packages/decisions/src/core/urgentHeadroom.ts
@@ -43,38 +43,23 @@
  * of any size. The order of the endpoints is fixed, so that the choice changes little with the demand.
  */
 export function createUrgentHeadroom(): UrgentHeadroom {
-  const orderKeys = new Map<string, number>();
   let peak = 0;
   let updatedAt = -Infinity;
 
-  function orderKey(endpointId: string): number {
-    const known = orderKeys.get(endpointId);
-    if (known !== undefined) return known;
-    const key = hashText(endpointId);
-    orderKeys.set(endpointId, key);
-    return key;
-  }
-
-  function forgetAbsent(endpoints: readonly HeadroomEndpoint[]): void {
-    if (orderKeys.size <= 2 * endpoints.length) return;
-    orderKeys.clear();
-  }
-
   return {
     choose({ urgentDemand, inUse, endpoints }, now) {
       const elapsed = Math.max(0, now - updatedAt);
       peak = Math.max(urgentDemand, peak * 0.5 ** (elapsed / HALF_LIFE_MILLISECONDS));
       updatedAt = now;
-      forgetAbsent(endpoints);
       const total = endpoints.reduce((sum, { processors }) => sum + processors, 0);
       if (inUse < MINIMUM_SHARE_IN_USE * total) return new Set();
       const wanted = Math.min(MARGIN_FACTOR * peak, MAXIMUM_SHARE * total);
-      const ordered = [...endpoints].sort(
-        (left, right) => orderKey(left.endpointId) - orderKey(right.endpointId),
-      );
+      const ordered = endpoints
+        .map((endpoint) => ({ endpoint, key: hashText(endpoint.endpointId) }))
+        .sort((left, right) => left.key - right.key);
       const chosen = new Set<string>();
       let processors = 0;
-      for (const endpoint of ordered) {
+      for (const { endpoint } of ordered) {
         if (processors + endpoint.processors > wanted) break;
         chosen.add(endpoint.endpointId);
         processors += endpoint.processors;
--- a/packages/decisions/src/utils/resourceAmounts.ts
+++ b/packages/decisions/src/utils/resourceAmounts.ts
@@ -1,4 +1,3 @@
-import { RESOURCE_DIMENSIONS } from '@chicorybend/common';
 import type { Resources } from '@chicorybend/common';
 
 export const NO_RESOURCES: Resources = { processors: 0, memoryBytes: 0, accelerators: 0 };
@@ -27,5 +26,5 @@
 
 /** @returns whether the available amounts suffice in every dimension */
 export function coversResources(available: Resources, required: Resources): boolean {
-  return RESOURCE_DIMENSIONS.every((dimension) => available[dimension] >= required[dimension]);
+  return hasRoomBeside(available, NO_RESOURCES, required);
 }
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -18,7 +18,7 @@
 import { chargedResources } from './endpointTable.js';
 import type { EndpointState } from './endpointTable.js';
 import { hasActiveRun } from './jobRecords.js';
-import { createKeptEndpoints, URGENT_PRIORITY } from './keptEndpoints.js';
+import { createKeptEndpoints } from './keptEndpoints.js';
 import { findUpcomingSteps } from './upcomingSteps.js';
 import { collectCandidates } from './roundCandidates.js';
 import type { RoundCandidate } from './roundCandidates.js';
@@ -183,11 +183,12 @@
     return {
       resources: chargedResources(specification),
       preferredRacks: specification.preferredRack === '' ? [] : [specification.preferredRack],
+      keepsToRacks: specification.prefersOneRack && specification.preferredRack === '',
       maximumPerEndpoint: specification.maximumPerEndpoint,
       isFilling: specification.isFilling,
       isServing: specification.targetMilliseconds > 0,
       isLongRunning: specification.isLongRunning,
-      isUrgent: context.settings.queueOf(step.job)?.priority === URGENT_PRIORITY,
+      isUrgent: context.settings.isUrgent(step.job),
     };
   }
 
@@ -208,17 +209,13 @@
     step: StepRecord,
     tasks: readonly TaskRecord[],
     candidates: readonly RoundCandidate[],
+    requirements: EndpointRequirements,
   ): { placements: Placement[]; blockedBy: BlockingReason } {
-    const { prefersOneRack, preferredRack, resources } = step.specification;
-    const chooser = createEndpointChooser(
-      candidates,
-      createEndpointRequirements(step),
-      prefersOneRack && preferredRack === '',
-    );
+    const chooser = createEndpointChooser(candidates, requirements);
     const placements: Placement[] = [];
     let used = table.usedByTeam(step.job.team);
     for (const task of tasks) {
-      used = addResources(used, resources);
+      used = addResources(used, step.specification.resources);
       if (!fitsTeamLimit(step, used)) return { placements, blockedBy: 'limit' };
       const candidate = chooser.place(avoidedEndpoint(task));
       if (!candidate) break;
@@ -344,14 +341,20 @@
     const candidatesWithTicket = queue.advice
       ? candidates.filter((candidate) => hasTicket(step, candidate))
       : candidates;
-    const { placements, blockedBy } = planPlacements(step, pending, candidatesWithTicket);
+    const { placements, blockedBy } = planPlacements(
+      step,
+      pending,
+      candidatesWithTicket,
+      requirements,
+    );
     const isComplete = placements.length === pending.length;
     const mayStart = placements.length > 0 && (!isGang || isComplete);
     if (mayStart) startPlacements(readyStep, pending, placements);
     if (isComplete) return { reason: null, request: null };
     const unplaced = mayStart ? pending.filter(({ phase }) => phase === 'pending') : pending;
     if (!mayStart) releasePlannedRoom(step, placements);
-    const reason = blockedBy === 'limit' ? 'limit' : planUnplaced(readyStep, unplaced, candidates);
+    const reason =
+      blockedBy === 'limit' ? 'limit' : planUnplaced(readyStep, unplaced, candidates, requirements);
     countBlockedTasks(readyStep, reason, unplaced.length);
     const request =
       reason === 'advice' ? createAdviceRequest(step, queue, unplaced.length, all) : null;
@@ -369,14 +372,19 @@
     { step, queue }: ReadyStep,
     unplaced: readonly TaskRecord[],
     candidates: readonly RoundCandidate[],
+    requirements: EndpointRequirements,
   ): BlockingReason {
     const { isGang } = step.specification;
-    if (!isGang && queue.priority !== URGENT_PRIORITY) {
-      const requirements = createEndpointRequirements(step);
+    if (!isGang && !requirements.isUrgent) {
       const hasRoom = candidates.some((candidate) => canHost(candidate, requirements));
       return queue.advice && hasRoom ? 'advice' : 'room';
     }
-    const { placements: reserved, blockedBy } = planPlacements(step, unplaced, candidates);
+    const { placements: reserved, blockedBy } = planPlacements(
+      step,
+      unplaced,
+      candidates,
+      requirements,
+    );
     // The capacity reserved for a gang grows from round to round until all its tasks fit.
     const isWaitingForAdvice = isGang ? reserved.length === unplaced.length : reserved.length > 0;
     return queue.advice && isWaitingForAdvice ? 'advice' : blockedBy;
--- a/packages/scheduler/src/core/keptEndpoints.ts
+++ b/packages/scheduler/src/core/keptEndpoints.ts
@@ -2,13 +2,11 @@
 import type { HeadroomEndpoint, ServiceLoad, UrgentHeadroom } from '@chicorybend/decisions';
 
 import type { TermContext } from '../types/termContext.js';
-import type { TaskRecord } from '../types/jobRecord.js';
+import type { StepRecord } from '../types/jobRecord.js';
 import type { TaskTransitions } from './taskTransitions.js';
 
 /** Interval of choosing the endpoints; short against the duration of a batch task. */
 const INTERVAL_MILLISECONDS = 250;
-/** Priority of queues whose callers wait for the result. */
-export const URGENT_PRIORITY = 0;
 
 /** Endpoints that are kept for urgent tasks, by the demand in each service. */
 export interface KeptEndpoints {
@@ -17,6 +15,7 @@
 }
 
 interface MutableServiceLoad extends ServiceLoad {
+  urgentDemand: number;
   inUse: number;
   readonly endpoints: HeadroomEndpoint[];
 }
@@ -31,46 +30,36 @@
   let kept: ReadonlySet<string> = new Set();
   let chosenAt = -Infinity;
 
-  function urgentProcessors(task: TaskRecord): number {
-    const { specification, job } = task.step;
-    const isUrgent = settings.queueOf(job)?.priority === URGENT_PRIORITY;
-    return isUrgent && !specification.isLongRunning ? specification.resources.processors : 0;
+  /** @returns processors that each task of a step adds to the urgent demand */
+  function urgentProcessors({ specification, job }: StepRecord): number {
+    const isUrgent = settings.isUrgent(job) && !specification.isLongRunning;
+    return isUrgent ? specification.resources.processors : 0;
   }
 
-  /** @returns by service: processors of the urgent tasks that run or wait */
-  function sumDemand(): Map<string, number> {
-    const demand = new Map<string, number>();
-    const add = (service: string, processors: number) =>
-      demand.set(service, (demand.get(service) ?? 0) + processors);
-    for (const { entry, runs } of table.all()) {
-      runs.forEach((task) => add(entry.service, urgentProcessors(task)));
-    }
-    transitions.releasedSteps.forEach((step) => {
-      const service = settings.queueOf(step.job)?.service;
-      if (service === undefined) return;
-      const waiting = step.tasks.filter(({ phase }) => phase === 'pending');
-      add(
-        service,
-        waiting.reduce((sum, task) => sum + urgentProcessors(task), 0),
-      );
-    });
-    return demand;
-  }
-
-  function listServices(): Map<string, MutableServiceLoad> {
-    const services = new Map<string, MutableServiceLoad>();
-    const demand = sumDemand();
+  /** @returns loads of the services that have endpoints */
+  function measureLoads(): Map<string, MutableServiceLoad> {
+    const loads = new Map<string, MutableServiceLoad>();
     for (const { entry, isListed, used } of table.all()) {
       if (isListed && !entry.isDraining) {
         const { endpointId, capacity, service } = entry;
-        const urgentDemand = demand.get(service) ?? 0;
-        const load = services.get(service) ?? { urgentDemand, inUse: 0, endpoints: [] };
+        const load = loads.get(service) ?? { urgentDemand: 0, inUse: 0, endpoints: [] };
         load.endpoints.push({ endpointId, processors: capacity.processors });
         load.inUse += used.processors;
-        services.set(service, load);
+        loads.set(service, load);
       }
     }
-    return services;
+    function addDemand(service: string | undefined, processors: number): void {
+      const load = service === undefined ? undefined : loads.get(service);
+      if (load) load.urgentDemand += processors;
+    }
+    for (const { entry, runs } of table.all()) {
+      runs.forEach(({ step }) => addDemand(entry.service, urgentProcessors(step)));
+    }
+    transitions.releasedSteps.forEach((step) => {
+      const waiting = step.tasks.filter(({ phase }) => phase === 'pending').length;
+      addDemand(settings.queueOf(step.job)?.service, waiting * urgentProcessors(step));
+    });
+    return loads;
   }
 
   function headroomOf(service: string): UrgentHeadroom {
@@ -87,7 +76,7 @@
       if (now - chosenAt < INTERVAL_MILLISECONDS) return kept;
       chosenAt = now;
       kept = new Set(
-        [...listServices()].flatMap(([service, load]) => [
+        [...measureLoads()].flatMap(([service, load]) => [
           ...headroomOf(service).choose(load, now),
         ]),
       );
--- a/packages/scheduler/src/core/ownerElection.ts
+++ b/packages/scheduler/src/core/ownerElection.ts
@@ -215,13 +215,16 @@
     return mayClaim && outcome.kind === 'answered' && outcome.value === null;
   }
 
-  async function endUnusedLease(leaseId: number): Promise<void> {
-    await store.endLease(leaseId, latency.timeoutMilliseconds());
-  }
-
-  /** Begins the term of a claim that is in effect. */
-  function beginTerm({ epoch, leaseId, sentAt, offset }: Claim, ownerRevision: number): void {
+  /** Begins the term of a claim that is in effect, unless the process has resigned meanwhile. */
+  async function takeUpClaim(
+    { epoch, leaseId, sentAt, offset }: Claim,
+    ownerRevision: number,
+  ): Promise<void> {
     unansweredClaim = null;
+    if (!mayClaim) {
+      await store.endLease(leaseId, latency.timeoutMilliseconds());
+      return;
+    }
     checkSuspension();
     term = { epoch, ownerRevision, leaseId };
     leaseValidUntil =
@@ -265,18 +268,14 @@
       (result) => result.kind === 'unknown',
     );
     unansweredClaim = outcome.kind === 'unknown' ? claim : null;
-    if (outcome.kind !== 'written') return;
-    if (mayClaim) beginTerm(claim, outcome.revision);
-    else await endUnusedLease(lease.leaseId);
+    if (outcome.kind === 'written') await takeUpClaim(claim, outcome.revision);
   }
 
   /** Takes up a claim whose answer was lost, if the owner key shows that it is in effect. */
   async function resolveUnansweredClaim(record: OwnerRecord, revision: number): Promise<void> {
     const claim = unansweredClaim;
     if (term || !claim || record.address !== address || record.epoch !== claim.epoch) return;
-    unansweredClaim = null;
-    if (mayClaim) beginTerm(claim, revision);
-    else await endUnusedLease(claim.leaseId);
+    await takeUpClaim(claim, revision);
   }
 
   async function followOwnerKey(): Promise<void> {
--- a/packages/scheduler/src/core/ownerPreference.ts
+++ b/packages/scheduler/src/core/ownerPreference.ts
@@ -36,6 +36,10 @@
   readonly lastAt: number;
 }
 
+function outranks(processors: number, ownerProcessors: number): boolean {
+  return processors >= MINIMUM_PROCESSOR_RATIO * ownerProcessors;
+}
+
 /**
  * Creates a preference without contacts.
  *
@@ -46,7 +50,7 @@
   let yieldedAt = -Infinity;
 
   return {
-    isBetterThan: (ownerProcessors) => processors >= MINIMUM_PROCESSOR_RATIO * ownerProcessors,
+    isBetterThan: (ownerProcessors) => outranks(processors, ownerProcessors),
     recordContact(candidate, now) {
       const known = contacts.get(candidate.address);
       const isContinuous = known && now - known.lastAt <= MAXIMUM_SILENCE_MILLISECONDS;
@@ -58,7 +62,7 @@
       if (now - yieldedAt < YIELD_INTERVAL_MILLISECONDS) return null;
       const better = [...contacts.values()].find(
         ({ candidate, since, lastAt }) =>
-          candidate.processors >= MINIMUM_PROCESSOR_RATIO * processors &&
+          outranks(candidate.processors, processors) &&
           now - since >= MINIMUM_CONTACT_MILLISECONDS &&
           now - lastAt <= MAXIMUM_SILENCE_MILLISECONDS,
       );
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -113,7 +113,7 @@
     onAnswer: () => components?.dispatcher.requestRound(),
   });
 
-  function createComponents(chainRevision: number, initialConfiguration: ClusterConfiguration) {
+  function createComponents(chainRevision: number) {
     const commits = createCommitQueue({
       store,
       clock,
@@ -138,7 +138,7 @@
       jobs,
       commits,
       estimates,
-      configuration: () => configuration ?? initialConfiguration,
+      configuration: () => configuration!,
       settings,
       isOwnerLeaseValid: () => !hasEnded && options.isOwnerLeaseValid(),
       hasEnded: () => hasEnded,
@@ -352,27 +352,26 @@
   }
 
   /** Ends of runs and calls of callers are judged by the configuration, so a term begins with one in effect. */
-  async function awaitConfiguration(): Promise<ClusterConfiguration | null> {
-    while (!hasEnded) {
-      await readConfiguration();
-      if (configuration) return configuration;
+  async function awaitConfiguration(): Promise<void> {
+    await readConfiguration();
+    while (!hasEnded && !configuration) {
       await sleep(clock, RETRY_DELAY_MILLISECONDS);
+      await readConfiguration();
     }
-    return null;
   }
 
   async function recover(): Promise<boolean> {
-    const [chain, items, entries, initialConfiguration] = await Promise.all([
+    const [chain, items, entries] = await Promise.all([
       retryUntilAnswered((timeout) => store.read(COMMIT_KEY, timeout)),
       retryUntilAnswered((timeout) => store.list(JOB_PREFIX, timeout)),
       retryUntilAnswered((timeout) => directory.list(timeout)),
       awaitConfiguration(),
     ]);
-    if (!chain || !items || !entries || !initialConfiguration || hasEnded) return false;
+    if (!chain || !items || !entries || hasEnded) return false;
     entries.entries.forEach((entry) => table.add(entry, clock.monotonicMilliseconds()));
     restoreJobs(items.value);
     restoreRuns();
-    components = createComponents(chain.value?.revision ?? 0, initialConfiguration);
+    components = createComponents(chain.value?.revision ?? 0);
     for (const state of table.all()) startSession(state);
     jobs.forEach((job) => components!.transitions.releaseDueSteps(job));
     log.info('state recovered', {
--- a/packages/scheduler/src/core/stepOrder.ts
+++ b/packages/scheduler/src/core/stepOrder.ts
@@ -1,4 +1,9 @@
-import { computeDominantShare, judgePunctuality, NO_RESOURCES } from '@chicorybend/decisions';
+import {
+  addResources,
+  computeDominantShare,
+  judgePunctuality,
+  NO_RESOURCES,
+} from '@chicorybend/decisions';
 import type { OrderingKey } from '@chicorybend/decisions';
 import type { Resources } from '@chicorybend/common';
 
@@ -12,13 +17,9 @@
 
 /** @returns total capacity of the listed endpoints */
 export function sumCapacity({ table }: TermContext): Resources {
-  const total = { ...NO_RESOURCES };
+  let total = NO_RESOURCES;
   for (const { entry, isListed } of table.all()) {
-    if (isListed) {
-      total.processors += entry.capacity.processors;
-      total.memoryBytes += entry.capacity.memoryBytes;
-      total.accelerators += entry.capacity.accelerators;
-    }
+    if (isListed) total = addResources(total, entry.capacity);
   }
   return total;
 }
