--- a/packages/proving/src/__tests__/ownerTakeover.test.ts
+++ b/packages/proving/src/__tests__/ownerTakeover.test.ts
@@ -252,3 +252,44 @@
   t.is(cell.fleet.history.length, 4);
   t.deepEqual(cell.fleet.violations(), []);
 });
+
+test('a former owner that is cut off from the store does not deny jobs that its successor has accepted', async (t) => {
+  const cell = createSchedulerCell();
+  const first = cell.startProcess('first');
+  await cell.advance(200);
+  cell.store.faultsOf('first').outage = 'silent';
+  const second = cell.startProcess('second');
+  await cell.advance(2_000);
+  const former = first.term();
+  t.truthy(former, 'the former owner has not learnt of its successor');
+  const path = `/work/${createJobId(1)}`;
+  const request = { host: 'cell.example', path, key: 'key-1', specification: null, bodyBytes: 100 };
+  let accepted: unknown = null;
+  const specification = createJobSpecification({ count: 1 });
+  void second
+    .term()!
+    .handle({ ...request, action: 'submit', specification })
+    .then((answer) => {
+      accepted = answer;
+    });
+  await cell.advance(200);
+  t.deepEqual(accepted, { kind: 'accepted' });
+  const answer = await former!.handle({ ...request, action: 'status' });
+  t.is(answer.kind, 'failed');
+});
+
+test('a record that cannot be read does not keep a new owner from recovering the other jobs', async (t) => {
+  const cell = createSchedulerCell({ durationOf: () => 800 });
+  const first = cell.startProcess('first');
+  await cell.advance(200);
+  await cell.call({ specification: createJobSpecification({ count: 2 }) });
+  await cell.advance(200);
+  const broken = `chicorybend/job/${createJobId(7)}`;
+  cell.store.put(`${broken}/specification`, '{"jobId":');
+  cell.store.put(`${broken}/state`, '[]');
+  first.kill();
+  cell.startProcess('second');
+  await cell.advance(4_000);
+  t.deepEqual(await cell.call({ action: 'status' }), { kind: 'status', status: 'completed' });
+  t.truthy(cell.store.get(`${broken}/specification`), 'the record is kept');
+});
--- a/packages/scheduler/src/core/callerService.ts
+++ b/packages/scheduler/src/core/callerService.ts
@@ -162,6 +162,11 @@
     return isDurable === true ? { kind: 'cancelled' } : refuse('acceptance-unknown');
   }
 
+  /** A process whose lease may have ended does not know the jobs that its successor has accepted. */
+  function reportAbsence(): CallerAnswer {
+    return context.isOwnerLeaseValid() ? { kind: 'no-job' } : refuse('not-ready');
+  }
+
   async function handleJob(
     jobId: string,
     queue: JobQueueSettings,
@@ -176,7 +181,8 @@
     if (unresolved) await withTimeout(clock, unresolved.durable, DURABILITY_TIMEOUT_MILLISECONDS);
     const job = jobs.get(jobId);
     if (!job && pendingAcceptances.has(jobId)) return refuse('acceptance-unknown');
-    if (!job || job.queue !== queue.name) return { kind: 'no-job' };
+    if (!job) return reportAbsence();
+    if (job.queue !== queue.name) return { kind: 'no-job' };
     if (!queue.isPublic && job.team !== team?.name) {
       return refuse('team-not-allowed', { team: team?.name ?? '', queue: queue.name });
     }
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -309,6 +309,17 @@
     }
   }
 
+  /** A record that cannot be read stays in the store, and must not keep the other jobs from being recovered. */
+  function restoreJob(jobId: string, specification: string, state: string | undefined): void {
+    try {
+      const job = createJobRecord(parseAccepted(specification));
+      if (state !== undefined) applyState(job, state);
+      jobs.set(jobId, job);
+    } catch (error) {
+      log.error('job record cannot be read', { job: jobId, reason: String(error) });
+    }
+  }
+
   function restoreJobs(items: readonly StoredItem[]): void {
     const states = new Map<string, string>();
     items.forEach(({ key, value }) => {
@@ -318,10 +329,7 @@
     items.forEach(({ key, value }) => {
       const parsed = parseJobKey(key);
       if (parsed?.part !== 'specification') return;
-      const job = createJobRecord(parseAccepted(value));
-      const state = states.get(parsed.jobId);
-      if (state !== undefined) applyState(job, state);
-      jobs.set(job.jobId, job);
+      restoreJob(parsed.jobId, value, states.get(parsed.jobId));
     });
   }
 
