--- /dev/null
+++ b/packages/proving/src/__tests__/formerOwner.test.ts
@@ -0,0 +1,84 @@
+import { createServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
+
+import { createSilentLog, createSystemClock, sleep } from '@chicorybend/common';
+import { createScheduler, createSchedulerMetrics } from '@chicorybend/scheduler';
+import type { Scheduler } from '@chicorybend/scheduler';
+import { createClusterStoreStandIn, createEndpointFleetStandIn } from '@chicorybend/standins';
+import test from 'ava';
+
+import { CONFIGURATION, createJobId, createJobSpecification } from './schedulerCell.js';
+
+const clock = createSystemClock();
+
+async function findAddress(): Promise<string> {
+  const server = createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => {
+    server.close(resolve);
+  });
+  return `127.0.0.1:${port}`;
+}
+
+async function waitFor(condition: () => boolean): Promise<void> {
+  while (!condition()) await sleep(clock, 10);
+}
+
+test('a VM that learns of the end of a term only from the former owner refuses calls as not run, and is not ready', async (t) => {
+  t.timeout(30_000);
+  const store = createClusterStoreStandIn(clock, () => 1);
+  const fleet = createEndpointFleetStandIn({
+    clock,
+    count: 1,
+    service: 'ledger',
+    capacity: { processors: 8, memoryBytes: 1_000, accelerators: 0 },
+    rackSize: 1,
+    durationOf: () => 100,
+  });
+  const start = async (name: string): Promise<Scheduler> => {
+    const scheduler = createScheduler({
+      store: store.client(name),
+      clock,
+      log: createSilentLog(),
+      metrics: createSchedulerMetrics(),
+      endpoints: fleet.client,
+      directory: fleet.directory,
+      configurationSource: {
+        read: () => Promise.resolve({ kind: 'answered', configuration: CONFIGURATION }),
+      },
+      timeLimits: { maximumLeaseMilliseconds: 10_000, maximumStopMilliseconds: 200 },
+      retentionMilliseconds: 60_000,
+      advice: fleet.advice,
+      leaseMilliseconds: 1_200,
+      claimDelayMilliseconds: 0,
+      processors: 1,
+      peerAddress: await findAddress(),
+    });
+    await scheduler.start();
+    t.teardown(() => scheduler.stop());
+    return scheduler;
+  };
+  const owner = await start('owner');
+  await waitFor(owner.isReady);
+  const standby = await start('standby');
+  await waitFor(standby.isReady);
+  store.faultsOf('standby').outage = 'silent';
+  await owner.handOver();
+  const answer = await standby.handle(
+    {
+      action: 'submit',
+      host: 'cell.example',
+      path: `/work/${createJobId(1)}`,
+      key: 'key-1',
+      specification: createJobSpecification({ count: 1 }),
+      bodyBytes: 100,
+    },
+    700,
+  );
+  t.is(answer.kind, 'failed');
+  if (answer.kind === 'failed') t.is(answer.failure.run, 'not-run');
+  t.false(standby.isReady());
+});
--- a/packages/scheduler/src/core/scheduler.ts
+++ b/packages/scheduler/src/core/scheduler.ts
@@ -21,6 +21,8 @@
 const RECONNECT_DELAY_MILLISECONDS = 100;
 /** Maximum wait for an owner that answers; longer than a takeover takes. */
 const OWNER_TIMEOUT_MILLISECONDS = 2_500;
+/** A call is not sent to the owner with less time left, because its answer would come too late to be known. */
+const MINIMUM_CALL_MILLISECONDS = 150;
 const RETRY_AFTER_MILLISECONDS = 1_000;
 
 export interface SchedulerOptions extends SchedulerDependencies {
@@ -53,13 +55,20 @@
   stop(): void;
 }
 
+interface OwnerConnection {
+  readonly owner: OwnerRecord;
+  readonly channel: PeerChannel;
+}
+
 /** Creates the scheduler of a VM; {@link Scheduler.start} starts it. */
 export function createScheduler(options: SchedulerOptions): Scheduler {
   const { clock, log, metrics, peerAddress } = options;
   const preference = createOwnerPreference(options.processors);
   let term: OwnerTerm | null = null;
   let termStartedAt = -Infinity;
-  let ownerChannel: { owner: OwnerRecord; channel: PeerChannel } | null = null;
+  let ownerChannel: OwnerConnection | null = null;
+  /** Epoch of the last term that its owner itself has reported as ended. */
+  let endedEpoch = -Infinity;
   let listener: PeerListener | null = null;
   let isStopped = false;
   const adviceChannelRemovers = new Map<PeerChannel, () => void>();
@@ -177,7 +186,8 @@
       const owner = election.owner();
       const isCurrent = ownerChannel?.channel.isOpen() && ownerChannel.owner.epoch === owner?.epoch;
       if (!isCurrent) ownerChannel?.channel.close();
-      if (owner && owner.address !== peerAddress && !isCurrent) {
+      const isConnectable = owner && owner.address !== peerAddress && owner.epoch > endedEpoch;
+      if (isConnectable && !isCurrent) {
         const channel = await openPeerChannel(
           owner.address,
           handlers,
@@ -232,10 +242,24 @@
       const outcome = await withTimeout(clock, term.handle(request), timeoutMilliseconds);
       return outcome === TIMED_OUT ? 'lost' : outcome;
     }
-    const channel = ownerChannel?.channel;
-    if (!channel?.isOpen()) return 'not-sent';
-    const outcome = await channel.call('handle', request, timeoutMilliseconds);
-    return outcome.kind === 'answered' ? (outcome.result as CallerAnswer) : 'lost';
+    const connection = ownerChannel;
+    if (!connection?.channel.isOpen()) return 'not-sent';
+    const outcome = await connection.channel.call('handle', request, timeoutMilliseconds);
+    if (outcome.kind === 'lost') return 'lost';
+    const answer = outcome.result as CallerAnswer;
+    if (isTermEnded(answer)) leaveFormerOwner(connection);
+    return answer;
+  }
+
+  function isTermEnded(answer: CallerAnswer): boolean {
+    return answer.kind === 'failed' && answer.failure.code === 'not-owner';
+  }
+
+  /** A VM that cannot read the owner key learns of the end of a term only from the former owner. */
+  function leaveFormerOwner({ owner, channel }: OwnerConnection): void {
+    endedEpoch = Math.max(endedEpoch, owner.epoch);
+    log.info('owner reports the end of its term', { owner: owner.address, epoch: owner.epoch });
+    channel.close();
   }
 
   function createTimeoutAnswer(wasSent: boolean): CallerAnswer {
@@ -268,7 +292,9 @@
       let wasSent = false;
       for (;;) {
         const remaining = limit - (clock.monotonicMilliseconds() - startedAt);
-        if (remaining <= 0) return createTimeoutAnswer(wasSent);
+        if (remaining <= (wasSent ? 0 : MINIMUM_CALL_MILLISECONDS)) {
+          return createTimeoutAnswer(wasSent);
+        }
         const answer = await callOwner(request, remaining);
         if (answer === 'lost' || isAcceptanceUnknown(answer)) wasSent = true;
         else if (answer !== 'not-sent' && !isRetriable(answer)) return answer;
