--- a/packages/proving/src/__tests__/overload.test.ts
+++ b/packages/proving/src/__tests__/overload.test.ts
@@ -71,3 +71,25 @@
   t.is(done.length, 12 * BATCH_JOBS + 4 * URGENT_JOBS);
   t.deepEqual(cell.fleet.violations(), []);
 });
+
+test('a small job starts at once behind a backlog of jobs of its queue that wait for larger room', async (t) => {
+  const cell = createSchedulerCell({ count: 4, durationOf: () => 500 });
+  cell.startProcess('first');
+  await cell.advance(200);
+  const submit = (index: number, processors: number) =>
+    cell.call({
+      path: `/work/${createJobId(index)}`,
+      specification: createJobSpecification({
+        count: 2,
+        resources: { processors, memoryBytes: 1, accelerators: 0 },
+      }),
+    });
+  for (let index = 1; index <= 100; index += 1) await submit(index, 5);
+  await submit(1_000, 3);
+  await cell.advance(300);
+  const small = cell.fleet.history.filter(({ taskId }) => taskId.startsWith(createJobId(1_000)));
+  t.is(small.length, 2);
+  await cell.advance(30_000);
+  t.is(cell.fleet.history.filter(({ kind }) => kind === 'done').length, 202);
+  t.deepEqual(cell.fleet.violations(), []);
+});
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -31,6 +31,14 @@
 /** Maximum share of the time of the process that rounds take. */
 const MAXIMUM_ROUND_TIME_SHARE = 0.25;
 
+/**
+ * Number of blocked steps of one queue after which a round considers only some of the others, so that its duration
+ * hardly grows with the backlog.
+ */
+const MAXIMUM_BLOCKED_STEPS = 40;
+/** Each step beyond that is considered once in this many rounds; it may fit where those before it do not. */
+const BACKLOG_ROUNDS = 8;
+
 /** Maximum number of calls for advice about one step at the same time. */
 const MAXIMUM_CALLS_PER_STEP = 3;
 
@@ -54,8 +62,8 @@
   close(): void;
 }
 
-/** Why a round did not start a task: team limit, no endpoint with room, or no ticket yet. */
-type BlockingReason = 'limit' | 'room' | 'advice';
+/** Why a round did not start a task: team limit, no endpoint with room, no ticket yet, or steps that come first. */
+type BlockingReason = 'limit' | 'room' | 'advice' | 'turn';
 
 /** Number of waiting tasks by `<queue>/<reason>`. */
 type BlockedTaskCounts = Map<string, number>;
@@ -72,10 +80,17 @@
   readonly candidate: RoundCandidate;
 }
 
+interface PlacementOutcome {
+  /** Null if no task remains. */
+  readonly reason: BlockingReason | null;
+  readonly request: AdviceRequest | null;
+}
+
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const { context, transitions, adviceCache } = options;
   const { clock, log, table } = context;
   const keptEndpoints = createKeptEndpoints(context, transitions);
+  let rounds = 0;
   let cancelRound: CancelTimer | null = null;
   let roundDelayMilliseconds = ROUND_DELAY_MILLISECONDS;
   /** Steps that are released soon. */
@@ -305,16 +320,20 @@
     void startWhenDurable(step, queue, placements);
   }
 
-  /** Starts the tasks that fit on endpoints with tickets. @returns request for advice about the remaining tasks */
-  function placeStep(readyStep: ReadyStep, all: readonly RoundCandidate[]): AdviceRequest | null {
+  /**
+   * Starts the tasks that fit on endpoints with tickets.
+   *
+   * @returns why tasks remain, if any do, and the request for advice about them
+   */
+  function placeStep(readyStep: ReadyStep, all: readonly RoundCandidate[]): PlacementOutcome {
     const { step, queue } = readyStep;
     const { isGang } = step.specification;
     const pending = startableTasks(step);
-    if (pending.length === 0) return null;
+    if (pending.length === 0) return { reason: null, request: null };
     const withOneMore = addResources(table.usedByTeam(step.job.team), step.specification.resources);
     if (!fitsTeamLimit(step, withOneMore)) {
       countBlockedTasks(readyStep, 'limit', pending.length);
-      return null;
+      return { reason: 'limit', request: null };
     }
     const requirements = createEndpointRequirements(step);
     countStepTasks(step, all);
@@ -329,12 +348,14 @@
     const isComplete = placements.length === pending.length;
     const mayStart = placements.length > 0 && (!isGang || isComplete);
     if (mayStart) startPlacements(readyStep, pending, placements);
-    if (isComplete) return null;
+    if (isComplete) return { reason: null, request: null };
     const unplaced = mayStart ? pending.filter(({ phase }) => phase === 'pending') : pending;
     if (!mayStart) releasePlannedRoom(step, placements);
     const reason = blockedBy === 'limit' ? 'limit' : planUnplaced(readyStep, unplaced, candidates);
     countBlockedTasks(readyStep, reason, unplaced.length);
-    return reason === 'advice' ? createAdviceRequest(step, queue, unplaced.length, all) : null;
+    const request =
+      reason === 'advice' ? createAdviceRequest(step, queue, unplaced.length, all) : null;
+    return { reason, request };
   }
 
   /**
@@ -373,15 +394,25 @@
 
   function runRound(): void {
     cancelRound = null;
+    rounds += 1;
     if (!context.isOwnerLeaseValid()) return;
     const candidates = collectCandidates(context, transitions, keptEndpoints.current());
     const requests: AdviceRequest[] = [];
+    const blockedSteps = new Map<string, number>();
     blockedTasks = new Map();
-    collectReadySteps().forEach((readyStep) => {
-      const request = placeStep(readyStep, candidates);
+    collectReadySteps().forEach((readyStep, position) => {
+      const { step, queue } = readyStep;
+      const blocked = blockedSteps.get(queue.name) ?? 0;
+      const hasTurn = blocked < MAXIMUM_BLOCKED_STEPS || (position + rounds) % BACKLOG_ROUNDS === 0;
+      if (!hasTurn) {
+        countBlockedTasks(readyStep, 'turn', startableTasks(step).length);
+        return;
+      }
+      const { request, reason } = placeStep(readyStep, candidates);
       if (request) requests.push(request);
-      if (!readyStep.step.tasks.some(({ phase }) => phase === 'pending')) {
-        transitions.releasedSteps.delete(readyStep.step);
+      if (reason === 'room' || reason === 'advice') blockedSteps.set(queue.name, blocked + 1);
+      if (!step.tasks.some(({ phase }) => phase === 'pending')) {
+        transitions.releasedSteps.delete(step);
       }
     });
     adviceCache.setRequests([
