--- a/packages/proving/src/__tests__/overload.test.ts
+++ b/packages/proving/src/__tests__/overload.test.ts
@@ -1,3 +1,4 @@
+import type { StepSpecification } from '@chicorybend/scheduler';
 import test from 'ava';
 
 import {
@@ -93,3 +94,39 @@
   t.is(cell.fleet.history.filter(({ kind }) => kind === 'done').length, 202);
   t.deepEqual(cell.fleet.violations(), []);
 });
+
+test('advice about an upcoming step is requested before its release, also while no endpoint has room', async (t) => {
+  const [queue] = CONFIGURATION.queues;
+  const cell = createSchedulerCell({
+    count: 2,
+    durationOf: ({ payload }) => (payload === 'chain' ? 1_000 : 5_000),
+  });
+  const advice = { callMilliseconds: 20, endpointMilliseconds: 1, ticketMilliseconds: 2_000 };
+  cell.configuration = { ...CONFIGURATION, queues: [{ ...queue!, advice }] };
+  const advisedAt = new Map<string, number>();
+  const { advise } = cell.fleet.advice;
+  Object.assign(cell.fleet.advice, {
+    advise(...parameters: Parameters<typeof advise>) {
+      advisedAt.set(parameters[0], cell.clock.monotonicMilliseconds());
+      return advise(...parameters);
+    },
+  });
+  cell.startProcess('first');
+  await cell.advance(200);
+  const submit = async (index: number, payload: string, ...steps: Partial<StepSpecification>[]) => {
+    const path = `/work/${createJobId(index)}`;
+    const resources = { processors: 4, memoryBytes: 1, accelerators: 0 };
+    const specification = createJobSpecification(...steps.map((each) => ({ ...each, resources })));
+    await cell.call({ path, specification: { ...specification, payload } });
+  };
+  const runOnly = { estimatedMilliseconds: 1_000 };
+  await submit(1, 'chain', { count: 1, ...runOnly }, { count: 1, after: [0], ...runOnly });
+  await cell.advance(100);
+  await submit(2, 'wide', { count: 3 });
+  await cell.advance(3_000);
+  const first = cell.fleet.history.find(({ taskId }) => taskId === `${createJobId(1)}.0.0.0`);
+  const requestedAt = advisedAt.get(`${createJobId(1)}.0.1`);
+  t.truthy(first?.endedAt);
+  t.truthy(requestedAt);
+  t.true(requestedAt! < first!.endedAt!, 'the request precedes the release');
+});
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -164,10 +164,15 @@
         // Room that is only reserved in this round, also for this step, counts as free.
         const hasRoom = (candidate: RoundCandidate) =>
           canHost(candidate, requirements, candidate.state.used);
+        const withRoom = all.filter((candidate) => hasRoom(candidate) && isOpen(candidate));
+        const withoutRoom = () =>
+          all.filter((candidate) => !hasRoom(candidate) && isOpen(candidate));
+        // There may be room by the time that an upcoming step is released.
+        const isRoomIrrelevant = withRoom.length === 0 && !step.isReleased;
         return chooseEndpointsForAdvice(
           {
-            withRoom: all.filter((candidate) => hasRoom(candidate) && isOpen(candidate)),
-            withoutRoom: () => all.filter((candidate) => !hasRoom(candidate) && isOpen(candidate)),
+            withRoom: isRoomIrrelevant ? withoutRoom() : withRoom,
+            withoutRoom: isRoomIrrelevant ? () => [] : withoutRoom,
             isKnownEligible: (candidate) => adviceCache.isEligible(step.stepId, candidate) === true,
           },
           requirements,
