Record which runs a lost endpoint took along, and how old they were

Callers see work repeated after the loss of an endpoint; the log named only the endpoint that fell silent, so that a task that had crashed it could not be told from those that ran beside it, and a machine that came back from one that stayed away.

A loss is recorded with each task that had a run there: the age of the run when the calls began to fail, whether the run was certainly executing and whether several endpoints were lost at once. The record is stored with the job, so that it survives a change of owner, and is withdrawn if the endpoint answers in the same incarnation. The line 'endpoint lost' names the runs that had begun last; counters tell endpoints lost from runs stopped or moved. Nothing acts on the record yet.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -53,6 +53,24 @@
 export { createQuarantine } from './core/quarantine.js';
 export type { QuarantineOptions } from './core/quarantine.js';
 
+/** Attribution of the loss of endpoints to tasks that crash them. */
+export {
+  classifyLoss,
+  hasCommonCause,
+  isRecentStart,
+  judgeCrashes,
+  maximumTrials,
+  trialMillisecondsFor,
+} from './core/crashSuspicion.js';
+export type {
+  CrashVerdict,
+  EndpointLoss,
+  LossCircumstances,
+  LossRole,
+  LostEndpoint,
+  LostRun,
+} from './core/crashSuspicion.js';
+
 /** Reclaiming of resources from teams above their share. */
 export { chooseReclaim } from './core/chooseReclaim.js';
 export { createLeastLossPolicy } from './plugins/leastLossPolicy.js';
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -243,6 +243,7 @@
 
   function recordPlacement({ task, candidate: { state } }: Placement, run: number): void {
     task.run = run;
+    task.placedAt = clock.monotonicMilliseconds();
     task.phase = 'placed';
     task.endpointId = state.entry.endpointId;
     task.endpointBornAt = state.bornAt;
--- /dev/null
+++ b/packages/scheduler/src/core/endpointLosses.ts
@@ -0,0 +1,159 @@
+import { classifyLoss, hasCommonCause, isRecentStart } from '@chicorybend/decisions';
+import type { EndpointLoss, LostEndpoint } from '@chicorybend/decisions';
+
+import type { TaskRecord } from '../types/jobRecord.js';
+import type { TermContext } from '../types/termContext.js';
+import type { EndpointState } from './endpointTable.js';
+
+/** How long a loss makes the address of its endpoint unreliable, in milliseconds. */
+const UNRELIABLE_MILLISECONDS = 60_000;
+/** Number of runs of a loss that its log line names. */
+const LOGGED_RUNS = 5;
+
+/** Attributes the losses of endpoints to the tasks that had runs there. */
+export interface EndpointLosses {
+  /** Calls to an endpoint began to fail at `silentSince`. */
+  recordSilence(state: EndpointState): void;
+  /** An endpoint answered in the same incarnation, so that it was not lost. @returns tasks with a withdrawn loss */
+  recordAnswer(state: EndpointState): TaskRecord[];
+  /** Records, before the runs are dropped, that the incarnation in which they were executed is over. */
+  recordLoss(state: EndpointState, tasks: readonly TaskRecord[]): void;
+  /** A task was found guilty, which explains the losses under it. */
+  recordVerdict(task: TaskRecord): void;
+}
+
+/** @returns whether the current run of a task is on trial at a time, in monotonic milliseconds */
+export function isOnTrial(
+  { trialMilliseconds, phase, startedAt }: TaskRecord,
+  at: number,
+): boolean {
+  if (trialMilliseconds === 0) return false;
+  return phase === 'placed' || (phase === 'running' && at - startedAt <= trialMilliseconds);
+}
+
+/** Creates the attribution for one term. */
+export function createEndpointLosses(context: TermContext): EndpointLosses {
+  const { clock, log, metrics } = context;
+  /** By endpoint id: endpoints that do not answer, or were lost within the time that makes an address unreliable. */
+  const silent = new Map<string, LostEndpoint & { readonly address: string }>();
+  /** By endpoint id: the losses recorded for its last incarnation, to be withdrawn if it answers after all. */
+  const recorded = new Map<string, { task: TaskRecord; loss: EndpointLoss }[]>();
+
+  /**
+   * If the endpoint has not answered in this term, the time of its loss is unknown; nothing can have begun there
+   * afterwards, so the last placement is the best estimate.
+   */
+  function estimateLossTime(state: EndpointState, tasks: readonly TaskRecord[]): number {
+    if (state.clockOffset !== null || state.silentSince === null) {
+      return state.silentSince ?? clock.monotonicMilliseconds();
+    }
+    return tasks.reduce((latest, { placedAt }) => Math.max(latest, placedAt), 0);
+  }
+
+  function runAge(task: TaskRecord, at: number): number {
+    const isStartKnown = task.isStartTimeKnown && task.phase !== 'placed';
+    return Math.max(0, at - (isStartKnown ? task.startedAt : task.placedAt));
+  }
+
+  function describeLoss(state: EndpointState, at: number, tasks: readonly TaskRecord[]) {
+    const { endpointId, rack, address } = state.entry;
+    const recent = tasks.filter((task) => isRecentStart(runAge(task, at)));
+    return {
+      endpointId,
+      rack,
+      address,
+      at,
+      isExplained: tasks.some((task) => isOnTrial(task, at)),
+      recentJobs: new Set(recent.map(({ step }) => step.job.jobId)),
+    };
+  }
+
+  function forgetOldLosses(now: number): void {
+    silent.forEach(({ at }, endpointId) => {
+      if (now - at <= UNRELIABLE_MILLISECONDS) return;
+      silent.delete(endpointId);
+      recorded.delete(endpointId);
+    });
+  }
+
+  function isUnreliable({ entry }: EndpointState): boolean {
+    return [...silent.values()].some(
+      ({ address, endpointId, isExplained }) =>
+        !isExplained && address === entry.address && endpointId !== entry.endpointId,
+    );
+  }
+
+  function logLoss(
+    state: EndpointState,
+    lossTime: number,
+    rows: readonly { task: TaskRecord; loss: EndpointLoss }[],
+  ): void {
+    const latest = [...rows].sort(
+      (left, right) => left.loss.ageMilliseconds - right.loss.ageMilliseconds,
+    );
+    log.info('endpoint lost', {
+      endpoint: state.entry.endpointId,
+      rack: state.entry.rack,
+      silentMilliseconds: Math.round(clock.monotonicMilliseconds() - lossTime),
+      runs: rows.length,
+      latest: latest
+        .slice(0, LOGGED_RUNS)
+        .map(({ task, loss }) => [task.taskId, loss.role, Math.round(loss.ageMilliseconds)]),
+    });
+  }
+
+  return {
+    recordSilence(state) {
+      const at = state.silentSince ?? clock.monotonicMilliseconds();
+      const { endpointId } = state.entry;
+      const loss = describeLoss(state, at, [...state.runs.values()]);
+      // An endpoint that was silent from the start of the term was lost at an unknown earlier time.
+      if (state.clockOffset !== null) silent.set(endpointId, loss);
+    },
+    recordAnswer({ entry }) {
+      silent.delete(entry.endpointId);
+      const rows = recorded.get(entry.endpointId) ?? [];
+      recorded.delete(entry.endpointId);
+      return rows.map(({ task, loss }) => {
+        task.losses = task.losses.filter((known) => known !== loss);
+        return task;
+      });
+    },
+    recordLoss(state, tasks) {
+      if (state.entry.isDraining || tasks.length === 0) return;
+      const lossTime = estimateLossTime(state, tasks);
+      forgetOldLosses(clock.monotonicMilliseconds());
+      const lost = silent.get(state.entry.endpointId) ?? describeLoss(state, lossTime, tasks);
+      const circumstances = {
+        hasTrial: lost.isExplained,
+        isCommon: hasCommonCause(lost, [...silent.values()]),
+        isUnreliable: isUnreliable(state),
+      };
+      silent.set(state.entry.endpointId, { ...lost, address: state.entry.address });
+      const wallDifference = clock.wallMilliseconds() - clock.monotonicMilliseconds();
+      const rows = tasks.map((task) => {
+        const ageMilliseconds = runAge(task, lossTime);
+        const run = { ageMilliseconds, isOnTrial: isOnTrial(task, lossTime) };
+        const role = classifyLoss(run, circumstances);
+        const isAlone = role === 'sole' || role === 'unreliable';
+        const isProven = isAlone || task.phase !== 'placed';
+        const loss = { role, ageMilliseconds, isProven, at: lossTime + wallDifference };
+        task.losses.push(loss);
+        task.step.hasLosses = true;
+        return { task, loss };
+      });
+      recorded.set(state.entry.endpointId, rows);
+      metrics.count('endpoints_lost');
+      metrics.count('runs_lost_with_endpoint', rows.length);
+      logLoss(state, lossTime, rows);
+    },
+    recordVerdict(guilty) {
+      recorded.forEach((rows, endpointId) => {
+        const lost = silent.get(endpointId);
+        if (lost && rows.some(({ task }) => task === guilty)) {
+          silent.set(endpointId, { ...lost, isExplained: true });
+        }
+      });
+    },
+  };
+}
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -143,12 +143,26 @@
     state.bornAt = bornAt;
     state.appliedSequence = 0;
     state.durableSequence = 0;
+    const runs = runsOfOtherIncarnations();
+    transitions.endpointLosses.recordLoss(state, runs);
+    state.silentSince = null;
     state.clockOffset = null;
-    runsOfOtherIncarnations().forEach((task) => {
+    runs.forEach((task) => {
       void endRunOfFormerIncarnation(task);
     });
   }
 
+  function recordAnswer(): void {
+    if (state.silentSince !== null) {
+      const tasks = transitions.endpointLosses.recordAnswer(state);
+      new Set(tasks.map(({ step }) => step.job)).forEach((job) => {
+        void transitions.save(job);
+      });
+    }
+    state.silentSince = null;
+    state.unansweredCalls = 0;
+  }
+
   function applyEnd(end: EndReport, changedTasks: Set<TaskRecord>): void {
     const task = state.runs.get(end.taskId);
     if (!task || task.run !== end.run) return;
@@ -200,7 +214,7 @@
   ): Promise<void> {
     if (outcome.bornAt !== null && outcome.bornAt < state.bornAt) return;
     if (outcome.bornAt !== null && outcome.bornAt > state.bornAt) changeIncarnation(outcome.bornAt);
-    state.unansweredCalls = 0;
+    recordAnswer();
     state.clockOffset = outcome.endpointClockMilliseconds - now();
     const changedTasks = new Set<TaskRecord>();
     const ends = outcome.ends.filter(({ sequence }) => sequence > state.appliedSequence);
@@ -231,6 +245,8 @@
     state.unansweredCalls += 1;
     metrics.count('holds_failed');
     if (state.unansweredCalls === 1) {
+      state.silentSince = now();
+      transitions.endpointLosses.recordSilence(state);
       log.info('endpoint silent', { endpoint: state.entry.endpointId, reason });
     }
     if (now() < state.leasesExpireAt) return;
--- a/packages/scheduler/src/core/endpointTable.ts
+++ b/packages/scheduler/src/core/endpointTable.ts
@@ -30,6 +30,8 @@
   leasesExpireAt: number;
   /** Number of unanswered holds in a row. */
   unansweredCalls: number;
+  /** When the first of them failed, in monotonic milliseconds; null if the last hold was answered. */
+  silentSince: number | null;
   /** No new runs are placed there before this time, in monotonic milliseconds. */
   backoffUntil: number;
 }
@@ -75,6 +77,7 @@
         clockOffset: null,
         leasesExpireAt: now,
         unansweredCalls: 0,
+        silentSince: null,
         backoffUntil: 0,
       };
       states.set(entry.endpointId, state);
--- a/packages/scheduler/src/core/jobRecords.ts
+++ b/packages/scheduler/src/core/jobRecords.ts
@@ -1,3 +1,6 @@
+import { judgeCrashes, trialMillisecondsFor } from '@chicorybend/decisions';
+import type { EndpointLoss, LossRole } from '@chicorybend/decisions';
+
 import type { JobSpecification } from '../types/job.js';
 import type {
   AdmissionSettings,
@@ -49,6 +52,7 @@
     endpointId: null,
     endpointBornAt: 0,
     checkpoint: '',
+    placedAt: 0,
     startedAt: 0,
     isStartTimeKnown: false,
     progressReports: [],
@@ -56,6 +60,8 @@
     avoidedUntil: 0,
     absenceConclusiveAfter: Infinity,
     notBefore: 0,
+    losses: [],
+    trialMilliseconds: 0,
   };
 }
 
@@ -85,6 +91,7 @@
       gangFailures: 0,
       brokenRun: 0,
       isReleased: false,
+      hasLosses: false,
     };
     for (let task = 0; task < specification.count; task += 1) {
       step.tasks.push(createTask(step, task));
@@ -131,8 +138,40 @@
   job.occurrences.forEach(({ steps }) => steps.forEach(({ tasks }) => tasks.forEach(apply)));
 }
 
-/** Stored task: step index, task index, phase, run, failures, index into `endpoints` (-1 for none), checkpoint. */
-type StoredTask = [number, number, TaskPhase, number, number, number, string];
+/** Stored loss: role, age of the run in milliseconds, whether it is proven, time since the acceptance of the job. */
+type StoredLoss = [LossRole, number, boolean, number];
+
+/**
+ * Stored task: step index, task index, phase, run, failures, index into `endpoints` (-1 for none), checkpoint, time of
+ * the placement since the acceptance of the job in milliseconds, losses. Earlier builds do not write the last two.
+ */
+type StoredTask = [
+  step: number,
+  index: number,
+  phase: TaskPhase,
+  run: number,
+  failures: number,
+  endpoint: number,
+  checkpoint: string,
+  placedAt?: number,
+  losses?: StoredLoss[],
+];
+
+function encodeLoss(
+  job: JobRecord,
+  { role, ageMilliseconds, isProven, at }: EndpointLoss,
+): StoredLoss {
+  return [role, Math.round(ageMilliseconds), isProven, Math.round(at - job.acceptedAt)];
+}
+
+function decodeLoss(job: JobRecord, [role, age, isProven, after]: StoredLoss): EndpointLoss {
+  return { role, ageMilliseconds: age, isProven, at: job.acceptedAt + after };
+}
+
+/** @returns how long a run of the task is on trial, in milliseconds; 0 if the task is not a suspect */
+export function trialMillisecondsOf({ losses }: TaskRecord): number {
+  return judgeCrashes(losses) === 'suspect' ? trialMillisecondsFor(losses) : 0;
+}
 
 interface StoredState {
   phase: JobPhase;
@@ -158,8 +197,12 @@
   } satisfies AcceptedJob);
 }
 
-/** Encodes the value of the state key. */
-export function encodeState(job: JobRecord): string {
+/**
+ * Encodes the value of the state key.
+ *
+ * @param clockDifference wall-clock time minus monotonic time, in milliseconds
+ */
+export function encodeState(job: JobRecord, clockDifference: number): string {
   const endpoints: [string, number][] = [];
   const indexOf = new Map<string, number>();
 
@@ -190,6 +233,8 @@
               task.failures,
               hasActiveRun(task) ? endpointIndex(task) : -1,
               task.phase === 'done' ? '' : task.checkpoint,
+              Math.round(task.placedAt + clockDifference - job.acceptedAt),
+              task.losses.map((loss) => encodeLoss(job, loss)),
             ]),
         ),
       ]);
@@ -208,8 +253,12 @@
   return steps.some(({ tasks }) => tasks.some(hasActiveRun));
 }
 
-/** Restores a stored state into a new record. Its runs are `placed` until their endpoints confirm them. */
-export function applyState(job: JobRecord, text: string): void {
+/**
+ * Restores a stored state into a new record. Its runs are `placed` until their endpoints confirm them.
+ *
+ * @param clockDifference wall-clock time minus monotonic time, in milliseconds
+ */
+export function applyState(job: JobRecord, text: string, clockDifference: number): void {
   const stored = JSON.parse(text) as StoredState;
   job.phase = stored.phase;
   job.durablePhase = stored.phase;
@@ -218,10 +267,16 @@
   job.occurrenceCount = stored.occurrenceCount;
   stored.occurrences.forEach(([index, gangFailures, tasks]) => {
     const occurrence = addOccurrence(job, index);
-    tasks.forEach(([stepIndex, taskIndex, phase, run, failures, endpoint, checkpoint]) => {
+    tasks.forEach((storedTask) => {
+      const [stepIndex, taskIndex, phase, run, failures, endpoint, checkpoint, after, losses] =
+        storedTask;
       const task = occurrence.steps[stepIndex]?.tasks[taskIndex];
       if (!task) return;
       Object.assign(task, { run, failures, checkpoint });
+      task.placedAt = job.acceptedAt + (after ?? 0) - clockDifference;
+      task.losses = (losses ?? []).map((loss) => decodeLoss(job, loss));
+      task.step.hasLosses ||= task.losses.length > 0;
+      task.trialMilliseconds = trialMillisecondsOf(task);
       // A run that was being stopped is `placed` too: once its endpoint confirms it, it is stopped again if needed.
       task.phase = phase === 'running' || phase === 'stopping' ? 'placed' : phase;
       const storedEndpoint = stored.endpoints[endpoint];
--- a/packages/scheduler/src/core/schedulerMetrics.ts
+++ b/packages/scheduler/src/core/schedulerMetrics.ts
@@ -17,6 +17,8 @@
   runs_done: 'Runs that ended as done.',
   runs_failed: 'Runs that ended as failed.',
   runs_lost: 'Runs that ended otherwise and may be repeated.',
+  endpoints_lost: 'Endpoints lost with runs, other than by a planned stop.',
+  runs_lost_with_endpoint: 'Runs lost with them.',
   runs_moved: 'Runs stopped because they would end sooner elsewhere.',
   commits: 'Groups of changes made durable.',
   commit_keys: 'Keys written by them.',
--- a/packages/scheduler/src/core/taskTransitions.ts
+++ b/packages/scheduler/src/core/taskTransitions.ts
@@ -10,6 +10,8 @@
 } from '../types/jobRecord.js';
 import type { TermContext } from '../types/termContext.js';
 import { stateKey } from '../utils/storeKeys.js';
+import { createEndpointLosses } from './endpointLosses.js';
+import type { EndpointLosses } from './endpointLosses.js';
 import type { EndpointState } from './endpointTable.js';
 import {
   addOccurrence,
@@ -32,6 +34,7 @@
 export interface TaskTransitions {
   /** Released steps that have pending tasks. */
   readonly releasedSteps: Set<StepRecord>;
+  readonly endpointLosses: EndpointLosses;
   /** Commits the state of a job. @returns resolves to whether it is durable; false if the term ended first */
   save(job: JobRecord): Promise<boolean>;
   /** Creates the occurrences of a job that are due, and releases the steps whose dependencies are complete. */
@@ -62,11 +65,14 @@
     firstBackoffMilliseconds: QUARANTINE_MILLISECONDS,
     maximumBackoffMilliseconds: MAXIMUM_QUARANTINE_MILLISECONDS,
   });
+  const endpointLosses = createEndpointLosses(context);
   let notifyJobClosed: (job: JobRecord) => void = () => {};
   let notifyGangBroken: (step: StepRecord) => void = () => {};
 
   function save(job: JobRecord): Promise<boolean> {
-    return commits.stage(stateKey(job.jobId), () => encodeState(job));
+    return commits.stage(stateKey(job.jobId), () =>
+      encodeState(job, clock.wallMilliseconds() - clock.monotonicMilliseconds()),
+    );
   }
 
   /** A job whose limit is not known is not given up. */
@@ -222,16 +228,19 @@
 
   return {
     releasedSteps,
+    endpointLosses,
     save,
     releaseDueSteps: release,
     endRun: endRunAndCleanUp,
     dropRun,
-    expireRuns({ entry, runs }) {
+    expireRuns(state) {
+      const { entry, runs } = state;
       if (runs.size === 0) return;
       log.info('all run leases on endpoint expired', {
         endpoint: entry.endpointId,
         runs: runs.size,
       });
+      endpointLosses.recordLoss(state, [...runs.values()]);
       [...runs.values()].forEach((task) => dropRun(task, 'lapsed'));
     },
     closeJob,
--- a/packages/scheduler/src/types/jobRecord.ts
+++ b/packages/scheduler/src/types/jobRecord.ts
@@ -1,5 +1,5 @@
 import type { Resources } from '@chicorybend/common';
-import type { ProgressReport } from '@chicorybend/decisions';
+import type { EndpointLoss, ProgressReport } from '@chicorybend/decisions';
 
 import type { JobQueueSettings } from './configuration.js';
 import type { JobSpecification, StepSpecification } from './job.js';
@@ -34,6 +34,8 @@
   endpointBornAt: number;
   /** Where the next run resumes; empty for the beginning. */
   checkpoint: string;
+  /** When the current run was recorded, in monotonic milliseconds. */
+  placedAt: number;
   /** When the current run was confirmed, in monotonic milliseconds. */
   startedAt: number;
   /** Whether this term ordered the start, so that `startedAt` is the true start of the run. */
@@ -51,6 +53,10 @@
   absenceConclusiveAfter: number;
   /** Earliest time of the next start, in monotonic milliseconds. */
   notBefore: number;
+  /** Losses of endpoints that had a run of the task, in the order of time. */
+  losses: EndpointLoss[];
+  /** How long the current run is on trial from its confirmation on, in milliseconds; 0 if it is not. */
+  trialMilliseconds: number;
 }
 
 /** A step of one occurrence of a job. */
@@ -70,6 +76,8 @@
   brokenRun: number;
   /** Whether the steps that it depends on are complete, so that its tasks may start. */
   isReleased: boolean;
+  /** Whether an endpoint was lost under any of its tasks. */
+  hasLosses: boolean;
 }
 
 /** One execution of a job: the only one, or one repetition of its schedule. */
