Let endpoints of the stand-in fleet crash, come back, leave and change capacity

The fleet could only restart an endpoint in place or lose it for good, so the loss of an endpoint by a run, its return under another id at the same address and the release of a drained endpoint could not be tested.

The fleet is split into the endpoint, the client and the checks of the record.

--- /dev/null
+++ b/packages/standins/src/core/fleetClient.ts
@@ -0,0 +1,162 @@
+import { sleep } from '@chicorybend/common';
+import type { Clock } from '@chicorybend/common';
+import type {
+  EndpointClient,
+  HoldOutcome,
+  OrderOutcome,
+  OrderRefusal,
+  OrderTarget,
+} from '@chicorybend/scheduler';
+
+import type { FleetEndpoint } from './fleetEndpoint.js';
+
+export interface FleetClientOptions {
+  readonly clock: Clock;
+  /** Delay of a call and its answer, in milliseconds. */
+  readonly latencyMilliseconds: number;
+  /** @returns the latest endpoint at the address of the given one */
+  readonly endpointAt: (endpointId: string) => FleetEndpoint | undefined;
+}
+
+/** Why a call did not reach its endpoint: no answer, or refused. */
+type Undelivered = 'lost' | OrderRefusal;
+
+type Delivery = { readonly endpoint: FleetEndpoint } | { readonly failure: Undelivered };
+
+const NO_ANSWER = { kind: 'unknown', reason: 'lost' } as const;
+
+/** Creates a client whose calls are subject to the faults of the endpoints. */
+export function createFleetClient(options: FleetClientOptions): EndpointClient {
+  const { clock, latencyMilliseconds: latency } = options;
+
+  function isReachable(endpoint: FleetEndpoint | undefined): endpoint is FleetEndpoint {
+    return endpoint !== undefined && endpoint.state !== 'silent' && !endpoint.faults.isCutOff;
+  }
+
+  /** Applies latency and outage; a call to an endpoint that cannot be reached fails after the timeout. */
+  async function deliver(target: OrderTarget, timeoutMilliseconds: number): Promise<Delivery> {
+    if (!isReachable(options.endpointAt(target.endpointId))) {
+      await sleep(clock, timeoutMilliseconds);
+      return { failure: 'lost' };
+    }
+    await sleep(clock, latency / 2);
+    const endpoint = options.endpointAt(target.endpointId)!;
+    if (endpoint.state !== 'up') return { failure: 'unhealthy' };
+    const isIntended = endpoint.entry.endpointId === target.endpointId;
+    return isIntended ? { endpoint } : { failure: 'other-incarnation' };
+  }
+
+  /** The connection of a call in flight closes when its endpoint goes down; a cut-off caller does not notice. */
+  function closeOnDown<Outcome>(
+    endpoint: FleetEndpoint,
+    call: Promise<Outcome>,
+    closed: Outcome,
+  ): Promise<Outcome> {
+    return new Promise((resolve) => {
+      const removeListener = endpoint.onDown(() => {
+        if (isReachable(endpoint)) resolve(closed);
+      });
+      void call.then((outcome) => {
+        removeListener();
+        resolve(outcome);
+      });
+    });
+  }
+
+  /** Executes an order and returns its outcome with the latency of the answer. */
+  async function order(
+    target: OrderTarget,
+    timeoutMilliseconds: number,
+    execute: (endpoint: FleetEndpoint) => OrderOutcome,
+  ): Promise<OrderOutcome> {
+    const delivery = await deliver(target, timeoutMilliseconds);
+    if ('failure' in delivery) {
+      const { failure } = delivery;
+      return failure === 'lost' ? NO_ANSWER : { kind: 'refused', reason: failure };
+    }
+    const answer = async () => {
+      const outcome = execute(delivery.endpoint);
+      await sleep(clock, latency / 2);
+      return outcome;
+    };
+    return closeOnDown(delivery.endpoint, answer(), NO_ANSWER);
+  }
+
+  async function answerHold(
+    endpoint: FleetEndpoint,
+    waitMilliseconds: number,
+    timeoutMilliseconds: number,
+  ): Promise<HoldOutcome> {
+    await endpoint.awaitEnd(waitMilliseconds);
+    if (endpoint.faults.isCutOff || endpoint.state !== 'up') {
+      await sleep(clock, timeoutMilliseconds);
+      return { kind: 'failed', reason: 'lost' };
+    }
+    const outcome = endpoint.describe();
+    await sleep(clock, latency / 2);
+    return outcome;
+  }
+
+  /** Leaves the order in flight, so that it is executed late, possibly by a later incarnation. */
+  async function startLate(
+    target: OrderTarget,
+    delayMilliseconds: number,
+    timeoutMilliseconds: number,
+    execute: (receiver: FleetEndpoint) => OrderOutcome,
+  ): Promise<OrderOutcome> {
+    clock.setTimer(() => {
+      const receiver = options.endpointAt(target.endpointId);
+      const isIntended = receiver?.entry.endpointId === target.endpointId;
+      if (isIntended && receiver.state === 'up') execute(receiver);
+    }, delayMilliseconds);
+    await sleep(clock, timeoutMilliseconds);
+    return NO_ANSWER;
+  }
+
+  return {
+    async start(target, startOrder, timeoutMilliseconds) {
+      const execute = (endpoint: FleetEndpoint) => endpoint.start(target, startOrder);
+      const endpoint = options.endpointAt(target.endpointId);
+      const delay = endpoint?.faults.unansweredStartDelayMilliseconds ?? null;
+      if (delay === null || !isReachable(endpoint) || endpoint.state !== 'up') {
+        return order(target, timeoutMilliseconds, execute);
+      }
+      return closeOnDown(
+        endpoint,
+        startLate(target, delay, timeoutMilliseconds, execute),
+        NO_ANSWER,
+      );
+    },
+    stop: (target, run, timeoutMilliseconds) =>
+      order(target, timeoutMilliseconds, (endpoint) =>
+        endpoint.rejectsStaleToken(target)
+          ? { kind: 'refused', reason: 'fenced' }
+          : endpoint.stop(run),
+      ),
+    async hold(target, holdOrder, timeoutMilliseconds) {
+      const { deadlineOnEndpointMilliseconds: deadline, waitMilliseconds } = holdOrder;
+      const delivery = await deliver(target, waitMilliseconds + timeoutMilliseconds);
+      if ('failure' in delivery) {
+        const { failure } = delivery;
+        if (failure === 'lost') return { kind: 'failed', reason: 'lost' };
+        return failure === 'unhealthy'
+          ? { kind: 'failed', reason: 'connection refused' }
+          : { kind: 'refused', reason: failure };
+      }
+      const { endpoint } = delivery;
+      endpoint.expireLease();
+      if (endpoint.rejectsStaleToken(target)) return { kind: 'refused', reason: 'fenced' };
+      if (deadline !== null) endpoint.extendLease(deadline);
+      endpoint.acknowledge(holdOrder.acknowledgedSequence);
+      return closeOnDown(endpoint, answerHold(endpoint, waitMilliseconds, timeoutMilliseconds), {
+        kind: 'failed',
+        reason: 'connection closed',
+      });
+    },
+    pace: (target, _run, _percent, timeoutMilliseconds) =>
+      order(target, timeoutMilliseconds, () => ({
+        kind: 'done',
+        endpointClockMilliseconds: null,
+      })),
+  };
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -36,9 +36,12 @@
 export type {
   EndpointFleetOptions,
   EndpointFleetStandIn,
+  FleetEndKind,
   FleetEndpointFaults,
+  FleetOverload,
+  FleetRestart,
   FleetRun,
-} from './core/endpointFleetStandIn.js';
+} from './types/fleet.js';
 
 /** TCP relay that injects faults into the connections between processes. */
 export { startRelay } from './core/relay.js';
