--- a/packages/proving/src/__tests__/formerOwner.test.ts
+++ b/packages/proving/src/__tests__/formerOwner.test.ts
@@ -6,7 +6,7 @@
 
 import { reservePort } from '../utils/reservePort.js';
 import { waitUntil } from '../utils/waitUntil.js';
-import { CONFIGURATION, createJobId, createJobSpecification } from './schedulerCell.js';
+import { CONFIGURATION, createJobId, createJobSpecification } from '../core/schedulerCell.js';
 
 const HOST = '127.0.0.1';
 const START_LIMIT_MILLISECONDS = 10_000;
--- a/packages/proving/src/__tests__/gangs.test.ts
+++ b/packages/proving/src/__tests__/gangs.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 
-import { createSchedulerCell, createJobSpecification } from './schedulerCell.js';
+import { createSchedulerCell, createJobSpecification } from '../core/schedulerCell.js';
 
 test('a gang is stopped at once and restarted as a whole when a member cannot start', async (t) => {
   const cell = createSchedulerCell({
--- a/packages/proving/src/__tests__/overload.test.ts
+++ b/packages/proving/src/__tests__/overload.test.ts
@@ -6,7 +6,7 @@
   createJobId,
   createJobSpecification,
   createSchedulerCell,
-} from './schedulerCell.js';
+} from '../core/schedulerCell.js';
 
 const BURSTS = 10;
 const JOBS_PER_BURST = 2;
--- a/packages/proving/src/__tests__/ownerTakeover.test.ts
+++ b/packages/proving/src/__tests__/ownerTakeover.test.ts
@@ -5,7 +5,7 @@
   createSchedulerCell,
   createJobId,
   createJobSpecification,
-} from './schedulerCell.js';
+} from '../core/schedulerCell.js';
 
 test('an end is not acknowledged before it is durable, so that a new owner does not repeat the run', async (t) => {
   const cell = createSchedulerCell({ durationOf: () => 1_000 });
--- a/packages/proving/src/__tests__/stragglers.test.ts
+++ b/packages/proving/src/__tests__/stragglers.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 
-import { createSchedulerCell, createJobId, createJobSpecification } from './schedulerCell.js';
+import { createSchedulerCell, createJobId, createJobSpecification } from '../core/schedulerCell.js';
 
 /** Completes several short jobs, from which the owner learns the usual duration of a run. */
 async function completeShortJobs(cell: ReturnType<typeof createSchedulerCell>): Promise<void> {
