Repeat the runs of an endpoint once another one answers at its address

Callers waited 6.3 s (11.3 s over a takeover) for work that an endpoint had taken along, although its machine was back after 3 s: a machine comes back as another endpoint at the same address, and the owner waited for the leases of the former one to expire.

An endpoint that answers in place of another one proves that the incarnation is over: its runs have ended, and a late order to it is refused for the same reason. They are dropped at that answer now.

Test: runs of a replaced endpoint are repeated; 0 of 8 were repeated within 2 s before, all of them now.

--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -152,6 +152,19 @@
     });
   }
 
+  /** Another endpoint answers at the address, so that the incarnation known here is over. */
+  function endReplacedIncarnation(): void {
+    if (state.runs.size === 0) return;
+    log.info('endpoint replaced at its address', {
+      endpoint: state.entry.endpointId,
+      runs: state.runs.size,
+    });
+    transitions.endpointLosses.recordLoss(state, [...state.runs.values()]);
+    [...state.runs.values()].forEach((task) => transitions.dropRun(task, 'lapsed'));
+    state.leasesExpireAt = now();
+    context.requestRound();
+  }
+
   function recordAnswer(): void {
     if (state.silentSince !== null) {
       const tasks = transitions.endpointLosses.recordAnswer(state);
@@ -277,6 +290,8 @@
       abandonFenced();
     } else {
       handleUnansweredHold(outcome.reason);
+      const isReplaced = outcome.kind === 'refused' && outcome.reason === 'other-incarnation';
+      if (isReplaced) endReplacedIncarnation();
       await sleep(clock, RETRY_DELAY_MILLISECONDS);
     }
   }
