Don't count an end as acknowledged if the lease of its endpoint lapsed before

The fleet reported a run after an acknowledged success when an endpoint was cut off for longer than its lease, the run ended there meanwhile, and its end was listed and acknowledged after the run had been repeated elsewhere. By then the owner had to take the run for lapsed, so the repetition is right, and the check was wrong.

--- a/packages/standins/src/types/fleet.ts
+++ b/packages/standins/src/types/fleet.ts
@@ -33,7 +33,10 @@
   readonly startedAt: number;
   endedAt: number | null;
   kind: FleetEndKind | null;
-  /** Monotonic time in milliseconds at which a client acknowledged the end; null if none has. */
+  /**
+   * Monotonic time in milliseconds at which a client acknowledged the end; null if none has, or not before the lease
+   * of the endpoint lapsed, by when the run may have been repeated.
+   */
   acknowledgedAt: number | null;
 }
 
