Give up tasks that crash their endpoints, and try suspects apart from others

Class of fault: a retry without a budget for one kind of failure, whose cost is borne by others.

Each loss counts as evidence against the tasks that had a run there: most against those that had just begun, none where several endpoints were lost at once while siblings survive elsewhere, or the endpoint was draining. A suspect runs on trial: on an endpoint where little is at stake, on which no run has begun for 300 ms and none begins until the trial is over; suspects of one step share endpoints, since their job fails whichever is guilty. A step in doubt starts on one endpoint at a time until a run has passed. A task that was certainly executing at two losses, alone under suspicion at the last one, is given up: its job fails and is logged with the evidence. Evidence is stored with the job, so that it survives a change of owner.

--- a/packages/decisions/src/__tests__/stepPlacement.test.ts
+++ b/packages/decisions/src/__tests__/stepPlacement.test.ts
@@ -15,6 +15,9 @@
   servingTaskCount: 0,
   slowness: 1,
   isKeptForUrgent: false,
+  trialStepId: null,
+  isQuiet: true,
+  workAtStake: 0,
 };
 const REQUEST = {
   resources: { processors: 2, memoryBytes: 10, accelerators: 0 },
@@ -25,6 +28,7 @@
   isServing: false,
   isUrgent: false,
   isLongRunning: false,
+  trial: null,
 };
 
 function chooseEndpoint(
--- a/packages/decisions/src/core/chooseEndpoint.ts
+++ b/packages/decisions/src/core/chooseEndpoint.ts
@@ -18,6 +18,12 @@
   readonly slowness: number;
   /** Whether only urgent tasks are placed on the endpoint now. */
   readonly isKeptForUrgent: boolean;
+  /** Step of the tasks that are on trial there, apart from others; null if there are none. */
+  readonly trialStepId: string | null;
+  /** Whether no run has begun there for some time, so that a loss could only be due to a run that begins now. */
+  readonly isQuiet: boolean;
+  /** Work that would have to be repeated if the endpoint were lost, in processor seconds. */
+  readonly workAtStake: number;
 }
 
 /** What a task requires of its endpoint. */
@@ -36,6 +42,20 @@
   readonly isUrgent: boolean;
   /** Whether the task runs until it is stopped, so that it uses any room there is. */
   readonly isLongRunning: boolean;
+  /** How the task is kept apart if it may have crashed an endpoint; null for other tasks. */
+  readonly trial: TrialRequirements | null;
+}
+
+/**
+ * How a task on trial is kept apart from others. Tasks of one step share endpoints, because the job fails whichever of
+ * them is guilty.
+ */
+export interface TrialRequirements {
+  readonly stepId: string;
+  /** Maximum number of endpoints without a trial on which tasks are placed. */
+  readonly maximumNewEndpoints: number;
+  /** Whether the endpoint is only reserved, so that it becomes quiet. */
+  readonly isReservation: boolean;
 }
 
 /** Outweighs all other preferences, because a task far from its data takes a multiple of the time. */
@@ -48,9 +68,19 @@
 const KEPT_ENDPOINT_WEIGHT = 5;
 /** Other tasks leave fast endpoints to urgent ones as long as they fit as well elsewhere. */
 const FAST_ENDPOINT_WEIGHT = 2;
+/** Weight of a processor second at stake, for tasks on trial. */
+const WORK_AT_STAKE_WEIGHT = 20;
 /** An endpoint slower than this is considered unhealthy, and no task prefers it. */
 export const MAXIMUM_HEALTHY_SLOWNESS = 1.5;
 
+/** @returns whether a placement keeps the tasks on trial apart from all others that begin */
+function keepsTrialsApart(candidate: EndpointCandidate, trial: TrialRequirements | null): boolean {
+  if (candidate.trialStepId !== null) {
+    return trial !== null && trial.stepId === candidate.trialStepId;
+  }
+  return trial === null || trial.isReservation || candidate.isQuiet;
+}
+
 /**
  * @param used resources in use on the endpoint, if not those of the candidate
  * @returns whether a task may be placed on an endpoint now
@@ -63,6 +93,7 @@
   const { maximumPerEndpoint } = requirements;
   if (maximumPerEndpoint > 0 && candidate.stepTaskCount >= maximumPerEndpoint) return false;
   if (requirements.isFilling && candidate.servingTaskCount > 0) return false;
+  if (!keepsTrialsApart(candidate, requirements.trial)) return false;
   if (candidate.isKeptForUrgent && !requirements.isUrgent && !requirements.isLongRunning) {
     return false;
   }
@@ -96,9 +127,14 @@
   const fillingPenalty = requirements.isServing ? FILLING_WEIGHT * candidate.fillingTaskCount : 0;
   const keptWeight = requirements.isUrgent ? KEPT_ENDPOINT_WEIGHT : -KEPT_ENDPOINT_WEIGHT;
   const keptScore = candidate.isKeptForUrgent ? keptWeight : 0;
+  const stakePenalty =
+    requirements.trial && candidate.trialStepId === null
+      ? WORK_AT_STAKE_WEIGHT * candidate.workAtStake
+      : 0;
   return (
     rackScore +
     keptScore -
+    stakePenalty -
     fillingPenalty -
     slownessPenalty(candidate, requirements) -
     freeFractionAfter(candidate, requirements.resources)
@@ -109,6 +145,7 @@
 export interface PlacementCandidate extends EndpointCandidate {
   used: Resources;
   stepTaskCount: number;
+  trialStepId: string | null;
 }
 
 /** Chooses endpoints for the tasks of one step, one after the other. */
@@ -141,9 +178,14 @@
 ): EndpointChooser<Candidate> {
   const hosts = candidates.filter((candidate) => canHost(candidate, requirements));
   const preferredRacks = [...requirements.preferredRacks];
+  let newTrialEndpoints = requirements.trial?.maximumNewEndpoints ?? 0;
+
+  function isOpenForTrial({ trialStepId }: Candidate): boolean {
+    return !requirements.trial || trialStepId !== null || newTrialEndpoints > 0;
+  }
 
   function rate(candidate: Candidate): number {
-    return canHost(candidate, requirements)
+    return canHost(candidate, requirements) && isOpenForTrial(candidate)
       ? score(candidate, requirements, preferredRacks)
       : -Infinity;
   }
@@ -170,10 +212,15 @@
       if (!chosen) return null;
       chosen.used = addResources(chosen.used, requirements.resources);
       chosen.stepTaskCount += 1;
-      if (requirements.keepsToRacks && !preferredRacks.includes(chosen.rack)) {
-        preferredRacks.push(chosen.rack);
-        scores = hosts.map(rate);
-      } else scores[position] = rate(chosen);
+      const opensTrial = requirements.trial !== null && chosen.trialStepId === null;
+      if (opensTrial) {
+        chosen.trialStepId = requirements.trial.stepId;
+        newTrialEndpoints -= 1;
+      }
+      const opensRack = requirements.keepsToRacks && !preferredRacks.includes(chosen.rack);
+      if (opensRack) preferredRacks.push(chosen.rack);
+      if (opensTrial || opensRack) scores = hosts.map(rate);
+      else scores[position] = rate(chosen);
       return chosen;
     },
   };
--- a/packages/decisions/src/core/crashSuspicion.ts
+++ b/packages/decisions/src/core/crashSuspicion.ts
@@ -11,6 +11,8 @@
 const MAXIMUM_TRIAL_MILLISECONDS = 2_500;
 /** A trial lasts this multiple of the highest age at which an endpoint was lost under the task. */
 const TRIAL_AGE_FACTOR = 2;
+/** Minimum age at which a run clears its task of earlier losses, in milliseconds. */
+const MINIMUM_OUTLIVING_MILLISECONDS = 10_000;
 /** A task is given up after this many proven losses, even if each of them may have another cause. */
 const MAXIMUM_PROVEN_LOSSES = 4;
 /** The same for tasks on trial whose endpoints had other losses. */
@@ -51,8 +53,8 @@
   readonly at: number;
   /** Whether a run that was on trial there, or a task found guilty, explains the loss. */
   readonly isExplained: boolean;
-  /** Jobs with runs that had just begun there. */
-  readonly recentJobs: ReadonlySet<string>;
+  /** Jobs with runs that had just begun there, with the number of endpoints on which they had. */
+  readonly recentJobs: ReadonlyMap<string, number>;
 }
 
 /** A run at an endpoint when that was lost. */
@@ -78,17 +80,25 @@
   return ageMilliseconds <= RECENT_START_MILLISECONDS;
 }
 
+/** @returns whether a job had just begun on most of the endpoints, and most endpoints on which it had were lost */
 function hasSharedJob(losses: readonly LostEndpoint[]): boolean {
-  const counts = new Map<string, number>();
+  const lostByJob = new Map<string, number>();
+  const totals = new Map<string, number>();
   losses.forEach(({ recentJobs }) =>
-    recentJobs.forEach((job) => counts.set(job, (counts.get(job) ?? 0) + 1)),
+    recentJobs.forEach((endpoints, job) => {
+      lostByJob.set(job, (lostByJob.get(job) ?? 0) + 1);
+      totals.set(job, Math.max(totals.get(job) ?? 0, endpoints));
+    }),
+  );
+  return [...lostByJob].some(
+    ([job, lost]) => lost > 1 && 2 * lost >= losses.length && 2 * lost > totals.get(job)!,
   );
-  return [...counts.values()].some((count) => count > 1 && 2 * count >= losses.length);
 }
 
 /**
  * Decides whether endpoints were lost for a common cause. Explained losses do not count, and neither do
- * groups in which a job had just begun on at least half of the endpoints: its tasks may share a fault.
+ * groups in which a job had just begun on at least half of the endpoints, while it survived on few others: its tasks
+ * may share a fault.
  *
  * @param lost the lost endpoint
  * @param losses all recent losses, this one included
@@ -149,11 +159,25 @@
 }
 
 /**
- * Number of runs on trial that a step may have at once: one until a run has passed, so that a step of which every
- * task crashes its endpoint takes down one at a time, then one more with each run that passes.
+ * @param ageMilliseconds age of the last run of the task, in milliseconds
+ * @returns the losses that this run has not shown to have another cause by outliving them
+ */
+export function discardOutlivedLosses(
+  losses: readonly EndpointLoss[],
+  ageMilliseconds: number,
+): readonly EndpointLoss[] {
+  const hasOutlived =
+    ageMilliseconds >= MINIMUM_OUTLIVING_MILLISECONDS &&
+    losses.every((loss) => ageMilliseconds >= TRIAL_AGE_FACTOR * loss.ageMilliseconds);
+  return hasOutlived ? [] : losses;
+}
+
+/**
+ * Number of endpoints with runs on trial that a step may have at once: one until a run has passed, so that a step of
+ * which every task crashes its endpoint takes down one at a time, then one more with each run that passes.
  *
  * @param passed number of runs of the step that have passed their trial or succeeded
  */
-export function maximumTrials(passed: number): number {
+export function maximumTrialEndpoints(passed: number): number {
   return 1 + passed;
 }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -56,10 +56,11 @@
 /** Attribution of the loss of endpoints to tasks that crash them. */
 export {
   classifyLoss,
+  discardOutlivedLosses,
   hasCommonCause,
   isRecentStart,
   judgeCrashes,
-  maximumTrials,
+  maximumTrialEndpoints,
   trialMillisecondsFor,
 } from './core/crashSuspicion.js';
 export type {
@@ -105,6 +106,7 @@
   EndpointChooser,
   EndpointRequirements,
   PlacementCandidate,
+  TrialRequirements,
 } from './core/chooseEndpoint.js';
 export { judgePunctuality, orderSteps } from './core/stepOrder.js';
 export type { ObjectiveTimes, OrderingKey, Punctuality } from './core/stepOrder.js';
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -6,7 +6,12 @@
   createEndpointChooser,
   orderSteps,
 } from '@chicorybend/decisions';
-import type { AdviceNeed, EndpointRequirements, OrderingKey } from '@chicorybend/decisions';
+import type {
+  AdviceNeed,
+  EndpointRequirements,
+  OrderingKey,
+  TrialRequirements,
+} from '@chicorybend/decisions';
 import { RESOURCE_DIMENSIONS } from '@chicorybend/common';
 import type { CancelTimer, Resources } from '@chicorybend/common';
 
@@ -17,13 +22,14 @@
 import type { EndpointSession } from './endpointSession.js';
 import { chargedResources } from './endpointTable.js';
 import type { EndpointState } from './endpointTable.js';
-import { hasActiveRun } from './jobRecords.js';
+import { hasActiveRun, trialMillisecondsOf } from './jobRecords.js';
 import { createKeptEndpoints } from './keptEndpoints.js';
 import { findUpcomingSteps } from './upcomingSteps.js';
 import { collectCandidates } from './roundCandidates.js';
 import type { RoundCandidate } from './roundCandidates.js';
 import type { TaskTransitions } from './taskTransitions.js';
 import { computeStepOrder, sumCapacity } from './stepOrder.js';
+import { divideStartableTasks, remainingTrialEndpoints } from './trialSchedule.js';
 
 /** Minimum delay of a round after its request, so that one round handles several changes. */
 const ROUND_DELAY_MILLISECONDS = 5;
@@ -62,8 +68,11 @@
   close(): void;
 }
 
-/** Why a round did not start a task: team limit, no endpoint with room, no ticket yet, or steps that come first. */
-type BlockingReason = 'limit' | 'room' | 'advice' | 'turn';
+/**
+ * Why a round did not start a task: team limit, no endpoint with room, no ticket yet, steps that come first, or a trial
+ * of another task of the step.
+ */
+type BlockingReason = 'limit' | 'room' | 'advice' | 'turn' | 'trial';
 
 /** Number of waiting tasks by `<queue>/<reason>`. */
 type BlockedTaskCounts = Map<string, number>;
@@ -91,6 +100,8 @@
   const { clock, log, table } = context;
   const keptEndpoints = createKeptEndpoints(context, transitions);
   let rounds = 0;
+  /** Number of endpoints that may still get a trial in the current round. */
+  let trialEndpointsLeft = 0;
   let cancelRound: CancelTimer | null = null;
   let roundDelayMilliseconds = ROUND_DELAY_MILLISECONDS;
   /** Steps that are released soon. */
@@ -139,6 +150,7 @@
   function createAdviceRequest(
     step: StepRecord,
     queue: JobQueueSettings,
+    requirements: EndpointRequirements,
     waitingTasks: number,
     all: readonly RoundCandidate[],
   ): AdviceRequest | null {
@@ -156,7 +168,6 @@
       maximumCalls: Math.min(MAXIMUM_CALLS_PER_STEP, countAdviceCalls(need, advice)),
       chooseEndpoints() {
         countStepTasks(step, all);
-        const requirements = createEndpointRequirements(step);
         const isOpen = (candidate: RoundCandidate) =>
           isMatching(step, queue, candidate) &&
           !hasTicket(step, candidate) &&
@@ -183,7 +194,10 @@
     };
   }
 
-  function createEndpointRequirements(step: StepRecord): EndpointRequirements {
+  function createEndpointRequirements(
+    step: StepRecord,
+    trial: TrialRequirements | null = null,
+  ): EndpointRequirements {
     const { specification } = step;
     return {
       resources: chargedResources(specification),
@@ -194,6 +208,7 @@
       isServing: specification.targetMilliseconds > 0,
       isLongRunning: specification.isLongRunning,
       isUrgent: context.settings.isUrgent(step.job),
+      trial,
     };
   }
 
@@ -238,12 +253,18 @@
     placements.forEach(({ candidate }) => {
       candidate.used = addResources(candidate.used, chargedResources(step.specification), -1);
       candidate.stepTaskCount -= 1;
+      candidate.trialStepId = candidate.initialTrialStepId;
     });
   }
 
-  function recordPlacement({ task, candidate: { state } }: Placement, run: number): void {
+  function recordPlacement(
+    { task, candidate: { state } }: Placement,
+    run: number,
+    isTrial: boolean,
+  ): void {
     task.run = run;
     task.placedAt = clock.monotonicMilliseconds();
+    task.trialMilliseconds = isTrial ? trialMillisecondsOf(task) : 0;
     task.phase = 'placed';
     task.endpointId = state.entry.endpointId;
     task.endpointBornAt = state.bornAt;
@@ -304,6 +325,7 @@
     { step, queue }: ReadyStep,
     pending: readonly TaskRecord[],
     placements: readonly Placement[],
+    isTrial: boolean,
   ): void {
     const { isGang } = step.specification;
     const gangRun = Math.max(...pending.map(({ run }) => run)) + 1;
@@ -313,12 +335,18 @@
     }
     placements.forEach((placement) => {
       if (isGang) placement.task.checkpoint = checkpoint;
-      recordPlacement(placement, isGang ? gangRun : placement.task.run + 1);
+      recordPlacement(placement, isGang ? gangRun : placement.task.run + 1, isTrial);
     });
+    if (isTrial) {
+      const opened = placements.filter(({ candidate }) => candidate.initialTrialStepId === null);
+      trialEndpointsLeft -= new Set(opened.map(({ candidate }) => candidate)).size;
+      context.metrics.count('trials_started', placements.length);
+    }
     log.info('tasks placed', {
       step: step.stepId,
       tasks: placements.length,
       pending: pending.length,
+      ...(isTrial ? { isTrial } : {}),
     });
     void startWhenDurable(step, queue, placements);
   }
@@ -326,19 +354,25 @@
   /**
    * Starts the tasks that fit on endpoints with tickets.
    *
+   * @param pending tasks of the step to start
+   * @param trial how they are kept apart from others; null for tasks that are not on trial
    * @returns why tasks remain, if any do, and the request for advice about them
    */
-  function placeStep(readyStep: ReadyStep, all: readonly RoundCandidate[]): PlacementOutcome {
+  function placeTasks(
+    readyStep: ReadyStep,
+    pending: readonly TaskRecord[],
+    trial: TrialRequirements | null,
+    all: readonly RoundCandidate[],
+  ): PlacementOutcome {
     const { step, queue } = readyStep;
     const { isGang } = step.specification;
-    const pending = startableTasks(step);
     if (pending.length === 0) return { reason: null, request: null };
     const withOneMore = addResources(table.usedByTeam(step.job.team), step.specification.resources);
     if (!fitsTeamLimit(step, withOneMore)) {
       countBlockedTasks(readyStep, 'limit', pending.length);
       return { reason: 'limit', request: null };
     }
-    const requirements = createEndpointRequirements(step);
+    const requirements = createEndpointRequirements(step, trial);
     countStepTasks(step, all);
     // Few endpoints have room under load, so that the other conditions are checked for these alone.
     const candidates = all.filter(
@@ -355,18 +389,59 @@
     );
     const isComplete = placements.length === pending.length;
     const mayStart = placements.length > 0 && (!isGang || isComplete);
-    if (mayStart) startPlacements(readyStep, pending, placements);
+    if (mayStart) startPlacements(readyStep, pending, placements, trial !== null);
     if (isComplete) return { reason: null, request: null };
     const unplaced = mayStart ? pending.filter(({ phase }) => phase === 'pending') : pending;
     if (!mayStart) releasePlannedRoom(step, placements);
     const reason =
       blockedBy === 'limit' ? 'limit' : planUnplaced(readyStep, unplaced, candidates, requirements);
+    if (trial && reason === 'room') reserveForTrial(step, queue, unplaced, trial, all);
     countBlockedTasks(readyStep, reason, unplaced.length);
     const request =
-      reason === 'advice' ? createAdviceRequest(step, queue, unplaced.length, all) : null;
+      reason === 'advice'
+        ? createAdviceRequest(step, queue, requirements, unplaced.length, all)
+        : null;
     return { reason, request };
   }
 
+  /** Keeps other tasks off endpoints with room in this round, so that they become quiet. */
+  function reserveForTrial(
+    step: StepRecord,
+    queue: JobQueueSettings,
+    tasks: readonly TaskRecord[],
+    trial: TrialRequirements,
+    all: readonly RoundCandidate[],
+  ): void {
+    const matching = all.filter((candidate) => isMatching(step, queue, candidate));
+    const reservation = createEndpointRequirements(step, { ...trial, isReservation: true });
+    planPlacements(step, tasks, matching, reservation);
+  }
+
+  /** Places the tasks of a step, those on trial first. */
+  function placeStep(readyStep: ReadyStep, all: readonly RoundCandidate[]): PlacementOutcome {
+    const { step } = readyStep;
+    const { isGang } = step.specification;
+    const pending = startableTasks(step);
+    const { onTrial, newTrialEndpoints, ordinary } = divideStartableTasks(
+      step,
+      pending,
+      clock.monotonicMilliseconds(),
+    );
+    const trial = {
+      stepId: step.stepId,
+      maximumNewEndpoints: isGang
+        ? newTrialEndpoints
+        : Math.min(newTrialEndpoints, Math.max(0, trialEndpointsLeft)),
+      isReservation: false,
+    };
+    const first = placeTasks(readyStep, onTrial, trial, all);
+    const second = placeTasks(readyStep, ordinary, null, all);
+    return {
+      reason: first.reason ?? second.reason,
+      request: first.request ?? second.request,
+    };
+  }
+
   /**
    * Reserves room for this round for the tasks of a gang, which needs it all at once, and of an urgent step, so that
    * steps that come later do not take it while the call for advice is in flight. Other steps reserve none: most of
@@ -411,6 +486,8 @@
     rounds += 1;
     if (!context.isOwnerLeaseValid()) return;
     const candidates = collectCandidates(context, transitions, keptEndpoints.current());
+    const busy = candidates.filter(({ trialStepId }) => trialStepId !== null).length;
+    trialEndpointsLeft = remainingTrialEndpoints(candidates.length, busy);
     const requests: AdviceRequest[] = [];
     const blockedSteps = new Map<string, number>();
     blockedTasks = new Map();
@@ -450,7 +527,13 @@
     const queue = context.settings.queueOf(step.job);
     const isWanted = queue && !step.isReleased && step.job.phase === 'open';
     if (!isWanted || adviceCache.hasTickets(step.stepId)) return [];
-    const request = createAdviceRequest(step, queue, step.tasks.length, candidates);
+    const request = createAdviceRequest(
+      step,
+      queue,
+      createEndpointRequirements(step),
+      step.tasks.length,
+      candidates,
+    );
     return request ? [request] : [];
   }
 
--- a/packages/scheduler/src/core/endpointLosses.ts
+++ b/packages/scheduler/src/core/endpointLosses.ts
@@ -1,9 +1,15 @@
-import { classifyLoss, hasCommonCause, isRecentStart } from '@chicorybend/decisions';
+import {
+  classifyLoss,
+  discardOutlivedLosses,
+  hasCommonCause,
+  isRecentStart,
+} from '@chicorybend/decisions';
 import type { EndpointLoss, LostEndpoint } from '@chicorybend/decisions';
 
-import type { TaskRecord } from '../types/jobRecord.js';
+import type { JobRecord, StepRecord, TaskRecord } from '../types/jobRecord.js';
 import type { TermContext } from '../types/termContext.js';
 import type { EndpointState } from './endpointTable.js';
+import { forEachTask, hasActiveRun } from './jobRecords.js';
 
 /** How long a loss makes the address of its endpoint unreliable, in milliseconds. */
 const UNRELIABLE_MILLISECONDS = 60_000;
@@ -44,9 +50,7 @@
    * afterwards, so the last placement is the best estimate.
    */
   function estimateLossTime(state: EndpointState, tasks: readonly TaskRecord[]): number {
-    if (state.clockOffset !== null || state.silentSince === null) {
-      return state.silentSince ?? clock.monotonicMilliseconds();
-    }
+    if (state.clockOffset !== null) return state.silentSince ?? clock.monotonicMilliseconds();
     return tasks.reduce((latest, { placedAt }) => Math.max(latest, placedAt), 0);
   }
 
@@ -55,19 +59,38 @@
     return Math.max(0, at - (isStartKnown ? task.startedAt : task.placedAt));
   }
 
+  function hasJustBegun(task: TaskRecord, at: number): boolean {
+    return hasActiveRun(task) && isRecentStart(runAge(task, at));
+  }
+
+  /** @returns number of endpoints on which tasks of a job have just begun */
+  function countRecentEndpoints(job: JobRecord, at: number): number {
+    const endpointIds = new Set<string | null>();
+    forEachTask(job, (task) => {
+      if (hasJustBegun(task, at)) endpointIds.add(task.endpointId);
+    });
+    return endpointIds.size;
+  }
+
   function describeLoss(state: EndpointState, at: number, tasks: readonly TaskRecord[]) {
     const { endpointId, rack, address } = state.entry;
-    const recent = tasks.filter((task) => isRecentStart(runAge(task, at)));
+    const recent = tasks.filter((task) => hasJustBegun(task, at));
+    const jobs = new Set(recent.map(({ step }) => step.job));
     return {
       endpointId,
       rack,
       address,
       at,
       isExplained: tasks.some((task) => isOnTrial(task, at)),
-      recentJobs: new Set(recent.map(({ step }) => step.job.jobId)),
+      recentJobs: new Map([...jobs].map((job) => [job.jobId, countRecentEndpoints(job, at)])),
     };
   }
 
+  function stepsInDoubt({ runs }: EndpointState, at: number): Set<StepRecord> {
+    const recent = [...runs.values()].filter((task) => hasJustBegun(task, at));
+    return new Set(recent.map(({ step }) => step));
+  }
+
   function forgetOldLosses(now: number): void {
     silent.forEach(({ at }, endpointId) => {
       if (now - at <= UNRELIABLE_MILLISECONDS) return;
@@ -109,9 +132,11 @@
       const loss = describeLoss(state, at, [...state.runs.values()]);
       // An endpoint that was silent from the start of the term was lost at an unknown earlier time.
       if (state.clockOffset !== null) silent.set(endpointId, loss);
+      stepsInDoubt(state, at).forEach((step) => step.silentEndpoints.add(endpointId));
     },
-    recordAnswer({ entry }) {
+    recordAnswer({ entry, runs }) {
       silent.delete(entry.endpointId);
+      runs.forEach(({ step }) => step.silentEndpoints.delete(entry.endpointId));
       const rows = recorded.get(entry.endpointId) ?? [];
       recorded.delete(entry.endpointId);
       return rows.map(({ task, loss }) => {
@@ -131,6 +156,7 @@
       };
       silent.set(state.entry.endpointId, { ...lost, address: state.entry.address });
       const wallDifference = clock.wallMilliseconds() - clock.monotonicMilliseconds();
+      tasks.forEach(({ step }) => step.silentEndpoints.delete(state.entry.endpointId));
       const rows = tasks.map((task) => {
         const ageMilliseconds = runAge(task, lossTime);
         const run = { ageMilliseconds, isOnTrial: isOnTrial(task, lossTime) };
@@ -138,7 +164,7 @@
         const isAlone = role === 'sole' || role === 'unreliable';
         const isProven = isAlone || task.phase !== 'placed';
         const loss = { role, ageMilliseconds, isProven, at: lossTime + wallDifference };
-        task.losses.push(loss);
+        task.losses = [...discardOutlivedLosses(task.losses, ageMilliseconds), loss];
         task.step.hasLosses = true;
         return { task, loss };
       });
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -227,6 +227,10 @@
   ): Promise<void> {
     if (outcome.bornAt !== null && outcome.bornAt < state.bornAt) return;
     if (outcome.bornAt !== null && outcome.bornAt > state.bornAt) changeIncarnation(outcome.bornAt);
+    if (!state.isReconciled) {
+      // Runs that a former term recorded for an earlier incarnation.
+      transitions.endpointLosses.recordLoss(state, runsOfOtherIncarnations());
+    }
     recordAnswer();
     state.clockOffset = outcome.endpointClockMilliseconds - now();
     const changedTasks = new Set<TaskRecord>();
--- a/packages/scheduler/src/core/jobRecords.ts
+++ b/packages/scheduler/src/core/jobRecords.ts
@@ -92,6 +92,7 @@
       brokenRun: 0,
       isReleased: false,
       hasLosses: false,
+      silentEndpoints: new Set(),
     };
     for (let task = 0; task < specification.count; task += 1) {
       step.tasks.push(createTask(step, task));
@@ -168,9 +169,16 @@
   return { role, ageMilliseconds: age, isProven, at: job.acceptedAt + after };
 }
 
-/** @returns how long a run of the task is on trial, in milliseconds; 0 if the task is not a suspect */
-export function trialMillisecondsOf({ losses }: TaskRecord): number {
-  return judgeCrashes(losses) === 'suspect' ? trialMillisecondsFor(losses) : 0;
+/** @returns whether an endpoint may have been lost because of the task */
+export function isSuspect({ losses }: TaskRecord): boolean {
+  return losses.length > 0 && judgeCrashes(losses) === 'suspect';
+}
+
+/** @returns duration of the trial of a run, in milliseconds; for a gang, of the longest of its members */
+export function trialMillisecondsOf(task: TaskRecord): number {
+  const { tasks, specification } = task.step;
+  const members = specification.isGang ? tasks : [task];
+  return Math.max(...members.map(({ losses }) => trialMillisecondsFor(losses)));
 }
 
 interface StoredState {
@@ -276,13 +284,16 @@
       task.placedAt = job.acceptedAt + (after ?? 0) - clockDifference;
       task.losses = (losses ?? []).map((loss) => decodeLoss(job, loss));
       task.step.hasLosses ||= task.losses.length > 0;
-      task.trialMilliseconds = trialMillisecondsOf(task);
       // A run that was being stopped is `placed` too: once its endpoint confirms it, it is stopped again if needed.
       task.phase = phase === 'running' || phase === 'stopping' ? 'placed' : phase;
       const storedEndpoint = stored.endpoints[endpoint];
       if (storedEndpoint) [task.endpointId, task.endpointBornAt] = storedEndpoint;
     });
     occurrence.steps.forEach((step) => {
+      const isGangSuspect = step.specification.isGang && step.tasks.some(isSuspect);
+      step.tasks.forEach((task) => {
+        if (isGangSuspect || isSuspect(task)) task.trialMilliseconds = trialMillisecondsOf(task);
+      });
       step.gangFailures = gangFailures[step.index] ?? 0;
       step.doneCount = step.tasks.filter(({ phase }) => phase === 'done').length;
     });
--- a/packages/scheduler/src/core/roundCandidates.ts
+++ b/packages/scheduler/src/core/roundCandidates.ts
@@ -1,14 +1,26 @@
 import type { PlacementCandidate } from '@chicorybend/decisions';
 
+import type { TaskRecord } from '../types/jobRecord.js';
 import type { TermContext } from '../types/termContext.js';
+import { isOnTrial } from './endpointLosses.js';
 import type { EndpointState } from './endpointTable.js';
 import type { TaskTransitions } from './taskTransitions.js';
 
+/** An endpoint is quiet if no run was placed there for this time, in milliseconds. */
+const QUIET_MILLISECONDS = 300;
+/** Work at stake of a long-running task, whose users notice the loss at once, in milliseconds of its run time. */
+const LONG_RUNNING_STAKE_MILLISECONDS = 10_000;
+/** Work at stake of a task with checkpoints, which repeats little, in milliseconds of its run time. */
+const CHECKPOINT_STAKE_MILLISECONDS = 500;
+const MILLISECONDS_PER_SECOND = 1_000;
+
 /** An endpoint in one round; `used` includes the placements that the round has decided so far. */
 export interface RoundCandidate extends PlacementCandidate {
   readonly state: EndpointState;
   /** Start of the incarnation, in milliseconds since the Unix epoch. */
   readonly bornAt: number;
+  /** `trialStepId` at the start of the round. */
+  readonly initialTrialStepId: string | null;
 }
 
 function isUsable(
@@ -29,14 +41,29 @@
   );
 }
 
+/** @returns work that is lost with the current run of a task, in processor seconds; for a gang, that of all members */
+function workAtStake({ step, placedAt }: TaskRecord, now: number): number {
+  const { isGang, isLongRunning, hasCheckpoints, count, resources } = step.specification;
+  const age = isLongRunning ? LONG_RUNNING_STAKE_MILLISECONDS : now - placedAt;
+  const milliseconds = hasCheckpoints ? Math.min(CHECKPOINT_STAKE_MILLISECONDS, age) : age;
+  return ((isGang ? count : 1) * resources.processors * milliseconds) / MILLISECONDS_PER_SECOND;
+}
+
 function describeCandidate(
-  { estimates }: TermContext,
+  { clock, estimates }: TermContext,
   kept: ReadonlySet<string>,
   state: EndpointState,
 ): RoundCandidate {
+  const now = clock.monotonicMilliseconds();
   let fillingTasks = 0;
   let servingTasks = 0;
+  let trialStepId: string | null = null;
+  let lastPlacedAt = -Infinity;
+  let atStake = 0;
   state.runs.forEach((task) => {
+    if (isOnTrial(task, now)) trialStepId = task.step.stepId;
+    lastPlacedAt = Math.max(lastPlacedAt, task.placedAt);
+    atStake += workAtStake(task, now);
     if (task.step.specification.isFilling) fillingTasks += 1;
     else if (task.step.specification.targetMilliseconds > 0) servingTasks += 1;
   });
@@ -52,6 +79,10 @@
     servingTaskCount: servingTasks,
     slowness: estimates.slowness(state.entry.endpointId),
     isKeptForUrgent: kept.has(state.entry.endpointId),
+    trialStepId,
+    initialTrialStepId: trialStepId,
+    isQuiet: now - lastPlacedAt >= QUIET_MILLISECONDS,
+    workAtStake: atStake,
   };
 }
 
--- a/packages/scheduler/src/core/schedulerMetrics.ts
+++ b/packages/scheduler/src/core/schedulerMetrics.ts
@@ -19,6 +19,9 @@
   runs_lost: 'Runs that ended otherwise and may be repeated.',
   endpoints_lost: 'Endpoints lost with runs, other than by a planned stop.',
   runs_lost_with_endpoint: 'Runs lost with them.',
+  trials_started:
+    'Runs started on trial, apart from others, because an endpoint was lost under their task.',
+  tasks_given_up: 'Tasks given up because they crash the endpoints that start them.',
   runs_moved: 'Runs stopped because they would end sooner elsewhere.',
   commits: 'Groups of changes made durable.',
   commit_keys: 'Keys written by them.',
@@ -35,6 +38,8 @@
   commit_milliseconds: 'Time from sending a group of changes until it is durable.',
   accept_milliseconds: 'Time from the arrival of a job at the owner until it is durable.',
   first_start_milliseconds: 'Time from the acceptance of a job until its first run is placed.',
+  verdict_milliseconds:
+    'Time from the first loss of an endpoint until the task that crashed it is given up.',
   advice_milliseconds: 'Time of a call for eligibility advice.',
 } as const;
 
--- a/packages/scheduler/src/core/taskTransitions.ts
+++ b/packages/scheduler/src/core/taskTransitions.ts
@@ -1,4 +1,4 @@
-import { createQuarantine } from '@chicorybend/decisions';
+import { createQuarantine, judgeCrashes } from '@chicorybend/decisions';
 
 import type { EndKind } from '../types/endpoint.js';
 import type {
@@ -165,6 +165,30 @@
     void closeJob(step.job, 'failed');
   }
 
+  /** A task that crashes the endpoints that start it is not started again; its job fails. */
+  function giveUpIfGuilty(task: TaskRecord): void {
+    const { step, losses } = task;
+    if (task.phase !== 'pending' || step.job.phase !== 'open') return;
+    if (judgeCrashes(losses) !== 'guilty') return;
+    task.phase = 'failed';
+    endpointLosses.recordVerdict(task);
+    const milliseconds = clock.wallMilliseconds() - losses[0]!.at;
+    metrics.count('tasks_given_up');
+    metrics.record('verdict_milliseconds', Math.max(0, milliseconds));
+    log.warn('task given up because it crashes its endpoints', {
+      task: task.taskId,
+      runs: task.run,
+      team: step.job.team,
+      losses: losses.map(({ role, ageMilliseconds, isProven }) => [
+        role,
+        Math.round(ageMilliseconds),
+        isProven,
+      ]),
+      sinceFirstLossMilliseconds: Math.round(milliseconds),
+    });
+    void closeJob(step.job, 'failed');
+  }
+
   /** A gang makes progress only while it is complete, so its remaining members are stopped. */
   function breakGang(step: StepRecord, run: number): void {
     if (step.brokenRun >= run) return;
@@ -200,6 +224,7 @@
       if (checkpoint !== '') task.checkpoint = checkpoint;
       if (kind === 'done' && !specification.isLongRunning) finishTask(task);
       else if (kind === 'failed') countFailure(task);
+      else giveUpIfGuilty(task);
       if (specification.isGang) breakGang(step, run);
     }
     if (job.phase === 'open' && task.phase === 'pending' && step.isReleased) {
