Log the limit that gave up a job, and the time without durable commits

Cause: the lines on record cannot tell the hypotheses about lost tasks and unacknowledged cancellations apart. 'attempts used up' named neither the limit nor whether a gang's failures were counted, and an unconfirmed commit was logged at level debug only, so that a cancellation without an acknowledgement could be due to the store or to the owner. Change: the limit, the run and the gang in 'attempts used up'; one line when commits are delayed and one with the duration when they go on.

--- a/packages/scheduler/src/core/commitQueue.ts
+++ b/packages/scheduler/src/core/commitQueue.ts
@@ -67,6 +67,8 @@
   let sequence = 0;
   let isClosed = false;
   let isRunning = false;
+  /** Start of the group whose write was the first that the store has not confirmed; null while commits go on. */
+  let delayedSince: number | null = null;
 
   function resolveAll(keys: Iterable<StagedKey>, isDurable: boolean): void {
     for (const { resolvers } of keys) resolvers.forEach((resolve) => resolve(isDurable));
@@ -124,8 +126,22 @@
     });
   }
 
+  function noteDelay(reason: string, startedAt: number): void {
+    if (delayedSince !== null) return;
+    delayedSince = startedAt;
+    log.info('commits delayed', { reason, keys: inFlight.length + staged.size });
+  }
+
+  function noteProgress(): void {
+    if (delayedSince === null) return;
+    const milliseconds = Math.round(clock.monotonicMilliseconds() - delayedSince);
+    delayedSince = null;
+    log.info('commits resumed', { milliseconds, keys: inFlight.length + staged.size });
+  }
+
   function finishGroup(revision: number, startedAt: number): void {
     chainRevision = revision;
+    noteProgress();
     const group = inFlight;
     inFlight = [];
     options.onCommit(group.length, clock.monotonicMilliseconds() - startedAt);
@@ -187,6 +203,7 @@
         outcome: outcome.kind,
         reason: outcome.reason,
       });
+      noteDelay(`${outcome.kind}: ${outcome.reason}`, startedAt);
       if (outcome.kind === 'unknown') mayBeExecuted = true;
       else await sleep(clock, RETRY_DELAY_MILLISECONDS);
       if (!mayBeExecuted && !isClosed) {
--- a/packages/scheduler/src/core/taskTransitions.ts
+++ b/packages/scheduler/src/core/taskTransitions.ts
@@ -153,9 +153,10 @@
     task.failures += 1;
     if (isGang) step.gangFailures += 1;
     const failures = isGang ? step.gangFailures : task.failures;
-    if (isLongRunning || failures < maximumAttempts(step.job)) return;
+    const limit = maximumAttempts(step.job);
+    if (isLongRunning || failures < limit) return;
     task.phase = 'failed';
-    log.info('attempts used up', { task: task.taskId, failures });
+    log.info('attempts used up', { task: task.taskId, run: task.run, isGang, failures, limit });
     void closeJob(step.job, 'failed');
   }
 
