Count one failure for a run of a gang, however many of its members fail

What callers saw: a job with a gang was shown as failed after one failed run although its queue allows two. Cause: each member's end counted as a failure of the gang. Members that fail before the others have been stopped, on one bad endpoint or on several, used up the limit within one run. Class of the fault: an event of a group is counted once for each message about it. Change: a step remembers the last run of the gang that has failed, and counts a failure only for a later run. The run is stored with the count, so that a new owner that learns of the other members does not count it again; a state that an earlier build has stored lacks it and is read as before. Why it works: runs of a gang do not overlap, and their numbers rise, so that 'later than the last failed run' is 'not counted yet' in any order of ends. Evidence: three tests of gangs.test.ts. Before the change, two members that fail in one run, the same across a takeover, and the count of runs before a gang is given up all failed (status failed instead of completed, one run instead of two). After it, gangs.test.ts and ownerTakeover.test.ts: 19 passed.

--- a/packages/scheduler/src/core/jobRecords.ts
+++ b/packages/scheduler/src/core/jobRecords.ts
@@ -83,6 +83,7 @@
       tasks: [],
       doneCount: 0,
       gangFailures: 0,
+      lastFailedGangRun: 0,
       brokenRun: 0,
       isReleased: false,
     };
@@ -141,8 +142,11 @@
   occurrenceCount: number;
   /** Endpoints of the tasks: id and `bornAt`. */
   endpoints: [string, number][];
-  /** Incomplete occurrences: index, gang failures by step, tasks that have been placed at least once. */
-  occurrences: [number, number[], StoredTask[]][];
+  /**
+   * Incomplete occurrences: index, gang failures by step, tasks that have been placed at least once, last failed run
+   * of the gang by step; earlier builds do not store the last.
+   */
+  occurrences: [number, number[], StoredTask[], number[]?][];
 }
 
 /** Encodes the value of the specification key. */
@@ -192,6 +196,7 @@
               task.phase === 'done' ? '' : task.checkpoint,
             ]),
         ),
+        steps.map(({ lastFailedGangRun }) => lastFailedGangRun),
       ]);
   const { phase, endedAt, hasStarted, occurrenceCount } = job;
   return JSON.stringify({
@@ -216,7 +221,7 @@
   job.endedAt = stored.endedAt;
   job.hasStarted = stored.hasStarted;
   job.occurrenceCount = stored.occurrenceCount;
-  stored.occurrences.forEach(([index, gangFailures, tasks]) => {
+  stored.occurrences.forEach(([index, gangFailures, tasks, lastFailedGangRuns]) => {
     const occurrence = addOccurrence(job, index);
     tasks.forEach(([stepIndex, taskIndex, phase, run, failures, endpoint, checkpoint]) => {
       const task = occurrence.steps[stepIndex]?.tasks[taskIndex];
@@ -229,6 +234,7 @@
     });
     occurrence.steps.forEach((step) => {
       step.gangFailures = gangFailures[step.index] ?? 0;
+      step.lastFailedGangRun = lastFailedGangRuns?.[step.index] ?? 0;
       step.doneCount = step.tasks.filter(({ phase }) => phase === 'done').length;
     });
     occurrence.doneSteps = occurrence.steps.filter(
--- a/packages/scheduler/src/core/taskTransitions.ts
+++ b/packages/scheduler/src/core/taskTransitions.ts
@@ -147,11 +147,18 @@
       });
   }
 
+  /** A run of a gang fails once, however many of its members do. */
+  function countGangFailure(step: StepRecord, run: number): void {
+    if (step.lastFailedGangRun >= run) return;
+    step.lastFailedGangRun = run;
+    step.gangFailures += 1;
+  }
+
   function countFailure(task: TaskRecord): void {
     const { step } = task;
     const { isGang, isLongRunning } = step.specification;
     task.failures += 1;
-    if (isGang) step.gangFailures += 1;
+    if (isGang) countGangFailure(step, task.run);
     const failures = isGang ? step.gangFailures : task.failures;
     const limit = maximumAttempts(step.job);
     if (isLongRunning || failures < limit) return;
--- a/packages/scheduler/src/types/jobRecord.ts
+++ b/packages/scheduler/src/types/jobRecord.ts
@@ -66,6 +66,8 @@
   doneCount: number;
   /** Number of failed runs of the gang. */
   gangFailures: number;
+  /** Last run of the gang in which a member has failed; several members may fail in the same run. */
+  lastFailedGangRun: number;
   /** Last run of the gang in which a member ended early; the other members of that run are stopped. */
   brokenRun: number;
   /** Whether the steps that it depends on are complete, so that its tasks may start. */
