--- a/packages/scheduler/src/core/jobRecords.ts
+++ b/packages/scheduler/src/core/jobRecords.ts
@@ -89,6 +89,7 @@
       tasks: [],
       doneCount: 0,
       gangFailures: 0,
+      lastFailedGangRun: 0,
       brokenRun: 0,
       isReleased: false,
       hasLosses: false,
@@ -188,8 +189,11 @@
   occurrenceCount: number;
   /** Endpoints of the tasks: id and `bornAt`. */
   endpoints: [string, number][];
-  /** Incomplete occurrences: index, gang failures by step, tasks that have been placed at least once. */
-  occurrences: [number, number[], StoredTask[]][];
+  /**
+   * Incomplete occurrences: index, gang failures by step, tasks that have been placed at least once, last failed run
+   * of the gang by step; earlier builds do not store the last.
+   */
+  occurrences: [number, number[], StoredTask[], number[]?][];
 }
 
 /** Encodes the value of the specification key. */
@@ -245,6 +249,7 @@
               task.losses.map((loss) => encodeLoss(job, loss)),
             ]),
         ),
+        steps.map(({ lastFailedGangRun }) => lastFailedGangRun),
       ]);
   const { phase, endedAt, hasStarted, occurrenceCount } = job;
   return JSON.stringify({
@@ -273,7 +278,7 @@
   job.endedAt = stored.endedAt;
   job.hasStarted = stored.hasStarted;
   job.occurrenceCount = stored.occurrenceCount;
-  stored.occurrences.forEach(([index, gangFailures, tasks]) => {
+  stored.occurrences.forEach(([index, gangFailures, tasks, lastFailedGangRuns]) => {
     const occurrence = addOccurrence(job, index);
     tasks.forEach((storedTask) => {
       const [stepIndex, taskIndex, phase, run, failures, endpoint, checkpoint, after, losses] =
@@ -295,6 +300,7 @@
         if (isGangSuspect || isSuspect(task)) task.trialMilliseconds = trialMillisecondsOf(task);
       });
       step.gangFailures = gangFailures[step.index] ?? 0;
+      step.lastFailedGangRun = lastFailedGangRuns?.[step.index] ?? 0;
       step.doneCount = step.tasks.filter(({ phase }) => phase === 'done').length;
     });
     occurrence.doneSteps = occurrence.steps.filter(
--- a/packages/scheduler/src/core/taskTransitions.ts
+++ b/packages/scheduler/src/core/taskTransitions.ts
@@ -153,15 +153,23 @@
       });
   }
 
+  /** A run of a gang fails once, however many of its members do. */
+  function countGangFailure(step: StepRecord, run: number): void {
+    if (step.lastFailedGangRun >= run) return;
+    step.lastFailedGangRun = run;
+    step.gangFailures += 1;
+  }
+
   function countFailure(task: TaskRecord): void {
     const { step } = task;
     const { isGang, isLongRunning } = step.specification;
     task.failures += 1;
-    if (isGang) step.gangFailures += 1;
+    if (isGang) countGangFailure(step, task.run);
     const failures = isGang ? step.gangFailures : task.failures;
-    if (isLongRunning || failures < maximumAttempts(step.job)) return;
+    const limit = maximumAttempts(step.job);
+    if (isLongRunning || failures < limit) return;
     task.phase = 'failed';
-    log.info('attempts used up', { task: task.taskId, failures });
+    log.info('attempts used up', { task: task.taskId, run: task.run, isGang, failures, limit });
     void closeJob(step.job, 'failed');
   }
 
