Derive which steps are in doubt, and reserve endpoints for trials

A step whose run left a silent endpoint in another way than by its loss, for example by a refused start, kept the id of that endpoint for ever and could wait for ever: the ids are derived from the runs at silent endpoints now, so that nothing has to be cleared.

A suspect needs an endpoint on which nothing has begun for 300 ms; under load there may be none. Endpoints are reserved for a second, for the starts and the calls for advice of one step, instead of for one round.

51 tests of placement, takeovers, gangs and crashes pass.

--- a/packages/decisions/src/__tests__/stepPlacement.test.ts
+++ b/packages/decisions/src/__tests__/stepPlacement.test.ts
@@ -16,6 +16,7 @@
   slowness: 1,
   isKeptForUrgent: false,
   trialStepId: null,
+  reservedStepId: null,
   isQuiet: true,
   workAtStake: 0,
 };
--- a/packages/decisions/src/core/chooseEndpoint.ts
+++ b/packages/decisions/src/core/chooseEndpoint.ts
@@ -20,6 +20,8 @@
   readonly isKeptForUrgent: boolean;
   /** Step of the tasks that are on trial there, apart from others; null if there are none. */
   readonly trialStepId: string | null;
+  /** Step for whose tasks on trial it is reserved; null if it is not. */
+  readonly reservedStepId: string | null;
   /** Whether no run has begun there for some time, so that a loss could only be due to a run that begins now. */
   readonly isQuiet: boolean;
   /** Work that would have to be repeated if the endpoint were lost, in processor seconds. */
@@ -54,7 +56,7 @@
   readonly stepId: string;
   /** Maximum number of endpoints without a trial on which tasks are placed. */
   readonly maximumNewEndpoints: number;
-  /** Whether the endpoint is only reserved, so that it becomes quiet. */
+  /** Whether the endpoint need not be quiet yet, because it is only reserved or asked about. */
   readonly isReservation: boolean;
 }
 
@@ -78,6 +80,7 @@
   if (candidate.trialStepId !== null) {
     return trial !== null && trial.stepId === candidate.trialStepId;
   }
+  if (candidate.reservedStepId !== null && candidate.reservedStepId !== trial?.stepId) return false;
   return trial === null || trial.isReservation || candidate.isQuiet;
 }
 
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -29,7 +29,7 @@
 import type { RoundCandidate } from './roundCandidates.js';
 import type { TaskTransitions } from './taskTransitions.js';
 import { computeStepOrder, sumCapacity } from './stepOrder.js';
-import { divideStartableTasks, remainingTrialEndpoints } from './trialSchedule.js';
+import { createTrialSchedule, remainingTrialEndpoints } from './trialSchedule.js';
 
 /** Minimum delay of a round after its request, so that one round handles several changes. */
 const ROUND_DELAY_MILLISECONDS = 5;
@@ -99,6 +99,7 @@
   const { context, transitions, adviceCache } = options;
   const { clock, log, table } = context;
   const keptEndpoints = createKeptEndpoints(context, transitions);
+  const trialSchedule = createTrialSchedule(context);
   let rounds = 0;
   /** Number of endpoints that may still get a trial in the current round. */
   let trialEndpointsLeft = 0;
@@ -395,26 +396,40 @@
     if (!mayStart) releasePlannedRoom(step, placements);
     const reason =
       blockedBy === 'limit' ? 'limit' : planUnplaced(readyStep, unplaced, candidates, requirements);
-    if (trial && reason === 'room') reserveForTrial(step, queue, unplaced, trial, all);
+    const reservation = trial && { ...trial, isReservation: true };
+    if (reservation && reason !== 'limit') {
+      reserveForTrial(readyStep, unplaced, reservation, all);
+    }
     countBlockedTasks(readyStep, reason, unplaced.length);
     const request =
       reason === 'advice'
-        ? createAdviceRequest(step, queue, requirements, unplaced.length, all)
+        ? createAdviceRequest(
+            step,
+            queue,
+            createEndpointRequirements(step, reservation),
+            unplaced.length,
+            all,
+          )
         : null;
     return { reason, request };
   }
 
-  /** Keeps other tasks off endpoints with room in this round, so that they become quiet. */
+  /** Reserves endpoints with room for tasks on trial, so that no others begin there. */
   function reserveForTrial(
-    step: StepRecord,
-    queue: JobQueueSettings,
+    { step, queue }: ReadyStep,
     tasks: readonly TaskRecord[],
-    trial: TrialRequirements,
+    reservation: TrialRequirements,
     all: readonly RoundCandidate[],
   ): void {
-    const matching = all.filter((candidate) => isMatching(step, queue, candidate));
-    const reservation = createEndpointRequirements(step, { ...trial, isReservation: true });
-    planPlacements(step, tasks, matching, reservation);
+    if (trialSchedule.hasReservation(step.stepId)) return;
+    const { placements } = planPlacements(
+      step,
+      tasks,
+      all.filter((candidate) => isMatching(step, queue, candidate)),
+      createEndpointRequirements(step, reservation),
+    );
+    const endpointIds = placements.map(({ candidate: { endpointId } }) => endpointId);
+    trialSchedule.reserve(step.stepId, endpointIds);
   }
 
   /** Places the tasks of a step, those on trial first. */
@@ -422,11 +437,7 @@
     const { step } = readyStep;
     const { isGang } = step.specification;
     const pending = startableTasks(step);
-    const { onTrial, newTrialEndpoints, ordinary } = divideStartableTasks(
-      step,
-      pending,
-      clock.monotonicMilliseconds(),
-    );
+    const { onTrial, newTrialEndpoints, ordinary } = trialSchedule.divide(step, pending);
     const trial = {
       stepId: step.stepId,
       maximumNewEndpoints: isGang
@@ -485,7 +496,12 @@
     cancelRound = null;
     rounds += 1;
     if (!context.isOwnerLeaseValid()) return;
-    const candidates = collectCandidates(context, transitions, keptEndpoints.current());
+    const candidates = collectCandidates(
+      context,
+      transitions,
+      keptEndpoints.current(),
+      trialSchedule.reservedSteps(),
+    );
     const busy = candidates.filter(({ trialStepId }) => trialStepId !== null).length;
     trialEndpointsLeft = remainingTrialEndpoints(candidates.length, busy);
     const requests: AdviceRequest[] = [];
--- a/packages/scheduler/src/core/endpointLosses.ts
+++ b/packages/scheduler/src/core/endpointLosses.ts
@@ -6,7 +6,7 @@
 } from '@chicorybend/decisions';
 import type { EndpointLoss, LostEndpoint } from '@chicorybend/decisions';
 
-import type { JobRecord, StepRecord, TaskRecord } from '../types/jobRecord.js';
+import type { JobRecord, TaskRecord } from '../types/jobRecord.js';
 import type { TermContext } from '../types/termContext.js';
 import type { EndpointState } from './endpointTable.js';
 import { forEachTask, hasActiveRun } from './jobRecords.js';
@@ -37,6 +37,16 @@
   return phase === 'placed' || (phase === 'running' && at - startedAt <= trialMilliseconds);
 }
 
+function runAge(task: TaskRecord, at: number): number {
+  const isStartKnown = task.isStartTimeKnown && task.phase !== 'placed';
+  return Math.max(0, at - (isStartKnown ? task.startedAt : task.placedAt));
+}
+
+/** @returns whether the current run of a task may have caused a loss at a time, in monotonic milliseconds */
+export function hasJustBegun(task: TaskRecord, at: number): boolean {
+  return hasActiveRun(task) && isRecentStart(runAge(task, at));
+}
+
 /** Creates the attribution for one term. */
 export function createEndpointLosses(context: TermContext): EndpointLosses {
   const { clock, log, metrics } = context;
@@ -54,15 +64,6 @@
     return tasks.reduce((latest, { placedAt }) => Math.max(latest, placedAt), 0);
   }
 
-  function runAge(task: TaskRecord, at: number): number {
-    const isStartKnown = task.isStartTimeKnown && task.phase !== 'placed';
-    return Math.max(0, at - (isStartKnown ? task.startedAt : task.placedAt));
-  }
-
-  function hasJustBegun(task: TaskRecord, at: number): boolean {
-    return hasActiveRun(task) && isRecentStart(runAge(task, at));
-  }
-
   /** @returns number of endpoints on which tasks of a job have just begun */
   function countRecentEndpoints(job: JobRecord, at: number): number {
     const endpointIds = new Set<string | null>();
@@ -86,11 +87,6 @@
     };
   }
 
-  function stepsInDoubt({ runs }: EndpointState, at: number): Set<StepRecord> {
-    const recent = [...runs.values()].filter((task) => hasJustBegun(task, at));
-    return new Set(recent.map(({ step }) => step));
-  }
-
   function forgetOldLosses(now: number): void {
     silent.forEach(({ at }, endpointId) => {
       if (now - at <= UNRELIABLE_MILLISECONDS) return;
@@ -132,11 +128,9 @@
       const loss = describeLoss(state, at, [...state.runs.values()]);
       // An endpoint that was silent from the start of the term was lost at an unknown earlier time.
       if (state.clockOffset !== null) silent.set(endpointId, loss);
-      stepsInDoubt(state, at).forEach((step) => step.silentEndpoints.add(endpointId));
     },
-    recordAnswer({ entry, runs }) {
+    recordAnswer({ entry }) {
       silent.delete(entry.endpointId);
-      runs.forEach(({ step }) => step.silentEndpoints.delete(entry.endpointId));
       const rows = recorded.get(entry.endpointId) ?? [];
       recorded.delete(entry.endpointId);
       return rows.map(({ task, loss }) => {
@@ -156,7 +150,6 @@
       };
       silent.set(state.entry.endpointId, { ...lost, address: state.entry.address });
       const wallDifference = clock.wallMilliseconds() - clock.monotonicMilliseconds();
-      tasks.forEach(({ step }) => step.silentEndpoints.delete(state.entry.endpointId));
       const rows = tasks.map((task) => {
         const ageMilliseconds = runAge(task, lossTime);
         const run = { ageMilliseconds, isOnTrial: isOnTrial(task, lossTime) };
--- a/packages/scheduler/src/core/jobRecords.ts
+++ b/packages/scheduler/src/core/jobRecords.ts
@@ -93,7 +93,6 @@
       brokenRun: 0,
       isReleased: false,
       hasLosses: false,
-      silentEndpoints: new Set(),
     };
     for (let task = 0; task < specification.count; task += 1) {
       step.tasks.push(createTask(step, task));
--- a/packages/scheduler/src/core/roundCandidates.ts
+++ b/packages/scheduler/src/core/roundCandidates.ts
@@ -52,6 +52,7 @@
 function describeCandidate(
   { clock, estimates }: TermContext,
   kept: ReadonlySet<string>,
+  reservedSteps: ReadonlyMap<string, string>,
   state: EndpointState,
 ): RoundCandidate {
   const now = clock.monotonicMilliseconds();
@@ -81,6 +82,7 @@
     isKeptForUrgent: kept.has(state.entry.endpointId),
     trialStepId,
     initialTrialStepId: trialStepId,
+    reservedStepId: reservedSteps.get(state.entry.endpointId) ?? null,
     isQuiet: now - lastPlacedAt >= QUIET_MILLISECONDS,
     workAtStake: atStake,
   };
@@ -88,14 +90,16 @@
 
 /**
  * @param kept ids of the endpoints that are kept for urgent tasks
+ * @param reservedSteps by id of an endpoint, the step for whose tasks on trial it is reserved
  * @returns endpoints that runs may be placed on in this round
  */
 export function collectCandidates(
   context: TermContext,
   transitions: TaskTransitions,
   kept: ReadonlySet<string>,
+  reservedSteps: ReadonlyMap<string, string>,
 ): RoundCandidate[] {
   return [...context.table.all()]
     .filter((state) => isUsable(context, transitions, state))
-    .map((state) => describeCandidate(context, kept, state));
+    .map((state) => describeCandidate(context, kept, reservedSteps, state));
 }
--- a/packages/scheduler/src/core/trialSchedule.ts
+++ b/packages/scheduler/src/core/trialSchedule.ts
@@ -1,11 +1,14 @@
 import { maximumTrialEndpoints } from '@chicorybend/decisions';
 
 import type { StepRecord, TaskRecord } from '../types/jobRecord.js';
-import { isOnTrial } from './endpointLosses.js';
+import type { TermContext } from '../types/termContext.js';
+import { hasJustBegun, isOnTrial } from './endpointLosses.js';
 import { isSuspect } from './jobRecords.js';
 
 /** Maximum share of the endpoints that have runs on trial, and so accept no others, at once. */
 const MAXIMUM_TRIAL_SHARE = 0.25;
+/** How long an endpoint is reserved for a trial; covers the time until it is quiet and a call for advice. */
+const RESERVATION_MILLISECONDS = 1_000;
 
 /** Tasks of a step that may start, by how they are placed. */
 export interface StartableTasks {
@@ -16,52 +19,83 @@
   readonly ordinary: readonly TaskRecord[];
 }
 
+/** Decides which tasks start on trial, and reserves endpoints for them. */
+export interface TrialSchedule {
+  /**
+   * Divides the pending tasks of a step. While one of its tasks may have crashed an endpoint, the others may carry the
+   * same fault, so they are on trial too until a run of the step has passed. A gang is on trial as a whole.
+   *
+   * @param pending tasks that could start now
+   */
+  divide(step: StepRecord, pending: readonly TaskRecord[]): StartableTasks;
+  /** @returns by id of an endpoint, the step that it is reserved for */
+  reservedSteps(): ReadonlyMap<string, string>;
+  hasReservation(stepId: string): boolean;
+  /** Reserves endpoints for the tasks of a step, so that no others begin there and they become quiet. */
+  reserve(stepId: string, endpointIds: readonly string[]): void;
+}
+
 /** @returns number of endpoints that may get a trial, of `endpoints` of which `busy` have one */
 export function remainingTrialEndpoints(endpoints: number, busy: number): number {
-  return Math.max(1, Math.floor(MAXIMUM_TRIAL_SHARE * endpoints)) - busy;
+  return Math.max(0, Math.max(1, Math.floor(MAXIMUM_TRIAL_SHARE * endpoints)) - busy);
 }
 
-function hasPassed(task: TaskRecord, now: number): boolean {
-  return task.phase === 'done' || (task.phase === 'running' && !isOnTrial(task, now));
-}
+/** Creates the schedule of one term. */
+export function createTrialSchedule({ clock, table }: TermContext): TrialSchedule {
+  const reserved = new Map<string, string>();
+  /** By step id, in monotonic milliseconds. */
+  const reservedUntil = new Map<string, number>();
 
-/** A task that runs at an endpoint that may be lost has not shown that it does no harm. */
-function countPassed({ tasks, silentEndpoints }: StepRecord, now: number): number {
-  return tasks.filter(
-    (task) =>
-      hasPassed(task, now) && !(task.endpointId !== null && silentEndpoints.has(task.endpointId)),
-  ).length;
-}
+  /** @returns whether an endpoint may be lost because of the task, which had just begun there when it fell silent */
+  function isInDoubt(task: TaskRecord): boolean {
+    const state = task.endpointId === null ? undefined : table.get(task.endpointId);
+    return typeof state?.silentSince === 'number' && hasJustBegun(task, state.silentSince);
+  }
 
-/**
- * Divides the pending tasks of a step. While one of its tasks may have crashed an endpoint, the others may carry the
- * same fault, so they are on trial too until a run of the step has passed. A gang is on trial as a whole.
- *
- * @param pending tasks that could start now
- * @param now monotonic time in milliseconds
- */
-export function divideStartableTasks(
-  step: StepRecord,
-  pending: readonly TaskRecord[],
-  now: number,
-): StartableTasks {
-  const { tasks, hasLosses, silentEndpoints } = step;
-  const isInDoubt = silentEndpoints.size > 0 || (hasLosses && tasks.some(isSuspect));
-  if (!isInDoubt || pending.length === 0) {
-    return { onTrial: [], newTrialEndpoints: 0, ordinary: pending };
+  function hasPassed(task: TaskRecord, now: number): boolean {
+    if (task.phase === 'done') return true;
+    return task.phase === 'running' && !isOnTrial(task, now) && !isInDoubt(task);
   }
-  if (step.specification.isGang) {
-    return { onTrial: pending, newTrialEndpoints: pending.length, ordinary: [] };
+
+  function expireReservations(): void {
+    const now = clock.monotonicMilliseconds();
+    reservedUntil.forEach((until, stepId) => {
+      if (until < now) reservedUntil.delete(stepId);
+    });
+    reserved.forEach((stepId, endpointId) => {
+      if (!reservedUntil.has(stepId)) reserved.delete(endpointId);
+    });
   }
-  const passed = countPassed(step, now);
-  const trialEndpoints = new Set([
-    ...tasks.filter((task) => isOnTrial(task, now)).map(({ endpointId }) => endpointId),
-    ...silentEndpoints,
-  ]);
-  const onTrial = passed > 0 ? pending.filter(isSuspect) : [...pending];
+
   return {
-    onTrial: onTrial.sort((left, right) => right.losses.length - left.losses.length),
-    newTrialEndpoints: Math.max(0, maximumTrialEndpoints(passed) - trialEndpoints.size),
-    ordinary: passed > 0 ? pending.filter((task) => !isSuspect(task)) : [],
+    divide(step, pending) {
+      const { tasks, hasLosses, specification } = step;
+      const ordinary = { onTrial: [], newTrialEndpoints: 0, ordinary: pending };
+      if (pending.length === 0) return ordinary;
+      const tasksInDoubt = tasks.filter(isInDoubt);
+      if (tasksInDoubt.length === 0 && !(hasLosses && tasks.some(isSuspect))) return ordinary;
+      if (specification.isGang) {
+        return { onTrial: pending, newTrialEndpoints: pending.length, ordinary: [] };
+      }
+      const now = clock.monotonicMilliseconds();
+      const passed = tasks.filter((task) => hasPassed(task, now)).length;
+      const trialTasks = [...tasks.filter((task) => isOnTrial(task, now)), ...tasksInDoubt];
+      const trialEndpoints = new Set(trialTasks.map(({ endpointId }) => endpointId));
+      const onTrial = passed > 0 ? pending.filter(isSuspect) : [...pending];
+      return {
+        onTrial: onTrial.sort((left, right) => right.losses.length - left.losses.length),
+        newTrialEndpoints: Math.max(0, maximumTrialEndpoints(passed) - trialEndpoints.size),
+        ordinary: passed > 0 ? pending.filter((task) => !isSuspect(task)) : [],
+      };
+    },
+    reservedSteps() {
+      expireReservations();
+      return reserved;
+    },
+    hasReservation: (stepId) => reservedUntil.has(stepId),
+    reserve(stepId, endpointIds) {
+      endpointIds.forEach((endpointId) => reserved.set(endpointId, stepId));
+      reservedUntil.set(stepId, clock.monotonicMilliseconds() + RESERVATION_MILLISECONDS);
+    },
   };
 }
--- a/packages/scheduler/src/types/jobRecord.ts
+++ b/packages/scheduler/src/types/jobRecord.ts
@@ -80,8 +80,6 @@
   isReleased: boolean;
   /** Whether an endpoint was lost under any of its tasks. */
   hasLosses: boolean;
-  /** Ids of endpoints that fell silent just after tasks of the step had begun there, and may be lost. */
-  readonly silentEndpoints: Set<string>;
 }
 
 /** One execution of a job: the only one, or one repetition of its schedule. */
