Take a loss as proven only if the endpoint crashed while the run was executing

A task could be given up without two crashes under it, so that an innocent job failed: an endpoint that is silent until its leases expire may only be cut off, and a start without an answer, on trial or recorded by a former owner, may never have been executed.

A loss is proven if the incarnation is certainly over (another one answers) and the run was confirmed. Without two proven losses, three losses on trial are needed. Endpoints that are known from stored runs only count as silent instead of planned. Found in review by reading.

--- a/packages/decisions/src/core/crashSuspicion.ts
+++ b/packages/decisions/src/core/crashSuspicion.ts
@@ -15,10 +15,12 @@
 const MINIMUM_OUTLIVING_MILLISECONDS = 10_000;
 /** A task is given up after this many proven losses, even if each of them may have another cause. */
 const MAXIMUM_PROVEN_LOSSES = 4;
-/** The same for tasks on trial whose endpoints had other losses. */
-const PROVEN_LOSSES_ON_UNRELIABLE_ENDPOINTS = 3;
-/** Minimum number of losses during which a run of the task was certainly executing. */
+/** Number of further losses that are needed if the last endpoint had other losses. */
+const FURTHER_LOSSES_ON_UNRELIABLE_ENDPOINTS = 1;
+/** Minimum number of crashes of endpoints that were certainly executing a run of the task. */
 const MINIMUM_PROVEN_LOSSES = 2;
+/** Number of losses on trial that suffice without such crashes. */
+const MINIMUM_LOSSES_ON_TRIAL = 3;
 
 /**
  * What the loss of an endpoint says about a task that had a run there:
@@ -36,7 +38,10 @@
   readonly role: LossRole;
   /** Age of the run at the loss, in milliseconds. */
   readonly ageMilliseconds: number;
-  /** Whether the run was certainly executing; an unanswered start may not have reached the endpoint. */
+  /**
+   * Whether the endpoint certainly crashed while the run was executing. An unanswered start may not have reached it,
+   * and an endpoint that is only silent may be cut off.
+   */
   readonly isProven: boolean;
   /** Wall-clock time of the loss, in milliseconds since the Unix epoch. */
   readonly at: number;
@@ -123,20 +128,29 @@
   return isRecentStart(run.ageMilliseconds) ? 'shared' : 'bystander';
 }
 
+function isAlone({ role }: EndpointLoss): boolean {
+  return role === 'sole' || role === 'unreliable';
+}
+
+function countProven(losses: readonly EndpointLoss[]): number {
+  return losses.filter(({ isProven }) => isProven).length;
+}
+
 /**
- * Judges a task by the endpoints that were lost under it. It is guilty only if it was certainly executing at two of
- * the losses and was alone under suspicion at the last one.
+ * Judges a task by the endpoints that were lost under it. It is guilty if it was alone under suspicion at the last
+ * loss, and two endpoints have certainly crashed under it or three were lost while it was on trial.
  */
 export function judgeCrashes(losses: readonly EndpointLoss[]): CrashVerdict {
+  if (countProven(losses) >= MAXIMUM_PROVEN_LOSSES) return 'guilty';
   const attributable = losses.filter(({ role }) => role !== 'common');
-  const provenCount = attributable.filter(({ isProven }) => isProven).length;
-  const lastRole = attributable.at(-1)?.role;
-  if (
-    (lastRole === 'sole' && provenCount >= MINIMUM_PROVEN_LOSSES) ||
-    (lastRole === 'unreliable' && provenCount >= PROVEN_LOSSES_ON_UNRELIABLE_ENDPOINTS) ||
-    losses.filter(({ isProven }) => isProven).length >= MAXIMUM_PROVEN_LOSSES
-  ) {
-    return 'guilty';
+  const last = attributable.at(-1);
+  if (last && isAlone(last)) {
+    const further = last.role === 'unreliable' ? FURTHER_LOSSES_ON_UNRELIABLE_ENDPOINTS : 0;
+    const onTrial = attributable.filter(isAlone).length;
+    const isGuilty =
+      countProven(attributable) >= MINIMUM_PROVEN_LOSSES + further ||
+      onTrial >= MINIMUM_LOSSES_ON_TRIAL + further;
+    if (isGuilty) return 'guilty';
   }
   const isSuspect =
     attributable.length > 1 || attributable.some(({ role }) => role !== 'bystander');
--- a/packages/scheduler/src/core/endpointLosses.ts
+++ b/packages/scheduler/src/core/endpointLosses.ts
@@ -16,14 +16,21 @@
 /** Number of runs of a loss that its log line names. */
 const LOGGED_RUNS = 5;
 
+/** How an endpoint was lost. */
+export type LossCause = 'crashed' | 'silent';
+
 /** Attributes the losses of endpoints to the tasks that had runs there. */
 export interface EndpointLosses {
   /** Calls to an endpoint began to fail at `silentSince`. */
   recordSilence(state: EndpointState): void;
   /** An endpoint answered in the same incarnation, so that it was not lost. @returns tasks with a withdrawn loss */
   recordAnswer(state: EndpointState): TaskRecord[];
-  /** Records, before the runs are dropped, that the incarnation in which they were executed is over. */
-  recordLoss(state: EndpointState, tasks: readonly TaskRecord[]): void;
+  /**
+   * Records, before the runs are dropped, that the endpoint is lost.
+   *
+   * @param cause whether its incarnation is certainly over, or it was silent until the leases had expired
+   */
+  recordLoss(state: EndpointState, tasks: readonly TaskRecord[], cause: LossCause): void;
   /** A task was found guilty, which explains the losses under it. */
   recordVerdict(task: TaskRecord): void;
 }
@@ -104,6 +111,7 @@
 
   function logLoss(
     state: EndpointState,
+    cause: LossCause,
     lossTime: number,
     rows: readonly { task: TaskRecord; loss: EndpointLoss }[],
   ): void {
@@ -113,6 +121,7 @@
     log.info('endpoint lost', {
       endpoint: state.entry.endpointId,
       rack: state.entry.rack,
+      cause,
       silentMilliseconds: Math.round(clock.monotonicMilliseconds() - lossTime),
       runs: rows.length,
       latest: latest
@@ -138,8 +147,9 @@
         return task;
       });
     },
-    recordLoss(state, tasks) {
-      if (state.entry.isDraining || tasks.length === 0) return;
+    recordLoss(state, tasks, cause) {
+      const isPlanned = state.entry.isDraining && state.entry.address !== '';
+      if (isPlanned || tasks.length === 0) return;
       const lossTime = estimateLossTime(state, tasks);
       forgetOldLosses(clock.monotonicMilliseconds());
       const lost = silent.get(state.entry.endpointId) ?? describeLoss(state, lossTime, tasks);
@@ -154,8 +164,7 @@
         const ageMilliseconds = runAge(task, lossTime);
         const run = { ageMilliseconds, isOnTrial: isOnTrial(task, lossTime) };
         const role = classifyLoss(run, circumstances);
-        const isAlone = role === 'sole' || role === 'unreliable';
-        const isProven = isAlone || task.phase !== 'placed';
+        const isProven = cause === 'crashed' && task.phase !== 'placed';
         const loss = { role, ageMilliseconds, isProven, at: lossTime + wallDifference };
         task.losses = [...discardOutlivedLosses(task.losses, ageMilliseconds), loss];
         task.step.hasLosses = true;
@@ -164,7 +173,7 @@
       recorded.set(state.entry.endpointId, rows);
       metrics.count('endpoints_lost');
       metrics.count('runs_lost_with_endpoint', rows.length);
-      logLoss(state, lossTime, rows);
+      logLoss(state, cause, lossTime, rows);
     },
     recordVerdict(guilty) {
       recorded.forEach((rows, endpointId) => {
