--- a/packages/proving/src/__tests__/endpointCrashes.test.ts
+++ b/packages/proving/src/__tests__/endpointCrashes.test.ts
@@ -270,6 +270,7 @@
   const cell = await createCrashCell({
     crashDelayOf: ({ taskId }) =>
       taskId === `${DEADLY_JOB}.0.0.2` ? CRASH_DELAY_MILLISECONDS : null,
+    gangOf: () => ({ gangId: DEADLY_JOB, size: 6 }),
   });
   await submit(t, cell, DEADLY_JOB, { count: 6, isGang: true });
   await cell.advance(GIVE_UP_MILLISECONDS);
--- a/packages/standins/src/__tests__/endpointFleet.test.ts
+++ b/packages/standins/src/__tests__/endpointFleet.test.ts
@@ -178,3 +178,31 @@
   t.deepEqual(await listIds(), ['endpoint-0.2']);
   t.false(fleet.entries()[0]!.isDraining);
 });
+
+test('the members of a gang succeed together, once all are present; a member that ends breaks the others', async (t) => {
+  const { fleet, advance, resolve, start } = createFleet({
+    capacity: { processors: 4, memoryBytes: 0, accelerators: 0 },
+    durationOf: () => 500,
+    gangOf: () => ({ gangId: 'gang', size: 2 }),
+  });
+  await resolve(start('a'));
+  await advance(1_000);
+  await resolve(start('b'));
+  await advance(600);
+  await resolve(start('a', 2));
+  await resolve(start('b', 2));
+  fleet.failRun('endpoint-0', 'b');
+  await resolve(start('a', 3));
+  await advance(3_100);
+  t.deepEqual(
+    fleet.history.map(({ taskId, run, kind }) => [taskId, run, kind]),
+    [
+      ['a', 1, 'done'],
+      ['b', 1, 'done'],
+      ['a', 2, 'broken'],
+      ['b', 2, 'failed'],
+      ['a', 3, 'alone'],
+    ],
+  );
+  t.is(fleet.history[0]!.endedAt, fleet.history[1]!.endedAt);
+});
--- a/packages/standins/src/core/endpointFleetStandIn.ts
+++ b/packages/standins/src/core/endpointFleetStandIn.ts
@@ -13,6 +13,7 @@
 import { createFleetClient } from './fleetClient.js';
 import { createFleetEndpoint } from './fleetEndpoint.js';
 import type { FleetEndpoint } from './fleetEndpoint.js';
+import { createFleetGangs } from './fleetGangs.js';
 import {
   countStartsAfterCrashes,
   crashTimesUnder,
@@ -51,6 +52,7 @@
   const endpoints = new Map<string, FleetEndpoint>();
   /** Listed entries by endpoint id. */
   const listed = new Map<string, EndpointEntry>();
+  const gangs = createFleetGangs(clock);
   const history: FleetRun[] = [];
   const overloads: FleetOverload[] = [];
   let latestBornAt = FIRST_BORN_AT;
@@ -78,6 +80,8 @@
       faults: machine.faults,
       durationOf: options.durationOf,
       resourcesOf: options.resourcesOf ?? (() => DEFAULT_RESOURCES),
+      gangOf: options.gangOf ?? (() => null),
+      gangs,
       onStart(record, order) {
         history.push(record);
         checkCapacity(machinesById.get(entry.endpointId)!, record);
--- a/packages/standins/src/core/fleetEndpoint.ts
+++ b/packages/standins/src/core/fleetEndpoint.ts
@@ -11,7 +11,13 @@
   StartOrder,
 } from '@chicorybend/scheduler';
 
-import type { FleetEndKind, FleetEndpointFaults, FleetRun } from '../types/fleet.js';
+import type {
+  FleetEndKind,
+  FleetEndpointFaults,
+  FleetGangMembership,
+  FleetRun,
+} from '../types/fleet.js';
+import type { FleetGangs } from './fleetGangs.js';
 
 const MAXIMUM_LEASE_MILLISECONDS = 10_000;
 const STOP_DELAY_MILLISECONDS = 50;
@@ -20,6 +26,7 @@
   readonly record: FleetRun;
   readonly checkpoint: string;
   readonly duration: number;
+  readonly gang: FleetGangMembership | null;
 }
 
 /** State of an incarnation; calls get no answer if it is `silent`, and connections are refused if it is `down`. */
@@ -54,6 +61,8 @@
   readonly faults: FleetEndpointFaults;
   readonly durationOf: (order: StartOrder) => number;
   readonly resourcesOf: (order: StartOrder) => Resources;
+  readonly gangOf: (order: StartOrder) => FleetGangMembership | null;
+  readonly gangs: FleetGangs;
   /** Called when a start has been executed. */
   readonly onStart: (record: FleetRun, order: StartOrder) => void;
 }
@@ -90,15 +99,16 @@
     [...listeners].forEach((listener) => listener());
   }
 
-  function close(record: FleetRun, kind: FleetEndKind): void {
+  function close({ record, gang }: ExecutingRun, kind: FleetEndKind): void {
     executing.delete(record.taskId);
     Object.assign(record, { endedAt: now(), kind });
+    if (gang) options.gangs.leave(gang, record);
   }
 
   function endRun(taskId: string, kind: EndKind): void {
     const run = executing.get(taskId);
     if (!run) return;
-    close(run.record, kind);
+    close(run, kind);
     ended.push(run.record);
     highestEndedRuns.set(taskId, run.record.run);
     lastSequence += 1;
@@ -159,10 +169,15 @@
       acknowledgedAt: null,
     };
     const duration = options.durationOf(order) * faults.slowness;
-    executing.set(taskId, { record, checkpoint: order.checkpoint, duration });
+    const gang = options.gangOf(order);
+    executing.set(taskId, { record, checkpoint: order.checkpoint, duration, gang });
     const kind = faults.failsEveryRun ? 'failed' : 'done';
-    if (Number.isFinite(duration)) clock.setTimer(() => endRecord(record, kind), duration);
+    const endsAlone = gang === null || kind === 'failed';
+    if (endsAlone && Number.isFinite(duration)) {
+      clock.setTimer(() => endRecord(record, kind), duration);
+    }
     options.onStart(record, order);
+    if (gang) options.gangs.join(gang, record, duration, endRecord);
   }
 
   const endpoint: FleetEndpoint = {
@@ -225,7 +240,7 @@
     endRun,
     takeDown(state, kind) {
       endpoint.state = state;
-      [...executing.values()].forEach(({ record }) => close(record, kind));
+      [...executing.values()].forEach((run) => close(run, kind));
       notify(downListeners);
       notify(endListeners);
     },
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -38,6 +38,7 @@
   EndpointFleetStandIn,
   FleetEndKind,
   FleetEndpointFaults,
+  FleetGangMembership,
   FleetOverload,
   FleetRestart,
   FleetRun,
--- a/packages/standins/src/types/fleet.ts
+++ b/packages/standins/src/types/fleet.ts
@@ -40,6 +40,13 @@
   acknowledgedAt: number | null;
 }
 
+/** The gang of a run. */
+export interface FleetGangMembership {
+  readonly gangId: string;
+  /** Number of members. */
+  readonly size: number;
+}
+
 /** A start that exceeded the capacity of its endpoint. */
 export interface FleetOverload {
   readonly run: FleetRun;
@@ -104,6 +111,8 @@
   readonly durationOf: (order: StartOrder) => number;
   /** Resources of a run; one processor by default. */
   readonly resourcesOf?: (order: StartOrder) => Resources;
+  /** Gang of a run; null, the default, for a run that works by itself. */
+  readonly gangOf?: (order: StartOrder) => FleetGangMembership | null;
   /** Time from the execution of a start until the run crashes its endpoint, in milliseconds; null for no crash. */
   readonly crashDelayOf?: (order: StartOrder) => number | null;
   /** How endpoints that a run has crashed come back; under a new id after 3 s by default. */
