Start a step again whose run left a silent endpoint without a recorded loss

Callers waited without end for a task whose start was refused by an endpoint that had just crashed, or whose endpoint left after a drain: the step kept the id of the silent endpoint, and allowed no trial beside it. The id was removed only when the endpoint answered or its loss was recorded for a run of the step, and such runs end in other ways.

All runs end through one function. It removes the id now once no run of the step remains at the endpoint.

--- a/packages/scheduler/src/core/taskTransitions.ts
+++ b/packages/scheduler/src/core/taskTransitions.ts
@@ -135,11 +135,22 @@
     else releaseOccurrenceSteps(occurrence);
   }
 
+  /** An endpoint that fell silent is of no concern to a step that has no run there any more. */
+  function resolveSilence(step: StepRecord, endpointId: string | null): void {
+    if (endpointId === null || !step.silentEndpoints.has(endpointId)) return;
+    const hasRuns = step.tasks.some(
+      (other) => other.endpointId === endpointId && hasActiveRun(other),
+    );
+    if (!hasRuns) step.silentEndpoints.delete(endpointId);
+  }
+
   function detachFromEndpoint(task: TaskRecord): void {
+    const { endpointId } = task;
     table.release(task);
     task.endpointId = null;
     task.phase = 'pending';
     task.absenceConclusiveAfter = Infinity;
+    resolveSilence(task.step, endpointId);
   }
 
   /** The success of one member is the success of the whole gang. */
