Withdraw losses only if the incarnation that was lost answers

Evidence against a task that crashes its endpoints vanished: an endpoint that came back under its id and was silent for a moment later counted as one that had answered after all, and the losses of its former incarnation were withdrawn.

The losses are kept with the incarnation now, and only its own answer withdraws them.

--- a/packages/proving/src/__tests__/crashReview.test.ts
+++ b/packages/proving/src/__tests__/crashReview.test.ts
@@ -2,12 +2,13 @@
 import type { ExecutionContext } from 'ava';
 
 import type { JobStatus, StepSpecification } from '@chicorybend/scheduler';
-import type { EndpointFleetOptions } from '@chicorybend/standins';
+import type { EndpointFleetOptions, FleetRun } from '@chicorybend/standins';
 
 import { createJobId, createJobSpecification, createSchedulerCell } from '../core/schedulerCell.js';
 import type { SchedulerCell } from '../core/schedulerCell.js';
 
 const JOB = createJobId(13);
+const MAXIMUM_DEADLY_RUNS = 5;
 
 function isOfJob(jobId: string, { taskId }: { readonly taskId: string }): boolean {
   return taskId.startsWith(`${jobId}.`);
@@ -52,6 +53,17 @@
   while (!condition() && cell.clock.monotonicMilliseconds() < endsAt) await cell.advance(2);
 }
 
+function runsOf(cell: SchedulerCell, jobId: string): FleetRun[] {
+  return cell.fleet.history.filter((run) => isOfJob(jobId, run));
+}
+
+async function checkGivenUp(t: ExecutionContext, cell: SchedulerCell): Promise<void> {
+  const runs = runsOf(cell, JOB).length;
+  t.is(await statusOf(cell, JOB), 'failed', `${runs} runs`);
+  t.true(runs <= MAXIMUM_DEADLY_RUNS, `${runs} runs`);
+  t.deepEqual(cell.fleet.violations(), []);
+}
+
 test('a task whose start was refused by an endpoint that had just crashed is started again', async (t) => {
   const cell = await createCell(null, { count: 1 });
   cell.store.faultsOf('owner-0').latencyMilliseconds = 40;
@@ -74,3 +86,19 @@
   await cell.advance(15_000);
   t.is(await statusOf(cell, JOB), 'completed');
 });
+
+test('a crash counts also if the next incarnation of the endpoint is silent for a moment', async (t) => {
+  const restart = { downMilliseconds: 3_000, keepsId: true };
+  const cell = await createCell(4_000, { restartAfterRunCrash: restart, durationOf: () => 10_000 });
+  await submit(t, cell, JOB, { estimatedMilliseconds: 10_000 });
+  for (let crash = 1; crash <= 8; crash += 1) {
+    await advanceUntil(cell, () => runsOf(cell, JOB).length >= crash, 10_000);
+    const faults = cell.fleet.faultsOf(runsOf(cell, JOB).at(-1)!.endpointId);
+    await cell.advance(800);
+    faults.isCutOff = true;
+    await cell.advance(1_100);
+    faults.isCutOff = false;
+  }
+  await cell.advance(10_000);
+  await checkGivenUp(t, cell);
+});
--- a/packages/scheduler/src/core/endpointLosses.ts
+++ b/packages/scheduler/src/core/endpointLosses.ts
@@ -16,6 +16,13 @@
 /** Number of runs of a loss that its log line names. */
 const LOGGED_RUNS = 5;
 
+/** Losses of the tasks that had runs in one incarnation of an endpoint. */
+interface RecordedLosses {
+  /** Start of the incarnation, in milliseconds since the Unix epoch. */
+  readonly bornAt: number;
+  readonly rows: readonly { readonly task: TaskRecord; readonly loss: EndpointLoss }[];
+}
+
 /** Attributes the losses of endpoints to the tasks that had runs there. */
 export interface EndpointLosses {
   /** Calls to an endpoint began to fail at `silentSince`. */
@@ -42,8 +49,8 @@
   const { clock, log, metrics } = context;
   /** By endpoint id: endpoints that do not answer, or were lost within the time that makes an address unreliable. */
   const silent = new Map<string, LostEndpoint & { readonly address: string }>();
-  /** By endpoint id: the losses recorded for its last incarnation, to be withdrawn if it answers after all. */
-  const recorded = new Map<string, { task: TaskRecord; loss: EndpointLoss }[]>();
+  /** By endpoint id: the last losses recorded, to be withdrawn if their incarnation answers after all. */
+  const recorded = new Map<string, RecordedLosses>();
 
   /**
    * If the endpoint has not answered in this term, the time of its loss is unknown; nothing can have begun there
@@ -134,12 +141,13 @@
       if (state.clockOffset !== null) silent.set(endpointId, loss);
       stepsInDoubt(state, at).forEach((step) => step.silentEndpoints.add(endpointId));
     },
-    recordAnswer({ entry, runs }) {
+    recordAnswer({ entry, runs, bornAt }) {
       silent.delete(entry.endpointId);
       runs.forEach(({ step }) => step.silentEndpoints.delete(entry.endpointId));
-      const rows = recorded.get(entry.endpointId) ?? [];
+      const withdrawn = recorded.get(entry.endpointId);
+      if (withdrawn?.bornAt !== bornAt) return [];
       recorded.delete(entry.endpointId);
-      return rows.map(({ task, loss }) => {
+      return withdrawn.rows.map(({ task, loss }) => {
         task.losses = task.losses.filter((known) => known !== loss);
         return task;
       });
@@ -168,13 +176,13 @@
         task.step.hasLosses = true;
         return { task, loss };
       });
-      recorded.set(state.entry.endpointId, rows);
+      recorded.set(state.entry.endpointId, { bornAt: tasks[0]!.endpointBornAt, rows });
       metrics.count('endpoints_lost');
       metrics.count('runs_lost_with_endpoint', rows.length);
       logLoss(state, lossTime, rows);
     },
     recordVerdict(guilty) {
-      recorded.forEach((rows, endpointId) => {
+      recorded.forEach(({ rows }, endpointId) => {
         const lost = silent.get(endpointId);
         if (lost && rows.some(({ task }) => task === guilty)) {
           silent.set(endpointId, { ...lost, isExplained: true });
