Record the loss of an endpoint once for each run

A single crash counted twice against a task: a run whose start may still be executed remains at its endpoint after the loss is recorded, and was recorded again as one of another incarnation, or when the leases expired. Seen after a takeover with a directory that still listed the former incarnation.

The attribution remembers the last run of each task with a recorded loss.

Test: one in crashReview.test.ts, two stored losses before, one now; endpointCrashes.test.ts passes.

--- a/packages/proving/src/__tests__/crashReview.test.ts
+++ b/packages/proving/src/__tests__/crashReview.test.ts
@@ -57,6 +57,13 @@
   return cell.fleet.history.filter((run) => isOfJob(jobId, run));
 }
 
+/** @returns losses in the stored state of the first task of a job */
+function storedLosses(cell: SchedulerCell, jobId: string): readonly unknown[] {
+  const { value } = cell.store.get(`chicorybend/job/${jobId}/state`)!;
+  const { occurrences } = JSON.parse(value) as { occurrences: [number, number[], unknown[][]][] };
+  return (occurrences[0]![2][0]![8] ?? []) as unknown[];
+}
+
 async function checkGivenUp(t: ExecutionContext, cell: SchedulerCell): Promise<void> {
   const runs = runsOf(cell, JOB).length;
   t.is(await statusOf(cell, JOB), 'failed', `${runs} runs`);
@@ -102,3 +109,31 @@
   await cell.advance(10_000);
   await checkGivenUp(t, cell);
 });
+
+test('a crash is counted once if the directory lists the former incarnation during a takeover', async (t) => {
+  const cell = await createCell(null, { count: 2, durationOf: () => 3_000 });
+  await submit(t, cell, JOB);
+  await cell.advance(200);
+  const entry = cell.fleet
+    .entries()
+    .find(({ endpointId }) => endpointId === cell.fleet.history[0]!.endpointId)!;
+  const { list } = cell.fleet.directory;
+  let isStale = true;
+  Object.assign(cell.fleet.directory, {
+    async list(timeout: number) {
+      const outcome = await list(timeout);
+      if (!isStale || outcome.kind === 'failed') return outcome;
+      const entries = outcome.entries.map((known) =>
+        known.endpointId === entry.endpointId ? entry : known,
+      );
+      return { ...outcome, entries };
+    },
+  });
+  cell.killOwner();
+  cell.fleet.restart(entry.endpointId);
+  cell.startProcess('owner-1');
+  await advanceUntil(cell, () => cell.fleet.history.length === 2, 10_000);
+  isStale = false;
+  await cell.advance(100);
+  t.is(storedLosses(cell, JOB).length, 1);
+});
--- a/packages/scheduler/src/core/endpointLosses.ts
+++ b/packages/scheduler/src/core/endpointLosses.ts
@@ -51,6 +51,8 @@
   const silent = new Map<string, LostEndpoint & { readonly address: string }>();
   /** By endpoint id: the last losses recorded, to be withdrawn if their incarnation answers after all. */
   const recorded = new Map<string, RecordedLosses>();
+  /** Number of the last run of a task with a recorded loss. */
+  const lostRuns = new WeakMap<TaskRecord, number>();
 
   /**
    * If the endpoint has not answered in this term, the time of its loss is unknown; nothing can have begun there
@@ -152,7 +154,9 @@
         return task;
       });
     },
-    recordLoss(state, tasks) {
+    recordLoss(state, allTasks) {
+      // A run remains at its endpoint after its loss while a stop must rule out that it starts late.
+      const tasks = allTasks.filter((task) => lostRuns.get(task) !== task.run);
       if (state.entry.isDraining || tasks.length === 0) return;
       const lossTime = estimateLossTime(state, tasks);
       forgetOldLosses(clock.monotonicMilliseconds());
@@ -174,6 +178,7 @@
         const loss = { role, ageMilliseconds, isProven, at: lossTime + wallDifference };
         task.losses = [...discardOutlivedLosses(task.losses, ageMilliseconds), loss];
         task.step.hasLosses = true;
+        lostRuns.set(task, task.run);
         return { task, loss };
       });
       recorded.set(state.entry.endpointId, { bornAt: tasks[0]!.endpointBornAt, rows });
