--- a/packages/decisions/src/core/crashSuspicion.ts
+++ b/packages/decisions/src/core/crashSuspicion.ts
@@ -35,6 +35,8 @@
 
 /** The loss of an endpoint that had a run of a task. */
 export interface EndpointLoss {
+  /** Sequence number of the run within its task. */
+  readonly run: number;
   readonly role: LossRole;
   /** Age of the run at the loss, in milliseconds. */
   readonly ageMilliseconds: number;
@@ -85,8 +87,8 @@
   return ageMilliseconds <= RECENT_START_MILLISECONDS;
 }
 
-/** @returns whether a job had just begun on most of the endpoints, and most endpoints on which it had were lost */
-function hasSharedJob(losses: readonly LostEndpoint[]): boolean {
+/** @returns jobs that had just begun on several of the endpoints and survived on few others */
+function findSharedJobs(losses: readonly LostEndpoint[]): Set<string> {
   const lostByJob = new Map<string, number>();
   const totals = new Map<string, number>();
   losses.forEach(({ recentJobs }) =>
@@ -95,15 +97,14 @@
       totals.set(job, Math.max(totals.get(job) ?? 0, endpoints));
     }),
   );
-  return [...lostByJob].some(
-    ([job, lost]) => lost > 1 && 2 * lost >= losses.length && 2 * lost > totals.get(job)!,
-  );
+  const shared = [...lostByJob].filter(([job, lost]) => lost > 1 && 2 * lost > totals.get(job)!);
+  return new Set(shared.map(([job]) => job));
 }
 
 /**
  * Decides whether endpoints were lost for a common cause. Explained losses do not count, and neither do
- * groups in which a job had just begun on at least half of the endpoints, while it survived on few others: its tasks
- * may share a fault.
+ * those of endpoints on which a job had just begun that was lost with several and survived on few others: its tasks may
+ * share a fault.
  *
  * @param lost the lost endpoint
  * @param losses all recent losses, this one included
@@ -113,10 +114,15 @@
     ({ at, isExplained }) =>
       !isExplained && Math.abs(at - lost.at) <= COMMON_CAUSE_WINDOW_MILLISECONDS,
   );
-  if (hasSharedJob(unexplained)) return false;
-  const ofRack = unexplained.filter(({ rack }) => rack === lost.rack);
+  const sharedJobs = findSharedJobs(unexplained);
+  const others = unexplained.filter(
+    ({ endpointId, recentJobs }) =>
+      endpointId !== lost.endpointId && ![...recentJobs.keys()].some((job) => sharedJobs.has(job)),
+  );
+  const othersOfRack = others.filter(({ rack }) => rack === lost.rack);
   return (
-    unexplained.length >= COMMON_CAUSE_ENDPOINTS || ofRack.length >= COMMON_CAUSE_ENDPOINTS_OF_RACK
+    others.length + 1 >= COMMON_CAUSE_ENDPOINTS ||
+    othersOfRack.length + 1 >= COMMON_CAUSE_ENDPOINTS_OF_RACK
   );
 }
 
