Group the endpoints that a former owner lost by the jobs that began there

A new owner took two silent endpoints of a rack for a failure of the rack, also where a job of which every task crashes its endpoint had just begun on both, and started all its tasks again at once. Such endpoints are grouped by the same rule as others now.

Five crashes give a task up also if it is not certain that it was executing, as after takeovers right after each crash.

--- a/packages/decisions/src/core/crashSuspicion.ts
+++ b/packages/decisions/src/core/crashSuspicion.ts
@@ -15,6 +15,8 @@
 const MINIMUM_OUTLIVING_MILLISECONDS = 10_000;
 /** A task is given up after this many proven losses, even if each of them may have another cause. */
 const MAXIMUM_PROVEN_LOSSES = 4;
+/** The same for crashes of endpoints that may not have been executing a run of the task. */
+const MAXIMUM_CRASHES = 5;
 /** Number of further losses that are needed if the last endpoint had other losses. */
 const FURTHER_LOSSES_ON_UNRELIABLE_ENDPOINTS = 1;
 /** Minimum number of crashes of endpoints that were certainly executing a run of the task. */
@@ -33,6 +35,15 @@
  */
 export type LossRole = 'sole' | 'unreliable' | 'shared' | 'bystander' | 'common';
 
+/**
+ * What is certain about the loss of an endpoint:
+ *
+ * - `executing`: it crashed while it was executing the run
+ * - `crashed`: it crashed; the start of the run may not have reached it
+ * - `silent`: it may be cut off
+ */
+export type LossCertainty = 'executing' | 'crashed' | 'silent';
+
 /** The loss of an endpoint that had a run of a task. */
 export interface EndpointLoss {
   /** Sequence number of the run within its task. */
@@ -40,11 +51,7 @@
   readonly role: LossRole;
   /** Age of the run at the loss, in milliseconds. */
   readonly ageMilliseconds: number;
-  /**
-   * Whether the endpoint certainly crashed while the run was executing. An unanswered start may not have reached it,
-   * and an endpoint that is only silent may be cut off.
-   */
-  readonly isProven: boolean;
+  readonly certainty: LossCertainty;
   /** Wall-clock time of the loss, in milliseconds since the Unix epoch. */
   readonly at: number;
 }
@@ -139,7 +146,11 @@
 }
 
 function countProven(losses: readonly EndpointLoss[]): number {
-  return losses.filter(({ isProven }) => isProven).length;
+  return losses.filter(({ certainty }) => certainty === 'executing').length;
+}
+
+function countCrashes(losses: readonly EndpointLoss[]): number {
+  return losses.filter(({ certainty }) => certainty !== 'silent').length;
 }
 
 /**
@@ -148,6 +159,7 @@
  */
 export function judgeCrashes(losses: readonly EndpointLoss[]): CrashVerdict {
   if (countProven(losses) >= MAXIMUM_PROVEN_LOSSES) return 'guilty';
+  if (countCrashes(losses) >= MAXIMUM_CRASHES) return 'guilty';
   const attributable = losses.filter(({ role }) => role !== 'common');
   const last = attributable.at(-1);
   if (last && isAlone(last)) {
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -66,6 +66,7 @@
 export type {
   CrashVerdict,
   EndpointLoss,
+  LossCertainty,
   LossCircumstances,
   LossRole,
   LostEndpoint,
--- a/packages/scheduler/src/core/endpointLosses.ts
+++ b/packages/scheduler/src/core/endpointLosses.ts
@@ -66,23 +66,8 @@
   const silent = new Map<string, LostEndpoint & { readonly address: string }>();
   /** By endpoint id: the last losses recorded, to be withdrawn if their incarnation answers after all. */
   const recorded = new Map<string, RecordedLosses>();
-
-  /** By endpoint id: racks of lost endpoints that have not answered in this term, so that it is unknown when. */
-  const lostFromStart = new Map<string, string>();
-
-  /** @returns number of endpoints of a rack that have not answered in this term; a rack fails at one time */
-  function countSilentOfRack({ entry }: EndpointState): number {
-    const endpointIds = new Set(
-      [...lostFromStart]
-        .filter(([, rack]) => rack === entry.rack)
-        .map(([endpointId]) => endpointId),
-    );
-    for (const { entry: other, clockOffset, silentSince } of context.table.all()) {
-      const isSilent = clockOffset === null && silentSince !== null;
-      if (isSilent && other.rack === entry.rack) endpointIds.add(other.endpointId);
-    }
-    return endpointIds.size;
-  }
+  /** By endpoint id: endpoints that have not answered in this term, so that it is unknown when they were lost. */
+  const silentFromStart = new Map<string, LostEndpoint>();
 
   /**
    * If the endpoint has not answered in this term, the time of its loss is unknown; nothing can have begun there
@@ -124,6 +109,13 @@
     });
   }
 
+  /** The endpoints of a rack that a former owner has lost may have been lost at once. */
+  function isLostWithRack({ entry }: EndpointState): boolean {
+    const lost = silentFromStart.get(entry.endpointId);
+    const ofRack = [...silentFromStart.values()].filter(({ rack }) => rack === entry.rack);
+    return lost !== undefined && hasCommonCause(lost, ofRack);
+  }
+
   function isUnreliable({ entry }: EndpointState): boolean {
     return [...silent.values()].some(
       ({ address, endpointId, isExplained }) =>
@@ -154,14 +146,14 @@
 
   return {
     recordSilence(state) {
-      const at = state.silentSince ?? clock.monotonicMilliseconds();
-      const { endpointId } = state.entry;
-      const loss = describeLoss(state, at, [...state.runs.values()]);
-      // An endpoint that was silent from the start of the term was lost at an unknown earlier time.
-      if (state.clockOffset !== null) silent.set(endpointId, loss);
+      const tasks = [...state.runs.values()];
+      const loss = describeLoss(state, estimateLossTime(state, tasks), tasks);
+      if (state.clockOffset !== null) silent.set(loss.endpointId, loss);
+      else silentFromStart.set(loss.endpointId, { ...loss, at: 0 });
     },
     recordAnswer({ entry, bornAt }) {
       silent.delete(entry.endpointId);
+      silentFromStart.delete(entry.endpointId);
       const withdrawn = recorded.get(entry.endpointId);
       if (withdrawn?.bornAt !== bornAt) return [];
       recorded.delete(entry.endpointId);
@@ -175,16 +167,12 @@
       const tasks = allTasks.filter((task) => !task.losses.some(({ run }) => run === task.run));
       const isPlanned = state.entry.isDraining && state.entry.address !== '';
       if (isPlanned || tasks.length === 0) return;
-      const isSilentFromStart = state.clockOffset === null;
-      if (isSilentFromStart) lostFromStart.set(state.entry.endpointId, state.entry.rack);
       const lossTime = estimateLossTime(state, tasks);
       forgetOldLosses(clock.monotonicMilliseconds());
       const lost = silent.get(state.entry.endpointId) ?? describeLoss(state, lossTime, tasks);
       const circumstances = {
         hasTrial: lost.isExplained,
-        isCommon: isSilentFromStart
-          ? countSilentOfRack(state) > 1
-          : hasCommonCause(lost, [...silent.values()]),
+        isCommon: hasCommonCause(lost, [...silent.values()]) || isLostWithRack(state),
         isUnreliable: isUnreliable(state),
       };
       silent.set(state.entry.endpointId, { ...lost, address: state.entry.address });
@@ -193,12 +181,12 @@
         const ageMilliseconds = runAge(task, lossTime);
         const run = { ageMilliseconds, isOnTrial: isOnTrial(task, lossTime) };
         const role = classifyLoss(run, circumstances);
-        const isProven = cause === 'crashed' && task.phase !== 'placed';
+        const isExecuting = cause === 'crashed' && task.phase !== 'placed';
         const loss: EndpointLoss = {
           run: task.run,
           role,
           ageMilliseconds,
-          isProven,
+          certainty: isExecuting ? 'executing' : cause,
           at: lossTime + wallDifference,
         };
         task.losses = [...discardOutlivedLosses(task.losses, ageMilliseconds), loss];
--- a/packages/scheduler/src/core/jobRecords.ts
+++ b/packages/scheduler/src/core/jobRecords.ts
@@ -1,5 +1,5 @@
 import { judgeCrashes, trialMillisecondsFor } from '@chicorybend/decisions';
-import type { EndpointLoss, LossRole } from '@chicorybend/decisions';
+import type { EndpointLoss, LossCertainty, LossRole } from '@chicorybend/decisions';
 
 import type { JobSpecification } from '../types/job.js';
 import type {
@@ -139,8 +139,8 @@
   job.occurrences.forEach(({ steps }) => steps.forEach(({ tasks }) => tasks.forEach(apply)));
 }
 
-/** Stored loss: run, role, age of the run in milliseconds, whether it is proven, time since the acceptance. */
-type StoredLoss = [number, LossRole, number, boolean, number];
+/** Stored loss: run, role, age of the run in milliseconds, certainty, time since the acceptance of the job. */
+type StoredLoss = [number, LossRole, number, LossCertainty, number];
 
 /**
  * Stored task: step index, task index, phase, run, failures, index into `endpoints` (-1 for none), checkpoint, time of
@@ -160,13 +160,13 @@
 
 function encodeLoss(
   job: JobRecord,
-  { run, role, ageMilliseconds, isProven, at }: EndpointLoss,
+  { run, role, ageMilliseconds, certainty, at }: EndpointLoss,
 ): StoredLoss {
-  return [run, role, Math.round(ageMilliseconds), isProven, Math.round(at - job.acceptedAt)];
+  return [run, role, Math.round(ageMilliseconds), certainty, Math.round(at - job.acceptedAt)];
 }
 
-function decodeLoss(job: JobRecord, [run, role, age, isProven, after]: StoredLoss): EndpointLoss {
-  return { run, role, ageMilliseconds: age, isProven, at: job.acceptedAt + after };
+function decodeLoss(job: JobRecord, [run, role, age, certainty, after]: StoredLoss): EndpointLoss {
+  return { run, role, ageMilliseconds: age, certainty, at: job.acceptedAt + after };
 }
 
 /** @returns whether an endpoint may have been lost because of the task */
--- a/packages/scheduler/src/core/taskTransitions.ts
+++ b/packages/scheduler/src/core/taskTransitions.ts
@@ -187,10 +187,10 @@
       task: task.taskId,
       runs: task.run,
       team: step.job.team,
-      losses: losses.map(({ role, ageMilliseconds, isProven }) => [
+      losses: losses.map(({ role, ageMilliseconds, certainty }) => [
         role,
         Math.round(ageMilliseconds),
-        isProven,
+        certainty,
       ]),
       sinceFirstLossMilliseconds: Math.round(milliseconds),
     });
