Acknowledge the ends of gang members only when the gang's success is durable

What callers saw: a gang that had succeeded ran again after a takeover, so that its work was done twice.

Cause: the first success that is applied ends all members. The ends of the others, listed by their own endpoints, then change nothing and waited for no commit, so that they were acknowledged at once. If the owner died before the success was durable and the one endpoint whose end had been applied was lost too, the next owner found the others absent and started the gang again. Class: an acknowledgement that doesn't wait for the record that it depends on, because another message had caused it.

Each listed end now waits for the state of its job.

--- a/packages/proving/src/__tests__/gangs.test.ts
+++ b/packages/proving/src/__tests__/gangs.test.ts
@@ -81,3 +81,28 @@
   t.deepEqual(await cell.call({ action: 'status' }), { kind: 'status', status: 'failed' });
   t.is(Math.max(...cell.fleet.history.map(({ run }) => run)), 2);
 });
+
+test('ends of members are not acknowledged before the success of their gang is durable', async (t) => {
+  const cell = createSchedulerCell({
+    capacity: { processors: 1, memoryBytes: 1_000, accelerators: 0 },
+    durationOf: () => 1_000,
+  });
+  const first = cell.startProcess('first');
+  await cell.advance(200);
+  await cell.call({ specification: createJobSpecification({ count: 4, isGang: true }) });
+  await cell.advance(900);
+  // Writes no longer take effect, while the owner keeps its lease and continues to call the endpoints.
+  Object.assign(cell.store.faultsOf('first'), {
+    lostAnswerFraction: 1,
+    unansweredWriteDelayMilliseconds: 1e6,
+  });
+  await cell.advance(3_000);
+  first.kill();
+  const unacknowledged = cell.fleet.history.find(({ acknowledgedAt }) => acknowledgedAt === null);
+  cell.fleet.crash(unacknowledged!.endpointId, { downMilliseconds: 1_000, keepsId: false });
+  cell.startProcess('second');
+  await cell.advance(9_000);
+  t.deepEqual(cell.fleet.violations(), []);
+  t.deepEqual(await cell.call({ action: 'status' }), { kind: 'status', status: 'completed' });
+  t.is(cell.fleet.history.length, 4);
+});
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -15,7 +15,7 @@
 import { requestedLeaseMilliseconds, leaseExpiryMilliseconds } from '../utils/leaseTimes.js';
 import { callWithAdaptiveTimeout } from '../utils/adaptiveTimeout.js';
 import type { EndpointState } from './endpointTable.js';
-import { hasActiveRun } from './jobRecords.js';
+import { hasActiveRun, jobIdOf } from './jobRecords.js';
 import type { TaskTransitions } from './taskTransitions.js';
 
 /** Long-poll wait of a hold at an endpoint without runs. */
@@ -247,7 +247,9 @@
       endAbsentRuns(listed, sentAt, changedTasks);
     }
     markReconciled();
-    const jobs = new Set([...changedTasks].map(({ step }) => step.job));
+    // The success of one member of a gang ends the others, whose own ends depend on the same commit.
+    const endedJobs = ends.flatMap(({ taskId }) => context.jobs.get(jobIdOf(taskId)) ?? []);
+    const jobs = new Set([...[...changedTasks].map(({ step }) => step.job), ...endedJobs]);
     const { bornAt } = state;
     appliedEndsDurable = Promise.all([
       appliedEndsDurable,
--- a/packages/scheduler/src/core/jobRecords.ts
+++ b/packages/scheduler/src/core/jobRecords.ts
@@ -72,6 +72,11 @@
   );
 }
 
+/** @returns id of the job of a task */
+export function jobIdOf(taskId: string): string {
+  return taskId.slice(0, taskId.indexOf('.'));
+}
+
 function stepIdOf(jobId: string, occurrence: number, step: number): string {
   return `${jobId}.${occurrence}.${step}`;
 }
