Don't take an endpoint that is only cut off for one that a task has crashed

A job failed without a crash: its task was cut off on three endpoints in turn, each for longer than its lease. The expiry of the leases counted as a loss at which the task was certainly executing, and was withdrawn only by an answer, which came after the verdict; over a takeover it could not be withdrawn.

A loss is proven only if another incarnation or endpoint answers in place of the lost one. Expired leases still raise suspicion, and three losses on trial suffice without proof, for endpoints that come back late or never.

--- a/packages/decisions/src/core/crashSuspicion.ts
+++ b/packages/decisions/src/core/crashSuspicion.ts
@@ -19,6 +19,8 @@
 const PROVEN_LOSSES_ON_UNRELIABLE_ENDPOINTS = 3;
 /** Minimum number of losses during which a run of the task was certainly executing. */
 const MINIMUM_PROVEN_LOSSES = 2;
+/** A task is given up after this many losses on trial, even if none of them is proven. */
+const MAXIMUM_TRIAL_LOSSES = 3;
 
 /**
  * What the loss of an endpoint says about a task that had a run there:
@@ -36,7 +38,10 @@
   readonly role: LossRole;
   /** Age of the run at the loss, in milliseconds. */
   readonly ageMilliseconds: number;
-  /** Whether the run was certainly executing; an unanswered start may not have reached the endpoint. */
+  /**
+   * Whether the endpoint was certainly lost and the run was certainly executing: an endpoint that does not answer may
+   * only be cut off, and an unanswered start may not have reached it.
+   */
   readonly isProven: boolean;
   /** Wall-clock time of the loss, in milliseconds since the Unix epoch. */
   readonly at: number;
@@ -123,9 +128,13 @@
   return isRecentStart(run.ageMilliseconds) ? 'shared' : 'bystander';
 }
 
+function isOnTrialAt({ role }: EndpointLoss): boolean {
+  return role === 'sole' || role === 'unreliable';
+}
+
 /**
  * Judges a task by the endpoints that were lost under it. It is guilty only if it was certainly executing at two of
- * the losses and was alone under suspicion at the last one.
+ * the losses and was alone under suspicion at the last one, or lost its endpoint on trial time and again.
  */
 export function judgeCrashes(losses: readonly EndpointLoss[]): CrashVerdict {
   const attributable = losses.filter(({ role }) => role !== 'common');
@@ -134,7 +143,8 @@
   if (
     (lastRole === 'sole' && provenCount >= MINIMUM_PROVEN_LOSSES) ||
     (lastRole === 'unreliable' && provenCount >= PROVEN_LOSSES_ON_UNRELIABLE_ENDPOINTS) ||
-    losses.filter(({ isProven }) => isProven).length >= MAXIMUM_PROVEN_LOSSES
+    losses.filter(({ isProven }) => isProven).length >= MAXIMUM_PROVEN_LOSSES ||
+    losses.filter(isOnTrialAt).length >= MAXIMUM_TRIAL_LOSSES
   ) {
     return 'guilty';
   }
--- a/packages/proving/src/__tests__/crashReview.test.ts
+++ b/packages/proving/src/__tests__/crashReview.test.ts
@@ -110,6 +110,30 @@
   await checkGivenUp(t, cell);
 });
 
+test('endpoints that are cut off without a crash give up no task', async (t) => {
+  const cell = await createCell(null, { count: 12, durationOf: () => 8_000 });
+  await submit(t, cell, JOB, { estimatedMilliseconds: 8_000 });
+  for (let cut = 1; cut <= 3; cut += 1) {
+    await advanceUntil(cell, () => runsOf(cell, JOB).length === cut, 15_000);
+    await cell.advance(50);
+    cell.fleet.faultsOf(runsOf(cell, JOB).at(-1)!.endpointId).isCutOff = true;
+  }
+  await cell.advance(10_000);
+  cell.fleet.entries().forEach((entry) => {
+    cell.fleet.faultsOf(entry.endpointId).isCutOff = false;
+  });
+  await cell.advance(15_000);
+  t.is(await statusOf(cell, JOB), 'completed');
+});
+
+test('a task is given up also if its endpoints come back only after their leases have expired', async (t) => {
+  const restart = { downMilliseconds: 20_000, keepsId: false };
+  const cell = await createCell(10, { count: 12, restartAfterRunCrash: restart });
+  await submit(t, cell, JOB);
+  await cell.advance(45_000);
+  await checkGivenUp(t, cell);
+});
+
 test('a crash is counted once if the directory lists the former incarnation during a takeover', async (t) => {
   const cell = await createCell(null, { count: 2, durationOf: () => 3_000 });
   await submit(t, cell, JOB);
--- a/packages/scheduler/src/core/endpointLosses.ts
+++ b/packages/scheduler/src/core/endpointLosses.ts
@@ -23,6 +23,14 @@
   readonly rows: readonly { readonly task: TaskRecord; readonly loss: EndpointLoss }[];
 }
 
+/**
+ * How an endpoint was lost:
+ *
+ * - `replaced`: another incarnation or endpoint answered in its place, so that its runs have ended
+ * - `expired`: the leases there expired while it did not answer; it may only be cut off
+ */
+export type LossKind = 'replaced' | 'expired';
+
 /** Attributes the losses of endpoints to the tasks that had runs there. */
 export interface EndpointLosses {
   /** Calls to an endpoint began to fail at `silentSince`. */
@@ -30,7 +38,7 @@
   /** An endpoint answered in the same incarnation, so that it was not lost. @returns tasks with a withdrawn loss */
   recordAnswer(state: EndpointState): TaskRecord[];
   /** Records, before the runs are dropped, that the incarnation in which they were executed is over. */
-  recordLoss(state: EndpointState, tasks: readonly TaskRecord[]): void;
+  recordLoss(state: EndpointState, tasks: readonly TaskRecord[], kind: LossKind): void;
   /** A task was found guilty, which explains the losses under it. */
   recordVerdict(task: TaskRecord): void;
 }
@@ -154,7 +162,7 @@
         return task;
       });
     },
-    recordLoss(state, allTasks) {
+    recordLoss(state, allTasks, kind) {
       // A run remains at its endpoint after its loss while a stop must rule out that it starts late.
       const tasks = allTasks.filter((task) => lostRuns.get(task) !== task.run);
       if (state.entry.isDraining || tasks.length === 0) return;
@@ -174,7 +182,7 @@
         const run = { ageMilliseconds, isOnTrial: isOnTrial(task, lossTime) };
         const role = classifyLoss(run, circumstances);
         const isAlone = role === 'sole' || role === 'unreliable';
-        const isProven = isAlone || task.phase !== 'placed';
+        const isProven = kind === 'replaced' && (isAlone || task.phase !== 'placed');
         const loss = { role, ageMilliseconds, isProven, at: lossTime + wallDifference };
         task.losses = [...discardOutlivedLosses(task.losses, ageMilliseconds), loss];
         task.step.hasLosses = true;
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -144,7 +144,7 @@
     state.appliedSequence = 0;
     state.durableSequence = 0;
     const runs = runsOfOtherIncarnations();
-    transitions.endpointLosses.recordLoss(state, runs);
+    transitions.endpointLosses.recordLoss(state, runs, 'replaced');
     state.silentSince = null;
     state.clockOffset = null;
     runs.forEach((task) => {
@@ -159,7 +159,7 @@
       endpoint: state.entry.endpointId,
       runs: state.runs.size,
     });
-    transitions.endpointLosses.recordLoss(state, [...state.runs.values()]);
+    transitions.endpointLosses.recordLoss(state, [...state.runs.values()], 'replaced');
     [...state.runs.values()].forEach((task) => transitions.dropRun(task, 'lapsed'));
     state.leasesExpireAt = now();
     context.requestRound();
@@ -229,7 +229,7 @@
     if (outcome.bornAt !== null && outcome.bornAt > state.bornAt) changeIncarnation(outcome.bornAt);
     if (!state.isReconciled) {
       // Runs that a former term recorded for an earlier incarnation.
-      transitions.endpointLosses.recordLoss(state, runsOfOtherIncarnations());
+      transitions.endpointLosses.recordLoss(state, runsOfOtherIncarnations(), 'replaced');
     }
     recordAnswer();
     state.clockOffset = outcome.endpointClockMilliseconds - now();
--- a/packages/scheduler/src/core/taskTransitions.ts
+++ b/packages/scheduler/src/core/taskTransitions.ts
@@ -276,7 +276,7 @@
         endpoint: entry.endpointId,
         runs: runs.size,
       });
-      endpointLosses.recordLoss(state, [...runs.values()]);
+      endpointLosses.recordLoss(state, [...runs.values()], 'expired');
       [...runs.values()].forEach((task) => dropRun(task, 'lapsed'));
     },
     closeJob,
