Keep trials apart also from runs that are placed in the same round

A task on trial began together with a task of another job on the same endpoint, so that the loss of the endpoint counted as its own: whether an endpoint is quiet was determined at the start of a round only.

A placement ends the quiet of its endpoint for the rest of the round.

--- a/packages/decisions/src/core/chooseEndpoint.ts
+++ b/packages/decisions/src/core/chooseEndpoint.ts
@@ -146,6 +146,7 @@
   used: Resources;
   stepTaskCount: number;
   trialStepId: string | null;
+  isQuiet: boolean;
 }
 
 /** Chooses endpoints for the tasks of one step, one after the other. */
--- a/packages/proving/src/__tests__/crashReview.test.ts
+++ b/packages/proving/src/__tests__/crashReview.test.ts
@@ -8,7 +8,9 @@
 import type { SchedulerCell } from '../core/schedulerCell.js';
 
 const JOB = createJobId(13);
+const OTHER_JOB = createJobId(1);
 const MAXIMUM_DEADLY_RUNS = 5;
+const QUIET_MILLISECONDS = 300;
 
 function isOfJob(jobId: string, { taskId }: { readonly taskId: string }): boolean {
   return taskId.startsWith(`${jobId}.`);
@@ -161,3 +163,19 @@
   await cell.advance(100);
   t.is(storedLosses(cell, JOB).length, 1);
 });
+
+test('no other run begins just before a run on trial, also if both are placed at once', async (t) => {
+  const cell = await createCell(null, { count: 1, durationOf: () => 6_000 });
+  await submit(t, cell, OTHER_JOB, { estimatedMilliseconds: 6_000 });
+  await cell.advance(2_000);
+  await submit(t, cell, JOB);
+  await cell.advance(100);
+  cell.fleet.crash('endpoint-0', { downMilliseconds: 1_000, keepsId: false });
+  await cell.advance(5_000);
+  const [other] = runsOf(cell, OTHER_JOB).slice(1);
+  const [trial] = runsOf(cell, JOB).slice(1);
+  t.true(
+    Math.abs(trial!.startedAt - other!.startedAt) >= QUIET_MILLISECONDS,
+    `${trial!.startedAt - other!.startedAt} ms after the other one`,
+  );
+});
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -335,6 +335,7 @@
     }
     placements.forEach((placement) => {
       if (isGang) placement.task.checkpoint = checkpoint;
+      placement.candidate.isQuiet = false;
       recordPlacement(placement, isGang ? gangRun : placement.task.run + 1, isTrial);
     });
     if (isTrial) {
