--- a/packages/proving/src/__tests__/crashReview.test.ts
+++ b/packages/proving/src/__tests__/crashReview.test.ts
@@ -179,3 +179,26 @@
     `${trial!.startedAt - other!.startedAt} ms after the other one`,
   );
 });
+
+test('a suspect runs on trial also after an owner whose wall clock was ahead', async (t) => {
+  const cell = await createCell(null, {
+    count: 2,
+    durationOf: (order) => (isOfJob(OTHER_JOB, order) ? Infinity : 500),
+  });
+  const wallMilliseconds = cell.clock.wallMilliseconds.bind(cell.clock);
+  Object.assign(cell.clock, { wallMilliseconds: () => wallMilliseconds() + 60_000 });
+  await submit(t, cell, OTHER_JOB, { count: 2, isLongRunning: true, maximumPerEndpoint: 1 });
+  await cell.advance(1_500);
+  cell.killOwner();
+  Object.assign(cell.clock, { wallMilliseconds });
+  cell.startProcess('owner-1');
+  await advanceUntil(cell, () => cell.currentTerm() !== null, 5_000);
+  await cell.advance(500);
+  await submit(t, cell, JOB);
+  await advanceUntil(cell, () => runsOf(cell, JOB).length === 1, 1_000);
+  await cell.advance(100);
+  const { endpointId } = runsOf(cell, JOB)[0]!;
+  cell.fleet.crash(endpointId, { downMilliseconds: 60_000, keepsId: false });
+  await cell.advance(12_000);
+  t.is(await statusOf(cell, JOB), 'completed');
+});
