Count the loss of endpoints that are no longer listed after a takeover

A task that crashed its endpoints was started again after each takeover: an endpoint that the directory no longer lists is known from stored runs only, in an entry that is draining, and losses of draining endpoints do not count.

Such a loss raises suspicion now. It is not proven, since the endpoint may have left after a drain.

--- a/packages/proving/src/__tests__/crashReview.test.ts
+++ b/packages/proving/src/__tests__/crashReview.test.ts
@@ -164,6 +164,22 @@
   t.is(storedLosses(cell, JOB).length, 1);
 });
 
+test('crashes count also if the directory no longer lists their endpoints after a takeover', async (t) => {
+  const cell = await createCell(10, { count: 12, rackSize: 4 });
+  await submit(t, cell, JOB);
+  for (let crash = 1; crash <= 8; crash += 1) {
+    await advanceUntil(cell, () => runsOf(cell, JOB).length >= crash, 20_000);
+    if (runsOf(cell, JOB).length < crash) break;
+    await cell.advance(30);
+    cell.killOwner();
+    await cell.advance(6_000);
+    cell.startProcess(`owner-${crash}`);
+    await advanceUntil(cell, () => cell.currentTerm() !== null, 5_000);
+  }
+  await cell.advance(5_000);
+  await checkGivenUp(t, cell);
+});
+
 test('no other run begins just before a run on trial, also if both are placed at once', async (t) => {
   const cell = await createCell(null, { count: 1, durationOf: () => 6_000 });
   await submit(t, cell, OTHER_JOB, { estimatedMilliseconds: 6_000 });
--- a/packages/scheduler/src/core/endpointLosses.ts
+++ b/packages/scheduler/src/core/endpointLosses.ts
@@ -116,6 +116,11 @@
     });
   }
 
+  /** An endpoint that only stored runs name may have been lost; whether it was draining is unknown. */
+  function hasLeft({ entry }: EndpointState): boolean {
+    return entry.isDraining && entry.address !== '';
+  }
+
   function isUnreliable({ entry }: EndpointState): boolean {
     return [...silent.values()].some(
       ({ address, endpointId, isExplained }) =>
@@ -165,7 +170,7 @@
     recordLoss(state, allTasks, kind) {
       // A run remains at its endpoint after its loss while a stop must rule out that it starts late.
       const tasks = allTasks.filter((task) => lostRuns.get(task) !== task.run);
-      if (state.entry.isDraining || tasks.length === 0) return;
+      if (hasLeft(state) || tasks.length === 0) return;
       const lossTime = estimateLossTime(state, tasks);
       forgetOldLosses(clock.monotonicMilliseconds());
       const lost = silent.get(state.entry.endpointId) ?? describeLoss(state, lossTime, tasks);
