Favour the step that has waited longest for a quiet endpoint

A long-running task under which an endpoint was lost stayed down for as long as tasks of a queue with precedence began on all endpoints all the time: its trial needs an endpoint on which nothing has begun for 300 ms, and was looked at after all placements of the round.

A step that has found room, but no quiet endpoint, for 1 s comes first in the next rounds, one step at a time, and a gang only if there is room for all of it. Its reservation keeps others off until the endpoint is quiet.

Test: one in crashReview.test.ts, not started again within 12 s before, within that time now; endpointCrashes.test.ts passes.

--- a/packages/proving/src/__tests__/crashReview.test.ts
+++ b/packages/proving/src/__tests__/crashReview.test.ts
@@ -73,6 +73,18 @@
   t.deepEqual(cell.fleet.violations(), []);
 }
 
+/** Submits jobs of two tasks all the time. */
+async function keepBusy(cell: SchedulerCell, milliseconds: number, path: string): Promise<void> {
+  const endsAt = cell.clock.monotonicMilliseconds() + milliseconds;
+  let index = 1_000 + Math.round(cell.clock.monotonicMilliseconds());
+  while (cell.clock.monotonicMilliseconds() < endsAt) {
+    const specification = createJobSpecification({ count: 2, maximumPerEndpoint: 1 });
+    await cell.call({ path: `${path}${createJobId(index)}`, specification });
+    index += 1;
+    await cell.advance(60);
+  }
+}
+
 test('a task whose start was refused by an endpoint that had just crashed is started again', async (t) => {
   const cell = await createCell(null, { count: 1 });
   cell.store.faultsOf('owner-0').latencyMilliseconds = 40;
@@ -218,3 +230,25 @@
   await cell.advance(12_000);
   t.is(await statusOf(cell, JOB), 'completed');
 });
+
+test('a long-running task is tried again also while other tasks begin on all endpoints all the time', async (t) => {
+  const cell = await createCell(null, {
+    count: 2,
+    durationOf: (order) => (isOfJob(JOB, order) ? Infinity : 200),
+  });
+  const [work] = cell.configuration.queues;
+  cell.configuration = {
+    ...cell.configuration,
+    version: 2,
+    queues: [
+      { ...work!, priority: 1 },
+      { ...work!, name: 'urgent', pathPrefix: '/urgent/' },
+    ],
+  };
+  await cell.advance(1_000);
+  await submit(t, cell, JOB, { isLongRunning: true });
+  await cell.advance(100);
+  cell.fleet.crash(runsOf(cell, JOB)[0]!.endpointId, { downMilliseconds: 2_000, keepsId: false });
+  await keepBusy(cell, 12_000, '/urgent/');
+  t.is(runsOf(cell, JOB).length, 2);
+});
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -48,6 +48,9 @@
 /** Maximum number of calls for advice about one step at the same time. */
 const MAXIMUM_CALLS_PER_STEP = 3;
 
+/** Time after which a step that waits for an endpoint to become quiet comes before all others, in milliseconds. */
+const MAXIMUM_QUIET_WAIT_MILLISECONDS = 1_000;
+
 export interface DispatcherOptions {
   readonly context: TermContext;
   readonly transitions: TaskTransitions;
@@ -102,6 +105,10 @@
   let rounds = 0;
   /** Number of endpoints that may still get a trial in the current round. */
   let trialEndpointsLeft = 0;
+  /** Steps for which this round reserved an endpoint that is not quiet, with the time of the first such round. */
+  let quietWaits = new Map<StepRecord, number>();
+  /** The same for the round before. */
+  let formerQuietWaits = quietWaits;
   let cancelRound: CancelTimer | null = null;
   let roundDelayMilliseconds = ROUND_DELAY_MILLISECONDS;
   /** Steps that are released soon. */
@@ -415,7 +422,11 @@
   ): void {
     const matching = all.filter((candidate) => isMatching(step, queue, candidate));
     const reservation = createEndpointRequirements(step, { ...trial, isReservation: true });
-    planPlacements(step, tasks, matching, reservation);
+    const { placements } = planPlacements(step, tasks, matching, reservation);
+    // A gang for which there is no room yet does not only wait for quiet.
+    const isRoomShort = step.specification.isGang && placements.length < tasks.length;
+    if (placements.length === 0 || isRoomShort) return;
+    quietWaits.set(step, formerQuietWaits.get(step) ?? clock.monotonicMilliseconds());
   }
 
   /** Places the tasks of a step, those on trial first. */
@@ -482,6 +493,18 @@
     return orderSteps(readySteps);
   }
 
+  /** Under a stream of steps that come first, no endpoint would ever become quiet; one step at a time is favoured. */
+  function favourLongestQuietWait(ordered: readonly ReadyStep[]): readonly ReadyStep[] {
+    const waitingSince = ({ step }: ReadyStep) => quietWaits.get(step) ?? Infinity;
+    const longest = ordered.reduce<ReadyStep | undefined>(
+      (best, next) => (best && waitingSince(best) <= waitingSince(next) ? best : next),
+      undefined,
+    );
+    const waited = longest ? clock.monotonicMilliseconds() - waitingSince(longest) : 0;
+    if (!longest || waited < MAXIMUM_QUIET_WAIT_MILLISECONDS) return ordered;
+    return [longest, ...ordered.filter((other) => other !== longest)];
+  }
+
   function runRound(): void {
     cancelRound = null;
     rounds += 1;
@@ -492,7 +515,10 @@
     const requests: AdviceRequest[] = [];
     const blockedSteps = new Map<string, number>();
     blockedTasks = new Map();
-    collectReadySteps().forEach((readyStep, position) => {
+    const readySteps = favourLongestQuietWait(collectReadySteps());
+    formerQuietWaits = quietWaits;
+    quietWaits = new Map();
+    readySteps.forEach((readyStep, position) => {
       const { step, queue } = readyStep;
       const blocked = blockedSteps.get(queue.name) ?? 0;
       const hasTurn = blocked < MAXIMUM_BLOCKED_STEPS || (position + rounds) % BACKLOG_ROUNDS === 0;
