Trace silent endpoints, and drain only endpoints that are up, in the crash soak

A drain of an endpoint that had crashed already made the loss look planned, which no operator does. A trace lacked the moments at which endpoints fell silent, which decide whether losses have a common cause.

A job that can complete may be given up once five endpoints have crashed under one of its tasks, lost racks included: three starts after the third crash are a violation, so none is left then. Below that, lost racks are no reason.

--- a/packages/proving/src/core/crashSoak.ts
+++ b/packages/proving/src/core/crashSoak.ts
@@ -27,7 +27,7 @@
 const DEFAULT_FAULT_MILLISECONDS = 60_000;
 const DEFAULT_DEADLY_FRACTION = 0.1;
 /** Log messages that belong to every trace. */
-const TRACED_MESSAGES = ['state recovered', 'endpoint lost'];
+const TRACED_MESSAGES = ['state recovered', 'endpoint silent', 'endpoint lost'];
 const START_MILLISECONDS = 500;
 /** Time for the jobs to end after all faults have ended. */
 const SETTLE_MILLISECONDS = 120_000;
--- a/packages/proving/src/core/crashSoakChecks.ts
+++ b/packages/proving/src/core/crashSoakChecks.ts
@@ -11,6 +11,8 @@
 /** After this many, the task is started fewer than {@link MAXIMUM_FURTHER_STARTS} times. */
 const CONCLUSIVE_CRASHES = 3;
 const MAXIMUM_FURTHER_STARTS = 3;
+/** By then the task has no start left, whatever the causes of the crashes. */
+const FINAL_CRASHES = CONCLUSIVE_CRASHES + MAXIMUM_FURTHER_STARTS - 1;
 
 /** A violation and the job that it is about; null for a violation of the whole cell. */
 export interface CrashSoakViolation {
@@ -62,9 +64,10 @@
   function checkGivenUp({ job }: CrashSoakJobState): void {
     const { jobId } = job;
     const crashes = mostCrashes(job, true);
+    const isExcused = mostCrashes(job, false) >= CRASHES_TO_GIVE_UP || crashes >= FINAL_CRASHES;
     if (crashes < CRASHES_TO_GIVE_UP) {
       violations.push({ jobId, text: `job ${jobId} was given up after ${crashes} crashes` });
-    } else if (!job.deadly && mostCrashes(job, false) < CRASHES_TO_GIVE_UP) {
+    } else if (!job.deadly && !isExcused) {
       violations.push({ jobId, text: `job ${jobId} was given up because of lost racks` });
     } else if (!job.deadly) unluckyJobs += 1;
   }
--- a/packages/proving/src/core/crashSoakFaults.ts
+++ b/packages/proving/src/core/crashSoakFaults.ts
@@ -114,6 +114,7 @@
     positions.forEach((position, turn) =>
       later(turn * gapMilliseconds, () => {
         const { endpointId } = entryAt(position);
+        if (!fleet.isUp(endpointId)) return;
         const remainingMilliseconds = random.integer(500, 4_000);
         report(`drain of ${endpointId}, released in ${remainingMilliseconds} ms`);
         fleet.drain(endpointId, remainingMilliseconds);
