Check the capacity again right before the starts of a step are sent

Cause, found on reading: a placement is checked against the capacity of its endpoint when the round runs, but its start is sent only when the placement is durable. With a slow store or lost answers that takes seconds, and an endpoint whose capacity shrank meanwhile was started beyond it.

Change: right before they are sent, the starts are checked against the latest directory entry. Runs whose start has been sent count first, then the unsent starts in the order of their placement, so that the newest are withdrawn; a gang is withdrawn as a whole.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -88,6 +88,8 @@
   EndpointRequirements,
   PlacementCandidate,
 } from './core/chooseEndpoint.js';
+export { selectFittingStarts } from './core/selectFittingStarts.js';
+export type { ChargedRun } from './core/selectFittingStarts.js';
 export { judgePunctuality, orderSteps } from './core/stepOrder.js';
 export type { ObjectiveTimes, OrderingKey, Punctuality } from './core/stepOrder.js';
 
--- /dev/null
+++ b/packages/proving/src/__tests__/capacityChanges.test.ts
@@ -0,0 +1,77 @@
+import type { Resources } from '@chicorybend/common';
+import test from 'ava';
+
+import { createSchedulerCell, createJobId, createJobSpecification } from './schedulerCell.js';
+import type { SchedulerCell } from './schedulerCell.js';
+
+const MEMORY_BYTES = 1_000;
+
+function withProcessors(processors: number): Resources {
+  return { processors, memoryBytes: MEMORY_BYTES, accelerators: 0 };
+}
+
+/** @returns highest number of runs that an endpoint executed at the same time from a given time on */
+function maximumRunsSince(cell: SchedulerCell, endpointId: string, time: number): number {
+  const runs = cell.fleet.history.filter((run) => run.endpointId === endpointId);
+  const counts = runs
+    .filter(({ startedAt }) => startedAt >= time)
+    .map(
+      ({ startedAt }) =>
+        runs.filter(
+          (other) => other.startedAt <= startedAt && (other.endedAt ?? Infinity) > startedAt,
+        ).length,
+    );
+  return Math.max(0, ...counts);
+}
+
+/** Writes of the process still take effect, but only after this time and without an answer. */
+function delayWrites(cell: SchedulerCell, name: string, milliseconds: number): void {
+  Object.assign(cell.store.faultsOf(name), {
+    lostAnswerFraction: 1,
+    unansweredWriteDelayMilliseconds: milliseconds,
+  });
+}
+
+function endDelay(cell: SchedulerCell, name: string): void {
+  cell.store.faultsOf(name).lostAnswerFraction = 0;
+}
+
+test('starts that wait for the store are withdrawn, newest first, when the capacity shrinks meanwhile', async (t) => {
+  const cell = createSchedulerCell({ count: 1, durationOf: () => 2_000 });
+  cell.startProcess('first');
+  await cell.advance(200);
+  await cell.call({ specification: createJobSpecification({ count: 6 }) });
+  const shrunkAt = cell.clock.monotonicMilliseconds();
+  cell.fleet.resize('endpoint-0', withProcessors(2));
+  delayWrites(cell, 'first', 1_000);
+  await cell.advance(900);
+  t.is(cell.fleet.history.length, 0);
+  endDelay(cell, 'first');
+  await cell.advance(1_500);
+  t.deepEqual(
+    cell.fleet.history.map(({ taskId }) => taskId),
+    [0, 1].map((index) => `${createJobId(1)}.0.0.${index}`),
+  );
+  await cell.advance(6_000);
+  t.is(maximumRunsSince(cell, 'endpoint-0', shrunkAt), 2);
+  t.deepEqual(await cell.call({ action: 'status' }), { kind: 'status', status: 'completed' });
+  t.deepEqual(cell.fleet.violations(), []);
+});
+
+test('a gang that waits for the store is withdrawn as a whole when the capacity shrinks meanwhile', async (t) => {
+  const cell = createSchedulerCell({ count: 2, durationOf: () => 500 });
+  cell.startProcess('first');
+  await cell.advance(200);
+  await cell.call({ specification: createJobSpecification({ count: 12, isGang: true }) });
+  cell.fleet.resize('endpoint-0', withProcessors(3));
+  delayWrites(cell, 'first', 1_000);
+  await cell.advance(900);
+  endDelay(cell, 'first');
+  await cell.advance(1_500);
+  t.is(cell.fleet.history.length, 0);
+  cell.fleet.resize('endpoint-0', withProcessors(4));
+  await cell.advance(2_000);
+  t.is(cell.fleet.history.length, 12);
+  t.deepEqual(await cell.call({ action: 'status' }), { kind: 'status', status: 'completed' });
+  t.deepEqual(cell.fleet.violations(), []);
+});
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -24,6 +24,7 @@
 import type { RoundCandidate } from './roundCandidates.js';
 import type { TaskTransitions } from './taskTransitions.js';
 import { computeStepOrder, sumCapacity } from './stepOrder.js';
+import { createUnsentStarts } from './unsentStarts.js';
 
 /** Minimum delay of a round after its request, so that one round handles several changes. */
 const ROUND_DELAY_MILLISECONDS = 5;
@@ -90,6 +91,7 @@
   const { context, transitions, adviceCache } = options;
   const { clock, log, table } = context;
   const keptEndpoints = createKeptEndpoints(context, transitions);
+  const unsentStarts = createUnsentStarts(context);
   let rounds = 0;
   let cancelRound: CancelTimer | null = null;
   let roundDelayMilliseconds = ROUND_DELAY_MILLISECONDS;
@@ -248,6 +250,7 @@
     task.endpointBornAt = state.bornAt;
     task.absenceConclusiveAfter = Infinity;
     table.charge(state, task);
+    unsentStarts.add(task);
     transitions.recordStart(state.entry.endpointId);
     const { job } = task.step;
     if (!job.hasStarted) {
@@ -275,9 +278,11 @@
           bornAt: state.bornAt,
         }),
       }));
+    const fitting = unsentStarts.take(starts.map(({ task }) => task));
     const ready = starts.filter(
       ({ task, session, ticket }) =>
         step.job.phase === 'open' &&
+        fitting.has(task) &&
         session?.canStart(task) === true &&
         (ticket !== null || !queue.advice),
     );
--- a/packages/standins/src/core/endpointFleetStandIn.ts
+++ b/packages/standins/src/core/endpointFleetStandIn.ts
@@ -54,6 +54,8 @@
   /** Ends a run as failed; no effect if the endpoint does not execute it. */
   failRun(endpointId: string, taskId: string): void;
   drain(endpointId: string, remainingMilliseconds: number): void;
+  /** Changes the capacity in the directory entry; the endpoint executes whatever it is ordered to start. */
+  resize(endpointId: string, capacity: Resources): void;
   /** @returns violations in the record: overlapping runs of a task, or a run after an acknowledged success */
   violations(): string[];
 }
@@ -404,6 +406,10 @@
         drainRemainingMilliseconds: remainingMilliseconds,
       };
     },
+    resize(endpointId, capacity) {
+      const endpoint = endpoints.get(endpointId)!;
+      endpoint.entry = { ...endpoint.entry, capacity };
+    },
     violations() {
       const runsByTask = new Map<string, FleetRun[]>();
       history.forEach((run) =>
