Start nothing by a capacity that was read more than 2.5 s ago

Cause, found on reading: while the store answers writes and renewals of the owner's lease but not reads of the directory, the owner kept placing tasks by the last capacities that it had read, however old. So did a new owner whose recovery took long after its read of the directory, and starts that waited for their placement to become durable.

Change: the table notes when the read of each entry was sent. An endpoint whose entry was read more than 2.5 s ago gets no placements, and starts that wait for the store are withdrawn.

Test: capacityChanges.test.ts, three tests failed before: 6 runs were started on an endpoint that had shrunk to 2 processors 3 to 5 s earlier.

--- a/packages/proving/src/__tests__/capacityChanges.test.ts
+++ b/packages/proving/src/__tests__/capacityChanges.test.ts
@@ -75,3 +75,59 @@
   t.deepEqual(await cell.call({ action: 'status' }), { kind: 'status', status: 'completed' });
   t.deepEqual(cell.fleet.violations(), []);
 });
+
+test('nothing is started by capacities that have not been read for some seconds', async (t) => {
+  const cell = createSchedulerCell({ count: 1, durationOf: () => 5_000 });
+  cell.startProcess('first');
+  await cell.advance(1_000);
+  cell.isDirectoryReadable = false;
+  cell.fleet.resize('endpoint-0', withProcessors(2));
+  await cell.advance(3_000);
+  await cell.call({ specification: createJobSpecification({ count: 6 }) });
+  await cell.advance(1_000);
+  t.is(cell.fleet.history.length, 0);
+  cell.isDirectoryReadable = true;
+  await cell.advance(2_500);
+  t.is(cell.fleet.history.length, 2);
+});
+
+test('a start is withdrawn if the directory could not be read until its placement was durable', async (t) => {
+  const cell = createSchedulerCell({ count: 1, durationOf: () => 5_000 });
+  cell.startProcess('first');
+  await cell.advance(200);
+  await cell.call({ specification: createJobSpecification({ count: 6 }) });
+  cell.isDirectoryReadable = false;
+  cell.fleet.resize('endpoint-0', withProcessors(2));
+  delayWrites(cell, 'first', 3_500);
+  await cell.advance(3_400);
+  endDelay(cell, 'first');
+  await cell.advance(1_000);
+  t.is(cell.fleet.history.length, 0);
+  cell.isDirectoryReadable = true;
+  await cell.advance(3_000);
+  t.is(cell.fleet.history.length, 2);
+});
+
+test('a new owner starts nothing by capacities that it read long before its recovery was complete', async (t) => {
+  const cell = createSchedulerCell({ count: 1, durationOf: () => 5_000 });
+  const first = cell.startProcess('first');
+  await cell.advance(200);
+  cell.fleet.faultsOf('endpoint-0').isCutOff = true;
+  await cell.advance(3_000);
+  await cell.call({ specification: createJobSpecification({ count: 6 }) });
+  first.kill();
+  cell.isConfigurationReadable = false;
+  cell.startProcess('second');
+  await cell.advance(2_000);
+  t.not(cell.currentTerm(), null);
+  cell.isDirectoryReadable = false;
+  cell.fleet.faultsOf('endpoint-0').isCutOff = false;
+  cell.fleet.resize('endpoint-0', withProcessors(2));
+  await cell.advance(3_000);
+  cell.isConfigurationReadable = true;
+  await cell.advance(1_500);
+  t.is(cell.fleet.history.length, 0);
+  cell.isDirectoryReadable = true;
+  await cell.advance(3_000);
+  t.is(cell.fleet.history.length, 2);
+});
--- a/packages/proving/src/__tests__/schedulerCell.ts
+++ b/packages/proving/src/__tests__/schedulerCell.ts
@@ -1,6 +1,6 @@
 import { setImmediate } from 'node:timers/promises';
 
-import { createManualClock, createSilentLog } from '@chicorybend/common';
+import { createManualClock, createSilentLog, sleep } from '@chicorybend/common';
 import type { ManualClock } from '@chicorybend/common';
 import {
   createOwnerElection,
@@ -42,6 +42,8 @@
   configuration: ClusterConfiguration;
   /** Whether reads of the configuration are answered. */
   isConfigurationReadable: boolean;
+  /** Whether reads of the endpoint directory are answered. */
+  isDirectoryReadable: boolean;
   /** @param onTermStart called right before each term of the process starts */
   startProcess(
     name: string,
@@ -151,6 +153,7 @@
     fleet,
     configuration: CONFIGURATION,
     isConfigurationReadable: true,
+    isDirectoryReadable: true,
     startProcess(name, onTermStart = () => {}, claimDelayMilliseconds = 0) {
       let term: OwnerTerm | null = null;
       let isKilled = false;
@@ -173,7 +176,13 @@
             log,
             metrics: createSchedulerMetrics(),
             endpoints: fleet.client,
-            directory: fleet.directory,
+            directory: {
+              async list(timeoutMilliseconds) {
+                if (cell.isDirectoryReadable) return fleet.directory.list(timeoutMilliseconds);
+                await sleep(clock, timeoutMilliseconds);
+                return { kind: 'failed', reason: 'lost' };
+              },
+            },
             configurationSource: {
               async read(timeoutMilliseconds) {
                 const outcome = await client.read('any', timeoutMilliseconds);
--- a/packages/scheduler/src/core/endpointTable.ts
+++ b/packages/scheduler/src/core/endpointTable.ts
@@ -10,6 +10,8 @@
 export interface EndpointState {
   /** Latest entry of the directory. */
   entry: EndpointEntry;
+  /** When the last read that returned an entry was sent, in monotonic milliseconds; -Infinity if there was none. */
+  entryReadAt: number;
   /** Whether the directory lists it now. */
   isListed: boolean;
   /** Whether the recorded runs have been compared with lists read under the fencing token of this term. */
@@ -65,6 +67,7 @@
     add(entry, now) {
       const state: EndpointState = {
         entry,
+        entryReadAt: -Infinity,
         isListed: true,
         isReconciled: false,
         bornAt: entry.bornAt,
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -268,10 +268,16 @@
     });
   }
 
-  function applyDirectoryEntry(entry: EndpointEntry): void {
+  function addEndpoint(entry: EndpointEntry, readAt: number): EndpointState {
+    const state = table.add(entry, clock.monotonicMilliseconds());
+    state.entryReadAt = readAt;
+    return state;
+  }
+
+  function applyDirectoryEntry(entry: EndpointEntry, readAt: number): void {
     const known = table.get(entry.endpointId);
     if (!known) {
-      startSession(table.add(entry, clock.monotonicMilliseconds()));
+      startSession(addEndpoint(entry, readAt));
       return;
     }
     if (entry.bornAt < known.entry.bornAt) return;
@@ -283,16 +289,24 @@
       });
     }
     known.entry = entry;
+    known.entryReadAt = readAt;
     known.isListed = true;
     if (wasUnlisted) void sessions.get(entry.endpointId)?.run();
     if (entry.isDraining) applyDrain(known);
   }
 
+  /** Reads the directory and notes when the read was sent, because its answer may be as old as that. */
+  async function listEndpoints(timeoutMilliseconds: number) {
+    const readAt = clock.monotonicMilliseconds();
+    const outcome = await directory.list(timeoutMilliseconds);
+    return outcome.kind === 'failed' ? outcome : { ...outcome, readAt };
+  }
+
   async function readDirectory(): Promise<boolean> {
-    const outcome = await timedRead((timeout) => directory.list(timeout));
+    const outcome = await timedRead(listEndpoints);
     if (outcome.kind === 'failed' || hasEnded) return false;
     const listed = new Set(outcome.entries.map(({ endpointId }) => endpointId));
-    outcome.entries.forEach(applyDirectoryEntry);
+    outcome.entries.forEach((entry) => applyDirectoryEntry(entry, outcome.readAt));
     for (const state of table.all()) {
       if (listed.has(state.entry.endpointId) || !state.isListed) continue;
       state.isListed = false;
@@ -361,14 +375,14 @@
   }
 
   async function recover(): Promise<boolean> {
-    const [chain, items, entries] = await Promise.all([
+    const [chain, items, listed] = await Promise.all([
       retryUntilAnswered((timeout) => store.read(COMMIT_KEY, timeout)),
       retryUntilAnswered((timeout) => store.list(JOB_PREFIX, timeout)),
-      retryUntilAnswered((timeout) => directory.list(timeout)),
+      retryUntilAnswered(listEndpoints),
       awaitConfiguration(),
     ]);
-    if (!chain || !items || !entries || hasEnded) return false;
-    entries.entries.forEach((entry) => table.add(entry, clock.monotonicMilliseconds()));
+    if (!chain || !items || !listed || hasEnded) return false;
+    listed.entries.forEach((entry) => addEndpoint(entry, listed.readAt));
     restoreJobs(items.value);
     restoreRuns();
     components = createComponents(chain.value?.revision ?? 0);
--- a/packages/scheduler/src/core/roundCandidates.ts
+++ b/packages/scheduler/src/core/roundCandidates.ts
@@ -1,6 +1,7 @@
 import type { PlacementCandidate } from '@chicorybend/decisions';
 
 import type { TermContext } from '../types/termContext.js';
+import { isCapacityRecent } from './capacityAge.js';
 import type { EndpointState } from './endpointTable.js';
 import type { TaskTransitions } from './taskTransitions.js';
 
@@ -17,14 +18,16 @@
   state: EndpointState,
 ): boolean {
   const { entry } = state;
+  const now = clock.monotonicMilliseconds();
   return (
     state.isListed &&
+    isCapacityRecent(state, now) &&
     state.isReconciled &&
     !entry.isDraining &&
     entry.bornAt === state.bornAt &&
     state.clockOffset !== null &&
     state.unansweredCalls === 0 &&
-    state.backoffUntil <= clock.monotonicMilliseconds() &&
+    state.backoffUntil <= now &&
     !transitions.isQuarantined(entry.endpointId)
   );
 }
--- a/packages/scheduler/src/core/schedulerMetrics.ts
+++ b/packages/scheduler/src/core/schedulerMetrics.ts
@@ -11,7 +11,8 @@
   starts_sent: 'Orders to start a run.',
   starts_refused: 'Orders to start that an endpoint refused.',
   starts_unanswered: 'Orders to start without an answer.',
-  starts_withdrawn: 'Starts not sent because the capacity had shrunk since the placement.',
+  starts_withdrawn:
+    'Starts not sent because they no longer fitted, or the capacity was not known any more.',
   stops_sent: 'Orders to stop a run.',
   holds_sent: 'Calls that extend leases on an endpoint.',
   holds_failed: 'Such calls without an answer.',
--- a/packages/scheduler/src/core/unsentStarts.ts
+++ b/packages/scheduler/src/core/unsentStarts.ts
@@ -2,6 +2,7 @@
 
 import type { TaskRecord } from '../types/jobRecord.js';
 import type { TermContext } from '../types/termContext.js';
+import { isCapacityRecent } from './capacityAge.js';
 import { chargedResources } from './endpointTable.js';
 import type { EndpointState } from './endpointTable.js';
 
@@ -19,10 +20,12 @@
 }
 
 /** Creates the set for one term. */
-export function createUnsentStarts({ log, metrics, table }: TermContext): UnsentStarts {
+export function createUnsentStarts({ clock, log, metrics, table }: TermContext): UnsentStarts {
   const unsent = new WeakSet<TaskRecord>();
 
-  function selectFitting({ entry, runs }: EndpointState): TaskRecord[] {
+  function selectFitting(state: EndpointState): TaskRecord[] {
+    if (!isCapacityRecent(state, clock.monotonicMilliseconds())) return [];
+    const { entry, runs } = state;
     const charged = [...runs.values()].map((task) => ({
       task,
       resources: chargedResources(task.step.specification),
@@ -31,13 +34,15 @@
     return [...selectFittingStarts(entry.capacity, charged)].map(({ task }) => task);
   }
 
-  function logWithdrawn({ entry, used }: EndpointState, tasks: readonly TaskRecord[]): void {
+  function logWithdrawn(state: EndpointState, tasks: readonly TaskRecord[]): void {
     if (tasks.length === 0) return;
+    const { entry, entryReadAt, used } = state;
     metrics.count('starts_withdrawn', tasks.length);
     log.info('starts withdrawn', {
       endpoint: entry.endpointId,
       tasks: tasks.map(({ taskId }) => taskId),
       capacity: entry.capacity,
+      age: Math.round(clock.monotonicMilliseconds() - entryReadAt),
       used,
     });
   }
