Request no advice about endpoints whose capacity is too small for a task

Cause, found on reading: a call for advice is filled up with endpoints that have no room now but may have some while the tickets are valid, and for an upcoming step all endpoints count if none has room. Endpoints that could not host the task even when idle, because of their kind or after their capacity shrank, were among them and took time of the call.

Change: only endpoints whose capacity covers one task are asked about.

Test: capacityChanges.test.ts, no advice is requested, failed before: endpoint-0 was asked about.

--- a/packages/proving/src/__tests__/capacityChanges.test.ts
+++ b/packages/proving/src/__tests__/capacityChanges.test.ts
@@ -1,7 +1,12 @@
 import type { Resources } from '@chicorybend/common';
 import test from 'ava';
 
-import { createSchedulerCell, createJobId, createJobSpecification } from './schedulerCell.js';
+import {
+  CONFIGURATION,
+  createSchedulerCell,
+  createJobId,
+  createJobSpecification,
+} from './schedulerCell.js';
 import type { SchedulerCell } from './schedulerCell.js';
 
 const MEMORY_BYTES = 1_000;
@@ -168,3 +173,31 @@
     t.deepEqual(answer, { kind: 'status', status: 'completed' });
   }
 });
+
+test('no advice is requested about an endpoint whose capacity is too small for the task', async (t) => {
+  const [queue] = CONFIGURATION.queues;
+  const cell = createSchedulerCell({ durationOf: () => 1_000 });
+  const advice = { callMilliseconds: 20, endpointMilliseconds: 1, ticketMilliseconds: 2_000 };
+  cell.configuration = { ...CONFIGURATION, queues: [{ ...queue!, advice }] };
+  const asked = new Set<string>();
+  const { advise } = cell.fleet.advice;
+  Object.assign(cell.fleet.advice, {
+    advise(...parameters: Parameters<typeof advise>) {
+      parameters[1].forEach((endpointId) => asked.add(endpointId));
+      return advise(...parameters);
+    },
+  });
+  cell.fleet.resize('endpoint-0', withProcessors(2));
+  cell.startProcess('first');
+  await cell.advance(200);
+  const resources = { processors: 4, memoryBytes: 1, accelerators: 0 };
+  await cell.call({
+    specification: createJobSpecification(
+      { count: 3, resources },
+      { count: 3, after: [0], resources },
+    ),
+  });
+  await cell.advance(3_000);
+  t.deepEqual([...asked].sort(), ['endpoint-1', 'endpoint-2', 'endpoint-3']);
+  t.deepEqual(await cell.call({ action: 'status' }), { kind: 'status', status: 'completed' });
+});
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -3,6 +3,7 @@
   canHost,
   chooseEndpointsForAdvice,
   countAdviceCalls,
+  coversResources,
   createEndpointChooser,
   orderSteps,
 } from '@chicorybend/decisions';
@@ -160,6 +161,7 @@
         countStepTasks(step, all);
         const requirements = createEndpointRequirements(step);
         const isOpen = (candidate: RoundCandidate) =>
+          coversResources(candidate.capacity, requirements.resources) &&
           isMatching(step, queue, candidate) &&
           !hasTicket(step, candidate) &&
           !adviceCache.isAsked(step.stepId, candidate.endpointId);
