Shorten the deadline of a start by the age of the capacity that it was judged by

Cause, found on reading: a start without an answer may be executed until its deadline, 1.9 s after it was sent, if the stop that follows it is lost too. With a capacity that was read up to 2.5 s earlier, that is more than the 3 s for which starts by the former capacity are tolerated.

Change: the deadline of a start is at most 3 s after the read of the capacity. With reads every 0.6 s it stays 1.9 s; it is shorter only while the directory is not answered.

Test: capacityChanges.test.ts, an endpoint does not execute a start, failed before: 6 runs were started on an endpoint that had shrunk to 2 processors.

--- a/packages/proving/src/__tests__/capacityChanges.test.ts
+++ b/packages/proving/src/__tests__/capacityChanges.test.ts
@@ -201,3 +201,25 @@
   t.deepEqual([...asked].sort(), ['endpoint-1', 'endpoint-2', 'endpoint-3']);
   t.deepEqual(await cell.call({ action: 'status' }), { kind: 'status', status: 'completed' });
 });
+
+test('an endpoint does not execute a start that it receives long after its capacity was read', async (t) => {
+  const cell = createSchedulerCell({ count: 1, durationOf: () => 500 });
+  cell.startProcess('first');
+  await cell.advance(1_000);
+  cell.isDirectoryReadable = false;
+  cell.fleet.resize('endpoint-0', withProcessors(2));
+  const faults = cell.fleet.faultsOf('endpoint-0');
+  await cell.advance(1_700);
+  faults.unansweredStartDelayMilliseconds = 1_500;
+  await cell.call({ specification: createJobSpecification({ count: 6 }) });
+  await cell.advance(100);
+  // The stops that follow the unanswered starts do not arrive.
+  faults.isCutOff = true;
+  await cell.advance(2_000);
+  t.is(cell.fleet.history.length, 0);
+  Object.assign(faults, { isCutOff: false, unansweredStartDelayMilliseconds: null });
+  cell.isDirectoryReadable = true;
+  await cell.advance(12_000);
+  t.is(maximumRunsSince(cell, 'endpoint-0', 0), 2);
+  t.deepEqual(await cell.call({ action: 'status' }), { kind: 'status', status: 'completed' });
+});
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -14,6 +14,7 @@
 import { createLatencyEstimate } from '../utils/latencyEstimate.js';
 import { requestedLeaseMilliseconds, leaseExpiryMilliseconds } from '../utils/leaseTimes.js';
 import { callWithAdaptiveTimeout } from '../utils/adaptiveTimeout.js';
+import { remainingToleranceMilliseconds } from './capacityAge.js';
 import type { EndpointState } from './endpointTable.js';
 import { hasActiveRun } from './jobRecords.js';
 import type { TaskTransitions } from './taskTransitions.js';
@@ -368,7 +369,10 @@
     canStart,
     async start(task, ticket) {
       const { run } = task;
-      const deadline = canStart(task) ? extendLeaseDeadline(START_DEADLINE_MILLISECONDS) : null;
+      const tolerance = remainingToleranceMilliseconds(state, now());
+      const deadline = canStart(task)
+        ? extendLeaseDeadline(Math.min(START_DEADLINE_MILLISECONDS, tolerance))
+        : null;
       if (deadline === null) {
         handleRefusedStart(task, 'not sent');
         return;
