Let tasks fill a capacity exactly despite rounding errors

Cause, found on reading: what is in use on an endpoint is a sum of fractional processors. Its rounding errors kept a task from the last room that it fitted exactly, and could make a placement fit in a round and no longer fit when its start was checked again, over and over.

Change: the comparison allows 1e-6 processors.

Tests: capacityChanges.test.ts, tasks that fill a capacity of fractional processors, failed before with 2 of 3 tasks started; selectFittingStarts.test.ts, starts that fill the capacity exactly, failed before.

--- a/packages/decisions/src/__tests__/selectFittingStarts.test.ts
+++ b/packages/decisions/src/__tests__/selectFittingStarts.test.ts
@@ -26,3 +26,9 @@
   t.deepEqual([...selectFittingStarts(CAPACITY, [createRun(1, false, 100), filling])], []);
   t.deepEqual([...selectFittingStarts(CAPACITY, [createRun(4, false), filling])], [filling]);
 });
+
+test('starts that fill the capacity exactly fit, whatever the rounding errors of their sum', (t) => {
+  const runs = [createRun(0.1, true), createRun(0.2, true)];
+  t.deepEqual([...selectFittingStarts({ ...CAPACITY, processors: 0.3 }, runs)], runs);
+  t.deepEqual([...selectFittingStarts({ ...CAPACITY, processors: 0.299 }, runs)], runs.slice(0, 1));
+});
--- a/packages/decisions/src/utils/resourceAmounts.ts
+++ b/packages/decisions/src/utils/resourceAmounts.ts
@@ -1,5 +1,8 @@
 import type { Resources } from '@chicorybend/common';
 
+/** Covers the rounding errors of sums of fractional processors; far below the smallest amount in use. */
+const ROUNDING_TOLERANCE = 1e-6;
+
 export const NO_RESOURCES: Resources = { processors: 0, memoryBytes: 0, accelerators: 0 };
 
 /**
@@ -18,7 +21,7 @@
 /** @returns whether a capacity covers what is in use and what is required besides, in every dimension */
 export function hasRoomBeside(capacity: Resources, used: Resources, required: Resources): boolean {
   return (
-    capacity.processors >= used.processors + required.processors &&
+    capacity.processors + ROUNDING_TOLERANCE >= used.processors + required.processors &&
     capacity.memoryBytes >= used.memoryBytes + required.memoryBytes &&
     capacity.accelerators >= used.accelerators + required.accelerators
   );
--- a/packages/proving/src/__tests__/capacityChanges.test.ts
+++ b/packages/proving/src/__tests__/capacityChanges.test.ts
@@ -299,3 +299,13 @@
   t.true(cell.fleet.history.every(({ kind }) => kind === null || kind === 'done'));
   t.deepEqual(cell.fleet.violations(), []);
 });
+
+test('tasks that fill a capacity of fractional processors exactly run at the same time', async (t) => {
+  const cell = createSchedulerCell({ count: 1, capacity: withProcessors(0.3) });
+  cell.startProcess('first');
+  await cell.advance(200);
+  const resources = { processors: 0.1, memoryBytes: 1, accelerators: 0 };
+  await cell.call({ specification: createJobSpecification({ count: 3, resources }) });
+  await cell.advance(200);
+  t.is(cell.fleet.history.length, 3);
+});
