Keep no room for a gang that the capacities do not cover

Cause: in each round a waiting gang reserves the room that is free, so that steps that come later do not take it. A gang that has become larger than what its endpoints can run together, because their capacities shrank or some of them left, cannot start, but kept all room from work of lower priority, and of teams with a larger share, for as long as that lasted.

Change: a gang reserves room only if all its tasks would fit on the listed endpoints of its service without other work.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -88,6 +88,7 @@
   EndpointRequirements,
   PlacementCandidate,
 } from './core/chooseEndpoint.js';
+export { fitsIdleEndpoints } from './core/fitsIdleEndpoints.js';
 export { selectFittingStarts } from './core/selectFittingStarts.js';
 export type { ChargedRun } from './core/selectFittingStarts.js';
 export { judgePunctuality, orderSteps } from './core/stepOrder.js';
--- a/packages/decisions/src/utils/resourceAmounts.ts
+++ b/packages/decisions/src/utils/resourceAmounts.ts
@@ -1,3 +1,4 @@
+import { RESOURCE_DIMENSIONS } from '@chicorybend/common';
 import type { Resources } from '@chicorybend/common';
 
 /** Covers the rounding errors of sums of fractional processors; far below the smallest amount in use. */
@@ -31,3 +32,11 @@
 export function coversResources(available: Resources, required: Resources): boolean {
   return hasRoomBeside(available, NO_RESOURCES, required);
 }
+
+/** @returns how many times the available amounts cover what is required; Infinity if nothing is required */
+export function countCovered(available: Resources, required: Resources): number {
+  const counts = RESOURCE_DIMENSIONS.filter((name) => required[name] > 0).map((name) =>
+    Math.floor((available[name] + ROUNDING_TOLERANCE) / required[name]),
+  );
+  return Math.min(...counts);
+}
--- a/packages/proving/src/__tests__/capacityChanges.test.ts
+++ b/packages/proving/src/__tests__/capacityChanges.test.ts
@@ -309,3 +309,25 @@
   await cell.advance(200);
   t.is(cell.fleet.history.length, 3);
 });
+
+test('a gang that has become too large for the whole cell keeps no room from other work', async (t) => {
+  const [queue] = CONFIGURATION.queues;
+  const cell = createSchedulerCell({ durationOf: () => 1_000 });
+  const batch = { ...queue!, name: 'batch', pathPrefix: '/batch/', priority: 1 };
+  cell.configuration = { ...CONFIGURATION, queues: [queue!, batch] };
+  cell.startProcess('first');
+  await cell.advance(200);
+  for (let index = 0; index < 4; index += 1) {
+    cell.fleet.resize(`endpoint-${index}`, withProcessors(4));
+  }
+  await cell.advance(1_000);
+  await cell.call({ specification: createJobSpecification({ count: 20, isGang: true }) });
+  await cell.advance(500);
+  const path = `/batch/${createJobId(2)}`;
+  await cell.call({ path, specification: createJobSpecification({ count: 4 }) });
+  await cell.advance(3_000);
+  t.deepEqual(await cell.call({ action: 'status', path }), { kind: 'status', status: 'completed' });
+  cell.fleet.resize('endpoint-0', withProcessors(8));
+  await cell.advance(3_000);
+  t.deepEqual(await cell.call({ action: 'status' }), { kind: 'status', status: 'completed' });
+});
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -5,6 +5,7 @@
   countAdviceCalls,
   coversResources,
   createEndpointChooser,
+  fitsIdleEndpoints,
   orderSteps,
 } from '@chicorybend/decisions';
 import type { AdviceNeed, EndpointRequirements, OrderingKey } from '@chicorybend/decisions';
@@ -118,7 +119,7 @@
   function isMatching(
     step: StepRecord,
     queue: JobQueueSettings,
-    candidate: RoundCandidate,
+    candidate: Pick<RoundCandidate, 'state' | 'endpointId' | 'bornAt'>,
   ): boolean {
     const { requiredHardware } = step.specification;
     const { entry } = candidate.state;
@@ -373,10 +374,26 @@
     return { reason, request };
   }
 
+  /** @returns whether all tasks of a step could run at the same time if nothing else ran */
+  function fitsWithoutOtherWork(
+    step: StepRecord,
+    queue: JobQueueSettings,
+    requirements: EndpointRequirements,
+  ): boolean {
+    const capacities = [...table.all()].flatMap((state) => {
+      const { entry, isListed, bornAt } = state;
+      const candidate = { state, endpointId: entry.endpointId, bornAt };
+      const isHost = isListed && !entry.isDraining && isMatching(step, queue, candidate);
+      return isHost ? [entry.capacity] : [];
+    });
+    return fitsIdleEndpoints(capacities, requirements, step.specification.count);
+  }
+
   /**
    * Reserves room for this round for the tasks of a gang, which needs it all at once, and of an urgent step, so that
    * steps that come later do not take it while the call for advice is in flight. Other steps reserve none: most of
-   * the room would stay idle, because the answer is about other endpoints than the reserved ones.
+   * the room would stay idle, because the answer is about other endpoints than the reserved ones. A gang that the
+   * capacities do not cover reserves none either, because it would wait for it until they grow.
    *
    * @returns what the tasks wait for
    */
@@ -387,6 +404,7 @@
     requirements: EndpointRequirements,
   ): BlockingReason {
     const { isGang } = step.specification;
+    if (isGang && !fitsWithoutOtherWork(step, queue, requirements)) return 'room';
     if (!isGang && !requirements.isUrgent) {
       const hasRoom = candidates.some((candidate) => canHost(candidate, requirements));
       return queue.advice && hasRoom ? 'advice' : 'room';
