--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -109,6 +109,9 @@
   PlacementCandidate,
   TrialRequirements,
 } from './core/chooseEndpoint.js';
+export { fitsIdleEndpoints } from './core/fitsIdleEndpoints.js';
+export { selectFittingStarts } from './core/selectFittingStarts.js';
+export type { ChargedRun } from './core/selectFittingStarts.js';
 export { judgePunctuality, orderSteps } from './core/stepOrder.js';
 export type { ObjectiveTimes, OrderingKey, Punctuality } from './core/stepOrder.js';
 
--- a/packages/decisions/src/utils/resourceAmounts.ts
+++ b/packages/decisions/src/utils/resourceAmounts.ts
@@ -1,5 +1,9 @@
+import { RESOURCE_DIMENSIONS } from '@chicorybend/common';
 import type { Resources } from '@chicorybend/common';
 
+/** Covers the rounding errors of sums of fractional processors; far below the smallest amount in use. */
+const ROUNDING_TOLERANCE = 1e-6;
+
 export const NO_RESOURCES: Resources = { processors: 0, memoryBytes: 0, accelerators: 0 };
 
 /**
@@ -18,7 +22,7 @@
 /** @returns whether a capacity covers what is in use and what is required besides, in every dimension */
 export function hasRoomBeside(capacity: Resources, used: Resources, required: Resources): boolean {
   return (
-    capacity.processors >= used.processors + required.processors &&
+    capacity.processors + ROUNDING_TOLERANCE >= used.processors + required.processors &&
     capacity.memoryBytes >= used.memoryBytes + required.memoryBytes &&
     capacity.accelerators >= used.accelerators + required.accelerators
   );
@@ -28,3 +32,11 @@
 export function coversResources(available: Resources, required: Resources): boolean {
   return hasRoomBeside(available, NO_RESOURCES, required);
 }
+
+/** @returns how many times the available amounts cover what is required; Infinity if nothing is required */
+export function countCovered(available: Resources, required: Resources): number {
+  const counts = RESOURCE_DIMENSIONS.filter((name) => required[name] > 0).map((name) =>
+    Math.floor((available[name] + ROUNDING_TOLERANCE) / required[name]),
+  );
+  return Math.min(...counts);
+}
--- a/packages/proving/src/core/schedulerCell.ts
+++ b/packages/proving/src/core/schedulerCell.ts
@@ -1,6 +1,6 @@
 import { setImmediate } from 'node:timers/promises';
 
-import { createManualClock, createSilentLog } from '@chicorybend/common';
+import { createManualClock, createSilentLog, sleep } from '@chicorybend/common';
 import type { Log, ManualClock } from '@chicorybend/common';
 import {
   createOwnerElection,
@@ -14,6 +14,7 @@
   ClusterConfiguration,
   JobSpecification,
   OwnerTerm,
+  SchedulerMetrics,
   StepSpecification,
 } from '@chicorybend/scheduler';
 import { createClusterStoreStandIn, createEndpointFleetStandIn } from '@chicorybend/standins';
@@ -41,9 +42,13 @@
   readonly clock: ManualClock;
   readonly store: ClusterStoreStandIn;
   readonly fleet: EndpointFleetStandIn;
+  /** Metrics of all processes. */
+  readonly metrics: SchedulerMetrics;
   configuration: ClusterConfiguration;
   /** Whether reads of the configuration are answered. */
   isConfigurationReadable: boolean;
+  /** Whether reads of the endpoint directory are answered. */
+  isDirectoryReadable: boolean;
   /** @param onTermStart called right before each term of the process starts */
   startProcess(
     name: string,
@@ -151,14 +156,17 @@
     durationOf: () => 500,
     ...options,
   });
+  const metrics = createSchedulerMetrics();
   const processes: CellProcess[] = [];
 
   const cell: SchedulerCell = {
     clock,
     store,
     fleet,
+    metrics,
     configuration: CONFIGURATION,
     isConfigurationReadable: true,
+    isDirectoryReadable: true,
     startProcess(name, onTermStart = () => {}, claimDelayMilliseconds = 0) {
       let term: OwnerTerm | null = null;
       let isKilled = false;
@@ -178,9 +186,15 @@
             store: client,
             clock,
             log,
-            metrics: createSchedulerMetrics(),
+            metrics,
             endpoints: fleet.client,
-            directory: fleet.directory,
+            directory: {
+              async list(timeoutMilliseconds) {
+                if (cell.isDirectoryReadable) return fleet.directory.list(timeoutMilliseconds);
+                await sleep(clock, timeoutMilliseconds);
+                return { kind: 'failed', reason: 'lost' };
+              },
+            },
             configurationSource: {
               async read(timeoutMilliseconds) {
                 const outcome = await client.read('any', timeoutMilliseconds);
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -3,7 +3,9 @@
   canHost,
   chooseEndpointsForAdvice,
   countAdviceCalls,
+  coversResources,
   createEndpointChooser,
+  fitsIdleEndpoints,
   orderSteps,
 } from '@chicorybend/decisions';
 import type {
@@ -30,6 +32,7 @@
 import type { TaskTransitions } from './taskTransitions.js';
 import { computeStepOrder, sumCapacity } from './stepOrder.js';
 import { createTrialSchedule, remainingTrialEndpoints } from './trialSchedule.js';
+import { createUnsentStarts } from './unsentStarts.js';
 
 /** Minimum delay of a round after its request, so that one round handles several changes. */
 const ROUND_DELAY_MILLISECONDS = 5;
@@ -100,6 +103,7 @@
   const { clock, log, table } = context;
   const keptEndpoints = createKeptEndpoints(context, transitions);
   const trialSchedule = createTrialSchedule(context);
+  const unsentStarts = createUnsentStarts(context);
   let rounds = 0;
   /** Number of endpoints that may still get a trial in the current round. */
   let trialEndpointsLeft = 0;
@@ -127,7 +131,7 @@
   function isMatching(
     step: StepRecord,
     queue: JobQueueSettings,
-    candidate: RoundCandidate,
+    candidate: Pick<RoundCandidate, 'state' | 'endpointId' | 'bornAt'>,
   ): boolean {
     const { requiredHardware } = step.specification;
     const { entry } = candidate.state;
@@ -170,6 +174,7 @@
       chooseEndpoints() {
         countStepTasks(step, all);
         const isOpen = (candidate: RoundCandidate) =>
+          coversResources(candidate.capacity, requirements.resources) &&
           isMatching(step, queue, candidate) &&
           !hasTicket(step, candidate) &&
           !adviceCache.isAsked(step.stepId, candidate.endpointId);
@@ -271,6 +276,7 @@
     task.endpointBornAt = state.bornAt;
     task.absenceConclusiveAfter = Infinity;
     table.charge(state, task);
+    unsentStarts.add(task);
     transitions.recordStart(state.entry.endpointId);
     const { job } = task.step;
     if (!job.hasStarted) {
@@ -298,9 +304,11 @@
           bornAt: state.bornAt,
         }),
       }));
+    const fitting = unsentStarts.take(starts.map(({ task }) => task));
     const ready = starts.filter(
       ({ task, session, ticket }) =>
         step.job.phase === 'open' &&
+        fitting.has(task) &&
         session?.canStart(task) === true &&
         (ticket !== null || !queue.advice),
     );
@@ -454,10 +462,26 @@
     };
   }
 
+  /** @returns whether all tasks of a step could run at the same time if nothing else ran */
+  function fitsWithoutOtherWork(
+    step: StepRecord,
+    queue: JobQueueSettings,
+    requirements: EndpointRequirements,
+  ): boolean {
+    const capacities = [...table.all()].flatMap((state) => {
+      const { entry, isListed, bornAt } = state;
+      const candidate = { state, endpointId: entry.endpointId, bornAt };
+      const isHost = isListed && !entry.isDraining && isMatching(step, queue, candidate);
+      return isHost ? [entry.capacity] : [];
+    });
+    return fitsIdleEndpoints(capacities, requirements, step.specification.count);
+  }
+
   /**
    * Reserves room for this round for the tasks of a gang, which needs it all at once, and of an urgent step, so that
    * steps that come later do not take it while the call for advice is in flight. Other steps reserve none: most of
-   * the room would stay idle, because the answer is about other endpoints than the reserved ones.
+   * the room would stay idle, because the answer is about other endpoints than the reserved ones. A gang that the
+   * capacities do not cover reserves none either, because it would wait for it until they grow.
    *
    * @returns what the tasks wait for
    */
@@ -468,6 +492,7 @@
     requirements: EndpointRequirements,
   ): BlockingReason {
     const { isGang } = step.specification;
+    if (isGang && !fitsWithoutOtherWork(step, queue, requirements)) return 'room';
     if (!isGang && !requirements.isUrgent) {
       const hasRoom = candidates.some((candidate) => canHost(candidate, requirements));
       return queue.advice && hasRoom ? 'advice' : 'room';
--- a/packages/scheduler/src/core/roundCandidates.ts
+++ b/packages/scheduler/src/core/roundCandidates.ts
@@ -3,6 +3,7 @@
 import type { TaskRecord } from '../types/jobRecord.js';
 import type { TermContext } from '../types/termContext.js';
 import { isOnTrial } from './endpointLosses.js';
+import { isCapacityRecent } from './capacityAge.js';
 import type { EndpointState } from './endpointTable.js';
 import type { TaskTransitions } from './taskTransitions.js';
 
@@ -29,14 +30,16 @@
   state: EndpointState,
 ): boolean {
   const { entry } = state;
+  const now = clock.monotonicMilliseconds();
   return (
     state.isListed &&
+    isCapacityRecent(state, now) &&
     state.isReconciled &&
     !entry.isDraining &&
     entry.bornAt === state.bornAt &&
     state.clockOffset !== null &&
     state.unansweredCalls === 0 &&
-    state.backoffUntil <= clock.monotonicMilliseconds() &&
+    state.backoffUntil <= now &&
     !transitions.isQuarantined(entry.endpointId)
   );
 }
