Acknowledge the cancellation of a job that has ended without a write

What callers saw: cancellations were answered 502 while the store gave no answer, although the job had ended and its end was durable. Cause: closing a job that is closed committed its state again, and the answer waited for that commit. Class of the fault: a repeated call does again what is done, and depends on all that this needs. Change: closing a job whose end is durable has no effect and is answered at once. A job whose end is not durable yet still waits for the commit. Evidence: 'a cancellation of a job that has ended is acknowledged without a write' failed before (acceptance-unknown after 2.5 s), passes now; 'a repeated cancellation is acknowledged only once the first one is durable' passed before and passes now.

--- a/packages/scheduler/src/core/taskTransitions.ts
+++ b/packages/scheduler/src/core/taskTransitions.ts
@@ -42,7 +42,11 @@
   dropRun(task: TaskRecord, kind: 'lapsed' | 'stopped'): void;
   /** Drops all runs of an endpoint whose leases have certainly expired. */
   expireRuns(state: EndpointState): void;
-  /** Ends a job; the listener of {@link TaskTransitions.onJobClosed} stops its runs. */
+  /**
+   * Ends a job; the listener of {@link TaskTransitions.onJobClosed} stops its runs. No effect on a job that has ended.
+   *
+   * @returns resolves to whether the end of the job is durable; false if the term ended first
+   */
   closeJob(job: JobRecord, phase: JobPhase): Promise<boolean>;
   /** Sets the listener that stops the runs of a job that has ended. */
   onJobClosed(listener: (job: JobRecord) => void): void;
@@ -75,6 +79,7 @@
   }
 
   async function closeJob(job: JobRecord, phase: JobPhase): Promise<boolean> {
+    if (job.durablePhase !== 'open') return true;
     if (job.phase !== 'open') return save(job);
     job.phase = phase;
     job.endedAt = clock.wallMilliseconds();
