--- a/packages/proving/src/__tests__/calmAfterFaults.test.ts
+++ b/packages/proving/src/__tests__/calmAfterFaults.test.ts
@@ -14,8 +14,8 @@
   createJobId,
   createJobSpecification,
   createSchedulerCell,
-} from './schedulerCell.js';
-import type { CellProcess, SchedulerCell } from './schedulerCell.js';
+} from '../core/schedulerCell.js';
+import type { CellProcess, SchedulerCell } from '../core/schedulerCell.js';
 
 /** The environment may name others, separated by commas. */
 const SEEDS = (process.env.CALM_SEEDS ?? '1,3,4,14,19,27').split(',').map(Number);
--- a/packages/proving/src/__tests__/storeOutage.test.ts
+++ b/packages/proving/src/__tests__/storeOutage.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 
-import { createJobSpecification, createSchedulerCell } from './schedulerCell.js';
+import { createJobSpecification, createSchedulerCell } from '../core/schedulerCell.js';
 
 test('a cancellation of a job that has ended is acknowledged without a write', async (t) => {
   const cell = createSchedulerCell({ durationOf: () => 300 });
--- /dev/null
+++ b/packages/scheduler/src/core/endpointLosses.ts
@@ -0,0 +1,222 @@
+import {
+  classifyLoss,
+  discardOutlivedLosses,
+  hasCommonCause,
+  isRecentStart,
+} from '@chicorybend/decisions';
+import type { EndpointLoss, LostEndpoint } from '@chicorybend/decisions';
+
+import type { JobRecord, TaskRecord } from '../types/jobRecord.js';
+import type { TermContext } from '../types/termContext.js';
+import type { EndpointState } from './endpointTable.js';
+import { forEachTask, hasActiveRun } from './jobRecords.js';
+
+/** How long a loss makes the address of its endpoint unreliable, in milliseconds. */
+const UNRELIABLE_MILLISECONDS = 60_000;
+/** Number of runs of a loss that its log line names. */
+const LOGGED_RUNS = 5;
+
+/** Losses of the tasks that had runs in one incarnation of an endpoint. */
+interface RecordedLosses {
+  /** Start of the incarnation, in milliseconds since the Unix epoch. */
+  readonly bornAt: number;
+  readonly rows: readonly { readonly task: TaskRecord; readonly loss: EndpointLoss }[];
+}
+
+/** How an endpoint was lost. */
+export type LossCause = 'crashed' | 'silent';
+
+/** Attributes the losses of endpoints to the tasks that had runs there. */
+export interface EndpointLosses {
+  /** Calls to an endpoint began to fail at `silentSince`. */
+  recordSilence(state: EndpointState): void;
+  /** An endpoint answered in the same incarnation, so that it was not lost. @returns tasks with a withdrawn loss */
+  recordAnswer(state: EndpointState): TaskRecord[];
+  /**
+   * Records, before the runs are dropped, that the endpoint is lost.
+   *
+   * @param cause whether its incarnation is certainly over, or it was silent until the leases had expired
+   */
+  recordLoss(state: EndpointState, tasks: readonly TaskRecord[], cause: LossCause): void;
+  /** A task was found guilty, which explains the losses under it. */
+  recordVerdict(task: TaskRecord): void;
+}
+
+/** @returns whether the current run of a task is on trial at a time, in monotonic milliseconds */
+export function isOnTrial(task: TaskRecord, at: number): boolean {
+  const { trialMilliseconds, phase, startedAt } = task;
+  if (trialMilliseconds === 0 || !hasActiveRun(task)) return false;
+  return phase === 'placed' || at - startedAt <= trialMilliseconds;
+}
+
+function runAge(task: TaskRecord, at: number): number {
+  const isStartKnown = task.isStartTimeKnown && task.phase !== 'placed';
+  return Math.max(0, at - (isStartKnown ? task.startedAt : task.placedAt));
+}
+
+/** @returns whether the current run of a task may have caused a loss at a time, in monotonic milliseconds */
+export function hasJustBegun(task: TaskRecord, at: number): boolean {
+  return hasActiveRun(task) && isRecentStart(runAge(task, at));
+}
+
+/** Creates the attribution for one term. */
+export function createEndpointLosses(context: TermContext): EndpointLosses {
+  const { clock, log, metrics } = context;
+  /** By endpoint id: endpoints that do not answer, or were lost within the time that makes an address unreliable. */
+  const silent = new Map<string, LostEndpoint & { readonly address: string }>();
+  /** By endpoint id: the last losses recorded, to be withdrawn if their incarnation answers after all. */
+  const recorded = new Map<string, RecordedLosses>();
+
+  /** By endpoint id: racks of lost endpoints that have not answered in this term, so that it is unknown when. */
+  const lostFromStart = new Map<string, string>();
+
+  /** @returns number of endpoints of a rack that have not answered in this term; a rack fails at one time */
+  function countSilentOfRack({ entry }: EndpointState): number {
+    const endpointIds = new Set(
+      [...lostFromStart]
+        .filter(([, rack]) => rack === entry.rack)
+        .map(([endpointId]) => endpointId),
+    );
+    for (const { entry: other, clockOffset, silentSince } of context.table.all()) {
+      const isSilent = clockOffset === null && silentSince !== null;
+      if (isSilent && other.rack === entry.rack) endpointIds.add(other.endpointId);
+    }
+    return endpointIds.size;
+  }
+
+  /**
+   * If the endpoint has not answered in this term, the time of its loss is unknown; nothing can have begun there
+   * afterwards, so the last placement is the best estimate.
+   */
+  function estimateLossTime(state: EndpointState, tasks: readonly TaskRecord[]): number {
+    if (state.clockOffset !== null) return state.silentSince ?? clock.monotonicMilliseconds();
+    return tasks.reduce((latest, { placedAt }) => Math.max(latest, placedAt), 0);
+  }
+
+  /** @returns number of endpoints on which tasks of a job have just begun */
+  function countRecentEndpoints(job: JobRecord, at: number): number {
+    const endpointIds = new Set<string | null>();
+    forEachTask(job, (task) => {
+      if (hasJustBegun(task, at)) endpointIds.add(task.endpointId);
+    });
+    return endpointIds.size;
+  }
+
+  function describeLoss(state: EndpointState, at: number, tasks: readonly TaskRecord[]) {
+    const { endpointId, rack, address } = state.entry;
+    const recent = tasks.filter((task) => hasJustBegun(task, at));
+    const jobs = new Set(recent.map(({ step }) => step.job));
+    return {
+      endpointId,
+      rack,
+      address,
+      at,
+      isExplained: tasks.some((task) => isOnTrial(task, at)),
+      recentJobs: new Map([...jobs].map((job) => [job.jobId, countRecentEndpoints(job, at)])),
+    };
+  }
+
+  function forgetOldLosses(now: number): void {
+    silent.forEach(({ at }, endpointId) => {
+      if (now - at <= UNRELIABLE_MILLISECONDS) return;
+      silent.delete(endpointId);
+      recorded.delete(endpointId);
+    });
+  }
+
+  function isUnreliable({ entry }: EndpointState): boolean {
+    return [...silent.values()].some(
+      ({ address, endpointId, isExplained }) =>
+        !isExplained && address === entry.address && endpointId !== entry.endpointId,
+    );
+  }
+
+  function logLoss(
+    state: EndpointState,
+    cause: LossCause,
+    lossTime: number,
+    rows: readonly { task: TaskRecord; loss: EndpointLoss }[],
+  ): void {
+    const latest = [...rows].sort(
+      (left, right) => left.loss.ageMilliseconds - right.loss.ageMilliseconds,
+    );
+    log.info('endpoint lost', {
+      endpoint: state.entry.endpointId,
+      rack: state.entry.rack,
+      cause,
+      silentMilliseconds: Math.round(clock.monotonicMilliseconds() - lossTime),
+      runs: rows.length,
+      latest: latest
+        .slice(0, LOGGED_RUNS)
+        .map(({ task, loss }) => [task.taskId, loss.role, Math.round(loss.ageMilliseconds)]),
+    });
+  }
+
+  return {
+    recordSilence(state) {
+      const at = state.silentSince ?? clock.monotonicMilliseconds();
+      const { endpointId } = state.entry;
+      const loss = describeLoss(state, at, [...state.runs.values()]);
+      // An endpoint that was silent from the start of the term was lost at an unknown earlier time.
+      if (state.clockOffset !== null) silent.set(endpointId, loss);
+    },
+    recordAnswer({ entry, bornAt }) {
+      silent.delete(entry.endpointId);
+      const withdrawn = recorded.get(entry.endpointId);
+      if (withdrawn?.bornAt !== bornAt) return [];
+      recorded.delete(entry.endpointId);
+      return withdrawn.rows.map(({ task, loss }) => {
+        task.losses = task.losses.filter((known) => known !== loss);
+        return task;
+      });
+    },
+    recordLoss(state, allTasks, cause) {
+      // A run remains at its endpoint after its loss while a stop must rule out that it starts late.
+      const tasks = allTasks.filter((task) => !task.losses.some(({ run }) => run === task.run));
+      const isPlanned = state.entry.isDraining && state.entry.address !== '';
+      if (isPlanned || tasks.length === 0) return;
+      const isSilentFromStart = state.clockOffset === null;
+      if (isSilentFromStart) lostFromStart.set(state.entry.endpointId, state.entry.rack);
+      const lossTime = estimateLossTime(state, tasks);
+      forgetOldLosses(clock.monotonicMilliseconds());
+      const lost = silent.get(state.entry.endpointId) ?? describeLoss(state, lossTime, tasks);
+      const circumstances = {
+        hasTrial: lost.isExplained,
+        isCommon: isSilentFromStart
+          ? countSilentOfRack(state) > 1
+          : hasCommonCause(lost, [...silent.values()]),
+        isUnreliable: isUnreliable(state),
+      };
+      silent.set(state.entry.endpointId, { ...lost, address: state.entry.address });
+      const wallDifference = clock.wallMilliseconds() - clock.monotonicMilliseconds();
+      const rows = tasks.map((task) => {
+        const ageMilliseconds = runAge(task, lossTime);
+        const run = { ageMilliseconds, isOnTrial: isOnTrial(task, lossTime) };
+        const role = classifyLoss(run, circumstances);
+        const isProven = cause === 'crashed' && task.phase !== 'placed';
+        const loss: EndpointLoss = {
+          run: task.run,
+          role,
+          ageMilliseconds,
+          isProven,
+          at: lossTime + wallDifference,
+        };
+        task.losses = [...discardOutlivedLosses(task.losses, ageMilliseconds), loss];
+        task.step.hasLosses = true;
+        return { task, loss };
+      });
+      recorded.set(state.entry.endpointId, { bornAt: tasks[0]!.endpointBornAt, rows });
+      metrics.count('endpoints_lost');
+      metrics.count('runs_lost_with_endpoint', rows.length);
+      logLoss(state, cause, lossTime, rows);
+    },
+    recordVerdict(guilty) {
+      recorded.forEach(({ rows }, endpointId) => {
+        const lost = silent.get(endpointId);
+        if (lost && rows.some(({ task }) => task === guilty)) {
+          silent.set(endpointId, { ...lost, isExplained: true });
+        }
+      });
+    },
+  };
+}
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -143,12 +143,39 @@
     state.bornAt = bornAt;
     state.appliedSequence = 0;
     state.durableSequence = 0;
+    const runs = runsOfOtherIncarnations();
+    transitions.endpointLosses.recordLoss(state, runs, 'crashed');
+    state.silentSince = null;
     state.clockOffset = null;
-    runsOfOtherIncarnations().forEach((task) => {
+    runs.forEach((task) => {
       void endRunOfFormerIncarnation(task);
     });
   }
 
+  /** Another endpoint answers at the address, so that the incarnation known here is over. */
+  function endReplacedIncarnation(): void {
+    if (state.runs.size === 0) return;
+    log.info('endpoint replaced at its address', {
+      endpoint: state.entry.endpointId,
+      runs: state.runs.size,
+    });
+    transitions.endpointLosses.recordLoss(state, [...state.runs.values()], 'crashed');
+    [...state.runs.values()].forEach((task) => transitions.dropRun(task, 'lapsed'));
+    state.leasesExpireAt = now();
+    context.requestRound();
+  }
+
+  function recordAnswer(): void {
+    if (state.silentSince !== null) {
+      const tasks = transitions.endpointLosses.recordAnswer(state);
+      new Set(tasks.map(({ step }) => step.job)).forEach((job) => {
+        void transitions.save(job);
+      });
+    }
+    state.silentSince = null;
+    state.unansweredCalls = 0;
+  }
+
   function applyEnd(end: EndReport, changedTasks: Set<TaskRecord>): void {
     const task = state.runs.get(end.taskId);
     if (!task || task.run !== end.run) return;
@@ -200,7 +227,11 @@
   ): Promise<void> {
     if (outcome.bornAt !== null && outcome.bornAt < state.bornAt) return;
     if (outcome.bornAt !== null && outcome.bornAt > state.bornAt) changeIncarnation(outcome.bornAt);
-    state.unansweredCalls = 0;
+    if (!state.isReconciled) {
+      // Runs that a former term recorded for an earlier incarnation.
+      transitions.endpointLosses.recordLoss(state, runsOfOtherIncarnations(), 'crashed');
+    }
+    recordAnswer();
     state.clockOffset = outcome.endpointClockMilliseconds - now();
     const changedTasks = new Set<TaskRecord>();
     const ends = outcome.ends.filter(({ sequence }) => sequence > state.appliedSequence);
@@ -231,6 +262,8 @@
     state.unansweredCalls += 1;
     metrics.count('holds_failed');
     if (state.unansweredCalls === 1) {
+      state.silentSince = now();
+      transitions.endpointLosses.recordSilence(state);
       log.info('endpoint silent', { endpoint: state.entry.endpointId, reason });
     }
     if (now() < state.leasesExpireAt) return;
@@ -261,6 +294,8 @@
       abandonFenced();
     } else {
       handleUnansweredHold(outcome.reason);
+      const isReplaced = outcome.kind === 'refused' && outcome.reason === 'other-incarnation';
+      if (isReplaced) endReplacedIncarnation();
       await sleep(clock, RETRY_DELAY_MILLISECONDS);
     }
   }
--- a/packages/scheduler/src/core/jobRecords.ts
+++ b/packages/scheduler/src/core/jobRecords.ts
@@ -1,3 +1,6 @@
+import { judgeCrashes, trialMillisecondsFor } from '@chicorybend/decisions';
+import type { EndpointLoss, LossRole } from '@chicorybend/decisions';
+
 import type { JobSpecification } from '../types/job.js';
 import type {
   AdmissionSettings,
@@ -49,6 +52,7 @@
     endpointId: null,
     endpointBornAt: 0,
     checkpoint: '',
+    placedAt: 0,
     startedAt: 0,
     isStartTimeKnown: false,
     progressReports: [],
@@ -56,6 +60,8 @@
     avoidedUntil: 0,
     absenceConclusiveAfter: Infinity,
     notBefore: 0,
+    losses: [],
+    trialMilliseconds: 0,
   };
 }
 
@@ -86,6 +92,7 @@
       lastFailedGangRun: 0,
       brokenRun: 0,
       isReleased: false,
+      hasLosses: false,
     };
     for (let task = 0; task < specification.count; task += 1) {
       step.tasks.push(createTask(step, task));
@@ -132,8 +139,47 @@
   job.occurrences.forEach(({ steps }) => steps.forEach(({ tasks }) => tasks.forEach(apply)));
 }
 
-/** Stored task: step index, task index, phase, run, failures, index into `endpoints` (-1 for none), checkpoint. */
-type StoredTask = [number, number, TaskPhase, number, number, number, string];
+/** Stored loss: run, role, age of the run in milliseconds, whether it is proven, time since the acceptance. */
+type StoredLoss = [number, LossRole, number, boolean, number];
+
+/**
+ * Stored task: step index, task index, phase, run, failures, index into `endpoints` (-1 for none), checkpoint, time of
+ * the placement since the acceptance of the job in milliseconds, losses. Earlier builds do not write the last two.
+ */
+type StoredTask = [
+  step: number,
+  index: number,
+  phase: TaskPhase,
+  run: number,
+  failures: number,
+  endpoint: number,
+  checkpoint: string,
+  placedAt?: number,
+  losses?: StoredLoss[],
+];
+
+function encodeLoss(
+  job: JobRecord,
+  { run, role, ageMilliseconds, isProven, at }: EndpointLoss,
+): StoredLoss {
+  return [run, role, Math.round(ageMilliseconds), isProven, Math.round(at - job.acceptedAt)];
+}
+
+function decodeLoss(job: JobRecord, [run, role, age, isProven, after]: StoredLoss): EndpointLoss {
+  return { run, role, ageMilliseconds: age, isProven, at: job.acceptedAt + after };
+}
+
+/** @returns whether an endpoint may have been lost because of the task */
+export function isSuspect({ losses }: TaskRecord): boolean {
+  return losses.length > 0 && judgeCrashes(losses) === 'suspect';
+}
+
+/** @returns duration of the trial of a run, in milliseconds; for a gang, of the longest of its members */
+export function trialMillisecondsOf(task: TaskRecord): number {
+  const { tasks, specification } = task.step;
+  const members = specification.isGang ? tasks : [task];
+  return Math.max(...members.map(({ losses }) => trialMillisecondsFor(losses)));
+}
 
 interface StoredState {
   phase: JobPhase;
@@ -162,8 +208,12 @@
   } satisfies AcceptedJob);
 }
 
-/** Encodes the value of the state key. */
-export function encodeState(job: JobRecord): string {
+/**
+ * Encodes the value of the state key.
+ *
+ * @param clockDifference wall-clock time minus monotonic time, in milliseconds
+ */
+export function encodeState(job: JobRecord, clockDifference: number): string {
   const endpoints: [string, number][] = [];
   const indexOf = new Map<string, number>();
 
@@ -194,6 +244,8 @@
               task.failures,
               hasActiveRun(task) ? endpointIndex(task) : -1,
               task.phase === 'done' ? '' : task.checkpoint,
+              Math.round(task.placedAt + clockDifference - job.acceptedAt),
+              task.losses.map((loss) => encodeLoss(job, loss)),
             ]),
         ),
         steps.map(({ lastFailedGangRun }) => lastFailedGangRun),
@@ -213,8 +265,12 @@
   return steps.some(({ tasks }) => tasks.some(hasActiveRun));
 }
 
-/** Restores a stored state into a new record. Its runs are `placed` until their endpoints confirm them. */
-export function applyState(job: JobRecord, text: string): void {
+/**
+ * Restores a stored state into a new record. Its runs are `placed` until their endpoints confirm them.
+ *
+ * @param clockDifference wall-clock time minus monotonic time, in milliseconds
+ */
+export function applyState(job: JobRecord, text: string, clockDifference: number): void {
   const stored = JSON.parse(text) as StoredState;
   job.phase = stored.phase;
   job.durablePhase = stored.phase;
@@ -223,16 +279,25 @@
   job.occurrenceCount = stored.occurrenceCount;
   stored.occurrences.forEach(([index, gangFailures, tasks, lastFailedGangRuns]) => {
     const occurrence = addOccurrence(job, index);
-    tasks.forEach(([stepIndex, taskIndex, phase, run, failures, endpoint, checkpoint]) => {
+    tasks.forEach((storedTask) => {
+      const [stepIndex, taskIndex, phase, run, failures, endpoint, checkpoint, after, losses] =
+        storedTask;
       const task = occurrence.steps[stepIndex]?.tasks[taskIndex];
       if (!task) return;
       Object.assign(task, { run, failures, checkpoint });
+      task.placedAt = job.acceptedAt + (after ?? 0) - clockDifference;
+      task.losses = (losses ?? []).map((loss) => decodeLoss(job, loss));
+      task.step.hasLosses ||= task.losses.length > 0;
       // A run that was being stopped is `placed` too: once its endpoint confirms it, it is stopped again if needed.
       task.phase = phase === 'running' || phase === 'stopping' ? 'placed' : phase;
       const storedEndpoint = stored.endpoints[endpoint];
       if (storedEndpoint) [task.endpointId, task.endpointBornAt] = storedEndpoint;
     });
     occurrence.steps.forEach((step) => {
+      const isGangSuspect = step.specification.isGang && step.tasks.some(isSuspect);
+      step.tasks.forEach((task) => {
+        if (isGangSuspect || isSuspect(task)) task.trialMilliseconds = trialMillisecondsOf(task);
+      });
       step.gangFailures = gangFailures[step.index] ?? 0;
       step.lastFailedGangRun = lastFailedGangRuns?.[step.index] ?? 0;
       step.doneCount = step.tasks.filter(({ phase }) => phase === 'done').length;
--- a/packages/scheduler/src/core/taskTransitions.ts
+++ b/packages/scheduler/src/core/taskTransitions.ts
@@ -1,4 +1,4 @@
-import { createQuarantine } from '@chicorybend/decisions';
+import { createQuarantine, judgeCrashes } from '@chicorybend/decisions';
 
 import type { EndKind } from '../types/endpoint.js';
 import type {
@@ -10,6 +10,8 @@
 } from '../types/jobRecord.js';
 import type { TermContext } from '../types/termContext.js';
 import { stateKey } from '../utils/storeKeys.js';
+import { createEndpointLosses } from './endpointLosses.js';
+import type { EndpointLosses } from './endpointLosses.js';
 import type { EndpointState } from './endpointTable.js';
 import {
   addOccurrence,
@@ -32,6 +34,7 @@
 export interface TaskTransitions {
   /** Released steps that have pending tasks. */
   readonly releasedSteps: Set<StepRecord>;
+  readonly endpointLosses: EndpointLosses;
   /** Commits the state of a job. @returns resolves to whether it is durable; false if the term ended first */
   save(job: JobRecord): Promise<boolean>;
   /** Creates the occurrences of a job that are due, and releases the steps whose dependencies are complete. */
@@ -66,11 +69,14 @@
     firstBackoffMilliseconds: QUARANTINE_MILLISECONDS,
     maximumBackoffMilliseconds: MAXIMUM_QUARANTINE_MILLISECONDS,
   });
+  const endpointLosses = createEndpointLosses(context);
   let notifyJobClosed: (job: JobRecord) => void = () => {};
   let notifyGangBroken: (step: StepRecord) => void = () => {};
 
   function save(job: JobRecord): Promise<boolean> {
-    return commits.stage(stateKey(job.jobId), () => encodeState(job));
+    return commits.stage(stateKey(job.jobId), () =>
+      encodeState(job, clock.wallMilliseconds() - clock.monotonicMilliseconds()),
+    );
   }
 
   /** A job whose limit is not known is not given up. */
@@ -172,6 +178,30 @@
     void closeJob(step.job, 'failed');
   }
 
+  /** A task that crashes the endpoints that start it is not started again; its job fails. */
+  function giveUpIfGuilty(task: TaskRecord): void {
+    const { step, losses } = task;
+    if (task.phase !== 'pending' || step.job.phase !== 'open') return;
+    if (judgeCrashes(losses) !== 'guilty') return;
+    task.phase = 'failed';
+    endpointLosses.recordVerdict(task);
+    const milliseconds = clock.wallMilliseconds() - losses[0]!.at;
+    metrics.count('tasks_given_up');
+    metrics.record('verdict_milliseconds', Math.max(0, milliseconds));
+    log.warn('task given up because it crashes its endpoints', {
+      task: task.taskId,
+      runs: task.run,
+      team: step.job.team,
+      losses: losses.map(({ role, ageMilliseconds, isProven }) => [
+        role,
+        Math.round(ageMilliseconds),
+        isProven,
+      ]),
+      sinceFirstLossMilliseconds: Math.round(milliseconds),
+    });
+    void closeJob(step.job, 'failed');
+  }
+
   /** A gang makes progress only while it is complete, so its remaining members are stopped. */
   function breakGang(step: StepRecord, run: number): void {
     if (step.brokenRun >= run) return;
@@ -207,6 +237,7 @@
       if (checkpoint !== '') task.checkpoint = checkpoint;
       if (kind === 'done' && !specification.isLongRunning) finishTask(task);
       else if (kind === 'failed') countFailure(task);
+      else giveUpIfGuilty(task);
       if (specification.isGang) breakGang(step, run);
     }
     if (job.phase === 'open' && task.phase === 'pending' && step.isReleased) {
@@ -235,16 +266,19 @@
 
   return {
     releasedSteps,
+    endpointLosses,
     save,
     releaseDueSteps: release,
     endRun: endRunAndCleanUp,
     dropRun,
-    expireRuns({ entry, runs }) {
+    expireRuns(state) {
+      const { entry, runs } = state;
       if (runs.size === 0) return;
       log.info('all run leases on endpoint expired', {
         endpoint: entry.endpointId,
         runs: runs.size,
       });
+      endpointLosses.recordLoss(state, [...runs.values()], 'silent');
       [...runs.values()].forEach((task) => dropRun(task, 'lapsed'));
     },
     closeJob,
