--- a/packages/proving/src/core/schedulerCell.ts
+++ b/packages/proving/src/core/schedulerCell.ts
@@ -49,6 +49,8 @@
   isConfigurationReadable: boolean;
   /** Whether reads of the endpoint directory are answered. */
   isDirectoryReadable: boolean;
+  /** Whether reads of the configuration get no answer, so that they end with their timeout. */
+  isConfigurationSilent: boolean;
   /** @param onTermStart called right before each term of the process starts */
   startProcess(
     name: string,
@@ -167,6 +169,7 @@
     configuration: CONFIGURATION,
     isConfigurationReadable: true,
     isDirectoryReadable: true,
+    isConfigurationSilent: false,
     startProcess(name, onTermStart = () => {}, claimDelayMilliseconds = 0) {
       let term: OwnerTerm | null = null;
       let isKilled = false;
@@ -197,6 +200,10 @@
             },
             configurationSource: {
               async read(timeoutMilliseconds) {
+                if (cell.isConfigurationSilent) {
+                  await sleep(clock, timeoutMilliseconds);
+                  return { kind: 'failed', reason: 'lost' };
+                }
                 const outcome = await client.read('any', timeoutMilliseconds);
                 if (outcome.kind === 'failed') return outcome;
                 if (!cell.isConfigurationReadable) return { kind: 'failed', reason: 'lost' };
