Keep an endpoint quiet for a trial while its ticket is being asked for

A suspect of a queue with advice was not tried again while other tasks began on all endpoints all the time: the endpoint that had become quiet for it was not reserved during the call for advice, and was no longer quiet at the answer.

The endpoint is reserved during the call too. Gangs and urgent steps reserve already.

Test: one in crashReview.test.ts, not started again within 12 s before, within that time now; endpointCrashes.test.ts passes.

--- a/packages/proving/src/__tests__/crashReview.test.ts
+++ b/packages/proving/src/__tests__/crashReview.test.ts
@@ -252,3 +252,26 @@
   await keepBusy(cell, 12_000, '/urgent/');
   t.is(runsOf(cell, JOB).length, 2);
 });
+
+test('a suspect of a queue with advice is tried again while other tasks begin on all endpoints all the time', async (t) => {
+  const cell = await createCell(null, {
+    count: 2,
+    durationOf: (order) => (isOfJob(JOB, order) ? Infinity : 200),
+  });
+  const [work] = cell.configuration.queues;
+  const advice = { callMilliseconds: 100, endpointMilliseconds: 1, ticketMilliseconds: 2_000 };
+  cell.configuration = {
+    ...cell.configuration,
+    version: 2,
+    queues: [
+      { ...work!, priority: 1, advice },
+      { ...work!, name: 'urgent', pathPrefix: '/urgent/' },
+    ],
+  };
+  await cell.advance(1_000);
+  await submit(t, cell, JOB, { isLongRunning: true });
+  await cell.advance(500);
+  cell.fleet.crash(runsOf(cell, JOB)[0]!.endpointId, { downMilliseconds: 2_000, keepsId: false });
+  await keepBusy(cell, 12_000, '/urgent/');
+  t.is(runsOf(cell, JOB).length, 2);
+});
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -403,7 +403,11 @@
     if (!mayStart) releasePlannedRoom(step, placements);
     const reason =
       blockedBy === 'limit' ? 'limit' : planUnplaced(readyStep, unplaced, candidates, requirements);
-    if (trial && reason === 'room') reserveForTrial(step, queue, unplaced, trial, all);
+    // While a call for advice is in flight, the endpoint must stay quiet; planUnplaced reserves for the other steps.
+    const needsQuiet = reason === 'advice' && !isGang && !requirements.isUrgent;
+    if (trial && (reason === 'room' || needsQuiet)) {
+      reserveForTrial(step, queue, unplaced, trial, all);
+    }
     countBlockedTasks(readyStep, reason, unplaced.length);
     const request =
       reason === 'advice'
