Take a run for executing only if its endpoint crashed while a hold was waiting there

A hold that waits reports the next end at once, so that its failure shows that no run had ended. Four crashes give a task up also without that.

--- a/packages/decisions/src/core/crashSuspicion.ts
+++ b/packages/decisions/src/core/crashSuspicion.ts
@@ -13,10 +13,8 @@
 const TRIAL_AGE_FACTOR = 2;
 /** Minimum age at which a run clears its task of earlier losses, in milliseconds. */
 const MINIMUM_OUTLIVING_MILLISECONDS = 10_000;
-/** A task is given up after this many proven losses, even if each of them may have another cause. */
-const MAXIMUM_PROVEN_LOSSES = 4;
-/** The same for crashes of endpoints that may not have been executing a run of the task. */
-const MAXIMUM_CRASHES = 5;
+/** A task is given up after this many crashes of its endpoints, even if each of them may have another cause. */
+const MAXIMUM_CRASHES = 4;
 /** Number of further losses that are needed if the last endpoint had other losses. */
 const FURTHER_LOSSES_ON_UNRELIABLE_ENDPOINTS = 1;
 /** Minimum number of crashes of endpoints that were certainly executing a run of the task. */
@@ -39,7 +37,7 @@
  * What is certain about the loss of an endpoint:
  *
  * - `executing`: it crashed while it was executing the run
- * - `crashed`: it crashed; the start of the run may not have reached it
+ * - `crashed`: it crashed; the start of the run may not have reached it, or the run may have ended before
  * - `silent`: it may be cut off
  */
 export type LossCertainty = 'executing' | 'crashed' | 'silent';
@@ -158,7 +156,6 @@
  * loss, and two endpoints have certainly crashed under it or three were lost while it was on trial.
  */
 export function judgeCrashes(losses: readonly EndpointLoss[]): CrashVerdict {
-  if (countProven(losses) >= MAXIMUM_PROVEN_LOSSES) return 'guilty';
   if (countCrashes(losses) >= MAXIMUM_CRASHES) return 'guilty';
   const attributable = losses.filter(({ role }) => role !== 'common');
   const last = attributable.at(-1);
--- a/packages/scheduler/src/core/endpointLosses.ts
+++ b/packages/scheduler/src/core/endpointLosses.ts
@@ -181,7 +181,8 @@
         const ageMilliseconds = runAge(task, lossTime);
         const run = { ageMilliseconds, isOnTrial: isOnTrial(task, lossTime) };
         const role = classifyLoss(run, circumstances);
-        const isExecuting = cause === 'crashed' && task.phase !== 'placed';
+        const isExecuting =
+          cause === 'crashed' && state.hasCrashedDuringHold && task.phase !== 'placed';
         const loss: EndpointLoss = {
           run: task.run,
           role,
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -27,6 +27,8 @@
 const CALL_TIMEOUTS = { minimumMilliseconds: 250, maximumMilliseconds: 700 };
 /** Time after which an endpoint no longer executes a start; shorter than the delay of any late execution. */
 const START_DEADLINE_MILLISECONDS = 1_900;
+/** Time after which a hold certainly waits at its endpoint. */
+const MINIMUM_WAIT_MILLISECONDS = 50;
 /** Delay after an unanswered call. */
 const RETRY_DELAY_MILLISECONDS = 200;
 /** Maximum wait for ends to become durable before the leases are renewed again. */
@@ -261,11 +263,21 @@
     }
   }
 
-  function handleUnansweredHold(reason: string): void {
+  /**
+   * A hold that waits at the endpoint reports the next end at once. If it fails while it waits, the endpoint has
+   * crashed and no run had ended before; a hold that fails when it is sent, or by its timeout, does not tell.
+   */
+  function hasFailedWhileWaiting(sentAt: number, waitMilliseconds: number): boolean {
+    const milliseconds = now() - sentAt;
+    return milliseconds >= MINIMUM_WAIT_MILLISECONDS && milliseconds < waitMilliseconds;
+  }
+
+  function handleUnansweredHold(reason: string, wasWaiting: boolean): void {
     state.unansweredCalls += 1;
     metrics.count('holds_failed');
     if (state.unansweredCalls === 1) {
       state.silentSince = now();
+      state.hasCrashedDuringHold = wasWaiting;
       transitions.endpointLosses.recordSilence(state);
       log.info('endpoint silent', { endpoint: state.entry.endpointId, reason });
     }
@@ -296,7 +308,7 @@
     } else if (outcome.kind === 'refused' && outcome.reason === 'fenced') {
       abandonFenced();
     } else {
-      handleUnansweredHold(outcome.reason);
+      handleUnansweredHold(outcome.reason, hasFailedWhileWaiting(sentAt, waitMilliseconds));
       const isReplaced = outcome.kind === 'refused' && outcome.reason === 'other-incarnation';
       if (isReplaced) endReplacedIncarnation();
       await sleep(clock, RETRY_DELAY_MILLISECONDS);
--- a/packages/scheduler/src/core/endpointTable.ts
+++ b/packages/scheduler/src/core/endpointTable.ts
@@ -34,6 +34,8 @@
   unansweredCalls: number;
   /** When the first of them failed, in monotonic milliseconds; null if the last hold was answered. */
   silentSince: number | null;
+  /** Whether that hold ended at once while the endpoint was to report the next end, so that no run had ended before. */
+  hasCrashedDuringHold: boolean;
   /** No new runs are placed there before this time, in monotonic milliseconds. */
   backoffUntil: number;
 }
@@ -81,6 +83,7 @@
         leasesExpireAt: now,
         unansweredCalls: 0,
         silentSince: null,
+        hasCrashedDuringHold: false,
         backoffUntil: 0,
       };
       states.set(entry.endpointId, state);
