Take no restored run for one that was placed in the future

A task on trial waited for as long as the wall clock of the former owner had been ahead: the time of a placement is stored as wall time, and an endpoint with a run that seems to have been placed in the future is never quiet. Such a run also seemed to have just begun for that long.

A restored placement is at most as late as its recovery.

Test: one in crashReview.test.ts with a clock 60 s ahead, not started again within 12 s before, completed now; endpointCrashes.test.ts passes.

--- a/packages/scheduler/src/core/jobRecords.ts
+++ b/packages/scheduler/src/core/jobRecords.ts
@@ -274,8 +274,14 @@
  * Restores a stored state into a new record. Its runs are `placed` until their endpoints confirm them.
  *
  * @param clockDifference wall-clock time minus monotonic time, in milliseconds
+ * @param now monotonic time in milliseconds
  */
-export function applyState(job: JobRecord, text: string, clockDifference: number): void {
+export function applyState(
+  job: JobRecord,
+  text: string,
+  clockDifference: number,
+  now: number,
+): void {
   const stored = JSON.parse(text) as StoredState;
   job.phase = stored.phase;
   job.durablePhase = stored.phase;
@@ -290,7 +296,8 @@
       const task = occurrence.steps[stepIndex]?.tasks[taskIndex];
       if (!task) return;
       Object.assign(task, { run, failures, checkpoint });
-      task.placedAt = job.acceptedAt + (after ?? 0) - clockDifference;
+      // The clock of the former owner may have been ahead.
+      task.placedAt = Math.min(now, job.acceptedAt + (after ?? 0) - clockDifference);
       task.losses = (losses ?? []).map((loss) => decodeLoss(job, loss));
       task.step.hasLosses ||= task.losses.length > 0;
       // A run that was being stopped is `placed` too: once its endpoint confirms it, it is stopped again if needed.
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -313,8 +313,8 @@
   function restoreJob(jobId: string, specification: string, state: string | undefined): void {
     try {
       const job = createJobRecord(parseAccepted(specification));
-      const clockDifference = clock.wallMilliseconds() - clock.monotonicMilliseconds();
-      if (state !== undefined) applyState(job, state, clockDifference);
+      const now = clock.monotonicMilliseconds();
+      if (state !== undefined) applyState(job, state, clock.wallMilliseconds() - now, now);
       jobs.set(jobId, job);
     } catch (error) {
       log.error('job record cannot be read', { job: jobId, reason: String(error) });
