--- /dev/null
+++ b/packages/decisions/src/__tests__/crashSuspicion.test.ts
@@ -0,0 +1,129 @@
+import test from 'ava';
+
+import {
+  classifyLoss,
+  discardOutlivedLosses,
+  hasCommonCause,
+  isRecentStart,
+  judgeCrashes,
+  maximumTrialEndpoints,
+  trialMillisecondsFor,
+} from '../index.js';
+import type { EndpointLoss, LossCertainty, LossRole, LostEndpoint } from '../index.js';
+
+function createLoss(
+  role: LossRole,
+  certainty: LossCertainty = 'executing',
+  ageMilliseconds = 10,
+): EndpointLoss {
+  return { run: 1, role, certainty, ageMilliseconds, at: 0 };
+}
+
+function createLost(index: number, changes: Partial<LostEndpoint> = {}): LostEndpoint {
+  return {
+    endpointId: `endpoint-${index}`,
+    rack: `rack-${index}`,
+    at: 1_000,
+    isExplained: false,
+    recentJobs: new Map(),
+    ...changes,
+  };
+}
+
+test('a loss is attributed to runs on trial before others, and else to those that have just begun', (t) => {
+  const alone = { isCommon: false, hasTrial: false, isUnreliable: false };
+  const fresh = { ageMilliseconds: 10, isOnTrial: false };
+  const trial = { ageMilliseconds: 10, isOnTrial: true };
+  t.is(classifyLoss(fresh, alone), 'shared');
+  t.is(classifyLoss({ ...fresh, ageMilliseconds: 60_000 }, alone), 'bystander');
+  t.is(classifyLoss(trial, { ...alone, hasTrial: true }), 'sole');
+  t.is(classifyLoss(trial, { ...alone, hasTrial: true, isUnreliable: true }), 'unreliable');
+  t.is(classifyLoss(fresh, { ...alone, hasTrial: true }), 'common');
+  t.is(classifyLoss(trial, { ...alone, hasTrial: true, isCommon: true }), 'common');
+  t.true(isRecentStart(10));
+  t.false(isRecentStart(60_000));
+});
+
+test('a task is given up only if it was certainly executing at two losses, on trial at the last', (t) => {
+  t.is(judgeCrashes([]), 'unsuspected');
+  t.is(judgeCrashes([createLoss('sole')]), 'suspect');
+  t.is(judgeCrashes([createLoss('shared'), createLoss('shared')]), 'suspect');
+  t.is(judgeCrashes([createLoss('sole'), createLoss('shared')]), 'suspect');
+  t.is(judgeCrashes([createLoss('shared'), createLoss('sole', 'silent')]), 'suspect');
+  t.is(judgeCrashes([createLoss('shared', 'crashed'), createLoss('sole')]), 'suspect');
+  t.is(judgeCrashes([createLoss('shared'), createLoss('sole')]), 'guilty');
+});
+
+test('losses with another cause raise no suspicion, and one loss of a bystander does not either', (t) => {
+  t.is(judgeCrashes([createLoss('common')]), 'unsuspected');
+  t.is(
+    judgeCrashes([createLoss('common', 'silent'), createLoss('common', 'silent')]),
+    'unsuspected',
+  );
+  t.is(judgeCrashes([createLoss('bystander')]), 'unsuspected');
+  t.is(judgeCrashes([createLoss('bystander'), createLoss('bystander')]), 'suspect');
+  t.is(judgeCrashes([createLoss('common'), createLoss('sole')]), 'suspect');
+});
+
+test('an unreliable endpoint takes one more loss, and many losses suffice without a trial', (t) => {
+  const unreliable = createLoss('unreliable');
+  t.is(judgeCrashes([createLoss('shared'), unreliable]), 'suspect');
+  t.is(judgeCrashes([createLoss('shared'), unreliable, unreliable]), 'guilty');
+  const bystander = createLoss('bystander');
+  t.is(judgeCrashes([bystander, bystander, bystander]), 'suspect');
+  t.is(judgeCrashes([bystander, bystander, bystander, bystander]), 'guilty');
+});
+
+test('a task is given up after three unproven losses on trial, not after fewer', (t) => {
+  const unproven = createLoss('sole', 'silent');
+  t.is(judgeCrashes([createLoss('shared', 'crashed'), unproven, unproven]), 'suspect');
+  t.is(judgeCrashes([unproven, unproven, unproven]), 'guilty');
+});
+
+test('crashes that may have happened before the start of the run count only in large number', (t) => {
+  const crash = createLoss('shared', 'crashed');
+  t.is(judgeCrashes([crash, crash, crash, crash]), 'suspect');
+  t.is(judgeCrashes([crash, crash, crash, crash, crash]), 'guilty');
+});
+
+test('a trial outlasts the ages at which endpoints were lost, within bounds', (t) => {
+  t.is(trialMillisecondsFor([]), 250);
+  t.true(trialMillisecondsFor([createLoss('shared', 'executing', 400)]) >= 800);
+  t.is(trialMillisecondsFor([createLoss('bystander', 'executing', 60_000)]), 2_500);
+  t.is(trialMillisecondsFor([createLoss('common', 'executing', 60_000)]), 250);
+});
+
+test('a run clears its task by outliving all losses by far, and for some time', (t) => {
+  const losses = [
+    createLoss('shared', 'executing', 10),
+    createLoss('bystander', 'executing', 8_000),
+  ];
+  t.deepEqual(discardOutlivedLosses(losses, 60_000), []);
+  t.is(discardOutlivedLosses(losses, 12_000), losses);
+  t.is(discardOutlivedLosses([losses[0]!], 1_000).length, 1);
+});
+
+test('losses at once have a common cause, fewer of one rack, and not those that a trial explains', (t) => {
+  const [first, second, third] = [0, 1, 2].map((index) => createLost(index)) as [
+    LostEndpoint,
+    LostEndpoint,
+    LostEndpoint,
+  ];
+  t.false(hasCommonCause(first, [first]));
+  t.false(hasCommonCause(first, [first, second]));
+  t.true(hasCommonCause(first, [first, second, third]));
+  t.true(hasCommonCause(first, [first, { ...second, rack: first.rack }]));
+  t.false(hasCommonCause(first, [first, second, { ...third, at: first.at + 5_000 }]));
+  t.false(hasCommonCause(first, [first, second, { ...third, isExplained: true }]));
+});
+
+test('endpoints that are lost with a job that had just begun there and on few others have no common cause', (t) => {
+  const lostOf = (endpoints: number) =>
+    [0, 1, 2].map((index) => createLost(index, { recentJobs: new Map([['job', endpoints]]) }));
+  t.false(hasCommonCause(lostOf(3)[0]!, lostOf(3)));
+  t.true(hasCommonCause(lostOf(12)[0]!, lostOf(12)), 'the job survives on most of its endpoints');
+});
+
+test('a step may have one more endpoint on trial with each run that has passed', (t) => {
+  t.deepEqual([0, 1, 5].map(maximumTrialEndpoints), [1, 2, 6]);
+});
