Test that a gang on trial does not keep urgent tasks waiting

A gang on trial reserves room, so that urgent tasks might have waited while there is no room for all of it. One test: with three of four endpoints left for a gang that needs four, each of ten urgent tasks starts within 200 ms.

--- a/packages/proving/src/__tests__/crashReview.test.ts
+++ b/packages/proving/src/__tests__/crashReview.test.ts
@@ -275,3 +275,33 @@
   await keepBusy(cell, 12_000, '/urgent/');
   t.is(runsOf(cell, JOB).length, 2);
 });
+
+test('a gang on trial for which there is no room does not keep urgent tasks waiting', async (t) => {
+  const cell = await createCell(null, {
+    durationOf: (order) => (isOfJob(JOB, order) ? 20_000 : 100),
+  });
+  const [work] = cell.configuration.queues;
+  cell.configuration = {
+    ...cell.configuration,
+    version: 2,
+    queues: [
+      { ...work!, priority: 1 },
+      { ...work!, name: 'urgent', pathPrefix: '/urgent/' },
+    ],
+  };
+  await cell.advance(1_000);
+  await submit(t, cell, JOB, { count: 32, isGang: true, estimatedMilliseconds: 20_000 });
+  await cell.advance(200);
+  cell.fleet.crash('endpoint-0', { downMilliseconds: 60_000, keepsId: false });
+  await cell.advance(8_000);
+  const waits: number[] = [];
+  for (let index = 1; index <= 10; index += 1) {
+    const jobId = createJobId(1_000 + index);
+    await cell.call({ path: `/urgent/${jobId}`, specification: createJobSpecification({}) });
+    const acceptedAt = cell.clock.monotonicMilliseconds();
+    await advanceUntil(cell, () => runsOf(cell, jobId).length > 0, 5_000);
+    waits.push(cell.clock.monotonicMilliseconds() - acceptedAt);
+    await cell.advance(170);
+  }
+  t.true(Math.max(...waits) <= 200, `waited for ${waits.join(', ')} ms`);
+});
