--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -437,6 +437,11 @@
       all.filter((candidate) => isMatching(step, queue, candidate)),
       createEndpointRequirements(step, reservation),
     );
+    const isGangIncomplete = step.specification.isGang && placements.length < tasks.length;
+    if (placements.length === 0 || isGangIncomplete) {
+      releasePlannedRoom(step, placements);
+      return;
+    }
     const endpointIds = placements.map(({ candidate: { endpointId } }) => endpointId);
     trialSchedule.reserve(step.stepId, endpointIds);
   }
