--- a/packages/proving/src/__tests__/endpointCrashes.test.ts
+++ b/packages/proving/src/__tests__/endpointCrashes.test.ts
@@ -283,3 +283,39 @@
   await cell.advance(GIVE_UP_MILLISECONDS);
   await checkGivenUp(t, cell);
 });
+
+test('a run that succeeds while its endpoint is cut off, before that crashes, does not count as a crash under its task', async (t) => {
+  const cell = await createCrashCell({ durationOf: () => 600 });
+  const jobId = createJobId(1);
+  await submit(t, cell, jobId, { count: 1 });
+  await advanceUntil(cell, () => cell.fleet.history.length === 1, 1_000);
+  await cell.advance(400);
+  cell.fleet.crash(cell.fleet.history[0]!.endpointId, DOWN);
+  await advanceUntil(cell, () => cell.fleet.history.length === 2, 15_000);
+  const [, second] = cell.fleet.history;
+  const faults = cell.fleet.faultsOf(second!.endpointId);
+  await cell.advance(400);
+  faults.isCutOff = true;
+  await cell.advance(800);
+  t.is(second!.kind, 'done');
+  cell.fleet.crash(second!.endpointId, DOWN);
+  await cell.advance(2_500);
+  faults.isCutOff = false;
+  await cell.advance(15_000);
+  t.is(await statusOf(cell, jobId), 'completed');
+  checkRecord(t, cell);
+});
+
+test('a crash long before the announced end of a drain is counted', async (t) => {
+  const cell = await createCrashCell({
+    crashDelayOf(order) {
+      if (!isOfJob(DEADLY_JOB, order)) return null;
+      const { endpointId } = cell.fleet.history.at(-1)!;
+      cell.fleet.drain(endpointId, 10_000);
+      return CRASH_DELAY_MILLISECONDS;
+    },
+  });
+  await submit(t, cell, DEADLY_JOB, { count: 1 });
+  await cell.advance(GIVE_UP_MILLISECONDS);
+  await checkGivenUp(t, cell);
+});
