--- a/packages/scheduler/src/core/endpointLosses.ts
+++ b/packages/scheduler/src/core/endpointLosses.ts
@@ -13,6 +13,8 @@
 
 /** How long a loss makes the address of its endpoint unreliable, in milliseconds. */
 const UNRELIABLE_MILLISECONDS = 60_000;
+/** The remaining time of a drain is as old as the last heartbeat of the endpoint, in milliseconds. */
+const DRAIN_END_TOLERANCE_MILLISECONDS = 2_000;
 /** Number of runs of a loss that its log line names. */
 const LOGGED_RUNS = 5;
 
@@ -109,6 +111,14 @@
     });
   }
 
+  /** A draining endpoint that is lost long before the end of its drain has crashed. */
+  function hasLeftAsPlanned(state: EndpointState, tasks: readonly TaskRecord[]): boolean {
+    const { isDraining, drainRemainingMilliseconds, address } = state.entry;
+    if (!isDraining || address === '') return false;
+    const endsAt = state.entryReadAt + (drainRemainingMilliseconds ?? 0);
+    return estimateLossTime(state, tasks) >= endsAt - DRAIN_END_TOLERANCE_MILLISECONDS;
+  }
+
   /** The endpoints of a rack that a former owner has lost may have been lost at once. */
   function isLostWithRack({ entry }: EndpointState): boolean {
     const lost = silentFromStart.get(entry.endpointId);
@@ -165,8 +175,7 @@
     recordLoss(state, allTasks, cause) {
       // A run remains at its endpoint after its loss while a stop must rule out that it starts late.
       const tasks = allTasks.filter((task) => !task.losses.some(({ run }) => run === task.run));
-      const isPlanned = state.entry.isDraining && state.entry.address !== '';
-      if (isPlanned || tasks.length === 0) return;
+      if (tasks.length === 0 || hasLeftAsPlanned(state, tasks)) return;
       const lossTime = estimateLossTime(state, tasks);
       forgetOldLosses(clock.monotonicMilliseconds());
       const lost = silent.get(state.entry.endpointId) ?? describeLoss(state, lossTime, tasks);
