--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -72,8 +72,8 @@
 }
 
 /**
- * Why a round did not start a task: team limit, no endpoint with room, no ticket yet, steps that come first, or a trial
- * of another task of the step.
+ * Why a round did not start a task: team limit, no endpoint with room, no ticket yet, steps that come first, or no
+ * quiet endpoint for its trial before that of other tasks is over.
  */
 type BlockingReason = 'limit' | 'room' | 'advice' | 'turn' | 'trial';
 
@@ -409,7 +409,8 @@
     if (reservation && reason !== 'limit') {
       reserveForTrial(readyStep, unplaced, reservation, all);
     }
-    countBlockedTasks(readyStep, reason, unplaced.length);
+    const waitsForTrial = trial !== null && reason === 'room';
+    countBlockedTasks(readyStep, waitsForTrial ? 'trial' : reason, unplaced.length);
     const request =
       reason === 'advice'
         ? createAdviceRequest(
