--- a/packages/proving/src/core/schedulerCell.ts
+++ b/packages/proving/src/core/schedulerCell.ts
@@ -57,6 +57,8 @@
    */
   call(request: Partial<CallerRequest>): Promise<CallerAnswer>;
   currentTerm(): OwnerTerm | null;
+  /** Kills the process of the current owner; no effect if there is none. */
+  killOwner(): void;
 }
 
 /** A configuration with one queue, `/work/`, and one team. */
@@ -219,6 +221,7 @@
       }
     },
     currentTerm: () => processes.map((entry) => entry.term()).find((term) => term !== null) ?? null,
+    killOwner: () => processes.find((entry) => entry.term() !== null)?.kill(),
     async call(request) {
       const owner = cell.currentTerm();
       if (!owner) throw new Error('no process of the cell is the owner');
