--- /dev/null
+++ b/packages/proving/src/__tests__/crashSoak.test.ts
@@ -0,0 +1,25 @@
+import test from 'ava';
+
+import { formatCrashSoak, runCrashSoak } from '../index.js';
+
+test.serial('the same seed yields the same run', async (t) => {
+  const options = { seed: 5, faultMilliseconds: 8_000 };
+  t.deepEqual(await runCrashSoak(options), await runCrashSoak(options));
+});
+
+for (const seed of [1, 2, 3]) {
+  test.serial(`random faults fail no sound job with seed ${seed}`, async (t) => {
+    const outcome = await runCrashSoak({ seed, deadlyFraction: 0 });
+    t.deepEqual(outcome.violations, [], formatCrashSoak(outcome));
+  });
+}
+
+for (const seed of [4, 5, 6, 7]) {
+  test.serial(
+    `jobs that crash endpoints are given up and others complete under random faults with seed ${seed}`,
+    async (t) => {
+      const outcome = await runCrashSoak({ seed });
+      t.deepEqual(outcome.violations, [], formatCrashSoak(outcome));
+    },
+  );
+}
--- a/packages/proving/src/core/schedulerCell.ts
+++ b/packages/proving/src/core/schedulerCell.ts
@@ -1,7 +1,7 @@
 import { setImmediate } from 'node:timers/promises';
 
 import { createManualClock, createSilentLog } from '@chicorybend/common';
-import type { ManualClock } from '@chicorybend/common';
+import type { Log, ManualClock } from '@chicorybend/common';
 import {
   createOwnerElection,
   createOwnerTerm,
@@ -28,7 +28,9 @@
 
 /** One scheduler process of the cell: the owner or a standby. */
 export interface CellProcess {
+  readonly name: string;
   readonly election: OwnerElection;
+  isKilled(): boolean;
   term(): OwnerTerm | null;
   /** Stops the process abruptly, without releasing its ownership. */
   kill(): void;
@@ -59,6 +61,8 @@
   currentTerm(): OwnerTerm | null;
   /** Kills the process of the current owner; no effect if there is none. */
   killOwner(): void;
+  /** @returns names of the processes that were not killed */
+  processNames(): string[];
 }
 
 /** A configuration with one queue, `/work/`, and one team. */
@@ -129,10 +133,12 @@
  *
  * @param options endpoint settings that override the defaults
  * @param random numbers from 0 to 1 that decide which answers of the store are lost
+ * @param log log of all processes
  */
 export function createSchedulerCell(
   options: Partial<EndpointFleetOptions> = {},
   random: () => number = () => 0.5,
+  log: Log = createSilentLog(),
 ): SchedulerCell {
   const clock = createManualClock();
   const store = createClusterStoreStandIn(clock, random);
@@ -156,7 +162,6 @@
     startProcess(name, onTermStart = () => {}, claimDelayMilliseconds = 0) {
       let term: OwnerTerm | null = null;
       let isKilled = false;
-      const log = createSilentLog();
       const client = store.client(name);
       const election = createOwnerElection({
         store: client,
@@ -200,7 +205,9 @@
       });
       void election.run();
       const started: CellProcess = {
+        name,
         election,
+        isKilled: () => isKilled,
         term: () => term,
         kill() {
           isKilled = true;
@@ -222,6 +229,7 @@
     },
     currentTerm: () => processes.map((entry) => entry.term()).find((term) => term !== null) ?? null,
     killOwner: () => processes.find((entry) => entry.term() !== null)?.kill(),
+    processNames: () => processes.filter((entry) => !entry.isKilled()).map(({ name }) => name),
     async call(request) {
       const owner = cell.currentTerm();
       if (!owner) throw new Error('no process of the cell is the owner');
--- a/packages/proving/src/index.ts
+++ b/packages/proving/src/index.ts
@@ -65,6 +65,9 @@
 /** Random faults under load. */
 export { runSoak } from './core/soakRun.js';
 export type { SoakOptions, SoakOutcome } from './core/soakRun.js';
+export { formatCrashSoak, runCrashSoak } from './core/crashSoak.js';
+export type { CrashSoakOptions } from './core/crashSoak.js';
+export type { CrashSoakOutcome } from './types/crashSoak.js';
 export { planFaults } from './core/faultSchedule.js';
 export { runFaults } from './core/faultRunner.js';
 export { LONG_FAULT_NAMES, planLongFault } from './core/longFaults.js';
--- a/packages/proving/src/soak.ts
+++ b/packages/proving/src/soak.ts
@@ -1,5 +1,6 @@
 import { defineCommand, runMain } from 'citty';
 
+import { formatCrashSoak, runCrashSoak } from './core/crashSoak.js';
 import { LONG_FAULT_NAMES, planLongFault } from './core/longFaults.js';
 import type { LongFaultName } from './core/longFaults.js';
 import { runSoak } from './core/soakRun.js';
@@ -29,6 +30,21 @@
   });
 }
 
+/** Runs crash soaks with consecutive seeds. @returns whether all checks hold */
+async function runCrashSoaks(firstSeed: number, runs: number): Promise<boolean> {
+  const failedSeeds: number[] = [];
+  for (let seed = firstSeed; seed < firstSeed + runs; seed += 1) {
+    const outcome = await runCrashSoak({ seed });
+    console.log(formatCrashSoak(outcome));
+    outcome.violations.forEach((violation) => console.log(`violation: ${violation}`));
+    if (runs === 1) outcome.trace.forEach((line) => console.log(line));
+    if (outcome.violations.length > 0) failedSeeds.push(seed);
+  }
+  const seeds = failedSeeds.join(' ');
+  console.log(seeds === '' ? 'soak: all checks hold' : `soak: failed with seeds ${seeds}`);
+  return failedSeeds.length === 0;
+}
+
 /**
  * Runs a mixed load under faults. The seed determines the load and the random faults. Exits with 0 only if the run
  * succeeds and all checks hold.
@@ -54,10 +70,26 @@
       default: 'coldline',
       description: 'Folder under examples/',
     },
+    crashes: {
+      type: 'boolean',
+      default: false,
+      description:
+        'Runs jobs that crash endpoints, and other faults, in this process on a manual clock',
+    },
+    runs: {
+      type: 'string',
+      default: '1',
+      description:
+        'Number of runs with consecutive seeds, with --crashes; one run prints a trace if it fails',
+    },
   },
   async run({ args }) {
     const randomSeed = String(Math.floor(Math.random() * LARGEST_SEED));
     const seed = Math.floor(readNumber('seed', args.seed ?? randomSeed));
+    if (args.crashes) {
+      const passed = await runCrashSoaks(seed, readNumber('runs', args.runs));
+      process.exit(passed ? 0 : 1);
+    }
     const minutes = readNumber('minutes', args.minutes);
     console.log(`seed: ${seed}`);
     const { faults, rows, checks, failures, window } = await runSoak({
