--- a/packages/decisions/src/core/crashSuspicion.ts
+++ b/packages/decisions/src/core/crashSuspicion.ts
@@ -15,6 +15,8 @@
 const MINIMUM_OUTLIVING_MILLISECONDS = 10_000;
 /** A task is given up after this many proven losses, even if each of them may have another cause. */
 const MAXIMUM_PROVEN_LOSSES = 4;
+/** The same for crashes of endpoints that may not have been executing a run of the task. */
+const MAXIMUM_CRASHES = 5;
 /** Number of further losses that are needed if the last endpoint had other losses. */
 const FURTHER_LOSSES_ON_UNRELIABLE_ENDPOINTS = 1;
 /** Minimum number of crashes of endpoints that were certainly executing a run of the task. */
@@ -33,16 +35,23 @@
  */
 export type LossRole = 'sole' | 'unreliable' | 'shared' | 'bystander' | 'common';
 
+/**
+ * What is certain about the loss of an endpoint:
+ *
+ * - `executing`: it crashed while it was executing the run
+ * - `crashed`: it crashed; the start of the run may not have reached it
+ * - `silent`: it may be cut off
+ */
+export type LossCertainty = 'executing' | 'crashed' | 'silent';
+
 /** The loss of an endpoint that had a run of a task. */
 export interface EndpointLoss {
+  /** Sequence number of the run within its task. */
+  readonly run: number;
   readonly role: LossRole;
   /** Age of the run at the loss, in milliseconds. */
   readonly ageMilliseconds: number;
-  /**
-   * Whether the endpoint certainly crashed while the run was executing. An unanswered start may not have reached it,
-   * and an endpoint that is only silent may be cut off.
-   */
-  readonly isProven: boolean;
+  readonly certainty: LossCertainty;
   /** Wall-clock time of the loss, in milliseconds since the Unix epoch. */
   readonly at: number;
 }
@@ -85,8 +94,8 @@
   return ageMilliseconds <= RECENT_START_MILLISECONDS;
 }
 
-/** @returns whether a job had just begun on most of the endpoints, and most endpoints on which it had were lost */
-function hasSharedJob(losses: readonly LostEndpoint[]): boolean {
+/** @returns jobs that had just begun on several of the endpoints and survived on few others */
+function findSharedJobs(losses: readonly LostEndpoint[]): Set<string> {
   const lostByJob = new Map<string, number>();
   const totals = new Map<string, number>();
   losses.forEach(({ recentJobs }) =>
@@ -95,15 +104,14 @@
       totals.set(job, Math.max(totals.get(job) ?? 0, endpoints));
     }),
   );
-  return [...lostByJob].some(
-    ([job, lost]) => lost > 1 && 2 * lost >= losses.length && 2 * lost > totals.get(job)!,
-  );
+  const shared = [...lostByJob].filter(([job, lost]) => lost > 1 && 2 * lost > totals.get(job)!);
+  return new Set(shared.map(([job]) => job));
 }
 
 /**
  * Decides whether endpoints were lost for a common cause. Explained losses do not count, and neither do
- * groups in which a job had just begun on at least half of the endpoints, while it survived on few others: its tasks
- * may share a fault.
+ * those of endpoints on which a job had just begun that was lost with several and survived on few others: its tasks may
+ * share a fault.
  *
  * @param lost the lost endpoint
  * @param losses all recent losses, this one included
@@ -113,10 +121,15 @@
     ({ at, isExplained }) =>
       !isExplained && Math.abs(at - lost.at) <= COMMON_CAUSE_WINDOW_MILLISECONDS,
   );
-  if (hasSharedJob(unexplained)) return false;
-  const ofRack = unexplained.filter(({ rack }) => rack === lost.rack);
+  const sharedJobs = findSharedJobs(unexplained);
+  const others = unexplained.filter(
+    ({ endpointId, recentJobs }) =>
+      endpointId !== lost.endpointId && ![...recentJobs.keys()].some((job) => sharedJobs.has(job)),
+  );
+  const othersOfRack = others.filter(({ rack }) => rack === lost.rack);
   return (
-    unexplained.length >= COMMON_CAUSE_ENDPOINTS || ofRack.length >= COMMON_CAUSE_ENDPOINTS_OF_RACK
+    others.length + 1 >= COMMON_CAUSE_ENDPOINTS ||
+    othersOfRack.length + 1 >= COMMON_CAUSE_ENDPOINTS_OF_RACK
   );
 }
 
@@ -133,7 +146,11 @@
 }
 
 function countProven(losses: readonly EndpointLoss[]): number {
-  return losses.filter(({ isProven }) => isProven).length;
+  return losses.filter(({ certainty }) => certainty === 'executing').length;
+}
+
+function countCrashes(losses: readonly EndpointLoss[]): number {
+  return losses.filter(({ certainty }) => certainty !== 'silent').length;
 }
 
 /**
@@ -142,6 +159,7 @@
  */
 export function judgeCrashes(losses: readonly EndpointLoss[]): CrashVerdict {
   if (countProven(losses) >= MAXIMUM_PROVEN_LOSSES) return 'guilty';
+  if (countCrashes(losses) >= MAXIMUM_CRASHES) return 'guilty';
   const attributable = losses.filter(({ role }) => role !== 'common');
   const last = attributable.at(-1);
   if (last && isAlone(last)) {
--- /dev/null
+++ b/packages/proving/src/__tests__/crashReview.test.ts
@@ -0,0 +1,139 @@
+import test from 'ava';
+import type { ExecutionContext } from 'ava';
+
+import type { JobStatus, StepSpecification } from '@chicorybend/scheduler';
+import type { EndpointFleetOptions, FleetRun } from '@chicorybend/standins';
+
+import { createJobId, createJobSpecification, createSchedulerCell } from '../core/schedulerCell.js';
+import type { SchedulerCell } from '../core/schedulerCell.js';
+
+const JOB = createJobId(13);
+const MAXIMUM_DEADLY_RUNS = 5;
+
+function isOfJob(jobId: string, { taskId }: { readonly taskId: string }): boolean {
+  return taskId.startsWith(`${jobId}.`);
+}
+
+/** The tasks of {@link JOB} crash their endpoint after this time; never for null. */
+async function createCell(
+  crashDelayMilliseconds: number | null,
+  options: Partial<EndpointFleetOptions> = {},
+): Promise<SchedulerCell> {
+  const cell = createSchedulerCell({
+    crashDelayOf: (order) => (isOfJob(JOB, order) ? crashDelayMilliseconds : null),
+    ...options,
+  });
+  cell.startProcess('owner-0');
+  await cell.advance(300);
+  return cell;
+}
+
+async function submit(
+  t: ExecutionContext,
+  cell: SchedulerCell,
+  jobId: string,
+  step: Partial<StepSpecification> = {},
+): Promise<void> {
+  const specification = createJobSpecification(step);
+  t.is((await cell.call({ path: `/work/${jobId}`, specification })).kind, 'accepted');
+}
+
+async function statusOf(cell: SchedulerCell, jobId: string): Promise<JobStatus | null> {
+  const answer = await cell.call({ action: 'status', path: `/work/${jobId}` });
+  return answer.kind === 'status' ? answer.status : null;
+}
+
+/** Advances the clock until the condition holds or the time is up. */
+async function advanceUntil(
+  cell: SchedulerCell,
+  condition: () => boolean,
+  milliseconds: number,
+): Promise<void> {
+  const endsAt = cell.clock.monotonicMilliseconds() + milliseconds;
+  while (!condition() && cell.clock.monotonicMilliseconds() < endsAt) await cell.advance(2);
+}
+
+function runsOf(cell: SchedulerCell, jobId: string): FleetRun[] {
+  return cell.fleet.history.filter((run) => isOfJob(jobId, run));
+}
+
+/** @returns losses in the stored state of the first task of a job */
+function storedLosses(cell: SchedulerCell, jobId: string): readonly unknown[] {
+  const { value } = cell.store.get(`chicorybend/job/${jobId}/state`)!;
+  const { occurrences } = JSON.parse(value) as { occurrences: [number, number[], unknown[][]][] };
+  return (occurrences[0]![2][0]![8] ?? []) as unknown[];
+}
+
+async function checkGivenUp(t: ExecutionContext, cell: SchedulerCell): Promise<void> {
+  const runs = runsOf(cell, JOB).length;
+  t.is(await statusOf(cell, JOB), 'failed', `${runs} runs`);
+  t.true(runs <= MAXIMUM_DEADLY_RUNS, `${runs} runs`);
+  t.deepEqual(cell.fleet.violations(), []);
+}
+
+test('a task whose start was refused by an endpoint that had just crashed is started again', async (t) => {
+  const cell = await createCell(null, { count: 1 });
+  cell.store.faultsOf('owner-0').latencyMilliseconds = 40;
+  await submit(t, cell, JOB);
+  await cell.advance(20);
+  t.is(cell.fleet.history.length, 0, 'the start is not sent yet');
+  cell.fleet.crash('endpoint-0', { downMilliseconds: 1_000, keepsId: false });
+  await cell.advance(10_000);
+  t.is(await statusOf(cell, JOB), 'completed');
+});
+
+test('a task that was started on an endpoint that began to drain and left is started again', async (t) => {
+  const cell = await createCell(null, { count: 2, durationOf: () => 3_000 });
+  await submit(t, cell, JOB);
+  await advanceUntil(cell, () => cell.fleet.history.length > 0, 1_000);
+  const { endpointId } = cell.fleet.history[0]!;
+  cell.fleet.drain(endpointId, 700);
+  await cell.advance(650);
+  cell.fleet.crash(endpointId, { downMilliseconds: 1_000, keepsId: false });
+  await cell.advance(15_000);
+  t.is(await statusOf(cell, JOB), 'completed');
+});
+
+test('a crash counts also if the next incarnation of the endpoint is silent for a moment', async (t) => {
+  const restart = { downMilliseconds: 3_000, keepsId: true };
+  const cell = await createCell(4_000, { restartAfterRunCrash: restart, durationOf: () => 10_000 });
+  await submit(t, cell, JOB, { estimatedMilliseconds: 10_000 });
+  for (let crash = 1; crash <= 8; crash += 1) {
+    await advanceUntil(cell, () => runsOf(cell, JOB).length >= crash, 10_000);
+    const faults = cell.fleet.faultsOf(runsOf(cell, JOB).at(-1)!.endpointId);
+    await cell.advance(800);
+    faults.isCutOff = true;
+    await cell.advance(1_100);
+    faults.isCutOff = false;
+  }
+  await cell.advance(10_000);
+  await checkGivenUp(t, cell);
+});
+
+test('a crash is counted once if the directory lists the former incarnation during a takeover', async (t) => {
+  const cell = await createCell(null, { count: 2, durationOf: () => 3_000 });
+  await submit(t, cell, JOB);
+  await cell.advance(200);
+  const entry = cell.fleet
+    .entries()
+    .find(({ endpointId }) => endpointId === cell.fleet.history[0]!.endpointId)!;
+  const { list } = cell.fleet.directory;
+  let isStale = true;
+  Object.assign(cell.fleet.directory, {
+    async list(timeout: number) {
+      const outcome = await list(timeout);
+      if (!isStale || outcome.kind === 'failed') return outcome;
+      const entries = outcome.entries.map((known) =>
+        known.endpointId === entry.endpointId ? entry : known,
+      );
+      return { ...outcome, entries };
+    },
+  });
+  cell.killOwner();
+  cell.fleet.restart(entry.endpointId);
+  cell.startProcess('owner-1');
+  await advanceUntil(cell, () => cell.fleet.history.length === 2, 10_000);
+  isStale = false;
+  await cell.advance(100);
+  t.is(storedLosses(cell, JOB).length, 1);
+});
--- a/packages/scheduler/src/core/endpointLosses.ts
+++ b/packages/scheduler/src/core/endpointLosses.ts
@@ -16,6 +16,13 @@
 /** Number of runs of a loss that its log line names. */
 const LOGGED_RUNS = 5;
 
+/** Losses of the tasks that had runs in one incarnation of an endpoint. */
+interface RecordedLosses {
+  /** Start of the incarnation, in milliseconds since the Unix epoch. */
+  readonly bornAt: number;
+  readonly rows: readonly { readonly task: TaskRecord; readonly loss: EndpointLoss }[];
+}
+
 /** How an endpoint was lost. */
 export type LossCause = 'crashed' | 'silent';
 
@@ -36,12 +43,10 @@
 }
 
 /** @returns whether the current run of a task is on trial at a time, in monotonic milliseconds */
-export function isOnTrial(
-  { trialMilliseconds, phase, startedAt }: TaskRecord,
-  at: number,
-): boolean {
-  if (trialMilliseconds === 0) return false;
-  return phase === 'placed' || (phase === 'running' && at - startedAt <= trialMilliseconds);
+export function isOnTrial(task: TaskRecord, at: number): boolean {
+  const { trialMilliseconds, phase, startedAt } = task;
+  if (trialMilliseconds === 0 || !hasActiveRun(task)) return false;
+  return phase === 'placed' || at - startedAt <= trialMilliseconds;
 }
 
 function runAge(task: TaskRecord, at: number): number {
@@ -59,8 +64,10 @@
   const { clock, log, metrics } = context;
   /** By endpoint id: endpoints that do not answer, or were lost within the time that makes an address unreliable. */
   const silent = new Map<string, LostEndpoint & { readonly address: string }>();
-  /** By endpoint id: the losses recorded for its last incarnation, to be withdrawn if it answers after all. */
-  const recorded = new Map<string, { task: TaskRecord; loss: EndpointLoss }[]>();
+  /** By endpoint id: the last losses recorded, to be withdrawn if their incarnation answers after all. */
+  const recorded = new Map<string, RecordedLosses>();
+  /** By endpoint id: endpoints that have not answered in this term, so that it is unknown when they were lost. */
+  const silentFromStart = new Map<string, LostEndpoint>();
 
   /**
    * If the endpoint has not answered in this term, the time of its loss is unknown; nothing can have begun there
@@ -102,6 +109,13 @@
     });
   }
 
+  /** The endpoints of a rack that a former owner has lost may have been lost at once. */
+  function isLostWithRack({ entry }: EndpointState): boolean {
+    const lost = silentFromStart.get(entry.endpointId);
+    const ofRack = [...silentFromStart.values()].filter(({ rack }) => rack === entry.rack);
+    return lost !== undefined && hasCommonCause(lost, ofRack);
+  }
+
   function isUnreliable({ entry }: EndpointState): boolean {
     return [...silent.values()].some(
       ({ address, endpointId, isExplained }) =>
@@ -132,22 +146,25 @@
 
   return {
     recordSilence(state) {
-      const at = state.silentSince ?? clock.monotonicMilliseconds();
-      const { endpointId } = state.entry;
-      const loss = describeLoss(state, at, [...state.runs.values()]);
-      // An endpoint that was silent from the start of the term was lost at an unknown earlier time.
-      if (state.clockOffset !== null) silent.set(endpointId, loss);
+      const tasks = [...state.runs.values()];
+      const loss = describeLoss(state, estimateLossTime(state, tasks), tasks);
+      if (state.clockOffset !== null) silent.set(loss.endpointId, loss);
+      else silentFromStart.set(loss.endpointId, { ...loss, at: 0 });
     },
-    recordAnswer({ entry }) {
+    recordAnswer({ entry, bornAt }) {
       silent.delete(entry.endpointId);
-      const rows = recorded.get(entry.endpointId) ?? [];
+      silentFromStart.delete(entry.endpointId);
+      const withdrawn = recorded.get(entry.endpointId);
+      if (withdrawn?.bornAt !== bornAt) return [];
       recorded.delete(entry.endpointId);
-      return rows.map(({ task, loss }) => {
+      return withdrawn.rows.map(({ task, loss }) => {
         task.losses = task.losses.filter((known) => known !== loss);
         return task;
       });
     },
-    recordLoss(state, tasks, cause) {
+    recordLoss(state, allTasks, cause) {
+      // A run remains at its endpoint after its loss while a stop must rule out that it starts late.
+      const tasks = allTasks.filter((task) => !task.losses.some(({ run }) => run === task.run));
       const isPlanned = state.entry.isDraining && state.entry.address !== '';
       if (isPlanned || tasks.length === 0) return;
       const lossTime = estimateLossTime(state, tasks);
@@ -155,7 +172,7 @@
       const lost = silent.get(state.entry.endpointId) ?? describeLoss(state, lossTime, tasks);
       const circumstances = {
         hasTrial: lost.isExplained,
-        isCommon: hasCommonCause(lost, [...silent.values()]),
+        isCommon: hasCommonCause(lost, [...silent.values()]) || isLostWithRack(state),
         isUnreliable: isUnreliable(state),
       };
       silent.set(state.entry.endpointId, { ...lost, address: state.entry.address });
@@ -164,19 +181,25 @@
         const ageMilliseconds = runAge(task, lossTime);
         const run = { ageMilliseconds, isOnTrial: isOnTrial(task, lossTime) };
         const role = classifyLoss(run, circumstances);
-        const isProven = cause === 'crashed' && task.phase !== 'placed';
-        const loss = { role, ageMilliseconds, isProven, at: lossTime + wallDifference };
+        const isExecuting = cause === 'crashed' && task.phase !== 'placed';
+        const loss: EndpointLoss = {
+          run: task.run,
+          role,
+          ageMilliseconds,
+          certainty: isExecuting ? 'executing' : cause,
+          at: lossTime + wallDifference,
+        };
         task.losses = [...discardOutlivedLosses(task.losses, ageMilliseconds), loss];
         task.step.hasLosses = true;
         return { task, loss };
       });
-      recorded.set(state.entry.endpointId, rows);
+      recorded.set(state.entry.endpointId, { bornAt: tasks[0]!.endpointBornAt, rows });
       metrics.count('endpoints_lost');
       metrics.count('runs_lost_with_endpoint', rows.length);
       logLoss(state, cause, lossTime, rows);
     },
     recordVerdict(guilty) {
-      recorded.forEach((rows, endpointId) => {
+      recorded.forEach(({ rows }, endpointId) => {
         const lost = silent.get(endpointId);
         if (lost && rows.some(({ task }) => task === guilty)) {
           silent.set(endpointId, { ...lost, isExplained: true });
