--- a/packages/proving/src/__tests__/capacityChanges.test.ts
+++ b/packages/proving/src/__tests__/capacityChanges.test.ts
@@ -131,3 +131,40 @@
   await cell.advance(3_000);
   t.is(cell.fleet.history.length, 2);
 });
+
+test('no task joins an endpoint in use above its capacity, filling tasks included, until its runs fit again', async (t) => {
+  const cell = createSchedulerCell({
+    count: 1,
+    durationOf: ({ taskId }) => (taskId.startsWith(createJobId(1)) ? 4_000 : 500),
+  });
+  cell.startProcess('first');
+  await cell.advance(200);
+  await cell.call({ specification: createJobSpecification({ count: 6 }) });
+  await cell.advance(500);
+  t.is(cell.fleet.history.length, 6);
+  cell.fleet.resize('endpoint-0', withProcessors(4));
+  await cell.advance(1_000);
+  const filling = `/work/${createJobId(2)}`;
+  await cell.call({
+    path: filling,
+    specification: createJobSpecification({ count: 2, isFilling: true }),
+  });
+  await cell.call({
+    path: `/work/${createJobId(3)}`,
+    specification: createJobSpecification({ count: 8 }),
+  });
+  await cell.advance(2_000);
+  // Work that runs when the capacity shrinks is not stopped.
+  t.is(cell.fleet.history.length, 6);
+  t.true(cell.fleet.history.every(({ endedAt }) => endedAt === null));
+  const grownAt = cell.clock.monotonicMilliseconds();
+  cell.fleet.resize('endpoint-0', withProcessors(7));
+  await cell.advance(700);
+  t.true(cell.fleet.history.some(({ startedAt }) => startedAt > grownAt));
+  t.regex(cell.metrics.expose(), /^chicorybend_capacity_changes_total 2$/m);
+  await cell.advance(5_000);
+  for (const index of [1, 2, 3]) {
+    const answer = await cell.call({ action: 'status', path: `/work/${createJobId(index)}` });
+    t.deepEqual(answer, { kind: 'status', status: 'completed' });
+  }
+});
--- a/packages/proving/src/__tests__/schedulerCell.ts
+++ b/packages/proving/src/__tests__/schedulerCell.ts
@@ -14,6 +14,7 @@
   ClusterConfiguration,
   JobSpecification,
   OwnerTerm,
+  SchedulerMetrics,
   StepSpecification,
 } from '@chicorybend/scheduler';
 import { createClusterStoreStandIn, createEndpointFleetStandIn } from '@chicorybend/standins';
@@ -39,6 +40,8 @@
   readonly clock: ManualClock;
   readonly store: ClusterStoreStandIn;
   readonly fleet: EndpointFleetStandIn;
+  /** Metrics of all processes. */
+  readonly metrics: SchedulerMetrics;
   configuration: ClusterConfiguration;
   /** Whether reads of the configuration are answered. */
   isConfigurationReadable: boolean;
@@ -145,12 +148,14 @@
     durationOf: () => 500,
     ...options,
   });
+  const metrics = createSchedulerMetrics();
   const processes: CellProcess[] = [];
 
   const cell: SchedulerCell = {
     clock,
     store,
     fleet,
+    metrics,
     configuration: CONFIGURATION,
     isConfigurationReadable: true,
     isDirectoryReadable: true,
@@ -174,7 +179,7 @@
             store: client,
             clock,
             log,
-            metrics: createSchedulerMetrics(),
+            metrics,
             endpoints: fleet.client,
             directory: {
               async list(timeoutMilliseconds) {
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -1,4 +1,4 @@
-import { createFailure, sleep } from '@chicorybend/common';
+import { createFailure, RESOURCE_DIMENSIONS, sleep } from '@chicorybend/common';
 
 import type { AdviceClient } from '../types/advice.js';
 import type { CallerAnswer, CallerRequest } from '../types/caller.js';
@@ -274,6 +274,21 @@
     return state;
   }
 
+  function reportCapacityChange(
+    { entry: { capacity, bornAt }, used }: EndpointState,
+    next: EndpointEntry,
+  ) {
+    const isSame = RESOURCE_DIMENSIONS.every((name) => capacity[name] === next.capacity[name]);
+    if (isSame || bornAt !== next.bornAt) return;
+    metrics.count('capacity_changes');
+    log.info('endpoint capacity changed', {
+      endpoint: next.endpointId,
+      from: capacity,
+      to: next.capacity,
+      used,
+    });
+  }
+
   function applyDirectoryEntry(entry: EndpointEntry, readAt: number): void {
     const known = table.get(entry.endpointId);
     if (!known) {
@@ -288,6 +303,7 @@
         remaining: entry.drainRemainingMilliseconds,
       });
     }
+    if (!wasUnlisted) reportCapacityChange(known, entry);
     known.entry = entry;
     known.entryReadAt = readAt;
     known.isListed = true;
--- a/packages/scheduler/src/core/schedulerMetrics.ts
+++ b/packages/scheduler/src/core/schedulerMetrics.ts
@@ -14,6 +14,7 @@
   starts_withdrawn:
     'Starts not sent because they no longer fitted, or the capacity was not known any more.',
   stops_sent: 'Orders to stop a run.',
+  capacity_changes: 'Changes of the capacity that an endpoint reports during one incarnation.',
   holds_sent: 'Calls that extend leases on an endpoint.',
   holds_failed: 'Such calls without an answer.',
   runs_done: 'Runs that ended as done.',
