--- a/packages/proving/src/__tests__/capacityChanges.test.ts
+++ b/packages/proving/src/__tests__/capacityChanges.test.ts
@@ -223,3 +223,79 @@
   t.is(maximumRunsSince(cell, 'endpoint-0', 0), 2);
   t.deepEqual(await cell.call({ action: 'status' }), { kind: 'status', status: 'completed' });
 });
+
+test('a run that is being stopped counts until its end is listed', async (t) => {
+  const cell = createSchedulerCell({ count: 1, durationOf: () => Infinity });
+  cell.startProcess('first');
+  await cell.advance(200);
+  await cell.call({
+    specification: createJobSpecification({ count: 8, estimatedMilliseconds: 60_000 }),
+  });
+  await cell.advance(500);
+  t.is(cell.fleet.history.length, 8);
+  cell.fleet.resize('endpoint-0', withProcessors(4));
+  await cell.advance(1_000);
+  const waiting = `/work/${createJobId(2)}`;
+  await cell.call({
+    path: waiting,
+    specification: createJobSpecification({ count: 8, estimatedMilliseconds: 60_000 }),
+  });
+  await cell.call({ action: 'cancel' });
+  await cell.advance(2_000);
+  const cancelled = cell.fleet.history.filter(({ kind }) => kind === 'stopped');
+  const later = cell.fleet.history.slice(8);
+  t.is(cancelled.length, 8);
+  t.is(later.length, 4);
+  const lastEnd = Math.max(...cancelled.map(({ endedAt }) => endedAt ?? Infinity));
+  t.true(later.every(({ startedAt }) => startedAt >= lastEnd - 100));
+  t.is(maximumRunsSince(cell, 'endpoint-0', lastEnd), 4);
+});
+
+test('the entry of a former incarnation does not bring back its capacity', async (t) => {
+  const cell = createSchedulerCell({ count: 1, durationOf: () => 5_000 });
+  cell.startProcess('first');
+  await cell.advance(200);
+  let former: Awaited<ReturnType<typeof cell.fleet.directory.list>> | null = null;
+  void cell.fleet.directory.list(100).then((outcome) => {
+    former = outcome;
+  });
+  await cell.advance(100);
+  cell.fleet.restart('endpoint-0');
+  cell.fleet.resize('endpoint-0', withProcessors(2));
+  await cell.advance(2_000);
+  const { list } = cell.fleet.directory;
+  Object.assign(cell.fleet.directory, { list: () => Promise.resolve(former) });
+  await cell.advance(1_000);
+  await cell.call({ specification: createJobSpecification({ count: 6 }) });
+  await cell.advance(1_000);
+  t.is(cell.fleet.history.length, 2);
+  Object.assign(cell.fleet.directory, { list });
+});
+
+test('a new owner takes over runs above the capacity and starts nothing beside them until they fit', async (t) => {
+  const cell = createSchedulerCell({ count: 1, durationOf: () => 6_000 });
+  const first = cell.startProcess('first');
+  await cell.advance(200);
+  await cell.call({
+    specification: createJobSpecification({ count: 6, estimatedMilliseconds: 6_000 }),
+  });
+  await cell.advance(500);
+  t.is(cell.fleet.history.length, 6);
+  const waiting = `/work/${createJobId(2)}`;
+  await cell.call({
+    path: waiting,
+    specification: createJobSpecification({ count: 6, estimatedMilliseconds: 6_000 }),
+  });
+  await cell.advance(100);
+  first.kill();
+  cell.fleet.resize('endpoint-0', withProcessors(4));
+  cell.startProcess('second');
+  await cell.advance(3_000);
+  t.not(cell.currentTerm(), null);
+  // The owner had started two tasks of the second job before it was lost.
+  t.is(cell.fleet.history.length, 8);
+  await cell.advance(4_000);
+  t.is(maximumRunsSince(cell, 'endpoint-0', cell.clock.monotonicMilliseconds() - 4_000), 4);
+  t.true(cell.fleet.history.every(({ kind }) => kind === null || kind === 'done'));
+  t.deepEqual(cell.fleet.violations(), []);
+});
