--- a/packages/proving/src/__tests__/capacityChanges.test.ts
+++ b/packages/proving/src/__tests__/capacityChanges.test.ts
@@ -331,3 +331,36 @@
   await cell.advance(3_000);
   t.deepEqual(await cell.call({ action: 'status' }), { kind: 'status', status: 'completed' });
 });
+
+test('no start is sent without a valid lease of the owner while the store is slow or away', async (t) => {
+  const cell = createSchedulerCell({ durationOf: () => 400 });
+  const { election } = cell.startProcess('first');
+  const sentWithLease: boolean[] = [];
+  const { start } = cell.fleet.client;
+  Object.assign(cell.fleet.client, {
+    start(...parameters: Parameters<typeof start>) {
+      sentWithLease.push(election.isOwnerLeaseValid());
+      return start(...parameters);
+    },
+  });
+  await cell.advance(200);
+  const faults = cell.store.faultsOf('first');
+  let index = 0;
+  for (const latencyMilliseconds of [4, 200, 450, 700, 1_100, 4]) {
+    faults.latencyMilliseconds = latencyMilliseconds;
+    index += 1;
+    if (cell.currentTerm()) {
+      const path = `/work/${createJobId(index)}`;
+      await cell.call({ path, specification: createJobSpecification({ count: 8 }) });
+    }
+    await cell.advance(3_000);
+  }
+  faults.outage = 'silent';
+  await cell.advance(2_000);
+  const sent = sentWithLease.length;
+  await cell.advance(3_000);
+  t.is(sentWithLease.length, sent);
+  t.true(sent > 8);
+  t.true(sentWithLease.every(Boolean));
+  t.deepEqual(cell.fleet.violations(), []);
+});
