Measure the work of an owner by part, and the waiting tasks by what they can still reach

Change: an owner logs once a second how long its process was active, the time of each part of its work, the number of rounds with the longest one and the longest gap before one, and the keys that wait for a commit; waiting tasks are counted by punctuality. The metrics page has the same times.

--- a/packages/scheduler/src/__tests__/adviceCache.test.ts
+++ b/packages/scheduler/src/__tests__/adviceCache.test.ts
@@ -6,6 +6,7 @@
 import { createAdviceCache } from '../core/adviceCache.js';
 import type { AdviceRequest } from '../core/adviceCache.js';
 import { createSchedulerMetrics } from '../core/schedulerMetrics.js';
+import { createWorkMeter } from '../core/workMeter.js';
 
 const ENDPOINT = { endpointId: 'endpoint-1', bornAt: 1 };
 const SHORT = { callMilliseconds: 20, endpointMilliseconds: 1, ticketMilliseconds: 2_000 };
@@ -23,6 +24,7 @@
     clock,
     log: createSilentLog(),
     metrics: createSchedulerMetrics(),
+    workMeter: createWorkMeter(clock),
     onAnswer: () => {},
   });
   const answers: (() => void)[] = [];
--- a/packages/scheduler/src/core/adviceCache.ts
+++ b/packages/scheduler/src/core/adviceCache.ts
@@ -5,6 +5,7 @@
 import type { AdviceClient } from '../types/advice.js';
 import type { AdviceSettings } from '../types/configuration.js';
 import type { SchedulerMetrics } from './schedulerMetrics.js';
+import type { WorkMeter } from './workMeter.js';
 
 /** Tickets are not used this long before they expire; covers the commit and the network delay of a start. */
 const EXPIRY_MARGIN_MILLISECONDS = 250;
@@ -82,13 +83,14 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: SchedulerMetrics;
+  readonly workMeter: WorkMeter;
   /** Called after each call, whether it was answered or failed. */
   readonly onAnswer: () => void;
 }
 
 /** Creates a cache without channels. */
 export function createAdviceCache(options: AdviceCacheOptions): AdviceCache {
-  const { clock, log, metrics } = options;
+  const { clock, log, metrics, workMeter } = options;
   const steps = new Map<string, StepAdvice>();
   const channels: AdviceChannel[] = [];
   const estimate = createEligibilityEstimate();
@@ -161,7 +163,7 @@
       // long call would be too strict.
       const assumedIssuedAt = sentAt + Math.min(took, expected) / 2;
       const usableUntil = assumedIssuedAt + outcome.validMilliseconds - EXPIRY_MARGIN_MILLISECONDS;
-      recordAnswer(request, endpoints, tickets, usableUntil);
+      workMeter.measure('advice', () => recordAnswer(request, endpoints, tickets, usableUntil));
       log.debug('advice call answered', {
         step: stepId,
         asked: endpoints.length,
@@ -241,8 +243,7 @@
     requests = requests.filter((request) => !pointless.has(request));
   }
 
-  /** Further calls about a step use only channels that no step without a call needs. */
-  function sendWaitingRequests(): void {
+  function sendByCallsInFlight(): void {
     const levels = Math.max(0, ...requests.map(({ maximumCalls }) => maximumCalls));
     for (let callsInFlight = 0; callsInFlight < levels; callsInFlight += 1) {
       if (channels.every(({ requestInFlight }) => requestInFlight !== null)) return;
@@ -250,6 +251,11 @@
     }
   }
 
+  /** Further calls about a step use only channels that no step without a call needs. */
+  function sendWaitingRequests(): void {
+    workMeter.measure('advice', sendByCallsInFlight);
+  }
+
   return {
     ticketFor(stepId, { endpointId, bornAt }) {
       const entry = steps.get(stepId)?.tickets.get(endpointId);
--- a/packages/scheduler/src/core/commitQueue.ts
+++ b/packages/scheduler/src/core/commitQueue.ts
@@ -7,6 +7,7 @@
 import { COMMIT_KEY, OWNER_KEY } from '../utils/storeKeys.js';
 import { callWithAdaptiveTimeout } from '../utils/adaptiveTimeout.js';
 import type { TermIdentity } from './ownerElection.js';
+import type { WorkMeter } from './workMeter.js';
 
 /** Changes staged within this time share a write, which bounds the write rate of an owner. */
 const GROUP_DELAY_MILLISECONDS = 8;
@@ -26,6 +27,7 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly term: TermIdentity;
+  readonly workMeter: WorkMeter;
   /** Revision of the commit key before the first commit; 0 if it is absent. */
   readonly chainRevision: number;
   /** Called once a write has shown that the lease has ended or another process is the owner. */
@@ -48,6 +50,8 @@
   withdraw(key: string): boolean;
   /** @returns age of the oldest key that is not durable, in milliseconds; 0 if there is none */
   delayMilliseconds(): number;
+  /** @returns number of keys that wait for a write */
+  stagedKeys(): number;
   /** Ends the queue; keys that are not durable resolve to false. */
   close(): void;
 }
@@ -59,7 +63,7 @@
 }
 
 export function createCommitQueue(options: CommitQueueOptions): CommitQueue {
-  const { store, clock, log, term } = options;
+  const { store, clock, log, term, workMeter } = options;
   const latency = createLatencyEstimate(WRITE_TIMEOUTS);
   const staged = new Map<string, StagedKey>();
   let inFlight: [string, StagedKey][] = [];
@@ -182,7 +186,7 @@
   /** Repeats the same group until its outcome is known, because an unanswered attempt may still be executed. */
   async function commitGroup(): Promise<void> {
     const startedAt = clock.monotonicMilliseconds();
-    const write = takeGroup();
+    const write = workMeter.measure('commits', takeGroup);
     let mayBeExecuted = false;
     while (!isClosed) {
       const outcome = await send(write);
@@ -252,6 +256,7 @@
       const oldest = inFlight[0]?.[1] ?? staged.values().next().value;
       return oldest ? clock.monotonicMilliseconds() - oldest.stagedAt : 0;
     },
+    stagedKeys: () => staged.size,
     close,
   };
 }
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -12,6 +12,7 @@
   AdviceNeed,
   EndpointRequirements,
   OrderingKey,
+  Punctuality,
   TrialRequirements,
 } from '@chicorybend/decisions';
 import { RESOURCE_DIMENSIONS } from '@chicorybend/common';
@@ -51,6 +52,13 @@
 /** Maximum number of calls for advice about one step at the same time. */
 const MAXIMUM_CALLS_PER_STEP = 3;
 
+const NO_WAITING_TASKS: Readonly<Record<Punctuality, number>> = {
+  'on-time': 0,
+  late: 0,
+  overdue: 0,
+};
+const NO_ROUNDS: RoundStatistics = { roundCount: 0, longestRound: 0, longestGap: 0 };
+
 export interface DispatcherOptions {
   readonly context: TermContext;
   readonly transitions: TaskTransitions;
@@ -68,6 +76,8 @@
   prefetchAdvice(): void;
   /** Logs the number of waiting tasks by reason, and the capacity in use, if any task waits. */
   logBacklog(): void;
+  /** @returns rounds since the last call of this function: their number, and the longest round and gap */
+  takeRoundStatistics(): RoundStatistics;
   close(): void;
 }
 
@@ -80,6 +90,15 @@
 /** Number of waiting tasks by `<queue>/<reason>`. */
 type BlockedTaskCounts = Map<string, number>;
 
+/** Rounds of an interval. */
+export interface RoundStatistics {
+  readonly roundCount: number;
+  /** In milliseconds. */
+  readonly longestRound: number;
+  /** Longest time from the request of a round until it began, in milliseconds. */
+  readonly longestGap: number;
+}
+
 /** A released step with the keys that order it within a round. */
 interface ReadyStep {
   readonly step: StepRecord;
@@ -100,7 +119,7 @@
 
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const { context, transitions, adviceCache } = options;
-  const { clock, log, table } = context;
+  const { clock, log, metrics, table, workMeter } = context;
   const keptEndpoints = createKeptEndpoints(context, transitions);
   const trialSchedule = createTrialSchedule(context);
   const unsentStarts = createUnsentStarts(context);
@@ -113,6 +132,10 @@
   let upcomingSteps: StepRecord[] = [];
   /** Waiting tasks of the last round. */
   let blockedTasks: BlockedTaskCounts = new Map();
+  /** Waiting tasks of the last round by what their job can still reach. */
+  let waitingByPunctuality: Record<Punctuality, number> = { ...NO_WAITING_TASKS };
+  let roundRequestedAt = 0;
+  let statistics = NO_ROUNDS;
 
   /** Sets the number of tasks of a step on each endpoint, where that number is limited. */
   function countStepTasks(step: StepRecord, candidates: readonly RoundCandidate[]): void {
@@ -250,7 +273,12 @@
     return { placements, blockedBy: 'room' };
   }
 
-  function countBlockedTasks({ queue }: ReadyStep, blockedBy: BlockingReason, tasks: number): void {
+  function countBlockedTasks(
+    { queue, order }: ReadyStep,
+    blockedBy: BlockingReason,
+    tasks: number,
+  ): void {
+    waitingByPunctuality[order.punctuality] += tasks;
     const key = `${queue.name}/${blockedBy}`;
     blockedTasks.set(key, (blockedTasks.get(key) ?? 0) + tasks);
   }
@@ -539,6 +567,7 @@
     const requests: AdviceRequest[] = [];
     const blockedSteps = new Map<string, number>();
     blockedTasks = new Map();
+    waitingByPunctuality = { ...NO_WAITING_TASKS };
     collectReadySteps().forEach((readyStep, position) => {
       const { step, queue } = readyStep;
       const blocked = blockedSteps.get(queue.name) ?? 0;
@@ -563,8 +592,17 @@
   /** Runs a round, and delays the next one in proportion, so that the process has time for its other work. */
   function runTimedRound(): void {
     const startedAt = clock.monotonicMilliseconds();
-    runRound();
+    workMeter.measure('rounds', runRound);
     const took = clock.monotonicMilliseconds() - startedAt;
+    const gap = startedAt - roundRequestedAt;
+    metrics.count('rounds');
+    metrics.record('round_milliseconds', took);
+    metrics.record('round_gap_milliseconds', gap);
+    statistics = {
+      roundCount: statistics.roundCount + 1,
+      longestRound: Math.max(statistics.longestRound, Math.round(took)),
+      longestGap: Math.max(statistics.longestGap, Math.round(gap)),
+    };
     roundDelayMilliseconds = Math.max(ROUND_DELAY_MILLISECONDS, took / MAXIMUM_ROUND_TIME_SHARE);
   }
 
@@ -588,6 +626,7 @@
   return {
     requestRound() {
       if (cancelRound) return;
+      roundRequestedAt = clock.monotonicMilliseconds();
       cancelRound = clock.setTimer(runTimedRound, roundDelayMilliseconds);
     },
     prefetchAdvice() {
@@ -598,6 +637,7 @@
       const used = [...table.all()].reduce((sum, { used: { processors } }) => sum + processors, 0);
       log.info('work waits', {
         tasks: Object.fromEntries(blockedTasks),
+        byPunctuality: waitingByPunctuality,
         steps: transitions.releasedSteps.size,
         processorsUsed: Math.round(used),
         processors: Math.round(sumCapacity(context).processors),
@@ -605,6 +645,11 @@
         adviceLinesBusy: adviceCache.busyChannels(),
       });
     },
+    takeRoundStatistics() {
+      const taken = statistics;
+      statistics = NO_ROUNDS;
+      return taken;
+    },
     close() {
       cancelRound?.();
       cancelRound = null;
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -75,7 +75,7 @@
   state: EndpointState,
   events: SessionEvents,
 ): EndpointSession {
-  const { clock, log, metrics, endpoints, table, epoch } = context;
+  const { clock, log, metrics, workMeter, endpoints, table, epoch } = context;
   /** Whether all ends applied so far are durable. */
   let appliedEndsDurable: Promise<boolean> = Promise.resolve(true);
   let isPolling = false;
@@ -303,7 +303,7 @@
     );
     if (context.hasEnded() || bornAt !== state.bornAt) return;
     if (outcome.kind === 'answered') {
-      const durable = applyLists(outcome, sentAt);
+      const durable = workMeter.measure('lists', () => applyLists(outcome, sentAt));
       await Promise.race([durable, sleep(clock, DURABILITY_TIMEOUT_MILLISECONDS)]);
     } else if (outcome.kind === 'refused' && outcome.reason === 'fenced') {
       abandonFenced();
@@ -435,7 +435,9 @@
         checkpoint: task.checkpoint,
         ticket,
       };
-      const outcome = await sendOrder((timeout) => endpoints.start(target(), order, timeout));
+      const outcome = await workMeter.measure('starts', () =>
+        sendOrder((timeout) => endpoints.start(target(), order, timeout)),
+      );
       if (outcome.kind === 'done') unansweredStarts = 0;
       if (!isCurrentRun(task, run) || task.phase === 'running') return;
       if (outcome.kind === 'done') confirmRun(task, true);
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -46,6 +46,7 @@
 import { createStragglerWatch } from './stragglerWatch.js';
 import { createTaskTransitions } from './taskTransitions.js';
 import { createDurationEstimates } from './durationEstimates.js';
+import { createWorkMeter } from './workMeter.js';
 
 /** Interval of reading the configuration; bounds the delay until a change is in effect. */
 const CONFIGURATION_INTERVAL_MILLISECONDS = 600;
@@ -53,8 +54,8 @@
 const DIRECTORY_INTERVAL_MILLISECONDS = 600;
 /** Interval of checks for due occurrences, expired job records, drains and stragglers. */
 const HOUSEKEEPING_INTERVAL_MILLISECONDS = 100;
-/** Interval of the log line about waiting tasks. */
-const BACKLOG_LOG_INTERVAL_MILLISECONDS = 1_000;
+/** Interval of the log lines about waiting tasks and about the owner's own work. */
+const LOAD_LOG_INTERVAL_MILLISECONDS = 1_000;
 /** Delay before a failed read is repeated. */
 const RETRY_DELAY_MILLISECONDS = 100;
 /** Bounds of the timeout of a read; a read whose packet was lost is repeated after the minimum. */
@@ -112,10 +113,12 @@
 
   const readLatency = createLatencyEstimate(READ_TIMEOUTS);
   const estimates = createDurationEstimates(clock);
+  const workMeter = createWorkMeter(clock);
   const adviceCache = createAdviceCache({
     clock,
     log,
     metrics,
+    workMeter,
     onAnswer: () => components?.dispatcher.requestRound(),
   });
 
@@ -126,6 +129,7 @@
       log,
       term,
       chainRevision,
+      workMeter,
       onOwnershipLost: options.onOwnershipLost,
       onCommit(keys, milliseconds) {
         metrics.count('commits');
@@ -137,6 +141,7 @@
       clock,
       log,
       metrics,
+      workMeter,
       epoch: term.epoch,
       timeLimits,
       endpoints: options.endpoints,
@@ -328,12 +333,15 @@
     const outcome = await timedRead(listEndpoints);
     if (outcome.kind === 'failed' || hasEnded) return false;
     const listed = new Set(outcome.entries.map(({ endpointId }) => endpointId));
-    outcome.entries.forEach((entry) => applyDirectoryEntry(entry, outcome.readAt));
-    for (const state of table.all()) {
-      if (listed.has(state.entry.endpointId) || !state.isListed) continue;
-      state.isListed = false;
-      log.info('endpoint not listed', { endpoint: state.entry.endpointId });
-    }
+    workMeter.measure('directory', () => {
+      outcome.entries.forEach((entry) => applyDirectoryEntry(entry, outcome.readAt));
+      for (const state of table.all()) {
+        if (!listed.has(state.entry.endpointId) && state.isListed) {
+          state.isListed = false;
+          log.info('endpoint not listed', { endpoint: state.entry.endpointId });
+        }
+      }
+    });
     components?.dispatcher.requestRound();
     return true;
   }
@@ -444,7 +452,7 @@
     void commits.stage(specificationKey(job.jobId), () => null);
   }
 
-  function runHousekeeping(): Promise<boolean> {
+  function keepHouse(): void {
     const wallNow = clock.wallMilliseconds();
     jobs.forEach((job) => {
       if (job.phase === 'open') {
@@ -463,11 +471,31 @@
     components!.stragglerWatch.check();
     components!.dispatcher.prefetchAdvice();
     components!.dispatcher.requestRound();
+  }
+
+  function runHousekeeping(): Promise<boolean> {
+    workMeter.measure('housekeeping', keepHouse);
     return Promise.resolve(true);
   }
 
-  function logBacklog(): Promise<boolean> {
+  function logWork(): void {
+    const { commits, dispatcher } = components!;
+    const reading = workMeter.read();
+    metrics.addWork(reading);
+    const milliseconds = [...reading.parts].map(([part, time]) => [part, Math.round(time)]);
+    log.info('owner work', {
+      elapsed: Math.round(reading.elapsed),
+      active: Math.round(reading.active),
+      ...Object.fromEntries(milliseconds),
+      ...dispatcher.takeRoundStatistics(),
+      stagedKeys: commits.stagedKeys(),
+      commitDelay: Math.round(commits.delayMilliseconds()),
+    });
+  }
+
+  function logLoad(): Promise<boolean> {
     components!.dispatcher.logBacklog();
+    logWork();
     return Promise.resolve(true);
   }
 
@@ -476,11 +504,14 @@
       if (!(await recover())) return;
       void keepConfigurationCurrent();
       void runPeriodically(DIRECTORY_INTERVAL_MILLISECONDS, readDirectory);
-      void runPeriodically(BACKLOG_LOG_INTERVAL_MILLISECONDS, logBacklog);
+      void runPeriodically(LOAD_LOG_INTERVAL_MILLISECONDS, logLoad);
       await runPeriodically(HOUSEKEEPING_INTERVAL_MILLISECONDS, runHousekeeping);
     },
     handle(request) {
-      if (components && !hasEnded) return components.callerService.handle(request);
+      if (components && !hasEnded) {
+        const { callerService } = components;
+        return workMeter.measure('callers', () => callerService.handle(request));
+      }
       return Promise.resolve({ kind: 'failed', failure: createFailure('not-ready') });
     },
     addAdviceChannel(client) {
--- a/packages/scheduler/src/core/schedulerMetrics.ts
+++ b/packages/scheduler/src/core/schedulerMetrics.ts
@@ -1,6 +1,9 @@
 import { build } from 'hdr-histogram-js';
 import type { Histogram } from 'hdr-histogram-js';
 
+import { WORK_PARTS } from './workMeter.js';
+import type { WorkPart, WorkReading } from './workMeter.js';
+
 /** Counters of the scheduler, with their help texts. */
 export const COUNTERS = {
   jobs_accepted: 'Jobs accepted.',
@@ -30,6 +33,7 @@
   commit_keys: 'Keys written by them.',
   advice_calls: 'Calls for eligibility advice.',
   advice_failed: 'Such calls without tickets in time.',
+  rounds: 'Rounds of placement.',
   terms: 'Terms of ownership of this process.',
   terms_yielded: 'Terms ended in favour of a VM with more processors.',
 } as const;
@@ -44,6 +48,8 @@
   verdict_milliseconds:
     'Time from the first loss of an endpoint until the task that crashed it is given up.',
   advice_milliseconds: 'Time of a call for eligibility advice.',
+  round_milliseconds: 'Duration of a round of placement.',
+  round_gap_milliseconds: 'Time from the request of a round until it begins.',
 } as const;
 
 export type HistogramName = keyof typeof HISTOGRAMS;
@@ -52,6 +58,8 @@
 export interface SchedulerMetrics {
   count(name: CounterName, amount?: number): void;
   record(name: HistogramName, milliseconds: number): void;
+  /** Adds the time that an owner has worked. */
+  addWork(reading: WorkReading): void;
   /** @returns all values in the text format of Prometheus */
   expose(): string;
 }
@@ -73,9 +81,29 @@
   ];
 }
 
+function describeWork(
+  milliseconds: ReadonlyMap<WorkPart, number>,
+  activeMilliseconds: number,
+): string[] {
+  const parts = Object.keys(WORK_PARTS) as WorkPart[];
+  return [
+    '# HELP chicorybend_work_milliseconds_total Time that this process has worked as the owner, by part.',
+    '# TYPE chicorybend_work_milliseconds_total counter',
+    ...parts.map(
+      (part) =>
+        `chicorybend_work_milliseconds_total{part="${part}"} ${Math.round(milliseconds.get(part) ?? 0)}`,
+    ),
+    '# HELP chicorybend_active_milliseconds_total Time as the owner in which it did not wait for an event.',
+    '# TYPE chicorybend_active_milliseconds_total counter',
+    `chicorybend_active_milliseconds_total ${Math.round(activeMilliseconds)}`,
+  ];
+}
+
 export function createSchedulerMetrics(): SchedulerMetrics {
   const counters = new Map<CounterName, number>();
   const histograms = new Map<HistogramName, Histogram>();
+  const workMilliseconds = new Map<WorkPart, number>();
+  let activeMilliseconds = 0;
 
   return {
     count(name, amount = 1) {
@@ -94,6 +122,12 @@
       }
       histogram.recordValue(Math.max(0, Math.round(milliseconds)));
     },
+    addWork({ active, parts }) {
+      activeMilliseconds += active;
+      parts.forEach((milliseconds, part) => {
+        workMilliseconds.set(part, (workMilliseconds.get(part) ?? 0) + milliseconds);
+      });
+    },
     expose() {
       const counterLines = (Object.keys(COUNTERS) as CounterName[]).flatMap((name) => [
         `# HELP chicorybend_${name}_total ${COUNTERS[name]}`,
@@ -103,7 +137,8 @@
       const histogramLines = [...histograms].flatMap(([name, histogram]) =>
         describeHistogram(name, histogram),
       );
-      return `${[...counterLines, ...histogramLines].join('\n')}\n`;
+      const workLines = describeWork(workMilliseconds, activeMilliseconds);
+      return `${[...counterLines, ...histogramLines, ...workLines].join('\n')}\n`;
     },
   };
 }
--- a/packages/scheduler/src/types/termContext.ts
+++ b/packages/scheduler/src/types/termContext.ts
@@ -4,6 +4,7 @@
 import type { EndpointTable } from '../core/endpointTable.js';
 import type { JobSettings } from '../core/jobSettings.js';
 import type { SchedulerMetrics } from '../core/schedulerMetrics.js';
+import type { WorkMeter } from '../core/workMeter.js';
 import type { DurationEstimates } from '../core/durationEstimates.js';
 import type { ClusterConfiguration } from './configuration.js';
 import type { EndpointClient } from './endpoint.js';
@@ -22,6 +23,7 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: SchedulerMetrics;
+  readonly workMeter: WorkMeter;
   readonly epoch: number;
   readonly timeLimits: EndpointTimeLimits;
   readonly endpoints: EndpointClient;
