Inspect few endpoints for each step that waits for advice

Cause: each round inspected every endpoint for each of the blocked steps that it considers, to find those with tickets, to reserve room and to choose whom to ask next. A round took 60 to 115 ms, the next one is delayed in proportion, and the owner placed 2 to 4 times a second; the slower it placed, the more steps waited. Change: tasks are placed on the endpoints that the step has tickets for; an urgent step reserves room where its calls in flight ask; calls choose from an order that is made once a round, begin at another endpoint for each step, and stop when they have enough.

--- a/packages/decisions/src/__tests__/stepPlacement.test.ts
+++ b/packages/decisions/src/__tests__/stepPlacement.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 
+import { createAdviceOrder } from '../core/adviceOrder.js';
 import { chooseEndpointsForAdvice, countAdviceCalls } from '../core/chooseEndpointsForAdvice.js';
 import type { AdviceCandidates, AdviceNeed } from '../core/chooseEndpointsForAdvice.js';
 import { createEndpointChooser } from '../core/chooseEndpoint.js';
@@ -107,10 +108,12 @@
   withoutRoom: readonly EndpointCandidate[] = [],
   knownIds: readonly string[] = [],
 ): AdviceCandidates<EndpointCandidate> {
+  const all = [...withRoom, ...withoutRoom];
   return {
-    withRoom,
-    withoutRoom: () => withoutRoom,
-    isKnownEligible: ({ endpointId }) => knownIds.includes(endpointId),
+    order: createAdviceOrder(all),
+    knownEligible: all.filter(({ endpointId }) => knownIds.includes(endpointId)),
+    hasRoom: (candidate) => withRoom.includes(candidate),
+    isOpen: () => true,
   };
 }
 
--- a/packages/decisions/src/core/chooseEndpointsForAdvice.ts
+++ b/packages/decisions/src/core/chooseEndpointsForAdvice.ts
@@ -1,6 +1,5 @@
-import { hashText } from '@chicorybend/common';
-
-import { MAXIMUM_HEALTHY_SLOWNESS } from './chooseEndpoint.js';
+import { rankForAdvice } from './adviceOrder.js';
+import type { AdviceOrder } from './adviceOrder.js';
 import type { EndpointCandidate, EndpointRequirements } from './chooseEndpoint.js';
 
 /** The endpoints in a call add at most this fraction of the fixed time of the call. */
@@ -9,8 +8,6 @@
 const MINIMUM_ENDPOINTS = 10;
 /** A call is about endpoints for this many times the tasks that wait, because other steps compete for the room. */
 const COMPETITION_FACTOR = 2;
-/** Endpoints whose slowness differs by less are considered equally fast. */
-const SLOWNESS_GRANULARITY = 0.25;
 
 /** Time that a call for eligibility advice takes: a fixed part and a part per endpoint. */
 export interface AdviceCallCost {
@@ -48,51 +45,23 @@
   return Math.max(1, Math.ceil(need.waitingTasks / expectedEndpoints));
 }
 
-/** Endpoints that a call could be about: without a valid ticket, and not known to be ineligible. */
+/** Endpoints that a call about a step could be about. */
 export interface AdviceCandidates<Candidate extends EndpointCandidate> {
-  /** Endpoints with room for a task now. */
-  readonly withRoom: readonly Candidate[];
-  /** @returns other endpoints, which may have room while the tickets are valid; called only if they are needed */
-  withoutRoom(): readonly Candidate[];
-  /** @returns whether an earlier answer said that the endpoint is eligible */
-  isKnownEligible(candidate: Candidate): boolean;
-}
-
-/** Weights of the criteria in the rank of an endpoint; each outweighs all that follow. */
-const UNKNOWN_WEIGHT = 10_000;
-const OTHER_USE_WEIGHT = 1_000;
-const MAXIMUM_SPEED_RANK = OTHER_USE_WEIGHT - 1;
-const HASH_RANGE = 2 ** 32;
-
-/** Slow endpoints come last; an urgent step prefers fast ones among the others. */
-function speedRank({ slowness }: EndpointCandidate, { isUrgent }: EndpointRequirements): number {
-  if (!isUrgent && slowness <= MAXIMUM_HEALTHY_SLOWNESS) return 0;
-  return Math.min(MAXIMUM_SPEED_RANK, Math.floor(slowness / SLOWNESS_GRANULARITY));
-}
-
-/** @returns rank of an endpoint among those with room; the lowest comes first */
-function rank(
-  candidate: EndpointCandidate,
-  isKnownEligible: boolean,
-  requirements: EndpointRequirements,
-  stepId: string,
-): number {
-  const isKeptForOthers = candidate.isKeptForUrgent !== requirements.isUrgent;
-  return (
-    (isKnownEligible ? 0 : UNKNOWN_WEIGHT) +
-    (isKeptForOthers ? OTHER_USE_WEIGHT : 0) +
-    speedRank(candidate, requirements) +
-    hashText(`${stepId}/${candidate.endpointId}`) / HASH_RANGE
-  );
+  readonly order: AdviceOrder<Candidate>;
+  /** Endpoints that an earlier answer said to be eligible. */
+  readonly knownEligible: readonly Candidate[];
+  /** @returns whether an endpoint has room for a task now */
+  hasRoom(candidate: Candidate): boolean;
+  /** @returns whether a call about an endpoint makes sense: it has no valid ticket and may be eligible */
+  isOpen(candidate: Candidate): boolean;
 }
 
 /**
  * Chooses the endpoints that a call for eligibility advice is about: those with room for a task first, among them
- * those that are known to be eligible, then the faster ones. Among equal endpoints each step prefers others, so that
- * steps that wait at the same time do not get tickets for the same room.
+ * those that are known to be eligible, then the faster ones.
  *
  * With hundreds of endpoints, a call about all of them would take too long. A call is about as many as the waiting
- * tasks need, as far as the call can afford them.
+ * tasks need, as far as the call can afford them, and no others are looked at.
  *
  * @param candidates endpoints that the call could be about
  * @param requirements requirements of a task
@@ -101,32 +70,42 @@
  */
 export function chooseEndpointsForAdvice<Candidate extends EndpointCandidate>(
   candidates: AdviceCandidates<Candidate>,
-  requirements: EndpointRequirements,
+  { isUrgent }: EndpointRequirements,
   cost: AdviceCallCost,
   need: AdviceNeed,
 ): readonly Candidate[] {
-  if (candidates.withRoom.length === 0) return [];
+  const { order, hasRoom, isOpen } = candidates;
   const limit = maximumEndpointsPerCall(cost);
   const wanted = COMPETITION_FACTOR * need.waitingTasks;
-  const ranked = candidates.withRoom
-    .map((candidate) => {
-      const isKnownEligible = candidates.isKnownEligible(candidate);
-      const order = rank(candidate, isKnownEligible, requirements, need.stepId);
-      return { candidate, isKnownEligible, order };
-    })
-    .sort((left, right) => left.order - right.order);
-  const chosen: Candidate[] = [];
+  const chosen = new Set<Candidate>();
   let expected = 0;
-  for (const { candidate, isKnownEligible } of ranked) {
-    const isEnough = chosen.length >= MINIMUM_ENDPOINTS && expected >= wanted;
-    if (isEnough || chosen.length >= limit) return chosen;
-    chosen.push(candidate);
-    expected += isKnownEligible ? 1 : need.eligibleProbability;
+
+  function isEnough(): boolean {
+    return chosen.size >= limit || (chosen.size >= MINIMUM_ENDPOINTS && expected >= wanted);
+  }
+
+  function choose(candidate: Candidate, probability: number): void {
+    chosen.add(candidate);
+    expected += probability;
+  }
+
+  [...candidates.knownEligible]
+    .filter((candidate) => hasRoom(candidate) && isOpen(candidate))
+    .sort((left, right) => rankForAdvice(left, isUrgent) - rankForAdvice(right, isUrgent))
+    .forEach((candidate) => {
+      if (!isEnough()) choose(candidate, 1);
+    });
+  function visitIf(isWanted: (candidate: Candidate) => boolean): void {
+    if (isEnough()) return;
+    order.visit(need.stepId, isUrgent, (candidate) => {
+      if (!chosen.has(candidate) && isWanted(candidate) && isOpen(candidate)) {
+        choose(candidate, need.eligibleProbability);
+      }
+      return !isEnough();
+    });
   }
-  const missing = Math.max(
-    MINIMUM_ENDPOINTS - chosen.length,
-    Math.ceil((wanted - expected) / need.eligibleProbability),
-  );
-  const added = candidates.withoutRoom().slice(0, Math.min(limit - chosen.length, missing));
-  return [...chosen, ...added];
+  visitIf(hasRoom);
+  // Endpoints without room now may have some while the tickets are valid.
+  if (chosen.size > 0) visitIf((candidate) => !hasRoom(candidate));
+  return [...chosen];
 }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -91,6 +91,8 @@
 export type { ExecutionSample, RunTimeEstimator, UsageSample } from './core/runTimeEstimator.js';
 
 /** Placement and order of the steps of jobs. */
+export { createAdviceOrder } from './core/adviceOrder.js';
+export type { AdviceOrder } from './core/adviceOrder.js';
 export { chooseEndpointsForAdvice, countAdviceCalls } from './core/chooseEndpointsForAdvice.js';
 export type {
   AdviceCallCost,
--- a/packages/scheduler/src/__tests__/adviceCache.test.ts
+++ b/packages/scheduler/src/__tests__/adviceCache.test.ts
@@ -86,7 +86,7 @@
     ...createRequest('wide', SHORT, 3),
     chooseEndpoints: () =>
       names
-        .filter((endpointId) => !cache.isAsked('wide', endpointId))
+        .filter((endpointId) => !cache.askedEndpoints('wide').has(endpointId))
         .slice(0, 2)
         .map((endpointId) => ({ endpointId, bornAt: 1 })),
   };
--- a/packages/scheduler/src/core/adviceCache.ts
+++ b/packages/scheduler/src/core/adviceCache.ts
@@ -21,6 +21,8 @@
 /** Delay before a channel is used again after a failed call. */
 const FAILURE_DELAY_MILLISECONDS = 100;
 
+const NO_ENDPOINTS: ReadonlySet<string> = new Set();
+
 /** One incarnation of an endpoint. */
 export interface EndpointIncarnation {
   readonly endpointId: string;
@@ -63,8 +65,12 @@
   ticketFor(stepId: string, endpoint: EndpointIncarnation): string | null;
   /** @returns whether the step has any ticket that is valid for long enough */
   hasTickets(stepId: string): boolean;
-  /** @returns whether a call about the step and the endpoint is in flight */
-  isAsked(stepId: string, endpointId: string): boolean;
+  /** @returns ids of the endpoints for which the step has a ticket; those that have expired are included */
+  ticketedEndpoints(stepId: string): Iterable<string>;
+  /** @returns ids of the endpoints that may run the step, in the incarnation that was asked about */
+  eligibleEndpoints(stepId: string): readonly string[];
+  /** @returns ids of the endpoints that the calls in flight about the step are about */
+  askedEndpoints(stepId: string): ReadonlySet<string>;
   /** @returns probability that an endpoint about which nothing is known may run a step of a queue */
   eligibleProbability(queue: string): number;
   /** @returns whether the endpoint may run the step; null if that is unknown */
@@ -262,7 +268,12 @@
       if (!entry || entry.bornAt !== bornAt) return null;
       return entry.usableUntil > clock.monotonicMilliseconds() ? entry.ticket : null;
     },
-    isAsked: (stepId, endpointId) => steps.get(stepId)?.askedEndpoints.has(endpointId) ?? false,
+    ticketedEndpoints: (stepId) => steps.get(stepId)?.tickets.keys() ?? [],
+    eligibleEndpoints: (stepId) =>
+      [...(steps.get(stepId)?.eligibility ?? [])].flatMap(([endpointId, { isEligible }]) =>
+        isEligible ? [endpointId] : [],
+      ),
+    askedEndpoints: (stepId) => steps.get(stepId)?.askedEndpoints ?? NO_ENDPOINTS,
     eligibleProbability: (queue) => estimate.probability(queue),
     isEligible(stepId, { endpointId, bornAt }) {
       const entry = steps.get(stepId)?.eligibility.get(endpointId);
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -4,12 +4,14 @@
   chooseEndpointsForAdvice,
   countAdviceCalls,
   coversResources,
+  createAdviceOrder,
   createEndpointChooser,
   fitsIdleEndpoints,
   orderSteps,
 } from '@chicorybend/decisions';
 import type {
   AdviceNeed,
+  AdviceOrder,
   EndpointRequirements,
   OrderingKey,
   Punctuality,
@@ -106,6 +108,13 @@
   readonly order: OrderingKey;
 }
 
+/** The endpoints that runs may be placed on in one round. */
+interface RoundEndpoints {
+  readonly all: readonly RoundCandidate[];
+  readonly byId: ReadonlyMap<string, RoundCandidate>;
+  readonly adviceOrder: AdviceOrder<RoundCandidate>;
+}
+
 interface Placement {
   readonly task: TaskRecord;
   readonly candidate: RoundCandidate;
@@ -169,6 +178,25 @@
     return adviceCache.ticketFor(step.stepId, candidate) !== null;
   }
 
+  function findCandidates(
+    endpointIds: Iterable<string>,
+    { byId }: RoundEndpoints,
+  ): RoundCandidate[] {
+    return [...endpointIds].flatMap((endpointId) => byId.get(endpointId) ?? []);
+  }
+
+  /** @returns endpoints that the advice about a step allows; all endpoints if its queue needs no advice */
+  function findAdvisedCandidates(
+    step: StepRecord,
+    queue: JobQueueSettings,
+    endpoints: RoundEndpoints,
+  ): readonly RoundCandidate[] {
+    if (!queue.advice) return endpoints.all;
+    return findCandidates(adviceCache.ticketedEndpoints(step.stepId), endpoints).filter(
+      (candidate) => hasTicket(step, candidate),
+    );
+  }
+
   /**
    * The duration of a call depends little on the number of endpoints, so the call also covers endpoints that
    * have no room now but may have some while the tickets are valid.
@@ -180,7 +208,7 @@
     queue: JobQueueSettings,
     requirements: EndpointRequirements,
     waitingTasks: number,
-    all: readonly RoundCandidate[],
+    endpoints: RoundEndpoints,
   ): AdviceRequest | null {
     const { advice } = queue;
     if (!advice) return null;
@@ -195,30 +223,32 @@
       settings: advice,
       maximumCalls: Math.min(MAXIMUM_CALLS_PER_STEP, countAdviceCalls(need, advice)),
       chooseEndpoints() {
-        countStepTasks(step, all);
-        const isOpen = (candidate: RoundCandidate) =>
-          coversResources(candidate.capacity, requirements.resources) &&
-          isMatching(step, queue, candidate) &&
-          !hasTicket(step, candidate) &&
-          !adviceCache.isAsked(step.stepId, candidate.endpointId);
+        countStepTasks(step, endpoints.all);
+        const asked = adviceCache.askedEndpoints(step.stepId);
         // Room that is only reserved in this round, also for this step, counts as free.
         const hasRoom = (candidate: RoundCandidate) =>
           canHost(candidate, requirements, candidate.state.used);
-        const withRoom = all.filter((candidate) => hasRoom(candidate) && isOpen(candidate));
-        const withoutRoom = () =>
-          all.filter((candidate) => !hasRoom(candidate) && isOpen(candidate));
+        const candidates = {
+          order: endpoints.adviceOrder,
+          knownEligible: findCandidates(adviceCache.eligibleEndpoints(step.stepId), endpoints),
+          hasRoom,
+          isOpen: (candidate: RoundCandidate) =>
+            coversResources(candidate.capacity, requirements.resources) &&
+            !asked.has(candidate.endpointId) &&
+            isMatching(step, queue, candidate) &&
+            !hasTicket(step, candidate),
+        };
+        const chosen = chooseEndpointsForAdvice(candidates, requirements, advice, need);
         // There may be room by the time that an upcoming step is released.
-        const isRoomIrrelevant = withRoom.length === 0 && !step.isReleased;
-        return chooseEndpointsForAdvice(
-          {
-            withRoom: isRoomIrrelevant ? withoutRoom() : withRoom,
-            withoutRoom: isRoomIrrelevant ? () => [] : withoutRoom,
-            isKnownEligible: (candidate) => adviceCache.isEligible(step.stepId, candidate) === true,
-          },
-          requirements,
-          advice,
-          need,
-        );
+        const isRoomIrrelevant = chosen.length === 0 && !step.isReleased;
+        return isRoomIrrelevant
+          ? chooseEndpointsForAdvice(
+              { ...candidates, hasRoom: () => true },
+              requirements,
+              advice,
+              need,
+            )
+          : chosen;
       },
     };
   }
@@ -400,7 +430,7 @@
     readyStep: ReadyStep,
     pending: readonly TaskRecord[],
     trial: TrialRequirements | null,
-    all: readonly RoundCandidate[],
+    endpoints: RoundEndpoints,
   ): PlacementOutcome {
     const { step, queue } = readyStep;
     const { isGang } = step.specification;
@@ -411,18 +441,13 @@
       return { reason: 'limit', request: null };
     }
     const requirements = createEndpointRequirements(step, trial);
-    countStepTasks(step, all);
-    // Few endpoints have room under load, so that the other conditions are checked for these alone.
-    const candidates = all.filter(
-      (candidate) => canHost(candidate, requirements) && isMatching(step, queue, candidate),
-    );
-    const candidatesWithTicket = queue.advice
-      ? candidates.filter((candidate) => hasTicket(step, candidate))
-      : candidates;
+    countStepTasks(step, endpoints.all);
     const { placements, blockedBy } = planPlacements(
       step,
       pending,
-      candidatesWithTicket,
+      findAdvisedCandidates(step, queue, endpoints).filter(
+        (candidate) => canHost(candidate, requirements) && isMatching(step, queue, candidate),
+      ),
       requirements,
     );
     const isComplete = placements.length === pending.length;
@@ -432,10 +457,10 @@
     const unplaced = mayStart ? pending.filter(({ phase }) => phase === 'pending') : pending;
     if (!mayStart) releasePlannedRoom(step, placements);
     const reason =
-      blockedBy === 'limit' ? 'limit' : planUnplaced(readyStep, unplaced, candidates, requirements);
+      blockedBy === 'limit' ? 'limit' : planUnplaced(readyStep, unplaced, endpoints, requirements);
     const reservation = trial && { ...trial, isReservation: true };
     if (reservation && reason !== 'limit') {
-      reserveForTrial(readyStep, unplaced, reservation, all);
+      reserveForTrial(readyStep, unplaced, reservation, endpoints.all);
     }
     const waitsForTrial = trial !== null && reason === 'room';
     countBlockedTasks(readyStep, waitsForTrial ? 'trial' : reason, unplaced.length);
@@ -446,7 +471,7 @@
             queue,
             createEndpointRequirements(step, reservation),
             unplaced.length,
-            all,
+            endpoints,
           )
         : null;
     return { reason, request };
@@ -476,7 +501,7 @@
   }
 
   /** Places the tasks of a step, those on trial first. */
-  function placeStep(readyStep: ReadyStep, all: readonly RoundCandidate[]): PlacementOutcome {
+  function placeStep(readyStep: ReadyStep, endpoints: RoundEndpoints): PlacementOutcome {
     const { step } = readyStep;
     const { isGang } = step.specification;
     const pending = startableTasks(step);
@@ -488,8 +513,8 @@
         : Math.min(newTrialEndpoints, Math.max(0, trialEndpointsLeft)),
       isReservation: false,
     };
-    const first = placeTasks(readyStep, onTrial, trial, all);
-    const second = placeTasks(readyStep, ordinary, null, all);
+    const first = placeTasks(readyStep, onTrial, trial, endpoints);
+    const second = placeTasks(readyStep, ordinary, null, endpoints);
     return {
       reason: first.reason ?? second.reason,
       request: first.request ?? second.request,
@@ -511,35 +536,64 @@
     return fitsIdleEndpoints(capacities, requirements, step.specification.count);
   }
 
+  /** The room of a gang grows from round to round until all its tasks fit. */
+  function reserveForGang(
+    { step, queue }: ReadyStep,
+    unplaced: readonly TaskRecord[],
+    { all }: RoundEndpoints,
+    requirements: EndpointRequirements,
+  ): BlockingReason {
+    // A gang that the capacities do not cover would wait for its room until they grow.
+    if (!fitsWithoutOtherWork(step, queue, requirements)) return 'room';
+    const { placements, blockedBy } = planPlacements(
+      step,
+      unplaced,
+      all.filter(
+        (candidate) => canHost(candidate, requirements) && isMatching(step, queue, candidate),
+      ),
+      requirements,
+    );
+    return queue.advice && placements.length === unplaced.length ? 'advice' : blockedBy;
+  }
+
+  /** Other endpoints need no reservation, because the tickets that the calls in flight bring are not for them. */
+  function reserveAskedEndpoints(
+    { step }: ReadyStep,
+    unplaced: readonly TaskRecord[],
+    endpoints: RoundEndpoints,
+    requirements: EndpointRequirements,
+  ): void {
+    const asked = findCandidates(adviceCache.askedEndpoints(step.stepId), endpoints);
+    planPlacements(step, unplaced, asked, requirements);
+  }
+
   /**
    * Reserves room for this round for the tasks of a gang, which needs it all at once, and of an urgent step, so that
-   * steps that come later do not take it while the call for advice is in flight. Other steps reserve none: most of
-   * the room would stay idle, because the answer is about other endpoints than the reserved ones. A gang that the
-   * capacities do not cover reserves none either, because it would wait for it until they grow.
+   * steps that come later do not take it while the call for advice is in flight. Other steps reserve none, because
+   * most of the room would stay idle.
    *
    * @returns what the tasks wait for
    */
   function planUnplaced(
-    { step, queue }: ReadyStep,
+    readyStep: ReadyStep,
     unplaced: readonly TaskRecord[],
-    candidates: readonly RoundCandidate[],
+    endpoints: RoundEndpoints,
     requirements: EndpointRequirements,
   ): BlockingReason {
-    const { isGang } = step.specification;
-    if (isGang && !fitsWithoutOtherWork(step, queue, requirements)) return 'room';
-    if (!isGang && !requirements.isUrgent) {
-      const hasRoom = candidates.some((candidate) => canHost(candidate, requirements));
-      return queue.advice && hasRoom ? 'advice' : 'room';
+    const { step, queue } = readyStep;
+    if (step.specification.isGang) {
+      return reserveForGang(readyStep, unplaced, endpoints, requirements);
     }
-    const { placements: reserved, blockedBy } = planPlacements(
-      step,
-      unplaced,
-      candidates,
-      requirements,
+    if (!queue.advice) return 'room';
+    if (requirements.isUrgent) {
+      reserveAskedEndpoints(readyStep, unplaced, endpoints, requirements);
+    }
+    const hasRoom = endpoints.all.some(
+      (candidate) =>
+        canHost(candidate, requirements, candidate.state.used) &&
+        isMatching(step, queue, candidate),
     );
-    // The capacity reserved for a gang grows from round to round until all its tasks fit.
-    const isWaitingForAdvice = isGang ? reserved.length === unplaced.length : reserved.length > 0;
-    return queue.advice && isWaitingForAdvice ? 'advice' : blockedBy;
+    return hasRoom ? 'advice' : 'room';
   }
 
   function collectReadySteps(): ReadyStep[] {
@@ -564,6 +618,11 @@
     );
     const busy = candidates.filter(({ trialStepId }) => trialStepId !== null).length;
     trialEndpointsLeft = remainingTrialEndpoints(candidates.length, busy);
+    const endpoints: RoundEndpoints = {
+      all: candidates,
+      byId: new Map(candidates.map((candidate) => [candidate.endpointId, candidate])),
+      adviceOrder: createAdviceOrder(candidates),
+    };
     const requests: AdviceRequest[] = [];
     const blockedSteps = new Map<string, number>();
     blockedTasks = new Map();
@@ -576,7 +635,7 @@
         countBlockedTasks(readyStep, 'turn', startableTasks(step).length);
         return;
       }
-      const { request, reason } = placeStep(readyStep, candidates);
+      const { request, reason } = placeStep(readyStep, endpoints);
       if (request) requests.push(request);
       if (reason === 'room' || reason === 'advice') blockedSteps.set(queue.name, blocked + 1);
       if (!step.tasks.some(({ phase }) => phase === 'pending')) {
@@ -585,7 +644,7 @@
     });
     adviceCache.setRequests([
       ...requests,
-      ...upcomingSteps.flatMap((step) => createPrefetchRequest(step, candidates)),
+      ...upcomingSteps.flatMap((step) => createPrefetchRequest(step, endpoints)),
     ]);
   }
 
@@ -606,10 +665,7 @@
     roundDelayMilliseconds = Math.max(ROUND_DELAY_MILLISECONDS, took / MAXIMUM_ROUND_TIME_SHARE);
   }
 
-  function createPrefetchRequest(
-    step: StepRecord,
-    candidates: readonly RoundCandidate[],
-  ): AdviceRequest[] {
+  function createPrefetchRequest(step: StepRecord, endpoints: RoundEndpoints): AdviceRequest[] {
     const queue = context.settings.queueOf(step.job);
     const isWanted = queue && !step.isReleased && step.job.phase === 'open';
     if (!isWanted || adviceCache.hasTickets(step.stepId)) return [];
@@ -618,7 +674,7 @@
       queue,
       createEndpointRequirements(step),
       step.tasks.length,
-      candidates,
+      endpoints,
     );
     return request ? [request] : [];
   }
