--- a/packages/scheduler/src/__tests__/peerChannel.test.ts
+++ b/packages/scheduler/src/__tests__/peerChannel.test.ts
@@ -24,3 +24,9 @@
   await setImmediate();
   silent.close();
 });
+
+test('an owner record with an address that does not exist leads to no connection and no exception', async (t) => {
+  for (const address of ['127.0.0.1:65536', '127.0.0.1:x', '127.0.0.1', '']) {
+    t.is(await openPeerChannel(address, {}, createSystemClock(), 200), null, address);
+  }
+});
--- a/packages/scheduler/src/core/peerChannel.ts
+++ b/packages/scheduler/src/core/peerChannel.ts
@@ -91,6 +91,15 @@
   return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) };
 }
 
+/** @returns socket that is being connected; null if the address is not valid, which `connect` reports by throwing */
+function startConnecting(address: string): Socket | null {
+  try {
+    return connect(splitAddress(address));
+  } catch {
+    return null;
+  }
+}
+
 /**
  * Connects to a peer.
  *
@@ -105,7 +114,8 @@
   clock: Clock,
   timeoutMilliseconds: number,
 ): Promise<PeerChannel | null> {
-  const socket = connect(splitAddress(address));
+  const socket = startConnecting(address);
+  if (!socket) return null;
   const connected = new Promise<boolean>((resolve) => {
     socket.once('connect', () => resolve(true));
     socket.once('error', () => resolve(false));
