--- a/packages/common/src/utils/logger.ts
+++ b/packages/common/src/utils/logger.ts
@@ -45,8 +45,11 @@
     type: 'json',
     minLevel: TSLOG_LEVELS[level],
     hideLogPositionForProduction: true,
+    // No line carries secrets; masking would copy the details of each line.
+    maskValuesOfKeys: [],
     overwrite: {
       toLogObj: createLogObject,
+      transportJSON: (line) => process.stdout.write(`${JSON.stringify(line)}\n`),
       addMeta: (line, _levelId, levelName) =>
         ({ time: new Date().toISOString(), level: levelName, name, ...(line as object) }) as never,
     },
