Place overdue steps after all others of their priority

Cause: the order puts teams with low shares first whatever their steps can still reach; only within a team's queue does work that can be on time come first. Change: within a priority, overdue steps come last. Groups are reordered in one pass over the steps instead of one pass for each overloaded group. Evidence: the new test failed before.

--- a/packages/decisions/src/__tests__/stepOrder.test.ts
+++ b/packages/decisions/src/__tests__/stepOrder.test.ts
@@ -53,6 +53,14 @@
   );
 });
 
+test('an overdue step waits for the steps of other teams that are of use to their callers', (t) => {
+  const overdue: OrderingKey = { ...ORDERING_KEY, punctuality: 'overdue', objectiveAt: 0 };
+  const other = { ...ORDERING_KEY, groupId: 'mills/sorts', weightedShare: 0.5 };
+  t.true(precedes(other, overdue));
+  t.true(precedes({ ...other, punctuality: 'late' }, overdue));
+  t.true(precedes(overdue, { ...other, priority: 2 }));
+});
+
 test('a step is late past its objective, and overdue past three times its objective', (t) => {
   const judge = (ageMilliseconds: number) =>
     judgePunctuality({ ageMilliseconds, objectiveMilliseconds: 1_000, remainingMilliseconds: 200 });
--- a/packages/decisions/src/core/stepOrder.ts
+++ b/packages/decisions/src/core/stepOrder.ts
@@ -51,6 +51,8 @@
 
 function comparePriorityAndShare(left: OrderingKey, right: OrderingKey): number {
   if (left.priority !== right.priority) return left.priority - right.priority;
+  const isLeftOverdue = left.punctuality === 'overdue';
+  if (isLeftOverdue !== (right.punctuality === 'overdue')) return isLeftOverdue ? 1 : -1;
   const leftShare = Math.floor(left.weightedShare / SHARE_GRANULARITY);
   return leftShare - Math.floor(right.weightedShare / SHARE_GRANULARITY);
 }
@@ -71,25 +73,32 @@
   return right.objectiveAt - left.objectiveAt;
 }
 
-/** Sorts the steps of one group for overload, within the positions that the group occupies. */
-function reorderGroup<Step extends { readonly order: OrderingKey }>(
+/** Sorts the steps of each given group for overload, within the positions that the group occupies. */
+function reorderGroups<Step extends { readonly order: OrderingKey }>(
   ordered: Step[],
-  groupId: string,
+  groupIds: ReadonlySet<string>,
 ): void {
-  const positions = [...ordered.keys()].filter(
-    (index) => ordered[index]!.order.groupId === groupId,
-  );
-  positions
-    .map((index) => ordered[index]!)
-    .sort((left, right) => compareWhenOverloaded(left.order, right.order))
-    .forEach((step, position) => {
-      ordered[positions[position]!] = step;
-    });
+  const positionsByGroup = new Map<string, number[]>();
+  ordered.forEach(({ order: { groupId } }, position) => {
+    if (!groupIds.has(groupId)) return;
+    const positions = positionsByGroup.get(groupId);
+    if (positions) positions.push(position);
+    else positionsByGroup.set(groupId, [position]);
+  });
+  positionsByGroup.forEach((positions) => {
+    positions
+      .map((position) => ordered[position]!)
+      .sort((left, right) => compareWhenOverloaded(left.order, right.order))
+      .forEach((step, index) => {
+        ordered[positions[index]!] = step;
+      });
+  });
 }
 
 /**
  * Sorts steps by priority, then by weighted share (lowest first), then by slack, the time to spare until the
- * objective (least first).
+ * objective (least first). Overdue steps come after all others of their priority: their jobs are too late whatever is
+ * done, and in their place one of another team would be on time.
  *
  * A group with a late step is overloaded, for instance because its team submits several times what its limit
  * allows to run. Its steps that can still be on time come first, the newest before the older, so that not all of
@@ -108,6 +117,6 @@
   const overloadedGroupIds = new Set(
     steps.flatMap(({ order }) => (order.punctuality === 'on-time' ? [] : [order.groupId])),
   );
-  overloadedGroupIds.forEach((groupId) => reorderGroup(ordered, groupId));
+  reorderGroups(ordered, overloadedGroupIds);
   return ordered;
 }
--- a/packages/scheduler/src/core/roundCandidates.ts
+++ b/packages/scheduler/src/core/roundCandidates.ts
@@ -24,11 +24,7 @@
   readonly initialTrialStepId: string | null;
 }
 
-function isUsable(
-  transitions: TaskTransitions,
-  state: EndpointState,
-  now: number,
-): boolean {
+function isUsable(transitions: TaskTransitions, state: EndpointState, now: number): boolean {
   const { entry } = state;
   return (
     state.isListed &&
