--- a/packages/scheduler/src/core/roundCandidates.ts
+++ b/packages/scheduler/src/core/roundCandidates.ts
@@ -24,8 +24,13 @@
   readonly initialTrialStepId: string | null;
 }
 
-function isUsable(transitions: TaskTransitions, state: EndpointState, now: number): boolean {
+function isUsable(
+  { clock }: TermContext,
+  transitions: TaskTransitions,
+  state: EndpointState,
+): boolean {
   const { entry } = state;
+  const now = clock.monotonicMilliseconds();
   return (
     state.isListed &&
     isCapacityRecent(state, now) &&
@@ -47,28 +52,22 @@
   return ((isGang ? count : 1) * resources.processors * milliseconds) / MILLISECONDS_PER_SECOND;
 }
 
-function sumWorkAtStake({ runs }: EndpointState, now: number): number {
-  let total = 0;
-  runs.forEach((task) => {
-    total += workAtStake(task, now);
-  });
-  return total;
-}
-
 function describeCandidate(
-  { estimates }: TermContext,
+  { clock, estimates }: TermContext,
   kept: ReadonlySet<string>,
   reservedSteps: ReadonlyMap<string, string>,
   state: EndpointState,
-  now: number,
 ): RoundCandidate {
+  const now = clock.monotonicMilliseconds();
   let fillingTasks = 0;
   let servingTasks = 0;
   let trialStepId: string | null = null;
   let lastPlacedAt = -Infinity;
+  let atStake = 0;
   state.runs.forEach((task) => {
     if (isOnTrial(task, now)) trialStepId = task.step.stepId;
     lastPlacedAt = Math.max(lastPlacedAt, task.placedAt);
+    atStake += workAtStake(task, now);
     if (task.step.specification.isFilling) fillingTasks += 1;
     else if (task.step.specification.targetMilliseconds > 0) servingTasks += 1;
   });
@@ -88,10 +87,7 @@
     initialTrialStepId: trialStepId,
     reservedStepId: reservedSteps.get(state.entry.endpointId) ?? null,
     isQuiet: now - lastPlacedAt >= QUIET_MILLISECONDS,
-    // Only tasks on trial need it, which are rare.
-    get workAtStake() {
-      return sumWorkAtStake(state, now);
-    },
+    workAtStake: atStake,
   };
 }
 
@@ -106,8 +102,7 @@
   kept: ReadonlySet<string>,
   reservedSteps: ReadonlyMap<string, string>,
 ): RoundCandidate[] {
-  const now = context.clock.monotonicMilliseconds();
   return [...context.table.all()]
-    .filter((state) => isUsable(transitions, state, now))
-    .map((state) => describeCandidate(context, kept, reservedSteps, state, now));
+    .filter((state) => isUsable(context, transitions, state))
+    .map((state) => describeCandidate(context, kept, reservedSteps, state));
 }
