Write what starts and callers wait for before the records of ends

Cause: keys are written in the order in which they were staged, and most are the ends of runs, for which nothing waits but their acknowledgement to the endpoint. Change: records of ends yield to starts, acceptances and closings for up to 400 ms; until then further ends of a job share their write. A key that something waits for meanwhile is written with those.

--- a/packages/scheduler/src/core/commitQueue.ts
+++ b/packages/scheduler/src/core/commitQueue.ts
@@ -19,6 +19,15 @@
 /** Bounds of the timeout of a write. */
 const WRITE_TIMEOUTS = { minimumMilliseconds: 150, maximumMilliseconds: 1_500 };
 
+/** Time after which a key that nothing waits for is written like the others, in milliseconds. */
+const MAXIMUM_DEFERRAL_MILLISECONDS = 400;
+
+/**
+ * How soon a key is to be written. `now`: a start or a caller waits for it. `deferred`: it yields to such keys for a
+ * short time, in which further changes of the key share its write.
+ */
+export type CommitUrgency = 'now' | 'deferred';
+
 /** Encodes the value of a key when its write is sent; null removes the key. */
 export type EncodeValue = () => string | null;
 
@@ -43,9 +52,10 @@
    *
    * @param key key to write
    * @param encode called when the write is sent, so that the newest state is written
+   * @param urgency a key that is staged already becomes as urgent as the more urgent call
    * @returns resolves to whether the state at the time of this call is durable; false if the term ended first
    */
-  stage(key: string, encode: EncodeValue): Promise<boolean>;
+  stage(key: string, encode: EncodeValue, urgency?: CommitUrgency): Promise<boolean>;
   /** Removes a staged key. @returns whether the key was staged and is certainly not written by this queue */
   withdraw(key: string): boolean;
   /** @returns age of the oldest key that is not durable, in milliseconds; 0 if there is none */
@@ -58,10 +68,15 @@
 
 interface StagedKey {
   encode: EncodeValue;
+  urgency: CommitUrgency;
   readonly stagedAt: number;
   readonly resolvers: ((isDurable: boolean) => void)[];
 }
 
+function mostUrgent(left: CommitUrgency, right: CommitUrgency): CommitUrgency {
+  return left === 'now' ? left : right;
+}
+
 export function createCommitQueue(options: CommitQueueOptions): CommitQueue {
   const { store, clock, log, term, workMeter } = options;
   const latency = createLatencyEstimate(WRITE_TIMEOUTS);
@@ -95,8 +110,18 @@
     options.onOwnershipLost(reason);
   }
 
+  /** @returns staged keys in the order in which they are written */
+  function orderStagedKeys(): [string, StagedKey][] {
+    const keys = [...staged];
+    if (keys.length <= MAXIMUM_KEYS_PER_GROUP) return keys;
+    const deferrableSince = clock.monotonicMilliseconds() - MAXIMUM_DEFERRAL_MILLISECONDS;
+    const isDue = ([, { urgency, stagedAt }]: [string, StagedKey]) =>
+      urgency === 'now' || stagedAt <= deferrableSince;
+    return [...keys.filter(isDue), ...keys.filter((entry) => !isDue(entry))];
+  }
+
   function takeGroup(): StoreWrite {
-    inFlight = [...staged].slice(0, MAXIMUM_KEYS_PER_GROUP);
+    inFlight = orderStagedKeys().slice(0, MAXIMUM_KEYS_PER_GROUP);
     inFlight.forEach(([key]) => staged.delete(key));
     sequence += 1;
     const texts = inFlight.map(([key, { encode }]) => ({ key, value: encode() }));
@@ -125,6 +150,7 @@
       if (!earlier) staged.set(key, entry);
       else {
         earlier.encode = entry.encode;
+        earlier.urgency = mostUrgent(earlier.urgency, entry.urgency);
         earlier.resolvers.push(...entry.resolvers);
       }
     });
@@ -228,16 +254,18 @@
   }
 
   return {
-    stage(key, encode) {
+    stage(key, encode, urgency = 'now') {
       if (isClosed) return Promise.resolve(false);
       return new Promise((resolve) => {
         const entry = staged.get(key);
         if (entry) {
           entry.encode = encode;
+          entry.urgency = mostUrgent(entry.urgency, urgency);
           entry.resolvers.push(resolve);
         } else {
           staged.set(key, {
             encode,
+            urgency,
             stagedAt: clock.monotonicMilliseconds(),
             resolvers: [resolve],
           });
@@ -253,8 +281,11 @@
       return true;
     },
     delayMilliseconds() {
-      const oldest = inFlight[0]?.[1] ?? staged.values().next().value;
-      return oldest ? clock.monotonicMilliseconds() - oldest.stagedAt : 0;
+      const times = [...inFlight.map(([, entry]) => entry), ...staged.values()].map(
+        ({ stagedAt }) => stagedAt,
+      );
+      const now = clock.monotonicMilliseconds();
+      return now - Math.min(now, ...times);
     },
     stagedKeys: () => staged.size,
     close,
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -256,7 +256,8 @@
     const { bornAt } = state;
     appliedEndsDurable = Promise.all([
       appliedEndsDurable,
-      ...[...jobs].map((job) => transitions.save(job)),
+      // Nothing but the acknowledgement waits for them; the end of a job has been saved as urgent.
+      ...[...jobs].map((job) => transitions.save(job, 'deferred')),
     ]).then((saved) => saved.every(Boolean));
     if ((await appliedEndsDurable) && bornAt === state.bornAt) {
       state.durableSequence = Math.max(state.durableSequence, appliedSequence);
--- a/packages/scheduler/src/core/taskTransitions.ts
+++ b/packages/scheduler/src/core/taskTransitions.ts
@@ -10,6 +10,7 @@
 } from '../types/jobRecord.js';
 import type { TermContext } from '../types/termContext.js';
 import { stateKey } from '../utils/storeKeys.js';
+import type { CommitUrgency } from './commitQueue.js';
 import { createEndpointLosses } from './endpointLosses.js';
 import type { EndpointLosses } from './endpointLosses.js';
 import type { EndpointState } from './endpointTable.js';
@@ -36,7 +37,7 @@
   readonly releasedSteps: Set<StepRecord>;
   readonly endpointLosses: EndpointLosses;
   /** Commits the state of a job. @returns resolves to whether it is durable; false if the term ended first */
-  save(job: JobRecord): Promise<boolean>;
+  save(job: JobRecord, urgency?: CommitUrgency): Promise<boolean>;
   /** Creates the occurrences of a job that are due, and releases the steps whose dependencies are complete. */
   releaseDueSteps(job: JobRecord): void;
   /** Applies the end of the current run of a task. */
@@ -73,10 +74,9 @@
   let notifyJobClosed: (job: JobRecord) => void = () => {};
   let notifyGangBroken: (step: StepRecord) => void = () => {};
 
-  function save(job: JobRecord): Promise<boolean> {
-    return commits.stage(stateKey(job.jobId), () =>
-      encodeState(job, clock.wallMilliseconds() - clock.monotonicMilliseconds()),
-    );
+  function save(job: JobRecord, urgency?: CommitUrgency): Promise<boolean> {
+    const encode = () => encodeState(job, clock.wallMilliseconds() - clock.monotonicMilliseconds());
+    return commits.stage(stateKey(job.jobId), encode, urgency);
   }
 
   /** A job whose limit is not known is not given up. */
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -12,7 +12,9 @@
   OwnerRecord,
 } from './core/ownerElection.js';
 export { createCommitQueue } from './core/commitQueue.js';
-export type { CommitQueue, CommitQueueOptions } from './core/commitQueue.js';
+export type { CommitQueue, CommitQueueOptions, CommitUrgency } from './core/commitQueue.js';
+export { createWorkMeter } from './core/workMeter.js';
+export type { WorkMeter, WorkPart, WorkReading } from './core/workMeter.js';
 export { createOwnerTerm } from './core/ownerTerm.js';
 export type { OwnerTerm, OwnerTermOptions } from './core/ownerTerm.js';
 export { splitAddress } from './core/peerChannel.js';
