Ask about endpoints of many racks

Cause: a call asked about neighbours in the order of the directory, which lists endpoints rack by rack in that soak, so that the tasks of a step were lost together with one rack again and again. Change: the order of a round is shuffled by a hash of the endpoint ids. Evidence: the new test failed before (24 endpoints of 3 racks); crashSoak.test.ts passes again.

--- a/packages/decisions/src/core/adviceOrder.ts
+++ b/packages/decisions/src/core/adviceOrder.ts
@@ -46,7 +46,12 @@
   visit(stepId: string, isUrgent: boolean, visit: (candidate: Candidate) => boolean): void;
 }
 
-/** Creates the order for all steps of a round; endpoints are grouped once, when the order is first used. */
+/**
+ * Creates the order for all steps of a round; endpoints are grouped once, when the order is first used.
+ *
+ * @param candidates endpoints in an order that is unrelated to their racks, because a step asks about neighbours, and
+ *   its tasks should not be lost together with a rack
+ */
 export function createAdviceOrder<Candidate extends EndpointCandidate>(
   candidates: readonly Candidate[],
 ): AdviceOrder<Candidate> {
--- a/packages/proving/src/__tests__/backlog.test.ts
+++ b/packages/proving/src/__tests__/backlog.test.ts
@@ -143,3 +143,24 @@
   t.true(late.length < JOBS / 10, `${late.length} of ${JOBS} jobs are late`);
   t.deepEqual(cell.fleet.violations(), []);
 });
+
+test('a call for advice is about endpoints of many racks, although the directory lists them rack by rack', async (t) => {
+  const [queue] = CONFIGURATION.queues;
+  const cell = createSchedulerCell({ count: ENDPOINTS, capacity: CAPACITY, rackSize: 10 });
+  cell.configuration = { ...CONFIGURATION, queues: [{ ...queue!, advice: ADVICE }] };
+  const rackOf = new Map(cell.fleet.entries().map(({ endpointId, rack }) => [endpointId, rack]));
+  const asked: (readonly string[])[] = [];
+  const { advise } = cell.fleet.advice;
+  Object.assign(cell.fleet.advice, {
+    advise(...parameters: Parameters<typeof advise>) {
+      asked.push(parameters[1]);
+      return advise(...parameters);
+    },
+  });
+  cell.startProcess('first');
+  await cell.advance(200);
+  await cell.call({ specification: createJobSpecification({ count: 6 }) });
+  await cell.advance(500);
+  const racks = new Set(asked[0]!.map((endpointId) => rackOf.get(endpointId)));
+  t.true(racks.size > 4, `${asked[0]!.length} endpoints of ${racks.size} racks`);
+});
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -621,7 +621,9 @@
     const endpoints: RoundEndpoints = {
       all: candidates,
       byId: new Map(candidates.map((candidate) => [candidate.endpointId, candidate])),
-      adviceOrder: createAdviceOrder(candidates),
+      adviceOrder: createAdviceOrder(
+        [...candidates].sort((left, right) => left.state.shuffleKey - right.state.shuffleKey),
+      ),
     };
     const requests: AdviceRequest[] = [];
     const blockedSteps = new Map<string, number>();
--- a/packages/scheduler/src/core/endpointTable.ts
+++ b/packages/scheduler/src/core/endpointTable.ts
@@ -1,4 +1,4 @@
-import { assertInvariant } from '@chicorybend/common';
+import { assertInvariant, hashText } from '@chicorybend/common';
 import type { Resources } from '@chicorybend/common';
 import { addResources, NO_RESOURCES } from '@chicorybend/decisions';
 
@@ -10,6 +10,8 @@
 export interface EndpointState {
   /** Latest entry of the directory. */
   entry: EndpointEntry;
+  /** Position in an order that is unrelated to racks and data centres. */
+  readonly shuffleKey: number;
   /** When the last read that returned an entry was sent, in monotonic milliseconds; -Infinity if there was none. */
   entryReadAt: number;
   /** Whether the directory lists it now. */
@@ -71,6 +73,7 @@
     add(entry, now) {
       const state: EndpointState = {
         entry,
+        shuffleKey: hashText(entry.endpointId),
         entryReadAt: -Infinity,
         isListed: true,
         isReconciled: false,
