Let room that other steps have reserved count as taken again

Seen in the review: since few endpoints are inspected, a step asks for advice also if all the free room is reserved in the round, for example for a gang, and holds a channel for a call that cannot help it. Change: as before, only room that is not reserved makes a step wait for advice, or room that it has reserved itself. Evidence: the tests of placement, backlog, overload, gangs, crashes and faults pass.

--- a/packages/decisions/src/core/chooseEndpointsForAdvice.ts
+++ b/packages/decisions/src/core/chooseEndpointsForAdvice.ts
@@ -89,13 +89,7 @@
     expected += probability;
   }
 
-  [...candidates.knownEligible]
-    .filter((candidate) => hasRoom(candidate) && isOpen(candidate))
-    .sort((left, right) => rankForAdvice(left, isUrgent) - rankForAdvice(right, isUrgent))
-    .forEach((candidate) => {
-      if (!isEnough()) choose(candidate, 1);
-    });
-  function visitIf(isWanted: (candidate: Candidate) => boolean): void {
+  function chooseWhere(isWanted: (candidate: Candidate) => boolean): void {
     if (isEnough()) return;
     order.visit(need.stepId, isUrgent, (candidate) => {
       if (!chosen.has(candidate) && isWanted(candidate) && isOpen(candidate)) {
@@ -104,8 +98,15 @@
       return !isEnough();
     });
   }
-  visitIf(hasRoom);
+
+  [...candidates.knownEligible]
+    .filter((candidate) => hasRoom(candidate) && isOpen(candidate))
+    .sort((left, right) => rankForAdvice(left, isUrgent) - rankForAdvice(right, isUrgent))
+    .forEach((candidate) => {
+      if (!isEnough()) choose(candidate, 1);
+    });
+  chooseWhere(hasRoom);
   // Endpoints without room now may have some while the tickets are valid.
-  if (chosen.size > 0) visitIf((candidate) => !hasRoom(candidate));
+  if (chosen.size > 0) chooseWhere((candidate) => !hasRoom(candidate));
   return [...chosen];
 }
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -556,15 +556,19 @@
     return queue.advice && placements.length === unplaced.length ? 'advice' : blockedBy;
   }
 
-  /** Other endpoints need no reservation, because the tickets that the calls in flight bring are not for them. */
+  /**
+   * Other endpoints need no reservation, because the tickets that the calls in flight bring are not for them.
+   *
+   * @returns whether any room is reserved
+   */
   function reserveAskedEndpoints(
     { step }: ReadyStep,
     unplaced: readonly TaskRecord[],
     endpoints: RoundEndpoints,
     requirements: EndpointRequirements,
-  ): void {
+  ): boolean {
     const asked = findCandidates(adviceCache.askedEndpoints(step.stepId), endpoints);
-    planPlacements(step, unplaced, asked, requirements);
+    return planPlacements(step, unplaced, asked, requirements).placements.length > 0;
   }
 
   /**
@@ -585,14 +589,13 @@
       return reserveForGang(readyStep, unplaced, endpoints, requirements);
     }
     if (!queue.advice) return 'room';
-    if (requirements.isUrgent) {
-      reserveAskedEndpoints(readyStep, unplaced, endpoints, requirements);
-    }
-    const hasRoom = endpoints.all.some(
-      (candidate) =>
-        canHost(candidate, requirements, candidate.state.used) &&
-        isMatching(step, queue, candidate),
-    );
+    const isRoomReserved =
+      requirements.isUrgent && reserveAskedEndpoints(readyStep, unplaced, endpoints, requirements);
+    const hasRoom =
+      isRoomReserved ||
+      endpoints.all.some(
+        (candidate) => canHost(candidate, requirements) && isMatching(step, queue, candidate),
+      );
     return hasRoom ? 'advice' : 'room';
   }
 
