Give up a suspect after five losses, although some endpoints may be cut off

Cause: an endpoint that a new owner finds silent counts as cut off, which is no crash; with several changes of the owner most crashes under a task are of this kind, and neither the four crashes nor the three losses on trial are reached in time. Change: a task that was alone at the last of five losses is given up. Evidence: the new test failed before.

--- a/packages/decisions/src/__tests__/crashSuspicion.test.ts
+++ b/packages/decisions/src/__tests__/crashSuspicion.test.ts
@@ -115,3 +115,12 @@
 test('a step may have one more endpoint on trial with each run that has passed', (t) => {
   t.deepEqual([0, 1, 5].map(maximumTrialEndpoints), [1, 2, 6]);
 });
+
+test('a task that was alone at the last of five losses is given up although some endpoints may be cut off', (t) => {
+  const silent = createLoss('shared', 'silent');
+  const losses = [createLoss('common', 'silent'), silent, silent, createLoss('common', 'crashed')];
+  const alone = createLoss('sole', 'crashed');
+  t.is(judgeCrashes([...losses.slice(1), alone]), 'suspect');
+  t.is(judgeCrashes([...losses, alone]), 'guilty');
+  t.is(judgeCrashes([...losses, createLoss('shared', 'silent')]), 'suspect');
+});
--- a/packages/decisions/src/core/crashSuspicion.ts
+++ b/packages/decisions/src/core/crashSuspicion.ts
@@ -17,6 +17,8 @@
 const MAXIMUM_CRASHES = 4;
 /** Number of further losses that are needed if the last endpoint had other losses. */
 const FURTHER_LOSSES_ON_UNRELIABLE_ENDPOINTS = 1;
+/** A suspect that was alone at the last loss is given up after this many, even if its endpoints may be cut off. */
+const MAXIMUM_LOSSES = 5;
 /** Minimum number of crashes of endpoints that were certainly executing a run of the task. */
 const MINIMUM_PROVEN_LOSSES = 2;
 /** Number of losses on trial that suffice without such crashes. */
@@ -163,6 +165,7 @@
     const further = last.role === 'unreliable' ? FURTHER_LOSSES_ON_UNRELIABLE_ENDPOINTS : 0;
     const onTrial = attributable.filter(isAlone).length;
     const isGuilty =
+      losses.length >= MAXIMUM_LOSSES ||
       countProven(attributable) >= MINIMUM_PROVEN_LOSSES + further ||
       onTrial >= MINIMUM_LOSSES_ON_TRIAL + further;
     if (isGuilty) return 'guilty';
