Move the counts of rounds and of waiting tasks out of the dispatcher

The dispatcher had grown by two sets of counters that it only keeps for the log. Each is a file of its own now. No behaviour changes: the log lines and metrics are the same, and the tests of the scheduler, backlog and overload pass.

--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -14,7 +14,6 @@
   AdviceOrder,
   EndpointRequirements,
   OrderingKey,
-  Punctuality,
   TrialRequirements,
 } from '@chicorybend/decisions';
 import { RESOURCE_DIMENSIONS } from '@chicorybend/common';
@@ -32,10 +31,14 @@
 import { findUpcomingSteps } from './upcomingSteps.js';
 import { collectCandidates } from './roundCandidates.js';
 import type { RoundCandidate } from './roundCandidates.js';
+import { createRoundStatistics } from './roundStatistics.js';
+import type { RoundSummary } from './roundStatistics.js';
 import type { TaskTransitions } from './taskTransitions.js';
 import { computeStepOrder, sumCapacity } from './stepOrder.js';
 import { createTrialSchedule, remainingTrialEndpoints } from './trialSchedule.js';
 import { createUnsentStarts } from './unsentStarts.js';
+import { createWaitingTasks } from './waitingTasks.js';
+import type { BlockingReason } from './waitingTasks.js';
 
 /** Minimum delay of a round after its request, so that one round handles several changes. */
 const ROUND_DELAY_MILLISECONDS = 5;
@@ -54,13 +57,6 @@
 /** Maximum number of calls for advice about one step at the same time. */
 const MAXIMUM_CALLS_PER_STEP = 3;
 
-const NO_WAITING_TASKS: Readonly<Record<Punctuality, number>> = {
-  'on-time': 0,
-  late: 0,
-  overdue: 0,
-};
-const NO_ROUNDS: RoundStatistics = { roundCount: 0, longestRound: 0, longestGap: 0 };
-
 export interface DispatcherOptions {
   readonly context: TermContext;
   readonly transitions: TaskTransitions;
@@ -78,29 +74,11 @@
   prefetchAdvice(): void;
   /** Logs the number of waiting tasks by reason, and the capacity in use, if any task waits. */
   logBacklog(): void;
-  /** @returns rounds since the last call of this function: their number, and the longest round and gap */
-  takeRoundStatistics(): RoundStatistics;
+  /** @returns rounds since the last call of this function */
+  takeRoundSummary(): RoundSummary;
   close(): void;
 }
 
-/**
- * Why a round did not start a task: team limit, no endpoint with room, no ticket yet, steps that come first, or no
- * quiet endpoint for its trial before that of other tasks is over.
- */
-type BlockingReason = 'limit' | 'room' | 'advice' | 'turn' | 'trial';
-
-/** Number of waiting tasks by `<queue>/<reason>`. */
-type BlockedTaskCounts = Map<string, number>;
-
-/** Rounds of an interval. */
-export interface RoundStatistics {
-  readonly roundCount: number;
-  /** In milliseconds. */
-  readonly longestRound: number;
-  /** Longest time from the request of a round until it began, in milliseconds. */
-  readonly longestGap: number;
-}
-
 /** A released step with the keys that order it within a round. */
 interface ReadyStep {
   readonly step: StepRecord;
@@ -132,6 +110,9 @@
   const keptEndpoints = createKeptEndpoints(context, transitions);
   const trialSchedule = createTrialSchedule(context);
   const unsentStarts = createUnsentStarts(context);
+  const roundStatistics = createRoundStatistics(metrics);
+  /** Waiting tasks of the last round. */
+  const waiting = createWaitingTasks();
   let rounds = 0;
   /** Number of endpoints that may still get a trial in the current round. */
   let trialEndpointsLeft = 0;
@@ -139,12 +120,7 @@
   let roundDelayMilliseconds = ROUND_DELAY_MILLISECONDS;
   /** Steps that are released soon. */
   let upcomingSteps: StepRecord[] = [];
-  /** Waiting tasks of the last round. */
-  let blockedTasks: BlockedTaskCounts = new Map();
-  /** Waiting tasks of the last round by what their job can still reach. */
-  let waitingByPunctuality: Record<Punctuality, number> = { ...NO_WAITING_TASKS };
   let roundRequestedAt = 0;
-  let statistics = NO_ROUNDS;
 
   /** Sets the number of tasks of a step on each endpoint, where that number is limited. */
   function countStepTasks(step: StepRecord, candidates: readonly RoundCandidate[]): void {
@@ -308,9 +284,7 @@
     blockedBy: BlockingReason,
     tasks: number,
   ): void {
-    waitingByPunctuality[order.punctuality] += tasks;
-    const key = `${queue.name}/${blockedBy}`;
-    blockedTasks.set(key, (blockedTasks.get(key) ?? 0) + tasks);
+    waiting.add(queue.name, blockedBy, order.punctuality, tasks);
   }
 
   function releasePlannedRoom(step: StepRecord, placements: readonly Placement[]): void {
@@ -630,8 +604,7 @@
     };
     const requests: AdviceRequest[] = [];
     const blockedSteps = new Map<string, number>();
-    blockedTasks = new Map();
-    waitingByPunctuality = { ...NO_WAITING_TASKS };
+    waiting.clear();
     collectReadySteps().forEach((readyStep, position) => {
       const { step, queue } = readyStep;
       const blocked = blockedSteps.get(queue.name) ?? 0;
@@ -658,15 +631,7 @@
     const startedAt = clock.monotonicMilliseconds();
     workMeter.measure('rounds', runRound);
     const took = clock.monotonicMilliseconds() - startedAt;
-    const gap = startedAt - roundRequestedAt;
-    metrics.count('rounds');
-    metrics.record('round_milliseconds', took);
-    metrics.record('round_gap_milliseconds', gap);
-    statistics = {
-      roundCount: statistics.roundCount + 1,
-      longestRound: Math.max(statistics.longestRound, Math.round(took)),
-      longestGap: Math.max(statistics.longestGap, Math.round(gap)),
-    };
+    roundStatistics.record(took, startedAt - roundRequestedAt);
     roundDelayMilliseconds = Math.max(ROUND_DELAY_MILLISECONDS, took / MAXIMUM_ROUND_TIME_SHARE);
   }
 
@@ -694,11 +659,10 @@
       upcomingSteps = findUpcomingSteps(context);
     },
     logBacklog() {
-      if (blockedTasks.size === 0) return;
+      if (waiting.isEmpty()) return;
       const used = [...table.all()].reduce((sum, { used: { processors } }) => sum + processors, 0);
       log.info('work waits', {
-        tasks: Object.fromEntries(blockedTasks),
-        byPunctuality: waitingByPunctuality,
+        ...waiting.describe(),
         steps: transitions.releasedSteps.size,
         processorsUsed: Math.round(used),
         processors: Math.round(sumCapacity(context).processors),
@@ -706,11 +670,7 @@
         adviceLinesBusy: adviceCache.busyChannels(),
       });
     },
-    takeRoundStatistics() {
-      const taken = statistics;
-      statistics = NO_ROUNDS;
-      return taken;
-    },
+    takeRoundSummary: roundStatistics.takeSummary,
     close() {
       cancelRound?.();
       cancelRound = null;
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -452,7 +452,7 @@
     void commits.stage(specificationKey(job.jobId), () => null);
   }
 
-  function keepHouse(): void {
+  function checkJobsAndEndpoints(): void {
     const wallNow = clock.wallMilliseconds();
     jobs.forEach((job) => {
       if (job.phase === 'open') {
@@ -474,7 +474,7 @@
   }
 
   function runHousekeeping(): Promise<boolean> {
-    workMeter.measure('housekeeping', keepHouse);
+    workMeter.measure('housekeeping', checkJobsAndEndpoints);
     return Promise.resolve(true);
   }
 
@@ -487,7 +487,7 @@
       elapsed: Math.round(reading.elapsed),
       active: Math.round(reading.active),
       ...Object.fromEntries(milliseconds),
-      ...dispatcher.takeRoundStatistics(),
+      ...dispatcher.takeRoundSummary(),
       stagedKeys: commits.stagedKeys(),
       commitDelay: Math.round(commits.delayMilliseconds()),
     });
