--- a/review/lib/cell.mjs
+++ b/review/lib/cell.mjs
@@ -121,10 +121,11 @@
         return ready.every(Boolean);
       }, 12_000);
     },
-    /** Sends a request of a client, and records it with its answer. */
-    async call(daemon, method, path, { body, key, limit = 3_000, quiet = false } = {}) {
+    /** Sends a request of a client, and records it with its answer, in one row if it is brief. */
+    async call(daemon, method, path, { body, key, limit = 3_000, isBrief = false } = {}) {
       const call = { at: 'client', node: daemon.name, method, path };
-      if (!quiet) record.add({ ...call, event: 'sent', ...(body ? { body } : {}) });
+      const sentAt = Math.round(record.now());
+      if (!isBrief) record.add({ ...call, event: 'sent', ...(body ? { body } : {}) });
       const answer = await callHttp({
         address: daemon.front,
         method,
@@ -137,9 +138,12 @@
         body,
         timeout: limit,
       });
-      if (!quiet) {
-        record.add({ ...call, event: 'answered', status: answer.status, body: answer.body });
-      }
+      record.add({
+        ...call,
+        event: 'answered',
+        ...(isBrief ? { sentAt } : { body: answer.body }),
+        status: answer.status,
+      });
       return answer;
     },
     async stop() {
