--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -23,6 +23,7 @@
  * @param port port
  * @param options.losesAnswer called with each transaction after it was carried out; if it returns true, the answer is
  *   not sent, and the connection stays silent
+ * @param options.onTooLarge called with the keys and lengths of a transaction that is refused because of a value
  */
 export async function startStore(host, port, options = {}) {
   const items = new Map();
@@ -83,7 +84,10 @@
     const isTooLarge = puts.some(
       ({ value }) => Buffer.byteLength(value, 'base64') > MAXIMUM_VALUE_BYTES,
     );
-    if (isTooLarge) return { status: 400 };
+    if (isTooLarge) {
+      options.onTooLarge?.(puts.map(({ key, value }) => [key, Buffer.byteLength(value, 'base64')]));
+      return { status: 400 };
+    }
     if (puts.some(({ lease }) => lease && !leases.has(lease))) return { status: 404 };
     const isMet = precondition.every((row) => current(row.key).revision === row.revision);
     if (!isMet) {
