--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -41,7 +41,7 @@
   if (status === 200) accepted.push(id);
 }
 
-async function run() {
+async function play() {
   if (!(await cell.startDaemons())) return 2;
   await pause(3_000);
   const jobs = [];
@@ -80,7 +80,7 @@
 
 let code = 2;
 try {
-  code = await run();
+  code = await play();
 } catch (error) {
   process.stderr.write(`${error.stack}\n`);
 }
--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -51,7 +51,7 @@
   }
 }
 
-async function run() {
+async function play() {
   if (!(await cell.startDaemons())) return 2;
   await pause(2_000);
   const ids = [];
@@ -87,7 +87,7 @@
 
 let code = 2;
 try {
-  code = await run();
+  code = await play();
 } catch (error) {
   process.stderr.write(`${error.stack}\n`);
 }
