Let the list of a new incarnation decide which runs it has

Cause: orders name an endpoint by its id, which both incarnations share. The owner learns of the new one from the next answered hold, and then dropped all runs recorded for the former one, also those that had just begun in the new one. On related paths, deadlines and acknowledgements meant for the former incarnation took effect in the new one: its leases lasted up to 10 s while runs were repeated after 6.4 s, and it discarded ends that nobody had read.

Change: a run is known to be unsent, sent or seen in its incarnation. Sent runs move to the new incarnation, whose list decides. A start is confirmed only by an answer whose clock fits the known incarnation. While a run may be in a later incarnation, nothing is acknowledged, and its lease counts as the longest one.

--- a/packages/proving/src/__tests__/crashReview.test.ts
+++ b/packages/proving/src/__tests__/crashReview.test.ts
@@ -4,7 +4,12 @@
 import type { JobStatus, StepSpecification } from '@chicorybend/scheduler';
 import type { EndpointFleetOptions, FleetRun } from '@chicorybend/standins';
 
-import { createJobId, createJobSpecification, createSchedulerCell } from '../core/schedulerCell.js';
+import {
+  advanceUntil,
+  createJobId,
+  createJobSpecification,
+  createSchedulerCell,
+} from '../core/schedulerCell.js';
 import type { SchedulerCell } from '../core/schedulerCell.js';
 
 const JOB = createJobId(13);
@@ -45,16 +50,6 @@
   return answer.kind === 'status' ? answer.status : null;
 }
 
-/** Advances the clock until the condition holds or the time is up. */
-async function advanceUntil(
-  cell: SchedulerCell,
-  condition: () => boolean,
-  milliseconds: number,
-): Promise<void> {
-  const endsAt = cell.clock.monotonicMilliseconds() + milliseconds;
-  while (!condition() && cell.clock.monotonicMilliseconds() < endsAt) await cell.advance(2);
-}
-
 function runsOf(cell: SchedulerCell, jobId: string): FleetRun[] {
   return cell.fleet.history.filter((run) => isOfJob(jobId, run));
 }
--- a/packages/proving/src/__tests__/endpointCrashes.test.ts
+++ b/packages/proving/src/__tests__/endpointCrashes.test.ts
@@ -4,7 +4,12 @@
 import type { JobStatus, StepSpecification } from '@chicorybend/scheduler';
 import type { EndpointFleetOptions } from '@chicorybend/standins';
 
-import { createJobId, createJobSpecification, createSchedulerCell } from '../core/schedulerCell.js';
+import {
+  advanceUntil,
+  createJobId,
+  createJobSpecification,
+  createSchedulerCell,
+} from '../core/schedulerCell.js';
 import type { SchedulerCell } from '../core/schedulerCell.js';
 
 /** The tasks of this job crash their endpoint. */
@@ -53,16 +58,6 @@
   return answer.kind === 'status' ? answer.status : null;
 }
 
-/** Advances the clock until the condition holds or the time is up. */
-async function advanceUntil(
-  cell: SchedulerCell,
-  condition: () => boolean,
-  milliseconds: number,
-): Promise<void> {
-  const endsAt = cell.clock.monotonicMilliseconds() + milliseconds;
-  while (!condition() && cell.clock.monotonicMilliseconds() < endsAt) await cell.advance(2);
-}
-
 function countCrashes(cell: SchedulerCell): number {
   const crashed = cell.fleet.history.filter(({ kind }) => kind === 'crashed');
   return new Set(crashed.map(({ endpointId, bornAt }) => `${endpointId}/${bornAt}`)).size;
--- a/packages/proving/src/core/schedulerCell.ts
+++ b/packages/proving/src/core/schedulerCell.ts
@@ -274,3 +274,15 @@
   };
   return cell;
 }
+
+/** Advances the clock until the condition holds or the time is up. */
+export async function advanceUntil(
+  cell: SchedulerCell,
+  condition: () => boolean,
+  milliseconds: number,
+): Promise<void> {
+  const endsAt = cell.clock.monotonicMilliseconds() + milliseconds;
+  while (!condition() && cell.clock.monotonicMilliseconds() < endsAt) {
+    await cell.advance(STEP_MILLISECONDS);
+  }
+}
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -306,6 +306,8 @@
     task.phase = 'placed';
     task.endpointId = state.entry.endpointId;
     task.endpointBornAt = state.bornAt;
+    task.isIncarnationKnown = false;
+    task.startSentAt = null;
     task.absenceConclusiveAfter = Infinity;
     table.charge(state, task);
     unsentStarts.add(task);
--- a/packages/scheduler/src/core/endpointLosses.ts
+++ b/packages/scheduler/src/core/endpointLosses.ts
@@ -40,6 +40,8 @@
    * @param cause whether its incarnation is certainly over, or it was silent until the leases had expired
    */
   recordLoss(state: EndpointState, tasks: readonly TaskRecord[], cause: LossCause): void;
+  /** The current run of a task turned out to be in a later incarnation than the one that was lost. */
+  withdrawLoss(task: TaskRecord): void;
   /** A task was found guilty, which explains the losses under it. */
   recordVerdict(task: TaskRecord): void;
 }
@@ -203,11 +205,17 @@
         task.step.hasLosses = true;
         return { task, loss };
       });
-      recorded.set(state.entry.endpointId, { bornAt: tasks[0]!.endpointBornAt, rows });
+      const { endpointBornAt: bornAt } = tasks[0]!;
+      const earlier = recorded.get(state.entry.endpointId);
+      const earlierRows = earlier?.bornAt === bornAt ? earlier.rows : [];
+      recorded.set(state.entry.endpointId, { bornAt, rows: [...earlierRows, ...rows] });
       metrics.count('endpoints_lost');
       metrics.count('runs_lost_with_endpoint', rows.length);
       logLoss(state, cause, lossTime, rows);
     },
+    withdrawLoss(task) {
+      task.losses = task.losses.filter(({ run }) => run !== task.run);
+    },
     recordVerdict(guilty) {
       recorded.forEach(({ rows }, endpointId) => {
         const lost = silent.get(endpointId);
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -16,7 +16,7 @@
 import { callWithAdaptiveTimeout } from '../utils/adaptiveTimeout.js';
 import { remainingToleranceMilliseconds } from './capacityAge.js';
 import type { EndpointState } from './endpointTable.js';
-import { hasActiveRun, jobIdOf } from './jobRecords.js';
+import { hasActiveRun, jobIdOf, mayBeInLaterIncarnation } from './jobRecords.js';
 import type { TaskTransitions } from './taskTransitions.js';
 
 /** Long-poll wait of a hold at an endpoint without runs. */
@@ -39,6 +39,10 @@
 const REFUSED_START_BACKOFF_MILLISECONDS = 1_000;
 /** Backoff for new starts after an unanswered one, multiplied by the number of unanswered starts in a row. */
 const UNANSWERED_START_BACKOFF_MILLISECONDS = 250;
+/** Deviation of the endpoint's clock since its last list, in milliseconds. */
+const CLOCK_TOLERANCE_MILLISECONDS = 100;
+/** Delay of a hold whose answer comes at once because it lists ends that cannot be acknowledged yet. */
+const UNACKNOWLEDGED_POLL_DELAY_MILLISECONDS = 20;
 /** A list reflects an order if it was requested at least this long after the answer to the order. */
 const LIST_DELAY_MILLISECONDS = 1;
 /** Delay before a task whose start was refused is placed again. */
@@ -82,7 +86,8 @@
   const latency = createLatencyEstimate(CALL_TIMEOUTS);
   /** Number of unanswered starts in a row. */
   let unansweredStarts = 0;
-  const leaseMilliseconds = requestedLeaseMilliseconds(context.timeLimits.maximumLeaseMilliseconds);
+  const { maximumLeaseMilliseconds } = context.timeLimits;
+  const leaseMilliseconds = requestedLeaseMilliseconds(maximumLeaseMilliseconds);
 
   function now(): number {
     return clock.monotonicMilliseconds();
@@ -93,7 +98,8 @@
   }
 
   /**
-   * Records, before a call is sent, the latest time at which leases that it may grant expire.
+   * Records, before a call is sent, the latest time at which leases that it may grant expire. The clock of a later
+   * incarnation begins anew, so that the same expiry may grant the longest lease there.
    *
    * @returns lease expiry on the endpoint's clock, in milliseconds; null if that clock is unknown
    */
@@ -103,9 +109,21 @@
       state.leasesExpireAt,
       now() + leaseExpiryMilliseconds(milliseconds),
     );
+    state.laterLeasesExpireAt = now() + leaseExpiryMilliseconds(maximumLeaseMilliseconds);
     return Math.floor(now() + state.clockOffset + milliseconds);
   }
 
+  /**
+   * Both incarnations of an endpoint have the same id, but the clock of the later one began anew.
+   *
+   * @param endpointClock clock reading in the answer to a call, in milliseconds; null if unknown
+   * @param sentAt when the call was sent, in monotonic milliseconds
+   */
+  function isFromKnownIncarnation(endpointClock: number | null, sentAt: number): boolean {
+    if (endpointClock === null || state.clockOffset === null) return false;
+    return endpointClock >= sentAt + state.clockOffset - CLOCK_TOLERANCE_MILLISECONDS;
+  }
+
   function abandonFenced(): void {
     context.abandonTerm(`endpoint ${state.entry.endpointId} has seen a higher fencing token`);
   }
@@ -123,18 +141,15 @@
     return sendOrder((timeout) => endpoints.stop(target(), run, timeout));
   }
 
-  /** An unanswered start may still reach the new incarnation, so a stop must rule it out there first. */
-  async function endRunOfFormerIncarnation(task: TaskRecord): Promise<void> {
-    const { run } = task;
-    if (task.phase === 'placed' && Number.isFinite(task.absenceConclusiveAfter) === false) {
-      while (!context.hasEnded() && task.run === run && hasActiveRun(task)) {
-        const outcome = await sendStop({ taskId: task.taskId, run });
-        if (outcome.kind === 'done' || now() > state.leasesExpireAt) break;
-        await sleep(clock, RETRY_DELAY_MILLISECONDS);
-      }
-    }
-    if (context.hasEnded() || task.run !== run || !hasActiveRun(task)) return;
-    transitions.dropRun(task, 'lapsed');
+  /**
+   * The lists of the new incarnation show which of the runs are there. A start without an answer may have been executed
+   * by either incarnation, or may still be; a start that was not sent is withdrawn by its sender.
+   */
+  function moveToNewIncarnation(task: TaskRecord): void {
+    if (task.startSentAt === null) return;
+    task.endpointBornAt = state.bornAt;
+    const isSentByFormerOwner = task.absenceConclusiveAfter === -Infinity;
+    if (task.phase === 'placed' && !isSentByFormerOwner) task.absenceConclusiveAfter = Infinity;
   }
 
   function changeIncarnation(bornAt: number): void {
@@ -150,9 +165,8 @@
     transitions.endpointLosses.recordLoss(state, runs, 'crashed');
     state.silentSince = null;
     state.clockOffset = null;
-    runs.forEach((task) => {
-      void endRunOfFormerIncarnation(task);
-    });
+    state.leasesExpireAt = Math.max(state.leasesExpireAt, state.laterLeasesExpireAt);
+    runs.forEach(moveToNewIncarnation);
   }
 
   /** Another endpoint answers at the address, so that the incarnation known here is over. */
@@ -183,6 +197,7 @@
     const task = state.runs.get(end.taskId);
     if (!task || task.run !== end.run) return;
     changedTasks.add(task);
+    transitions.endpointLosses.withdrawLoss(task);
     transitions.endRun(task, end.kind, end.checkpoint);
   }
 
@@ -287,6 +302,11 @@
     transitions.expireRuns(state);
   }
 
+  /** The former incarnation's acknowledgements would discard ends of a later one that were not read. */
+  function acknowledgedSequence(): number {
+    return [...state.runs.values()].some(mayBeInLaterIncarnation) ? 0 : state.durableSequence;
+  }
+
   async function hold(waitMilliseconds: number): Promise<void> {
     const sentAt = now();
     const { bornAt } = state;
@@ -297,7 +317,7 @@
       target(),
       {
         deadlineOnEndpointMilliseconds: deadline,
-        acknowledgedSequence: state.durableSequence,
+        acknowledgedSequence: acknowledgedSequence(),
         waitMilliseconds,
       },
       latency.timeoutMilliseconds(),
@@ -325,6 +345,9 @@
     if (task.phase !== 'placed') return;
     const isWanted = job.phase === 'open' && !(specification.isGang && brokenRun >= task.run);
     task.phase = isWanted ? 'running' : 'stopping';
+    task.endpointBornAt = state.bornAt;
+    task.isIncarnationKnown = true;
+    transitions.endpointLosses.withdrawLoss(task);
     task.startedAt = now();
     task.isStartTimeKnown = isStartKnown;
     task.progressReports = [];
@@ -337,10 +360,17 @@
   }
 
   /**
-   * The list shows whether an unanswered start was executed. If it was not, a stop rules out that it will be;
-   * the list after the stop then shows whether the run existed.
+   * The list shows whether a start was executed that was not answered, or by another incarnation. If it was not, a
+   * stop rules out that it will be; the list after the stop then shows whether the run existed.
    */
-  async function resolveUnansweredStart(task: TaskRecord, run: number): Promise<void> {
+  async function resolveStart(task: TaskRecord, run: number): Promise<void> {
+    await hold(0);
+    while (isCurrentRun(task, run) && task.phase === 'placed') {
+      await attemptStop(task, run);
+    }
+  }
+
+  function noteUnansweredStart(task: TaskRecord, run: number): void {
     metrics.count('starts_unanswered');
     unansweredStarts += 1;
     const backoffMilliseconds = Math.min(
@@ -349,10 +379,6 @@
     );
     state.backoffUntil = now() + backoffMilliseconds;
     log.info('start unanswered', { task: task.taskId, run, endpoint: state.entry.endpointId });
-    await hold(0);
-    while (isCurrentRun(task, run) && task.phase === 'placed') {
-      await attemptStop(task, run);
-    }
   }
 
   function handleRefusedStart(task: TaskRecord, reason: string): void {
@@ -369,7 +395,8 @@
     return (
       context.isOwnerLeaseValid() &&
       state.clockOffset !== null &&
-      task.endpointBornAt === state.bornAt
+      task.endpointBornAt === state.bornAt &&
+      state.entry.bornAt <= state.bornAt
     );
   }
 
@@ -412,6 +439,8 @@
           const pollMilliseconds =
             state.runs.size > 0 ? BUSY_POLL_MILLISECONDS : IDLE_POLL_MILLISECONDS;
           await hold(isUpToDate && state.clockOffset !== null ? pollMilliseconds : 0);
+          const isAcknowledgementDue = acknowledgedSequence() < state.durableSequence;
+          if (isAcknowledgementDue) await sleep(clock, UNACKNOWLEDGED_POLL_DELAY_MILLISECONDS);
         }
       }
       if (!context.hasEnded()) events.onGone(state);
@@ -428,6 +457,8 @@
         return;
       }
       metrics.count('starts_sent');
+      const sentAt = now();
+      task.startSentAt = sentAt;
       const order: StartOrder = {
         taskId: task.taskId,
         run,
@@ -441,11 +472,17 @@
       );
       if (outcome.kind === 'done') unansweredStarts = 0;
       if (!isCurrentRun(task, run) || task.phase === 'running') return;
-      if (outcome.kind === 'done') confirmRun(task, true);
-      else if (outcome.kind === 'unknown') await resolveUnansweredStart(task, run);
-      else {
+      if (outcome.kind === 'refused') {
         handleRefusedStart(task, outcome.reason);
         if (outcome.reason === 'fenced') abandonFenced();
+      } else if (
+        outcome.kind === 'done' &&
+        isFromKnownIncarnation(outcome.endpointClockMilliseconds, sentAt)
+      ) {
+        confirmRun(task, true);
+      } else {
+        if (outcome.kind === 'unknown') noteUnansweredStart(task, run);
+        await resolveStart(task, run);
       }
     },
     stop,
--- a/packages/scheduler/src/core/endpointTable.ts
+++ b/packages/scheduler/src/core/endpointTable.ts
@@ -5,6 +5,7 @@
 import type { EndpointEntry, OrderTarget } from '../types/endpoint.js';
 import type { TaskRecord } from '../types/jobRecord.js';
 import type { StepSpecification } from '../types/job.js';
+import { mayBeInLaterIncarnation } from './jobRecords.js';
 
 /** State of an endpoint at the owner. */
 export interface EndpointState {
@@ -30,8 +31,13 @@
   durableSequence: number;
   /** Lower bound of the endpoint's clock minus the monotonic clock, in milliseconds; null if unknown. */
   clockOffset: number | null;
-  /** When the leases of all runs there have certainly expired, in monotonic milliseconds. */
+  /** When the leases of all runs of this incarnation have certainly expired, in monotonic milliseconds. */
   leasesExpireAt: number;
+  /**
+   * When the leases of runs have certainly expired that orders for this incarnation have started in a later one, in
+   * monotonic milliseconds.
+   */
+  laterLeasesExpireAt: number;
   /** Number of unanswered holds in a row. */
   unansweredCalls: number;
   /** When the first of them failed, in monotonic milliseconds; null if the last hold was answered. */
@@ -47,6 +53,12 @@
   return step.isFilling ? { ...step.resources, processors: 0 } : step.resources;
 }
 
+/** @returns when the lease of a run has certainly expired, in monotonic milliseconds */
+export function leaseExpiryOf(state: EndpointState, task: TaskRecord): number {
+  const { leasesExpireAt, laterLeasesExpireAt } = state;
+  return mayBeInLaterIncarnation(task) ? laterLeasesExpireAt : leasesExpireAt;
+}
+
 /** Endpoints, the runs on them, and the resources in use by team. */
 export interface EndpointTable {
   get(endpointId: string): EndpointState | undefined;
@@ -84,6 +96,7 @@
         durableSequence: 0,
         clockOffset: null,
         leasesExpireAt: now,
+        laterLeasesExpireAt: now,
         unansweredCalls: 0,
         silentSince: null,
         hasCrashedDuringHold: false,
--- a/packages/scheduler/src/core/jobRecords.ts
+++ b/packages/scheduler/src/core/jobRecords.ts
@@ -51,6 +51,8 @@
     failures: 0,
     endpointId: null,
     endpointBornAt: 0,
+    isIncarnationKnown: false,
+    startSentAt: null,
     checkpoint: '',
     placedAt: 0,
     startedAt: 0,
@@ -139,6 +141,11 @@
   return task.phase === 'placed' || task.phase === 'running' || task.phase === 'stopping';
 }
 
+/** @returns whether the current run may be in a later incarnation of its endpoint than the recorded one */
+export function mayBeInLaterIncarnation(task: TaskRecord): boolean {
+  return hasActiveRun(task) && task.startSentAt !== null && !task.isIncarnationKnown;
+}
+
 /** Calls a function for each task of the incomplete occurrences of a job. */
 export function forEachTask(job: JobRecord, apply: (task: TaskRecord) => void): void {
   job.occurrences.forEach(({ steps }) => steps.forEach(({ tasks }) => tasks.forEach(apply)));
@@ -301,7 +308,9 @@
       task.losses = (losses ?? []).map((loss) => decodeLoss(job, loss));
       task.step.hasLosses ||= task.losses.length > 0;
       // A run that was being stopped is `placed` too: once its endpoint confirms it, it is stopped again if needed.
-      task.phase = phase === 'running' || phase === 'stopping' ? 'placed' : phase;
+      task.isIncarnationKnown = phase === 'running' || phase === 'stopping';
+      task.startSentAt = task.placedAt;
+      task.phase = task.isIncarnationKnown ? 'placed' : phase;
       const storedEndpoint = stored.endpoints[endpoint];
       if (storedEndpoint) [task.endpointId, task.endpointBornAt] = storedEndpoint;
     });
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -107,9 +107,10 @@
   let hasEnded = false;
   let components: ReturnType<typeof createComponents> | null = null;
   const startedAt = clock.monotonicMilliseconds();
+  const { maximumLeaseMilliseconds } = timeLimits;
   const formerLeasesExpireAt =
-    startedAt +
-    leaseExpiryMilliseconds(requestedLeaseMilliseconds(timeLimits.maximumLeaseMilliseconds));
+    startedAt + leaseExpiryMilliseconds(requestedLeaseMilliseconds(maximumLeaseMilliseconds));
+  const formerLaterLeasesExpireAt = startedAt + leaseExpiryMilliseconds(maximumLeaseMilliseconds);
 
   const readLatency = createLatencyEstimate(READ_TIMEOUTS);
   const estimates = createDurationEstimates(clock);
@@ -407,6 +408,9 @@
           state.isListed = false;
         }
         state.leasesExpireAt = formerLeasesExpireAt;
+        state.laterLeasesExpireAt = formerLaterLeasesExpireAt;
+        // The directory lists a later incarnation before the former owner can have sent it a start by mistake.
+        task.isIncarnationKnown ||= state.entry.bornAt <= task.endpointBornAt;
         task.absenceConclusiveAfter = -Infinity;
         table.charge(state, task);
       }),
--- a/packages/scheduler/src/core/taskTransitions.ts
+++ b/packages/scheduler/src/core/taskTransitions.ts
@@ -13,6 +13,7 @@
 import type { CommitUrgency } from './commitQueue.js';
 import { createEndpointLosses } from './endpointLosses.js';
 import type { EndpointLosses } from './endpointLosses.js';
+import { leaseExpiryOf } from './endpointTable.js';
 import type { EndpointState } from './endpointTable.js';
 import {
   addOccurrence,
@@ -44,7 +45,7 @@
   endRun(task: TaskRecord, kind: EndKind, checkpoint: string): void;
   /** Ends the current run of a task without a result and commits the job; the task resumes from its checkpoint. */
   dropRun(task: TaskRecord, kind: 'lapsed' | 'stopped'): void;
-  /** Drops all runs of an endpoint whose leases have certainly expired. */
+  /** Drops the runs of an endpoint whose leases have certainly expired. */
   expireRuns(state: EndpointState): void;
   /**
    * Ends a job; the listener of {@link TaskTransitions.onJobClosed} stops its runs. No effect on a job that has ended.
@@ -272,14 +273,16 @@
     endRun: endRunAndCleanUp,
     dropRun,
     expireRuns(state) {
-      const { entry, runs } = state;
-      if (runs.size === 0) return;
-      log.info('all run leases on endpoint expired', {
-        endpoint: entry.endpointId,
-        runs: runs.size,
+      const now = clock.monotonicMilliseconds();
+      const expired = [...state.runs.values()].filter((task) => now >= leaseExpiryOf(state, task));
+      if (expired.length === 0) return;
+      log.info('run leases on endpoint expired', {
+        endpoint: state.entry.endpointId,
+        runs: expired.length,
+        remaining: state.runs.size - expired.length,
       });
-      endpointLosses.recordLoss(state, [...runs.values()], 'silent');
-      [...runs.values()].forEach((task) => dropRun(task, 'lapsed'));
+      endpointLosses.recordLoss(state, expired, 'silent');
+      expired.forEach((task) => dropRun(task, 'lapsed'));
     },
     closeJob,
     onJobClosed(listener) {
--- a/packages/scheduler/src/types/jobRecord.ts
+++ b/packages/scheduler/src/types/jobRecord.ts
@@ -32,6 +32,10 @@
   endpointId: string | null;
   /** Incarnation of that endpoint. */
   endpointBornAt: number;
+  /** Whether an answer of that incarnation has shown that the current run is there, and not in a later one. */
+  isIncarnationKnown: boolean;
+  /** When the start of the current run was sent, in monotonic milliseconds; null if it was not. */
+  startSentAt: number | null;
   /** Where the next run resumes; empty for the beginning. */
   checkpoint: string;
   /** When the current run was recorded, in monotonic milliseconds. */
