Bound what a gang that waits reserves

Cause: the gang reserved all the room that it could use in each round. Its only guard compared it with idle endpoints, on which long-running tasks count as work that ends, and nothing bounded how long it was repeated.

Change: a gang reserves only where it fits beside the long-running work of its team and of all teams, on endpoints that accept work. Reservations last 2.5 to 20 s, with pauses in which other work starts, and cover whole endpoints, so that other work does not fill the gaps that the gang leaves. Urgent steps that wait for advice reserve under the same bound.

--- /dev/null
+++ b/packages/decisions/src/__tests__/reservationWindows.test.ts
@@ -0,0 +1,44 @@
+import test from 'ava';
+
+import { createReservationWindows } from '../index.js';
+
+const STEP = 'a.0.0';
+const INTERVAL_MILLISECONDS = 50;
+
+/** @returns durations of the times in which the step may reserve room, and of those in which it may not, in turn */
+function measureTurns(milliseconds: number): { reserved: number[]; paused: number[] } {
+  const windows = createReservationWindows();
+  const reserved: number[] = [];
+  const paused: number[] = [];
+  let wasReserved: boolean | null = null;
+  for (let now = 0; now < milliseconds; now += INTERVAL_MILLISECONDS) {
+    const isReserved = windows.mayReserve(STEP, now);
+    const turns = isReserved ? reserved : paused;
+    if (isReserved !== wasReserved) turns.push(0);
+    turns[turns.length - 1]! += INTERVAL_MILLISECONDS;
+    wasReserved = isReserved;
+  }
+  return { reserved, paused };
+}
+
+test('reservations become longer up to a bound, and other work has a turn between them', (t) => {
+  const { reserved, paused } = measureTurns(120_000);
+  t.deepEqual(reserved.slice(0, 5), [2_500, 5_000, 10_000, 20_000, 20_000]);
+  t.true(paused.every((milliseconds) => milliseconds >= 1_000));
+});
+
+test('a step that has started begins with a short reservation again', (t) => {
+  const windows = createReservationWindows();
+  t.true(windows.mayReserve(STEP, 0));
+  t.false(windows.mayReserve(STEP, 2_600));
+  windows.forget(STEP);
+  t.true(windows.mayReserve(STEP, 2_600));
+  t.false(windows.mayReserve(STEP, 5_200));
+});
+
+test('the windows of steps do not depend on each other', (t) => {
+  const windows = createReservationWindows();
+  t.true(windows.mayReserve(STEP, 0));
+  t.true(windows.mayReserve('b.0.0', 2_600));
+  t.false(windows.mayReserve(STEP, 2_600));
+});
--- a/packages/decisions/src/utils/resourceAmounts.ts
+++ b/packages/decisions/src/utils/resourceAmounts.ts
@@ -38,5 +38,5 @@
   const counts = RESOURCE_DIMENSIONS.filter((name) => required[name] > 0).map((name) =>
     Math.floor((available[name] + ROUNDING_TOLERANCE) / required[name]),
   );
-  return Math.min(...counts);
+  return Math.max(0, Math.min(...counts));
 }
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -2,17 +2,19 @@
   addResources,
   canHost,
   chooseEndpointsForAdvice,
+  chooseGangRoom,
   countAdviceCalls,
   coversResources,
   createAdviceOrder,
   createEndpointChooser,
-  fitsIdleEndpoints,
+  createReservationWindows,
   orderSteps,
 } from '@chicorybend/decisions';
 import type {
   AdviceNeed,
   AdviceOrder,
   EndpointRequirements,
+  GangRoom,
   OrderingKey,
   TrialRequirements,
 } from '@chicorybend/decisions';
@@ -20,7 +22,7 @@
 import type { CancelTimer, Resources } from '@chicorybend/common';
 
 import type { JobQueueSettings } from '../types/configuration.js';
-import type { StepRecord, TaskRecord } from '../types/jobRecord.js';
+import type { JobRecord, StepRecord, TaskRecord } from '../types/jobRecord.js';
 import type { TermContext } from '../types/termContext.js';
 import type { AdviceCache, AdviceRequest } from './adviceCache.js';
 import type { EndpointSession } from './endpointSession.js';
@@ -110,6 +112,7 @@
   const keptEndpoints = createKeptEndpoints(context, transitions);
   const trialSchedule = createTrialSchedule(context);
   const unsentStarts = createUnsentStarts(context);
+  const reservationWindows = createReservationWindows();
   const roundStatistics = createRoundStatistics(metrics);
   /** Waiting tasks of the last round. */
   const waiting = createWaitingTasks();
@@ -247,8 +250,8 @@
     };
   }
 
-  function fitsTeamLimit(step: StepRecord, used: Resources): boolean {
-    const limit = context.settings.teamLimitOf(step.job);
+  function fitsTeamLimit(job: JobRecord, used: Resources): boolean {
+    const limit = context.settings.teamLimitOf(job);
     if (!limit) return true;
     return RESOURCE_DIMENSIONS.every(
       (dimension) => limit[dimension] === 0 || used[dimension] <= limit[dimension],
@@ -271,7 +274,7 @@
     let used = table.usedByTeam(step.job.team);
     for (const task of tasks) {
       used = addResources(used, step.specification.resources);
-      if (!fitsTeamLimit(step, used)) return { placements, blockedBy: 'limit' };
+      if (!fitsTeamLimit(step.job, used)) return { placements, blockedBy: 'limit' };
       const candidate = chooser.place(avoidedEndpoint(task));
       if (!candidate) break;
       placements.push({ task, candidate });
@@ -371,6 +374,7 @@
     isTrial: boolean,
   ): void {
     const { isGang } = step.specification;
+    reservationWindows.forget(step.stepId);
     const gangRun = Math.max(...pending.map(({ run }) => run)) + 1;
     const checkpoint = pending.find((task) => task.checkpoint !== '')?.checkpoint ?? '';
     if (step.specification.targetMilliseconds > 0) {
@@ -412,7 +416,7 @@
     const { isGang } = step.specification;
     if (pending.length === 0) return { reason: null, request: null };
     const withOneMore = addResources(table.usedByTeam(step.job.team), step.specification.resources);
-    if (!fitsTeamLimit(step, withOneMore)) {
+    if (!fitsTeamLimit(step.job, withOneMore)) {
       countBlockedTasks(readyStep, 'limit', pending.length);
       return { reason: 'limit', request: null };
     }
@@ -497,39 +501,66 @@
     };
   }
 
-  /** @returns whether all tasks of a step could run at the same time if nothing else ran */
-  function fitsWithoutOtherWork(
+  /** @returns whether an endpoint accepts runs, as far as its present load does not matter */
+  function isAccepting({ entry, isListed, unansweredCalls }: EndpointState): boolean {
+    return (
+      isListed &&
+      !entry.isDraining &&
+      unansweredCalls === 0 &&
+      !transitions.isQuarantined(entry.endpointId)
+    );
+  }
+
+  /** @returns whether the team of a gang may run all its tasks once its work that ends by itself has ended */
+  function mayFitTeamLimitLater({ job, specification }: StepRecord): boolean {
+    const lasting = table.usedForLongRunningByTeam(job.team);
+    return fitsTeamLimit(job, addResources(lasting, specification.resources, specification.count));
+  }
+
+  /** @returns endpoints that a gang waits for; none if it does not fit beside the long-running work */
+  function findGangRoom(
     step: StepRecord,
     queue: JobQueueSettings,
     requirements: EndpointRequirements,
-  ): boolean {
-    const capacities = [...table.all()].flatMap((state) => {
-      const { entry, isListed, bornAt } = state;
-      const candidate = { state, endpointId: entry.endpointId, bornAt };
-      const isHost = isListed && !entry.isDraining && isMatching(step, queue, candidate);
-      return isHost ? [entry.capacity] : [];
+  ): readonly GangRoom[] {
+    if (!mayFitTeamLimitLater(step)) return [];
+    const rooms = [...table.all()].flatMap((state) => {
+      const { entry, bornAt, used, usedForLongRunning } = state;
+      const { endpointId, capacity } = entry;
+      if (!isAccepting(state) || !isMatching(step, queue, { state, endpointId, bornAt })) return [];
+      const free = addResources(capacity, used, -1);
+      return [{ endpointId, free, freeLater: addResources(capacity, usedForLongRunning, -1) }];
     });
-    return fitsIdleEndpoints(capacities, requirements, step.specification.count);
+    return chooseGangRoom(rooms, requirements, step.specification.count);
   }
 
-  /** The room of a gang grows from round to round until all its tasks fit. */
+  /** The room of a gang grows from round to round until all its tasks fit, or until others get their turn. */
   function reserveForGang(
     { step, queue }: ReadyStep,
     unplaced: readonly TaskRecord[],
-    { all }: RoundEndpoints,
+    endpoints: RoundEndpoints,
     requirements: EndpointRequirements,
   ): BlockingReason {
-    // A gang that the capacities do not cover would wait for its room until they grow.
-    if (!fitsWithoutOtherWork(step, queue, requirements)) return 'room';
+    const room = findGangRoom(step, queue, requirements);
+    const isReserving =
+      room.length > 0 && reservationWindows.mayReserve(step.stepId, clock.monotonicMilliseconds());
+    if (!isReserving) return 'room';
     const { placements, blockedBy } = planPlacements(
       step,
       unplaced,
-      all.filter(
+      endpoints.all.filter(
         (candidate) => canHost(candidate, requirements) && isMatching(step, queue, candidate),
       ),
       requirements,
     );
-    return queue.advice && placements.length === unplaced.length ? 'advice' : blockedBy;
+    if (queue.advice && placements.length === unplaced.length) return 'advice';
+    releasePlannedRoom(step, placements);
+    if (blockedBy === 'limit') return 'limit';
+    const endpointIds = room.map(({ endpointId }) => endpointId);
+    findCandidates(endpointIds, endpoints).forEach((candidate) => {
+      candidate.used = candidate.capacity;
+    });
+    return 'room';
   }
 
   /**
@@ -566,7 +597,9 @@
     }
     if (!queue.advice) return 'room';
     const isRoomReserved =
-      requirements.isUrgent && reserveAskedEndpoints(readyStep, unplaced, endpoints, requirements);
+      requirements.isUrgent &&
+      reservationWindows.mayReserve(step.stepId, clock.monotonicMilliseconds()) &&
+      reserveAskedEndpoints(readyStep, unplaced, endpoints, requirements);
     const hasRoom =
       isRoomReserved ||
       endpoints.all.some(
--- a/packages/scheduler/src/core/endpointTable.ts
+++ b/packages/scheduler/src/core/endpointTable.ts
@@ -23,6 +23,8 @@
   bornAt: number;
   /** Resources charged for the runs that may exist there. */
   used: Resources;
+  /** Part of these that is charged for long-running tasks, which do not end by themselves. */
+  usedForLongRunning: Resources;
   /** Tasks with a run that may exist there, by task id. */
   readonly runs: Map<string, TaskRecord>;
   /** Sequence number of the last applied end. */
@@ -72,12 +74,30 @@
   release(task: TaskRecord): void;
   /** @returns resources of all runs of a team that may exist */
   usedByTeam(team: string): Resources;
+  /** @returns resources of those that are long-running */
+  usedForLongRunningByTeam(team: string): Resources;
   target(state: EndpointState, fencingToken: number): OrderTarget;
 }
 
 export function createEndpointTable(): EndpointTable {
   const states = new Map<string, EndpointState>();
   const teams = new Map<string, Resources>();
+  const longRunningByTeam = new Map<string, Resources>();
+
+  /** Adds the resources of a run to its endpoint and its team, or subtracts them. */
+  function account(state: EndpointState, { step }: TaskRecord, factor: 1 | -1): void {
+    const charged = chargedResources(step.specification);
+    const { resources, isLongRunning } = step.specification;
+    function addToTeam(byTeam: Map<string, Resources>): void {
+      const { team } = step.job;
+      byTeam.set(team, addResources(byTeam.get(team) ?? NO_RESOURCES, resources, factor));
+    }
+    state.used = addResources(state.used, charged, factor);
+    addToTeam(teams);
+    if (!isLongRunning) return;
+    state.usedForLongRunning = addResources(state.usedForLongRunning, charged, factor);
+    addToTeam(longRunningByTeam);
+  }
 
   return {
     get: (endpointId) => states.get(endpointId),
@@ -91,6 +111,7 @@
         isReconciled: false,
         bornAt: entry.bornAt,
         used: NO_RESOURCES,
+        usedForLongRunning: NO_RESOURCES,
         runs: new Map(),
         appliedSequence: 0,
         durableSequence: 0,
@@ -116,24 +137,14 @@
         () => `task ${task.taskId} already has a run charged to endpoint ${state.entry.endpointId}`,
       );
       state.runs.set(task.taskId, task);
-      state.used = addResources(state.used, chargedResources(task.step.specification));
-      const { team } = task.step.job;
-      teams.set(
-        team,
-        addResources(teams.get(team) ?? NO_RESOURCES, task.step.specification.resources),
-      );
+      account(state, task, 1);
     },
     release(task) {
       const state = task.endpointId === null ? undefined : states.get(task.endpointId);
-      const { team } = task.step.job;
-      if (!state?.runs.delete(task.taskId)) return;
-      state.used = addResources(state.used, chargedResources(task.step.specification), -1);
-      teams.set(
-        team,
-        addResources(teams.get(team) ?? NO_RESOURCES, task.step.specification.resources, -1),
-      );
+      if (state?.runs.delete(task.taskId)) account(state, task, -1);
     },
     usedByTeam: (team) => teams.get(team) ?? NO_RESOURCES,
+    usedForLongRunningByTeam: (team) => longRunningByTeam.get(team) ?? NO_RESOURCES,
     target: (state, fencingToken) => ({
       endpointId: state.entry.endpointId,
       address: state.entry.address,
