Keep the runs of an unlisted endpoint until their leases have ended

Cause: drops only the runs whose leases have certainly ended. For an endpoint that the directory no longer lists this was tried once, by a timer that may fire a fraction of a millisecond early; the endpoint was then forgotten with its runs.

Change: the endpoint is forgotten once it has no run left.

No test: the clocks of tests are exact.

--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -257,9 +257,12 @@
   /** The address of an unlisted endpoint is unknown, so its runs can only be dropped when their leases have expired. */
   async function awaitLeaseExpiry(state: EndpointState, onExpired: () => void): Promise<void> {
     const { transitions } = components!;
-    await sleep(clock, Math.max(0, state.leasesExpireAt - clock.monotonicMilliseconds()));
-    if (hasEnded || state.entry.address !== '') return;
-    transitions.expireRuns(state);
+    while (state.runs.size > 0) {
+      const remaining = state.leasesExpireAt - clock.monotonicMilliseconds();
+      await sleep(clock, Math.max(RETRY_DELAY_MILLISECONDS, remaining));
+      if (hasEnded || state.entry.address !== '') return;
+      transitions.expireRuns(state);
+    }
     table.remove(state.entry.endpointId);
     sessions.delete(state.entry.endpointId);
     onExpired();
