Count only crashes at a similar age of the runs against a task

Cause: four crashes under one task gave it up, whatever their cause and the age of its runs; starts that were never sent counted as well.

Change: a task that crashes its endpoints does so at a similar age, so only such losses count together. Common causes count only for young runs. An age that is unknown is marked as such and takes one more loss. Ages count from the sending of the start. Three crashes suffice with two of them on trial.

The wave test failed before.

--- a/packages/decisions/src/__tests__/crashSuspicion.test.ts
+++ b/packages/decisions/src/__tests__/crashSuspicion.test.ts
@@ -124,3 +124,38 @@
   t.is(judgeCrashes([...losses, alone]), 'guilty');
   t.is(judgeCrashes([...losses, createLoss('shared', 'silent')]), 'suspect');
 });
+
+test('crashes at different ages of its runs give no task up, as many as there are', (t) => {
+  const losses = [300, 1_500, 7_200, 40, 3_900].map((age) =>
+    createLoss('common', 'executing', age),
+  );
+  t.is(judgeCrashes(losses), 'unsuspected');
+  const bystanders = [1_200, 18_000, 5_000, 9_000].map((age) =>
+    createLoss('bystander', 'executing', age),
+  );
+  t.is(judgeCrashes(bystanders), 'suspect');
+  t.is(judgeCrashes([...bystanders.slice(0, 2), createLoss('sole', 'executing', 400)]), 'suspect');
+});
+
+test('losses with a common cause give no task up that ran well for longer than a trial', (t) => {
+  const late = createLoss('common', 'executing', 3_500);
+  t.is(judgeCrashes([late, late, late, late, late]), 'unsuspected');
+  const early = createLoss('common', 'executing', 10);
+  t.is(judgeCrashes([early, early, early]), 'unsuspected');
+  t.is(judgeCrashes([early, early, early, early]), 'guilty');
+});
+
+test('crashes with an unconfirmed run take one more to give a task up', (t) => {
+  const unconfirmed = createLoss('shared', 'unconfirmed', 0);
+  t.is(judgeCrashes([unconfirmed, unconfirmed, unconfirmed, createLoss('shared')]), 'suspect');
+  const losses = [unconfirmed, unconfirmed, createLoss('shared'), createLoss('shared')];
+  t.is(judgeCrashes(losses), 'guilty');
+});
+
+test('two further crashes on trial suffice if the task was certainly executing at one of them', (t) => {
+  const first = createLoss('shared', 'unconfirmed');
+  const trial = createLoss('sole', 'unconfirmed');
+  t.is(judgeCrashes([first, trial, trial]), 'suspect');
+  t.is(judgeCrashes([first, trial, createLoss('sole')]), 'guilty');
+  t.is(judgeCrashes([first, trial, createLoss('unreliable')]), 'suspect');
+});
--- a/packages/decisions/src/core/crashSuspicion.ts
+++ b/packages/decisions/src/core/crashSuspicion.ts
@@ -13,8 +13,17 @@
 const TRIAL_AGE_FACTOR = 2;
 /** Minimum age at which a run clears its task of earlier losses, in milliseconds. */
 const MINIMUM_OUTLIVING_MILLISECONDS = 10_000;
-/** A task is given up after this many crashes of its endpoints, even if each of them may have another cause. */
+/** Deviation of the age at the loss of a run that was certainly executing, in milliseconds. */
+const EXECUTING_AGE_TOLERANCE_MILLISECONDS = 150;
+/** The same for a run that may have ended, at an endpoint whose loss was noticed by the timeout of a call. */
+const CRASHED_AGE_TOLERANCE_MILLISECONDS = 750;
+/** The same for a run whose endpoint has not answered since its start, or since a change of the owner. */
+const UNCONFIRMED_AGE_TOLERANCE_MILLISECONDS = 2_000;
+/** A task is given up after this many crashes at a similar age, even if each of them may have another cause. */
 const MAXIMUM_CRASHES = 4;
+/** The same if its run was confirmed at fewer than two of them, so that their ages tell little. */
+const MAXIMUM_UNCONFIRMED_CRASHES = 5;
+const MINIMUM_CONFIRMED_CRASHES = 2;
 /** Number of further losses that are needed if the last endpoint had other losses. */
 const FURTHER_LOSSES_ON_UNRELIABLE_ENDPOINTS = 1;
 /** A suspect that was alone at the last loss is given up after this many, even if its endpoints may be cut off. */
@@ -23,6 +32,8 @@
 const MINIMUM_PROVEN_LOSSES = 2;
 /** Number of losses on trial that suffice without such crashes. */
 const MINIMUM_LOSSES_ON_TRIAL = 3;
+/** Number of crashes that suffice if the task was on trial at all but the first, and certainly executing at one. */
+const MINIMUM_CRASHES_WITH_TRIALS = 3;
 
 /**
  * What the loss of an endpoint says about a task that had a run there:
@@ -39,10 +50,11 @@
  * What is certain about the loss of an endpoint:
  *
  * - `executing`: it crashed while it was executing the run
- * - `crashed`: it crashed; the start of the run may not have reached it, or the run may have ended before
+ * - `crashed`: it crashed; the run may have ended before
+ * - `unconfirmed`: it crashed; the start of the run may not have reached it, and the age of the run is unknown
  * - `silent`: it may be cut off
  */
-export type LossCertainty = 'executing' | 'crashed' | 'silent';
+export type LossCertainty = 'executing' | 'crashed' | 'unconfirmed' | 'silent';
 
 /** The loss of an endpoint that had a run of a task. */
 export interface EndpointLoss {
@@ -153,23 +165,85 @@
   return losses.filter(({ certainty }) => certainty !== 'silent').length;
 }
 
+function ageTolerance({ certainty }: EndpointLoss): number {
+  return certainty === 'executing'
+    ? EXECUTING_AGE_TOLERANCE_MILLISECONDS
+    : CRASHED_AGE_TOLERANCE_MILLISECONDS;
+}
+
+function isAgeKnown({ certainty }: EndpointLoss): boolean {
+  return certainty === 'executing' || certainty === 'crashed';
+}
+
+/** @returns whether a task that caused the reference loss may also have caused another one */
+function isConsistent(loss: EndpointLoss, reference: EndpointLoss): boolean {
+  const difference = loss.ageMilliseconds - reference.ageMilliseconds;
+  // The endpoint was last known to be up not long before; when it was lost is unknown.
+  if (!isAgeKnown(loss)) return difference <= UNCONFIRMED_AGE_TOLERANCE_MILLISECONDS;
+  return Math.abs(difference) <= Math.max(ageTolerance(loss), ageTolerance(reference));
+}
+
+/**
+ * A task that crashes its endpoints does so at a similar age of each run.
+ *
+ * @returns most losses that are consistent with each other
+ */
+function findConsistentLosses(losses: readonly EndpointLoss[]): readonly EndpointLoss[] {
+  const references = losses.filter(isAgeKnown);
+  const groups = references.map((reference) =>
+    losses.filter((loss) => isConsistent(loss, reference)),
+  );
+  const unknown = losses.filter((loss) => !isAgeKnown(loss));
+  return groups.reduce(
+    (largest, group) => (group.length > largest.length ? group : largest),
+    unknown,
+  );
+}
+
+/**
+ * Losses with a common cause count only if the run was young enough for a trial: they say nothing about a task that ran
+ * well for longer.
+ *
+ * @returns whether a task is given up although each of the crashes may have another cause
+ */
+function areTooManyCrashes(losses: readonly EndpointLoss[]): boolean {
+  const counted = losses.filter(
+    ({ role, ageMilliseconds }) =>
+      role !== 'common' || ageMilliseconds <= MAXIMUM_TRIAL_MILLISECONDS,
+  );
+  const isConfirmed = counted.filter(isAgeKnown).length >= MINIMUM_CONFIRMED_CRASHES;
+  return countCrashes(counted) >= (isConfirmed ? MAXIMUM_CRASHES : MAXIMUM_UNCONFIRMED_CRASHES);
+}
+
+/** @returns whether the losses prove that a task crashes its endpoints, provided that it has caused them */
+function isProven(losses: readonly EndpointLoss[]): boolean {
+  if (areTooManyCrashes(losses)) return true;
+  const attributable = losses.filter(({ role }) => role !== 'common');
+  const last = attributable.at(-1);
+  if (!last || !isAlone(last)) return false;
+  const further = last.role === 'unreliable' ? FURTHER_LOSSES_ON_UNRELIABLE_ENDPOINTS : 0;
+  const onTrial = attributable.filter(isAlone).length;
+  const isRepeatedOnTrial =
+    countProven(attributable) > 0 &&
+    countCrashes(attributable) >= MINIMUM_CRASHES_WITH_TRIALS + further &&
+    countCrashes(attributable.filter(isAlone)) >= MINIMUM_CRASHES_WITH_TRIALS + further - 1;
+  return (
+    isRepeatedOnTrial ||
+    countProven(attributable) >= MINIMUM_PROVEN_LOSSES + further ||
+    onTrial >= MINIMUM_LOSSES_ON_TRIAL + further
+  );
+}
+
 /**
  * Judges a task by the endpoints that were lost under it. It is guilty if it was alone under suspicion at the last
- * loss, and two endpoints have certainly crashed under it or three were lost while it was on trial.
+ * loss, and two endpoints have certainly crashed under it or three were lost while it was on trial, all at a similar
+ * age of its runs.
  */
 export function judgeCrashes(losses: readonly EndpointLoss[]): CrashVerdict {
-  if (countCrashes(losses) >= MAXIMUM_CRASHES) return 'guilty';
   const attributable = losses.filter(({ role }) => role !== 'common');
   const last = attributable.at(-1);
-  if (last && isAlone(last)) {
-    const further = last.role === 'unreliable' ? FURTHER_LOSSES_ON_UNRELIABLE_ENDPOINTS : 0;
-    const onTrial = attributable.filter(isAlone).length;
-    const isGuilty =
-      losses.length >= MAXIMUM_LOSSES ||
-      countProven(attributable) >= MINIMUM_PROVEN_LOSSES + further ||
-      onTrial >= MINIMUM_LOSSES_ON_TRIAL + further;
-    if (isGuilty) return 'guilty';
-  }
+  const isLastOfMany = losses.length >= MAXIMUM_LOSSES && last !== undefined && isAlone(last);
+  if (isLastOfMany || isProven(findConsistentLosses(losses))) return 'guilty';
   const isSuspect =
     attributable.length > 1 || attributable.some(({ role }) => role !== 'bystander');
   return isSuspect ? 'suspect' : 'unsuspected';
--- a/packages/proving/src/__tests__/crashReview.test.ts
+++ b/packages/proving/src/__tests__/crashReview.test.ts
@@ -300,3 +300,25 @@
   }
   t.true(Math.max(...waits) <= 200, `waited for ${waits.join(', ')} ms`);
 });
+
+test('waves of crashes that hit a long-running task each time, beside others, do not give it up', async (t) => {
+  const cell = await createCell(null, { count: 20, rackSize: 5, durationOf: () => Infinity });
+  await submit(t, cell, JOB, { count: 8, isLongRunning: true, estimatedMilliseconds: 320 });
+  await cell.advance(2_000);
+  for (let wave = 0; wave < 6; wave += 1) {
+    const hosts = runsOf(cell, JOB)
+      .filter(({ endedAt }) => endedAt === null)
+      .map(({ endpointId }) => endpointId);
+    const others = cell.fleet
+      .entries()
+      .map(({ endpointId }) => endpointId)
+      .filter((endpointId) => !hosts.includes(endpointId));
+    [hosts[0]!, ...others.slice(wave, wave + 2)].forEach((endpointId) => {
+      cell.fleet.crash(endpointId, { downMilliseconds: 2_000, keepsId: false });
+    });
+    await cell.advance(6_000);
+  }
+  t.is(await statusOf(cell, JOB), 'running');
+  const running = runsOf(cell, JOB).filter(({ endedAt }) => endedAt === null);
+  t.is(running.length, 8);
+});
--- a/packages/scheduler/src/core/endpointLosses.ts
+++ b/packages/scheduler/src/core/endpointLosses.ts
@@ -4,7 +4,7 @@
   hasCommonCause,
   isRecentStart,
 } from '@chicorybend/decisions';
-import type { EndpointLoss, LostEndpoint } from '@chicorybend/decisions';
+import type { EndpointLoss, LossCertainty, LostEndpoint } from '@chicorybend/decisions';
 
 import type { JobRecord, TaskRecord } from '../types/jobRecord.js';
 import type { TermContext } from '../types/termContext.js';
@@ -55,7 +55,7 @@
 
 function runAge(task: TaskRecord, at: number): number {
   const isStartKnown = task.isStartTimeKnown && task.phase !== 'placed';
-  return Math.max(0, at - (isStartKnown ? task.startedAt : task.placedAt));
+  return Math.max(0, at - (isStartKnown ? task.startedAt : (task.startSentAt ?? task.placedAt)));
 }
 
 /** @returns whether the current run of a task may have caused a loss at a time, in monotonic milliseconds */
@@ -135,6 +135,16 @@
     );
   }
 
+  function judgeCertainty(
+    { hasCrashedDuringHold }: EndpointState,
+    { phase }: TaskRecord,
+    cause: LossCause,
+  ): LossCertainty {
+    if (cause === 'silent') return 'silent';
+    if (phase === 'placed') return 'unconfirmed';
+    return hasCrashedDuringHold ? 'executing' : 'crashed';
+  }
+
   function logLoss(
     state: EndpointState,
     cause: LossCause,
@@ -176,7 +186,10 @@
     },
     recordLoss(state, allTasks, cause) {
       // A run remains at its endpoint after its loss while a stop must rule out that it starts late.
-      const tasks = allTasks.filter((task) => !task.losses.some(({ run }) => run === task.run));
+      const tasks = allTasks.filter(
+        ({ startSentAt, losses, run }) =>
+          startSentAt !== null && !losses.some((loss) => loss.run === run),
+      );
       if (tasks.length === 0 || hasLeftAsPlanned(state, tasks)) return;
       const lossTime = estimateLossTime(state, tasks);
       forgetOldLosses(clock.monotonicMilliseconds());
@@ -192,13 +205,11 @@
         const ageMilliseconds = runAge(task, lossTime);
         const run = { ageMilliseconds, isOnTrial: isOnTrial(task, lossTime) };
         const role = classifyLoss(run, circumstances);
-        const isExecuting =
-          cause === 'crashed' && state.hasCrashedDuringHold && task.phase !== 'placed';
         const loss: EndpointLoss = {
           run: task.run,
           role,
           ageMilliseconds,
-          certainty: isExecuting ? 'executing' : cause,
+          certainty: judgeCertainty(state, task, cause),
           at: lossTime + wallDifference,
         };
         task.losses = [...discardOutlivedLosses(task.losses, ageMilliseconds), loss];
