Count a job as started once one of its runs has been seen

Cause: a job counted as started from the placement of its first run.

Change: it counts from the first answer or list of an endpoint that shows a run of it. The time to the first start in the metrics follows.

--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -315,11 +315,6 @@
     table.charge(state, task);
     unsentStarts.add(task);
     transitions.recordStart(state.entry.endpointId);
-    const { job } = task.step;
-    if (!job.hasStarted) {
-      job.hasStarted = true;
-      context.metrics.record('first_start_milliseconds', clock.wallMilliseconds() - job.acceptedAt);
-    }
   }
 
   /** Sends the starts once the placements are durable; drops runs whose start can no longer be sent. */
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -197,7 +197,7 @@
     const task = state.runs.get(end.taskId);
     if (!task || task.run !== end.run) return;
     changedTasks.add(task);
-    transitions.endpointLosses.withdrawLoss(task);
+    transitions.noteRun(task);
     transitions.endRun(task, end.kind, end.checkpoint);
   }
 
@@ -347,7 +347,7 @@
     task.phase = isWanted ? 'running' : 'stopping';
     task.endpointBornAt = state.bornAt;
     task.isIncarnationKnown = true;
-    transitions.endpointLosses.withdrawLoss(task);
+    transitions.noteRun(task);
     task.startedAt = now();
     task.isStartTimeKnown = isStartKnown;
     task.progressReports = [];
--- a/packages/scheduler/src/core/taskTransitions.ts
+++ b/packages/scheduler/src/core/taskTransitions.ts
@@ -41,6 +41,8 @@
   save(job: JobRecord, urgency?: CommitUrgency): Promise<boolean>;
   /** Creates the occurrences of a job that are due, and releases the steps whose dependencies are complete. */
   releaseDueSteps(job: JobRecord): void;
+  /** An endpoint has shown that the current run of a task exists, or has existed. */
+  noteRun(task: TaskRecord): void;
   /** Applies the end of the current run of a task. */
   endRun(task: TaskRecord, kind: EndKind, checkpoint: string): void;
   /** Ends the current run of a task without a result and commits the job; the task resumes from its checkpoint. */
@@ -265,11 +267,20 @@
     if (activeRuns === 0) job.occurrences.clear();
   }
 
+  function noteRun(task: TaskRecord): void {
+    const { job } = task.step;
+    endpointLosses.withdrawLoss(task);
+    if (job.hasStarted) return;
+    job.hasStarted = true;
+    metrics.record('first_start_milliseconds', clock.wallMilliseconds() - job.acceptedAt);
+  }
+
   return {
     releasedSteps,
     endpointLosses,
     save,
     releaseDueSteps: release,
+    noteRun,
     endRun: endRunAndCleanUp,
     dropRun,
     expireRuns(state) {
--- a/packages/scheduler/src/types/jobRecord.ts
+++ b/packages/scheduler/src/types/jobRecord.ts
@@ -115,7 +115,7 @@
   phase: JobPhase;
   /** Wall-clock time, in milliseconds since the Unix epoch; 0 while the job is open. */
   endedAt: number;
-  /** Whether any task has been placed. */
+  /** Whether any task has begun to run; a run that is only placed may never reach its endpoint. */
   hasStarted: boolean;
   /** Number of occurrences created so far. */
   occurrenceCount: number;
