Let long-running tasks start on endpoints that are kept for a gang

Cause: a reservation marked endpoints as full in the round, for all work. A long-running task that was lost then waited up to 20 s for a gang.

Change: endpoints are marked as reserved, which long-running tasks pass over, as they do with room that is kept for urgent work.

--- a/packages/proving/src/__tests__/gangReservations.test.ts
+++ b/packages/proving/src/__tests__/gangReservations.test.ts
@@ -143,3 +143,20 @@
   t.true(longestBeside < 5_000 + BATCH_RUN_MILLISECONDS + 1_000, `${longestBeside} ms`);
   t.deepEqual(cell.fleet.violations(), []);
 });
+
+test('a long-running task does not wait for the room of a gang', async (t) => {
+  const cell = await createCell();
+  await submitStream(t, cell, 100, 10, 400);
+  await submit(t, cell, `/rebuild/${GANG}`, {
+    count: ENDPOINTS,
+    isGang: true,
+    estimatedMilliseconds: BATCH_RUN_MILLISECONDS,
+    ...processors(8),
+  });
+  await cell.advance(200);
+  const submittedAt = new Map([[LASTING, cell.clock.monotonicMilliseconds()]]);
+  await submit(t, cell, `/batch/${LASTING}`, { isLongRunning: true, ...processors(2) });
+  await cell.advance(2_000);
+  const [wait] = waitsOf(cell, submittedAt);
+  t.true(wait! < 500, `${wait} ms`);
+});
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -262,6 +262,14 @@
     return avoidedUntil > clock.monotonicMilliseconds() ? avoidedEndpointId : null;
   }
 
+  /** Long-running tasks do not wait for a gang, because their users notice each second without them. */
+  function isOpenTo(
+    { isLongRunning }: EndpointRequirements,
+    { isReservedForGang }: RoundCandidate,
+  ): boolean {
+    return isLongRunning || !isReservedForGang;
+  }
+
   /** Chooses endpoints for as many tasks as fit, and reserves their capacity for the rest of this round. */
   function planPlacements(
     step: StepRecord,
@@ -269,7 +277,8 @@
     candidates: readonly RoundCandidate[],
     requirements: EndpointRequirements,
   ): { placements: Placement[]; blockedBy: BlockingReason } {
-    const chooser = createEndpointChooser(candidates, requirements);
+    const open = candidates.filter((candidate) => isOpenTo(requirements, candidate));
+    const chooser = createEndpointChooser(open, requirements);
     const placements: Placement[] = [];
     let used = table.usedByTeam(step.job.team);
     for (const task of tasks) {
@@ -553,7 +562,7 @@
     if (blockedBy === 'limit') return 'limit';
     const endpointIds = room.map(({ endpointId }) => endpointId);
     findCandidates(endpointIds, endpoints).forEach((candidate) => {
-      candidate.used = candidate.capacity;
+      candidate.isReservedForGang = true;
     });
     return 'room';
   }
@@ -598,7 +607,10 @@
     const hasRoom =
       isRoomReserved ||
       endpoints.all.some(
-        (candidate) => canHost(candidate, requirements) && isMatching(step, queue, candidate),
+        (candidate) =>
+          isOpenTo(requirements, candidate) &&
+          canHost(candidate, requirements) &&
+          isMatching(step, queue, candidate),
       );
     return hasRoom ? 'advice' : 'room';
   }
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -439,8 +439,8 @@
           const pollMilliseconds =
             state.runs.size > 0 ? BUSY_POLL_MILLISECONDS : IDLE_POLL_MILLISECONDS;
           await hold(isUpToDate && state.clockOffset !== null ? pollMilliseconds : 0);
-          const isAcknowledgementDue = acknowledgedSequence() < state.durableSequence;
-          if (isAcknowledgementDue) await sleep(clock, UNACKNOWLEDGED_POLL_DELAY_MILLISECONDS);
+          const isWithheld = acknowledgedSequence() < state.durableSequence;
+          if (isWithheld) await sleep(clock, UNACKNOWLEDGED_POLL_DELAY_MILLISECONDS);
         }
       }
       if (!context.hasEnded()) events.onGone(state);
--- a/packages/scheduler/src/core/roundCandidates.ts
+++ b/packages/scheduler/src/core/roundCandidates.ts
@@ -20,6 +20,8 @@
   readonly state: EndpointState;
   /** Start of the incarnation, in milliseconds since the Unix epoch. */
   readonly bornAt: number;
+  /** Whether it is kept for a gang that waits for its room. */
+  isReservedForGang: boolean;
   /** `trialStepId` at the start of the round. */
   readonly initialTrialStepId: string | null;
 }
@@ -82,6 +84,7 @@
     fillingTaskCount: fillingTasks,
     servingTaskCount: servingTasks,
     slowness: estimates.slowness(state.entry.endpointId),
+    isReservedForGang: false,
     isKeptForUrgent: kept.has(state.entry.endpointId),
     trialStepId,
     initialTrialStepId: trialStepId,
