--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -416,7 +416,7 @@
         }
         state.leasesExpireAt = formerLeasesExpireAt;
         state.laterLeasesExpireAt = formerLaterLeasesExpireAt;
-        // The directory lists a later incarnation before the former owner can have sent it a start by mistake.
+        // Only a later incarnation that the directory lists can have taken a start from the former owner.
         task.isIncarnationKnown ||= state.entry.bornAt <= task.endpointBornAt;
         task.absenceConclusiveAfter = -Infinity;
         table.charge(state, task);
