Keep the first reservation of a gang for 10 s, by the room of its tasks

Gangs gave up their room after 2.5 s, and whole endpoints were kept idle for them.

Change: the first reservation lasts 10 s and covers the room of the tasks, as before; whole endpoints are reserved from the second one on.

--- a/packages/decisions/src/core/reservationWindows.ts
+++ b/packages/decisions/src/core/reservationWindows.ts
@@ -1,10 +1,19 @@
-/** Duration of the first reservation of a step, in milliseconds; other work hardly notices it. */
-const FIRST_WINDOW_MILLISECONDS = 2_500;
+/** Duration of the first reservation of a step, in milliseconds; outlasts most of the work in its way. */
+const FIRST_WINDOW_MILLISECONDS = 10_000;
 /** Maximum duration of a reservation, in milliseconds, and so of the time for which it keeps other work waiting. */
 const MAXIMUM_WINDOW_MILLISECONDS = 20_000;
 /** Time between two reservations, in milliseconds, in which other work starts; covers a round and a call for advice. */
 const PAUSE_MILLISECONDS = 1_000;
 
+/**
+ * What a step that waits may reserve:
+ *
+ * - `nothing`: other work has its turn
+ * - `tasks`: the room of its tasks, as far as there is any
+ * - `endpoints`: whole endpoints, on which other work would fill what the tasks leave
+ */
+export type ReservationScope = 'nothing' | 'tasks' | 'endpoints';
+
 interface Window {
   readonly milliseconds: number;
   readonly endsAt: number;
@@ -18,9 +27,9 @@
   /**
    * @param stepId step that would reserve room now
    * @param now current time, in monotonic milliseconds
-   * @returns whether it may
+   * @returns what it may reserve; whole endpoints only if the first reservation did not suffice
    */
-  mayReserve(stepId: string, now: number): boolean;
+  scopeOf(stepId: string, now: number): ReservationScope;
   /** The step has started, so that it begins anew if it waits again. */
   forget(stepId: string): void;
 }
@@ -40,17 +49,19 @@
   }
 
   return {
-    mayReserve(stepId, now) {
+    scopeOf(stepId, now) {
       const last = windows.get(stepId);
       if (!last) {
         forgetAbandoned(now);
         openWindow(stepId, FIRST_WINDOW_MILLISECONDS, now);
-        return true;
+        return 'tasks';
+      }
+      if (now < last.endsAt) {
+        return last.milliseconds === FIRST_WINDOW_MILLISECONDS ? 'tasks' : 'endpoints';
       }
-      if (now < last.endsAt) return true;
-      if (now < last.endsAt + PAUSE_MILLISECONDS) return false;
+      if (now < last.endsAt + PAUSE_MILLISECONDS) return 'nothing';
       openWindow(stepId, Math.min(2 * last.milliseconds, MAXIMUM_WINDOW_MILLISECONDS), now);
-      return true;
+      return 'endpoints';
     },
     forget(stepId) {
       windows.delete(stepId);
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -115,7 +115,7 @@
 export { chooseGangRoom } from './core/chooseGangRoom.js';
 export type { GangRoom } from './core/chooseGangRoom.js';
 export { createReservationWindows } from './core/reservationWindows.js';
-export type { ReservationWindows } from './core/reservationWindows.js';
+export type { ReservationScope, ReservationWindows } from './core/reservationWindows.js';
 export { selectFittingStarts } from './core/selectFittingStarts.js';
 export type { ChargedRun } from './core/selectFittingStarts.js';
 export { judgePunctuality, orderSteps } from './core/stepOrder.js';
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -16,6 +16,7 @@
   EndpointRequirements,
   GangRoom,
   OrderingKey,
+  ReservationScope,
   TrialRequirements,
 } from '@chicorybend/decisions';
 import { RESOURCE_DIMENSIONS } from '@chicorybend/common';
@@ -538,6 +539,10 @@
     return chooseGangRoom(rooms, requirements, step.specification.count);
   }
 
+  function reservationScopeOf({ stepId }: StepRecord): ReservationScope {
+    return reservationWindows.scopeOf(stepId, clock.monotonicMilliseconds());
+  }
+
   /** The room of a gang grows from round to round until all its tasks fit, or until others get their turn. */
   function reserveForGang(
     { step, queue }: ReadyStep,
@@ -546,9 +551,8 @@
     requirements: EndpointRequirements,
   ): BlockingReason {
     const room = findGangRoom(step, queue, requirements);
-    const isReserving =
-      room.length > 0 && reservationWindows.mayReserve(step.stepId, clock.monotonicMilliseconds());
-    if (!isReserving) return 'room';
+    const scope = room.length === 0 ? 'nothing' : reservationScopeOf(step);
+    if (scope === 'nothing') return 'room';
     const { placements, blockedBy } = planPlacements(
       step,
       unplaced,
@@ -558,6 +562,7 @@
       requirements,
     );
     if (queue.advice && placements.length === unplaced.length) return 'advice';
+    if (scope === 'tasks' && blockedBy === 'room') return 'room';
     releasePlannedRoom(step, placements);
     if (blockedBy === 'limit') return 'limit';
     const endpointIds = room.map(({ endpointId }) => endpointId);
@@ -602,7 +607,7 @@
     if (!queue.advice) return 'room';
     const isRoomReserved =
       requirements.isUrgent &&
-      reservationWindows.mayReserve(step.stepId, clock.monotonicMilliseconds()) &&
+      reservationScopeOf(step) !== 'nothing' &&
       reserveAskedEndpoints(readyStep, unplaced, endpoints, requirements);
     const hasRoom =
       isRoomReserved ||
