--- a/packages/proving/src/__tests__/ownerTakeover.test.ts
+++ b/packages/proving/src/__tests__/ownerTakeover.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 
 import {
+  advanceUntil,
   CONFIGURATION,
   createSchedulerCell,
   createJobId,
@@ -293,3 +294,55 @@
   t.deepEqual(await cell.call({ action: 'status' }), { kind: 'status', status: 'completed' });
   t.truthy(cell.store.get(`${broken}/specification`), 'the record is kept');
 });
+
+test('a job that the owner forgets while it is killed does not run again', async (t) => {
+  const cell = createSchedulerCell({ durationOf: () => 100 });
+  cell.startProcess('first');
+  await cell.advance(200);
+  const jobIds = Array.from({ length: 40 }, (_, index) => createJobId(index));
+  await Promise.all(
+    jobIds.map((jobId) =>
+      cell.call({ path: `/work/${jobId}`, specification: createJobSpecification({}) }),
+    ),
+  );
+  await cell.advance(10_000);
+  t.is(cell.fleet.history.length, jobIds.length);
+  const isForgetting = () =>
+    jobIds.some((jobId) => !cell.store.get(`chicorybend/job/${jobId}/state`));
+  await advanceUntil(cell, isForgetting, 130_000);
+  t.true(isForgetting());
+  cell.killOwner();
+  cell.startProcess('second');
+  await cell.advance(4_000);
+  t.is(cell.fleet.history.length, jobIds.length);
+});
+
+test('a job that is sent again after its removal runs, also if the owner is lost before the former state is removed', async (t) => {
+  const cell = createSchedulerCell({ durationOf: () => 100 });
+  cell.startProcess('first');
+  await cell.advance(200);
+  await cell.call({ specification: createJobSpecification({}) });
+  await cell.advance(110_000);
+  const key = `chicorybend/job/${createJobId(1)}`;
+  const formerState = cell.store.get(`${key}/state`)!.value;
+  await advanceUntil(cell, () => !cell.store.get(`${key}/state`), 20_000);
+  await cell.call({ specification: createJobSpecification({}) });
+  cell.killOwner();
+  cell.store.put(`${key}/state`, formerState);
+  cell.startProcess('second');
+  await cell.advance(4_000);
+  t.is(cell.fleet.history.length, 2);
+  t.deepEqual(await cell.call({ action: 'status' }), { kind: 'status', status: 'completed' });
+});
+
+test('a new owner removes the states of jobs whose removal its predecessor has begun', async (t) => {
+  const cell = createSchedulerCell({ durationOf: () => 100 });
+  cell.startProcess('first');
+  await cell.advance(200);
+  const key = `chicorybend/job/${createJobId(7)}/state`;
+  cell.store.put(key, '{}');
+  cell.killOwner();
+  cell.startProcess('second');
+  await cell.advance(3_000);
+  t.is(cell.store.get(key), null);
+});
--- a/packages/scheduler/src/core/jobRecords.ts
+++ b/packages/scheduler/src/core/jobRecords.ts
@@ -194,6 +194,8 @@
 }
 
 interface StoredState {
+  /** Acceptance of the job that the state belongs to; earlier builds do not store it. */
+  acceptedAt?: number;
   phase: JobPhase;
   endedAt: number;
   hasStarted: boolean;
@@ -262,8 +264,9 @@
         ),
         steps.map(({ lastFailedGangRun }) => lastFailedGangRun),
       ]);
-  const { phase, endedAt, hasStarted, occurrenceCount } = job;
+  const { acceptedAt, phase, endedAt, hasStarted, occurrenceCount } = job;
   return JSON.stringify({
+    acceptedAt,
     phase,
     endedAt,
     hasStarted,
@@ -278,7 +281,8 @@
 }
 
 /**
- * Restores a stored state into a new record. Its runs are `placed` until their endpoints confirm them.
+ * Restores a stored state into a new record. Its runs are `placed` until their endpoints confirm them. No effect if the
+ * state belongs to an earlier job of the same id, which was removed.
  *
  * @param clockDifference wall-clock time minus monotonic time, in milliseconds
  * @param now monotonic time in milliseconds
@@ -290,6 +294,7 @@
   now: number,
 ): void {
   const stored = JSON.parse(text) as StoredState;
+  if (stored.acceptedAt !== undefined && stored.acceptedAt !== job.acceptedAt) return;
   job.phase = stored.phase;
   job.durablePhase = stored.phase;
   job.endedAt = stored.endedAt;
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -383,8 +383,10 @@
     }
   }
 
-  function restoreJobs(items: readonly StoredItem[]): void {
+  /** @returns ids of jobs that a former owner has removed, and of which only the states are left */
+  function restoreJobs(items: readonly StoredItem[]): string[] {
     const states = new Map<string, string>();
+    const specified = new Set<string>();
     items.forEach(({ key, value }) => {
       const parsed = parseJobKey(key);
       if (parsed?.part === 'state') states.set(parsed.jobId, value);
@@ -392,8 +394,10 @@
     items.forEach(({ key, value }) => {
       const parsed = parseJobKey(key);
       if (parsed?.part !== 'specification') return;
+      specified.add(parsed.jobId);
       restoreJob(parsed.jobId, value, states.get(parsed.jobId));
     });
+    return [...states.keys()].filter((jobId) => !specified.has(jobId));
   }
 
   /** Charges stored runs to the endpoints where they may exist; the lists of the endpoints then show which do. */
@@ -435,9 +439,12 @@
     ]);
     if (!chain || !items || !listed || hasEnded) return false;
     listed.entries.forEach((entry) => addEndpoint(entry, listed.readAt));
-    restoreJobs(items.value);
+    const removedJobIds = restoreJobs(items.value);
     restoreRuns();
     components = createComponents(chain.value?.revision ?? 0);
+    removedJobIds.forEach((jobId) => {
+      void components!.commits.stage(stateKey(jobId), () => null);
+    });
     for (const state of table.all()) startSession(state);
     jobs.forEach((job) => components!.transitions.releaseDueSteps(job));
     log.info('state recovered', {
@@ -449,11 +456,12 @@
     return true;
   }
 
-  function deleteJob(job: JobRecord): void {
+  /** The specification goes first: without a state it would be that of a job that has not begun. */
+  async function deleteJob({ jobId }: JobRecord): Promise<void> {
     const { commits } = components!;
-    jobs.delete(job.jobId);
-    void commits.stage(stateKey(job.jobId), () => null);
-    void commits.stage(specificationKey(job.jobId), () => null);
+    jobs.delete(jobId);
+    const isRemoved = await commits.stage(specificationKey(jobId), () => null);
+    if (isRemoved) void commits.stage(stateKey(jobId), () => null);
   }
 
   function checkJobsAndEndpoints(): void {
@@ -466,7 +474,7 @@
         job.occurrences.size === 0 &&
         wallNow - job.endedAt > options.retentionMilliseconds
       ) {
-        deleteJob(job);
+        void deleteJob(job);
       }
     });
     for (const state of table.all()) {
