--- a/packages/scheduler/src/core/ownerElection.ts
+++ b/packages/scheduler/src/core/ownerElection.ts
@@ -74,6 +74,8 @@
   canReachStore(): Promise<boolean>;
   /** @returns whether this process is the owner and its lease is certainly valid */
   isOwnerLeaseValid(): boolean;
+  /** @returns whether this process may turn out to own a term, because its claim has not been answered */
+  hasPendingClaim(epoch: number): boolean;
   /** Ends the term after a write or an endpoint has shown that there is another owner. */
   abandonTerm(reason: string): void;
   /** Stops claiming and ends the lease, so that another process takes over at once. Still watches the owner key. */
@@ -103,8 +105,8 @@
   let term: (TermIdentity & { leaseId: number }) | null = null;
   let leaseValidUntil = -Infinity;
   let yieldedUntil = -Infinity;
-  /** Last claim whose write was not answered; it may be in effect. */
-  let unansweredClaim: Claim | null = null;
+  /** Claim whose write has not been answered; it may be in effect. */
+  let pendingClaim: Claim | null = null;
   let clockOffset = readClockOffset();
 
   function readClockOffset(): number {
@@ -220,7 +222,7 @@
     { epoch, leaseId, sentAt, offset }: Claim,
     ownerRevision: number,
   ): Promise<void> {
-    unansweredClaim = null;
+    pendingClaim = null;
     if (!mayClaim) {
       await store.endLease(leaseId, latency.timeoutMilliseconds());
       return;
@@ -249,6 +251,7 @@
     if (!storedEpoch || lease.kind === 'failed' || !mayClaim) return;
     const epoch = storedEpoch.epoch + 1;
     const claim: Claim = { epoch, leaseId: lease.leaseId, sentAt, offset };
+    pendingClaim = claim;
     const outcome = await callStore(
       (timeout) =>
         store.write(
@@ -267,13 +270,13 @@
         ),
       (result) => result.kind === 'unknown',
     );
-    unansweredClaim = outcome.kind === 'unknown' ? claim : null;
     if (outcome.kind === 'written') await takeUpClaim(claim, outcome.revision);
+    else if (outcome.kind !== 'unknown') pendingClaim = null;
   }
 
   /** Takes up a claim whose answer was lost, if the owner key shows that it is in effect. */
   async function resolveUnansweredClaim(record: OwnerRecord, revision: number): Promise<void> {
-    const claim = unansweredClaim;
+    const claim = pendingClaim;
     if (term || !claim || record.address !== address || record.epoch !== claim.epoch) return;
     await takeUpClaim(claim, revision);
   }
@@ -318,6 +321,7 @@
       return (await readOwnerKey()).kind === 'answered';
     },
     isOwnerLeaseValid,
+    hasPendingClaim: (epoch) => pendingClaim?.epoch === epoch,
     abandonTerm: endTerm,
     async resign() {
       mayClaim = false;
--- a/packages/scheduler/src/core/scheduler.ts
+++ b/packages/scheduler/src/core/scheduler.ts
@@ -72,6 +72,9 @@
   );
 }
 
+/** Request of a caller, and the term that the sender takes the receiver to own; earlier builds do not send it. */
+type ForwardedRequest = CallerRequest & { readonly ownerEpoch?: number };
+
 interface OwnerConnection {
   readonly owner: OwnerRecord;
   readonly channel: PeerChannel;
@@ -154,7 +157,7 @@
       recordPing(parameters);
       return Promise.resolve({ processors: options.processors });
     },
-    handle: (request) => handleAsOwner(request as CallerRequest),
+    handle: (parameters) => handleAsOwner(parameters as ForwardedRequest),
     advise(parameters) {
       if (!options.advice) return Promise.resolve({ kind: 'failed', reason: 'no advice service' });
       if (!isAdviceCall(parameters)) {
@@ -165,12 +168,14 @@
     },
   };
 
-  function handleAsOwner(request: CallerRequest): Promise<CallerAnswer> {
+  /** A claim takes effect before this VM learns of it, so that others may know of the term before it begins here. */
+  function handleAsOwner({ ownerEpoch, ...request }: ForwardedRequest): Promise<CallerAnswer> {
     if (term) return term.handle(request);
-    return Promise.resolve({
-      kind: 'failed',
-      failure: createFailure('not-owner', { daemonId: peerAddress, partition: 0 }),
-    });
+    const isTermToCome = ownerEpoch !== undefined && election.hasPendingClaim(ownerEpoch);
+    const failure = isTermToCome
+      ? createFailure('not-ready')
+      : createFailure('not-owner', { daemonId: peerAddress, partition: 0 });
+    return Promise.resolve({ kind: 'failed', failure });
   }
 
   /** Leaves the ownership to a VM with more processors, if one is connected. */
@@ -271,7 +276,8 @@
     }
     const connection = ownerChannel;
     if (!connection?.channel.isOpen()) return 'not-sent';
-    const outcome = await connection.channel.call('handle', request, timeoutMilliseconds);
+    const forwarded: ForwardedRequest = { ...request, ownerEpoch: connection.owner.epoch };
+    const outcome = await connection.channel.call('handle', forwarded, timeoutMilliseconds);
     if (outcome.kind === 'lost') return 'lost';
     const answer = outcome.result as CallerAnswer;
     if (isTermEnded(answer)) leaveFormerOwner(connection);
