Log which incarnation each loss is about, and each withdrawal

The lines of a loss and of a verdict named neither the incarnation of the endpoint, nor the certainty of the loss, nor the term that recorded it, and a withdrawal left no line, so a verdict could not be matched with later answers of the endpoints. Losses now carry endpoint, incarnation and epoch, also in the stored state (two further fields, which earlier builds ignore and do not write). New: line 'endpoint loss withdrawn', counter losses_withdrawn; 'endpoint silent' says whether the hold was refused or unanswered. Decisions do not change.

--- a/packages/decisions/src/core/crashSuspicion.ts
+++ b/packages/decisions/src/core/crashSuspicion.ts
@@ -268,10 +268,10 @@
  * @param ageMilliseconds age of the last run of the task, in milliseconds
  * @returns the losses that this run has not shown to have another cause by outliving them
  */
-export function discardOutlivedLosses(
-  losses: readonly EndpointLoss[],
+export function discardOutlivedLosses<Loss extends EndpointLoss>(
+  losses: readonly Loss[],
   ageMilliseconds: number,
-): readonly EndpointLoss[] {
+): readonly Loss[] {
   const hasOutlived =
     ageMilliseconds >= MINIMUM_OUTLIVING_MILLISECONDS &&
     losses.every((loss) => ageMilliseconds >= TRIAL_AGE_FACTOR * loss.ageMilliseconds);
--- a/packages/scheduler/src/core/endpointLosses.ts
+++ b/packages/scheduler/src/core/endpointLosses.ts
@@ -4,9 +4,9 @@
   hasCommonCause,
   isRecentStart,
 } from '@chicorybend/decisions';
-import type { EndpointLoss, LossCertainty, LostEndpoint } from '@chicorybend/decisions';
+import type { LossCertainty, LostEndpoint } from '@chicorybend/decisions';
 
-import type { JobRecord, TaskRecord } from '../types/jobRecord.js';
+import type { JobRecord, TaskLoss, TaskRecord } from '../types/jobRecord.js';
 import type { TermContext } from '../types/termContext.js';
 import type { EndpointState } from './endpointTable.js';
 import { forEachTask, hasActiveRun } from './jobRecords.js';
@@ -18,11 +18,17 @@
 /** Number of runs of a loss that its log line names. */
 const LOGGED_RUNS = 5;
 
+/** A task with one of its losses. */
+interface LossRow {
+  readonly task: TaskRecord;
+  readonly loss: TaskLoss;
+}
+
 /** Losses of the tasks that had runs in one incarnation of an endpoint. */
 interface RecordedLosses {
   /** Start of the incarnation, in milliseconds since the Unix epoch. */
   readonly bornAt: number;
-  readonly rows: readonly { readonly task: TaskRecord; readonly loss: EndpointLoss }[];
+  readonly rows: readonly LossRow[];
 }
 
 /** How an endpoint was lost. */
@@ -46,6 +52,12 @@
   recordVerdict(task: TaskRecord): void;
 }
 
+/** @returns fields of a loss for log lines */
+export function describeLoss({ at: _at, bornAt, endpointId, ageMilliseconds, ...rest }: TaskLoss) {
+  const age = Math.round(ageMilliseconds);
+  return { endpoint: endpointId, incarnation: bornAt, ageMilliseconds: age, ...rest };
+}
+
 /** @returns whether the current run of a task is on trial at a time, in monotonic milliseconds */
 export function isOnTrial(task: TaskRecord, at: number): boolean {
   const { trialMilliseconds, phase, startedAt } = task;
@@ -91,7 +103,7 @@
     return endpointIds.size;
   }
 
-  function describeLoss(state: EndpointState, at: number, tasks: readonly TaskRecord[]) {
+  function describeLostEndpoint(state: EndpointState, at: number, tasks: readonly TaskRecord[]) {
     const { endpointId, rack, address } = state.entry;
     const recent = tasks.filter((task) => hasJustBegun(task, at));
     const jobs = new Set(recent.map(({ step }) => step.job));
@@ -145,31 +157,53 @@
     return hasCrashedDuringHold ? 'executing' : 'crashed';
   }
 
+  function describeRow({ task, loss }: LossRow) {
+    const { run, role, certainty, ageMilliseconds } = describeLoss(loss);
+    return { task: task.taskId, run, role, certainty, ageMilliseconds };
+  }
+
+  function logWithdrawal(reason: 'answered' | 'later-incarnation', rows: readonly LossRow[]): void {
+    if (rows.length === 0) return;
+    metrics.count('losses_withdrawn', rows.length);
+    const { endpointId, bornAt } = rows[0]!.loss;
+    log.info('endpoint loss withdrawn', {
+      endpoint: endpointId,
+      incarnation: bornAt,
+      reason,
+      epoch: context.epoch,
+      runs: rows.length,
+      recorded: rows.slice(0, LOGGED_RUNS).map((row) => ({
+        ...describeRow(row),
+        epoch: row.loss.epoch,
+      })),
+    });
+  }
+
   function logLoss(
     state: EndpointState,
     cause: LossCause,
     lossTime: number,
-    rows: readonly { task: TaskRecord; loss: EndpointLoss }[],
+    rows: readonly LossRow[],
   ): void {
     const latest = [...rows].sort(
       (left, right) => left.loss.ageMilliseconds - right.loss.ageMilliseconds,
     );
     log.info('endpoint lost', {
       endpoint: state.entry.endpointId,
+      incarnation: rows[0]!.loss.bornAt,
       rack: state.entry.rack,
       cause,
+      epoch: context.epoch,
       silentMilliseconds: Math.round(clock.monotonicMilliseconds() - lossTime),
       runs: rows.length,
-      latest: latest
-        .slice(0, LOGGED_RUNS)
-        .map(({ task, loss }) => [task.taskId, loss.role, Math.round(loss.ageMilliseconds)]),
+      latest: latest.slice(0, LOGGED_RUNS).map(describeRow),
     });
   }
 
   return {
     recordSilence(state) {
       const tasks = [...state.runs.values()];
-      const loss = describeLoss(state, estimateLossTime(state, tasks), tasks);
+      const loss = describeLostEndpoint(state, estimateLossTime(state, tasks), tasks);
       if (state.clockOffset !== null) silent.set(loss.endpointId, loss);
       else silentFromStart.set(loss.endpointId, { ...loss, at: 0 });
     },
@@ -179,6 +213,7 @@
       const withdrawn = recorded.get(entry.endpointId);
       if (withdrawn?.bornAt !== bornAt) return [];
       recorded.delete(entry.endpointId);
+      logWithdrawal('answered', withdrawn.rows);
       return withdrawn.rows.map(({ task, loss }) => {
         task.losses = task.losses.filter((known) => known !== loss);
         return task;
@@ -193,7 +228,8 @@
       if (tasks.length === 0 || hasLeftAsPlanned(state, tasks)) return;
       const lossTime = estimateLossTime(state, tasks);
       forgetOldLosses(clock.monotonicMilliseconds());
-      const lost = silent.get(state.entry.endpointId) ?? describeLoss(state, lossTime, tasks);
+      const lost =
+        silent.get(state.entry.endpointId) ?? describeLostEndpoint(state, lossTime, tasks);
       const circumstances = {
         hasTrial: lost.isExplained,
         isCommon: hasCommonCause(lost, [...silent.values()]) || isLostWithRack(state),
@@ -205,12 +241,15 @@
         const ageMilliseconds = runAge(task, lossTime);
         const run = { ageMilliseconds, isOnTrial: isOnTrial(task, lossTime) };
         const role = classifyLoss(run, circumstances);
-        const loss: EndpointLoss = {
+        const loss: TaskLoss = {
           run: task.run,
           role,
           ageMilliseconds,
           certainty: judgeCertainty(state, task, cause),
           at: lossTime + wallDifference,
+          endpointId: state.entry.endpointId,
+          bornAt: task.endpointBornAt,
+          epoch: context.epoch,
         };
         task.losses = [...discardOutlivedLosses(task.losses, ageMilliseconds), loss];
         task.step.hasLosses = true;
@@ -225,6 +264,11 @@
       logLoss(state, cause, lossTime, rows);
     },
     withdrawLoss(task) {
+      const withdrawn = task.losses.filter(({ run }) => run === task.run);
+      logWithdrawal(
+        'later-incarnation',
+        withdrawn.map((loss) => ({ task, loss })),
+      );
       task.losses = task.losses.filter(({ run }) => run !== task.run);
     },
     recordVerdict(guilty) {
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -63,6 +63,9 @@
   pollNow(): void;
 }
 
+/** Outcome of a hold without a list. */
+type UnansweredHold = Exclude<HoldOutcome, { kind: 'answered' }>;
+
 /** Events of a session. */
 export interface SessionEvents {
   /** The endpoint refused the ticket of a start. */
@@ -288,14 +291,21 @@
     return milliseconds >= MINIMUM_WAIT_MILLISECONDS && milliseconds < waitMilliseconds;
   }
 
-  function handleUnansweredHold(reason: string, wasWaiting: boolean): void {
+  function handleUnansweredHold(outcome: UnansweredHold, wasWaiting: boolean): void {
     state.unansweredCalls += 1;
     metrics.count('holds_failed');
     if (state.unansweredCalls === 1) {
       state.silentSince = now();
       state.hasCrashedDuringHold = wasWaiting;
       transitions.endpointLosses.recordSilence(state);
-      log.info('endpoint silent', { endpoint: state.entry.endpointId, reason });
+      log.info('endpoint silent', {
+        endpoint: state.entry.endpointId,
+        incarnation: state.bornAt,
+        outcome: outcome.kind,
+        reason: outcome.reason,
+        wasWaiting,
+        runs: state.runs.size,
+      });
     }
     if (now() < state.leasesExpireAt) return;
     if (state.runs.size > 0) state.isReconciled = false;
@@ -329,7 +339,7 @@
     } else if (outcome.kind === 'refused' && outcome.reason === 'fenced') {
       abandonFenced();
     } else {
-      handleUnansweredHold(outcome.reason, hasFailedWhileWaiting(sentAt, waitMilliseconds));
+      handleUnansweredHold(outcome, hasFailedWhileWaiting(sentAt, waitMilliseconds));
       const isReplaced = outcome.kind === 'refused' && outcome.reason === 'other-incarnation';
       if (isReplaced) endReplacedIncarnation();
       await sleep(clock, RETRY_DELAY_MILLISECONDS);
--- a/packages/scheduler/src/core/jobRecords.ts
+++ b/packages/scheduler/src/core/jobRecords.ts
@@ -1,5 +1,5 @@
 import { judgeCrashes, trialMillisecondsFor } from '@chicorybend/decisions';
-import type { EndpointLoss, LossCertainty, LossRole } from '@chicorybend/decisions';
+import type { LossCertainty, LossRole } from '@chicorybend/decisions';
 
 import type { JobSpecification } from '../types/job.js';
 import type {
@@ -8,6 +8,7 @@
   JobRecord,
   OccurrenceRecord,
   StepRecord,
+  TaskLoss,
   TaskPhase,
   TaskRecord,
 } from '../types/jobRecord.js';
@@ -151,8 +152,19 @@
   job.occurrences.forEach(({ steps }) => steps.forEach(({ tasks }) => tasks.forEach(apply)));
 }
 
-/** Stored loss: run, role, age of the run in milliseconds, certainty, time since the acceptance of the job. */
-type StoredLoss = [number, LossRole, number, LossCertainty, number];
+/**
+ * Stored loss: run, role, age of the run in milliseconds, certainty, time since the acceptance of the job, index into
+ * `endpoints`, epoch of the term. Earlier builds do not write the last two.
+ */
+type StoredLoss = [
+  run: number,
+  role: LossRole,
+  age: number,
+  certainty: LossCertainty,
+  after: number,
+  endpoint?: number,
+  epoch?: number,
+];
 
 /**
  * Stored task: step index, task index, phase, run, failures, index into `endpoints` (-1 for none), checkpoint, time of
@@ -170,15 +182,20 @@
   losses?: StoredLoss[],
 ];
 
-function encodeLoss(
-  job: JobRecord,
-  { run, role, ageMilliseconds, certainty, at }: EndpointLoss,
-): StoredLoss {
-  return [run, role, Math.round(ageMilliseconds), certainty, Math.round(at - job.acceptedAt)];
+function encodeLoss(job: JobRecord, loss: TaskLoss, endpoint: number): StoredLoss {
+  const { run, role, ageMilliseconds, certainty, at, epoch } = loss;
+  const after = Math.round(at - job.acceptedAt);
+  return [run, role, Math.round(ageMilliseconds), certainty, after, endpoint, epoch];
 }
 
-function decodeLoss(job: JobRecord, [run, role, age, certainty, after]: StoredLoss): EndpointLoss {
-  return { run, role, ageMilliseconds: age, certainty, at: job.acceptedAt + after };
+function decodeLoss(
+  job: JobRecord,
+  endpoints: StoredState['endpoints'],
+  [run, role, age, certainty, after, endpoint = -1, epoch = 0]: StoredLoss,
+): TaskLoss {
+  const [endpointId, bornAt] = endpoints[endpoint] ?? ['', 0];
+  const at = job.acceptedAt + after;
+  return { run, role, ageMilliseconds: age, certainty, at, endpointId, bornAt, epoch };
 }
 
 /** @returns whether an endpoint may have been lost because of the task */
@@ -200,7 +217,7 @@
   endedAt: number;
   hasStarted: boolean;
   occurrenceCount: number;
-  /** Endpoints of the tasks: id and `bornAt`. */
+  /** Endpoints of the tasks and of their losses: id and `bornAt`. */
   endpoints: [string, number][];
   /**
    * Incomplete occurrences: index, gang failures by step, tasks that have been placed at least once, last failed run
@@ -231,16 +248,20 @@
   const endpoints: [string, number][] = [];
   const indexOf = new Map<string, number>();
 
-  function endpointIndex(task: TaskRecord): number {
-    if (task.endpointId === null) return -1;
-    const name = `${task.endpointId}@${task.endpointBornAt}`;
+  function endpointIndex(endpointId: string, bornAt: number): number {
+    const name = `${endpointId}@${bornAt}`;
     const known = indexOf.get(name);
     if (known !== undefined) return known;
     indexOf.set(name, endpoints.length);
-    endpoints.push([task.endpointId, task.endpointBornAt]);
+    endpoints.push([endpointId, bornAt]);
     return endpoints.length - 1;
   }
 
+  function currentEndpointIndex(task: TaskRecord): number {
+    if (task.endpointId === null || !hasActiveRun(task)) return -1;
+    return endpointIndex(task.endpointId, task.endpointBornAt);
+  }
+
   const isOpen = job.phase === 'open' || [...job.occurrences.values()].some(hasActiveRuns);
   const occurrences = !isOpen
     ? []
@@ -256,10 +277,12 @@
               task.phase,
               task.run,
               task.failures,
-              hasActiveRun(task) ? endpointIndex(task) : -1,
+              currentEndpointIndex(task),
               task.phase === 'done' ? '' : task.checkpoint,
               Math.round(task.placedAt + clockDifference - job.acceptedAt),
-              task.losses.map((loss) => encodeLoss(job, loss)),
+              task.losses.map((loss) =>
+                encodeLoss(job, loss, endpointIndex(loss.endpointId, loss.bornAt)),
+              ),
             ]),
         ),
         steps.map(({ lastFailedGangRun }) => lastFailedGangRun),
@@ -310,7 +333,7 @@
       Object.assign(task, { run, failures, checkpoint });
       // The clock of the former owner may have been ahead.
       task.placedAt = Math.min(now, job.acceptedAt + (after ?? 0) - clockDifference);
-      task.losses = (losses ?? []).map((loss) => decodeLoss(job, loss));
+      task.losses = (losses ?? []).map((loss) => decodeLoss(job, stored.endpoints, loss));
       task.step.hasLosses ||= task.losses.length > 0;
       // A run that was being stopped is `placed` too: once its endpoint confirms it, it is stopped again if needed.
       task.isIncarnationKnown = phase === 'running' || phase === 'stopping';
--- a/packages/scheduler/src/core/schedulerMetrics.ts
+++ b/packages/scheduler/src/core/schedulerMetrics.ts
@@ -25,6 +25,8 @@
   runs_lost: 'Runs that ended otherwise and may be repeated.',
   endpoints_lost: 'Endpoints lost with runs, other than by a planned stop.',
   runs_lost_with_endpoint: 'Runs lost with them.',
+  losses_withdrawn:
+    'Losses of runs withdrawn because their endpoint answered, or the run turned out to be there.',
   trials_started:
     'Runs started on trial, apart from others, because an endpoint was lost under their task.',
   tasks_given_up: 'Tasks given up because they crash the endpoints that start them.',
--- a/packages/scheduler/src/core/taskTransitions.ts
+++ b/packages/scheduler/src/core/taskTransitions.ts
@@ -11,7 +11,7 @@
 import type { TermContext } from '../types/termContext.js';
 import { stateKey } from '../utils/storeKeys.js';
 import type { CommitUrgency } from './commitQueue.js';
-import { createEndpointLosses } from './endpointLosses.js';
+import { createEndpointLosses, describeLoss } from './endpointLosses.js';
 import type { EndpointLosses } from './endpointLosses.js';
 import { leaseExpiryOf } from './endpointTable.js';
 import type { EndpointState } from './endpointTable.js';
@@ -195,11 +195,8 @@
       task: task.taskId,
       runs: task.run,
       team: step.job.team,
-      losses: losses.map(({ role, ageMilliseconds, certainty }) => [
-        role,
-        Math.round(ageMilliseconds),
-        certainty,
-      ]),
+      epoch: context.epoch,
+      losses: losses.map(describeLoss),
       sinceFirstLossMilliseconds: Math.round(milliseconds),
     });
     void closeJob(step.job, 'failed');
--- a/packages/scheduler/src/types/jobRecord.ts
+++ b/packages/scheduler/src/types/jobRecord.ts
@@ -17,6 +17,16 @@
 
 export type JobPhase = 'open' | 'completed' | 'failed' | 'cancelled';
 
+/** The loss of an endpoint that had a run of a task, as a term recorded it. */
+export interface TaskLoss extends EndpointLoss {
+  /** Empty for a loss that an earlier build recorded. */
+  readonly endpointId: string;
+  /** Start of its incarnation, in milliseconds since the Unix epoch. */
+  readonly bornAt: number;
+  /** Epoch of the term. */
+  readonly epoch: number;
+}
+
 /** A task of one occurrence of a step. */
 export interface TaskRecord {
   /** `<job>.<occurrence>.<step>.<index>` */
@@ -58,7 +68,7 @@
   /** Earliest time of the next start, in monotonic milliseconds. */
   notBefore: number;
   /** Losses of endpoints that had a run of the task, in the order of time. */
-  losses: EndpointLoss[];
+  losses: TaskLoss[];
   /** How long the current run is on trial from its confirmation on, in milliseconds; 0 if it is not. */
   trialMilliseconds: number;
 }
