--- a/packages/proving/src/__tests__/crashReview.test.ts
+++ b/packages/proving/src/__tests__/crashReview.test.ts
@@ -322,3 +322,48 @@
   const running = runsOf(cell, JOB).filter(({ endedAt }) => endedAt === null);
   t.is(running.length, 8);
 });
+
+/** Cuts off the endpoint of the first task of {@link JOB} soon after each of its starts. */
+async function cutOffAfterEachStart(
+  cell: SchedulerCell,
+  cuts: number,
+  cutMilliseconds: number,
+  onCut: (cut: number) => void = () => {},
+): Promise<void> {
+  const runsOfTask = () => runsOf(cell, JOB).filter(({ taskId }) => taskId === `${JOB}.0.0.0`);
+  for (let cut = 1; cut <= cuts; cut += 1) {
+    await advanceUntil(cell, () => runsOfTask().length >= cut, 30_000);
+    await cell.advance(30);
+    const { endpointId } = runsOfTask().at(-1)!;
+    const faults = cell.fleet.faultsOf(endpointId);
+    faults.isCutOff = true;
+    cell.clock.setTimer(() => {
+      faults.isCutOff = false;
+    }, cutMilliseconds);
+    onCut(cut);
+  }
+  await cell.advance(cutMilliseconds + 5_000);
+}
+
+for (const seconds of [8, 25, 90]) {
+  test(`a long-running task is not given up if each of its endpoints is cut off for ${seconds} s`, async (t) => {
+    const cell = await createCell(null, { count: 20, rackSize: 5, durationOf: () => Infinity });
+    await submit(t, cell, JOB, { count: 8, isLongRunning: true });
+    await cutOffAfterEachStart(cell, 8, seconds * 1_000);
+    t.is(await statusOf(cell, JOB), 'running');
+    t.deepEqual(cell.fleet.violations(), []);
+  });
+}
+
+test('a task is not given up if its endpoints are cut off under one owner after the other', async (t) => {
+  const cell = await createCell(null, { count: 20, rackSize: 5, durationOf: () => Infinity });
+  await submit(t, cell, JOB, { count: 8, isLongRunning: true });
+  await cutOffAfterEachStart(cell, 8, 25_000, (cut) => {
+    cell.clock.setTimer(() => {
+      cell.killOwner();
+      cell.startProcess(`owner-${cut}`);
+    }, 2_000);
+  });
+  t.is(await statusOf(cell, JOB), 'running');
+  t.deepEqual(cell.fleet.violations(), []);
+});
