Keep the runs of an unlisted endpoint after a change of the owner

A new owner knew an endpoint that the directory had dropped by its id only, could not call it, and declared its runs lost when their leases ended, also if the endpoint was alive and only cut off from the store. A loss of such an endpoint was 'silent' even if another one answered at its address.

The stored state now holds the address of each run's endpoint, so that the new owner calls it: runs that are there go on, and an answer of a successor proves that they are over. States of earlier builds have no address and are handled as before.

--- a/packages/proving/src/__tests__/crashReview.test.ts
+++ b/packages/proving/src/__tests__/crashReview.test.ts
@@ -323,6 +323,19 @@
   t.is(running.length, 8);
 });
 
+test('a run on an endpoint that the directory has dropped is kept by the next owner', async (t) => {
+  const cell = await createCell(null, { durationOf: () => Infinity });
+  await submit(t, cell, JOB, { isLongRunning: true });
+  await cell.advance(500);
+  cell.fleet.unlist(runsOf(cell, JOB)[0]!.endpointId);
+  await cell.advance(1_000);
+  cell.killOwner();
+  cell.startProcess('owner-1');
+  await cell.advance(20_000);
+  t.is(runsOf(cell, JOB).length, 1);
+  t.is(runsOf(cell, JOB)[0]!.endedAt, null);
+});
+
 /** Cuts off the endpoint of the first task of {@link JOB} soon after each of its starts. */
 async function cutOffAfterEachStart(
   cell: SchedulerCell,
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -319,6 +319,7 @@
     task.phase = 'placed';
     task.endpointId = state.entry.endpointId;
     task.endpointBornAt = state.bornAt;
+    task.endpointAddress = state.entry.address;
     task.isIncarnationKnown = false;
     task.startSentAt = null;
     task.absenceConclusiveAfter = Infinity;
--- a/packages/scheduler/src/core/endpointLosses.ts
+++ b/packages/scheduler/src/core/endpointLosses.ts
@@ -127,8 +127,8 @@
 
   /** A draining endpoint that is lost long before the end of its drain has crashed. */
   function hasLeftAsPlanned(state: EndpointState, tasks: readonly TaskRecord[]): boolean {
-    const { isDraining, drainRemainingMilliseconds, address } = state.entry;
-    if (!isDraining || address === '') return false;
+    const { isDraining, drainRemainingMilliseconds } = state.entry;
+    if (!isDraining || state.entryReadAt === -Infinity) return false;
     const endsAt = state.entryReadAt + (drainRemainingMilliseconds ?? 0);
     return estimateLossTime(state, tasks) >= endsAt - DRAIN_END_TOLERANCE_MILLISECONDS;
   }
@@ -249,6 +249,7 @@
           at: lossTime + wallDifference,
           endpointId: state.entry.endpointId,
           bornAt: task.endpointBornAt,
+          address: state.entry.address,
           epoch: context.epoch,
         };
         task.losses = [...discardOutlivedLosses(task.losses, ageMilliseconds), loss];
--- a/packages/scheduler/src/core/jobRecords.ts
+++ b/packages/scheduler/src/core/jobRecords.ts
@@ -52,6 +52,7 @@
     failures: 0,
     endpointId: null,
     endpointBornAt: 0,
+    endpointAddress: '',
     isIncarnationKnown: false,
     startSentAt: null,
     checkpoint: '',
@@ -193,9 +194,9 @@
   endpoints: StoredState['endpoints'],
   [run, role, age, certainty, after, endpoint = -1, epoch = 0]: StoredLoss,
 ): TaskLoss {
-  const [endpointId, bornAt] = endpoints[endpoint] ?? ['', 0];
+  const [endpointId, bornAt, address = ''] = endpoints[endpoint] ?? ['', 0];
   const at = job.acceptedAt + after;
-  return { run, role, ageMilliseconds: age, certainty, at, endpointId, bornAt, epoch };
+  return { run, role, ageMilliseconds: age, certainty, at, endpointId, bornAt, address, epoch };
 }
 
 /** @returns whether an endpoint may have been lost because of the task */
@@ -217,8 +218,8 @@
   endedAt: number;
   hasStarted: boolean;
   occurrenceCount: number;
-  /** Endpoints of the tasks and of their losses: id and `bornAt`. */
-  endpoints: [string, number][];
+  /** Endpoints of the tasks and of their losses: id, `bornAt` and address; earlier builds do not store the last. */
+  endpoints: [id: string, bornAt: number, address?: string][];
   /**
    * Incomplete occurrences: index, gang failures by step, tasks that have been placed at least once, last failed run
    * of the gang by step; earlier builds do not store the last.
@@ -245,21 +246,21 @@
  * @param clockDifference wall-clock time minus monotonic time, in milliseconds
  */
 export function encodeState(job: JobRecord, clockDifference: number): string {
-  const endpoints: [string, number][] = [];
+  const endpoints: StoredState['endpoints'] = [];
   const indexOf = new Map<string, number>();
 
-  function endpointIndex(endpointId: string, bornAt: number): number {
+  function endpointIndex(endpointId: string, bornAt: number, address: string): number {
     const name = `${endpointId}@${bornAt}`;
     const known = indexOf.get(name);
     if (known !== undefined) return known;
     indexOf.set(name, endpoints.length);
-    endpoints.push([endpointId, bornAt]);
+    endpoints.push([endpointId, bornAt, address]);
     return endpoints.length - 1;
   }
 
   function currentEndpointIndex(task: TaskRecord): number {
     if (task.endpointId === null || !hasActiveRun(task)) return -1;
-    return endpointIndex(task.endpointId, task.endpointBornAt);
+    return endpointIndex(task.endpointId, task.endpointBornAt, task.endpointAddress);
   }
 
   const isOpen = job.phase === 'open' || [...job.occurrences.values()].some(hasActiveRuns);
@@ -281,7 +282,7 @@
               task.phase === 'done' ? '' : task.checkpoint,
               Math.round(task.placedAt + clockDifference - job.acceptedAt),
               task.losses.map((loss) =>
-                encodeLoss(job, loss, endpointIndex(loss.endpointId, loss.bornAt)),
+                encodeLoss(job, loss, endpointIndex(loss.endpointId, loss.bornAt, loss.address)),
               ),
             ]),
         ),
@@ -340,7 +341,9 @@
       task.startSentAt = task.placedAt;
       task.phase = task.isIncarnationKnown ? 'placed' : phase;
       const storedEndpoint = stored.endpoints[endpoint];
-      if (storedEndpoint) [task.endpointId, task.endpointBornAt] = storedEndpoint;
+      if (!storedEndpoint) return;
+      const [endpointId, endpointBornAt, endpointAddress = ''] = storedEndpoint;
+      Object.assign(task, { endpointId, endpointBornAt, endpointAddress });
     });
     occurrence.steps.forEach((step) => {
       const isGangSuspect = step.specification.isGang && step.tasks.some(isSuspect);
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -79,19 +79,19 @@
   end(): void;
 }
 
-/** @returns entry for an endpoint that is not in the directory and is known only from stored runs */
-function createUnlistedEntry(endpointId: string, bornAt: number): EndpointEntry {
+/** @returns entry for an endpoint that is not in the directory and is known only from a stored run */
+function createUnlistedEntry(endpointId: string, run: TaskRecord): EndpointEntry {
   return {
     endpointId,
     service: '',
-    address: '',
+    address: run.endpointAddress,
     dataCentre: '',
     isDraining: true,
     drainRemainingMilliseconds: null,
     capacity: { processors: 0, memoryBytes: 0, accelerators: 0 },
     hardware: '',
     rack: '',
-    bornAt,
+    bornAt: run.endpointBornAt,
   };
 }
 
@@ -254,7 +254,7 @@
     return session;
   }
 
-  /** The address of an unlisted endpoint is unknown, so its runs can only be dropped when their leases have expired. */
+  /** Without an address, the runs of an endpoint can only be dropped when their leases have expired. */
   async function awaitLeaseExpiry(state: EndpointState, onExpired: () => void): Promise<void> {
     const { transitions } = components!;
     while (state.runs.size > 0) {
@@ -311,18 +311,18 @@
       return;
     }
     if (entry.bornAt < known.entry.bornAt) return;
-    const wasUnlisted = known.entry.address === '';
+    const isSessionIdle = known.entry.address === '';
     if (entry.isDraining && !known.entry.isDraining) {
       log.info('endpoint draining', {
         endpoint: entry.endpointId,
         remaining: entry.drainRemainingMilliseconds,
       });
     }
-    if (!wasUnlisted) reportCapacityChange(known, entry);
+    if (known.entryReadAt > -Infinity) reportCapacityChange(known, entry);
     known.entry = entry;
     known.entryReadAt = readAt;
     known.isListed = true;
-    if (wasUnlisted) void sessions.get(entry.endpointId)?.run();
+    if (isSessionIdle) void sessions.get(entry.endpointId)?.run();
     if (entry.isDraining) applyDrain(known);
   }
 
@@ -411,7 +411,7 @@
         let state = table.get(task.endpointId);
         if (!state) {
           const now = clock.monotonicMilliseconds();
-          state = table.add(createUnlistedEntry(task.endpointId, task.endpointBornAt), now);
+          state = table.add(createUnlistedEntry(task.endpointId, task), now);
           state.isListed = false;
         }
         state.leasesExpireAt = formerLeasesExpireAt;
--- a/packages/scheduler/src/types/jobRecord.ts
+++ b/packages/scheduler/src/types/jobRecord.ts
@@ -23,6 +23,8 @@
   readonly endpointId: string;
   /** Start of its incarnation, in milliseconds since the Unix epoch. */
   readonly bornAt: number;
+  /** Empty if it is not known. */
+  readonly address: string;
   /** Epoch of the term. */
   readonly epoch: number;
 }
@@ -42,6 +44,8 @@
   endpointId: string | null;
   /** Incarnation of that endpoint. */
   endpointBornAt: number;
+  /** Address of that endpoint; empty if an earlier build recorded the run. */
+  endpointAddress: string;
   /** Whether an answer of that incarnation has shown that the current run is there, and not in a later one. */
   isIncarnationKnown: boolean;
   /** When the start of the current run was sent, in monotonic milliseconds; null if it was not. */
