Withdraw a loss whenever its incarnation answers, in any term and session

A loss that was only silence was withdrawn from the memory of the term that had recorded it, within 60 s, and only by a session that had seen the silence. After a change of the owner, or once the directory had dropped the endpoint and its session had ended, the loss stayed with the task for good and counted towards giving it up.

Losses name their incarnation now, so the first list of any session withdraws those of its incarnation, whoever recorded them.

--- a/packages/proving/src/__tests__/crashReview.test.ts
+++ b/packages/proving/src/__tests__/crashReview.test.ts
@@ -336,6 +336,41 @@
   t.is(runsOf(cell, JOB)[0]!.endedAt, null);
 });
 
+/** Cuts off the endpoint of the first run of {@link JOB} until its loss has been recorded. */
+async function loseFirstEndpoint(t: ExecutionContext, cell: SchedulerCell): Promise<string> {
+  await submit(t, cell, JOB, { isLongRunning: true });
+  await cell.advance(500);
+  const { endpointId } = runsOf(cell, JOB)[0]!;
+  cell.fleet.faultsOf(endpointId).isCutOff = true;
+  await advanceUntil(cell, () => runsOf(cell, JOB).length === 2, 12_000);
+  t.is(storedLosses(cell, JOB).length, 1);
+  return endpointId;
+}
+
+test('the loss of an endpoint that answers the next owner is withdrawn', async (t) => {
+  const cell = await createCell(null, { durationOf: () => Infinity });
+  const endpointId = await loseFirstEndpoint(t, cell);
+  cell.killOwner();
+  cell.startProcess('owner-1');
+  await advanceUntil(cell, () => cell.currentTerm() !== null, 5_000);
+  await cell.advance(1_000);
+  cell.fleet.faultsOf(endpointId).isCutOff = false;
+  await cell.advance(3_000);
+  t.deepEqual(storedLosses(cell, JOB), []);
+});
+
+test('the loss of an endpoint that answers after the directory has dropped it is withdrawn', async (t) => {
+  const cell = await createCell(null, { durationOf: () => Infinity });
+  const endpointId = await loseFirstEndpoint(t, cell);
+  const entry = cell.fleet.entries().find((known) => known.endpointId === endpointId)!;
+  cell.fleet.unlist(endpointId);
+  await cell.advance(70_000);
+  cell.fleet.faultsOf(endpointId).isCutOff = false;
+  cell.fleet.list(entry);
+  await cell.advance(3_000);
+  t.deepEqual(storedLosses(cell, JOB), []);
+});
+
 /** Cuts off the endpoint of the first task of {@link JOB} soon after each of its starts. */
 async function cutOffAfterEachStart(
   cell: SchedulerCell,
--- a/packages/scheduler/src/core/endpointLosses.ts
+++ b/packages/scheduler/src/core/endpointLosses.ts
@@ -24,13 +24,6 @@
   readonly loss: TaskLoss;
 }
 
-/** Losses of the tasks that had runs in one incarnation of an endpoint. */
-interface RecordedLosses {
-  /** Start of the incarnation, in milliseconds since the Unix epoch. */
-  readonly bornAt: number;
-  readonly rows: readonly LossRow[];
-}
-
 /** How an endpoint was lost. */
 export type LossCause = 'crashed' | 'silent';
 
@@ -80,8 +73,8 @@
   const { clock, log, metrics } = context;
   /** By endpoint id: endpoints that do not answer, or were lost within the time that makes an address unreliable. */
   const silent = new Map<string, LostEndpoint & { readonly address: string }>();
-  /** By endpoint id: the last losses recorded, to be withdrawn if their incarnation answers after all. */
-  const recorded = new Map<string, RecordedLosses>();
+  /** Losses of this term and of earlier ones, to be withdrawn if their incarnation answers after all. */
+  const recorded = new Set<LossRow>();
   /** By endpoint id: endpoints that have not answered in this term, so that it is unknown when they were lost. */
   const silentFromStart = new Map<string, LostEndpoint>();
 
@@ -119,10 +112,19 @@
 
   function forgetOldLosses(now: number): void {
     silent.forEach(({ at }, endpointId) => {
-      if (now - at <= UNRELIABLE_MILLISECONDS) return;
-      silent.delete(endpointId);
-      recorded.delete(endpointId);
+      if (now - at > UNRELIABLE_MILLISECONDS) silent.delete(endpointId);
     });
+    recorded.forEach((row) => {
+      const { phase, losses, step } = row.task;
+      const matters = step.job.phase === 'open' && phase !== 'done' && losses.includes(row.loss);
+      if (!matters) recorded.delete(row);
+    });
+  }
+
+  function restoreLosses(): void {
+    context.jobs.forEach((job) =>
+      forEachTask(job, (task) => task.losses.forEach((loss) => recorded.add({ task, loss }))),
+    );
   }
 
   /** A draining endpoint that is lost long before the end of its drain has crashed. */
@@ -200,6 +202,8 @@
     });
   }
 
+  restoreLosses();
+
   return {
     recordSilence(state) {
       const tasks = [...state.runs.values()];
@@ -210,14 +214,18 @@
     recordAnswer({ entry, bornAt }) {
       silent.delete(entry.endpointId);
       silentFromStart.delete(entry.endpointId);
-      const withdrawn = recorded.get(entry.endpointId);
-      if (withdrawn?.bornAt !== bornAt) return [];
-      recorded.delete(entry.endpointId);
-      logWithdrawal('answered', withdrawn.rows);
-      return withdrawn.rows.map(({ task, loss }) => {
-        task.losses = task.losses.filter((known) => known !== loss);
-        return task;
+      const withdrawn = [...recorded].filter(
+        ({ task, loss }) =>
+          loss.endpointId === entry.endpointId &&
+          loss.bornAt === bornAt &&
+          task.losses.includes(loss),
+      );
+      logWithdrawal('answered', withdrawn);
+      withdrawn.forEach((row) => {
+        recorded.delete(row);
+        row.task.losses = row.task.losses.filter((known) => known !== row.loss);
       });
+      return withdrawn.map(({ task }) => task);
     },
     recordLoss(state, allTasks, cause) {
       // A run remains at its endpoint after its loss while a stop must rule out that it starts late.
@@ -256,10 +264,7 @@
         task.step.hasLosses = true;
         return { task, loss };
       });
-      const { endpointBornAt: bornAt } = tasks[0]!;
-      const earlier = recorded.get(state.entry.endpointId);
-      const earlierRows = earlier?.bornAt === bornAt ? earlier.rows : [];
-      recorded.set(state.entry.endpointId, { bornAt, rows: [...earlierRows, ...rows] });
+      rows.forEach((row) => recorded.add(row));
       metrics.count('endpoints_lost');
       metrics.count('runs_lost_with_endpoint', rows.length);
       logLoss(state, cause, lossTime, rows);
@@ -273,11 +278,9 @@
       task.losses = task.losses.filter(({ run }) => run !== task.run);
     },
     recordVerdict(guilty) {
-      recorded.forEach(({ rows }, endpointId) => {
+      guilty.losses.forEach(({ endpointId }) => {
         const lost = silent.get(endpointId);
-        if (lost && rows.some(({ task }) => task === guilty)) {
-          silent.set(endpointId, { ...lost, isExplained: true });
-        }
+        if (lost) silent.set(endpointId, { ...lost, isExplained: true });
       });
     },
   };
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -186,12 +186,9 @@
   }
 
   function recordAnswer(): void {
-    if (state.silentSince !== null) {
-      const tasks = transitions.endpointLosses.recordAnswer(state);
-      new Set(tasks.map(({ step }) => step.job)).forEach((job) => {
-        void transitions.save(job);
-      });
-    }
+    // A session may begin only after the loss, because the directory had dropped the endpoint or the owner has changed.
+    const mayHaveBeenLost = state.silentSince !== null || state.clockOffset === null;
+    if (mayHaveBeenLost) transitions.noteAnswer(state);
     state.silentSince = null;
     state.unansweredCalls = 0;
   }
--- a/packages/scheduler/src/core/taskTransitions.ts
+++ b/packages/scheduler/src/core/taskTransitions.ts
@@ -43,6 +43,8 @@
   releaseDueSteps(job: JobRecord): void;
   /** An endpoint has shown that the current run of a task exists, or has existed. */
   noteRun(task: TaskRecord): void;
+  /** The incarnation of an endpoint answers, so that losses recorded for it are withdrawn. */
+  noteAnswer(state: EndpointState): void;
   /** Applies the end of the current run of a task. */
   endRun(task: TaskRecord, kind: EndKind, checkpoint: string): void;
   /** Ends the current run of a task without a result and commits the job; the task resumes from its checkpoint. */
@@ -278,6 +280,12 @@
     save,
     releaseDueSteps: release,
     noteRun,
+    noteAnswer(state) {
+      const tasks = endpointLosses.recordAnswer(state);
+      new Set(tasks.map(({ step }) => step.job)).forEach((job) => {
+        void save(job);
+      });
+    },
     endRun: endRunAndCleanUp,
     dropRun,
     expireRuns(state) {
--- a/packages/standins/src/core/endpointFleetStandIn.ts
+++ b/packages/standins/src/core/endpointFleetStandIn.ts
@@ -206,6 +206,9 @@
     unlist(endpointId) {
       listed.delete(endpointId);
     },
+    list(entry) {
+      listed.set(entry.endpointId, entry);
+    },
     failRun(endpointId, taskId) {
       endpoints.get(endpointId)!.endRun(taskId, 'failed');
     },
--- a/packages/standins/src/types/fleet.ts
+++ b/packages/standins/src/types/fleet.ts
@@ -85,6 +85,8 @@
   /** Crashes an endpoint for good; the directory lists it until `unlist` is called. */
   kill(endpointId: string): void;
   unlist(endpointId: string): void;
+  /** Adds an entry to the directory. */
+  list(entry: EndpointEntry): void;
   /** Ends a run as failed; no effect if the endpoint does not execute it. */
   failRun(endpointId: string, taskId: string): void;
   drain(endpointId: string, remainingMilliseconds: number): void;
