Confirm a crash when its successor answers after the leases have ended

An endpoint that crashed and came back after more than 6.4 s was recorded as silent, like one that is cut off, and stayed so although its successor proves that it is over: only the count of silent losses gave up a task that crashes such endpoints.

A loss whose connection ended while the endpoint was executing the run is 'disconnected' now, and becomes 'executing' once a later incarnation or another endpoint answers at its address. A loss that was noticed by a timeout stays silent, since the lease may have ended before the crash. A hold that is refused is no longer taken for a connection that ended.

--- a/packages/decisions/src/core/crashSuspicion.ts
+++ b/packages/decisions/src/core/crashSuspicion.ts
@@ -52,9 +52,11 @@
  * - `executing`: it crashed while it was executing the run
  * - `crashed`: it crashed; the run may have ended before
  * - `unconfirmed`: it crashed; the start of the run may not have reached it, and the age of the run is unknown
- * - `silent`: it may be cut off
+ * - `disconnected`: its connection ended while it was executing the run; it may be cut off, and has crashed if its
+ *   successor answers
+ * - `silent`: it may be cut off, and if it has crashed, the lease of the run may have expired before
  */
-export type LossCertainty = 'executing' | 'crashed' | 'unconfirmed' | 'silent';
+export type LossCertainty = 'executing' | 'crashed' | 'unconfirmed' | 'disconnected' | 'silent';
 
 /** The loss of an endpoint that had a run of a task. */
 export interface EndpointLoss {
@@ -161,8 +163,12 @@
   return losses.filter(({ certainty }) => certainty === 'executing').length;
 }
 
+function isCrash({ certainty }: EndpointLoss): boolean {
+  return certainty !== 'silent' && certainty !== 'disconnected';
+}
+
 function countCrashes(losses: readonly EndpointLoss[]): number {
-  return losses.filter(({ certainty }) => certainty !== 'silent').length;
+  return losses.filter(isCrash).length;
 }
 
 function ageTolerance({ certainty }: EndpointLoss): number {
--- a/packages/proving/src/__tests__/crashReview.test.ts
+++ b/packages/proving/src/__tests__/crashReview.test.ts
@@ -371,6 +371,22 @@
   t.deepEqual(storedLosses(cell, JOB), []);
 });
 
+for (const keepsId of [true, false]) {
+  const name = keepsId ? 'a later incarnation' : 'another endpoint at its address';
+  test(`the loss of an endpoint that crashed is confirmed once ${name} answers, also after the leases`, async (t) => {
+    const cell = await createCell(null, { durationOf: () => Infinity });
+    await submit(t, cell, JOB, { isLongRunning: true });
+    await cell.advance(500);
+    const { endpointId } = runsOf(cell, JOB)[0]!;
+    cell.fleet.crash(endpointId, { downMilliseconds: 12_000, keepsId });
+    await cell.advance(10_000);
+    const certainties = () => storedLosses(cell, JOB).map((loss) => (loss as unknown[])[3]);
+    t.deepEqual(certainties(), ['disconnected']);
+    await cell.advance(4_000);
+    t.deepEqual(certainties(), ['executing']);
+  });
+}
+
 /** Cuts off the endpoint of the first task of {@link JOB} soon after each of its starts. */
 async function cutOffAfterEachStart(
   cell: SchedulerCell,
--- a/packages/scheduler/src/core/endpointLosses.ts
+++ b/packages/scheduler/src/core/endpointLosses.ts
@@ -6,6 +6,7 @@
 } from '@chicorybend/decisions';
 import type { LossCertainty, LostEndpoint } from '@chicorybend/decisions';
 
+import type { EndpointEntry } from '../types/endpoint.js';
 import type { JobRecord, TaskLoss, TaskRecord } from '../types/jobRecord.js';
 import type { TermContext } from '../types/termContext.js';
 import type { EndpointState } from './endpointTable.js';
@@ -31,7 +32,12 @@
 export interface EndpointLosses {
   /** Calls to an endpoint began to fail at `silentSince`. */
   recordSilence(state: EndpointState): void;
-  /** An endpoint answered in the same incarnation, so that it was not lost. @returns tasks with a withdrawn loss */
+  /**
+   * An incarnation of an endpoint answered. It was not lost, so its own losses are withdrawn; former endpoints and
+   * incarnations at its address are over, so that those whose connection ended have crashed.
+   *
+   * @returns tasks with a withdrawn or confirmed loss
+   */
   recordAnswer(state: EndpointState): TaskRecord[];
   /**
    * Records, before the runs are dropped, that the endpoint is lost.
@@ -51,6 +57,12 @@
   return { endpoint: endpointId, incarnation: bornAt, ageMilliseconds: age, ...rest };
 }
 
+/** @returns whether the endpoint of a loss is over if an incarnation answers for an entry */
+function isFormer(loss: TaskLoss, { endpointId, address }: EndpointEntry, bornAt: number): boolean {
+  if (loss.endpointId === endpointId) return loss.bornAt < bornAt;
+  return loss.address !== '' && loss.address === address;
+}
+
 /** @returns whether the current run of a task is on trial at a time, in monotonic milliseconds */
 export function isOnTrial(task: TaskRecord, at: number): boolean {
   const { trialMilliseconds, phase, startedAt } = task;
@@ -154,7 +166,9 @@
     { phase }: TaskRecord,
     cause: LossCause,
   ): LossCertainty {
-    if (cause === 'silent') return 'silent';
+    if (cause === 'silent') {
+      return hasCrashedDuringHold && phase !== 'placed' ? 'disconnected' : 'silent';
+    }
     if (phase === 'placed') return 'unconfirmed';
     return hasCrashedDuringHold ? 'executing' : 'crashed';
   }
@@ -164,11 +178,24 @@
     return { task: task.taskId, run, role, certainty, ageMilliseconds };
   }
 
-  function logWithdrawal(reason: 'answered' | 'later-incarnation', rows: readonly LossRow[]): void {
+  function replaceLoss(row: LossRow, next: TaskLoss | null): void {
+    const { task, loss } = row;
+    recorded.delete(row);
+    if (next) recorded.add({ task, loss: next });
+    task.losses = task.losses.flatMap((known) => {
+      if (known !== loss) return known;
+      return next ?? [];
+    });
+  }
+
+  function logRows(
+    message: string,
+    reason: 'answered' | 'later-incarnation' | 'replaced',
+    rows: readonly LossRow[],
+  ): void {
     if (rows.length === 0) return;
-    metrics.count('losses_withdrawn', rows.length);
     const { endpointId, bornAt } = rows[0]!.loss;
-    log.info('endpoint loss withdrawn', {
+    log.info(message, {
       endpoint: endpointId,
       incarnation: bornAt,
       reason,
@@ -214,18 +241,20 @@
     recordAnswer({ entry, bornAt }) {
       silent.delete(entry.endpointId);
       silentFromStart.delete(entry.endpointId);
-      const withdrawn = [...recorded].filter(
-        ({ task, loss }) =>
-          loss.endpointId === entry.endpointId &&
-          loss.bornAt === bornAt &&
-          task.losses.includes(loss),
+      const rows = [...recorded].filter(({ task, loss }) => task.losses.includes(loss));
+      const withdrawn = rows.filter(
+        ({ loss }) => loss.endpointId === entry.endpointId && loss.bornAt === bornAt,
       );
-      logWithdrawal('answered', withdrawn);
-      withdrawn.forEach((row) => {
-        recorded.delete(row);
-        row.task.losses = row.task.losses.filter((known) => known !== row.loss);
-      });
-      return withdrawn.map(({ task }) => task);
+      logRows('endpoint loss withdrawn', 'answered', withdrawn);
+      metrics.count('losses_withdrawn', withdrawn.length);
+      withdrawn.forEach((row) => replaceLoss(row, null));
+      const confirmed = rows.filter(
+        ({ loss }) => loss.certainty === 'disconnected' && isFormer(loss, entry, bornAt),
+      );
+      logRows('endpoint loss confirmed', 'replaced', confirmed);
+      metrics.count('losses_confirmed', confirmed.length);
+      confirmed.forEach((row) => replaceLoss(row, { ...row.loss, certainty: 'executing' }));
+      return [...withdrawn, ...confirmed].map(({ task }) => task);
     },
     recordLoss(state, allTasks, cause) {
       // A run remains at its endpoint after its loss while a stop must rule out that it starts late.
@@ -271,10 +300,9 @@
     },
     withdrawLoss(task) {
       const withdrawn = task.losses.filter(({ run }) => run === task.run);
-      logWithdrawal(
-        'later-incarnation',
-        withdrawn.map((loss) => ({ task, loss })),
-      );
+      const rows = withdrawn.map((loss) => ({ task, loss }));
+      logRows('endpoint loss withdrawn', 'later-incarnation', rows);
+      metrics.count('losses_withdrawn', rows.length);
       task.losses = task.losses.filter(({ run }) => run !== task.run);
     },
     recordVerdict(guilty) {
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -336,7 +336,10 @@
     } else if (outcome.kind === 'refused' && outcome.reason === 'fenced') {
       abandonFenced();
     } else {
-      handleUnansweredHold(outcome, hasFailedWhileWaiting(sentAt, waitMilliseconds));
+      handleUnansweredHold(
+        outcome,
+        outcome.kind === 'failed' && hasFailedWhileWaiting(sentAt, waitMilliseconds),
+      );
       const isReplaced = outcome.kind === 'refused' && outcome.reason === 'other-incarnation';
       if (isReplaced) endReplacedIncarnation();
       await sleep(clock, RETRY_DELAY_MILLISECONDS);
--- a/packages/scheduler/src/core/schedulerMetrics.ts
+++ b/packages/scheduler/src/core/schedulerMetrics.ts
@@ -27,6 +27,8 @@
   runs_lost_with_endpoint: 'Runs lost with them.',
   losses_withdrawn:
     'Losses of runs withdrawn because their endpoint answered, or the run turned out to be there.',
+  losses_confirmed:
+    'Losses of runs whose endpoint has crashed, since another one answers in its place.',
   trials_started:
     'Runs started on trial, apart from others, because an endpoint was lost under their task.',
   tasks_given_up: 'Tasks given up because they crash the endpoints that start them.',
--- a/packages/scheduler/src/core/taskTransitions.ts
+++ b/packages/scheduler/src/core/taskTransitions.ts
@@ -43,7 +43,7 @@
   releaseDueSteps(job: JobRecord): void;
   /** An endpoint has shown that the current run of a task exists, or has existed. */
   noteRun(task: TaskRecord): void;
-  /** The incarnation of an endpoint answers, so that losses recorded for it are withdrawn. */
+  /** An incarnation of an endpoint answers, which withdraws its losses and confirms those of former ones. */
   noteAnswer(state: EndpointState): void;
   /** Applies the end of the current run of a task. */
   endRun(task: TaskRecord, kind: EndKind, checkpoint: string): void;
@@ -282,6 +282,7 @@
     noteRun,
     noteAnswer(state) {
       const tasks = endpointLosses.recordAnswer(state);
+      tasks.forEach(giveUpIfGuilty);
       new Set(tasks.map(({ step }) => step.job)).forEach((job) => {
         void save(job);
       });
