Give a task up only for crashes of its endpoints, not for their silence

Callers saw long-running jobs shown as failed although none of their runs had failed and no endpoint had crashed: the endpoints had been cut off, or unread, soon after the start, time and again (record of 14 cases; all ends 'lapsed', each listed by the incarnation that had run it).

Cause: judgeCrashes took the absence of an answer for proof. Three losses on trial gave a task up, and five of any kind if it was alone at the last, also if none of them was more than silence. Their ages agree by construction, since each is the time until a call counts as unanswered. Class: silence taken for failure.

Only losses of endpoints that are certainly over count now: a later incarnation or another endpoint answers in their place.

--- a/packages/decisions/src/core/crashSuspicion.ts
+++ b/packages/decisions/src/core/crashSuspicion.ts
@@ -26,12 +26,10 @@
 const MINIMUM_CONFIRMED_CRASHES = 2;
 /** Number of further losses that are needed if the last endpoint had other losses. */
 const FURTHER_LOSSES_ON_UNRELIABLE_ENDPOINTS = 1;
-/** A suspect that was alone at the last loss is given up after this many, even if its endpoints may be cut off. */
-const MAXIMUM_LOSSES = 5;
 /** Minimum number of crashes of endpoints that were certainly executing a run of the task. */
-const MINIMUM_PROVEN_LOSSES = 2;
-/** Number of losses on trial that suffice without such crashes. */
-const MINIMUM_LOSSES_ON_TRIAL = 3;
+const MINIMUM_PROVEN_CRASHES = 2;
+/** Number of crashes on trial that suffice without such crashes. */
+const MINIMUM_CRASHES_ON_TRIAL = 3;
 /** Number of crashes that suffice if the task was on trial at all but the first, and certainly executing at one. */
 const MINIMUM_CRASHES_WITH_TRIALS = 3;
 
@@ -159,18 +157,15 @@
   return role === 'sole' || role === 'unreliable';
 }
 
-function countProven(losses: readonly EndpointLoss[]): number {
-  return losses.filter(({ certainty }) => certainty === 'executing').length;
+function countProven(crashes: readonly EndpointLoss[]): number {
+  return crashes.filter(({ certainty }) => certainty === 'executing').length;
 }
 
+/** @returns whether the endpoint is certainly over; one that does not answer may be cut off, paused or unread */
 function isCrash({ certainty }: EndpointLoss): boolean {
   return certainty !== 'silent' && certainty !== 'disconnected';
 }
 
-function countCrashes(losses: readonly EndpointLoss[]): number {
-  return losses.filter(isCrash).length;
-}
-
 function ageTolerance({ certainty }: EndpointLoss): number {
   return certainty === 'executing'
     ? EXECUTING_AGE_TOLERANCE_MILLISECONDS
@@ -181,7 +176,7 @@
   return certainty === 'executing' || certainty === 'crashed';
 }
 
-/** @returns whether a task that caused the reference loss may also have caused another one */
+/** @returns whether a task that caused the reference crash may also have caused another one */
 function isConsistent(loss: EndpointLoss, reference: EndpointLoss): boolean {
   const difference = loss.ageMilliseconds - reference.ageMilliseconds;
   // The endpoint was last known to be up not long before; when it was lost is unknown.
@@ -192,14 +187,14 @@
 /**
  * A task that crashes its endpoints does so at a similar age of each run.
  *
- * @returns most losses that are consistent with each other
+ * @returns most crashes that are consistent with each other
  */
-function findConsistentLosses(losses: readonly EndpointLoss[]): readonly EndpointLoss[] {
-  const references = losses.filter(isAgeKnown);
+function findConsistentCrashes(crashes: readonly EndpointLoss[]): readonly EndpointLoss[] {
+  const references = crashes.filter(isAgeKnown);
   const groups = references.map((reference) =>
-    losses.filter((loss) => isConsistent(loss, reference)),
+    crashes.filter((crash) => isConsistent(crash, reference)),
   );
-  const unknown = losses.filter((loss) => !isAgeKnown(loss));
+  const unknown = crashes.filter((crash) => !isAgeKnown(crash));
   return groups.reduce(
     (largest, group) => (group.length > largest.length ? group : largest),
     unknown,
@@ -207,49 +202,47 @@
 }
 
 /**
- * Losses with a common cause count only if the run was young enough for a trial: they say nothing about a task that ran
- * well for longer.
+ * Crashes with a common cause count only if the run was young enough for a trial: they say nothing about a task that
+ * ran well for longer.
  *
  * @returns whether a task is given up although each of the crashes may have another cause
  */
-function areTooManyCrashes(losses: readonly EndpointLoss[]): boolean {
-  const counted = losses.filter(
+function areTooManyCrashes(crashes: readonly EndpointLoss[]): boolean {
+  const counted = crashes.filter(
     ({ role, ageMilliseconds }) =>
       role !== 'common' || ageMilliseconds <= MAXIMUM_TRIAL_MILLISECONDS,
   );
   const isConfirmed = counted.filter(isAgeKnown).length >= MINIMUM_CONFIRMED_CRASHES;
-  return countCrashes(counted) >= (isConfirmed ? MAXIMUM_CRASHES : MAXIMUM_UNCONFIRMED_CRASHES);
+  return counted.length >= (isConfirmed ? MAXIMUM_CRASHES : MAXIMUM_UNCONFIRMED_CRASHES);
 }
 
-/** @returns whether the losses prove that a task crashes its endpoints, provided that it has caused them */
-function isProven(losses: readonly EndpointLoss[]): boolean {
-  if (areTooManyCrashes(losses)) return true;
-  const attributable = losses.filter(({ role }) => role !== 'common');
+/** @returns whether the crashes prove that a task crashes its endpoints, provided that it has caused them */
+function isProven(crashes: readonly EndpointLoss[]): boolean {
+  if (areTooManyCrashes(crashes)) return true;
+  const attributable = crashes.filter(({ role }) => role !== 'common');
   const last = attributable.at(-1);
   if (!last || !isAlone(last)) return false;
   const further = last.role === 'unreliable' ? FURTHER_LOSSES_ON_UNRELIABLE_ENDPOINTS : 0;
   const onTrial = attributable.filter(isAlone).length;
   const isRepeatedOnTrial =
     countProven(attributable) > 0 &&
-    countCrashes(attributable) >= MINIMUM_CRASHES_WITH_TRIALS + further &&
-    countCrashes(attributable.filter(isAlone)) >= MINIMUM_CRASHES_WITH_TRIALS + further - 1;
+    attributable.length >= MINIMUM_CRASHES_WITH_TRIALS + further &&
+    onTrial >= MINIMUM_CRASHES_WITH_TRIALS + further - 1;
   return (
     isRepeatedOnTrial ||
-    countProven(attributable) >= MINIMUM_PROVEN_LOSSES + further ||
-    onTrial >= MINIMUM_LOSSES_ON_TRIAL + further
+    countProven(attributable) >= MINIMUM_PROVEN_CRASHES + further ||
+    onTrial >= MINIMUM_CRASHES_ON_TRIAL + further
   );
 }
 
 /**
  * Judges a task by the endpoints that were lost under it. It is guilty if it was alone under suspicion at the last
- * loss, and two endpoints have certainly crashed under it or three were lost while it was on trial, all at a similar
- * age of its runs.
+ * crash, and two endpoints have certainly crashed while they were executing it or three while it was on trial, all at a
+ * similar age of its runs. Losses that may be only silence make it a suspect, however many there are.
  */
 export function judgeCrashes(losses: readonly EndpointLoss[]): CrashVerdict {
   const attributable = losses.filter(({ role }) => role !== 'common');
-  const last = attributable.at(-1);
-  const isLastOfMany = losses.length >= MAXIMUM_LOSSES && last !== undefined && isAlone(last);
-  if (isLastOfMany || isProven(findConsistentLosses(losses))) return 'guilty';
+  if (isProven(findConsistentCrashes(losses.filter(isCrash)))) return 'guilty';
   const isSuspect =
     attributable.length > 1 || attributable.some(({ role }) => role !== 'bystander');
   return isSuspect ? 'suspect' : 'unsuspected';
