Tell an ended connection from a timeout when an endpoint falls silent

Whether the connection of a hold had ended was inferred from its duration, so an attempt to connect that timed out after 400 ms (an endpoint that is cut off) looked like a crash while the hold was waiting; and a connection that was refused between two holds looked like silence, also once its successor answered.

A loss after a refused or ended connection is 'unreachable', and counts as a crash once its successor answers, as 'disconnected' does.

--- a/packages/decisions/src/__tests__/crashSuspicion.test.ts
+++ b/packages/decisions/src/__tests__/crashSuspicion.test.ts
@@ -117,7 +117,7 @@
 });
 
 test('endpoints that fall silent give no task up, as many as there are, and add nothing to a crash', (t) => {
-  for (const certainty of ['silent', 'disconnected'] as const) {
+  for (const certainty of ['silent', 'disconnected', 'unreachable'] as const) {
     const silent = createLoss('sole', certainty);
     const losses = Array.from({ length: 20 }, () => silent);
     t.is(judgeCrashes(losses), 'suspect');
--- a/packages/decisions/src/core/crashSuspicion.ts
+++ b/packages/decisions/src/core/crashSuspicion.ts
@@ -52,9 +52,13 @@
  * - `unconfirmed`: it crashed; the start of the run may not have reached it, and the age of the run is unknown
  * - `disconnected`: its connection ended while it was executing the run; it may be cut off, and has crashed if its
  *   successor answers
+ * - `unreachable`: the same, but its connection was refused or ended when the run may have ended
  * - `silent`: it may be cut off, and if it has crashed, the lease of the run may have expired before
  */
-export type LossCertainty = 'executing' | 'crashed' | 'unconfirmed' | 'disconnected' | 'silent';
+export type LossCertainty =
+  'executing' | 'crashed' | 'unconfirmed' | 'disconnected' | 'unreachable' | 'silent';
+
+const CRASH_CERTAINTIES: readonly LossCertainty[] = ['executing', 'crashed', 'unconfirmed'];
 
 /** The loss of an endpoint that had a run of a task. */
 export interface EndpointLoss {
@@ -163,7 +167,7 @@
 
 /** @returns whether the endpoint is certainly over; one that does not answer may be cut off, paused or unread */
 function isCrash({ certainty }: EndpointLoss): boolean {
-  return certainty !== 'silent' && certainty !== 'disconnected';
+  return CRASH_CERTAINTIES.includes(certainty);
 }
 
 function ageTolerance({ certainty }: EndpointLoss): number {
--- a/packages/scheduler/src/core/endpointLosses.ts
+++ b/packages/scheduler/src/core/endpointLosses.ts
@@ -57,6 +57,12 @@
   return { endpoint: endpointId, incarnation: bornAt, ageMilliseconds: age, ...rest };
 }
 
+/** @returns certainty of a loss once its endpoint is over; null if the lease of the run may have expired before */
+function confirmedCertainty({ certainty }: TaskLoss): LossCertainty | null {
+  if (certainty === 'disconnected') return 'executing';
+  return certainty === 'unreachable' ? 'crashed' : null;
+}
+
 /** @returns whether the endpoint of a loss is over if an incarnation answers for an entry */
 function isFormer(loss: TaskLoss, { endpointId, address }: EndpointEntry, bornAt: number): boolean {
   if (loss.endpointId === endpointId) return loss.bornAt < bornAt;
@@ -162,12 +168,13 @@
   }
 
   function judgeCertainty(
-    { hasCrashedDuringHold }: EndpointState,
+    { isDisconnected, hasCrashedDuringHold }: EndpointState,
     { phase }: TaskRecord,
     cause: LossCause,
   ): LossCertainty {
     if (cause === 'silent') {
-      return hasCrashedDuringHold && phase !== 'placed' ? 'disconnected' : 'silent';
+      if (!isDisconnected || phase === 'placed') return 'silent';
+      return hasCrashedDuringHold ? 'disconnected' : 'unreachable';
     }
     if (phase === 'placed') return 'unconfirmed';
     return hasCrashedDuringHold ? 'executing' : 'crashed';
@@ -249,11 +256,13 @@
       metrics.count('losses_withdrawn', withdrawn.length);
       withdrawn.forEach((row) => replaceLoss(row, null));
       const confirmed = rows.filter(
-        ({ loss }) => loss.certainty === 'disconnected' && isFormer(loss, entry, bornAt),
+        ({ loss }) => confirmedCertainty(loss) && isFormer(loss, entry, bornAt),
       );
       logRows('endpoint loss confirmed', 'replaced', confirmed);
       metrics.count('losses_confirmed', confirmed.length);
-      confirmed.forEach((row) => replaceLoss(row, { ...row.loss, certainty: 'executing' }));
+      confirmed.forEach((row) =>
+        replaceLoss(row, { ...row.loss, certainty: confirmedCertainty(row.loss)! }),
+      );
       return [...withdrawn, ...confirmed].map(({ task }) => task);
     },
     recordLoss(state, allTasks, cause) {
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -283,7 +283,7 @@
    * A hold that waits at the endpoint reports the next end at once. If it fails while it waits, the endpoint has
    * crashed and no run had ended before; a hold that fails when it is sent, or by its timeout, does not tell.
    */
-  function hasFailedWhileWaiting(sentAt: number, waitMilliseconds: number): boolean {
+  function mayHaveWaited(sentAt: number, waitMilliseconds: number): boolean {
     const milliseconds = now() - sentAt;
     return milliseconds >= MINIMUM_WAIT_MILLISECONDS && milliseconds < waitMilliseconds;
   }
@@ -293,14 +293,16 @@
     metrics.count('holds_failed');
     if (state.unansweredCalls === 1) {
       state.silentSince = now();
-      state.hasCrashedDuringHold = wasWaiting;
+      state.isDisconnected = outcome.kind === 'failed' && outcome.isDisconnected;
+      state.hasCrashedDuringHold = state.isDisconnected && wasWaiting;
       transitions.endpointLosses.recordSilence(state);
       log.info('endpoint silent', {
         endpoint: state.entry.endpointId,
         incarnation: state.bornAt,
         outcome: outcome.kind,
         reason: outcome.reason,
-        wasWaiting,
+        isDisconnected: state.isDisconnected,
+        wasWaiting: state.hasCrashedDuringHold,
         runs: state.runs.size,
       });
     }
@@ -336,10 +338,7 @@
     } else if (outcome.kind === 'refused' && outcome.reason === 'fenced') {
       abandonFenced();
     } else {
-      handleUnansweredHold(
-        outcome,
-        outcome.kind === 'failed' && hasFailedWhileWaiting(sentAt, waitMilliseconds),
-      );
+      handleUnansweredHold(outcome, mayHaveWaited(sentAt, waitMilliseconds));
       const isReplaced = outcome.kind === 'refused' && outcome.reason === 'other-incarnation';
       if (isReplaced) endReplacedIncarnation();
       await sleep(clock, RETRY_DELAY_MILLISECONDS);
--- a/packages/scheduler/src/core/endpointTable.ts
+++ b/packages/scheduler/src/core/endpointTable.ts
@@ -44,7 +44,9 @@
   unansweredCalls: number;
   /** When the first of them failed, in monotonic milliseconds; null if the last hold was answered. */
   silentSince: number | null;
-  /** Whether that hold ended at once while the endpoint was to report the next end, so that no run had ended before. */
+  /** Whether its connection ended or was refused, rather than that no answer came in time. */
+  isDisconnected: boolean;
+  /** Whether it ended while the endpoint was to report the next end, so that no run had ended before. */
   hasCrashedDuringHold: boolean;
   /** No new runs are placed there before this time, in monotonic milliseconds. */
   backoffUntil: number;
@@ -120,6 +122,7 @@
         laterLeasesExpireAt: now,
         unansweredCalls: 0,
         silentSince: null,
+        isDisconnected: false,
         hasCrashedDuringHold: false,
         backoffUntil: 0,
       };
--- a/packages/scheduler/src/types/endpoint.ts
+++ b/packages/scheduler/src/types/endpoint.ts
@@ -103,6 +103,7 @@
   readonly waitMilliseconds: number;
 }
 
+/** Outcome of a hold. `isDisconnected`: the connection ended or was refused, other than by a timeout of the caller. */
 export type HoldOutcome =
   | {
       readonly kind: 'answered';
@@ -112,7 +113,7 @@
       readonly ends: readonly EndReport[];
     }
   | { readonly kind: 'refused'; readonly reason: OrderRefusal }
-  | { readonly kind: 'failed'; readonly reason: string };
+  | { readonly kind: 'failed'; readonly reason: string; readonly isDisconnected: boolean };
 
 /** Sends orders to endpoints. Each call resolves within its timeout, in milliseconds. */
 export interface EndpointClient {
--- a/packages/standins/src/__tests__/endpointFleet.test.ts
+++ b/packages/standins/src/__tests__/endpointFleet.test.ts
@@ -84,7 +84,11 @@
   t.is((await resolve(holding)).kind, 'failed');
   t.is((await resolve(starting)).kind, 'unknown');
   t.deepEqual(await resolve(start('b')), { kind: 'refused', reason: 'unhealthy' });
-  t.deepEqual(await resolve(hold(0, null)), { kind: 'failed', reason: 'connection refused' });
+  t.deepEqual(await resolve(hold(0, null)), {
+    kind: 'failed',
+    reason: 'connection refused',
+    isDisconnected: true,
+  });
   t.true(clock.monotonicMilliseconds() - crashedAt < 20);
 });
 
--- a/packages/standins/src/core/fleetClient.ts
+++ b/packages/standins/src/core/fleetClient.ts
@@ -90,7 +90,7 @@
     await endpoint.awaitEnd(waitMilliseconds);
     if (endpoint.faults.isCutOff || endpoint.state !== 'up') {
       await sleep(clock, timeoutMilliseconds);
-      return { kind: 'failed', reason: 'lost' };
+      return { kind: 'failed', reason: 'lost', isDisconnected: false };
     }
     const outcome = endpoint.describe();
     await sleep(clock, latency / 2);
@@ -138,9 +138,9 @@
       const delivery = await deliver(target, waitMilliseconds + timeoutMilliseconds);
       if ('failure' in delivery) {
         const { failure } = delivery;
-        if (failure === 'lost') return { kind: 'failed', reason: 'lost' };
+        if (failure === 'lost') return { kind: 'failed', reason: 'lost', isDisconnected: false };
         return failure === 'unhealthy'
-          ? { kind: 'failed', reason: 'connection refused' }
+          ? { kind: 'failed', reason: 'connection refused', isDisconnected: true }
           : { kind: 'refused', reason: failure };
       }
       const { endpoint } = delivery;
@@ -151,6 +151,7 @@
       return closeOnDown(endpoint, answerHold(endpoint, waitMilliseconds, timeoutMilliseconds), {
         kind: 'failed',
         reason: 'connection closed',
+        isDisconnected: true,
       });
     },
     pace: (target, _run, _percent, timeoutMilliseconds) =>
