Weigh crashes at an unknown age of the run by what they can tell

A loss records the highest age as well, the time since the start, so that unknown ages agree only if their ranges do. A crash at an unknown age is taken to be of the age of the others.

--- a/packages/decisions/src/__tests__/crashSuspicion.test.ts
+++ b/packages/decisions/src/__tests__/crashSuspicion.test.ts
@@ -12,7 +12,9 @@
 import type { LossCertainty, LossRole, LostEndpoint } from '../index.js';
 
 function createLoss(role: LossRole, certainty: LossCertainty = 'executing', age = 10) {
-  return { run: 1, role, certainty, ageMilliseconds: age, at: 0 };
+  const isKnown = certainty === 'executing' || certainty === 'crashed';
+  const maximumAgeMilliseconds = isKnown ? age : Infinity;
+  return { run: 1, role, certainty, ageMilliseconds: age, maximumAgeMilliseconds, at: 0 };
 }
 
 function createLost(index: number, changes: Partial<LostEndpoint> = {}): LostEndpoint {
@@ -116,6 +118,48 @@
   t.deepEqual([0, 1, 5].map(maximumTrialEndpoints), [1, 2, 6]);
 });
 
+test('a crash at an unknown age counts as one at the known age of the others', (t) => {
+  const old = createLoss('bystander', 'crashed', 4_800);
+  const unknown = createLoss('common', 'unconfirmed', 300);
+  t.is(judgeCrashes([old, unknown, unknown, unknown, old]), 'suspect');
+  const young = createLoss('bystander', 'crashed', 1_200);
+  t.is(judgeCrashes([young, unknown, young]), 'suspect');
+  t.is(judgeCrashes([young, unknown, unknown, young]), 'guilty');
+});
+
+test('four crashes give a task up if two of them have a known age or a run on trial, else five', (t) => {
+  const unknown = createLoss('common', 'unconfirmed', 300);
+  const alone = createLoss('sole', 'unconfirmed', 300);
+  const known = createLoss('common', 'executing', 400);
+  t.is(judgeCrashes([unknown, unknown, unknown, known]), 'unsuspected');
+  t.is(judgeCrashes([unknown, unknown, unknown, unknown, known]), 'guilty');
+  t.is(judgeCrashes([unknown, unknown, known, alone]), 'guilty');
+});
+
+test('crashes at unknown ages alone give a task up after five, also on trial', (t) => {
+  const alone = createLoss('sole', 'unconfirmed', 0);
+  t.is(judgeCrashes([alone, alone, alone, alone]), 'suspect');
+  t.is(judgeCrashes([alone, alone, alone, alone, alone]), 'guilty');
+});
+
+test('a run of unknown age is no older than the time since its start', (t) => {
+  const early = { ...createLoss('shared', 'unconfirmed', 0), maximumAgeMilliseconds: 3_000 };
+  const late = createLoss('sole', 'unconfirmed', 8_600);
+  t.is(judgeCrashes([early, late, late]), 'suspect');
+  t.is(judgeCrashes([early, early, late, late]), 'suspect');
+  const known = createLoss('bystander', 'executing', 3_900);
+  t.is(judgeCrashes([early, known, early, known]), 'suspect');
+  t.is(
+    judgeCrashes([
+      early,
+      { ...known, ageMilliseconds: 2_900 },
+      early,
+      { ...known, ageMilliseconds: 2_900 },
+    ]),
+    'guilty',
+  );
+});
+
 test('endpoints that fall silent give no task up, as many as there are, and add nothing to a crash', (t) => {
   for (const certainty of ['silent', 'disconnected', 'unreachable'] as const) {
     const silent = createLoss('sole', certainty);
--- a/packages/decisions/src/core/crashSuspicion.ts
+++ b/packages/decisions/src/core/crashSuspicion.ts
@@ -21,9 +21,9 @@
 const UNCONFIRMED_AGE_TOLERANCE_MILLISECONDS = 2_000;
 /** A task is given up after this many crashes at a similar age, even if each of them may have another cause. */
 const MAXIMUM_CRASHES = 4;
-/** The same if its run was confirmed at fewer than two of them, so that their ages tell little. */
+/** The same if fewer of them have a known age or a run on trial, or none a known age: an unknown one tells little. */
 const MAXIMUM_UNCONFIRMED_CRASHES = 5;
-const MINIMUM_CONFIRMED_CRASHES = 2;
+const MINIMUM_INFORMATIVE_CRASHES = 2;
 /** Number of further losses that are needed if the last endpoint had other losses. */
 const FURTHER_LOSSES_ON_UNRELIABLE_ENDPOINTS = 1;
 /** Minimum number of crashes of endpoints that were certainly executing a run of the task. */
@@ -65,8 +65,10 @@
   /** Sequence number of the run within its task. */
   readonly run: number;
   readonly role: LossRole;
-  /** Age of the run at the loss, in milliseconds. */
+  /** Age of the run at the loss, in milliseconds; the lowest that it can have been if that is not known. */
   readonly ageMilliseconds: number;
+  /** Highest age that the run can have had at the loss, in milliseconds. */
+  readonly maximumAgeMilliseconds: number;
   readonly certainty: LossCertainty;
   /** Wall-clock time of the loss, in milliseconds since the Unix epoch. */
   readonly at: number;
@@ -180,11 +182,17 @@
   return certainty === 'executing' || certainty === 'crashed';
 }
 
-/** @returns whether a task that caused the reference crash may also have caused another one */
+/** @returns whether a task that caused the reference crash at its lowest age may also have caused another one */
 function isConsistent(loss: EndpointLoss, reference: EndpointLoss): boolean {
   const difference = loss.ageMilliseconds - reference.ageMilliseconds;
-  // The endpoint was last known to be up not long before; when it was lost is unknown.
-  if (!isAgeKnown(loss)) return difference <= UNCONFIRMED_AGE_TOLERANCE_MILLISECONDS;
+  if (!isAgeKnown(loss)) {
+    const highestDifference = reference.ageMilliseconds - loss.maximumAgeMilliseconds;
+    return (
+      difference <= UNCONFIRMED_AGE_TOLERANCE_MILLISECONDS &&
+      highestDifference <= ageTolerance(reference)
+    );
+  }
+  if (!isAgeKnown(reference)) return false;
   return Math.abs(difference) <= Math.max(ageTolerance(loss), ageTolerance(reference));
 }
 
@@ -194,15 +202,10 @@
  * @returns most crashes that are consistent with each other
  */
 function findConsistentCrashes(crashes: readonly EndpointLoss[]): readonly EndpointLoss[] {
-  const references = crashes.filter(isAgeKnown);
-  const groups = references.map((reference) =>
+  const groups = crashes.map((reference) =>
     crashes.filter((crash) => isConsistent(crash, reference)),
   );
-  const unknown = crashes.filter((crash) => !isAgeKnown(crash));
-  return groups.reduce(
-    (largest, group) => (group.length > largest.length ? group : largest),
-    unknown,
-  );
+  return groups.reduce((largest, group) => (group.length > largest.length ? group : largest), []);
 }
 
 /**
@@ -212,12 +215,16 @@
  * @returns whether a task is given up although each of the crashes may have another cause
  */
 function areTooManyCrashes(crashes: readonly EndpointLoss[]): boolean {
-  const counted = crashes.filter(
-    ({ role, ageMilliseconds }) =>
-      role !== 'common' || ageMilliseconds <= MAXIMUM_TRIAL_MILLISECONDS,
-  );
-  const isConfirmed = counted.filter(isAgeKnown).length >= MINIMUM_CONFIRMED_CRASHES;
-  return counted.length >= (isConfirmed ? MAXIMUM_CRASHES : MAXIMUM_UNCONFIRMED_CRASHES);
+  // If the task has caused a crash at an unknown age, that run was as old as the others.
+  const knownAge = crashes.find(isAgeKnown)?.ageMilliseconds;
+  const counted = crashes.filter((crash) => {
+    const age = isAgeKnown(crash) ? crash.ageMilliseconds : (knownAge ?? crash.ageMilliseconds);
+    return crash.role !== 'common' || age <= MAXIMUM_TRIAL_MILLISECONDS;
+  });
+  const informative = counted.filter((crash) => isAgeKnown(crash) || isAlone(crash));
+  const isInformed =
+    informative.length >= MINIMUM_INFORMATIVE_CRASHES && informative.some(isAgeKnown);
+  return counted.length >= (isInformed ? MAXIMUM_CRASHES : MAXIMUM_UNCONFIRMED_CRASHES);
 }
 
 /** @returns whether the crashes prove that a task crashes its endpoints, provided that it has caused them */
@@ -228,6 +235,7 @@
   if (!last || !isAlone(last)) return false;
   const further = last.role === 'unreliable' ? FURTHER_LOSSES_ON_UNRELIABLE_ENDPOINTS : 0;
   const onTrial = attributable.filter(isAlone).length;
+  if (!attributable.some(isAgeKnown)) return false;
   const isRepeatedOnTrial =
     countProven(attributable) > 0 &&
     attributable.length >= MINIMUM_CRASHES_WITH_TRIALS + further &&
@@ -245,8 +253,9 @@
  * similar age of its runs. Losses that may be only silence make it a suspect, however many there are.
  */
 export function judgeCrashes(losses: readonly EndpointLoss[]): CrashVerdict {
+  const crashes = losses.filter(isCrash);
+  if (isProven(findConsistentCrashes(crashes))) return 'guilty';
   const attributable = losses.filter(({ role }) => role !== 'common');
-  if (isProven(findConsistentCrashes(losses.filter(isCrash)))) return 'guilty';
   const isSuspect =
     attributable.length > 1 || attributable.some(({ role }) => role !== 'bystander');
   return isSuspect ? 'suspect' : 'unsuspected';
--- a/packages/scheduler/src/core/endpointLosses.ts
+++ b/packages/scheduler/src/core/endpointLosses.ts
@@ -52,9 +52,18 @@
 }
 
 /** @returns fields of a loss for log lines */
-export function describeLoss({ at: _at, bornAt, endpointId, ageMilliseconds, ...rest }: TaskLoss) {
-  const age = Math.round(ageMilliseconds);
-  return { endpoint: endpointId, incarnation: bornAt, ageMilliseconds: age, ...rest };
+export function describeLoss(loss: TaskLoss) {
+  const { endpointId, bornAt, run, role, certainty, epoch } = loss;
+  return {
+    endpoint: endpointId,
+    incarnation: bornAt,
+    run,
+    role,
+    certainty,
+    ageMilliseconds: Math.round(loss.ageMilliseconds),
+    maximumAgeMilliseconds: Math.round(loss.maximumAgeMilliseconds),
+    epoch,
+  };
 }
 
 /** @returns certainty of a loss once its endpoint is over; null if the lease of the run may have expired before */
@@ -287,11 +296,16 @@
         const ageMilliseconds = runAge(task, lossTime);
         const run = { ageMilliseconds, isOnTrial: isOnTrial(task, lossTime) };
         const role = classifyLoss(run, circumstances);
+        const certainty = judgeCertainty(state, task, cause);
+        const isAgeKnown = certainty !== 'unconfirmed' && certainty !== 'silent';
         const loss: TaskLoss = {
           run: task.run,
           role,
           ageMilliseconds,
-          certainty: judgeCertainty(state, task, cause),
+          maximumAgeMilliseconds: isAgeKnown
+            ? ageMilliseconds
+            : runAge(task, clock.monotonicMilliseconds()),
+          certainty,
           at: lossTime + wallDifference,
           endpointId: state.entry.endpointId,
           bornAt: task.endpointBornAt,
--- a/packages/scheduler/src/core/jobRecords.ts
+++ b/packages/scheduler/src/core/jobRecords.ts
@@ -155,7 +155,7 @@
 
 /**
  * Stored loss: run, role, age of the run in milliseconds, certainty, time since the acceptance of the job, index into
- * `endpoints`, epoch of the term. Earlier builds do not write the last two.
+ * `endpoints`, epoch of the term, highest age of the run. Earlier builds do not write the last three.
  */
 type StoredLoss = [
   run: number,
@@ -165,6 +165,7 @@
   after: number,
   endpoint?: number,
   epoch?: number,
+  maximumAge?: number,
 ];
 
 /**
@@ -184,19 +185,31 @@
 ];
 
 function encodeLoss(job: JobRecord, loss: TaskLoss, endpoint: number): StoredLoss {
-  const { run, role, ageMilliseconds, certainty, at, epoch } = loss;
-  const after = Math.round(at - job.acceptedAt);
-  return [run, role, Math.round(ageMilliseconds), certainty, after, endpoint, epoch];
+  const { run, role, certainty, epoch } = loss;
+  const age = Math.round(loss.ageMilliseconds);
+  const maximumAge = Math.round(loss.maximumAgeMilliseconds);
+  const after = Math.round(loss.at - job.acceptedAt);
+  return [run, role, age, certainty, after, endpoint, epoch, maximumAge];
 }
 
 function decodeLoss(
   job: JobRecord,
   endpoints: StoredState['endpoints'],
-  [run, role, age, certainty, after, endpoint = -1, epoch = 0]: StoredLoss,
+  [run, role, age, certainty, after, endpoint = -1, epoch = 0, maximumAge = Infinity]: StoredLoss,
 ): TaskLoss {
   const [endpointId, bornAt, address = ''] = endpoints[endpoint] ?? ['', 0];
-  const at = job.acceptedAt + after;
-  return { run, role, ageMilliseconds: age, certainty, at, endpointId, bornAt, address, epoch };
+  return {
+    run,
+    role,
+    ageMilliseconds: age,
+    maximumAgeMilliseconds: maximumAge,
+    certainty,
+    at: job.acceptedAt + after,
+    endpointId,
+    bornAt,
+    address,
+    epoch,
+  };
 }
 
 /** @returns whether an endpoint may have been lost because of the task */
