--- a/packages/proving/src/__tests__/crashSoak.test.ts
+++ b/packages/proving/src/__tests__/crashSoak.test.ts
@@ -14,6 +14,14 @@
   });
 }
 
+for (const seed of [1, 2]) {
+  test.serial(`long cuts among random faults fail no sound job with seed ${seed}`, async (t) => {
+    const outcome = await runCrashSoak({ seed, longestCutMilliseconds: 60_000 });
+    t.deepEqual(outcome.violations, [], formatCrashSoak(outcome));
+    t.is(outcome.unluckyJobs, 0);
+  });
+}
+
 for (const seed of [4, 5, 6, 7]) {
   test.serial(
     `jobs that crash endpoints are given up and others complete under random faults with seed ${seed}`,
--- a/packages/proving/src/core/crashSoak.ts
+++ b/packages/proving/src/core/crashSoak.ts
@@ -22,10 +22,13 @@
   readonly faultMilliseconds?: number;
   /** Fraction of jobs with tasks that crash their endpoint, in [0, 1]. */
   readonly deadlyFraction?: number;
+  /** Longest time for which endpoints are cut off, in milliseconds. */
+  readonly longestCutMilliseconds?: number;
 }
 
 const DEFAULT_FAULT_MILLISECONDS = 60_000;
 const DEFAULT_DEADLY_FRACTION = 0.1;
+export const DEFAULT_LONGEST_CUT_MILLISECONDS = 9_000;
 /** Log messages that belong to every trace. */
 const TRACED_MESSAGES = ['state recovered', 'endpoint silent', 'endpoint lost'];
 const START_MILLISECONDS = 500;
@@ -153,6 +156,7 @@
     cell,
     random: createRandom(seed + FAULT_SEED_OFFSET),
     endMilliseconds,
+    longestCutMilliseconds: options.longestCutMilliseconds ?? DEFAULT_LONGEST_CUT_MILLISECONDS,
     report: (text) => events.push({ at: clock.monotonicMilliseconds(), text }),
   });
 
--- a/packages/proving/src/core/crashSoakFaults.ts
+++ b/packages/proving/src/core/crashSoakFaults.ts
@@ -17,6 +17,8 @@
   readonly random: Random;
   /** When the last fault ends, in monotonic milliseconds. */
   readonly endMilliseconds: number;
+  /** Longest time for which endpoints are cut off, in milliseconds. */
+  readonly longestCutMilliseconds: number;
   readonly report: (text: string) => void;
 }
 
@@ -102,7 +104,7 @@
   }
 
   function cutOff(positions: readonly number[]): void {
-    const milliseconds = random.integer(500, 9_000);
+    const milliseconds = random.integer(500, options.longestCutMilliseconds);
     const faults = positions.map((position) => fleet.faultsOf(entryAt(position).endpointId));
     report(`cut of ${positions.length} endpoints for ${milliseconds} ms`);
     faults.forEach((entry) => Object.assign(entry, { isCutOff: true }));
--- a/packages/proving/src/soak.ts
+++ b/packages/proving/src/soak.ts
@@ -1,6 +1,10 @@
 import { defineCommand, runMain } from 'citty';
 
-import { formatCrashSoak, runCrashSoak } from './core/crashSoak.js';
+import {
+  DEFAULT_LONGEST_CUT_MILLISECONDS,
+  formatCrashSoak,
+  runCrashSoak,
+} from './core/crashSoak.js';
 import { LONG_FAULT_NAMES, planLongFault } from './core/longFaults.js';
 import type { LongFaultName } from './core/longFaults.js';
 import { runSoak } from './core/soakRun.js';
@@ -31,10 +35,14 @@
 }
 
 /** Runs crash soaks with consecutive seeds. @returns whether all checks hold */
-async function runCrashSoaks(firstSeed: number, runs: number): Promise<boolean> {
+async function runCrashSoaks(
+  firstSeed: number,
+  runs: number,
+  longestCutMilliseconds: number,
+): Promise<boolean> {
   const failedSeeds: number[] = [];
   for (let seed = firstSeed; seed < firstSeed + runs; seed += 1) {
-    const outcome = await runCrashSoak({ seed });
+    const outcome = await runCrashSoak({ seed, longestCutMilliseconds });
     console.log(formatCrashSoak(outcome));
     outcome.violations.forEach((violation) => console.log(`violation: ${violation}`));
     if (runs === 1) outcome.trace.forEach((line) => console.log(line));
@@ -76,6 +84,11 @@
       description:
         'Runs jobs that crash endpoints, and other faults, in this process on a manual clock',
     },
+    'longest-cut': {
+      type: 'string',
+      default: String(DEFAULT_LONGEST_CUT_MILLISECONDS),
+      description: 'Longest time for which endpoints are cut off, in milliseconds, with --crashes',
+    },
     runs: {
       type: 'string',
       default: '1',
@@ -87,7 +100,11 @@
     const randomSeed = String(Math.floor(Math.random() * LARGEST_SEED));
     const seed = Math.floor(readNumber('seed', args.seed ?? randomSeed));
     if (args.crashes) {
-      const passed = await runCrashSoaks(seed, readNumber('runs', args.runs));
+      const passed = await runCrashSoaks(
+        seed,
+        readNumber('runs', args.runs),
+        readNumber('longest-cut', args['longest-cut']),
+      );
       process.exit(passed ? 0 : 1);
     }
     const minutes = readNumber('minutes', args.minutes);
