End the session of an unlisted endpoint with its last run

Without runs such an endpoint gets no lease.

Measured: 'a session of an endpoint that the directory has dropped ends with its last run' and '... ends also without a takeover' failed before (40 holds in 60 s).

--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -321,7 +321,8 @@
     const { bornAt } = state;
     metrics.count('holds_sent');
     // The leases of an endpoint that may be lost are not renewed, so that its runs expire at a known time.
-    const deadline = state.unansweredCalls > 0 ? null : extendLeaseDeadline(leaseMilliseconds);
+    const needsLease = state.unansweredCalls === 0 && (state.isListed || state.runs.size > 0);
+    const deadline = needsLease ? extendLeaseDeadline(leaseMilliseconds) : null;
     const outcome = await endpoints.hold(
       target(),
       {
