Clear a task of the losses that its run has outlived when the run is moved

Losses were compared with the age of a run only when that run was lost as well. A crash that was confirmed while a later run was executing waited for the end of that run, and gave the task up when it was moved off a draining endpoint after a minute of sound work.

Measured: 'a run that has outlived the losses of its task is not followed by a verdict when it is moved' failed before.

--- a/packages/scheduler/src/core/endpointLosses.ts
+++ b/packages/scheduler/src/core/endpointLosses.ts
@@ -45,6 +45,8 @@
    * @param cause whether its incarnation is certainly over, or it was silent until the leases had expired
    */
   recordLoss(state: EndpointState, tasks: readonly TaskRecord[], cause: LossCause): void;
+  /** Drops the losses that the current run of a task, which ends other than by a loss, has outlived. */
+  discardOutlived(task: TaskRecord): void;
   /** The current run of a task turned out to be in a later incarnation than the one that was lost. */
   withdrawLoss(task: TaskRecord): void;
   /** A task was found guilty, which explains the losses under it. */
@@ -321,6 +323,12 @@
       metrics.count('runs_lost_with_endpoint', rows.length);
       logLoss(state, cause, lossTime, rows);
     },
+    discardOutlived(task) {
+      if (task.losses.length === 0 || task.phase === 'placed') return;
+      task.losses = [
+        ...discardOutlivedLosses(task.losses, runAge(task, clock.monotonicMilliseconds())),
+      ];
+    },
     withdrawLoss(task) {
       const withdrawn = task.losses.filter(({ run }) => run === task.run);
       const rows = withdrawn.map((loss) => ({ task, loss }));
--- a/packages/scheduler/src/core/taskTransitions.ts
+++ b/packages/scheduler/src/core/taskTransitions.ts
@@ -231,6 +231,7 @@
     }
     if (kind === 'done') context.estimates.recordCompletion(task);
     if (kind === 'failed') avoidEndpoint(task, clock.monotonicMilliseconds());
+    if (kind !== 'lapsed') endpointLosses.discardOutlived(task);
     const { run } = task;
     if (kind === 'done' && specification.isGang && !specification.isLongRunning) {
       finishGang(task);
