Take no planned leave for a crash once the next incarnation is listed

The entry of a later incarnation under the same id replaced the one that was draining before its end was noticed, so that the leave counted as a crash while the endpoint was executing. A successor at the address confirmed the loss of an endpoint whose connection had been reset however much later it answered, also after a drain.

The drain of the former incarnation is kept, a drain turns losses that wait for their confirmation into silent ones, and a successor confirms them for 30 s.

Measured: 'a planned leave under the same id is no crash' and 'a task is not given up because its endpoints leave as planned and start again under their ids' failed before.

--- a/packages/scheduler/src/core/endpointLosses.ts
+++ b/packages/scheduler/src/core/endpointLosses.ts
@@ -16,6 +16,8 @@
 const UNRELIABLE_MILLISECONDS = 60_000;
 /** The remaining time of a drain is as old as the last heartbeat of the endpoint, in milliseconds. */
 const DRAIN_END_TOLERANCE_MILLISECONDS = 2_000;
+/** A successor that answers later than this does not show when its predecessor ended, in milliseconds. */
+const CONFIRMATION_MILLISECONDS = 30_000;
 /** Number of runs of a loss that its log line names. */
 const LOGGED_RUNS = 5;
 
@@ -45,6 +47,8 @@
    * @param cause whether its incarnation is certainly over, or it was silent until the leases had expired
    */
   recordLoss(state: EndpointState, tasks: readonly TaskRecord[], cause: LossCause): void;
+  /** An endpoint drains, so that an answer of its successor does not show that it has crashed. */
+  recordDrain(entry: EndpointEntry): void;
   /** Drops the losses that the current run of a task, which ends other than by a loss, has outlived. */
   discardOutlived(task: TaskRecord): void;
   /** The current run of a task turned out to be in a later incarnation than the one that was lost. */
@@ -68,6 +72,16 @@
   };
 }
 
+/** @returns when the drain of an incarnation ends, in monotonic milliseconds; null if it is not known to drain */
+export function drainEndOf(
+  { entry, entryReadAt, formerDrain }: EndpointState,
+  bornAt: number,
+): number | null {
+  if (formerDrain?.bornAt === bornAt) return formerDrain.endsAt;
+  if (!entry.isDraining || entryReadAt === -Infinity) return null;
+  return entryReadAt + (entry.drainRemainingMilliseconds ?? 0);
+}
+
 /** @returns certainty of a loss once its endpoint is over; null if the lease of the run may have expired before */
 function confirmedCertainty({ certainty }: TaskLoss): LossCertainty | null {
   if (certainty === 'disconnected') return 'executing';
@@ -158,9 +172,8 @@
 
   /** A draining endpoint that is lost long before the end of its drain has crashed. */
   function hasLeftAsPlanned(state: EndpointState, tasks: readonly TaskRecord[]): boolean {
-    const { isDraining, drainRemainingMilliseconds } = state.entry;
-    if (!isDraining || state.entryReadAt === -Infinity) return false;
-    const endsAt = state.entryReadAt + (drainRemainingMilliseconds ?? 0);
+    const endsAt = drainEndOf(state, tasks[0]!.endpointBornAt);
+    if (endsAt === null) return false;
     return estimateLossTime(state, tasks) >= endsAt - DRAIN_END_TOLERANCE_MILLISECONDS;
   }
 
@@ -266,8 +279,12 @@
       logRows('endpoint loss withdrawn', 'answered', withdrawn);
       metrics.count('losses_withdrawn', withdrawn.length);
       withdrawn.forEach((row) => replaceLoss(row, null));
+      const now = clock.wallMilliseconds();
       const confirmed = rows.filter(
-        ({ loss }) => confirmedCertainty(loss) && isFormer(loss, entry, bornAt),
+        ({ loss }) =>
+          confirmedCertainty(loss) &&
+          isFormer(loss, entry, bornAt) &&
+          now - loss.at <= CONFIRMATION_MILLISECONDS,
       );
       logRows('endpoint loss confirmed', 'replaced', confirmed);
       metrics.count('losses_confirmed', confirmed.length);
@@ -323,6 +340,12 @@
       metrics.count('runs_lost_with_endpoint', rows.length);
       logLoss(state, cause, lossTime, rows);
     },
+    recordDrain({ endpointId, bornAt }) {
+      [...recorded]
+        .filter(({ loss }) => loss.endpointId === endpointId && loss.bornAt === bornAt)
+        .filter(({ loss }) => confirmedCertainty(loss))
+        .forEach((row) => replaceLoss(row, { ...row.loss, certainty: 'silent' }));
+    },
     discardOutlived(task) {
       if (task.losses.length === 0 || task.phase === 'placed') return;
       task.losses = [
--- a/packages/scheduler/src/core/endpointTable.ts
+++ b/packages/scheduler/src/core/endpointTable.ts
@@ -15,6 +15,8 @@
   readonly shuffleKey: number;
   /** When the last read that returned an entry was sent, in monotonic milliseconds; -Infinity if there was none. */
   entryReadAt: number;
+  /** Drain of the incarnation before that of the entry, and when it ends in monotonic milliseconds; null if none. */
+  formerDrain: { readonly bornAt: number; readonly endsAt: number } | null;
   /** Whether the directory lists it now. */
   isListed: boolean;
   /** Whether the recorded runs have been compared with lists read under the fencing token of this term. */
@@ -109,6 +111,7 @@
         entry,
         shuffleKey: hashText(entry.endpointId),
         entryReadAt: -Infinity,
+        formerDrain: null,
         isListed: true,
         isReconciled: false,
         bornAt: entry.bornAt,
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -29,6 +29,7 @@
 import { createCallerService } from './callerService.js';
 import { createCommitQueue } from './commitQueue.js';
 import { createDispatcher } from './dispatcher.js';
+import { drainEndOf } from './endpointLosses.js';
 import { createEndpointSession } from './endpointSession.js';
 import type { EndpointSession } from './endpointSession.js';
 import { createEndpointTable } from './endpointTable.js';
@@ -306,11 +307,19 @@
 
   function applyDirectoryEntry(entry: EndpointEntry, readAt: number): void {
     const known = table.get(entry.endpointId);
+    if (entry.isDraining && !known?.entry.isDraining) {
+      components!.transitions.endpointLosses.recordDrain(entry);
+    }
     if (!known) {
       startSession(addEndpoint(entry, readAt));
       return;
     }
     if (entry.bornAt < known.entry.bornAt) return;
+    if (entry.bornAt > known.entry.bornAt) {
+      const { bornAt } = known.entry;
+      const endsAt = drainEndOf(known, bornAt);
+      known.formerDrain = endsAt === null ? null : { bornAt, endsAt };
+    }
     const isSessionIdle = known.entry.address === '';
     if (entry.isDraining && !known.entry.isDraining) {
       log.info('endpoint draining', {
