Count no loss of an endpoint that a start cannot have reached

A start without an answer counted as a run under an endpoint that crashed later, also if the endpoint had been cut off when the start was sent: a task none of whose starts had arrived was given up after four restarts. Such a loss is silent now, unless the connection ended.

--- a/packages/scheduler/src/core/endpointLosses.ts
+++ b/packages/scheduler/src/core/endpointLosses.ts
@@ -192,7 +192,7 @@
   }
 
   function judgeCertainty(
-    { isDisconnected, hasCrashedDuringHold }: EndpointState,
+    { clockOffset, silentSince, isDisconnected, hasCrashedDuringHold }: EndpointState,
     { phase }: TaskRecord,
     cause: LossCause,
   ): LossCertainty {
@@ -200,7 +200,11 @@
       if (!isDisconnected || phase === 'placed') return 'silent';
       return hasCrashedDuringHold ? 'disconnected' : 'unreachable';
     }
-    if (phase === 'placed') return 'unconfirmed';
+    if (phase === 'placed') {
+      // An endpoint that was cut off when the start was sent has not got it.
+      const wasCutOff = clockOffset !== null && silentSince !== null && !isDisconnected;
+      return wasCutOff ? 'silent' : 'unconfirmed';
+    }
     return hasCrashedDuringHold ? 'executing' : 'crashed';
   }
 
