Read the owner records on request only while no other reading is open

During a store outage a reading lasts until its deadline of 2 s, and calls for a partition without an owner started another one every 100 ms: 15 were open at once. Their attempts time out after 500 ms, and each costs the store a new connection. When the store stand-in accepted them more slowly than they came, its full listen queue kept all daemons from their sessions for up to 17 s after the outage.

--- a/packages/daemon/src/__tests__/ownershipStubs.ts
+++ b/packages/daemon/src/__tests__/ownershipStubs.ts
@@ -5,6 +5,7 @@
   createSystemClock,
   Ok,
 } from '@chicorybend/common';
+import type { StoreClient } from '@chicorybend/common';
 import { startStoreStandIn } from '@chicorybend/standins';
 import type { StoreStandIn } from '@chicorybend/standins';
 
@@ -23,6 +24,8 @@
   readonly store: StoreStandIn;
   /** Leases in the order in which the partitions were opened. */
   readonly leases: readonly PartitionLease[];
+  /** @returns largest number of list calls to the store that were open at the same time */
+  mostOpenListings(): number;
   /** Generation of the authority that the membership reports; the test increments it to simulate a lapse. */
   generation: number;
 }
@@ -52,6 +55,23 @@
   };
 }
 
+/** Counts the open list calls of a store client. */
+function countListings(client: StoreClient): { store: StoreClient; most: () => number } {
+  let open = 0;
+  let most = 0;
+  const store: StoreClient = {
+    ...client,
+    async list<Data>(...call: Parameters<StoreClient['list']>) {
+      open += 1;
+      most = Math.max(most, open);
+      const listed = await client.list<Data>(...call);
+      open -= 1;
+      return listed;
+    },
+  };
+  return { store, most: () => most };
+}
+
 /**
  * Starts the ownership of the only daemon of a cell, on a store stand-in.
  *
@@ -68,6 +88,7 @@
   const store = await startStoreStandIn();
   const clock = createSystemClock();
   const client = createStoreClient({ address: store.address, clock });
+  const listings = countListings(client);
   const leases: PartitionLease[] = [];
   const recorder: PartitionService = {
     name: 'recorder',
@@ -88,7 +109,7 @@
     storeWritesPerSecond: 300,
     membership: createStubMembership(state),
     link: createStubNetwork().linkOf(SELF),
-    store: client,
+    store: listings.store,
     clock,
     counters: createLocalCounters(),
     log: createSilentLog(),
@@ -101,5 +122,5 @@
     await client.close();
     await store.close();
   });
-  return Object.assign(state, { ownership, store, leases });
+  return Object.assign(state, { ownership, store, leases, mostOpenListings: listings.most });
 }
--- a/packages/daemon/src/core/ownership.ts
+++ b/packages/daemon/src/core/ownership.ts
@@ -85,6 +85,7 @@
   let isDraining = false;
   let isStopped = false;
   let ownersReadAt = -Infinity;
+  let openReadings = 0;
 
   /** Time between commits that keeps this daemon within its share of the store's write budget, in milliseconds. */
   function commitInterval(): number {
@@ -274,7 +275,9 @@
 
   async function readOwnerRecords(): Promise<boolean> {
     ownersReadAt = clock.monotonicMilliseconds();
+    openReadings += 1;
     const listed = await store.list<OwnerRecord>(OWNER_PREFIX);
+    openReadings -= 1;
     if (listed.isErr()) return false;
     owners = parseOwners(listed.value);
     return true;
@@ -379,6 +382,8 @@
     servedPartitions: () =>
       [...partitions.values()].filter((entry) => entry.lease()).map((entry) => entry.partition),
     refreshOwner() {
+      // During a store outage a reading lasts until its deadline. Overlapping ones would crowd out session renewals.
+      if (openReadings > 0) return;
       if (clock.monotonicMilliseconds() - ownersReadAt < REFRESH_INTERVAL_MILLISECONDS) return;
       void readOwnerRecords();
     },
