Keep the unknown age of a stored loss through later states

JSON has no infinity: the highest age of a loss that an earlier build had stored became null in the next state, was read as 0 there, and no other crash agreed with it. Null stands for an unknown age now.

--- /dev/null
+++ b/packages/scheduler/src/__tests__/jobRecords.test.ts
@@ -0,0 +1,69 @@
+import test from 'ava';
+
+import { applyState, createJobRecord, encodeState } from '../core/jobRecords.js';
+import type { JobRecord } from '../types/jobRecord.js';
+
+function createJob(): JobRecord {
+  return createJobRecord({
+    jobId: 'job',
+    queue: 'work',
+    team: '',
+    acceptedAt: 1_000,
+    admission: { queue: null, teamLimit: null },
+    specification: {
+      payload: '',
+      schedule: null,
+      steps: [
+        {
+          count: 1,
+          resources: { processors: 1, memoryBytes: 1, accelerators: 0 },
+          estimatedMilliseconds: 500,
+          after: [],
+          hasCheckpoints: false,
+          isGang: false,
+          prefersOneRack: false,
+          requiredHardware: '',
+          preferredRack: '',
+          maximumPerEndpoint: 0,
+          isSpeculative: false,
+          isLongRunning: true,
+          image: '',
+          targetMilliseconds: 0,
+          isFilling: false,
+          disruptionBudget: null,
+        },
+      ],
+    },
+  });
+}
+
+function restore(state: string): JobRecord {
+  const job = createJob();
+  applyState(job, state, 0, 0);
+  return job;
+}
+
+test('a loss that an earlier build has stored keeps its unknown age through later states', (t) => {
+  const task = [0, 0, 'pending', 1, 0, -1, '', 10, [[1, 'shared', 5, 'unconfirmed', 20]]];
+  const state = JSON.stringify({
+    acceptedAt: 1_000,
+    phase: 'open',
+    endedAt: 0,
+    hasStarted: true,
+    occurrenceCount: 1,
+    endpoints: [],
+    occurrences: [[0, [0], [task], [0]]],
+  });
+  const first = restore(state);
+  const again = restore(encodeState(first, 0));
+  for (const job of [first, again]) {
+    const [loss] = job.occurrences.get(0)!.steps[0]!.tasks[0]!.losses;
+    t.like(loss, {
+      maximumAgeMilliseconds: Infinity,
+      endpointId: '',
+      bornAt: 0,
+      epoch: 0,
+      at: 1_020,
+    });
+  }
+});
--- a/packages/scheduler/src/core/jobRecords.ts
+++ b/packages/scheduler/src/core/jobRecords.ts
@@ -155,7 +155,8 @@
 
 /**
  * Stored loss: run, role, age of the run in milliseconds, certainty, time since the acceptance of the job, index into
- * `endpoints`, epoch of the term, highest age of the run. Earlier builds do not write the last three.
+ * `endpoints`, epoch of the term, highest age of the run or null if that is not known. Earlier builds do not write the
+ * last three.
  */
 type StoredLoss = [
   run: number,
@@ -165,7 +166,7 @@
   after: number,
   endpoint?: number,
   epoch?: number,
-  maximumAge?: number,
+  maximumAge?: number | null,
 ];
 
 /**
@@ -187,7 +188,9 @@
 function encodeLoss(job: JobRecord, loss: TaskLoss, endpoint: number): StoredLoss {
   const { run, role, certainty, epoch } = loss;
   const age = Math.round(loss.ageMilliseconds);
-  const maximumAge = Math.round(loss.maximumAgeMilliseconds);
+  const { maximumAgeMilliseconds } = loss;
+  const maximumAge =
+    maximumAgeMilliseconds === Infinity ? null : Math.round(maximumAgeMilliseconds);
   const after = Math.round(loss.at - job.acceptedAt);
   return [run, role, age, certainty, after, endpoint, epoch, maximumAge];
 }
@@ -195,14 +198,14 @@
 function decodeLoss(
   job: JobRecord,
   endpoints: StoredState['endpoints'],
-  [run, role, age, certainty, after, endpoint = -1, epoch = 0, maximumAge = Infinity]: StoredLoss,
+  [run, role, age, certainty, after, endpoint = -1, epoch = 0, maximumAge]: StoredLoss,
 ): TaskLoss {
   const [endpointId, bornAt, address = ''] = endpoints[endpoint] ?? ['', 0];
   return {
     run,
     role,
     ageMilliseconds: age,
-    maximumAgeMilliseconds: maximumAge,
+    maximumAgeMilliseconds: maximumAge ?? Infinity,
     certainty,
     at: job.acceptedAt + after,
     endpointId,
