--- a/packages/standins/src/core/endpointFleetStandIn.ts
+++ b/packages/standins/src/core/endpointFleetStandIn.ts
@@ -140,11 +140,13 @@
       isDraining: false,
       drainRemainingMilliseconds: null,
     });
+    options.onStateChange?.(machine.current.entry, true);
   }
 
   function takeDown(endpoint: FleetEndpoint, kind: FleetEndKind, restart: FleetRestart): void {
     const machine = machinesById.get(endpoint.entry.endpointId)!;
     endpoint.takeDown('down', kind);
+    options.onStateChange?.(endpoint.entry, false);
     clock.setTimer(() => {
       const isStillDown = machine.current === endpoint && endpoint.state === 'down';
       if (isStillDown) bootNext(machine, restart.keepsId);
--- a/packages/standins/src/core/relay.ts
+++ b/packages/standins/src/core/relay.ts
@@ -23,6 +23,8 @@
   | { readonly kind: 'delay'; readonly delayMilliseconds: number }
   /** Destroys open and new connections. Ignores the direction of the selector. */
   | { readonly kind: 'cut' }
+  /** Like `cut`, but with resets. */
+  | { readonly kind: 'reset' }
   /** Keeps connections open and accepts new ones, but forwards nothing until the fault is removed. */
   | { readonly kind: 'silence' };
 
@@ -86,10 +88,12 @@
   const links = new Set<Link>();
   let rules: Rule[] = [];
 
-  function isCut(caller: string): boolean {
-    return rules.some(
-      (rule) => rule.fault.kind === 'cut' && isSelected(rule.selector, caller, null),
-    );
+  function cutOf(caller: string): 'cut' | 'reset' | null {
+    const kinds = rules
+      .filter(({ selector }) => isSelected(selector, caller, null))
+      .map(({ fault }) => fault.kind);
+    if (kinds.includes('reset')) return 'reset';
+    return kinds.includes('cut') ? 'cut' : null;
   }
 
   function conditionOf(link: Link, direction: RelayDirection): PipeCondition {
@@ -107,10 +111,10 @@
     };
   }
 
-  function destroyLink(link: Link): void {
+  function destroyLink(link: Link, isReset = false): void {
     links.delete(link);
     link.pipes.forEach((pipe) => pipe.close());
-    link.sockets.forEach((socket) => socket.destroy());
+    link.sockets.forEach((socket) => (isReset ? socket.resetAndDestroy() : socket.destroy()));
   }
 
   /** Destroys the link once both sockets have closed or one failed; a silence delays the latter until it ends. */
@@ -125,8 +129,11 @@
 
   function accept(callerSocket: Socket): void {
     const caller = callerSocket.remoteAddress ?? '';
-    if (isCut(caller)) {
-      callerSocket.destroy();
+    const cut = cutOf(caller);
+    if (cut) {
+      callerSocket.on('error', () => {});
+      if (cut === 'reset') callerSocket.resetAndDestroy();
+      else callerSocket.destroy();
       return;
     }
     const targetSocket = connect({
@@ -148,7 +155,8 @@
 
   function applyRules(): void {
     links.forEach((link) => {
-      if (isCut(link.caller)) destroyLink(link);
+      const cut = cutOf(link.caller);
+      if (cut) destroyLink(link, cut === 'reset');
       else updateLink(link);
     });
   }
@@ -195,7 +203,7 @@
       const closed = new Promise<void>((resolve) => {
         server.close(() => resolve());
       });
-      links.forEach(destroyLink);
+      links.forEach((link) => destroyLink(link));
       return closed;
     },
   };
--- a/packages/standins/src/types/fleet.ts
+++ b/packages/standins/src/types/fleet.ts
@@ -120,4 +120,6 @@
   /** How endpoints that a run has crashed come back; under a new id after 3 s by default. */
   readonly restartAfterRunCrash?: FleetRestart;
   readonly latencyMilliseconds?: number;
+  /** Called when an incarnation goes down, and when the next one on its machine has started. */
+  readonly onStateChange?: (entry: EndpointEntry, isUp: boolean) => void;
 }
