Plan faults and check the record of a soak of processes

Change: a planner that derives load and faults from a seed, and pure checks of the record of callers and endpoints: shown states, final states, repeated runs, starts of deadly tasks, starts of cancelled jobs and ends of processes. A test of the relay's resets.

--- a/packages/proving/src/index.ts
+++ b/packages/proving/src/index.ts
@@ -68,6 +68,20 @@
 export { formatCrashSoak, runCrashSoak } from './core/crashSoak.js';
 export type { CrashSoakOptions } from './core/crashSoak.js';
 export type { CrashSoakOutcome } from './types/crashSoak.js';
+export { planProcessSoak } from './core/processSoakPlan.js';
+export { checkFinalStates, checkProcessSoak } from './core/processSoakChecks.js';
+export { isDeadlyTask, parseTaskId } from './core/crashSoakJobs.js';
+export type {
+  LinkCut,
+  ProcessExitRecord,
+  ProcessSoakFault,
+  ProcessSoakJob,
+  ProcessSoakJobRecord,
+  ProcessSoakPlan,
+  ProcessSoakRecord,
+  ProcessSoakViolation,
+  ShownState,
+} from './types/processSoak.js';
 export { planFaults } from './core/faultSchedule.js';
 export { runFaults } from './core/faultRunner.js';
 export { LONG_FAULT_NAMES, planLongFault } from './core/longFaults.js';
--- a/packages/standins/src/__tests__/relay.test.ts
+++ b/packages/standins/src/__tests__/relay.test.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events';
 import { connect, createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
 
@@ -58,6 +59,27 @@
   return { socket, received: () => received, isClosed: () => isClosed };
 }
 
+test('a reset affects open and new connections until it is removed', async (t) => {
+  const echo = await startEchoServer();
+  const relay = await startRelay({ targetHost: '127.0.0.1', targetPort: echo.port });
+  const caller = await connectCaller(relay, '127.0.0.11');
+  caller.socket.write('a');
+  await waitFor(() => caller.received() === 'a');
+  const reason = once(caller.socket, 'error');
+  const remove = relay.addFault({}, { kind: 'reset' });
+  t.is(((await reason) as NodeJS.ErrnoException[])[0]?.code, 'ECONNRESET');
+  const refused = connect({ host: relay.host, port: relay.port });
+  refused.on('error', () => {});
+  await waitFor(() => refused.closed);
+  remove();
+  const reconnected = await connectCaller(relay, '127.0.0.11');
+  reconnected.socket.write('b');
+  await waitFor(() => reconnected.received() === 'b');
+  reconnected.socket.destroy();
+  await relay.close();
+  echo.server.close();
+});
+
 test('a cut affects the selected caller only, and new connections work after it is cleared', async (t) => {
   const echo = await startEchoServer();
   const relay = await startRelay({ targetHost: '127.0.0.1', targetPort: echo.port });
