Lapse leases of endpoint stand-ins on the system clock

Cause: a timer of the system clock can fire about a millisecond early. The stand-in then found the lease still valid and set no other timer, so that the runs of an endpoint that was cut off lived until its next call.

Change: set the timer again if it fires up to 2 ms early. Nothing changes on the manual clock, whose timers are exact.

--- a/packages/standins/src/__tests__/endpointFleet.test.ts
+++ b/packages/standins/src/__tests__/endpointFleet.test.ts
@@ -3,6 +3,7 @@
 import test from 'ava';
 
 import { createManualClock } from '@chicorybend/common';
+import type { Clock } from '@chicorybend/common';
 import type { StartOrder } from '@chicorybend/scheduler';
 
 import { createEndpointFleetStandIn } from '../index.js';
@@ -210,3 +211,18 @@
   );
   t.is(fleet.history[0]!.endedAt, fleet.history[1]!.endedAt);
 });
+
+test('a lease lapses although its timer fires early', async (t) => {
+  const clock = createManualClock();
+  const early: Clock = {
+    ...clock,
+    setTimer: (callback, milliseconds) => clock.setTimer(callback, Math.max(1, milliseconds - 1)),
+  };
+  const { fleet, start } = createFleet({ clock: early });
+  void start('task', 1);
+  for (let elapsed = 0; elapsed < 11_000; elapsed += 1) {
+    clock.advance(1);
+    if (elapsed < 100) await setImmediate();
+  }
+  t.is(fleet.history[0]?.kind, 'lapsed');
+});
--- a/packages/standins/src/core/fleetEndpoint.ts
+++ b/packages/standins/src/core/fleetEndpoint.ts
@@ -21,6 +21,8 @@
 
 const MAXIMUM_LEASE_MILLISECONDS = 10_000;
 const STOP_DELAY_MILLISECONDS = 50;
+/** Timers of the system clock can fire early by about a millisecond. */
+const EARLY_TIMER_MILLISECONDS = 2;
 
 interface ExecutingRun {
   readonly record: FleetRun;
@@ -135,7 +137,15 @@
   function extendLease(deadline: number): void {
     const latestDeadline = readEndpointClock() + MAXIMUM_LEASE_MILLISECONDS;
     leaseDeadline = Math.max(leaseDeadline, Math.min(deadline, latestDeadline));
-    clock.setTimer(expireLease, leaseDeadline - readEndpointClock());
+    scheduleExpiry();
+  }
+
+  function scheduleExpiry(): void {
+    clock.setTimer(() => {
+      expireLease();
+      const remaining = leaseDeadline - readEndpointClock();
+      if (remaining > 0 && remaining <= EARLY_TIMER_MILLISECONDS) scheduleExpiry();
+    }, leaseDeadline - readEndpointClock());
   }
 
   function rejectsStaleToken({ fencingToken }: OrderTarget): boolean {
