--- a/packages/proving/src/core/processSoakPlan.ts
+++ b/packages/proving/src/core/processSoakPlan.ts
@@ -8,7 +8,7 @@
 import type { Random } from '../utils/random.js';
 import { planCrashSoakJobs } from './crashSoakJobs.js';
 
-const DEADLY_FRACTION = 0.1;
+const DEADLY_FRACTION = 0.06;
 const CANCELLED_FRACTION = 0.15;
 /** Most long-running jobs are cancelled, so that the endpoints do not fill up. */
 const CANCELLED_LONG_RUNNING_FRACTION = 0.7;
@@ -91,5 +91,5 @@
     faults.push(random.pick(PLANNERS)(random, { at, pick: random.fraction() }));
     at += random.integer(500, 5_000);
   }
-  return { jobs, faults };
+  return { jobs, faults, keepsIds: random.chance(0.5) };
 }
--- a/packages/proving/src/soak.ts
+++ b/packages/proving/src/soak.ts
@@ -1,3 +1,6 @@
+import { spawnSync } from 'node:child_process';
+import { fileURLToPath } from 'node:url';
+
 import { defineCommand, runMain } from 'citty';
 
 import { formatCrashSoak, runCrashSoak } from './core/crashSoak.js';
@@ -7,6 +10,8 @@
 import { formatChecks, formatSummary } from './core/summary.js';
 import { EXAMPLE_NAMES, readExample } from './utils/readExample.js';
 
+/** Soak of the program that is deployed on the platform; it alone knows the platform's protocol. */
+const PROCESS_SOAK = fileURLToPath(new URL('../../../platform/dist/soak/main.js', import.meta.url));
 const MILLISECONDS_PER_MINUTE = 60_000;
 const LARGEST_SEED = 1_000_000_000;
 // By then the partitions have been distributed to the daemons, even on a busy machine.
@@ -30,6 +35,15 @@
   });
 }
 
+/** Runs the deployed program as processes. @returns exit code */
+function runProcessSoak(seed: number, minutes: number): number {
+  const soakArguments = ['--seed', String(seed), '--minutes', String(minutes)];
+  const { status } = spawnSync(process.execPath, [PROCESS_SOAK, ...soakArguments], {
+    stdio: 'inherit',
+  });
+  return status ?? 1;
+}
+
 /** Runs crash soaks with consecutive seeds. @returns whether all checks hold */
 async function runCrashSoaks(firstSeed: number, runs: number): Promise<boolean> {
   const failedSeeds: number[] = [];
@@ -76,6 +90,11 @@
       description:
         'Runs jobs that crash endpoints, and other faults, in this process on a manual clock',
     },
+    processes: {
+      type: 'boolean',
+      default: false,
+      description: 'Runs the deployed program as processes against stand-ins of the platform',
+    },
     runs: {
       type: 'string',
       default: '1',
@@ -91,6 +110,7 @@
       process.exit(passed ? 0 : 1);
     }
     const minutes = readNumber('minutes', args.minutes);
+    if (args.processes) process.exit(runProcessSoak(seed, minutes));
     console.log(`seed: ${seed}`);
     const { faults, rows, checks, failures, window } = await runSoak({
       example: readExample(args.example),
--- a/packages/proving/src/types/processSoak.ts
+++ b/packages/proving/src/types/processSoak.ts
@@ -45,6 +45,8 @@
 export interface ProcessSoakPlan {
   readonly jobs: readonly ProcessSoakJob[];
   readonly faults: readonly ProcessSoakFault[];
+  /** Whether an endpoint that a task has crashed comes back under its id; otherwise under another. */
+  readonly keepsIds: boolean;
 }
 
 /** State of a job that a caller was shown; `unknown` if the job was not found. */
