--- a/packages/proving/src/core/crashSoakChecks.ts
+++ b/packages/proving/src/core/crashSoakChecks.ts
@@ -3,7 +3,7 @@
 import type { CrashSoakJob, CrashSoakJobState } from '../types/crashSoak.js';
 import { groupBy } from '../utils/groupBy.js';
 import type { CrashCause } from './crashSoakFaults.js';
-import { isDeadlyTask, parseTaskId } from './crashSoakJobs.js';
+import { isDeadlyTask, parseTaskId, taskIdsOf } from './crashSoakJobs.js';
 import type { SchedulerCell } from './schedulerCell.js';
 
 /** A job may be given up once this many incarnations have crashed under one of its tasks. */
@@ -26,12 +26,6 @@
   readonly unluckyJobs: number;
 }
 
-function taskIdsOf(job: CrashSoakJob): string[] {
-  return job.steps.flatMap(({ count = 1 }, step) =>
-    Array.from({ length: count }, (_, index) => `${job.jobId}.0.${step}.${index}`),
-  );
-}
-
 /** Checks the record of the endpoints and the states of the jobs after all faults have ended. */
 export function checkCrashSoak(
   cell: SchedulerCell,
--- a/packages/proving/src/core/crashSoakJobs.ts
+++ b/packages/proving/src/core/crashSoakJobs.ts
@@ -100,6 +100,13 @@
   return { jobId, step: Number(step), index: Number(index) };
 }
 
+/** @returns ids of all tasks of a job */
+export function taskIdsOf(job: CrashSoakJob): string[] {
+  return job.steps.flatMap(({ count = 1 }, step) =>
+    Array.from({ length: count }, (_, index) => `${job.jobId}.0.${step}.${index}`),
+  );
+}
+
 /** @returns whether the runs of a task crash their endpoint */
 export function isDeadlyTask(job: CrashSoakJob, { step, index }: TaskPosition): boolean {
   return job.deadly?.step === step && job.deadly.indexes.includes(index);
--- a/packages/proving/src/core/processSoakChecks.ts
+++ b/packages/proving/src/core/processSoakChecks.ts
@@ -1,13 +1,13 @@
+import { crashTimesUnder } from '@chicorybend/standins';
 import type { FleetRun } from '@chicorybend/standins';
 
 import type {
-  ProcessSoakJob,
   ProcessSoakJobRecord,
   ProcessSoakRecord,
   ProcessSoakViolation,
 } from '../types/processSoak.js';
 import { groupBy } from '../utils/groupBy.js';
-import { isDeadlyTask, parseTaskId } from './crashSoakJobs.js';
+import { isDeadlyTask, parseTaskId, taskIdsOf } from './crashSoakJobs.js';
 
 /** A job may be given up once this many incarnations have crashed under one of its tasks. */
 const CRASHES_TO_GIVE_UP = 2;
@@ -17,30 +17,18 @@
 
 type Violations = ProcessSoakViolation[];
 
-/** @returns when incarnations crashed under each task of a job, by task id, ascending */
-function crashTimesOf(runs: readonly FleetRun[], jobId: string): ReadonlyMap<string, number[]> {
-  const times = new Map<string, Map<string, number>>();
-  runs.forEach(({ taskId, kind, endpointId, bornAt, endedAt }) => {
-    if (kind !== 'crashed' || parseTaskId(taskId).jobId !== jobId) return;
-    const ofTask = times.get(taskId) ?? new Map<string, number>();
-    times.set(taskId, ofTask.set(`${endpointId}/${bornAt}`, endedAt!));
-  });
-  return new Map(
-    [...times].map(([taskId, ofTask]) => [taskId, [...ofTask.values()].sort((a, b) => a - b)]),
-  );
-}
-
 /** A job is shown as failed only after crashes under one of its tasks, and as cancelled only if that was asked for. */
 export function checkShownStates({ jobs, runs }: ProcessSoakRecord): Violations {
-  return jobs.flatMap(({ job: { jobId }, cancelSentAt, states }) => {
+  return jobs.flatMap(({ job, cancelSentAt, states }) => {
+    const { jobId } = job;
     const failed = states.find(({ state }) => state === 'failed');
     const cancelled = states.find(({ state }) => state === 'cancelled');
     const violations: Violations = [];
     if (failed) {
-      const counts = [...crashTimesOf(runs, jobId).values()].map(
-        (times) => times.filter((time) => time <= failed.at).length,
+      const counts = taskIdsOf(job).map(
+        (taskId) => crashTimesUnder(runs, taskId).filter((time) => time <= failed.at).length,
       );
-      const crashes = Math.max(0, ...counts);
+      const crashes = Math.max(...counts);
       if (crashes < CRASHES_TO_GIVE_UP) {
         const text = `job ${jobId} is shown as failed after ${crashes} crashes under one of its tasks`;
         violations.push({ rule: 'LOST', at: failed.at, jobId, text });
@@ -62,11 +50,7 @@
   if (finalState === 'unknown') return 'is not known';
   if (job.deadly || finalState === 'completed' || finalState === 'failed') return null;
   if (!job.steps.every(({ isLongRunning }) => isLongRunning)) return `is still ${finalState}`;
-  const idle = job.steps
-    .flatMap(({ count = 1 }, step) =>
-      Array.from({ length: count }, (_, index) => `${job.jobId}.0.${step}.${index}`),
-    )
-    .find((taskId) => !runningTaskIds.has(taskId));
+  const idle = taskIdsOf(job).find((taskId) => !runningTaskIds.has(taskId));
   return idle === undefined ? null : `has task ${idle}, which does not run`;
 }
 
@@ -106,26 +90,17 @@
   });
 }
 
-function deadlyTaskIds(job: ProcessSoakJob, runs: readonly FleetRun[]): string[] {
-  const taskIds = new Set(runs.map(({ taskId }) => taskId));
-  return [...taskIds].filter((taskId) => {
-    const position = parseTaskId(taskId);
-    return position.jobId === job.jobId && isDeadlyTask(job, position);
-  });
-}
-
 /** A task that crashes its endpoints is started at most twice more after three of them have crashed under it. */
 export function checkDeadlyTasks({ jobs, runs }: ProcessSoakRecord): Violations {
   return jobs.flatMap(({ job }) => {
-    const { jobId } = job;
-    const crashTimes = crashTimesOf(runs, jobId);
-    return deadlyTaskIds(job, runs).flatMap((taskId): Violations => {
-      const conclusiveAt = crashTimes.get(taskId)?.[CONCLUSIVE_CRASHES - 1] ?? Infinity;
+    const deadlyTaskIds = taskIdsOf(job).filter((id) => isDeadlyTask(job, parseTaskId(id)));
+    return deadlyTaskIds.flatMap((taskId): Violations => {
+      const conclusiveAt = crashTimesUnder(runs, taskId)[CONCLUSIVE_CRASHES - 1] ?? Infinity;
       const starts = runs.filter((run) => run.taskId === taskId && run.startedAt >= conclusiveAt);
       const excess = starts[MAXIMUM_FURTHER_STARTS];
       if (!excess) return [];
       const text = `${starts.length} starts of task ${taskId} after ${CONCLUSIVE_CRASHES} crashes under it`;
-      return [{ rule: 'BUDGET', at: excess.startedAt, jobId, text }];
+      return [{ rule: 'BUDGET', at: excess.startedAt, jobId: job.jobId, text }];
     });
   });
 }
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -33,6 +33,7 @@
 export { createClusterStoreStandIn } from './core/clusterStoreStandIn.js';
 export type { ClusterStoreFaults, ClusterStoreStandIn } from './core/clusterStoreStandIn.js';
 export { createEndpointFleetStandIn } from './core/endpointFleetStandIn.js';
+export { crashTimesUnder } from './core/fleetRecords.js';
 export type {
   EndpointFleetOptions,
   EndpointFleetStandIn,
