Log which VM a call for advice went to, and steps that stand still

- 'advice call failed' names the VM, the number of endpoints, the timeout, the time taken and the failures of that channel in a row; a VM gives its own call to the service up 100 ms before its answer is due, so that 'timed out' and 'peer: no answer in time' tell the two apart.
Counter advice_lost_at_peer.
- 'step idle' names up to five steps a second that have waited for 2 s while nothing of their job runs: what they wait for, calls in flight, answered and failed, endpoints that may run them, and valid tickets.

--- a/packages/proving/src/__tests__/backlog.test.ts
+++ b/packages/proving/src/__tests__/backlog.test.ts
@@ -115,7 +115,7 @@
   cell.startProcess('first');
   await cell.advance(200);
   for (let channel = 1; channel < ADVICE_CHANNELS; channel += 1) {
-    cell.currentTerm()!.addAdviceChannel(cell.fleet.advice);
+    cell.currentTerm()!.addAdviceChannel(cell.fleet.advice, 'vm');
   }
   const submittedAt = new Map<string, number>();
   const until = async (at: number) => {
--- a/packages/proving/src/core/schedulerCell.ts
+++ b/packages/proving/src/core/schedulerCell.ts
@@ -216,7 +216,7 @@
             isOwnerLeaseValid: () => !isKilled && election.isOwnerLeaseValid(),
             onOwnershipLost: (reason) => election.abandonTerm(reason),
           });
-          term.addAdviceChannel(fleet.advice);
+          term.addAdviceChannel(fleet.advice, 'vm');
           void term.run();
         },
         onTermEnd() {
--- a/packages/scheduler/src/__tests__/adviceCache.test.ts
+++ b/packages/scheduler/src/__tests__/adviceCache.test.ts
@@ -3,6 +3,7 @@
 import { createManualClock, createSilentLog } from '@chicorybend/common';
 import test from 'ava';
 
+import type { AdviceClient } from '../types/advice.js';
 import { createAdviceCache } from '../core/adviceCache.js';
 import type { AdviceRequest } from '../core/adviceCache.js';
 import { createSchedulerMetrics } from '../core/schedulerMetrics.js';
@@ -29,7 +30,7 @@
   });
   const answers: (() => void)[] = [];
   for (let channel = 0; channel < channelCount; channel += 1) {
-    cache.addChannel({
+    const client: AdviceClient = {
       advise(stepId, endpointIds) {
         requestedSteps.push(stepId);
         channelsUsed.push(channel);
@@ -38,7 +39,8 @@
           answers.push(() => resolve({ kind: 'answered', tickets, validMilliseconds: 2_000 }));
         });
       },
-    });
+    };
+    cache.addChannel(client, `vm-${channel}`);
   }
   return { clock, cache, requestedSteps, channelsUsed, answers };
 }
--- a/packages/scheduler/src/core/adviceCache.ts
+++ b/packages/scheduler/src/core/adviceCache.ts
@@ -2,7 +2,7 @@
 import type { Clock, Log } from '@chicorybend/common';
 import { createEligibilityEstimate } from '@chicorybend/decisions';
 
-import type { AdviceClient } from '../types/advice.js';
+import type { AdviceClient, AdviceOutcome } from '../types/advice.js';
 import type { AdviceSettings } from '../types/configuration.js';
 import type { SchedulerMetrics } from './schedulerMetrics.js';
 import type { WorkMeter } from './workMeter.js';
@@ -38,6 +38,19 @@
   /** Endpoints that the calls in flight are about. */
   readonly askedEndpoints: Set<string>;
   callsInFlight: number;
+  answeredCalls: number;
+  failedCalls: number;
+}
+
+/** State of the advice about a step, for logs. */
+export interface AdviceSummary {
+  readonly callsInFlight: number;
+  readonly answeredCalls: number;
+  readonly failedCalls: number;
+  /** Number of endpoints that may run the step. */
+  readonly eligible: number;
+  /** Number of tickets that are valid for long enough. */
+  readonly tickets: number;
 }
 
 /** Advice call to make. */
@@ -55,6 +68,10 @@
 /** Channel to the advice service through one VM; the service accepts one call per VM at a time. */
 export interface AdviceChannel {
   readonly client: AdviceClient;
+  /** `<address>:<port>` of the VM. */
+  readonly name: string;
+  /** Number of its calls that have failed since the last answer. */
+  failuresInRow: number;
   /** Request that the channel is busy with; null if it is idle. */
   requestInFlight: AdviceRequest | null;
 }
@@ -81,7 +98,10 @@
   busyChannels(): number;
   dropTicket(stepId: string, endpointId: string): void;
   forgetStep(stepId: string): void;
-  addChannel(client: AdviceClient): AdviceChannel;
+  /** @returns state of the advice about a step; null if it has not been asked about */
+  describeStep(stepId: string): AdviceSummary | null;
+  /** @param name `<address>:<port>` of the VM, for logs */
+  addChannel(client: AdviceClient, name: string): AdviceChannel;
   removeChannel(channel: AdviceChannel): void;
 }
 
@@ -110,11 +130,19 @@
       eligibility: new Map(),
       askedEndpoints: new Set(),
       callsInFlight: 0,
+      answeredCalls: 0,
+      failedCalls: 0,
     };
     steps.set(stepId, created);
     return created;
   }
 
+  function countTickets(stepId: string): number {
+    const now = clock.monotonicMilliseconds();
+    const tickets = steps.get(stepId)?.tickets.values() ?? [];
+    return [...tickets].filter(({ usableUntil }) => usableUntil > now).length;
+  }
+
   /** Only endpoints about which nothing was known tell how likely an endpoint is eligible. */
   function learnProbability(
     queue: string,
@@ -145,6 +173,17 @@
     });
   }
 
+  function countOutcome(channel: AdviceChannel, stepId: string, { kind }: AdviceOutcome): void {
+    const advice = steps.get(stepId);
+    if (kind === 'answered') {
+      channel.failuresInRow = 0;
+      if (advice) advice.answeredCalls += 1;
+    } else {
+      channel.failuresInRow += 1;
+      if (advice) advice.failedCalls += 1;
+    }
+  }
+
   async function fetchAdvice(
     channel: AdviceChannel,
     request: AdviceRequest,
@@ -153,14 +192,16 @@
     const { stepId, settings } = request;
     const sentAt = clock.monotonicMilliseconds();
     const expected = settings.callMilliseconds + settings.endpointMilliseconds * endpoints.length;
+    const timeoutMilliseconds = expected + CALL_MARGIN_MILLISECONDS;
     metrics.count('advice_calls');
     const outcome = await channel.client.advise(
       stepId,
       endpoints.map(({ endpointId }) => endpointId),
-      expected + CALL_MARGIN_MILLISECONDS,
+      timeoutMilliseconds,
     );
     const took = clock.monotonicMilliseconds() - sentAt;
     metrics.record('advice_milliseconds', took);
+    countOutcome(channel, stepId, outcome);
     if (outcome.kind === 'answered') {
       const tickets = new Map(
         outcome.tickets.map(({ endpointId, ticket }) => [endpointId, ticket]),
@@ -178,7 +219,15 @@
       });
     } else {
       metrics.count('advice_failed');
-      log.info('advice call failed', { step: stepId, reason: outcome.reason });
+      log.info('advice call failed', {
+        step: stepId,
+        channel: channel.name,
+        reason: outcome.reason,
+        asked: endpoints.length,
+        timeout: Math.round(timeoutMilliseconds),
+        took: Math.round(took),
+        failuresInRow: channel.failuresInRow,
+      });
       await sleep(clock, FAILURE_DELAY_MILLISECONDS);
     }
     const advice = steps.get(stepId);
@@ -279,10 +328,13 @@
       const entry = steps.get(stepId)?.eligibility.get(endpointId);
       return entry?.bornAt === bornAt ? entry.isEligible : null;
     },
-    hasTickets(stepId) {
-      const now = clock.monotonicMilliseconds();
-      const tickets = steps.get(stepId)?.tickets.values() ?? [];
-      return [...tickets].some(({ usableUntil }) => usableUntil > now);
+    hasTickets: (stepId) => countTickets(stepId) > 0,
+    describeStep(stepId) {
+      const advice = steps.get(stepId);
+      if (!advice) return null;
+      const { callsInFlight, answeredCalls, failedCalls, eligibility } = advice;
+      const eligible = [...eligibility.values()].filter(({ isEligible }) => isEligible).length;
+      return { callsInFlight, answeredCalls, failedCalls, eligible, tickets: countTickets(stepId) };
     },
     setRequests(next) {
       requests = next;
@@ -295,8 +347,8 @@
     forgetStep(stepId) {
       steps.delete(stepId);
     },
-    addChannel(client) {
-      const channel: AdviceChannel = { client, requestInFlight: null };
+    addChannel(client, name) {
+      const channel: AdviceChannel = { client, name, failuresInRow: 0, requestInFlight: null };
       channels.push(channel);
       sendWaitingRequests();
       return channel;
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -30,6 +30,7 @@
 import { chargedResources } from './endpointTable.js';
 import type { EndpointState } from './endpointTable.js';
 import { hasActiveRun, trialMillisecondsOf } from './jobRecords.js';
+import { createIdleSteps } from './idleSteps.js';
 import { createKeptEndpoints } from './keptEndpoints.js';
 import { findUpcomingSteps } from './upcomingSteps.js';
 import { collectCandidates } from './roundCandidates.js';
@@ -77,6 +78,8 @@
   prefetchAdvice(): void;
   /** Logs the number of waiting tasks by reason, and the capacity in use, if any task waits. */
   logBacklog(): void;
+  /** Logs steps that have waited for seconds while nothing of their job runs. */
+  logIdleSteps(): void;
   /** @returns rounds since the last call of this function */
   takeRoundSummary(): RoundSummary;
   close(): void;
@@ -117,6 +120,7 @@
   const roundStatistics = createRoundStatistics(metrics);
   /** Waiting tasks of the last round. */
   const waiting = createWaitingTasks();
+  const idleSteps = createIdleSteps(context, adviceCache);
   let rounds = 0;
   /** Number of endpoints that may still get a trial in the current round. */
   let trialEndpointsLeft = 0;
@@ -659,10 +663,12 @@
       const hasTurn = blocked < MAXIMUM_BLOCKED_STEPS || (position + rounds) % BACKLOG_ROUNDS === 0;
       if (!hasTurn) {
         countBlockedTasks(readyStep, 'turn', startableTasks(step).length);
+        idleSteps.record(step, 'turn');
         return;
       }
       const { request, reason } = placeStep(readyStep, endpoints);
       if (request) requests.push(request);
+      idleSteps.record(step, reason);
       if (reason === 'room' || reason === 'advice') blockedSteps.set(queue.name, blocked + 1);
       if (!step.tasks.some(({ phase }) => phase === 'pending')) {
         transitions.releasedSteps.delete(step);
@@ -718,6 +724,7 @@
         adviceLinesBusy: adviceCache.busyChannels(),
       });
     },
+    logIdleSteps: idleSteps.logLongest,
     takeRoundSummary: roundStatistics.takeSummary,
     close() {
       cancelRound?.();
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -76,7 +76,7 @@
   run(): Promise<void>;
   handle(request: CallerRequest): Promise<CallerAnswer>;
   /** Adds a channel to the advice service. @returns function that removes it */
-  addAdviceChannel(client: AdviceClient): () => void;
+  addAdviceChannel(client: AdviceClient, name: string): () => void;
   end(): void;
 }
 
@@ -519,6 +519,7 @@
 
   function logLoad(): Promise<boolean> {
     components!.dispatcher.logBacklog();
+    components!.dispatcher.logIdleSteps();
     logWork();
     return Promise.resolve(true);
   }
@@ -538,9 +539,9 @@
       }
       return Promise.resolve({ kind: 'failed', failure: createFailure('not-ready') });
     },
-    addAdviceChannel(client) {
-      const line = adviceCache.addChannel(client);
-      return () => adviceCache.removeChannel(line);
+    addAdviceChannel(client, name) {
+      const channel = adviceCache.addChannel(client, name);
+      return () => adviceCache.removeChannel(channel);
     },
     end() {
       hasEnded = true;
--- a/packages/scheduler/src/core/peerChannel.ts
+++ b/packages/scheduler/src/core/peerChannel.ts
@@ -19,6 +19,8 @@
 /** Bidirectional JSON-RPC connection between two VMs. */
 export interface PeerChannel {
   call(method: string, parameters: unknown, timeoutMilliseconds: number): Promise<PeerOutcome>;
+  /** `<address>:<port>` of the other end of the connection. */
+  readonly remoteAddress: string;
   /** Resolves when the connection has ended. */
   readonly closed: Promise<void>;
   isOpen(): boolean;
@@ -37,6 +39,7 @@
     }),
     { errorListener: () => {} },
   );
+  const remoteAddress = `${socket.remoteAddress}:${socket.remotePort}`;
   let buffered = '';
   let isOpen = true;
   const closed = new Promise<void>((resolve) => {
@@ -66,6 +69,7 @@
   });
 
   return {
+    remoteAddress,
     closed,
     isOpen: () => isOpen,
     async call(method, parameters, timeoutMilliseconds) {
--- a/packages/scheduler/src/core/scheduler.ts
+++ b/packages/scheduler/src/core/scheduler.ts
@@ -19,6 +19,8 @@
 const CONNECT_TIMEOUT_MILLISECONDS = 500;
 /** Delay before the next attempt to connect to the owner. */
 const RECONNECT_DELAY_MILLISECONDS = 100;
+/** A peer gives up its call to the advice service this long before its answer is due, so that it can report that. */
+const PEER_ANSWER_MARGIN_MILLISECONDS = 100;
 /** Maximum wait for an owner that answers; longer than a takeover takes. */
 const OWNER_TIMEOUT_MILLISECONDS = 2_500;
 /** A call is not sent to the owner with less time left, because its answer would come too late to be known. */
@@ -111,7 +113,7 @@
         isOwnerLeaseValid: () => election.isOwnerLeaseValid(),
         onOwnershipLost: (reason) => election.abandonTerm(reason),
       });
-      if (options.advice) term.addAdviceChannel(options.advice);
+      if (options.advice) term.addAdviceChannel(options.advice, peerAddress);
       [...adviceChannelRemovers.keys()].forEach(addPeerAdviceChannel);
       void term.run();
     },
@@ -129,11 +131,15 @@
   function createPeerAdviceClient(channel: PeerChannel): AdviceClient {
     return {
       async advise(stepId, endpointIds, timeoutMilliseconds) {
-        const parameters = { stepId, endpointIds, timeoutMilliseconds };
+        const parameters = {
+          stepId,
+          endpointIds,
+          timeoutMilliseconds: timeoutMilliseconds - PEER_ANSWER_MARGIN_MILLISECONDS,
+        };
         const outcome = await channel.call('advise', parameters, timeoutMilliseconds);
-        return outcome.kind === 'answered'
-          ? (outcome.result as AdviceOutcome)
-          : { kind: 'failed', reason: outcome.reason };
+        if (outcome.kind === 'answered') return outcome.result as AdviceOutcome;
+        metrics.count('advice_lost_at_peer');
+        return { kind: 'failed', reason: `peer: ${outcome.reason}` };
       },
     };
   }
@@ -141,7 +147,7 @@
   function addPeerAdviceChannel(channel: PeerChannel): void {
     adviceChannelRemovers.set(
       channel,
-      term?.addAdviceChannel(createPeerAdviceClient(channel)) ?? (() => {}),
+      term?.addAdviceChannel(createPeerAdviceClient(channel), channel.remoteAddress) ?? (() => {}),
     );
   }
 
