Ask about a step through channels that answer

Cause: the advice cache took the first idle channel, and a channel whose call had failed was idle again after 0.1 s, while those that answer were busy or came later; the step whose call failed came first and met the same channel again. A member that does not answer is free most often, so work went to it time and again. Each such call also kept its endpoints from other calls for its whole timeout.

Change: a channel whose call is overdue (the announced time and a margin that adapts to the channel, 0.2 to 1 s) or has failed is suspect until it answers. No step waits for a suspect channel; it is tried again after 0.1 to 1 s with a tentative call, which nothing waits for. A step whose call was not answered is asked about through a channel that has answered since; while there is none, through others tentatively, twice as many with each round. An overdue call gives its endpoints free at once; its answer is used if it comes.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -53,6 +53,10 @@
 export { createQuarantine } from './core/quarantine.js';
 export type { QuarantineOptions } from './core/quarantine.js';
 
+/** Health of the members of a group that shares work. */
+export { createMemberHealth } from './core/memberHealth.js';
+export type { MemberHealth, RetryDelays } from './core/memberHealth.js';
+
 /** Attribution of the loss of endpoints to tasks that crash them. */
 export {
   classifyLoss,
--- a/packages/scheduler/src/core/adviceCache.ts
+++ b/packages/scheduler/src/core/adviceCache.ts
@@ -1,9 +1,10 @@
-import { sleep } from '@chicorybend/common';
 import type { Clock, Log } from '@chicorybend/common';
 import { createEligibilityEstimate } from '@chicorybend/decisions';
 
 import type { AdviceClient, AdviceOutcome } from '../types/advice.js';
 import type { AdviceSettings } from '../types/configuration.js';
+import { createAdviceChannels } from './adviceChannels.js';
+import type { AdviceChannel } from './adviceChannels.js';
 import type { SchedulerMetrics } from './schedulerMetrics.js';
 import type { WorkMeter } from './workMeter.js';
 
@@ -18,8 +19,6 @@
 const CHANNELS_RESERVED_FOR_SHORT_CALLS = 2;
 /** Share of the channels that long calls may not use, where that is more. */
 const SHARE_RESERVED_FOR_SHORT_CALLS = 0.15;
-/** Delay before a channel is used again after a failed call. */
-const FAILURE_DELAY_MILLISECONDS = 100;
 
 const NO_ENDPOINTS: ReadonlySet<string> = new Set();
 
@@ -35,9 +34,17 @@
   readonly tickets: Map<string, { ticket: string; bornAt: number; usableUntil: number }>;
   /** By endpoint: whether that incarnation may run the step. The answer does not expire. */
   readonly eligibility: Map<string, { isEligible: boolean; bornAt: number }>;
-  /** Endpoints that the calls in flight are about. */
+  /** Endpoints that the calls in flight are about, tentative and overdue ones excepted. */
   readonly askedEndpoints: Set<string>;
+  /** Endpoints that the last ordinary call was about. */
+  lastAsked: readonly EndpointIncarnation[];
+  /** Number of calls in flight, tentative and overdue ones excepted. */
   callsInFlight: number;
+  tentativeCallsInFlight: number;
+  /** Number of calls that were overdue or failed since the last answer. */
+  unansweredCalls: number;
+  /** When the first of them was sent, in monotonic milliseconds; infinity if there are none. */
+  unansweredSince: number;
   answeredCalls: number;
   failedCalls: number;
 }
@@ -65,15 +72,17 @@
   chooseEndpoints(): readonly EndpointIncarnation[];
 }
 
-/** Channel to the advice service through one VM; the service accepts one call per VM at a time. */
-export interface AdviceChannel {
-  readonly client: AdviceClient;
-  /** `<address>:<port>` of the VM. */
-  readonly name: string;
-  /** Number of its calls that have failed since the last answer. */
-  failuresInRow: number;
-  /** Request that the channel is busy with; null if it is idle. */
-  requestInFlight: AdviceRequest | null;
+/**
+ * Purpose of a call. `ordinary`: its step waits for the answer. `tentative`: nothing waits for it, because the channel
+ * may not answer; the step may be asked about through other channels at the same time.
+ */
+export type AdviceCallKind = 'ordinary' | 'tentative';
+
+/** Call in flight. */
+export interface AdviceCall {
+  readonly request: AdviceRequest;
+  readonly kind: AdviceCallKind;
+  readonly endpoints: readonly EndpointIncarnation[];
 }
 
 /** Caches advice about steps, and requests it through the channels of all VMs in parallel. */
@@ -110,7 +119,7 @@
   readonly log: Log;
   readonly metrics: SchedulerMetrics;
   readonly workMeter: WorkMeter;
-  /** Called after each call, whether it was answered or failed. */
+  /** Called after each call that was answered or failed, and when one is overdue. */
   readonly onAnswer: () => void;
 }
 
@@ -118,7 +127,7 @@
 export function createAdviceCache(options: AdviceCacheOptions): AdviceCache {
   const { clock, log, metrics, workMeter } = options;
   const steps = new Map<string, StepAdvice>();
-  const channels: AdviceChannel[] = [];
+  const channels = createAdviceChannels(clock);
   const estimate = createEligibilityEstimate();
   let requests: readonly AdviceRequest[] = [];
 
@@ -129,7 +138,11 @@
       tickets: new Map(),
       eligibility: new Map(),
       askedEndpoints: new Set(),
+      lastAsked: [],
       callsInFlight: 0,
+      tentativeCallsInFlight: 0,
+      unansweredCalls: 0,
+      unansweredSince: Infinity,
       answeredCalls: 0,
       failedCalls: 0,
     };
@@ -157,14 +170,12 @@
     if (unknown.length > 0) estimate.record(queue, unknown.length, eligible.length);
   }
 
-  function recordAnswer(
-    { stepId, queue }: AdviceRequest,
-    endpoints: readonly EndpointIncarnation[],
+  function recordTickets(
+    advice: StepAdvice,
+    { request: { queue }, endpoints }: AdviceCall,
     tickets: ReadonlyMap<string, string>,
     usableUntil: number,
   ): void {
-    const advice = steps.get(stepId);
-    if (!advice) return;
     learnProbability(queue, advice, endpoints, tickets);
     endpoints.forEach(({ endpointId, bornAt }) => {
       const ticket = tickets.get(endpointId);
@@ -173,126 +184,200 @@
     });
   }
 
-  function countOutcome(channel: AdviceChannel, stepId: string, { kind }: AdviceOutcome): void {
-    const advice = steps.get(stepId);
-    if (kind === 'answered') {
-      channel.failuresInRow = 0;
-      if (advice) advice.answeredCalls += 1;
-    } else {
-      channel.failuresInRow += 1;
-      if (advice) advice.failedCalls += 1;
+  function recordUnanswered(advice: StepAdvice, sentAt: number): void {
+    advice.unansweredCalls += 1;
+    advice.unansweredSince = Math.min(advice.unansweredSince, sentAt);
+  }
+
+  function expectedMilliseconds({ request: { settings }, endpoints }: AdviceCall): number {
+    return settings.callMilliseconds + settings.endpointMilliseconds * endpoints.length;
+  }
+
+  function recordAnswer(
+    advice: StepAdvice,
+    call: AdviceCall,
+    outcome: AdviceOutcome & { kind: 'answered' },
+    sentAt: number,
+    took: number,
+  ): void {
+    advice.answeredCalls += 1;
+    advice.unansweredCalls = 0;
+    advice.unansweredSince = Infinity;
+    const tickets = new Map(outcome.tickets.map(({ endpointId, ticket }) => [endpointId, ticket]));
+    // The service issues the ticket at some moment during the call; counting its validity from the start of a long
+    // call would be too strict.
+    const assumedIssuedAt = sentAt + Math.min(took, expectedMilliseconds(call)) / 2;
+    const usableUntil = assumedIssuedAt + outcome.validMilliseconds - EXPIRY_MARGIN_MILLISECONDS;
+    workMeter.measure('advice', () => recordTickets(advice, call, tickets, usableUntil));
+    log.debug('advice call answered', {
+      step: call.request.stepId,
+      asked: call.endpoints.length,
+      good: tickets.size,
+      took,
+    });
+  }
+
+  /** Ends the wait of the step for a call that has ended, or is overdue. */
+  function release(advice: StepAdvice, { kind, endpoints }: AdviceCall): void {
+    if (kind === 'tentative') {
+      advice.tentativeCallsInFlight -= 1;
+      return;
     }
+    advice.callsInFlight -= 1;
+    endpoints.forEach(({ endpointId }) => advice.askedEndpoints.delete(endpointId));
+  }
+
+  /** The channel waits on for the answer, which is still of use; the step is asked about through another channel. */
+  function handleOverdue(channel: AdviceChannel, call: AdviceCall, advice: StepAdvice): void {
+    const { stepId } = call.request;
+    metrics.count('advice_overdue');
+    log.info('advice call overdue', { step: stepId, channel: channel.name, kind: call.kind });
+    channel.health.recordOverdue();
+    channel.excess.recordTimeout();
+    release(advice, call);
+    options.onAnswer();
+    sendWaitingRequests();
   }
 
   async function fetchAdvice(
     channel: AdviceChannel,
-    request: AdviceRequest,
-    endpoints: readonly EndpointIncarnation[],
+    call: AdviceCall,
+    advice: StepAdvice,
   ): Promise<void> {
-    const { stepId, settings } = request;
+    const { request, kind, endpoints } = call;
+    const { stepId } = request;
     const sentAt = clock.monotonicMilliseconds();
-    const expected = settings.callMilliseconds + settings.endpointMilliseconds * endpoints.length;
+    const expected = expectedMilliseconds(call);
     const timeoutMilliseconds = expected + CALL_MARGIN_MILLISECONDS;
+    let isReleased = false;
+    const cancelOverdueTimer = clock.setTimer(() => {
+      isReleased = true;
+      recordUnanswered(advice, sentAt);
+      handleOverdue(channel, call, advice);
+    }, expected + channel.excess.timeoutMilliseconds());
     metrics.count('advice_calls');
     const outcome = await channel.client.advise(
       stepId,
       endpoints.map(({ endpointId }) => endpointId),
       timeoutMilliseconds,
     );
-    const took = clock.monotonicMilliseconds() - sentAt;
+    cancelOverdueTimer();
+    const now = clock.monotonicMilliseconds();
+    const took = now - sentAt;
     metrics.record('advice_milliseconds', took);
-    countOutcome(channel, stepId, outcome);
+    channel.callInFlight = null;
     if (outcome.kind === 'answered') {
-      const tickets = new Map(
-        outcome.tickets.map(({ endpointId, ticket }) => [endpointId, ticket]),
-      );
-      // The service issues the ticket at some moment during the call; counting its validity from the start of a
-      // long call would be too strict.
-      const assumedIssuedAt = sentAt + Math.min(took, expected) / 2;
-      const usableUntil = assumedIssuedAt + outcome.validMilliseconds - EXPIRY_MARGIN_MILLISECONDS;
-      workMeter.measure('advice', () => recordAnswer(request, endpoints, tickets, usableUntil));
-      log.debug('advice call answered', {
-        step: stepId,
-        asked: endpoints.length,
-        good: tickets.size,
-        took,
-      });
+      channel.health.recordAnswer(now);
+      channel.excess.recordAnswer(Math.max(0, took - expected));
+      recordAnswer(advice, call, outcome, sentAt, took);
     } else {
+      channel.health.recordFailure(now);
+      if (!isReleased) recordUnanswered(advice, sentAt);
+      advice.failedCalls += 1;
       metrics.count('advice_failed');
       log.info('advice call failed', {
         step: stepId,
         channel: channel.name,
+        kind,
         reason: outcome.reason,
         asked: endpoints.length,
         timeout: Math.round(timeoutMilliseconds),
         took: Math.round(took),
-        failuresInRow: channel.failuresInRow,
+        failuresInRow: channel.health.failuresInRow(),
       });
-      await sleep(clock, FAILURE_DELAY_MILLISECONDS);
-    }
-    const advice = steps.get(stepId);
-    if (advice) {
-      advice.callsInFlight -= 1;
-      endpoints.forEach(({ endpointId }) => advice.askedEndpoints.delete(endpointId));
     }
+    if (!isReleased) release(advice, call);
     // Waiting requests for the step were made before this answer was known; the next round requests what is
     // still missing.
     requests = requests.filter((other) => other.stepId !== stepId);
     options.onAnswer();
+    sendWaitingRequests();
   }
 
   function isLongCall({ settings }: AdviceRequest): boolean {
     return settings.callMilliseconds > LONG_CALL_MILLISECONDS;
   }
 
-  function countLongCalls(): number {
-    return channels.filter(
-      ({ requestInFlight }) => requestInFlight !== null && isLongCall(requestInFlight),
-    ).length;
+  /** A tentative call may repeat the question of a call in flight if there is nothing else to ask. */
+  function chooseEndpoints(
+    request: AdviceRequest,
+    kind: AdviceCallKind,
+  ): readonly EndpointIncarnation[] {
+    const chosen = request.chooseEndpoints().slice(0, MAXIMUM_ENDPOINTS_PER_CALL);
+    if (chosen.length > 0 || kind === 'ordinary') return chosen;
+    return steps.get(request.stepId)?.lastAsked ?? [];
   }
 
-  function send(
-    channel: AdviceChannel,
-    request: AdviceRequest,
-    endpoints: readonly EndpointIncarnation[],
-  ): void {
+  /** @returns whether the call was sent; it is not if there are no endpoints to ask about */
+  function send(channel: AdviceChannel, request: AdviceRequest, kind: AdviceCallKind): boolean {
+    const endpoints = chooseEndpoints(request, kind);
+    if (endpoints.length === 0) return false;
     const advice = getOrCreateAdvice(request.stepId);
-    advice.callsInFlight += 1;
-    endpoints.forEach(({ endpointId }) => advice.askedEndpoints.add(endpointId));
-    channel.requestInFlight = request;
-    void fetchAdvice(channel, request, endpoints).then(() => {
-      channel.requestInFlight = null;
-      sendWaitingRequests();
-    });
+    const call: AdviceCall = { request, kind, endpoints };
+    if (kind === 'tentative') advice.tentativeCallsInFlight += 1;
+    else {
+      advice.callsInFlight += 1;
+      advice.lastAsked = endpoints;
+      endpoints.forEach(({ endpointId }) => advice.askedEndpoints.add(endpointId));
+    }
+    channel.callInFlight = call;
+    void fetchAdvice(channel, call, advice);
+    return true;
   }
 
   /** Channels that no long call uses, so that short calls need not wait for long ones. */
-  function reservedChannels(): number {
+  function reservedChannels(trusted: readonly AdviceChannel[]): number {
     return Math.max(
       CHANNELS_RESERVED_FOR_SHORT_CALLS,
-      Math.floor(SHARE_RESERVED_FOR_SHORT_CALLS * channels.length),
+      Math.floor(SHARE_RESERVED_FOR_SHORT_CALLS * trusted.length),
     );
   }
 
+  function countLongCallsLeft(trusted: readonly AdviceChannel[]): number {
+    const longCalls = trusted.filter(
+      ({ callInFlight }) => callInFlight !== null && isLongCall(callInFlight.request),
+    );
+    return Math.max(1, trusted.length - reservedChannels(trusted)) - longCalls.length;
+  }
+
+  function isIdle({ callInFlight }: AdviceChannel): boolean {
+    return callInFlight === null;
+  }
+
+  /**
+   * Chooses how the next call about a step is sent. A step whose calls were not answered is asked about through a
+   * channel that has answered since; other channels may be silent for the same cause.
+   */
+  function chooseChannel(
+    idle: readonly AdviceChannel[],
+    advice: StepAdvice | undefined,
+  ): { channel: AdviceChannel; kind: AdviceCallKind } | null {
+    const since = advice?.unansweredSince ?? Infinity;
+    const [first] = idle;
+    if (!first) return null;
+    if (since === Infinity) return { channel: first, kind: 'ordinary' };
+    const proven = idle.find(({ health }) => health.isProvenSince(since));
+    if (proven) return { channel: proven, kind: 'ordinary' };
+    return advice?.tentativeCallsInFlight === 0 ? { channel: first, kind: 'tentative' } : null;
+  }
+
   /** Sends the requests of steps that have a number of calls in flight. */
   function sendRequestsOf(callsInFlight: number): void {
-    const idle = channels.filter(({ requestInFlight }) => requestInFlight === null);
-    let longCallsLeft = Math.max(1, channels.length - reservedChannels()) - countLongCalls();
+    const trusted = channels.trusted();
+    const idle = trusted.filter(isIdle);
+    let longCallsLeft = countLongCallsLeft(trusted);
     const pointless = new Set<AdviceRequest>();
     for (const request of requests) {
-      const [channel] = idle;
-      if (!channel) break;
+      if (idle.length === 0) break;
+      const advice = steps.get(request.stepId);
       const isLong = isLongCall(request);
-      const isDue = (steps.get(request.stepId)?.callsInFlight ?? 0) === callsInFlight;
+      const isDue = (advice?.callsInFlight ?? 0) === callsInFlight;
       const maySend = isDue && request.maximumCalls > callsInFlight;
-      if (maySend && (!isLong || longCallsLeft > 0)) {
-        const endpoints = request.chooseEndpoints().slice(0, MAXIMUM_ENDPOINTS_PER_CALL);
-        if (endpoints.length === 0) pointless.add(request);
-        else {
-          send(channel, request, endpoints);
-          idle.shift();
-          if (isLong) longCallsLeft -= 1;
-        }
+      const choice = maySend && (!isLong || longCallsLeft > 0) ? chooseChannel(idle, advice) : null;
+      if (choice && !send(choice.channel, request, choice.kind)) pointless.add(request);
+      else if (choice) {
+        idle.splice(idle.indexOf(choice.channel), 1);
+        if (isLong) longCallsLeft -= 1;
       }
     }
     requests = requests.filter((request) => !pointless.has(request));
@@ -301,14 +386,46 @@
   function sendByCallsInFlight(): void {
     const levels = Math.max(0, ...requests.map(({ maximumCalls }) => maximumCalls));
     for (let callsInFlight = 0; callsInFlight < levels; callsInFlight += 1) {
-      if (channels.every(({ requestInFlight }) => requestInFlight !== null)) return;
+      if (!channels.trusted().some(isIdle)) return;
       sendRequestsOf(callsInFlight);
     }
   }
 
+  /** The number of channels at a time doubles with each round of calls that are not answered. */
+  function hedgeUnansweredRequests(): void {
+    const idle = channels.trusted().filter(isIdle);
+    for (const request of requests) {
+      const advice = steps.get(request.stepId);
+      if (advice && advice.callsInFlight === 0 && advice.tentativeCallsInFlight > 0) {
+        while (idle.length > 0 && advice.tentativeCallsInFlight <= advice.unansweredCalls) {
+          if (!send(idle.shift()!, request, 'tentative')) break;
+        }
+      }
+    }
+  }
+
+  /** Requests that no trusted channel has taken go first, so that the try is of use if it is answered. */
+  function retrySuspectChannels(): void {
+    const due = channels.dueForRetry();
+    if (due.length === 0) return;
+    const isUnsent = ({ stepId }: AdviceRequest) => (steps.get(stepId)?.callsInFlight ?? 0) === 0;
+    const inOrder = [
+      ...requests.filter(isUnsent),
+      ...requests.filter((request) => !isUnsent(request)),
+    ];
+    due.forEach((channel, position) => {
+      const request = inOrder[position % Math.max(1, inOrder.length)];
+      if (request) send(channel, request, 'tentative');
+    });
+  }
+
   /** Further calls about a step use only channels that no step without a call needs. */
   function sendWaitingRequests(): void {
-    workMeter.measure('advice', sendByCallsInFlight);
+    workMeter.measure('advice', () => {
+      sendByCallsInFlight();
+      hedgeUnansweredRequests();
+      retrySuspectChannels();
+    });
   }
 
   return {
@@ -340,7 +457,7 @@
       requests = next;
       sendWaitingRequests();
     },
-    busyChannels: () => channels.filter(({ requestInFlight }) => requestInFlight !== null).length,
+    busyChannels: channels.countBusy,
     dropTicket(stepId, endpointId) {
       steps.get(stepId)?.tickets.delete(endpointId);
     },
@@ -348,14 +465,10 @@
       steps.delete(stepId);
     },
     addChannel(client, name) {
-      const channel: AdviceChannel = { client, name, failuresInRow: 0, requestInFlight: null };
-      channels.push(channel);
+      const channel = channels.add(client, name);
       sendWaitingRequests();
       return channel;
     },
-    removeChannel(channel) {
-      const position = channels.indexOf(channel);
-      if (position >= 0) channels.splice(position, 1);
-    },
+    removeChannel: channels.remove,
   };
 }
--- a/packages/scheduler/src/core/schedulerMetrics.ts
+++ b/packages/scheduler/src/core/schedulerMetrics.ts
@@ -37,6 +37,7 @@
   commit_keys: 'Keys written by them.',
   advice_calls: 'Calls for eligibility advice.',
   advice_failed: 'Such calls without tickets in time.',
+  advice_overdue: 'Such calls that took so long that another VM was asked.',
   advice_lost_at_peer: 'Such calls through another VM that did not answer.',
   rounds: 'Rounds of placement.',
   terms: 'Terms of ownership of this process.',
