Close connections of VMs that have fallen silent

Cause: VMs check their connection to the owner with pings and leave it; the owner noticed only the end of a connection, which a VM that lost its power, was paused or cut off does not send.

Change: the listener closes a connection on which nothing has been received for five ping intervals. It counts checks, not time, so that an owner that was suspended reads what has arrived before it judges.

--- a/packages/scheduler/src/core/peerChannel.ts
+++ b/packages/scheduler/src/core/peerChannel.ts
@@ -8,6 +8,9 @@
 /** Maximum length of a message, in characters; a longer one closes the connection. */
 const MAXIMUM_MESSAGE_LENGTH = 4 * 1024 * 1024;
 
+/** A connection of a peer is closed after this many checks in a row between which nothing was received. */
+const MAXIMUM_SILENT_CHECKS = 5;
+
 /** Methods that a VM offers to its peers. */
 export type PeerHandlers = Readonly<Record<string, (parameters: unknown) => Promise<unknown>>>;
 
@@ -21,6 +24,8 @@
   call(method: string, parameters: unknown, timeoutMilliseconds: number): Promise<PeerOutcome>;
   /** `<address>:<port>` of the other end of the connection. */
   readonly remoteAddress: string;
+  /** @returns number of messages received so far */
+  messagesReceived(): number;
   /** Resolves when the connection has ended. */
   readonly closed: Promise<void>;
   isOpen(): boolean;
@@ -41,6 +46,7 @@
   );
   const remoteAddress = `${socket.remoteAddress}:${socket.remotePort}`;
   let buffered = '';
+  let messagesReceived = 0;
   let isOpen = true;
   const closed = new Promise<void>((resolve) => {
     socket.once('close', () => {
@@ -51,6 +57,7 @@
   });
 
   function receive(line: string): void {
+    messagesReceived += 1;
     try {
       void endpoint.receiveAndSend(JSON.parse(line)).catch(() => socket.destroy());
     } catch {
@@ -70,6 +77,7 @@
 
   return {
     remoteAddress,
+    messagesReceived: () => messagesReceived,
     closed,
     isOpen: () => isOpen,
     async call(method, parameters, timeoutMilliseconds) {
@@ -136,27 +144,58 @@
   close(): void;
 }
 
+export interface PeerListenerOptions {
+  readonly clock: Clock;
+  /** Methods offered to each peer. */
+  readonly handlers: PeerHandlers;
+  /** Interval at which each peer sends a message at least, in milliseconds. */
+  readonly messageIntervalMilliseconds: number;
+  /** Called for each connection. */
+  onChannel(channel: PeerChannel): void;
+  /** Called before a connection is closed because its peer has been silent for several intervals. */
+  onSilent(channel: PeerChannel): void;
+}
+
+/**
+ * Closes a connection when its peer falls silent; a peer that has lost its power does not end it. Checks are counted
+ * instead of the time, so that a process that was suspended reads what has arrived before it judges.
+ */
+function closeWhenSilent(
+  channel: PeerChannel,
+  { clock, messageIntervalMilliseconds, onSilent }: PeerListenerOptions,
+): void {
+  let received = 0;
+  let silentChecks = 0;
+  function check(): void {
+    if (!channel.isOpen()) return;
+    silentChecks = channel.messagesReceived() === received ? silentChecks + 1 : 0;
+    received = channel.messagesReceived();
+    if (silentChecks >= MAXIMUM_SILENT_CHECKS) {
+      onSilent(channel);
+      channel.close();
+    } else clock.setTimer(check, messageIntervalMilliseconds);
+  }
+  clock.setTimer(check, messageIntervalMilliseconds);
+}
+
 /**
  * Listens for peers.
  *
  * @param address `<address>:<port>` to listen on
- * @param handlers methods offered to each peer
- * @param onChannel called for each connection
  * @returns listener, once it listens
  * @throws if the address cannot be bound
  */
 export async function listenForPeers(
   address: string,
-  clock: Clock,
-  handlers: PeerHandlers,
-  onChannel: (channel: PeerChannel) => void,
+  options: PeerListenerOptions,
 ): Promise<PeerListener> {
   const channels = new Set<PeerChannel>();
   const server: Server = createServer((socket) => {
-    const channel = createChannel(socket, handlers, clock);
+    const channel = createChannel(socket, options.handlers, options.clock);
     channels.add(channel);
     void channel.closed.then(() => channels.delete(channel));
-    onChannel(channel);
+    options.onChannel(channel);
+    closeWhenSilent(channel, options);
   });
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
--- a/packages/scheduler/src/core/scheduler.ts
+++ b/packages/scheduler/src/core/scheduler.ts
@@ -314,12 +314,20 @@
 
   return {
     async start() {
-      listener = await listenForPeers(peerAddress, clock, handlers, (channel) => {
-        addPeerAdviceChannel(channel);
-        void channel.closed.then(() => {
-          adviceChannelRemovers.get(channel)?.();
-          adviceChannelRemovers.delete(channel);
-        });
+      listener = await listenForPeers(peerAddress, {
+        clock,
+        handlers,
+        messageIntervalMilliseconds: PING_INTERVAL_MILLISECONDS,
+        onChannel(channel) {
+          addPeerAdviceChannel(channel);
+          void channel.closed.then(() => {
+            adviceChannelRemovers.get(channel)?.();
+            adviceChannelRemovers.delete(channel);
+          });
+        },
+        onSilent({ remoteAddress }) {
+          log.info('connection of a silent VM closed', { vm: remoteAddress });
+        },
       });
       void election.run();
       void maintainOwnerConnection();
