Show how silent VMs and unanswerable steps still delay advice

A late answer replaces newer tickets. A step that is forgotten while its request waits is asked about once more.

--- a/packages/scheduler/src/__tests__/silentAdvisers.test.ts
+++ b/packages/scheduler/src/__tests__/silentAdvisers.test.ts
@@ -24,8 +24,13 @@
 /** `silent`: no answer before the timeout; `refused`: fails at once; `late`: answers after half of a second more. */
 type Behaviour = 'answers' | 'silent' | 'refused' | 'late';
 
+/** Steps about which the service gives no advice, through whichever VM, have ids that begin with this. */
+const UNANSWERABLE = 'unanswerable';
+
 interface Vm {
   behaviour: Behaviour;
+  /** Behaviour of the service towards {@link UNANSWERABLE} steps. */
+  towardsUnanswerable?: Behaviour;
   /** Number of its calls that reached the service. */
   served: number;
   calls: number;
@@ -33,8 +38,11 @@
 
 function createAdviser(vm: Vm, clock: ManualClock): AdviceClient {
   return {
-    async advise(_stepId, endpointIds, timeoutMilliseconds): Promise<AdviceOutcome> {
-      const { behaviour } = vm;
+    async advise(stepId, endpointIds, timeoutMilliseconds): Promise<AdviceOutcome> {
+      const { towardsUnanswerable } = vm;
+      const behaviour = stepId.startsWith(UNANSWERABLE)
+        ? (towardsUnanswerable ?? vm.behaviour)
+        : vm.behaviour;
       vm.calls += 1;
       if (behaviour === 'silent') {
         await sleep(clock, timeoutMilliseconds);
@@ -76,6 +84,7 @@
 
   return {
     waits,
+    waiting,
     runRound,
     add(stepId: string) {
       waiting.set(stepId, clock.monotonicMilliseconds());
@@ -209,3 +218,69 @@
   await advance(600);
   t.is(cache.askedEndpoints('a').size, 0);
 });
+
+for (const longSilent of [2, 4, 7]) {
+  test(`a step whose VM falls silent does not wait for probes of ${longSilent} others`, async (t) => {
+    const { steps, vms, request, advance } = createVms(behave(10, longSilent, 'silent'));
+    let ticks = 0;
+    await advance(6_000, () => {
+      ticks += 1;
+      if (ticks % 8 === 0) request(`step-${ticks}`);
+    });
+    await advance(3_000);
+    vms[longSilent]!.behaviour = 'silent';
+    request('a');
+    await advance(4_000);
+    t.true(steps.waits.get('a')! <= 500, `${steps.waits.get('a')} ms`);
+  });
+}
+
+for (const how of ['silent', 'refused'] as const) {
+  for (const [vmCount, stepCount] of [
+    [6, 1],
+    [6, 3],
+    [10, 3],
+  ] as const) {
+    test(`${stepCount} steps without advice through any of ${vmCount} VMs do not keep it from others (${how})`, async (t) => {
+      const { steps, vms, request, advance } = createVms(behave(vmCount, 0, 'silent'));
+      let ticks = 0;
+      const load = () => {
+        ticks += 1;
+        if (ticks % 5 === 0) request(`step-${ticks}`);
+      };
+      vms.forEach((vm) => {
+        vm.towardsUnanswerable = how;
+      });
+      await advance(500, load);
+      for (let index = 0; index < stepCount; index += 1) request(`${UNANSWERABLE}-${index}`);
+      await advance(8_000, load);
+      await advance(1_000);
+      const longest = Math.max(...steps.waits.values());
+      t.is(steps.waiting.size, stepCount, `${steps.waiting.size} steps wait at the end`);
+      t.true(longest <= 1.5 * LONGEST_WAIT_MILLISECONDS, `${longest} ms`);
+    });
+  }
+}
+
+test('an overdue answer does not replace newer tickets of another call', async (t) => {
+  const { cache, vms, request, advance } = createVms(['late', 'answers']);
+  request('a');
+  await advance(300);
+  t.is(vms[1]!.served, 1);
+  const endpoint = ENDPOINTS[0]!;
+  await advance(2_000);
+  t.is(cache.ticketFor('a', endpoint), 'ticket');
+});
+
+test('a step that is forgotten is not asked about again', async (t) => {
+  const { cache, vms, steps, request, advance } = createVms(['answers', 'silent']);
+  request('a');
+  request('b');
+  request('c');
+  await advance(10);
+  cache.forgetStep('c');
+  steps.waiting.delete('c');
+  await advance(100);
+  t.is(cache.describeStep('c'), null);
+  t.is(vms[0]!.calls + vms[1]!.calls, 2);
+});
