Keep probes of suspect channels out of the state of their steps

Cause: the tries of the suspect channels counted as its tentative calls, so that no idle channel was asked until these were overdue, after up to 1 s. A try that failed also made the step look unanswered.

Change: such a try is a probe, which changes nothing about its step unless it is answered.

--- a/packages/scheduler/src/core/adviceCache.ts
+++ b/packages/scheduler/src/core/adviceCache.ts
@@ -34,14 +34,14 @@
   readonly tickets: Map<string, { ticket: string; bornAt: number; usableUntil: number }>;
   /** By endpoint: whether that incarnation may run the step. The answer does not expire. */
   readonly eligibility: Map<string, { isEligible: boolean; bornAt: number }>;
-  /** Endpoints that the calls in flight are about, tentative and overdue ones excepted. */
+  /** Endpoints that the ordinary calls in flight are about, overdue ones excepted. */
   readonly askedEndpoints: Set<string>;
   /** Endpoints that the last ordinary call was about. */
   lastAsked: readonly EndpointIncarnation[];
-  /** Number of calls in flight, tentative and overdue ones excepted. */
+  /** Number of ordinary calls in flight, overdue ones excepted. */
   callsInFlight: number;
   tentativeCallsInFlight: number;
-  /** Number of calls that were overdue or failed since the last answer. */
+  /** Number of calls that were overdue or failed since the last answer, probes excepted. */
   unansweredCalls: number;
   /** When the first of them was sent, in monotonic milliseconds; infinity if there are none. */
   unansweredSince: number;
@@ -74,9 +74,10 @@
 
 /**
  * Purpose of a call. `ordinary`: its step waits for the answer. `tentative`: nothing waits for it, because the channel
- * may not answer; the step may be asked about through other channels at the same time.
+ * may not answer; the step may be asked about through other channels at the same time. `probe`: the same through a
+ * suspect channel; that it is not answered tells nothing about the step.
  */
-export type AdviceCallKind = 'ordinary' | 'tentative';
+export type AdviceCallKind = 'ordinary' | 'tentative' | 'probe';
 
 /** Call in flight. */
 export interface AdviceCall {
@@ -184,7 +185,8 @@
     });
   }
 
-  function recordUnanswered(advice: StepAdvice, sentAt: number): void {
+  function recordUnanswered(advice: StepAdvice, { kind }: AdviceCall, sentAt: number): void {
+    if (kind === 'probe') return;
     advice.unansweredCalls += 1;
     advice.unansweredSince = Math.min(advice.unansweredSince, sentAt);
   }
@@ -219,10 +221,8 @@
 
   /** Ends the wait of the step for a call that has ended, or is overdue. */
   function release(advice: StepAdvice, { kind, endpoints }: AdviceCall): void {
-    if (kind === 'tentative') {
-      advice.tentativeCallsInFlight -= 1;
-      return;
-    }
+    if (kind === 'tentative') advice.tentativeCallsInFlight -= 1;
+    if (kind !== 'ordinary') return;
     advice.callsInFlight -= 1;
     endpoints.forEach(({ endpointId }) => advice.askedEndpoints.delete(endpointId));
   }
@@ -252,7 +252,7 @@
     let isReleased = false;
     const cancelOverdueTimer = clock.setTimer(() => {
       isReleased = true;
-      recordUnanswered(advice, sentAt);
+      recordUnanswered(advice, call, sentAt);
       handleOverdue(channel, call, advice);
     }, expected + channel.excess.timeoutMilliseconds());
     metrics.count('advice_calls');
@@ -272,7 +272,7 @@
       recordAnswer(advice, call, outcome, sentAt, took);
     } else {
       channel.health.recordFailure(now);
-      if (!isReleased) recordUnanswered(advice, sentAt);
+      if (!isReleased) recordUnanswered(advice, call, sentAt);
       advice.failedCalls += 1;
       metrics.count('advice_failed');
       log.info('advice call failed', {
@@ -298,7 +298,7 @@
     return settings.callMilliseconds > LONG_CALL_MILLISECONDS;
   }
 
-  /** A tentative call may repeat the question of a call in flight if there is nothing else to ask. */
+  /** A call that nothing waits for may repeat the question of a call in flight if there is nothing else to ask. */
   function chooseEndpoints(
     request: AdviceRequest,
     kind: AdviceCallKind,
@@ -315,7 +315,7 @@
     const advice = getOrCreateAdvice(request.stepId);
     const call: AdviceCall = { request, kind, endpoints };
     if (kind === 'tentative') advice.tentativeCallsInFlight += 1;
-    else {
+    if (kind === 'ordinary') {
       advice.callsInFlight += 1;
       advice.lastAsked = endpoints;
       endpoints.forEach(({ endpointId }) => advice.askedEndpoints.add(endpointId));
@@ -415,7 +415,7 @@
     ];
     due.forEach((channel, position) => {
       const request = inOrder[position % Math.max(1, inOrder.length)];
-      if (request) send(channel, request, 'tentative');
+      if (request) send(channel, request, 'probe');
     });
   }
 
