Ask less often about steps that no VM gives advice about

Cause: such a step went through all channels at once, each became suspect, and the step came first when these were tried again.

Change: a step that two channels gave no advice about which had answered since its first unanswered call is asked about again after 0.4 to 1.6 s. A step with unanswered calls has one call in flight at a time. Probes prefer steps whose calls were answered.

--- a/packages/scheduler/src/core/adviceCache.ts
+++ b/packages/scheduler/src/core/adviceCache.ts
@@ -13,6 +13,10 @@
 /** Added to the configured duration of a call for its timeout. */
 const CALL_MARGIN_MILLISECONDS = 1_000;
 const MAXIMUM_ENDPOINTS_PER_CALL = 100;
+/** Number of proven channels that may give no advice about a step before it is asked about less often. */
+const TOLERATED_PROVEN_FAILURES = 1;
+/** Bounds of the delay of a step that proven channels give no advice about; it doubles with each failure. */
+const STEP_RETRY_DELAYS = { minimumMilliseconds: 400, maximumMilliseconds: 1_600 };
 /** Calls with a longer fixed duration count as long, and leave some channels free for shorter ones. */
 const LONG_CALL_MILLISECONDS = 200;
 /** Channels that long calls may not use, provided that there are more channels than this. */
@@ -45,6 +49,10 @@
   unansweredCalls: number;
   /** When the first of them was sent, in monotonic milliseconds; infinity if there are none. */
   unansweredSince: number;
+  /** Number of these calls whose channel was proven, that is, had answered since the first of them. */
+  provenFailures: number;
+  /** Until when the step is not asked about, in monotonic milliseconds. */
+  pausedUntil: number;
   answeredCalls: number;
   failedCalls: number;
 }
@@ -83,6 +91,7 @@
 export interface AdviceCall {
   readonly request: AdviceRequest;
   readonly kind: AdviceCallKind;
+  readonly isChannelProven: boolean;
   readonly endpoints: readonly EndpointIncarnation[];
 }
 
@@ -144,6 +153,8 @@
       tentativeCallsInFlight: 0,
       unansweredCalls: 0,
       unansweredSince: Infinity,
+      provenFailures: 0,
+      pausedUntil: -Infinity,
       answeredCalls: 0,
       failedCalls: 0,
     };
@@ -185,10 +196,29 @@
     });
   }
 
-  function recordUnanswered(advice: StepAdvice, { kind }: AdviceCall, sentAt: number): void {
+  /** A step that no channel gives advice about would make all of them suspect, so it is asked about less often. */
+  function recordProvenFailure(advice: StepAdvice): void {
+    advice.provenFailures += 1;
+    const excess = advice.provenFailures - TOLERATED_PROVEN_FAILURES;
+    if (excess <= 0) return;
+    const { minimumMilliseconds, maximumMilliseconds } = STEP_RETRY_DELAYS;
+    const delay = Math.min(maximumMilliseconds, minimumMilliseconds * 2 ** (excess - 1));
+    advice.pausedUntil = clock.monotonicMilliseconds() + delay;
+  }
+
+  function recordUnanswered(
+    advice: StepAdvice,
+    { kind, isChannelProven }: AdviceCall,
+    sentAt: number,
+  ): void {
     if (kind === 'probe') return;
     advice.unansweredCalls += 1;
     advice.unansweredSince = Math.min(advice.unansweredSince, sentAt);
+    if (isChannelProven) recordProvenFailure(advice);
+  }
+
+  function isPaused(advice: StepAdvice | undefined): boolean {
+    return advice !== undefined && advice.pausedUntil > clock.monotonicMilliseconds();
   }
 
   function expectedMilliseconds({ request: { settings }, endpoints }: AdviceCall): number {
@@ -205,6 +235,8 @@
     advice.answeredCalls += 1;
     advice.unansweredCalls = 0;
     advice.unansweredSince = Infinity;
+    advice.provenFailures = 0;
+    advice.pausedUntil = -Infinity;
     const tickets = new Map(outcome.tickets.map(({ endpointId, ticket }) => [endpointId, ticket]));
     // The service issues the ticket at some moment during the call; counting its validity from the start of a long
     // call would be too strict.
@@ -313,7 +345,8 @@
     const endpoints = chooseEndpoints(request, kind);
     if (endpoints.length === 0) return false;
     const advice = getOrCreateAdvice(request.stepId);
-    const call: AdviceCall = { request, kind, endpoints };
+    const isChannelProven = channel.health.isProvenSince(advice.unansweredSince);
+    const call: AdviceCall = { request, kind, isChannelProven, endpoints };
     if (kind === 'tentative') advice.tentativeCallsInFlight += 1;
     if (kind === 'ordinary') {
       advice.callsInFlight += 1;
@@ -354,13 +387,17 @@
   ): { channel: AdviceChannel; kind: AdviceCallKind } | null {
     const since = advice?.unansweredSince ?? Infinity;
     const [first] = idle;
-    if (!first) return null;
+    if (!first || isPaused(advice)) return null;
     if (since === Infinity) return { channel: first, kind: 'ordinary' };
     const proven = idle.find(({ health }) => health.isProvenSince(since));
     if (proven) return { channel: proven, kind: 'ordinary' };
     return advice?.tentativeCallsInFlight === 0 ? { channel: first, kind: 'tentative' } : null;
   }
 
+  function maximumCallsOf({ maximumCalls }: AdviceRequest, advice: StepAdvice | undefined): number {
+    return advice && advice.unansweredCalls > 0 ? 1 : maximumCalls;
+  }
+
   /** Sends the requests of steps that have a number of calls in flight. */
   function sendRequestsOf(callsInFlight: number): void {
     const trusted = channels.trusted();
@@ -372,7 +409,7 @@
       const advice = steps.get(request.stepId);
       const isLong = isLongCall(request);
       const isDue = (advice?.callsInFlight ?? 0) === callsInFlight;
-      const maySend = isDue && request.maximumCalls > callsInFlight;
+      const maySend = isDue && maximumCallsOf(request, advice) > callsInFlight;
       const choice = maySend && (!isLong || longCallsLeft > 0) ? chooseChannel(idle, advice) : null;
       if (choice && !send(choice.channel, request, choice.kind)) pointless.add(request);
       else if (choice) {
@@ -396,7 +433,8 @@
     const idle = channels.trusted().filter(isIdle);
     for (const request of requests) {
       const advice = steps.get(request.stepId);
-      if (advice && advice.callsInFlight === 0 && advice.tentativeCallsInFlight > 0) {
+      const isUnanswered = advice && advice.callsInFlight === 0 && !isPaused(advice);
+      if (isUnanswered && advice.tentativeCallsInFlight > 0) {
         while (idle.length > 0 && advice.tentativeCallsInFlight <= advice.unansweredCalls) {
           if (!send(idle.shift()!, request, 'tentative')) break;
         }
@@ -404,15 +442,26 @@
     }
   }
 
-  /** Requests that no trusted channel has taken go first, so that the try is of use if it is answered. */
-  function retrySuspectChannels(): void {
+  /**
+   * Requests that no trusted channel has taken go first, so that the probe is of use if it is answered; of these, the
+   * ones whose calls were answered most often.
+   */
+  function orderForProbes(): AdviceRequest[] {
+    return requests
+      .map((request) => ({ request, advice: steps.get(request.stepId) }))
+      .filter(({ advice }) => !isPaused(advice))
+      .sort(
+        ({ advice: left }, { advice: right }) =>
+          Math.sign(left?.callsInFlight ?? 0) - Math.sign(right?.callsInFlight ?? 0) ||
+          (left?.unansweredCalls ?? 0) - (right?.unansweredCalls ?? 0),
+      )
+      .map(({ request }) => request);
+  }
+
+  function probeSuspectChannels(): void {
     const due = channels.dueForRetry();
     if (due.length === 0) return;
-    const isUnsent = ({ stepId }: AdviceRequest) => (steps.get(stepId)?.callsInFlight ?? 0) === 0;
-    const inOrder = [
-      ...requests.filter(isUnsent),
-      ...requests.filter((request) => !isUnsent(request)),
-    ];
+    const inOrder = orderForProbes();
     due.forEach((channel, position) => {
       const request = inOrder[position % Math.max(1, inOrder.length)];
       if (request) send(channel, request, 'probe');
@@ -424,7 +473,7 @@
     workMeter.measure('advice', () => {
       sendByCallsInFlight();
       hedgeUnansweredRequests();
-      retrySuspectChannels();
+      probeSuspectChannels();
     });
   }
 
