--- a/packages/scheduler/src/core/adviceCache.ts
+++ b/packages/scheduler/src/core/adviceCache.ts
@@ -36,8 +36,11 @@
 interface StepAdvice {
   /** By endpoint: the ticket, and until when it may be used, in monotonic milliseconds. */
   readonly tickets: Map<string, { ticket: string; bornAt: number; usableUntil: number }>;
-  /** By endpoint: whether that incarnation may run the step. The answer does not expire. */
-  readonly eligibility: Map<string, { isEligible: boolean; bornAt: number }>;
+  /**
+   * By endpoint: whether that incarnation may run the step, and when the call was sent that asked about it, in monotonic
+   * milliseconds. The answer does not expire.
+   */
+  readonly eligibility: Map<string, { isEligible: boolean; bornAt: number; askedAt: number }>;
   /** Endpoints that the ordinary calls in flight are about, overdue ones excepted. */
   readonly askedEndpoints: Set<string>;
   /** Endpoints that the last ordinary call was about. */
@@ -186,12 +189,19 @@
     advice: StepAdvice,
     { request: { queue }, endpoints }: AdviceCall,
     tickets: ReadonlyMap<string, string>,
+    sentAt: number,
     usableUntil: number,
   ): void {
     learnProbability(queue, advice, endpoints, tickets);
     endpoints.forEach(({ endpointId, bornAt }) => {
+      // The answer to an overdue call may come after that to a later call.
+      if ((advice.eligibility.get(endpointId)?.askedAt ?? -Infinity) > sentAt) return;
       const ticket = tickets.get(endpointId);
-      advice.eligibility.set(endpointId, { isEligible: ticket !== undefined, bornAt });
+      advice.eligibility.set(endpointId, {
+        isEligible: ticket !== undefined,
+        bornAt,
+        askedAt: sentAt,
+      });
       if (ticket !== undefined) advice.tickets.set(endpointId, { ticket, bornAt, usableUntil });
     });
   }
@@ -242,7 +252,7 @@
     // call would be too strict.
     const assumedIssuedAt = sentAt + Math.min(took, expectedMilliseconds(call)) / 2;
     const usableUntil = assumedIssuedAt + outcome.validMilliseconds - EXPIRY_MARGIN_MILLISECONDS;
-    workMeter.measure('advice', () => recordTickets(advice, call, tickets, usableUntil));
+    workMeter.measure('advice', () => recordTickets(advice, call, tickets, sentAt, usableUntil));
     log.debug('advice call answered', {
       step: call.request.stepId,
       asked: call.endpoints.length,
