--- a/packages/scheduler/src/core/adviceCache.ts
+++ b/packages/scheduler/src/core/adviceCache.ts
@@ -37,8 +37,8 @@
   /** By endpoint: the ticket, and until when it may be used, in monotonic milliseconds. */
   readonly tickets: Map<string, { ticket: string; bornAt: number; usableUntil: number }>;
   /**
-   * By endpoint: whether that incarnation may run the step, and when the call was sent that asked about it, in monotonic
-   * milliseconds. The answer does not expire.
+   * By endpoint: whether that incarnation may run the step, and when the call was sent that asked about it, in
+   * monotonic milliseconds. The answer does not expire.
    */
   readonly eligibility: Map<string, { isEligible: boolean; bornAt: number; askedAt: number }>;
   /** Endpoints that the ordinary calls in flight are about, overdue ones excepted. */
@@ -522,6 +522,7 @@
     },
     forgetStep(stepId) {
       steps.delete(stepId);
+      requests = requests.filter((request) => request.stepId !== stepId);
     },
     addChannel(client, name) {
       const channel = channels.add(client, name);
