--- a/packages/scheduler/src/core/adviceCache.ts
+++ b/packages/scheduler/src/core/adviceCache.ts
@@ -1,4 +1,4 @@
-import type { Clock, Log } from '@chicorybend/common';
+import type { CancelTimer, Clock, Log } from '@chicorybend/common';
 import { createEligibilityEstimate } from '@chicorybend/decisions';
 
 import type { AdviceClient, AdviceOutcome } from '../types/advice.js';
@@ -280,6 +280,14 @@
     sendWaitingRequests();
   }
 
+  /** Sets a timer whose callback comes after the answers that arrived before it was due, also in a busy process. */
+  function setTimerAfterInput(callback: () => void, milliseconds: number): CancelTimer {
+    let cancel = clock.setTimer(() => {
+      cancel = clock.setTimer(callback, 1);
+    }, milliseconds);
+    return () => cancel();
+  }
+
   async function fetchAdvice(
     channel: AdviceChannel,
     call: AdviceCall,
@@ -291,7 +299,7 @@
     const expected = expectedMilliseconds(call);
     const timeoutMilliseconds = expected + CALL_MARGIN_MILLISECONDS;
     let isReleased = false;
-    const cancelOverdueTimer = clock.setTimer(() => {
+    const cancelOverdueTimer = setTimerAfterInput(() => {
       isReleased = true;
       recordUnanswered(advice, call, sentAt);
       handleOverdue(channel, call, advice);
