Check what peers report as advice

A peer whose answer to a call for advice was malformed ended the owner's process: the result was used unchecked, and the error of the call was not handled. Any connection to the peer port is asked. Such an answer counts as a failed call now.

--- a/packages/scheduler/src/core/scheduler.ts
+++ b/packages/scheduler/src/core/scheduler.ts
@@ -1,6 +1,6 @@
 import { createFailure, sleep, TIMED_OUT, withTimeout } from '@chicorybend/common';
 
-import type { AdviceClient, AdviceOutcome } from '../types/advice.js';
+import type { AdviceClient, AdviceOutcome, AdviceTicket } from '../types/advice.js';
 import type { CallerAnswer, CallerRequest } from '../types/caller.js';
 import type { SchedulerDependencies } from '../types/schedulerDependencies.js';
 import { createOwnerElection } from './ownerElection.js';
@@ -74,6 +74,24 @@
   );
 }
 
+function isAdviceTicket(value: unknown): value is AdviceTicket {
+  const { endpointId, ticket } = (value ?? {}) as Partial<AdviceTicket>;
+  return typeof endpointId === 'string' && typeof ticket === 'string';
+}
+
+/** @returns outcome that a peer has reported; a failure if the report is malformed */
+function readAdviceOutcome(result: unknown): AdviceOutcome {
+  const { kind, reason, tickets, validMilliseconds } = (result ?? {}) as Record<string, unknown>;
+  if (kind === 'failed' && typeof reason === 'string') return { kind, reason };
+  const isAnswer =
+    kind === 'answered' &&
+    Array.isArray(tickets) &&
+    tickets.every(isAdviceTicket) &&
+    typeof validMilliseconds === 'number';
+  if (!isAnswer) return { kind: 'failed', reason: 'invalid answer of the peer' };
+  return { kind, tickets, validMilliseconds };
+}
+
 /** Request of a caller, and the term that the sender takes the receiver to own; earlier builds do not send it. */
 type ForwardedRequest = CallerRequest & { readonly ownerEpoch?: number };
 
@@ -137,7 +155,7 @@
           timeoutMilliseconds: timeoutMilliseconds - PEER_ANSWER_MARGIN_MILLISECONDS,
         };
         const outcome = await channel.call('advise', parameters, timeoutMilliseconds);
-        if (outcome.kind === 'answered') return outcome.result as AdviceOutcome;
+        if (outcome.kind === 'answered') return readAdviceOutcome(outcome.result);
         metrics.count('advice_lost_at_peer');
         return { kind: 'failed', reason: `peer: ${outcome.reason}` };
       },
