--- a/packages/scheduler/src/core/adviceCache.ts
+++ b/packages/scheduler/src/core/adviceCache.ts
@@ -1,4 +1,4 @@
-import type { Clock, Log } from '@chicorybend/common';
+import type { CancelTimer, Clock, Log } from '@chicorybend/common';
 import { createEligibilityEstimate } from '@chicorybend/decisions';
 
 import type { AdviceClient, AdviceOutcome } from '../types/advice.js';
@@ -13,6 +13,10 @@
 /** Added to the configured duration of a call for its timeout. */
 const CALL_MARGIN_MILLISECONDS = 1_000;
 const MAXIMUM_ENDPOINTS_PER_CALL = 100;
+/** Number of proven channels that may give no advice about a step before it is asked about less often. */
+const TOLERATED_PROVEN_FAILURES = 1;
+/** Bounds of the delay of a step that proven channels give no advice about; it doubles with each failure. */
+const STEP_RETRY_DELAYS = { minimumMilliseconds: 400, maximumMilliseconds: 1_600 };
 /** Calls with a longer fixed duration count as long, and leave some channels free for shorter ones. */
 const LONG_CALL_MILLISECONDS = 200;
 /** Channels that long calls may not use, provided that there are more channels than this. */
@@ -32,19 +36,26 @@
 interface StepAdvice {
   /** By endpoint: the ticket, and until when it may be used, in monotonic milliseconds. */
   readonly tickets: Map<string, { ticket: string; bornAt: number; usableUntil: number }>;
-  /** By endpoint: whether that incarnation may run the step. The answer does not expire. */
-  readonly eligibility: Map<string, { isEligible: boolean; bornAt: number }>;
-  /** Endpoints that the calls in flight are about, tentative and overdue ones excepted. */
+  /**
+   * By endpoint: whether that incarnation may run the step, and when the call was sent that asked about it, in
+   * monotonic milliseconds. The answer does not expire.
+   */
+  readonly eligibility: Map<string, { isEligible: boolean; bornAt: number; askedAt: number }>;
+  /** Endpoints that the ordinary calls in flight are about, overdue ones excepted. */
   readonly askedEndpoints: Set<string>;
   /** Endpoints that the last ordinary call was about. */
   lastAsked: readonly EndpointIncarnation[];
-  /** Number of calls in flight, tentative and overdue ones excepted. */
+  /** Number of ordinary calls in flight, overdue ones excepted. */
   callsInFlight: number;
   tentativeCallsInFlight: number;
-  /** Number of calls that were overdue or failed since the last answer. */
+  /** Number of calls that were overdue or failed since the last answer, probes excepted. */
   unansweredCalls: number;
   /** When the first of them was sent, in monotonic milliseconds; infinity if there are none. */
   unansweredSince: number;
+  /** Number of these calls whose channel was proven, that is, had answered since the first of them. */
+  provenFailures: number;
+  /** Until when the step is not asked about, in monotonic milliseconds. */
+  pausedUntil: number;
   answeredCalls: number;
   failedCalls: number;
 }
@@ -74,14 +85,16 @@
 
 /**
  * Purpose of a call. `ordinary`: its step waits for the answer. `tentative`: nothing waits for it, because the channel
- * may not answer; the step may be asked about through other channels at the same time.
+ * may not answer; the step may be asked about through other channels at the same time. `probe`: the same through a
+ * suspect channel; that it is not answered tells nothing about the step.
  */
-export type AdviceCallKind = 'ordinary' | 'tentative';
+export type AdviceCallKind = 'ordinary' | 'tentative' | 'probe';
 
 /** Call in flight. */
 export interface AdviceCall {
   readonly request: AdviceRequest;
   readonly kind: AdviceCallKind;
+  readonly isChannelProven: boolean;
   readonly endpoints: readonly EndpointIncarnation[];
 }
 
@@ -143,6 +156,8 @@
       tentativeCallsInFlight: 0,
       unansweredCalls: 0,
       unansweredSince: Infinity,
+      provenFailures: 0,
+      pausedUntil: -Infinity,
       answeredCalls: 0,
       failedCalls: 0,
     };
@@ -174,19 +189,46 @@
     advice: StepAdvice,
     { request: { queue }, endpoints }: AdviceCall,
     tickets: ReadonlyMap<string, string>,
+    sentAt: number,
     usableUntil: number,
   ): void {
     learnProbability(queue, advice, endpoints, tickets);
     endpoints.forEach(({ endpointId, bornAt }) => {
+      // The answer to an overdue call may come after that to a later call.
+      if ((advice.eligibility.get(endpointId)?.askedAt ?? -Infinity) > sentAt) return;
       const ticket = tickets.get(endpointId);
-      advice.eligibility.set(endpointId, { isEligible: ticket !== undefined, bornAt });
+      advice.eligibility.set(endpointId, {
+        isEligible: ticket !== undefined,
+        bornAt,
+        askedAt: sentAt,
+      });
       if (ticket !== undefined) advice.tickets.set(endpointId, { ticket, bornAt, usableUntil });
     });
   }
 
-  function recordUnanswered(advice: StepAdvice, sentAt: number): void {
+  /** A step that no channel gives advice about would make all of them suspect, so it is asked about less often. */
+  function recordProvenFailure(advice: StepAdvice): void {
+    advice.provenFailures += 1;
+    const excess = advice.provenFailures - TOLERATED_PROVEN_FAILURES;
+    if (excess <= 0) return;
+    const { minimumMilliseconds, maximumMilliseconds } = STEP_RETRY_DELAYS;
+    const delay = Math.min(maximumMilliseconds, minimumMilliseconds * 2 ** (excess - 1));
+    advice.pausedUntil = clock.monotonicMilliseconds() + delay;
+  }
+
+  function recordUnanswered(
+    advice: StepAdvice,
+    { kind, isChannelProven }: AdviceCall,
+    sentAt: number,
+  ): void {
+    if (kind === 'probe') return;
     advice.unansweredCalls += 1;
     advice.unansweredSince = Math.min(advice.unansweredSince, sentAt);
+    if (isChannelProven) recordProvenFailure(advice);
+  }
+
+  function isPaused(advice: StepAdvice | undefined): boolean {
+    return advice !== undefined && advice.pausedUntil > clock.monotonicMilliseconds();
   }
 
   function expectedMilliseconds({ request: { settings }, endpoints }: AdviceCall): number {
@@ -203,12 +245,14 @@
     advice.answeredCalls += 1;
     advice.unansweredCalls = 0;
     advice.unansweredSince = Infinity;
+    advice.provenFailures = 0;
+    advice.pausedUntil = -Infinity;
     const tickets = new Map(outcome.tickets.map(({ endpointId, ticket }) => [endpointId, ticket]));
     // The service issues the ticket at some moment during the call; counting its validity from the start of a long
     // call would be too strict.
     const assumedIssuedAt = sentAt + Math.min(took, expectedMilliseconds(call)) / 2;
     const usableUntil = assumedIssuedAt + outcome.validMilliseconds - EXPIRY_MARGIN_MILLISECONDS;
-    workMeter.measure('advice', () => recordTickets(advice, call, tickets, usableUntil));
+    workMeter.measure('advice', () => recordTickets(advice, call, tickets, sentAt, usableUntil));
     log.debug('advice call answered', {
       step: call.request.stepId,
       asked: call.endpoints.length,
@@ -219,10 +263,8 @@
 
   /** Ends the wait of the step for a call that has ended, or is overdue. */
   function release(advice: StepAdvice, { kind, endpoints }: AdviceCall): void {
-    if (kind === 'tentative') {
-      advice.tentativeCallsInFlight -= 1;
-      return;
-    }
+    if (kind === 'tentative') advice.tentativeCallsInFlight -= 1;
+    if (kind !== 'ordinary') return;
     advice.callsInFlight -= 1;
     endpoints.forEach(({ endpointId }) => advice.askedEndpoints.delete(endpointId));
   }
@@ -233,12 +275,19 @@
     metrics.count('advice_overdue');
     log.info('advice call overdue', { step: stepId, channel: channel.name, kind: call.kind });
     channel.health.recordOverdue();
-    channel.excess.recordTimeout();
     release(advice, call);
     options.onAnswer();
     sendWaitingRequests();
   }
 
+  /** Sets a timer whose callback comes after the answers that arrived before it was due, also in a busy process. */
+  function setTimerAfterInput(callback: () => void, milliseconds: number): CancelTimer {
+    let cancel = clock.setTimer(() => {
+      cancel = clock.setTimer(callback, 1);
+    }, milliseconds);
+    return () => cancel();
+  }
+
   async function fetchAdvice(
     channel: AdviceChannel,
     call: AdviceCall,
@@ -250,9 +299,9 @@
     const expected = expectedMilliseconds(call);
     const timeoutMilliseconds = expected + CALL_MARGIN_MILLISECONDS;
     let isReleased = false;
-    const cancelOverdueTimer = clock.setTimer(() => {
+    const cancelOverdueTimer = setTimerAfterInput(() => {
       isReleased = true;
-      recordUnanswered(advice, sentAt);
+      recordUnanswered(advice, call, sentAt);
       handleOverdue(channel, call, advice);
     }, expected + channel.excess.timeoutMilliseconds());
     metrics.count('advice_calls');
@@ -272,7 +321,7 @@
       recordAnswer(advice, call, outcome, sentAt, took);
     } else {
       channel.health.recordFailure(now);
-      if (!isReleased) recordUnanswered(advice, sentAt);
+      if (!isReleased) recordUnanswered(advice, call, sentAt);
       advice.failedCalls += 1;
       metrics.count('advice_failed');
       log.info('advice call failed', {
@@ -298,7 +347,7 @@
     return settings.callMilliseconds > LONG_CALL_MILLISECONDS;
   }
 
-  /** A tentative call may repeat the question of a call in flight if there is nothing else to ask. */
+  /** A call that nothing waits for may repeat the question of a call in flight if there is nothing else to ask. */
   function chooseEndpoints(
     request: AdviceRequest,
     kind: AdviceCallKind,
@@ -313,9 +362,10 @@
     const endpoints = chooseEndpoints(request, kind);
     if (endpoints.length === 0) return false;
     const advice = getOrCreateAdvice(request.stepId);
-    const call: AdviceCall = { request, kind, endpoints };
+    const isChannelProven = channel.health.isProvenSince(advice.unansweredSince);
+    const call: AdviceCall = { request, kind, isChannelProven, endpoints };
     if (kind === 'tentative') advice.tentativeCallsInFlight += 1;
-    else {
+    if (kind === 'ordinary') {
       advice.callsInFlight += 1;
       advice.lastAsked = endpoints;
       endpoints.forEach(({ endpointId }) => advice.askedEndpoints.add(endpointId));
@@ -354,13 +404,17 @@
   ): { channel: AdviceChannel; kind: AdviceCallKind } | null {
     const since = advice?.unansweredSince ?? Infinity;
     const [first] = idle;
-    if (!first) return null;
+    if (!first || isPaused(advice)) return null;
     if (since === Infinity) return { channel: first, kind: 'ordinary' };
     const proven = idle.find(({ health }) => health.isProvenSince(since));
     if (proven) return { channel: proven, kind: 'ordinary' };
     return advice?.tentativeCallsInFlight === 0 ? { channel: first, kind: 'tentative' } : null;
   }
 
+  function maximumCallsOf({ maximumCalls }: AdviceRequest, advice: StepAdvice | undefined): number {
+    return advice && advice.unansweredCalls > 0 ? 1 : maximumCalls;
+  }
+
   /** Sends the requests of steps that have a number of calls in flight. */
   function sendRequestsOf(callsInFlight: number): void {
     const trusted = channels.trusted();
@@ -372,7 +426,7 @@
       const advice = steps.get(request.stepId);
       const isLong = isLongCall(request);
       const isDue = (advice?.callsInFlight ?? 0) === callsInFlight;
-      const maySend = isDue && request.maximumCalls > callsInFlight;
+      const maySend = isDue && maximumCallsOf(request, advice) > callsInFlight;
       const choice = maySend && (!isLong || longCallsLeft > 0) ? chooseChannel(idle, advice) : null;
       if (choice && !send(choice.channel, request, choice.kind)) pointless.add(request);
       else if (choice) {
@@ -396,7 +450,8 @@
     const idle = channels.trusted().filter(isIdle);
     for (const request of requests) {
       const advice = steps.get(request.stepId);
-      if (advice && advice.callsInFlight === 0 && advice.tentativeCallsInFlight > 0) {
+      const isUnanswered = advice && advice.callsInFlight === 0 && !isPaused(advice);
+      if (isUnanswered && advice.tentativeCallsInFlight > 0) {
         while (idle.length > 0 && advice.tentativeCallsInFlight <= advice.unansweredCalls) {
           if (!send(idle.shift()!, request, 'tentative')) break;
         }
@@ -404,18 +459,29 @@
     }
   }
 
-  /** Requests that no trusted channel has taken go first, so that the try is of use if it is answered. */
-  function retrySuspectChannels(): void {
+  /**
+   * Requests that no trusted channel has taken go first, so that the probe is of use if it is answered; of these, the
+   * ones whose calls were answered most often.
+   */
+  function orderForProbes(): AdviceRequest[] {
+    return requests
+      .map((request) => ({ request, advice: steps.get(request.stepId) }))
+      .filter(({ advice }) => !isPaused(advice))
+      .sort(
+        ({ advice: left }, { advice: right }) =>
+          Math.sign(left?.callsInFlight ?? 0) - Math.sign(right?.callsInFlight ?? 0) ||
+          (left?.unansweredCalls ?? 0) - (right?.unansweredCalls ?? 0),
+      )
+      .map(({ request }) => request);
+  }
+
+  function probeSuspectChannels(): void {
     const due = channels.dueForRetry();
     if (due.length === 0) return;
-    const isUnsent = ({ stepId }: AdviceRequest) => (steps.get(stepId)?.callsInFlight ?? 0) === 0;
-    const inOrder = [
-      ...requests.filter(isUnsent),
-      ...requests.filter((request) => !isUnsent(request)),
-    ];
+    const inOrder = orderForProbes();
     due.forEach((channel, position) => {
       const request = inOrder[position % Math.max(1, inOrder.length)];
-      if (request) send(channel, request, 'tentative');
+      if (request) send(channel, request, 'probe');
     });
   }
 
@@ -424,7 +490,7 @@
     workMeter.measure('advice', () => {
       sendByCallsInFlight();
       hedgeUnansweredRequests();
-      retrySuspectChannels();
+      probeSuspectChannels();
     });
   }
 
@@ -463,6 +529,7 @@
     },
     forgetStep(stepId) {
       steps.delete(stepId);
+      requests = requests.filter((request) => request.stepId !== stepId);
     },
     addChannel(client, name) {
       const channel = channels.add(client, name);
