Start nothing on an endpoint that leaves stops unanswered

An unanswered stop now does so for 1 s from its timeout, and is repeated within that time until it is answered.

--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -39,6 +39,11 @@
 const REFUSED_START_BACKOFF_MILLISECONDS = 1_000;
 /** Backoff for new starts after an unanswered one, multiplied by the number of unanswered starts in a row. */
 const UNANSWERED_START_BACKOFF_MILLISECONDS = 250;
+/**
+ * Backoff for new starts after an unanswered stop; longer than the time until the stop is repeated and times out. An
+ * endpoint that does not answer its orders has room most often.
+ */
+const UNANSWERED_STOP_BACKOFF_MILLISECONDS = 1_000;
 /** Deviation of the endpoint's clock since its last list, in milliseconds. */
 const CLOCK_TOLERANCE_MILLISECONDS = 100;
 /** Delay of a hold whose answer comes at once because it lists ends that cannot be acknowledged yet. */
@@ -89,6 +94,8 @@
   const latency = createLatencyEstimate(CALL_TIMEOUTS);
   /** Number of unanswered starts in a row. */
   let unansweredStarts = 0;
+  /** End of the backoff after the last unanswered stop, in monotonic milliseconds. */
+  let unansweredStopBackoff = -Infinity;
   const { maximumLeaseMilliseconds } = context.timeLimits;
   const leaseMilliseconds = requestedLeaseMilliseconds(maximumLeaseMilliseconds);
 
@@ -417,6 +424,10 @@
     const outcome = context.isOwnerLeaseValid()
       ? await sendStop(order)
       : ({ kind: 'unknown', reason: 'no authority' } as const);
+    if (outcome.kind === 'unknown') {
+      unansweredStopBackoff = now() + UNANSWERED_STOP_BACKOFF_MILLISECONDS;
+      state.backoffUntil = unansweredStopBackoff;
+    } else if (state.backoffUntil === unansweredStopBackoff) state.backoffUntil = now();
     if (!isCurrentRun(task, run)) return;
     if (outcome.kind === 'refused' && outcome.reason === 'fenced') {
       abandonFenced();
