Reserve channels for short calls in proportion to those that answer

Cause: two channels, or 15%, were kept free of long calls for advice, counted as if all VMs answered.

Change: the reserve shrinks with the number of channels that are trusted; while all are, it is what it was.

--- a/packages/scheduler/src/__tests__/adviceCache.test.ts
+++ b/packages/scheduler/src/__tests__/adviceCache.test.ts
@@ -115,3 +115,14 @@
   cache.setRequests([createRequest('a.0.0', SHORT), createRequest('b.0.0', SHORT)]);
   t.deepEqual(channelsUsed, [0, 1]);
 });
+
+test('long calls are not kept waiting beside idle channels while others are silent', async (t) => {
+  const { clock, cache, requestedSteps } = createCacheWithChannels(6);
+  cache.setRequests(['a', 'b', 'c'].map((stepId) => createRequest(stepId, SHORT)));
+  cache.setRequests([]);
+  clock.advance(300);
+  clock.advance(1);
+  requestedSteps.length = 0;
+  cache.setRequests(['l1', 'l2', 'l3'].map((stepId) => createRequest(stepId, LONG)));
+  t.deepEqual(requestedSteps, ['l1', 'l2']);
+});
--- a/packages/scheduler/src/core/adviceCache.ts
+++ b/packages/scheduler/src/core/adviceCache.ts
@@ -375,12 +375,14 @@
     return true;
   }
 
-  /** Channels that no long call uses, so that short calls need not wait for long ones. */
+  /** Trusted channels that no long call uses, so that short calls need not wait for long ones. */
   function reservedChannels(trusted: readonly AdviceChannel[]): number {
-    return Math.max(
+    const total = channels.count();
+    const reserved = Math.max(
       CHANNELS_RESERVED_FOR_SHORT_CALLS,
-      Math.floor(SHARE_RESERVED_FOR_SHORT_CALLS * trusted.length),
+      Math.floor(SHARE_RESERVED_FOR_SHORT_CALLS * total),
     );
+    return Math.floor((reserved * trusted.length) / Math.max(1, total));
   }
 
   function countLongCallsLeft(trusted: readonly AdviceChannel[]): number {
--- a/packages/scheduler/src/core/adviceChannels.ts
+++ b/packages/scheduler/src/core/adviceChannels.ts
@@ -32,6 +32,7 @@
   trusted(): readonly AdviceChannel[];
   /** @returns suspect channels that are idle and may be tried again */
   dueForRetry(): readonly AdviceChannel[];
+  count(): number;
   countBusy(): number;
 }
 
@@ -63,6 +64,7 @@
           callInFlight === null && health.isSuspect() && health.isRetryDue(now),
       );
     },
+    count: () => channels.length,
     countBusy: () => channels.filter(({ callInFlight }) => callInFlight !== null).length,
   };
 }
