--- a/packages/scheduler/src/core/ownerElection.ts
+++ b/packages/scheduler/src/core/ownerElection.ts
@@ -70,6 +70,8 @@
    */
   run(): Promise<void>;
   owner(): OwnerRecord | null;
+  /** Reads the owner key now; its watch may be on a connection that has fallen silent. */
+  checkOwner(): void;
   /** @returns whether the store answers this process now */
   canReachStore(): Promise<boolean>;
   /** @returns whether this process is the owner and its lease is certainly valid */
@@ -108,6 +110,8 @@
   /** Claim whose write has not been answered; it may be in effect. */
   let pendingClaim: Claim | null = null;
   let clockOffset = readClockOffset();
+  /** Ends the wait for a change of the owner key. */
+  let endWait = () => {};
 
   function readClockOffset(): number {
     return clock.wallMilliseconds() - clock.monotonicMilliseconds();
@@ -281,6 +285,12 @@
     await takeUpClaim(claim, revision);
   }
 
+  function awaitCheck(): Promise<'unchanged'> {
+    return new Promise((resolve) => {
+      endWait = () => resolve('unchanged');
+    });
+  }
+
   async function followOwnerKey(): Promise<void> {
     const outcome = await readOwnerKey();
     if (outcome.kind === 'failed') {
@@ -301,7 +311,10 @@
     if (record) await resolveUnansweredClaim(record, outcome.value.revision);
     // A record with this address but without a term here was left by a former process, which answers no calls.
     setOwner(record && (record.address !== address || term) ? record : null);
-    const change = await store.awaitChange(OWNER_KEY, outcome.revision, WATCH_TIMEOUT_MILLISECONDS);
+    const change = await Promise.race([
+      store.awaitChange(OWNER_KEY, outcome.revision, WATCH_TIMEOUT_MILLISECONDS),
+      awaitCheck(),
+    ]);
     if (change === 'failed') await sleep(clock, RETRY_DELAY_MILLISECONDS);
   }
 
@@ -317,6 +330,7 @@
       while (!isStopped) await followOwnerKey();
     },
     owner: () => owner,
+    checkOwner: () => endWait(),
     async canReachStore() {
       return (await readOwnerKey()).kind === 'answered';
     },
--- a/packages/scheduler/src/core/scheduler.ts
+++ b/packages/scheduler/src/core/scheduler.ts
@@ -256,6 +256,7 @@
           void keepAlive(channel);
           void channel.closed.then(() => {
             log.info('connection to owner ended', { owner: owner.address, epoch: owner.epoch });
+            election.checkOwner();
             notifyOwnerChange();
           });
           notifyOwnerChange();
