Store the rack of the endpoint of a run

Cause: a new owner makes their entries from the stored runs, which lacked the rack, and an unknown rack was equal to another unknown one.

Change: the rack is stored with id and address of the endpoint, as a fourth element that earlier builds do not read, and an unknown rack is equal to none.

--- a/packages/decisions/src/core/crashSuspicion.ts
+++ b/packages/decisions/src/core/crashSuspicion.ts
@@ -80,6 +80,7 @@
 /** An endpoint that was lost, or does not answer. */
 export interface LostEndpoint {
   readonly endpointId: string;
+  /** Empty if it is not known. */
   readonly rack: string;
   /** When its calls began to fail, in monotonic milliseconds. */
   readonly at: number;
@@ -144,7 +145,7 @@
     ({ endpointId, recentJobs }) =>
       endpointId !== lost.endpointId && ![...recentJobs.keys()].some((job) => sharedJobs.has(job)),
   );
-  const othersOfRack = others.filter(({ rack }) => rack === lost.rack);
+  const othersOfRack = others.filter(({ rack }) => rack !== '' && rack === lost.rack);
   return (
     others.length + 1 >= COMMON_CAUSE_ENDPOINTS ||
     othersOfRack.length + 1 >= COMMON_CAUSE_ENDPOINTS_OF_RACK
--- a/packages/scheduler/src/__tests__/jobRecords.test.ts
+++ b/packages/scheduler/src/__tests__/jobRecords.test.ts
@@ -67,3 +67,22 @@
     });
   }
 });
+
+test('a run keeps the rack of its endpoint, which an earlier build has not stored', (t) => {
+  const restoreRack = (endpoint: unknown[]) => {
+    const task = [0, 0, 'running', 2, 0, 0, '', 10, [[1, 'shared', 5, 'crashed', 20, 0, 1, 5]]];
+    const state = JSON.stringify({
+      acceptedAt: 1_000,
+      phase: 'open',
+      endedAt: 0,
+      hasStarted: true,
+      occurrenceCount: 1,
+      endpoints: [endpoint],
+      occurrences: [[0, [0], [task], [0]]],
+    });
+    const again = restore(encodeState(restore(state), 0));
+    return again.occurrences.get(0)!.steps[0]!.tasks[0]!.endpointRack;
+  };
+  t.is(restoreRack(['endpoint-0', 500, '10.0.0.1:80', 'rack-0']), 'rack-0');
+  t.is(restoreRack(['endpoint-0', 500, '10.0.0.1:80']), '');
+});
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -324,6 +324,7 @@
     task.endpointId = state.entry.endpointId;
     task.endpointBornAt = state.bornAt;
     task.endpointAddress = state.entry.address;
+    task.endpointRack = state.entry.rack;
     task.isIncarnationKnown = false;
     task.startSentAt = null;
     task.absenceConclusiveAfter = Infinity;
--- a/packages/scheduler/src/core/endpointLosses.ts
+++ b/packages/scheduler/src/core/endpointLosses.ts
@@ -179,6 +179,7 @@
 
   /** The endpoints of a rack that a former owner has lost may have been lost at once. */
   function isLostWithRack({ entry }: EndpointState): boolean {
+    if (entry.rack === '') return false;
     const lost = silentFromStart.get(entry.endpointId);
     const ofRack = [...silentFromStart.values()].filter(({ rack }) => rack === entry.rack);
     return lost !== undefined && hasCommonCause(lost, ofRack);
--- a/packages/scheduler/src/core/jobRecords.ts
+++ b/packages/scheduler/src/core/jobRecords.ts
@@ -53,6 +53,7 @@
     endpointId: null,
     endpointBornAt: 0,
     endpointAddress: '',
+    endpointRack: '',
     isIncarnationKnown: false,
     startSentAt: null,
     checkpoint: '',
@@ -234,8 +235,11 @@
   endedAt: number;
   hasStarted: boolean;
   occurrenceCount: number;
-  /** Endpoints of the tasks and of their losses: id, `bornAt` and address; earlier builds do not store the last. */
-  endpoints: [id: string, bornAt: number, address?: string][];
+  /**
+   * Endpoints of the tasks and of their losses: id, `bornAt`, address and rack, which is empty if no task has a run
+   * there; earlier builds do not store the last two.
+   */
+  endpoints: [id: string, bornAt: number, address?: string, rack?: string][];
   /**
    * Incomplete occurrences: index, gang failures by step, tasks that have been placed at least once, last failed run
    * of the gang by step; earlier builds do not store the last.
@@ -265,18 +269,18 @@
   const endpoints: StoredState['endpoints'] = [];
   const indexOf = new Map<string, number>();
 
-  function endpointIndex(endpointId: string, bornAt: number, address: string): number {
+  function endpointIndex(endpointId: string, bornAt: number, address: string, rack = ''): number {
     const name = `${endpointId}@${bornAt}`;
-    const known = indexOf.get(name);
-    if (known !== undefined) return known;
-    indexOf.set(name, endpoints.length);
-    endpoints.push([endpointId, bornAt, address]);
-    return endpoints.length - 1;
+    const index = indexOf.get(name) ?? endpoints.length;
+    indexOf.set(name, index);
+    endpoints[index] = [endpointId, bornAt, address, rack || (endpoints[index]?.[3] ?? '')];
+    return index;
   }
 
   function currentEndpointIndex(task: TaskRecord): number {
     if (task.endpointId === null || !hasActiveRun(task)) return -1;
-    return endpointIndex(task.endpointId, task.endpointBornAt, task.endpointAddress);
+    const { endpointId, endpointBornAt, endpointAddress, endpointRack } = task;
+    return endpointIndex(endpointId, endpointBornAt, endpointAddress, endpointRack);
   }
 
   const isOpen = job.phase === 'open' || [...job.occurrences.values()].some(hasActiveRuns);
@@ -358,8 +362,8 @@
       task.phase = task.isIncarnationKnown ? 'placed' : phase;
       const storedEndpoint = stored.endpoints[endpoint];
       if (!storedEndpoint) return;
-      const [endpointId, endpointBornAt, endpointAddress = ''] = storedEndpoint;
-      Object.assign(task, { endpointId, endpointBornAt, endpointAddress });
+      const [endpointId, endpointBornAt, endpointAddress = '', endpointRack = ''] = storedEndpoint;
+      Object.assign(task, { endpointId, endpointBornAt, endpointAddress, endpointRack });
     });
     occurrence.steps.forEach((step) => {
       const isGangSuspect = step.specification.isGang && step.tasks.some(isSuspect);
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -91,7 +91,7 @@
     drainRemainingMilliseconds: null,
     capacity: { processors: 0, memoryBytes: 0, accelerators: 0 },
     hardware: '',
-    rack: '',
+    rack: run.endpointRack,
     bornAt: run.endpointBornAt,
   };
 }
--- a/packages/scheduler/src/types/jobRecord.ts
+++ b/packages/scheduler/src/types/jobRecord.ts
@@ -46,6 +46,8 @@
   endpointBornAt: number;
   /** Address of that endpoint; empty if an earlier build recorded the run. */
   endpointAddress: string;
+  /** Rack of that endpoint; empty if it is not known. */
+  endpointRack: string;
   /** Whether an answer of that incarnation has shown that the current run is there, and not in a later one. */
   isIncarnationKnown: boolean;
   /** When the start of the current run was sent, in monotonic milliseconds; null if it was not. */
