Follow an endpoint whose clock was set back

Cause: incarnations were ordered by `bornAt`, a wall-clock time, and one with a lower value was taken for a former one.

Change: a list is the answer to a call that was sent when the known incarnation had begun, and answers to calls of an earlier one are dropped already, so that any other `bornAt` in a list is that of a later incarnation. Entries of the directory, whose reads may be old, are compared with the incarnation that the lists show and with those that it has followed. A new owner takes a run as certainly in its recorded incarnation only if that is the listed one.

--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -15,6 +15,7 @@
 import { requestedLeaseMilliseconds, leaseExpiryMilliseconds } from '../utils/leaseTimes.js';
 import { callWithAdaptiveTimeout } from '../utils/adaptiveTimeout.js';
 import { remainingToleranceMilliseconds } from './capacityAge.js';
+import { isFormerIncarnation } from './endpointTable.js';
 import type { EndpointState } from './endpointTable.js';
 import { hasActiveRun, jobIdOf, mayBeInLaterIncarnation } from './jobRecords.js';
 import type { TaskTransitions } from './taskTransitions.js';
@@ -161,6 +162,8 @@
       from: state.bornAt,
       to: bornAt,
     });
+    state.formerBornAt.add(state.bornAt);
+    state.formerBornAt.delete(bornAt);
     state.bornAt = bornAt;
     state.appliedSequence = 0;
     state.durableSequence = 0;
@@ -243,8 +246,10 @@
     outcome: HoldOutcome & { kind: 'answered' },
     sentAt: number,
   ): Promise<void> {
-    if (outcome.bornAt !== null && outcome.bornAt < state.bornAt) return;
-    if (outcome.bornAt !== null && outcome.bornAt > state.bornAt) changeIncarnation(outcome.bornAt);
+    // The call was sent when the known incarnation had begun, so that any other one is later.
+    if (outcome.bornAt !== null && outcome.bornAt !== state.bornAt) {
+      changeIncarnation(outcome.bornAt);
+    }
     if (!state.isReconciled) {
       // Runs that a former term recorded for an earlier incarnation.
       transitions.endpointLosses.recordLoss(state, runsOfOtherIncarnations(), 'crashed');
@@ -406,7 +411,7 @@
       context.isOwnerLeaseValid() &&
       state.clockOffset !== null &&
       task.endpointBornAt === state.bornAt &&
-      state.entry.bornAt <= state.bornAt
+      (state.entry.bornAt === state.bornAt || isFormerIncarnation(state, state.entry.bornAt))
     );
   }
 
--- a/packages/scheduler/src/core/endpointTable.ts
+++ b/packages/scheduler/src/core/endpointTable.ts
@@ -23,6 +23,8 @@
   isReconciled: boolean;
   /** Start of the incarnation that the lists came from, in milliseconds since the Unix epoch. */
   bornAt: number;
+  /** Starts of incarnations that were followed by another; a clock that was set back does not order them. */
+  readonly formerBornAt: Set<number>;
   /** Resources charged for the runs that may exist there. */
   used: Resources;
   /** Part of these that is charged for long-running tasks, which do not end by themselves. */
@@ -59,6 +61,14 @@
   return step.isFilling ? { ...step.resources, processors: 0 } : step.resources;
 }
 
+/** @returns whether an incarnation precedes the one that the lists came from */
+export function isFormerIncarnation(
+  { bornAt: current, formerBornAt }: EndpointState,
+  bornAt: number,
+): boolean {
+  return bornAt !== current && (bornAt < current || formerBornAt.has(bornAt));
+}
+
 /** @returns when the lease of a run has certainly expired, in monotonic milliseconds */
 export function leaseExpiryOf(state: EndpointState, task: TaskRecord): number {
   const { leasesExpireAt, laterLeasesExpireAt } = state;
@@ -115,6 +125,7 @@
         isListed: true,
         isReconciled: false,
         bornAt: entry.bornAt,
+        formerBornAt: new Set(),
         used: NO_RESOURCES,
         usedForLongRunning: NO_RESOURCES,
         runs: new Map(),
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -32,7 +32,7 @@
 import { drainEndOf } from './endpointLosses.js';
 import { createEndpointSession } from './endpointSession.js';
 import type { EndpointSession } from './endpointSession.js';
-import { createEndpointTable } from './endpointTable.js';
+import { createEndpointTable, isFormerIncarnation } from './endpointTable.js';
 import type { EndpointState } from './endpointTable.js';
 import {
   applyState,
@@ -305,6 +305,12 @@
     });
   }
 
+  /** A read may be older than the one before; only the lists show that a later incarnation has a lower `bornAt`. */
+  function isOutdated(known: EndpointState, { bornAt }: EndpointEntry): boolean {
+    if (isFormerIncarnation(known, bornAt)) return true;
+    return bornAt < known.entry.bornAt && !isFormerIncarnation(known, known.entry.bornAt);
+  }
+
   function applyDirectoryEntry(entry: EndpointEntry, readAt: number): void {
     const known = table.get(entry.endpointId);
     if (entry.isDraining && !known?.entry.isDraining) {
@@ -314,8 +320,8 @@
       startSession(addEndpoint(entry, readAt));
       return;
     }
-    if (entry.bornAt < known.entry.bornAt) return;
-    if (entry.bornAt > known.entry.bornAt) {
+    if (entry.bornAt !== known.entry.bornAt) {
+      if (isOutdated(known, entry)) return;
       const { bornAt } = known.entry;
       const endsAt = drainEndOf(known, bornAt);
       known.formerDrain = endsAt === null ? null : { bornAt, endsAt };
@@ -425,8 +431,8 @@
         }
         state.leasesExpireAt = formerLeasesExpireAt;
         state.laterLeasesExpireAt = formerLaterLeasesExpireAt;
-        // Only a later incarnation that the directory lists can have taken a start from the former owner.
-        task.isIncarnationKnown ||= state.entry.bornAt <= task.endpointBornAt;
+        // Only another incarnation that the directory lists can have taken a start from the former owner.
+        task.isIncarnationKnown ||= state.entry.bornAt === task.endpointBornAt;
         task.absenceConclusiveAfter = -Infinity;
         table.charge(state, task);
       }),
