Tell a planned leave before a term from a crash by its listing

Cause: a new owner that finds the endpoint of a run unlisted cannot see that it drained, and took its successor's answer for proof of a crash.

Change: the directory lists an endpoint until it has missed three heartbeats, so for 3 s or more after a crash. If the first read of a term lacks the endpoint, and was sent within 3 s of the placement of the run, the endpoint left as planned, and the run has no loss. A crash that the run itself caused comes after its placement, so it is still listed then.

--- a/packages/proving/src/__tests__/silentEndpointsReview.test.ts
+++ b/packages/proving/src/__tests__/silentEndpointsReview.test.ts
@@ -560,3 +560,16 @@
   t.is(losses.length, 2);
   t.false(losses.some((loss) => loss[1] === 'common'));
 });
+
+test('an endpoint that left as planned soon after a start, without an owner, is no crash', async (t) => {
+  const cell = await createCell({ count: 4 });
+  await submit(t, cell);
+  const { endpointId } = await awaitRun(cell, 1);
+  cell.killOwner();
+  cell.fleet.drain(endpointId, 500);
+  await cell.advance(500);
+  cell.fleet.release(endpointId, 500);
+  await replaceOwner(cell, 'owner-1');
+  await awaitRun(cell, 2);
+  t.deepEqual(storedLosses(cell), []);
+});
--- a/packages/scheduler/src/core/endpointLosses.ts
+++ b/packages/scheduler/src/core/endpointLosses.ts
@@ -16,6 +16,8 @@
 const UNRELIABLE_MILLISECONDS = 60_000;
 /** The remaining time of a drain is as old as the last heartbeat of the endpoint, in milliseconds. */
 const DRAIN_END_TOLERANCE_MILLISECONDS = 2_000;
+/** Minimum time for which the directory lists an endpoint after its crash, in milliseconds. */
+const MINIMUM_LISTING_MILLISECONDS = 3_000;
 /** A successor that answers later than this does not show when its predecessor ended, in milliseconds. */
 const CONFIRMATION_MILLISECONDS = 30_000;
 /** Number of runs of a loss that its log line names. */
@@ -82,6 +84,15 @@
   return entryReadAt + (entry.drainRemainingMilliseconds ?? 0);
 }
 
+/** @returns whether an endpoint left before the term, too soon after the placement of a run to have crashed under it */
+function hasLeftBeforeTerm(
+  { unlistedAt, clockOffset }: EndpointState,
+  { placedAt }: TaskRecord,
+): boolean {
+  if (unlistedAt === null || clockOffset !== null) return false;
+  return unlistedAt - placedAt < MINIMUM_LISTING_MILLISECONDS;
+}
+
 /** @returns certainty of a loss once its endpoint is over; null if the lease of the run may have expired before */
 function confirmedCertainty({ certainty }: TaskLoss): LossCertainty | null {
   if (certainty === 'disconnected') return 'executing';
@@ -301,8 +312,10 @@
     recordLoss(state, allTasks, cause) {
       // A run remains at its endpoint after its loss while a stop must rule out that it starts late.
       const tasks = allTasks.filter(
-        ({ startSentAt, losses, run }) =>
-          startSentAt !== null && !losses.some((loss) => loss.run === run),
+        (task) =>
+          task.startSentAt !== null &&
+          !task.losses.some(({ run }) => run === task.run) &&
+          !hasLeftBeforeTerm(state, task),
       );
       if (tasks.length === 0 || hasLeftAsPlanned(state, tasks)) return;
       const lossTime = estimateLossTime(state, tasks);
--- a/packages/scheduler/src/core/endpointTable.ts
+++ b/packages/scheduler/src/core/endpointTable.ts
@@ -17,6 +17,11 @@
   entryReadAt: number;
   /** Drain of the incarnation before that of the entry, and when it ends in monotonic milliseconds; null if none. */
   formerDrain: { readonly bornAt: number; readonly endsAt: number } | null;
+  /**
+   * When the first read of the term, which did not return the entry, was sent, in monotonic milliseconds; null if it
+   * did, or a later one has.
+   */
+  unlistedAt: number | null;
   /** Whether the directory lists it now. */
   isListed: boolean;
   /** Whether the recorded runs have been compared with lists read under the fencing token of this term. */
@@ -122,6 +127,7 @@
         shuffleKey: hashText(entry.endpointId),
         entryReadAt: -Infinity,
         formerDrain: null,
+        unlistedAt: null,
         isListed: true,
         isReconciled: false,
         bornAt: entry.bornAt,
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -336,6 +336,7 @@
     if (known.entryReadAt > -Infinity) reportCapacityChange(known, entry);
     known.entry = entry;
     known.entryReadAt = readAt;
+    known.unlistedAt = null;
     known.isListed = true;
     if (isSessionIdle) void sessions.get(entry.endpointId)?.run();
     if (entry.isDraining) applyDrain(known);
@@ -419,7 +420,7 @@
   }
 
   /** Charges stored runs to the endpoints where they may exist; the lists of the endpoints then show which do. */
-  function restoreRuns(): void {
+  function restoreRuns(listedAt: number): void {
     jobs.forEach((job) =>
       forEachTask(job, (task) => {
         if (!hasActiveRun(task) || task.endpointId === null) return;
@@ -428,6 +429,7 @@
           const now = clock.monotonicMilliseconds();
           state = table.add(createUnlistedEntry(task.endpointId, task), now);
           state.isListed = false;
+          state.unlistedAt = listedAt;
         }
         state.leasesExpireAt = formerLeasesExpireAt;
         state.laterLeasesExpireAt = formerLaterLeasesExpireAt;
@@ -458,7 +460,7 @@
     if (!chain || !items || !listed || hasEnded) return false;
     listed.entries.forEach((entry) => addEndpoint(entry, listed.readAt));
     const removedJobIds = restoreJobs(items.value);
-    restoreRuns();
+    restoreRuns(listed.readAt);
     components = createComponents(chain.value?.revision ?? 0);
     removedJobIds.forEach((jobId) => {
       void components!.commits.stage(stateKey(jobId), () => null);
