--- a/packages/scheduler/src/core/endpointTable.ts
+++ b/packages/scheduler/src/core/endpointTable.ts
@@ -17,12 +17,19 @@
   entryReadAt: number;
   /** Drain of the incarnation before that of the entry, and when it ends in monotonic milliseconds; null if none. */
   formerDrain: { readonly bornAt: number; readonly endsAt: number } | null;
+  /**
+   * When the first read of the term, which did not return the entry, was sent, in monotonic milliseconds; null if it
+   * did, or a later one has.
+   */
+  unlistedAt: number | null;
   /** Whether the directory lists it now. */
   isListed: boolean;
   /** Whether the recorded runs have been compared with lists read under the fencing token of this term. */
   isReconciled: boolean;
   /** Start of the incarnation that the lists came from, in milliseconds since the Unix epoch. */
   bornAt: number;
+  /** Starts of incarnations that were followed by another; a clock that was set back does not order them. */
+  readonly formerBornAt: Set<number>;
   /** Resources charged for the runs that may exist there. */
   used: Resources;
   /** Part of these that is charged for long-running tasks, which do not end by themselves. */
@@ -59,6 +66,14 @@
   return step.isFilling ? { ...step.resources, processors: 0 } : step.resources;
 }
 
+/** @returns whether an incarnation precedes the one that the lists came from */
+export function isFormerIncarnation(
+  { bornAt: current, formerBornAt }: EndpointState,
+  bornAt: number,
+): boolean {
+  return bornAt !== current && (bornAt < current || formerBornAt.has(bornAt));
+}
+
 /** @returns when the lease of a run has certainly expired, in monotonic milliseconds */
 export function leaseExpiryOf(state: EndpointState, task: TaskRecord): number {
   const { leasesExpireAt, laterLeasesExpireAt } = state;
@@ -112,9 +127,11 @@
         shuffleKey: hashText(entry.endpointId),
         entryReadAt: -Infinity,
         formerDrain: null,
+        unlistedAt: null,
         isListed: true,
         isReconciled: false,
         bornAt: entry.bornAt,
+        formerBornAt: new Set(),
         used: NO_RESOURCES,
         usedForLongRunning: NO_RESOURCES,
         runs: new Map(),
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -32,7 +32,7 @@
 import { drainEndOf } from './endpointLosses.js';
 import { createEndpointSession } from './endpointSession.js';
 import type { EndpointSession } from './endpointSession.js';
-import { createEndpointTable } from './endpointTable.js';
+import { createEndpointTable, isFormerIncarnation } from './endpointTable.js';
 import type { EndpointState } from './endpointTable.js';
 import {
   applyState,
@@ -91,7 +91,7 @@
     drainRemainingMilliseconds: null,
     capacity: { processors: 0, memoryBytes: 0, accelerators: 0 },
     hardware: '',
-    rack: '',
+    rack: run.endpointRack,
     bornAt: run.endpointBornAt,
   };
 }
@@ -305,6 +305,12 @@
     });
   }
 
+  /** A read may be older than the one before; only the lists show that a later incarnation has a lower `bornAt`. */
+  function isOutdated(known: EndpointState, { bornAt }: EndpointEntry): boolean {
+    if (isFormerIncarnation(known, bornAt)) return true;
+    return bornAt < known.entry.bornAt && !isFormerIncarnation(known, known.entry.bornAt);
+  }
+
   function applyDirectoryEntry(entry: EndpointEntry, readAt: number): void {
     const known = table.get(entry.endpointId);
     if (entry.isDraining && !known?.entry.isDraining) {
@@ -314,8 +320,8 @@
       startSession(addEndpoint(entry, readAt));
       return;
     }
-    if (entry.bornAt < known.entry.bornAt) return;
-    if (entry.bornAt > known.entry.bornAt) {
+    if (entry.bornAt !== known.entry.bornAt) {
+      if (isOutdated(known, entry)) return;
       const { bornAt } = known.entry;
       const endsAt = drainEndOf(known, bornAt);
       known.formerDrain = endsAt === null ? null : { bornAt, endsAt };
@@ -330,6 +336,7 @@
     if (known.entryReadAt > -Infinity) reportCapacityChange(known, entry);
     known.entry = entry;
     known.entryReadAt = readAt;
+    known.unlistedAt = null;
     known.isListed = true;
     if (isSessionIdle) void sessions.get(entry.endpointId)?.run();
     if (entry.isDraining) applyDrain(known);
@@ -413,7 +420,7 @@
   }
 
   /** Charges stored runs to the endpoints where they may exist; the lists of the endpoints then show which do. */
-  function restoreRuns(): void {
+  function restoreRuns(listedAt: number): void {
     jobs.forEach((job) =>
       forEachTask(job, (task) => {
         if (!hasActiveRun(task) || task.endpointId === null) return;
@@ -422,11 +429,12 @@
           const now = clock.monotonicMilliseconds();
           state = table.add(createUnlistedEntry(task.endpointId, task), now);
           state.isListed = false;
+          state.unlistedAt = listedAt;
         }
         state.leasesExpireAt = formerLeasesExpireAt;
         state.laterLeasesExpireAt = formerLaterLeasesExpireAt;
-        // Only a later incarnation that the directory lists can have taken a start from the former owner.
-        task.isIncarnationKnown ||= state.entry.bornAt <= task.endpointBornAt;
+        // Only another incarnation that the directory lists can have taken a start from the former owner.
+        task.isIncarnationKnown ||= state.entry.bornAt === task.endpointBornAt;
         task.absenceConclusiveAfter = -Infinity;
         table.charge(state, task);
       }),
@@ -452,7 +460,7 @@
     if (!chain || !items || !listed || hasEnded) return false;
     listed.entries.forEach((entry) => addEndpoint(entry, listed.readAt));
     const removedJobIds = restoreJobs(items.value);
-    restoreRuns();
+    restoreRuns(listed.readAt);
     components = createComponents(chain.value?.revision ?? 0);
     removedJobIds.forEach((jobId) => {
       void components!.commits.stage(stateKey(jobId), () => null);
