--- a/packages/proving/src/__tests__/formerOwner.test.ts
+++ b/packages/proving/src/__tests__/formerOwner.test.ts
@@ -45,7 +45,11 @@
         configurationSource: {
           read: () => Promise.resolve({ kind: 'answered', configuration: CONFIGURATION }),
         },
-        timeLimits: { maximumLeaseMilliseconds: 10_000, maximumStopMilliseconds: 200 },
+        timeLimits: {
+          maximumLeaseMilliseconds: 10_000,
+          maximumStopMilliseconds: 200,
+          heartbeatMilliseconds: 1_500,
+        },
         retentionMilliseconds: 60_000,
         advice: fleet.advice,
         leaseMilliseconds: 1_200,
--- a/packages/proving/src/core/schedulerCell.ts
+++ b/packages/proving/src/core/schedulerCell.ts
@@ -210,7 +210,11 @@
                 return { kind: 'answered', configuration: cell.configuration };
               },
             },
-            timeLimits: { maximumLeaseMilliseconds: 10_000, maximumStopMilliseconds: 200 },
+            timeLimits: {
+              maximumLeaseMilliseconds: 10_000,
+              maximumStopMilliseconds: 200,
+              heartbeatMilliseconds: 1_500,
+            },
             retentionMilliseconds: 120_000,
             term: owned,
             isOwnerLeaseValid: () => !isKilled && election.isOwnerLeaseValid(),
--- a/packages/scheduler/src/core/endpointLosses.ts
+++ b/packages/scheduler/src/core/endpointLosses.ts
@@ -16,8 +16,8 @@
 const UNRELIABLE_MILLISECONDS = 60_000;
 /** The remaining time of a drain is as old as the last heartbeat of the endpoint, in milliseconds. */
 const DRAIN_END_TOLERANCE_MILLISECONDS = 2_000;
-/** Minimum time for which the directory lists an endpoint after its crash, in milliseconds. */
-const MINIMUM_LISTING_MILLISECONDS = 3_000;
+/** The directory drops an endpoint after three missed heartbeats, the first of which may be due just after a crash. */
+const MINIMUM_LISTED_HEARTBEATS = 2;
 /** A successor that answers later than this does not show when its predecessor ended, in milliseconds. */
 const CONFIRMATION_MILLISECONDS = 30_000;
 /** Number of runs of a loss that its log line names. */
@@ -88,9 +88,10 @@
 function hasLeftBeforeTerm(
   { unlistedAt, clockOffset }: EndpointState,
   { placedAt }: TaskRecord,
+  heartbeatMilliseconds: number,
 ): boolean {
   if (unlistedAt === null || clockOffset !== null) return false;
-  return unlistedAt - placedAt < MINIMUM_LISTING_MILLISECONDS;
+  return unlistedAt - placedAt < MINIMUM_LISTED_HEARTBEATS * heartbeatMilliseconds;
 }
 
 /** @returns certainty of a loss once its endpoint is over; null if the lease of the run may have expired before */
@@ -315,7 +316,7 @@
         (task) =>
           task.startSentAt !== null &&
           !task.losses.some(({ run }) => run === task.run) &&
-          !hasLeftBeforeTerm(state, task),
+          !hasLeftBeforeTerm(state, task, context.timeLimits.heartbeatMilliseconds),
       );
       if (tasks.length === 0 || hasLeftAsPlanned(state, tasks)) return;
       const lossTime = estimateLossTime(state, tasks);
--- a/packages/scheduler/src/types/termContext.ts
+++ b/packages/scheduler/src/types/termContext.ts
@@ -16,6 +16,8 @@
   readonly maximumLeaseMilliseconds: number;
   /** Maximum time that an endpoint takes to stop a run. */
   readonly maximumStopMilliseconds: number;
+  /** Interval at which an endpoint renews its entry in the directory. */
+  readonly heartbeatMilliseconds: number;
 }
 
 /** State and services shared by the components of an owner's term. */
