Prefer endpoints that answer their requests

Cause: the endpoint with the largest fraction of free slots was selected, ties going to the first. One that answers health checks but no request kept being filled up to its slots, again after each 10 s; one that fails requests at once has all slots free and got every request.

Change: an endpoint is suspect from an unanswered or failed request until its next answer, a late one included (createMemberHealth of the decisions package). Among endpoints with free slots those that are not suspect go first; a suspect one gets a request only when it is idle and 0.5 to 5 s have passed since its last request ended without an answer, or when no other has a free slot. Admission, ejection and probes are as before.

--- a/packages/daemon/src/core/endpoint.ts
+++ b/packages/daemon/src/core/endpoint.ts
@@ -55,6 +55,10 @@
   update(vm: VmRecord | null): void;
   /** @returns whether it may be sent new requests */
   isUsable(): boolean;
+  /**
+   * @returns whether requests are sent to it before others: it is not suspect, or it is idle and due for another try
+   */
+  isPreferred(): boolean;
   /** @returns whether it is no longer in the VM list */
   isUnlisted(): boolean;
   /** Sends a request. The caller checks that a slot is free; it is taken before this returns. */
@@ -228,11 +232,13 @@
   ): Promise<void> {
     const remaining = slot.endsBy() - clock.monotonicMilliseconds();
     const outcome = await withTimeout(clock, pending, remaining);
-    if (outcome !== TIMED_OUT && outcome.kind === 'answered') {
-      counters.increment('endpoints.answers.late');
-      const result = classifyAnswer(outcome, attempt.request.requestId);
-      if (result.kind === 'answered') attempt.onLateAnswer(result.response);
-    }
+    const isAnswered = outcome !== TIMED_OUT && outcome.kind === 'answered';
+    const result = isAnswered ? classifyAnswer(outcome, attempt.request.requestId) : null;
+    if (isAnswered) counters.increment('endpoints.answers.late');
+    if (result?.kind === 'answered') {
+      health.recordLateAnswer();
+      attempt.onLateAnswer(result.response);
+    } else health.recordUnanswered();
     closeConnection(connection, 'its request got no answer in time');
     freeSlot(slot, attempt);
   }
@@ -297,6 +303,7 @@
     closeConnection(connection, reason);
     const outcome = await pending;
     health.probeAfterTimeout();
+    health.recordUnanswered();
     freeSlot(slot, attempt);
     return outcome.kind === 'not-sent' ? outcome : createLostOutcome(reason);
   }
@@ -343,6 +350,7 @@
     },
     isUnlisted: () => isUnlisted,
     isUsable: () => !isLeaving && !isStopped && !health.isEjected(),
+    isPreferred: () => !health.isSuspect() || (health.isRetryDue() && slots.inUse().length === 0),
     stop() {
       isStopped = true;
       health.stop();
--- a/packages/daemon/src/core/endpointHealth.ts
+++ b/packages/daemon/src/core/endpointHealth.ts
@@ -1,11 +1,21 @@
 import { computeBackoff } from '@chicorybend/common';
 import type { BackoffLimits, CancelTimer, Clock, Counters, Log } from '@chicorybend/common';
+import { createMemberHealth } from '@chicorybend/decisions';
+import type { RetryDelays } from '@chicorybend/decisions';
 
 /** Ejects an endpoint whose requests fail, and readmits it after a successful probe. */
 export interface EndpointHealth {
   isEjected(): boolean;
+  /** @returns whether a request has failed or was not answered in time since the last answer */
+  isSuspect(): boolean;
+  /** @returns whether a suspect endpoint may be tried again */
+  isRetryDue(): boolean;
   recordSuccess(): void;
+  /** Records an answer that came too late for its request. */
+  recordLateAnswer(): void;
   recordFailure(): void;
+  /** Records that a request can no longer be answered; a probe tells whether the endpoint is ejected. */
+  recordUnanswered(): void;
   /**
    * Probes the endpoint after a request without an answer in time, because a short deadline cannot tell a silent
    * endpoint from a slow one. Ejects the endpoint at once if the probe fails.
@@ -31,9 +41,14 @@
 /** Probes start early; the delay grows for an endpoint that passes its probes but keeps failing requests. */
 const PROBE_BACKOFF: BackoffLimits = { firstMilliseconds: 500, maximumMilliseconds: 5_000 };
 
+/** Delays before a request is sent to a suspect endpoint although others have free slots. */
+const RETRY_DELAYS: RetryDelays = { minimumMilliseconds: 500, maximumMilliseconds: 5_000 };
+
 /** Creates the health state of one endpoint: ejected after consecutive failures, readmitted by a probe. */
 export function createEndpointHealth(options: EndpointHealthOptions): EndpointHealth {
   const { clock, log, counters, endpointId } = options;
+  const member = createMemberHealth(RETRY_DELAYS);
+  const now = () => clock.monotonicMilliseconds();
   let consecutiveFailures = 0;
   let backoffSteps = 0;
   let isEjected = false;
@@ -74,6 +89,7 @@
   }
 
   function recordFailure(): void {
+    member.recordFailure(now());
     consecutiveFailures += 1;
     if (consecutiveFailures >= FAILURES_BEFORE_EJECTION) eject();
   }
@@ -89,12 +105,18 @@
 
   return {
     isEjected: () => isEjected,
+    isSuspect: member.isSuspect,
+    isRetryDue: () => member.isRetryDue(now()),
     recordFailure,
+    recordUnanswered: () => member.recordFailure(now()),
+    recordLateAnswer: () => member.recordAnswer(now()),
     recordSuccess() {
+      member.recordAnswer(now());
       consecutiveFailures = 0;
       backoffSteps = 0;
     },
     probeAfterTimeout() {
+      member.recordOverdue();
       if (!isProbing && !isEjected) probeOnce();
     },
     stop() {
--- a/packages/daemon/src/core/endpointSet.ts
+++ b/packages/daemon/src/core/endpointSet.ts
@@ -22,7 +22,8 @@
   /** @returns number of free slots of usable endpoints */
   countFreeSlots(): number;
   /**
-   * Selects the endpoint with the largest fraction of free slots, preferring endpoints that were not tried.
+   * Selects the endpoint with the largest fraction of free slots, preferring endpoints that were not tried, and among
+   * those the ones that answer: an endpoint that does not, or fails at once, has the most free slots.
    *
    * @param triedEndpointIds ids of endpoints that were tried for the request
    * @returns the endpoint, or undefined without a free slot
@@ -69,7 +70,9 @@
   function selectEndpoint(triedEndpointIds: ReadonlySet<string>): Endpoint | undefined {
     const free = listUsableEndpoints().filter((endpoint) => endpoint.slots.free() > 0);
     const untried = free.filter((endpoint) => !triedEndpointIds.has(endpoint.endpointId));
-    const candidates = untried.length > 0 ? untried : free;
+    const allowed = untried.length > 0 ? untried : free;
+    const preferred = allowed.filter((endpoint) => endpoint.isPreferred());
+    const candidates = preferred.length > 0 ? preferred : allowed;
     return candidates.reduce<Endpoint | undefined>(
       (best, each) => (best && freeFraction(best) >= freeFraction(each) ? best : each),
       undefined,
