Choose no silent owner by the load that it last advertised

Cause: partitions are chosen by advertised load, for idempotent requests, for the overflow hop and for capacity of tasks. The last load of a silent owner stands still, so it looks like the least loaded as soon as the others are busy. While it keeps its session (a silent link, a store outage) nobody takes its partitions over.

Change: an owner that has answered no heartbeat for 1.6 s is left out of these choices until it answers again (PartitionDirectory.isOwnerSilent). Its own heartbeats do not count, they do not show that it can be called. What belongs to a partition by its key goes there as before.

The owner in the directory decides now; the test waits until no handover is due.

--- a/packages/client/src/__tests__/clientCell.ts
+++ b/packages/client/src/__tests__/clientCell.ts
@@ -163,6 +163,7 @@
     partitionCount: 2,
     ownerOf: (partition: number) => (partition === 0 ? { daemonId: DAEMON_ID, epoch: 1 } : null),
     leaseOf: () => null,
+    isOwnerSilent: () => false,
     servedPartitions: () => [0],
     refreshOwner: () => undefined,
   };
--- a/packages/daemon/src/__tests__/interactiveStubs.ts
+++ b/packages/daemon/src/__tests__/interactiveStubs.ts
@@ -259,6 +259,7 @@
 
 export interface StubDirectory extends PartitionDirectory {
   readonly owners: Map<number, string>;
+  readonly silentOwners: Set<string>;
   refreshes: number;
 }
 
@@ -270,11 +271,13 @@
   const directory: StubDirectory = {
     partitionCount,
     owners,
+    silentOwners: new Set(),
     refreshes: 0,
     ownerOf(partition) {
       const daemonId = owners.get(partition);
       return daemonId === undefined ? null : { daemonId, epoch: 1 };
     },
+    isOwnerSilent: (partition) => directory.silentOwners.has(owners.get(partition) ?? ''),
     leaseOf: () => null,
     servedPartitions: () => [...owners.keys()],
     refreshOwner() {
--- a/packages/daemon/src/__tests__/operatorApi.test.ts
+++ b/packages/daemon/src/__tests__/operatorApi.test.ts
@@ -41,6 +41,7 @@
       { daemonId: 'b', epoch: 1 },
     ][partition] ?? null,
   leaseOf: () => null,
+  isOwnerSilent: () => false,
   servedPartitions: () => [],
   refreshOwner: () => undefined,
 };
--- a/packages/daemon/src/__tests__/ownershipStubs.ts
+++ b/packages/daemon/src/__tests__/ownershipStubs.ts
@@ -46,6 +46,7 @@
     isInContactWithMajority: () => true,
     mayAct: () => true,
     authorityGeneration: () => state.generation,
+    isAnswering: () => true,
     reportedOwners: () => new Map(),
     hasLostAuthority: () => Promise.resolve(false),
     loads: () => new Map(),
--- a/packages/daemon/src/__tests__/requestRouter.test.ts
+++ b/packages/daemon/src/__tests__/requestRouter.test.ts
@@ -326,6 +326,28 @@
   },
 );
 
+test.serial(
+  'a request for a full partition is not sent to a silent owner with the most free slots',
+  async (t) => {
+    const network = createStubNetwork();
+    const home = createTestDaemon(t, 'd1', network, []);
+    await home.service.open(createOpening(createStubLease(1, 1)));
+    home.directory.owners.set(0, 'd2');
+    home.directory.silentOwners.add('d2');
+    home.loads.set(0, createLoad(0, 8));
+    let calls = 0;
+    network.fault = (to) => {
+      if (to !== 'd2') return null;
+      calls += 1;
+      return { kind: 'lost', reason: 'silent' };
+    };
+    const idempotencyKey = createKeyInPartition(1);
+    const routed = { team: 'bench', idempotencyKey, request: createRequest() };
+    t.is((await home.router.route(routed)).unwrapErr().code, 'no-endpoint');
+    t.is(calls, 0);
+  },
+);
+
 test.serial(
   'a request whose home partition has no endpoints is run by another partition',
   async (t) => {
--- a/packages/daemon/src/__tests__/testCell.ts
+++ b/packages/daemon/src/__tests__/testCell.ts
@@ -535,6 +535,7 @@
       partitionCount,
       ownerOf: (partition) => owners.get(partition) ?? null,
       leaseOf: () => null,
+      isOwnerSilent: () => false,
       servedPartitions: () =>
         [...owners].filter(([, { daemonId }]) => daemonId === id).map(([number]) => number),
       refreshOwner: () => {},
--- a/packages/daemon/src/core/membership.ts
+++ b/packages/daemon/src/core/membership.ts
@@ -67,6 +67,8 @@
   stop(): void;
   /** @returns generation of the authority, see {@link Authority.generation} */
   authorityGeneration(): number;
+  /** @returns whether a daemon has answered a heartbeat recently; its own heartbeats do not show that it takes calls */
+  isAnswering(daemonId: string): boolean;
   /** @returns owner of each partition as reported in heartbeats, with the highest epoch received */
   reportedOwners(): ReadonlyMap<number, { daemonId: string; epoch: number }>;
   /**
@@ -114,6 +116,8 @@
   const lastHeartbeats = new Map<string, ReceivedHeartbeat>();
   const loadsForPeers = createHeartbeatLoadDeltas(clock);
   const partitionLoads = new Map<number, PartitionLoad>();
+  /** Monotonic time of the last answer to a heartbeat to a daemon, by its id. */
+  const lastAnswerAtByDaemon = new Map<string, number>();
   const owners = new Map<number, { daemonId: string; epoch: number }>();
   let record: MembershipRecord | null = null;
   let recordChangedAt = clock.monotonicMilliseconds();
@@ -201,6 +205,7 @@
       return reply;
     }
     pending.acknowledge(reply.value.incarnation);
+    lastAnswerAtByDaemon.set(member.daemonId, clock.monotonicMilliseconds());
     recordHeartbeat(member.daemonId, reply.value, sentAt - reply.value.freshnessAgeMilliseconds);
     const isSameVersion =
       reply.value.membershipVersion === sentVersion && record?.version === sentVersion;
@@ -377,6 +382,10 @@
     loads: () => partitionLoads,
     authorityGeneration: () => authority.generation(),
     reportedOwners: () => owners,
+    isAnswering(daemonId) {
+      const answeredAt = lastAnswerAtByDaemon.get(daemonId) ?? startedAt;
+      return clock.monotonicMilliseconds() - answeredAt < LIVENESS_TIMEOUT_MILLISECONDS;
+    },
     hasLostAuthority,
     async start() {
       await session.start();
--- a/packages/daemon/src/core/overflowSelector.ts
+++ b/packages/daemon/src/core/overflowSelector.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@chicorybend/common';
 
-import type { PartitionLoadView } from '../types/partition.js';
+import type { PartitionDirectory, PartitionLoadView } from '../types/partition.js';
 
 /** Selects the partition that runs a request when its home partition has no free slot soon enough. */
 export interface OverflowSelector {
@@ -19,13 +19,14 @@
 export interface OverflowSelectorOptions {
   readonly clock: Clock;
   readonly loadBoard: PartitionLoadView;
+  readonly directory: PartitionDirectory;
 }
 
 /** Equals the heartbeat interval: loads are advertised with heartbeats. */
 const LOAD_ADVERTISEMENT_INTERVAL_MILLISECONDS = 500;
 
 export function createOverflowSelector(options: OverflowSelectorOptions): OverflowSelector {
-  const { clock, loadBoard } = options;
+  const { clock, loadBoard, directory } = options;
   const callsInFlight = new Map<number, number>();
   const avoidedUntil = new Map<number, number>();
 
@@ -40,7 +41,8 @@
       let selected: number | null = null;
       let mostSpareSlots = hasEndpoints ? 0 : Number.NEGATIVE_INFINITY;
       loadBoard.loads().forEach((load, partition) => {
-        if (partition === homePartition || (avoidedUntil.get(partition) ?? 0) > now) return;
+        if (partition === homePartition || directory.isOwnerSilent(partition)) return;
+        if ((avoidedUntil.get(partition) ?? 0) > now) return;
         // Without endpoints in the home partition, waiting in another partition's queue is better than a refusal.
         const spareSlots = load.freeSlots - load.queuedRequests - countCalls(partition);
         if (spareSlots > mostSpareSlots) {
--- a/packages/daemon/src/core/ownership.ts
+++ b/packages/daemon/src/core/ownership.ts
@@ -378,6 +378,10 @@
   return {
     partitionCount,
     ownerOf,
+    isOwnerSilent(partition) {
+      const owner = ownerOf(partition);
+      return owner !== null && owner.daemonId !== selfId && !membership.isAnswering(owner.daemonId);
+    },
     leaseOf: (partition) => partitions.get(partition)?.lease() ?? null,
     servedPartitions: () =>
       [...partitions.values()].filter((entry) => entry.lease()).map((entry) => entry.partition),
--- a/packages/daemon/src/core/requestRouter.ts
+++ b/packages/daemon/src/core/requestRouter.ts
@@ -20,7 +20,7 @@
   RetryBudget,
 } from '@chicorybend/common';
 
-import type { PartitionLoadView, PartitionDirectory } from '../types/partition.js';
+import type { PartitionDirectory, PartitionLoad, PartitionLoadView } from '../types/partition.js';
 import type { PeerError, PeerLink } from '../types/peer.js';
 import type { ForwardedRequest } from '../types/peerMethods.js';
 import { hashBody } from '../utils/bodyHash.js';
@@ -113,16 +113,24 @@
     inFlightCalls.run(() => executeAtHome(forwarded, context)),
   );
 
-  function netQueueLength(partition: number): number {
-    const load = options.loadBoard.loads().get(partition);
+  function netQueueLength(load: PartitionLoad | undefined): number {
     return load ? load.queuedRequests - load.freeSlots : 0;
   }
 
-  /** Picks the less loaded of two random partitions; all daemons would pick the least loaded one at the same time. */
+  /**
+   * Picks the less loaded of two random partitions; all daemons would pick the least loaded one at the same time. The
+   * last load of a silent owner would look low for as long as it is silent.
+   */
   function chooseByLoad(): number {
-    const first = Math.floor(random() * directory.partitionCount);
-    const second = Math.floor(random() * directory.partitionCount);
-    return netQueueLength(second) < netQueueLength(first) ? second : first;
+    const loads = options.loadBoard.loads();
+    const all = Array.from({ length: directory.partitionCount }, (_, partition) => partition);
+    const answering = all.filter((partition) => !directory.isOwnerSilent(partition));
+    const candidates = answering.length > 0 ? answering : all;
+    const pick = () => candidates[Math.floor(random() * candidates.length)] ?? 0;
+    const first = pick();
+    const second = pick();
+    const isSecondShorter = netQueueLength(loads.get(second)) < netQueueLength(loads.get(first));
+    return isSecondShorter ? second : first;
   }
 
   function choosePartition(routed: RoutedRequest): number {
--- a/packages/daemon/src/core/targetPartitions.ts
+++ b/packages/daemon/src/core/targetPartitions.ts
@@ -18,7 +18,7 @@
 
 /** Worker partitions to ask for capacity. */
 export interface TargetPartitions {
-  /** @returns partitions that have an owner which is not being skipped, in ascending order */
+  /** @returns partitions whose owner is neither silent nor being skipped, in ascending order */
   responsive(): readonly number[];
   /** @returns those of `responsive` that may have capacity for at least one task */
   withCapacity(resources: Resources): readonly number[];
@@ -56,7 +56,10 @@
 
   function responsive(): readonly number[] {
     return Array.from({ length: directory.partitionCount }, (_, index) => index).filter(
-      (candidate) => directory.ownerOf(candidate) !== null && isResponsive(candidate),
+      (candidate) =>
+        directory.ownerOf(candidate) !== null &&
+        !directory.isOwnerSilent(candidate) &&
+        isResponsive(candidate),
     );
   }
 
--- a/packages/daemon/src/types/partition.ts
+++ b/packages/daemon/src/types/partition.ts
@@ -98,6 +98,11 @@
    * @returns last known owner, or null
    */
   ownerOf(partition: number): PartitionOwner | null;
+  /**
+   * @param partition partition number
+   * @returns whether the last known owner has not answered recently, so that its load is out of date
+   */
+  isOwnerSilent(partition: number): boolean;
   /**
    * @param partition partition number
    * @returns lease of this daemon, or null if it does not serve the partition
--- a/packages/proving/src/__tests__/pausedOwner.test.ts
+++ b/packages/proving/src/__tests__/pausedOwner.test.ts
@@ -4,13 +4,12 @@
 import {
   applyExample,
   createIdempotencyKey,
-  createOperatorCaller,
   createWorkCaller,
   readExample,
   startLocalCell,
   waitUntil,
 } from '../index.js';
-import type { LocalCell } from '../index.js';
+import { arePartitionsEvenlySplit } from './evenSplit.js';
 
 const SETTLE_LIMIT_MILLISECONDS = 30_000;
 /** Longer than a takeover, so that requests of the former owner are still running after it. */
@@ -21,15 +20,6 @@
 const example = readExample('coldline');
 const clock = createSystemClock();
 
-async function arePartitionsEvenlySplit(cell: LocalCell): Promise<boolean> {
-  const operator = createOperatorCaller('bootstrap', cell.operatorToken);
-  const listed = await operator.listDaemons(cell.daemons[0]?.apiAddress ?? '');
-  await operator.close();
-  const rows = listed.kind === 'answered' ? listed.value.rows : [];
-  const share = cell.plan.partitions / cell.daemons.length;
-  return rows.length > 0 && rows.every(({ partitions }) => partitions?.length === share);
-}
-
 /**
  * Guards against a second run of a non-idempotent request, and against more requests than slots, when an owner is
  * paused: its connections stay open, so its endpoints keep running its requests while its partitions are taken over.
--- a/packages/proving/src/__tests__/silentOwner.test.ts
+++ b/packages/proving/src/__tests__/silentOwner.test.ts
@@ -1,13 +1,21 @@
 import { createSystemClock, sleep } from '@chicorybend/common';
 import test from 'ava';
 
-import { applyExample, createWorkCaller, readExample, startLocalCell } from '../index.js';
+import {
+  applyExample,
+  createWorkCaller,
+  readExample,
+  startLocalCell,
+  waitUntil,
+} from '../index.js';
+import { arePartitionsEvenlySplit } from './evenSplit.js';
 
 const REQUEST_DEADLINE_MILLISECONDS = 4_000;
 const REQUEST_INTERVAL_MILLISECONDS = 25;
 const SERVICE_MILLISECONDS = 100;
 /** Time after which the link to a silent daemon is suspect, with a margin. */
 const DETECTION_MILLISECONDS = 2_000;
+const SETTLE_LIMIT_MILLISECONDS = 30_000;
 const FAULT_MILLISECONDS = 9_000;
 const example = readExample('coldline');
 const clock = createSystemClock();
@@ -43,7 +51,7 @@
     deadlineMilliseconds: REQUEST_DEADLINE_MILLISECONDS,
     payload: { serviceMilliseconds: SERVICE_MILLISECONDS, result: null, marker: 'silent-owner' },
   };
-  await sleep(clock, 5_000);
+  t.true(await waitUntil(() => arePartitionsEvenlySplit(cell), SETTLE_LIMIT_MILLISECONDS));
   const revert = cell.applyLinkFault(entry, silent, { kind: 'silence' });
   const beganAt = performance.now();
   const samples: Promise<Sample>[] = [];
