End repeatable calls when the link to the owner is suspect

Cause: a call that waits on a link that falls silent lasted until its deadline.

Change: a call may carry endIfSuspect, which is asked when its connection becomes suspect; true ends it as lost. Calls of owners that may be repeated (ownerCall.ts) end so always, idempotent requests if the retry budget grants a retry. Others wait for a late answer as before.

--- a/packages/daemon/src/core/ownerCall.ts
+++ b/packages/daemon/src/core/ownerCall.ts
@@ -70,7 +70,9 @@
       return Err({ error: null, failure });
     }
     const remaining = Math.max(1, call.deadlineAt - clock.monotonicMilliseconds());
-    const answer = await link.call(owner.daemonId, call.method, call.params, remaining);
+    const answer = await link.call(owner.daemonId, call.method, call.params, remaining, {
+      endIfSuspect: () => true,
+    });
     return answer.mapErr((error) => ({ error, failure: describeError(error, owner.daemonId) }));
   }
 
--- a/packages/daemon/src/core/peerConnection.ts
+++ b/packages/daemon/src/core/peerConnection.ts
@@ -4,6 +4,8 @@
 import type { JSONRPCResponse } from 'json-rpc-2.0';
 import { WebSocket } from 'ws';
 
+import type { PeerCallOptions } from '../types/peer.js';
+
 /** Interval of the liveness checks, in milliseconds; a connection without inbound traffic for this long is pinged. */
 export const LINK_PING_INTERVAL_MILLISECONDS = 500;
 /** A connection without inbound traffic for longer than this is suspect, in milliseconds. */
@@ -37,7 +39,12 @@
   /** @returns whether the connection is still being opened */
   isOpening(): boolean;
   /** Sends a call and waits for its answer, at most `deadlineMilliseconds`. */
-  exchange(method: string, params: unknown, deadlineMilliseconds: number): Promise<ExchangeOutcome>;
+  exchange(
+    method: string,
+    params: unknown,
+    deadlineMilliseconds: number,
+    callOptions: PeerCallOptions,
+  ): Promise<ExchangeOutcome>;
   close(): void;
 }
 
@@ -63,6 +70,8 @@
   let isSuspect = false;
   let hasFailed = false;
   let cancelPing = () => {};
+  /** Called when the connection becomes suspect, for the calls that wait for an answer. */
+  const suspicionListeners = new Set<() => void>();
 
   function recordInboundTraffic(): void {
     lastInboundAt = clock.monotonicMilliseconds();
@@ -71,6 +80,7 @@
   function markSuspect(): void {
     isSuspect = true;
     counters.increment('peer.connections.suspect');
+    suspicionListeners.forEach((listener) => listener());
     clock.setTimer(() => socket.terminate(), SUSPECT_CLOSE_DELAY_MILLISECONDS);
   }
 
@@ -113,26 +123,42 @@
     return socket.readyState === WebSocket.OPEN && !isSuspect;
   }
 
+  /** Resolves when the connection becomes suspect and the call is to end then. */
+  function awaitSuspicion({ endIfSuspect }: PeerCallOptions) {
+    let listener = () => {};
+    const suspicion = new Promise<ExchangeOutcome>((resolve) => {
+      listener = () => {
+        if (endIfSuspect?.()) resolve({ kind: 'lost', reason: 'the connection is suspect' });
+      };
+    });
+    suspicionListeners.add(listener);
+    return { suspicion, stop: () => suspicionListeners.delete(listener) };
+  }
+
   async function exchange(
     method: string,
     params: unknown,
     deadlineMilliseconds: number,
+    callOptions: PeerCallOptions,
   ): Promise<ExchangeOutcome> {
     if (!isUsable()) return { kind: 'not-sent', reason: 'connection is not usable' };
     nextCallId += 1;
-    let hasTimedOut = false;
+    let hasEnded = false;
     const pending = Promise.resolve(
       client.requestAdvanced({ jsonrpc: '2.0', id: nextCallId, method, params }),
     ).then(
       (response): ExchangeOutcome => {
-        if (hasTimedOut) counters.increment('peer.answers.late');
+        if (hasEnded) counters.increment('peer.answers.late');
         return { kind: 'answered', response };
       },
       (error: unknown): ExchangeOutcome => ({ kind: 'lost', reason: String(error) }),
     );
-    const outcome = await withTimeout(clock, pending, deadlineMilliseconds);
+    const { suspicion, stop } = awaitSuspicion(callOptions);
+    const first = Promise.race([pending, suspicion]);
+    const outcome = await withTimeout(clock, first, deadlineMilliseconds);
+    stop();
+    hasEnded = true;
     if (outcome !== TIMED_OUT) return outcome;
-    hasTimedOut = true;
     return { kind: 'lost', reason: `no answer within ${Math.round(deadlineMilliseconds)} ms` };
   }
 
--- a/packages/daemon/src/core/peerLink.ts
+++ b/packages/daemon/src/core/peerLink.ts
@@ -1,7 +1,7 @@
 import { createFailure, Err, Ok, TIMED_OUT, withTimeout } from '@chicorybend/common';
 import type { Clock, Counters, Failure, Log, Result } from '@chicorybend/common';
 
-import type { PeerError, PeerLink, PeerMethod } from '../types/peer.js';
+import type { PeerCallOptions, PeerError, PeerLink, PeerMethod } from '../types/peer.js';
 import type { PeerMethods } from '../types/peerMethods.js';
 import { openPeerConnection } from './peerConnection.js';
 import type { ExchangeOutcome, PeerConnection } from './peerConnection.js';
@@ -90,6 +90,7 @@
     method: string,
     params: unknown,
     deadlineMilliseconds: number,
+    callOptions: PeerCallOptions,
   ): Promise<ExchangeOutcome> {
     const address = options.resolveAddress(daemonId);
     if (!address) return { kind: 'not-sent', reason: 'address of the daemon is unknown' };
@@ -103,6 +104,7 @@
       method,
       { remainingMilliseconds: Math.floor(remaining), body: params },
       remaining,
+      callOptions,
     );
   }
 
@@ -125,12 +127,15 @@
       method: Method,
       params: PeerMethods[Method]['params'],
       deadlineMilliseconds: number,
+      callOptions: PeerCallOptions = {},
     ) {
       counters.increment('peer.calls');
       const result =
         daemonId === selfId
           ? await callSelf(method, params, deadlineMilliseconds)
-          : toCallResult(await exchange(daemonId, method, params, deadlineMilliseconds));
+          : toCallResult(
+              await exchange(daemonId, method, params, deadlineMilliseconds, callOptions),
+            );
       return result as Result<PeerMethods[Method]['result'], PeerError>;
     },
     handle(method, handler) {
--- a/packages/daemon/src/core/requestRouter.ts
+++ b/packages/daemon/src/core/requestRouter.ts
@@ -83,7 +83,8 @@
 /** Why an attempt to reach a partition's owner gave no answer. */
 interface RoutingFailure {
   readonly failure: Failure;
-  readonly kind: 'final' | 'moved' | 'not-sent' | 'lost';
+  /** `suspected` if the call was ended as lost because its retry was taken from the budget. */
+  readonly kind: 'final' | 'moved' | 'not-sent' | 'lost' | 'suspected';
 }
 
 /** Derives the id from team and key, so that a repeated call gets the same request id. */
@@ -175,17 +176,24 @@
     const { daemonId } = owner;
     const remaining = Math.max(1, state.deadlineAt - clock.monotonicMilliseconds());
     const forwarded = createForwardedRequest(state, partition);
-    const answer = await link.call(daemonId, 'request.execute', forwarded, remaining);
+    let isRetryTaken = false;
+    const endIfSuspect = () => {
+      isRetryTaken = state.routed.request.idempotent && retryBudget.takeRetry();
+      return isRetryTaken;
+    };
+    const answer = await link.call(daemonId, 'request.execute', forwarded, remaining, {
+      endIfSuspect,
+    });
     if (answer.isOk()) return verifyRequestId(state, answer.value, daemonId);
     const cause = classifyPeerError(answer.error, daemonId);
     if (cause.kind !== 'final') directory.refreshOwner(partition);
-    return Err(cause);
+    return Err(isRetryTaken && cause.kind === 'lost' ? { ...cause, kind: 'suspected' } : cause);
   }
 
   /** A request whose partition has moved was not run, so its retry is not charged to the budget. */
   function decideRetry(state: RoutingState, cause: RoutingFailure): boolean {
     if (cause.kind === 'final') return false;
-    if (cause.kind === 'moved') return true;
+    if (cause.kind === 'moved' || cause.kind === 'suspected') return true;
     if (cause.kind === 'lost' && !state.routed.request.idempotent) return false;
     return retryBudget.takeRetry();
   }
@@ -210,7 +218,7 @@
       const outcome = await attempt(state);
       if (outcome.isOk()) return outcome;
       const cause = outcome.error;
-      state.hasLostAttempt ||= cause.kind === 'lost';
+      state.hasLostAttempt ||= cause.kind === 'lost' || cause.kind === 'suspected';
       if (!decideRetry(state, cause)) return Err(createFinalFailure(state, cause));
       counters.increment('requests.rerouted', 1, { cause: cause.kind });
       const delay = computeBackoff(OWNER_BACKOFF, attempts, random);
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -31,6 +31,7 @@
 } from './types/partition.js';
 export type {
   PeerCallContext,
+  PeerCallOptions,
   PeerError,
   PeerHandler,
   PeerLink,
--- a/packages/daemon/src/types/peer.ts
+++ b/packages/daemon/src/types/peer.ts
@@ -28,6 +28,15 @@
   context: PeerCallContext,
 ) => Promise<Result<PeerMethods[Method]['result'], Failure>>;
 
+/** Options of a call to a peer. */
+export interface PeerCallOptions {
+  /**
+   * Called when the connection becomes suspect while the call waits for its answer; true ends the call as lost, so
+   * that it can be repeated. By default a call waits until its deadline, because a late answer may still arrive.
+   */
+  readonly endIfSuspect?: () => boolean;
+}
+
 /** Sends and handles calls between daemons. A call to this daemon itself runs the handler directly. */
 export interface PeerLink {
   /**
@@ -35,6 +44,7 @@
    *
    * @param daemonId daemon to call; its address comes from the membership
    * @param deadlineMilliseconds time to wait for the connection and the answer, in milliseconds
+   * @param callOptions see {@link PeerCallOptions}
    * @returns result of the method, or why there is none
    */
   call<Method extends PeerMethod>(
@@ -42,6 +52,7 @@
     method: Method,
     params: PeerMethods[Method]['params'],
     deadlineMilliseconds: number,
+    callOptions?: PeerCallOptions,
   ): Promise<Result<PeerMethods[Method]['result'], PeerError>>;
 
   /**
