Start tasks on workers that take starts

Cause: the capacity of a start that a worker refused or did not answer is free again, its next report makes it live again, and the search for capacity returns to the same workers. Reports do not show that a worker takes starts.

Change: a worker whose last start was refused or not answered is suspect until a start is confirmed (createMemberHealth). It is not schedulable for 1 to 10 s, doubling, and then for one start at a time. Running tasks, leases and quarantine are as before.

--- a/packages/daemon/src/core/workerCommands.ts
+++ b/packages/daemon/src/core/workerCommands.ts
@@ -37,6 +37,8 @@
   readonly executionTracker: ExecutionTracker;
   readonly returnToPool: (reservation: ActiveReservation) => void;
   readonly onSilent: (worker: WorkerEntry) => void;
+  /** Called with each result of a start: whether the worker took it. */
+  readonly onStartEnded: (worker: WorkerEntry, isTaken: boolean) => void;
   /** Called before a start is sent. */
   readonly onStart: (worker: WorkerEntry) => void;
 }
@@ -167,9 +169,11 @@
     if (result?.outcome === 'started') {
       if (execution.state !== 'running') execution.confirmedAt = clock.monotonicMilliseconds();
       execution.state = 'running';
+      options.onStartEnded(worker, true);
       return [result];
     }
     if (result?.outcome === 'refused') {
+      options.onStartEnded(worker, false);
       executionTracker.removeExecution(worker, execution);
       return [result];
     }
@@ -194,6 +198,7 @@
     admitted: readonly AdmittedStart[],
     error: WorkerCallError,
   ): readonly StartResult[] {
+    options.onStartEnded(worker, false);
     if (error.kind === 'refused') return refuseAll(worker, admitted, error.refusal.refused);
     options.onSilent(worker);
     if (error.kind === 'not-sent') return refuseAll(worker, admitted, error.reason);
--- a/packages/daemon/src/core/workerPartition.ts
+++ b/packages/daemon/src/core/workerPartition.ts
@@ -14,7 +14,8 @@
   TaskAttempt,
   VmRecord,
 } from '@chicorybend/common';
-import type { Quarantine, WorkerPool } from '@chicorybend/decisions';
+import { createMemberHealth } from '@chicorybend/decisions';
+import type { MemberHealth, Quarantine, RetryDelays, WorkerPool } from '@chicorybend/decisions';
 
 import type { PartitionLease } from '../types/partition.js';
 import type {
@@ -87,10 +88,14 @@
   close(): void;
 }
 
+/** Delays before a worker whose last start failed gets another one. */
+const START_RETRY_DELAYS: RetryDelays = { minimumMilliseconds: 1_000, maximumMilliseconds: 10_000 };
+
 /** Creates the partition without workers; each worker that `setWorkers` adds is sealed. */
 export function createWorkerPartition(options: WorkerPartitionOptions): WorkerPartition {
   const { lease, pool, quarantine, clock, random, log, callPartition } = options;
   const workers = new Map<string, WorkerEntry>();
+  const startHealth = new Map<string, MemberHealth>();
   const reporter = createTaskEventReporter({ lease, clock, random, callPartition, log });
   const latestFormerLeaseEnd = latestLeaseEndAfterSend(options.formerOwnerStoppedAt);
   const now = () => clock.monotonicMilliseconds();
@@ -119,6 +124,7 @@
     executionTracker,
     returnToPool: reservedCapacity.returnToPool,
     onSilent: markSilent,
+    onStartEnded,
     onStart,
   });
   const workerReclaim = createWorkerReclaim({
@@ -143,6 +149,25 @@
     updateSchedulability(worker);
   }
 
+  /** A worker that takes no starts has the most room, and its reports do not show that it takes any. */
+  function onStartEnded({ workerId }: WorkerEntry, isTaken: boolean): void {
+    const health = startHealth.get(workerId);
+    if (isTaken) health?.recordAnswer(now());
+    else health?.recordFailure(now());
+    const worker = workers.get(workerId);
+    if (worker) updateSchedulability(worker);
+  }
+
+  /** A worker whose last start failed gets one start at a time, after a delay. */
+  function mayTakeStart(worker: WorkerEntry): boolean {
+    const health = startHealth.get(worker.workerId);
+    if (!health?.isSuspect()) return true;
+    const isTried =
+      reservations.countForWorker(worker.workerId) > 0 ||
+      [...worker.executions.values()].some(({ state }) => state === 'starting');
+    return health.isRetryDue(now()) && !isTried;
+  }
+
   /** A task on a worker on probation is a probe: no other task is placed there until it has ended. */
   function onStart(worker: WorkerEntry): void {
     poller.useBusyInterval(worker);
@@ -195,7 +220,7 @@
     if (worker.liveness !== 'live' || !worker.isInVmList || worker.vm.state === 'leaving') {
       return false;
     }
-    if (quarantine.isQuarantined(worker.workerId, now())) return false;
+    if (quarantine.isQuarantined(worker.workerId, now()) || !mayTakeStart(worker)) return false;
     return !worker.isOnProbation || !isBusy(worker);
   }
 
@@ -207,6 +232,7 @@
   function addWorker(vm: VmRecord): void {
     const worker = createWorkerEntry(vm, latestFormerLeaseEnd);
     workers.set(vm.id, worker);
+    startHealth.set(vm.id, createMemberHealth(START_RETRY_DELAYS));
     poller.add(worker);
   }
 
@@ -222,6 +248,7 @@
     poller.remove(worker);
     reservedCapacity.releaseReservationsOf(worker);
     workers.delete(worker.workerId);
+    startHealth.delete(worker.workerId);
     if (worker.incarnation !== null) pool.remove(worker.workerId);
   }
 
