Fault the ways to advice in the process soak

VMs that are not the owner are paused for up to 30 s, the advice service is silent, slow or refuses calls, for single VMs and for all, and the way between a VM and the service is cut. At most three of six VMs are impaired at a time, so that the others can carry the load. The record says when jobs may stand still.

--- a/packages/proving/src/__tests__/processSoakChecks.test.ts
+++ b/packages/proving/src/__tests__/processSoakChecks.test.ts
@@ -49,6 +49,7 @@
   const job: ProcessSoakJob = {
     jobId: JOB_ID,
     submittedAt: 0,
+    queue: 'quick',
     steps: [{ count: 1 }],
     deadly: null,
     cancelAfterMilliseconds: null,
@@ -63,7 +64,14 @@
     ...change,
     job,
   };
-  return { jobs: [record], runs, exits: [], endedAt: 10_000 };
+  return {
+    jobs: [record],
+    runs,
+    exits: [],
+    disturbances: [],
+    endpoints: { count: 2, capacity: { processors: 4, memoryBytes: 100, accelerators: 0 } },
+    endedAt: 10_000,
+  };
 }
 
 test('a job that is shown as failed after one crash is a violation', (t) => {
@@ -175,5 +183,9 @@
   t.deepEqual(planProcessSoak(3, 60_000), planProcessSoak(3, 60_000));
   t.notDeepEqual(planProcessSoak(3, 60_000), planProcessSoak(4, 60_000));
   const kinds = new Set(planProcessSoak(3, 600_000).faults.map(({ kind }) => kind));
-  t.deepEqual([...kinds].sort(), ['crash', 'cut', 'delay', 'pause', 'process', 'store']);
+  const adviceKinds = ['advice', 'advice-link', 'vm-pause'];
+  const otherKinds = ['crash', 'cut', 'delay', 'pause', 'process', 'store'];
+  t.deepEqual([...kinds].sort(), [...adviceKinds, ...otherKinds].sort());
+  const adviceFaults = planProcessSoak(3, 600_000, 'advice').faults;
+  t.deepEqual([...new Set(adviceFaults.map(({ kind }) => kind))].sort(), adviceKinds);
 });
--- a/packages/proving/src/core/processSoakPlan.ts
+++ b/packages/proving/src/core/processSoakPlan.ts
@@ -1,12 +1,16 @@
 import type {
+  AdviceFault,
   LinkCut,
   ProcessSoakFault,
   ProcessSoakJob,
   ProcessSoakPlan,
+  ProcessSoakProfile,
+  SoakQueue,
 } from '../types/processSoak.js';
 import { createRandom } from '../utils/random.js';
 import type { Random } from '../utils/random.js';
 import { planCrashSoakJobs } from './crashSoakJobs.js';
+import { createJobId } from './schedulerCell.js';
 
 const DEADLY_FRACTION = 0.06;
 const CANCELLED_FRACTION = 0.15;
@@ -14,6 +18,17 @@
 const CANCELLED_LONG_RUNNING_FRACTION = 0.7;
 const LINK_CUTS: readonly LinkCut[] = ['silent', 'reset', 'silent-to-endpoint', 'silent-to-caller'];
 
+const SLOW_QUEUE_FRACTION = 0.2;
+/**
+ * Shortest and longest time between short jobs, in milliseconds. Advice takes about 0.5 s a call for the slow queue,
+ * and when three of six VMs give none, one call at a time may be for it.
+ */
+const SHORT_JOB_GAPS: Record<SoakQueue, readonly [number, number]> = {
+  quick: [15, 50],
+  slow: [1_500, 2_500],
+};
+const OUTAGE_FRACTION = 0.1;
+
 type FaultTimes = Pick<ProcessSoakFault, 'at' | 'pick'>;
 
 function planCancellation(random: Random, { steps }: Pick<ProcessSoakJob, 'steps'>): number | null {
@@ -45,8 +60,49 @@
   };
 }
 
-/** Kinds of faults, each drawn with the same probability. */
-const PLANNERS: readonly ((random: Random, times: FaultTimes) => ProcessSoakFault)[] = [
+type FaultPlanner = (random: Random, times: FaultTimes) => ProcessSoakFault;
+
+function planAdviceServiceFault(random: Random): Omit<AdviceFault & { kind: 'advice' }, 'count'> {
+  return {
+    kind: 'advice',
+    fault: random.pick(['silent', 'silent', 'slow', 'busy', 'unavailable']),
+    delayMilliseconds: random.integer(100, 900),
+  };
+}
+
+/** Kinds of faults of the ways to advice, each drawn with the same probability. */
+const ADVICE_PLANNERS: readonly FaultPlanner[] = [
+  (random, times) => ({
+    ...times,
+    kind: 'vm-pause',
+    count: random.integer(1, 3),
+    milliseconds: random.integer(5_000, 30_000),
+  }),
+  (random, times) =>
+    random.chance(OUTAGE_FRACTION)
+      ? {
+          ...times,
+          ...planAdviceServiceFault(random),
+          count: null,
+          milliseconds: random.integer(500, 4_000),
+        }
+      : {
+          ...times,
+          ...planAdviceServiceFault(random),
+          count: random.integer(1, 3),
+          milliseconds: random.integer(2_000, 20_000),
+        },
+  (random, times) => ({
+    ...times,
+    kind: 'advice-link',
+    link: random.pick(LINK_CUTS),
+    count: random.integer(1, 3),
+    milliseconds: random.integer(2_000, 20_000),
+  }),
+];
+
+/** Kinds of other faults, each drawn with the same probability. */
+const PLANNERS: readonly FaultPlanner[] = [
   planCut,
   planCut,
   planCut,
@@ -73,22 +129,59 @@
   }),
 ];
 
+function planMixedJobs(random: Random, durationMilliseconds: number): ProcessSoakJob[] {
+  return planCrashSoakJobs(random, 0, durationMilliseconds, DEADLY_FRACTION).map((job) => ({
+    ...job,
+    queue: random.chance(SLOW_QUEUE_FRACTION) ? 'slow' : 'quick',
+    cancelAfterMilliseconds: planCancellation(random, job),
+  }));
+}
+
+/** Plans short jobs, so many that several calls for advice are in flight at a time. */
+function planShortJobs(random: Random, durationMilliseconds: number): ProcessSoakJob[] {
+  const arrivals: Pick<ProcessSoakJob, 'queue' | 'submittedAt'>[] = [];
+  for (const queue of ['quick', 'slow'] as const) {
+    const [shortest, longest] = SHORT_JOB_GAPS[queue];
+    let submittedAt = random.integer(0, longest);
+    while (submittedAt < durationMilliseconds) {
+      arrivals.push({ queue, submittedAt });
+      submittedAt += random.integer(shortest, longest);
+    }
+  }
+  arrivals.sort((left, right) => left.submittedAt - right.submittedAt);
+  return arrivals.map((arrival, position) => ({
+    ...arrival,
+    jobId: createJobId(position + 1),
+    steps: Array.from({ length: random.integer(1, 2) }, (_, index) => ({
+      count: random.integer(1, 3),
+      resources: { processors: 0.5, memoryBytes: 10, accelerators: 0 },
+      estimatedMilliseconds: random.integer(50, 300),
+      after: index === 0 ? [] : [index - 1],
+    })),
+    deadly: null,
+    cancelAfterMilliseconds: null,
+  }));
+}
+
 /**
  * Plans load and faults.
  *
  * @param seed decides everything
  * @param durationMilliseconds time during which jobs are submitted and faults start, in milliseconds
  */
-export function planProcessSoak(seed: number, durationMilliseconds: number): ProcessSoakPlan {
+export function planProcessSoak(
+  seed: number,
+  durationMilliseconds: number,
+  profile: ProcessSoakProfile = 'all',
+): ProcessSoakPlan {
   const random = createRandom(seed);
-  const jobs = planCrashSoakJobs(random, 0, durationMilliseconds, DEADLY_FRACTION).map((job) => ({
-    ...job,
-    cancelAfterMilliseconds: planCancellation(random, job),
-  }));
+  const planJobs = profile === 'advice' ? planShortJobs : planMixedJobs;
+  const jobs = planJobs(random, durationMilliseconds);
+  const planners = profile === 'advice' ? ADVICE_PLANNERS : [...PLANNERS, ...ADVICE_PLANNERS];
   const faults: ProcessSoakFault[] = [];
   let at = random.integer(1_000, 3_000);
   while (at < durationMilliseconds) {
-    faults.push(random.pick(PLANNERS)(random, { at, pick: random.fraction() }));
+    faults.push(random.pick(planners)(random, { at, pick: random.fraction() }));
     at += random.integer(500, 5_000);
   }
   return { jobs, faults, keepsIds: random.chance(0.5) };
--- a/packages/proving/src/index.ts
+++ b/packages/proving/src/index.ts
@@ -72,15 +72,20 @@
 export { checkFinalStates, checkProcessSoak } from './core/processSoakChecks.js';
 export { isDeadlyTask, parseTaskId } from './core/crashSoakJobs.js';
 export type {
+  AdviceFault,
+  AdviceServiceFault,
   LinkCut,
   ProcessExitRecord,
   ProcessSoakFault,
   ProcessSoakJob,
   ProcessSoakJobRecord,
   ProcessSoakPlan,
+  ProcessSoakProfile,
   ProcessSoakRecord,
   ProcessSoakViolation,
   ShownState,
+  SoakDisturbance,
+  SoakQueue,
 } from './types/processSoak.js';
 export { planFaults } from './core/faultSchedule.js';
 export { runFaults } from './core/faultRunner.js';
--- a/packages/proving/src/types/processSoak.ts
+++ b/packages/proving/src/types/processSoak.ts
@@ -1,9 +1,14 @@
+import type { Resources } from '@chicorybend/common';
 import type { FleetRun } from '@chicorybend/standins';
 
 import type { CrashSoakJob } from './crashSoak.js';
 
+/** Queue of a job; the advice service takes long for steps of the slow one. */
+export type SoakQueue = 'quick' | 'slow';
+
 /** A job of a process soak. */
 export interface ProcessSoakJob extends CrashSoakJob {
+  readonly queue: SoakQueue;
   /** Time from its acceptance to its cancellation, in milliseconds; null if it is not cancelled. */
   readonly cancelAfterMilliseconds: number | null;
 }
@@ -11,6 +16,32 @@
 /** How a link is cut: silently in both directions or one, or with resets. */
 export type LinkCut = 'silent' | 'reset' | 'silent-to-endpoint' | 'silent-to-caller';
 
+/** How the advice service behaves: it does not answer, takes longer, or refuses calls (429 and 503). */
+export type AdviceServiceFault = 'silent' | 'slow' | 'busy' | 'unavailable';
+
+/** A planned fault of the ways to advice; several hit few VMs at a time, so that the others can carry the load. */
+export type AdviceFault =
+  | {
+      /** Pauses processes that are not the owner. */
+      readonly kind: 'vm-pause';
+      /** Number of VMs. */
+      readonly count: number;
+    }
+  | {
+      readonly kind: 'advice';
+      readonly fault: AdviceServiceFault;
+      /** Number of VMs; null for all. */
+      readonly count: number | null;
+      /** Further duration of a call to the slow service, in milliseconds. */
+      readonly delayMilliseconds: number;
+    }
+  | {
+      /** Cuts VMs off the advice service. */
+      readonly kind: 'advice-link';
+      readonly link: LinkCut;
+      readonly count: number;
+    };
+
 /** A planned fault. The run decides which endpoint, run or process it hits. */
 export type ProcessSoakFault = {
   /** Time since the start of the load, in milliseconds. */
@@ -39,8 +70,12 @@
       readonly target: 'owner' | 'any';
     }
   | { readonly kind: 'store'; readonly fault: 'silent' | 'slow' | 'answers-lost' }
+  | AdviceFault
 );
 
+/** `all`: faults of every kind. `advice`: those of the ways to advice, under a load of many short jobs. */
+export type ProcessSoakProfile = 'all' | 'advice';
+
 /** Load and faults of a process soak. */
 export interface ProcessSoakPlan {
   readonly jobs: readonly ProcessSoakJob[];
@@ -74,11 +109,22 @@
   readonly code: number | null;
 }
 
+/** Time in which jobs may stand still, in monotonic milliseconds. */
+export interface SoakDisturbance {
+  readonly from: number;
+  /** Infinity while it lasts. */
+  until: number;
+}
+
 /** What callers and stand-ins saw in a process soak. */
 export interface ProcessSoakRecord {
   readonly jobs: readonly ProcessSoakJobRecord[];
   readonly runs: readonly FleetRun[];
   readonly exits: readonly ProcessExitRecord[];
+  /** Changes of the owner, and faults other than those of the ways of single VMs to advice. */
+  readonly disturbances: readonly SoakDisturbance[];
+  /** The endpoints, which are equal; advice allows all of them for every step. */
+  readonly endpoints: { readonly count: number; readonly capacity: Resources };
   /** Monotonic time of the final states, in milliseconds. */
   readonly endedAt: number;
 }
