Check in the process soak that jobs which could run do run

An accepted job with a step that may start, of which nothing runs for more than 3 s though endpoints have room for it twice over, breaks LOST, unless the owner has changed, or another fault than those of the ways of single VMs to advice has ended, within 12 s.

--- a/packages/proving/src/core/processSoakChecks.ts
+++ b/packages/proving/src/core/processSoakChecks.ts
@@ -7,6 +7,7 @@
   ProcessSoakViolation,
 } from '../types/processSoak.js';
 import { groupBy } from '../utils/groupBy.js';
+import { checkStandingJobs } from './processSoakStandstill.js';
 import { isDeadlyTask, parseTaskId, taskIdsOf } from './crashSoakJobs.js';
 
 /** A job may be given up once this many incarnations have crashed under one of its tasks. */
@@ -154,6 +155,7 @@
     checkDeadlyTasks(record),
     checkCancelledJobs(record, cancelledStartMilliseconds),
     checkExits(record),
+    checkStandingJobs(record),
   ]
     .flat()
     .sort((left, right) => left.at - right.at);
