Silence connections between processes in the process soak

Connections of VMs to the owner go silent without a reset, the open ones for good while new ones work, or all of them for a time.

--- a/packages/proving/src/__tests__/processSoakChecks.test.ts
+++ b/packages/proving/src/__tests__/processSoakChecks.test.ts
@@ -183,7 +183,7 @@
   t.deepEqual(planProcessSoak(3, 60_000), planProcessSoak(3, 60_000));
   t.notDeepEqual(planProcessSoak(3, 60_000), planProcessSoak(4, 60_000));
   const kinds = new Set(planProcessSoak(3, 600_000).faults.map(({ kind }) => kind));
-  const adviceKinds = ['advice', 'advice-link', 'vm-pause'];
+  const adviceKinds = ['advice', 'advice-link', 'peer-link', 'vm-pause'];
   const otherKinds = ['crash', 'cut', 'delay', 'pause', 'process', 'store'];
   t.deepEqual([...kinds].sort(), [...adviceKinds, ...otherKinds].sort());
   const adviceFaults = planProcessSoak(3, 600_000, 'advice').faults;
--- a/packages/proving/src/core/processSoakPlan.ts
+++ b/packages/proving/src/core/processSoakPlan.ts
@@ -99,6 +99,13 @@
     count: random.integer(1, 3),
     milliseconds: random.integer(2_000, 20_000),
   }),
+  (random, times) => ({
+    ...times,
+    kind: 'peer-link',
+    connections: random.pick(['open', 'all']),
+    count: random.integer(1, 3),
+    milliseconds: random.integer(2_000, 15_000),
+  }),
 ];
 
 /** Kinds of other faults, each drawn with the same probability. */
--- a/packages/proving/src/types/processSoak.ts
+++ b/packages/proving/src/types/processSoak.ts
@@ -40,6 +40,13 @@
       readonly kind: 'advice-link';
       readonly link: LinkCut;
       readonly count: number;
+    }
+  | {
+      /** Silences connections of VMs that are not the owner to the owner. */
+      readonly kind: 'peer-link';
+      /** `open`: those that are open go silent for good, and new ones work; `all`: all until the fault ends. */
+      readonly connections: 'open' | 'all';
+      readonly count: number;
     };
 
 /** A planned fault. The run decides which endpoint, run or process it hits. */
