Bound standstills in the soak by an option, and excuse them near crashes

A job that waits after a crash under a run is no finding of the check, which knows nothing of the trials of suspect tasks.

--- a/packages/proving/src/core/processSoakChecks.ts
+++ b/packages/proving/src/core/processSoakChecks.ts
@@ -138,15 +138,18 @@
   });
 }
 
-/**
- * Runs all checks.
- *
- * @param cancelledStartMilliseconds bound of {@link checkCancelledJobs}, in milliseconds
- * @returns violations in order of time
- */
+/** Bounds of the checks, in milliseconds. */
+export interface ProcessSoakLimits {
+  /** Time after the acknowledgement of a cancellation until which tasks may start. */
+  readonly cancelledStartMilliseconds: number;
+  /** Time for which a job that could run may stand still. */
+  readonly standstillMilliseconds: number;
+}
+
+/** Runs all checks. @returns violations in order of time */
 export function checkProcessSoak(
   record: ProcessSoakRecord,
-  cancelledStartMilliseconds: number,
+  { cancelledStartMilliseconds, standstillMilliseconds }: ProcessSoakLimits,
 ): Violations {
   return [
     checkShownStates(record),
@@ -155,7 +158,7 @@
     checkDeadlyTasks(record),
     checkCancelledJobs(record, cancelledStartMilliseconds),
     checkExits(record),
-    checkStandingJobs(record),
+    checkStandingJobs(record, standstillMilliseconds),
   ]
     .flat()
     .sort((left, right) => left.at - right.at);
--- a/packages/proving/src/core/processSoakStandstill.ts
+++ b/packages/proving/src/core/processSoakStandstill.ts
@@ -8,8 +8,6 @@
 import { groupBy } from '../utils/groupBy.js';
 import { parseTaskId } from './crashSoakJobs.js';
 
-/** A job may have nothing running for this long although there is room. */
-const STANDSTILL_MILLISECONDS = 3_000;
 /** Time after the end of a run of a long-running task before its standstill counts, in milliseconds. */
 const LONG_RUNNING_DELAY_MILLISECONDS = 6_000;
 /** Time after a disturbance in which jobs may stand still, in milliseconds. */
@@ -155,14 +153,26 @@
     .flat();
 }
 
+/** Crashes under a run may keep its task, and those that ran beside it, from being started for a time. */
+function crashSpans(runs: readonly FleetRun[]): Span[] {
+  return runs
+    .filter(({ kind }) => kind === 'crashed')
+    .map(({ startedAt, endedAt }) => ({ from: startedAt, until: endedAt ?? Infinity }));
+}
+
 /**
- * While nothing disturbs the system, an accepted job with a step that may start has something running within 3 s if
- * endpoints have room for it twice over. A long-running task runs within 9 s after its last run or, if there is none,
- * after its step may start, whether others of its job run or not.
+ * While nothing disturbs the system, an accepted job with a step that may start has something running within a time if
+ * endpoints have room for it twice over. A long-running task runs within 6 s more after its last run or, if there is
+ * none, after its step may start, whether others of its job run or not.
+ *
+ * @param limitMilliseconds time for which a job may stand still, in milliseconds
  */
-export function checkStandingJobs(record: ProcessSoakRecord): ProcessSoakViolation[] {
+export function checkStandingJobs(
+  record: ProcessSoakRecord,
+  limitMilliseconds: number,
+): ProcessSoakViolation[] {
   const runsByJob = groupBy(record.runs, ({ taskId }) => parseTaskId(taskId).jobId);
-  const disturbed = record.disturbances.map(({ from, until }) => ({
+  const disturbed = [...record.disturbances, ...crashSpans(record.runs)].map(({ from, until }) => ({
     from,
     until: until + RECOVERY_MILLISECONDS,
   }));
@@ -178,7 +188,7 @@
       const { isGang, count = 1, resources } = job.steps[span.step]!;
       const processors = resources?.processors || 1;
       return subtract(span, disturbed)
-        .filter(({ from, until }) => until - from > STANDSTILL_MILLISECONDS)
+        .filter(({ from, until }) => until - from > limitMilliseconds)
         .filter((calm) => hasRoom(record, calm, processors, isGang ? count : 1))
         .map(({ from, until }): ProcessSoakViolation => {
           const time = Math.round(until - from);
