--- a/packages/proving/src/core/processSoakPlan.ts
+++ b/packages/proving/src/core/processSoakPlan.ts
@@ -24,7 +24,7 @@
  * and when three of six VMs give none, one call at a time may be for it.
  */
 const SHORT_JOB_GAPS: Record<SoakQueue, readonly [number, number]> = {
-  quick: [15, 50],
+  quick: [10, 40],
   slow: [1_500, 2_500],
 };
 const OUTAGE_FRACTION = 0.1;
@@ -70,14 +70,19 @@
   };
 }
 
-/** Kinds of faults of the ways to advice, each drawn with the same probability. */
-const ADVICE_PLANNERS: readonly FaultPlanner[] = [
-  (random, times) => ({
+function planVmPause(random: Random, times: FaultTimes): ProcessSoakFault {
+  return {
     ...times,
     kind: 'vm-pause',
     count: random.integer(1, 3),
     milliseconds: random.integer(5_000, 30_000),
-  }),
+  };
+}
+
+/** Kinds of faults of the ways to advice, each drawn with the same probability. */
+const ADVICE_PLANNERS: readonly FaultPlanner[] = [
+  planVmPause,
+  planVmPause,
   (random, times) =>
     random.chance(OUTAGE_FRACTION)
       ? {
--- a/packages/proving/src/soak.ts
+++ b/packages/proving/src/soak.ts
@@ -16,6 +16,8 @@
 
 /** Soak of the program that is deployed on the platform; it alone knows the platform's protocol. */
 const PROCESS_SOAK = fileURLToPath(new URL('../../../platform/dist/soak/main.js', import.meta.url));
+const RANDOM_FAULTS = 'random';
+const ADVICE_FAULTS = 'advice';
 const MILLISECONDS_PER_MINUTE = 60_000;
 const LARGEST_SEED = 1_000_000_000;
 // By then the partitions have been distributed to the daemons, even on a busy machine.
@@ -30,8 +32,8 @@
 }
 
 /** Random faults start throughout the duration; a long fault lasts for all of it, with load before and after. */
-function planSoak(faults: 'random' | LongFaultName, durationMilliseconds: number) {
-  if (faults === 'random') return { durationMilliseconds };
+function planSoak(faults: typeof RANDOM_FAULTS | LongFaultName, durationMilliseconds: number) {
+  if (faults === RANDOM_FAULTS) return { durationMilliseconds };
   return planLongFault(faults, {
     before: BEFORE_LONG_FAULT_MILLISECONDS,
     during: durationMilliseconds,
@@ -40,8 +42,16 @@
 }
 
 /** Runs the deployed program as processes. @returns exit code */
-function runProcessSoak(seed: number, minutes: number): number {
-  const soakArguments = ['--seed', String(seed), '--minutes', String(minutes)];
+function runProcessSoak(seed: number, minutes: number, faults: string): number {
+  if (faults !== RANDOM_FAULTS && faults !== ADVICE_FAULTS) {
+    console.error(`--processes takes --faults ${RANDOM_FAULTS} or ${ADVICE_FAULTS}`);
+    return 2;
+  }
+  const profile = faults === ADVICE_FAULTS ? 'advice' : 'all';
+  const soakArguments = [
+    ...['--seed', String(seed), '--minutes', String(minutes)],
+    ...['--faults', profile],
+  ];
   const { status } = spawnSync(process.execPath, [PROCESS_SOAK, ...soakArguments], {
     stdio: 'inherit',
   });
@@ -82,9 +92,10 @@
     },
     faults: {
       type: 'enum',
-      options: ['random', ...LONG_FAULT_NAMES],
-      default: 'random',
-      description: 'Random faults, or one fault that lasts for the whole duration',
+      options: [RANDOM_FAULTS, ADVICE_FAULTS, ...LONG_FAULT_NAMES],
+      default: RANDOM_FAULTS,
+      description:
+        'Random faults, or one fault that lasts for the whole duration; with --processes, random faults or those of the ways to advice',
     },
     example: {
       type: 'enum',
@@ -127,7 +138,11 @@
       process.exit(passed ? 0 : 1);
     }
     const minutes = readNumber('minutes', args.minutes);
-    if (args.processes) process.exit(runProcessSoak(seed, minutes));
+    if (args.processes) process.exit(runProcessSoak(seed, minutes, args.faults));
+    if (args.faults === ADVICE_FAULTS) {
+      console.error(`--faults ${ADVICE_FAULTS} needs --processes`);
+      process.exit(2);
+    }
     console.log(`seed: ${seed}`);
     const { faults, rows, checks, failures, window } = await runSoak({
       example: readExample(args.example),
