--- a/packages/proving/src/__tests__/processSoakStandstill.test.ts
+++ b/packages/proving/src/__tests__/processSoakStandstill.test.ts
@@ -89,6 +89,7 @@
     taskId: '00000000000000bb.0.0.0',
     resources: { ...ONE_PROCESSOR, processors },
   });
+  t.is(standstill.measureCalm(createRecord([], until(8_000)), 0, 30_000), 10_000);
   const crashed = { ...createRun(0, 4_000, 5_500), kind: 'crashed' as const };
   t.deepEqual(checkStandingJobs(createRecord([crashed, ...runs])), []);
   const endpoints = { count: 1, capacity: { ...ONE_PROCESSOR, processors: 4 } };
--- a/packages/proving/src/core/processSoakStandstill.ts
+++ b/packages/proving/src/core/processSoakStandstill.ts
@@ -160,6 +160,22 @@
     .map(({ startedAt, endedAt }) => ({ from: startedAt, until: endedAt ?? Infinity }));
 }
 
+/** @returns times in which jobs may stand still */
+function findDisturbedSpans({ disturbances, runs }: ProcessSoakRecord): Span[] {
+  return [...disturbances, ...crashSpans(runs)].map(({ from, until }) => ({
+    from,
+    until: until + RECOVERY_MILLISECONDS,
+  }));
+}
+
+/** @returns for how much of a span of monotonic time jobs may not stand still, in milliseconds */
+export function measureCalm(record: ProcessSoakRecord, from: number, until: number): number {
+  return subtract({ from, until }, findDisturbedSpans(record)).reduce(
+    (sum, span) => sum + span.until - span.from,
+    0,
+  );
+}
+
 /**
  * While nothing disturbs the system, an accepted job with a step that may start has something running within a time if
  * endpoints have room for it twice over. A long-running task runs within 6 s more after its last run or, if there is
@@ -172,10 +188,7 @@
   limitMilliseconds: number,
 ): ProcessSoakViolation[] {
   const runsByJob = groupBy(record.runs, ({ taskId }) => parseTaskId(taskId).jobId);
-  const disturbed = [...record.disturbances, ...crashSpans(record.runs)].map(({ from, until }) => ({
-    from,
-    until: until + RECOVERY_MILLISECONDS,
-  }));
+  const disturbed = findDisturbedSpans(record);
   return record.jobs.flatMap((jobRecord) => {
     const { job } = jobRecord;
     const runs = runsByJob.get(job.jobId) ?? [];
