--- a/packages/proving/src/core/processSoakChecks.ts
+++ b/packages/proving/src/core/processSoakChecks.ts
@@ -7,6 +7,7 @@
   ProcessSoakViolation,
 } from '../types/processSoak.js';
 import { groupBy } from '../utils/groupBy.js';
+import { checkStandingJobs } from './processSoakStandstill.js';
 import { isDeadlyTask, parseTaskId, taskIdsOf } from './crashSoakJobs.js';
 
 /** A job may be given up once this many incarnations have crashed under one of its tasks. */
@@ -137,15 +138,18 @@
   });
 }
 
-/**
- * Runs all checks.
- *
- * @param cancelledStartMilliseconds bound of {@link checkCancelledJobs}, in milliseconds
- * @returns violations in order of time
- */
+/** Bounds of the checks, in milliseconds. */
+export interface ProcessSoakLimits {
+  /** Time after the acknowledgement of a cancellation until which tasks may start. */
+  readonly cancelledStartMilliseconds: number;
+  /** Time for which a job that could run may stand still. */
+  readonly standstillMilliseconds: number;
+}
+
+/** Runs all checks. @returns violations in order of time */
 export function checkProcessSoak(
   record: ProcessSoakRecord,
-  cancelledStartMilliseconds: number,
+  { cancelledStartMilliseconds, standstillMilliseconds }: ProcessSoakLimits,
 ): Violations {
   return [
     checkShownStates(record),
@@ -154,6 +158,7 @@
     checkDeadlyTasks(record),
     checkCancelledJobs(record, cancelledStartMilliseconds),
     checkExits(record),
+    checkStandingJobs(record, standstillMilliseconds),
   ]
     .flat()
     .sort((left, right) => left.at - right.at);
