--- a/packages/scheduler/src/__tests__/silentAdvisers.test.ts
+++ b/packages/scheduler/src/__tests__/silentAdvisers.test.ts
@@ -14,7 +14,7 @@
 const SERVICE_MILLISECONDS = 28;
 const TICK_MILLISECONDS = 5;
 const ROUND_DELAY_MILLISECONDS = 10;
-/** A step that has waited longer counts as lost; the share of the advice in that time is a third at most. */
+/** A job that stands still for 3 s counts as lost; the wait for advice may take a third of that. */
 const LONGEST_WAIT_MILLISECONDS = 1_000;
 const ENDPOINTS = Array.from({ length: 30 }, (_, index) => ({
   endpointId: `endpoint-${index}`,
