Show that a task as large as its tenant's limit may never start

Cause: the use of a tenant is a sum of fractions of cores, which does not return to zero after some jobs, and it is compared with the limit exactly. The case runs the deployed program beside stand-ins on loopback, which are added here too.

--- /dev/null
+++ b/review/lib-2/deployment.mjs
@@ -0,0 +1,430 @@
+// A small deployment on loopback: the program of the deploy file in processes of its own, beside stand-ins.
+import { Buffer } from 'node:buffer';
+import { spawn } from 'node:child_process';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { createServer, request as openRequest } from 'node:http';
+import { createServer as createTcpServer } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { performance } from 'node:perf_hooks';
+import process from 'node:process';
+import { clearInterval, clearTimeout, setInterval, setTimeout } from 'node:timers';
+import { fileURLToPath, URL } from 'node:url';
+
+import { createMinion } from './minion.mjs';
+import { createStore } from './store.mjs';
+
+const ROOT = fileURLToPath(new URL('../..', import.meta.url));
+const HOST = '127.0.0.1';
+const VALUE_BYTES = 1_048_576;
+const TTL_MIN_MS = 1_000;
+const HEARTBEAT_MS = 1_500;
+const HOLD_MAX_MS = 10_000;
+const CALL_TIMEOUT_MS = 3_000;
+const ROUTE_HOST = 'shop.example';
+const SERVICE = 'ledger';
+
+export const EXIT = { held: 0, broken: 1, cannotRun: 2 };
+
+export const pause = (ms) =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+
+/** Waits for a condition. @returns whether it held before the limit */
+export async function waitFor(condition, limitMs) {
+  const endsAt = performance.now() + limitMs;
+  while (performance.now() < endsAt) {
+    if (await condition()) return true;
+    await pause(100);
+  }
+  return false;
+}
+
+async function findPort() {
+  const server = createTcpServer();
+  await new Promise((resolve) => {
+    server.listen(0, HOST, resolve);
+  });
+  const { port } = server.address();
+  await new Promise((resolve) => {
+    server.close(resolve);
+  });
+  return port;
+}
+
+async function readBody(request) {
+  const chunks = [];
+  for await (const chunk of request) chunks.push(chunk);
+  return chunks.length === 0 ? {} : JSON.parse(Buffer.concat(chunks).toString());
+}
+
+/** Starts an HTTP server. @param answer returns status and body; null breaks the connection off */
+async function serve(answer, port = 0) {
+  const server = createServer((request, response) => {
+    readBody(request)
+      .then((body) => answer(request, new URL(request.url, 'http://platform'), body))
+      .then((answered) => {
+        if (!answered) {
+          request.socket.destroy();
+          return;
+        }
+        response.writeHead(answered.status, { 'Content-Type': 'application/json' });
+        response.end(JSON.stringify(answered.body));
+      })
+      .catch(() => request.socket.destroy());
+  });
+  await new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, HOST, resolve);
+  });
+  return server;
+}
+
+/** Calls a node as a requester does. @returns status 0 if there was no answer */
+function call(address, method, path, body, key) {
+  const [host, port] = address.split(':');
+  return new Promise((resolve) => {
+    const outgoing = openRequest(
+      {
+        host,
+        port,
+        method,
+        path,
+        headers: { Host: ROUTE_HOST, Credential: key, 'Deadline-Ms': String(CALL_TIMEOUT_MS) },
+      },
+      (response) => {
+        let text = '';
+        response.on('data', (chunk) => {
+          text += chunk;
+        });
+        response.on('error', () => resolve({ status: 0, body: {} }));
+        response.on('end', () =>
+          resolve({ status: response.statusCode, body: text ? JSON.parse(text) : {} }),
+        );
+      },
+    );
+    const timer = setTimeout(() => outgoing.destroy(new Error('no answer')), CALL_TIMEOUT_MS);
+    outgoing.on('close', () => clearTimeout(timer));
+    outgoing.on('error', () => resolve({ status: 0, body: {} }));
+    outgoing.end(body === undefined ? undefined : JSON.stringify(body));
+  });
+}
+
+/** Writes a settings file with the fields and the bounds of the platform's pages. */
+async function writeSettings(folder, name, storeAddress) {
+  const [peer, metrics, front, ready, control] = [
+    await findPort(),
+    await findPort(),
+    await findPort(),
+    await findPort(),
+    await findPort(),
+  ];
+  const file = join(folder, `${name}.toml`);
+  const text = `node = "${name}"
+role = "scheduler"
+machine-class = "edge"
+serves = ["edge", "control_plane"]
+ip = "${HOST}"
+zone = "tw-north-a"
+region = "tw-north"
+internal-ports = [${peer}, ${metrics}]
+seeds = ["${HOST}:${control}"]
+bootstrap = true
+discovery = "platform"
+entry = "vip"
+heartbeat-ms = ${HEARTBEAT_MS}
+orders = "invocation"
+[listen-addrs]
+front = "${HOST}:${front}"
+ready = "${HOST}:${ready}"
+control = "${HOST}:${control}"
+[limits]
+cpu-share = 0.675
+cores = 1
+memory-mb = 350
+max-fds = 4100
+[bounds]
+contact-ms = 3000
+ack-ms = 4000
+grace-s = 6
+hold-max-ms = ${HOLD_MAX_MS}
+stop-ms = 200
+cancel_ms = 3000
+visible_ms = 3000
+status_s = 120
+notice-ms = 4500
+[platform]
+address = "${storeAddress}"
+form = "kv"
+writes-per-s = 400
+reads-per-s = 2000
+history-s = 20
+value-bytes = ${VALUE_BYTES}
+ttl-min-ms = ${TTL_MIN_MS}
+`;
+  writeFileSync(file, text);
+  return { file, metrics, front: `${HOST}:${front}`, ready: `${HOST}:${ready}` };
+}
+
+/** @returns program, arguments and environment of the role in the deploy file */
+function readDeployFile() {
+  const text = readFileSync(join(ROOT, 'deploy/system.toml'), 'utf8');
+  const run = /^run = "([^"]+)"/m.exec(text)[1].split(' ');
+  return { command: run[0], args: run.slice(1) };
+}
+
+/** Record of what was sent, answered and run. */
+function createRecord(file) {
+  const startedAt = performance.now();
+  const lines = [];
+  return {
+    add(text) {
+      lines.push(`${((performance.now() - startedAt) / 1_000).toFixed(3).padStart(8)} ${text}`);
+    },
+    write() {
+      writeFileSync(file, `${lines.join('\n')}\n`);
+    },
+  };
+}
+
+/**
+ * Starts a deployment and waits until it is ready.
+ *
+ * @param folder folder of the case, for its record
+ * @param nodes number of scheduler processes
+ * @param minions number of minions
+ * @param capacity room of a minion
+ * @param durationOf duration of a run by its order
+ * @param tenants tenants of the configuration
+ */
+export async function startDeployment({
+  folder,
+  nodes,
+  minions: minionCount,
+  capacity,
+  durationOf,
+  tenants,
+  loadOf,
+  isRunRecorded = () => true,
+}) {
+  const record = createRecord(join(folder, 'record.txt'));
+  const temporary = mkdtempSync(join(tmpdir(), 'chicorybend-case-'));
+  const servers = [];
+  const children = [];
+  const timers = [];
+  const runs = [];
+  const exits = [];
+  let isStopping = false;
+  process.once('exit', () => children.forEach((child) => child.kill('SIGKILL')));
+  process.once('SIGTERM', () => process.exit(EXIT.cannotRun));
+
+  function onEvent({ event, minion, task, run, kind }) {
+    const at = performance.now();
+    if (event === 'started') {
+      runs.push({ task, run, minion, startedAt: at, endedAt: null, kind: null });
+    } else {
+      const known = runs.findLast(
+        (entry) => entry.task === task && entry.run === run && entry.minion === minion,
+      );
+      Object.assign(known, { endedAt: at, kind });
+    }
+    if (isRunRecorded(task)) {
+      record.add(`run ${event} ${task} run ${run} on ${minion}${kind ? ` ${kind}` : ''}`);
+    }
+  }
+
+  const store = createStore({ valueBytes: VALUE_BYTES, ttlMinMs: TTL_MIN_MS });
+  servers.push(await serve(store.answer));
+  const storeAddress = `${HOST}:${servers[0].address().port}`;
+
+  const minions = [];
+  for (let index = 0; index < minionCount; index += 1) {
+    const minion = createMinion({
+      id: `m-${index}`,
+      durationOf,
+      holdMaxMs: HOLD_MAX_MS,
+      onEvent,
+      loadOf,
+    });
+    const server = await serve(minion.answer);
+    const entry = (sequence) => ({
+      service: SERVICE,
+      address: `${HOST}:${server.address().port}`,
+      zone: 'tw-north-a',
+      version: '1',
+      slots: 8,
+      state: 'ready',
+      'cold-remaining-ms': 0,
+      capacity,
+      labels: ['a', `r-${Math.floor(index / 6)}`],
+      born: minion.born,
+      sequence,
+    });
+    let sequence = 1;
+    store.put(`servers/${minion.id}`, entry(sequence));
+    timers.push(
+      setInterval(() => {
+        sequence += 1;
+        store.put(`servers/${minion.id}`, entry(sequence));
+      }, HEARTBEAT_MS),
+    );
+    servers.push(server);
+    minions.push(minion);
+  }
+
+  store.put('op/config', {
+    version: 3,
+    routes: [
+      {
+        name: 'batch',
+        hostname: ROUTE_HOST,
+        prefix: '/batch/',
+        service: SERVICE,
+        priority: 2,
+        'max-attempts': 2,
+        stretch: 2,
+        'target-completion-ms': 1_000,
+        public: false,
+      },
+    ],
+    services: [{ name: SERVICE, 'enforces-capacity': false }],
+    limits: { 'max-body-bytes': 262_144 },
+    tenants,
+  });
+
+  const { command, args } = readDeployFile();
+  const nodeList = [];
+  for (let index = 0; index < nodes; index += 1) {
+    nodeList.push(await writeSettings(temporary, `edge-${index + 1}`, storeAddress));
+  }
+
+  function startNode(index) {
+    const { file, metrics } = nodeList[index];
+    const child = spawn(command === 'node' ? process.execPath : command, args, {
+      cwd: ROOT,
+      env: {
+        PATH: process.env.PATH,
+        HOME: temporary,
+        CHICORYBEND_SETTINGS: file,
+        CHICORYBEND_METRICS_PORT: String(metrics),
+      },
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    const name = `edge-${index + 1}`;
+    [child.stdout, child.stderr].forEach((stream) =>
+      stream.setEncoding('utf8').on('data', (text) => {
+        text.split('\n').forEach((line) => {
+          if (/"level":"(WARN|ERROR)"|state recovered|Error|heap|FATAL/.test(line)) {
+            record.add(`log ${name} ${line.slice(0, 400)}`);
+          }
+        });
+      }),
+    );
+    child.once('close', (code, signal) => {
+      if (isStopping) return;
+      exits.push({ name, code, signal, at: performance.now() });
+      record.add(`process ${name} ended by itself, code ${code}, signal ${signal}`);
+      // The platform starts a process again after a short delay.
+      timers.push(setTimeout(() => startNode(index), 500));
+    });
+    children[index] = child;
+  }
+  nodeList.forEach((_, index) => startNode(index));
+
+  async function isReady({ ready }) {
+    return (await call(ready, 'GET', '/ready', undefined, '')).status === 200;
+  }
+
+  const deployment = {
+    record,
+    store,
+    minions,
+    runs,
+    exits,
+    children,
+    /** Sends a call of a requester, and notes it with its answer. */
+    async send(node, method, id, body, key) {
+      const answer = await call(nodeList[node].front, method, `/batch/${id}`, body, key);
+      const text = body === undefined ? '' : ` ${JSON.stringify(body).slice(0, 300)}`;
+      record.add(
+        `${method} /batch/${id} at edge-${node + 1}${text} -> ${answer.status} ${JSON.stringify(answer.body)}`,
+      );
+      return answer;
+    },
+    /** Hands a job in, again at the next node after no answer, a 502 or a 504, as requesters do. */
+    async submit(id, body, key, attempts = 4) {
+      let answer = { status: 0, body: {} };
+      for (let attempt = 0; attempt < attempts; attempt += 1) {
+        answer = await deployment.send(attempt % nodes, 'POST', id, body, key);
+        if (![0, 502, 503, 504].includes(answer.status)) return answer;
+        await pause(500);
+      }
+      return answer;
+    },
+    runsOf: (id) => runs.filter(({ task }) => task.startsWith(`${id}.`)),
+    /** Ends all that was started. */
+    async stop() {
+      isStopping = true;
+      timers.forEach((timer) => {
+        clearInterval(timer);
+        clearTimeout(timer);
+      });
+      const ended = children.map(
+        (child) =>
+          new Promise((resolve) => {
+            if (child.exitCode !== null || child.signalCode !== null) resolve();
+            else child.once('close', resolve);
+          }),
+      );
+      children.forEach((child) => child.kill('SIGKILL'));
+      await Promise.all(ended);
+      minions.forEach((minion) => minion.crash());
+      servers.forEach((server) => {
+        server.close();
+        server.closeAllConnections();
+      });
+      rmSync(temporary, { recursive: true, force: true });
+      record.write();
+    },
+  };
+
+  const areReady = await waitFor(
+    async () => (await Promise.all(nodeList.map(isReady))).every(Boolean),
+    15_000,
+  );
+  if (!areReady) {
+    record.add('the processes were not ready in 15 s');
+    await deployment.stop();
+    return null;
+  }
+  return deployment;
+}
+
+/**
+ * Runs a case and sets the exit code.
+ *
+ * @param options options of the deployment
+ * @param play plays the case; returns what breaks the rule, or null if it held
+ */
+export async function runCase(options, play) {
+  const isTroubled = process.env.TROUBLE !== '0';
+  let deployment = null;
+  try {
+    deployment = await startDeployment(options);
+    if (!deployment) {
+      process.exitCode = EXIT.cannotRun;
+      return;
+    }
+    const violation = await play(deployment, isTroubled);
+    deployment.record.add(violation ? `BROKEN ${violation}` : 'HELD');
+    process.exitCode = violation ? EXIT.broken : EXIT.held;
+  } catch (error) {
+    deployment?.record.add(
+      `the case could not run: ${error instanceof Error ? error.stack : String(error)}`,
+    );
+    process.exitCode = EXIT.cannotRun;
+  } finally {
+    await deployment?.stop();
+  }
+}
