--- /dev/null
+++ b/review/8/case.mjs
@@ -0,0 +1,75 @@
+// A timed job whose start lies in the past, so that many of its occurrences are due at once.
+import { dirname } from 'node:path';
+import { fileURLToPath } from 'node:url';
+
+import { pause, runCase, waitFor } from '../lib-2/deployment.mjs';
+
+const KEY = 'key-clerk';
+const OTHER_KEY = 'key-shop';
+const BEFORE = 'a000000000000001';
+const TIMED = 'b000000000000002';
+const LATER = 'c000000000000003';
+const MINUTE_MS = 60_000;
+const YEAR_MINUTES = 365 * 24 * 60;
+
+const step = (count, cpu, after = []) => ({ count, cpu, 'mem-mb': 16, 'estimated-ms': 200, after });
+
+const options = {
+  folder: dirname(fileURLToPath(import.meta.url)),
+  nodes: 3,
+  minions: 8,
+  capacity: { cpu: 32_000, 'mem-mb': 131_072, gpu: 0 },
+  tenants: [
+    {
+      name: 'clerk',
+      'api-keys': [KEY],
+      weight: 1,
+      'max-count': { cpu: 4_000, 'mem-mb': 0, gpu: 0 },
+    },
+    {
+      name: 'shop',
+      'api-keys': [OTHER_KEY],
+      weight: 1,
+      'max-count': { cpu: 0, 'mem-mb': 0, gpu: 0 },
+    },
+  ],
+  durationOf: ({ 'task-spec': text }) => Number(text),
+  isRunRecorded: (task) => !task.startsWith(TIMED),
+};
+
+await runCase(options, async (deployment, isTroubled) => {
+  const { submit, runsOf, send, record, exits } = deployment;
+  const stateOf = async (id, key) => (await send(0, 'GET', id, undefined, key)).body.state;
+  const chain = { 'task-spec': '3000', steps: [step(2, 1_000), step(2, 1_000, [0])] };
+  if ((await submit(BEFORE, chain, OTHER_KEY)).status !== 200) {
+    throw new Error('the first job was not accepted');
+  }
+  await waitFor(() => runsOf(BEFORE).length === 2, 5_000);
+  const startsAt = Date.now() - (isTroubled ? YEAR_MINUTES * MINUTE_MS : 10 * MINUTE_MS);
+  const timed = {
+    'task-spec': '200',
+    steps: [step(1, 500)],
+    'start-at-ms': startsAt,
+    'interval-ms': MINUTE_MS,
+    repetitions: 2 * YEAR_MINUTES,
+  };
+  const answer = await submit(TIMED, timed, KEY, 1);
+  await pause(2_000);
+  const later = await submit(LATER, { 'task-spec': '500', steps: [step(1, 1_000)] }, OTHER_KEY, 12);
+  const isBeforeDone = await waitFor(
+    async () => (await stateOf(BEFORE, OTHER_KEY)) === 'completed',
+    30_000,
+  );
+  const isLaterDone = await waitFor(
+    async () => (await stateOf(LATER, OTHER_KEY)) === 'completed',
+    10_000,
+  );
+  const ended = exits.map(({ name, signal, code }) => `${name} ${signal ?? code}`).join(', ');
+  record.add(`processes that ended by themselves: ${exits.length} (${ended})`);
+  if (isBeforeDone && isLaterDone && exits.length === 0) return null;
+  return (
+    `Fault: processes ended by themselves ${exits.length} times; LOST: the timed job was answered ${answer.status} ` +
+    `and had ${runsOf(TIMED).length} starts, the job accepted before it ${isBeforeDone ? 'was' : 'was not'} completed, ` +
+    `a later one was answered ${later.status} and ${isLaterDone ? 'was' : 'was not'} completed`
+  );
+});
