--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -83,7 +83,7 @@
 }
 
 /** Writes a settings file with the fields and the bounds of the platform's pages. */
-async function writeSettings(folder, name, storeAddress) {
+async function writeSettings(folder, name, storeAddress, adviceAddress) {
   const [peer, metrics, front, ready, control] = [
     await findPort(),
     await findPort(),
@@ -106,6 +106,7 @@
 entry = "vip"
 heartbeat-ms = ${HEARTBEAT_MS}
 orders = "invocation"
+advice = "${adviceAddress}"
 [listen-addrs]
 front = "${HOST}:${front}"
 ready = "${HOST}:${ready}"
@@ -195,7 +196,9 @@
  * @param minions number of minions
  * @param capacity room of a minion
  * @param durationOf duration of a run by its order
+ * @param kindOf kind of the end of a run by its order; `done` by default
  * @param tenants tenants of the configuration
+ * @param advice `decide-ms`, `each-ms` and `valid-ms` of the queue; null if it needs no advice
  */
 export async function startDeployment({
   folder,
@@ -203,9 +206,11 @@
   minions: minionCount,
   capacity,
   durationOf,
+  kindOf,
   tenants,
   loadOf,
   isRunRecorded = () => true,
+  advice = null,
 }) {
   const record = createRecord(join(folder, 'record.txt'));
   const temporary = mkdtempSync(join(tmpdir(), 'chicorybend-case-'));
@@ -236,11 +241,25 @@
   const store = await startStore();
   const storeAddress = `${HOST}:${store.port}`;
 
+  /** Allows every minion; answers after the announced time. */
+  async function adviseAll(request, url, { workers }) {
+    await pause(advice['decide-ms'] + advice['each-ms'] * workers.length);
+    const good = workers.map((id) => [id, `ticket-${id}`]);
+    return { status: 200, body: { good, 'valid-ms': advice['valid-ms'] } };
+  }
+  let adviceAddress = '';
+  if (advice) {
+    const server = await serve(adviseAll);
+    servers.push(server);
+    adviceAddress = `${HOST}:${server.address().port}`;
+  }
+
   const minions = [];
   for (let index = 0; index < minionCount; index += 1) {
     const minion = createMinion({
       id: `m-${index}`,
       durationOf,
+      kindOf,
       holdMaxMs: HOLD_MAX_MS,
       onEvent,
       loadOf,
@@ -284,6 +303,7 @@
         stretch: 2,
         'target-completion-ms': 1_000,
         public: false,
+        ...(advice ? { advice } : {}),
       },
     ],
     services: [{ name: SERVICE, 'enforces-capacity': false }],
@@ -294,7 +314,7 @@
   const { command, args } = readDeployFile();
   const nodeList = [];
   for (let index = 0; index < nodes; index += 1) {
-    nodeList.push(await writeSettings(temporary, `edge-${index + 1}`, storeAddress));
+    nodeList.push(await writeSettings(temporary, `edge-${index + 1}`, storeAddress, adviceAddress));
   }
 
   function startNode(index) {
--- a/review/lib-2/minion.mjs
+++ b/review/lib-2/minion.mjs
@@ -9,12 +9,20 @@
  * Creates a minion that has just started.
  *
  * @param id its id, which each call names
+ * @param kindOf kind of the end of a run by its order; `done` by default
  * @param durationOf duration of a run in milliseconds by its order; Infinity for a task that lasts
  * @param holdMaxMs longest lease
  * @param onEvent called with `started` and `ended`, the task, the run and the kind of end
  * @param loadOf what a run reports as its load
  */
-export function createMinion({ id, durationOf, holdMaxMs, onEvent, loadOf = () => 1 }) {
+export function createMinion({
+  id,
+  durationOf,
+  kindOf = () => 'done',
+  holdMaxMs,
+  onEvent,
+  loadOf = () => 1,
+}) {
   const born = Date.now();
   const startedAt = performance.now();
   const runs = new Map();
@@ -64,7 +72,7 @@
     if (run <= (closedRuns.get(task) ?? 0) || runs.has(task)) return refuse('old');
     const duration = durationOf(body);
     const timer = Number.isFinite(duration)
-      ? setTimeout(() => endRun(task, run, 'done'), duration)
+      ? setTimeout(() => endRun(task, run, kindOf(body)), duration)
       : null;
     runs.set(task, { run, timer, stopTimer: null, startedAt: performance.now(), duration });
     onEvent({ event: 'started', minion: id, task, run });
