Show that the tasks do not run again after a loss of power of all processes

Cause: after a loss of power for longer than the leases, all tasks have to be started at once, which keeps each owner busy for longer than its own lease. The minions of the stand-ins run in threads of their own, so that they answer side by side.

--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,25 +1,30 @@
-// A job with many tasks, whose state outgrows the largest value of the store.
+// All scheduler processes lose power for longer than the leases of what runs, which then has to be started again.
 import { dirname } from 'node:path';
-import process from 'node:process';
+import { performance } from 'node:perf_hooks';
 import { fileURLToPath } from 'node:url';
 
 import { pause, runCase, waitFor } from '../lib-2/deployment.mjs';
 
 const KEY = 'key-clerk';
-const OTHER_KEY = 'key-shop';
-const CHAIN = 'a000000000000001';
-const LARGE = 'b000000000000002';
-const LATER = 'c000000000000003';
-const TASKS_OF_STEP = process.env.TROUBLE === '0' ? 200 : 10_000;
-const STEPS = 3;
+const JOBS = 100;
+const TASKS_OF_JOB = 300;
+const TASKS = JOBS * TASKS_OF_JOB;
+/** As long as the site's longest entry, `herd_kill` with `power` for 9.5 s. */
+const DARK_MS = 9_500;
+const WATCH_MS = 45_000;
+const SAMPLE_MS = 1_000;
+/** A task that lasts is due again this long after its last run, and late after the idle time. */
+const RESTART_MS = 6_000;
+const IDLE_MS = 3_000;
 
-const step = (count, cpu, after = []) => ({
-  count,
-  cpu,
+const jobId = (index) => `a${String(index).padStart(15, '0')}`;
+const step = {
+  count: TASKS_OF_JOB,
+  cpu: 30,
   'mem-mb': 16,
-  'estimated-ms': 1_000,
-  after,
-});
+  'estimated-ms': 500,
+  'long-running': true,
+};
 
 const options = {
   folder: dirname(fileURLToPath(import.meta.url)),
@@ -27,58 +32,52 @@
   minions: 32,
   capacity: { cpu: 32_000, 'mem-mb': 131_072, gpu: 0 },
   tenants: [
-    { name: 'clerk', 'api-keys': [KEY], weight: 1, 'max-count': { cpu: 0, 'mem-mb': 0, gpu: 0 } },
     {
-      name: 'shop',
-      'api-keys': [OTHER_KEY],
+      name: 'clerk',
+      'api-keys': [KEY],
       weight: 1,
       'max-count': { cpu: 0, 'mem-mb': 0, gpu: 0 },
     },
   ],
-  durationOf: ({ 'task-spec': text }) => Number(text),
-  isRunRecorded: (task) => !task.startsWith(LARGE),
+  isRunRecorded: () => false,
 };
 
-await runCase(options, async (deployment) => {
-  const { submit, runsOf, send, store, record, exits } = deployment;
-  const stateOf = async (id, key) => (await send(0, 'GET', id, undefined, key)).body.state;
-  const chain = { 'task-spec': '4000', steps: [step(2, 1_000), step(2, 1_000, [0])] };
-  if ((await submit(CHAIN, chain, OTHER_KEY)).status !== 200) {
-    throw new Error('the first job was not accepted');
+await runCase(options, async (deployment, isTroubled) => {
+  const { submit, running, record, store, runs, powerOff } = deployment;
+  for (let index = 0; index < JOBS; index += 1) {
+    const answer = await submit(jobId(index), { 'task-spec': 'Infinity', steps: [step] }, KEY);
+    if (answer.status !== 200) {
+      throw new Error('a job was not accepted');
+    }
+    await waitFor(() => running() >= (index + 1) * TASKS_OF_JOB, 2_000);
   }
-  await waitFor(() => runsOf(CHAIN).length === 2, 5_000);
-  const large = {
-    'task-spec': '1000',
-    steps: Array.from({ length: STEPS }, () => step(TASKS_OF_STEP, 30)),
-  };
-  if ((await submit(LARGE, large, KEY)).status !== 200) {
-    throw new Error('the large job was not accepted');
+  if (!(await waitFor(() => running() === TASKS, 10_000))) {
+    throw new Error(`only ${running()} tasks were started before the disruption`);
+  }
+  record.add(`all ${TASKS} tasks run, term ${await store.read('chicorybend/epoch')}`);
+  if (isTroubled) {
+    await powerOff(DARK_MS);
+    await pause(DARK_MS - 1_000);
+  }
+  for (let time = 0; time < WATCH_MS; time += SAMPLE_MS) {
+    await pause(SAMPLE_MS);
+    record.add(
+      `${(time + SAMPLE_MS) / 1_000} s after the return: ${running()} tasks run, ` +
+        `term ${await store.read('chicorybend/epoch')}`,
+    );
+  }
+  const now = performance.now();
+  const lastEnds = new Map();
+  runs.forEach(({ task, endedAt }) => {
+    lastEnds.set(task, Math.max(lastEnds.get(task) ?? 0, endedAt ?? Infinity));
+  });
+  const lost = [...lastEnds.values()].filter((endedAt) => now - endedAt > RESTART_MS + IDLE_MS);
+  record.add(`without a run for over ${RESTART_MS + IDLE_MS} ms in the end: ${lost.length}`);
+  if (lost.length === 0) {
+    return null;
   }
-  await pause(1_000);
-  const later = await submit(LATER, { 'task-spec': '500', steps: [step(1, 1_000)] }, OTHER_KEY);
-  const isChainDone = await waitFor(
-    async () => (await stateOf(CHAIN, OTHER_KEY)) === 'completed',
-    25_000,
-  );
-  const isLaterDone = await waitFor(
-    async () => (await stateOf(LATER, OTHER_KEY)) === 'completed',
-    5_000,
-  );
-  const isLargeDone = await waitFor(
-    async () => (await stateOf(LARGE, KEY)) === 'completed',
-    20_000,
-  );
-  const counts = await store.counts();
-  record.add(
-    `writes ${counts.writes}, refused for a value over the limit ${counts.oversizedWrites}, ` +
-      `largest value ${counts.largestValue}, starts of the large job ${runsOf(LARGE).length}, ` +
-      `processes that ended by themselves ${exits.length}`,
-  );
-  if (isChainDone && isLaterDone && isLargeDone) return null;
-  const count = (id) => runsOf(id).length;
   return (
-    `LOST: the job of 2 + 2 tasks that was accepted before the large one had ${count(CHAIN)} starts and ` +
-    `${isChainDone ? 'was' : 'was not'} completed, the large one had ${count(LARGE)} of ` +
-    `${STEPS * TASKS_OF_STEP} starts, a later one was answered ${later.status} and ${isLaterDone ? 'was' : 'was not'} completed`
+    `LOST: ${lost.length} of ${TASKS} lasting tasks have had no run for over ${RESTART_MS + IDLE_MS} ms, ` +
+    `${WATCH_MS} ms after the return of the processes, on sound minions with room for all of them`
   );
 });
--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -36,7 +36,6 @@
       'max-count': { cpu: 0, 'mem-mb': 0, gpu: 0 },
     },
   ],
-  durationOf: ({ 'task-spec': text }) => Number(text),
   isRunRecorded: (task) => !task.startsWith(TIMED),
 };
 
--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -11,8 +11,7 @@
 import { fileURLToPath, URL } from 'node:url';
 import { Worker } from 'node:worker_threads';
 
-import { createMinion } from './minion.mjs';
-import { HOST, serve } from './serve.mjs';
+import { HOST } from './serve.mjs';
 
 const ROOT = fileURLToPath(new URL('../..', import.meta.url));
 const VALUE_BYTES = 1_048_576;
@@ -22,6 +21,10 @@
 const CALL_TIMEOUT_MS = 3_000;
 const ROUTE_HOST = 'shop.example';
 const SERVICE = 'ledger';
+const MINIONS_PER_THREAD = 4;
+const MINIONS_OF_RACK = 6;
+/** The platform starts a process again this long after its end. */
+const RESTART_DELAY_MS = 500;
 
 export const EXIT = { held: 0, broken: 1, cannotRun: 2 };
 
@@ -83,7 +86,7 @@
 }
 
 /** Writes a settings file with the fields and the bounds of the platform's pages. */
-async function writeSettings(folder, name, storeAddress, adviceAddress) {
+async function writeSettings(folder, name, storeAddress) {
   const [peer, metrics, front, ready, control] = [
     await findPort(),
     await findPort(),
@@ -106,7 +109,6 @@
 entry = "vip"
 heartbeat-ms = ${HEARTBEAT_MS}
 orders = "invocation"
-advice = "${adviceAddress}"
 [listen-addrs]
 front = "${HOST}:${front}"
 ready = "${HOST}:${ready}"
@@ -195,43 +197,40 @@
  * @param nodes number of scheduler processes
  * @param minions number of minions
  * @param capacity room of a minion
- * @param durationOf duration of a run by its order
- * @param kindOf kind of the end of a run by its order; `done` by default
  * @param tenants tenants of the configuration
- * @param advice `decide-ms`, `each-ms` and `valid-ms` of the queue; null if it needs no advice
  */
 export async function startDeployment({
   folder,
   nodes,
   minions: minionCount,
   capacity,
-  durationOf,
-  kindOf,
   tenants,
-  loadOf,
   isRunRecorded = () => true,
-  advice = null,
 }) {
   const record = createRecord(join(folder, 'record.txt'));
   const temporary = mkdtempSync(join(tmpdir(), 'chicorybend-case-'));
-  const servers = [];
+  const workers = [];
   const children = [];
   const timers = [];
   const runs = [];
+  const openRuns = new Map();
   const exits = [];
   let isStopping = false;
+  let restartDelay = RESTART_DELAY_MS;
   process.once('exit', () => children.forEach((child) => child.kill('SIGKILL')));
   process.once('SIGTERM', () => process.exit(EXIT.cannotRun));
 
-  function onEvent({ event, minion, task, run, kind }) {
-    const at = performance.now();
+  function onEvent({ event, minion, task, run, kind, time }) {
+    // The threads share the wall clock.
+    const at = performance.now() - (Date.now() - time);
+    const name = `${minion}/${task}/${run}`;
     if (event === 'started') {
-      runs.push({ task, run, minion, startedAt: at, endedAt: null, kind: null });
+      const started = { task, run, minion, startedAt: at, endedAt: null, kind: null };
+      runs.push(started);
+      openRuns.set(name, started);
     } else {
-      const known = runs.findLast(
-        (entry) => entry.task === task && entry.run === run && entry.minion === minion,
-      );
-      Object.assign(known, { endedAt: at, kind });
+      Object.assign(openRuns.get(name), { endedAt: at, kind });
+      openRuns.delete(name);
     }
     if (isRunRecorded(task)) {
       record.add(`run ${event} ${task} run ${run} on ${minion}${kind ? ` ${kind}` : ''}`);
@@ -241,53 +240,40 @@
   const store = await startStore();
   const storeAddress = `${HOST}:${store.port}`;
 
-  /** Allows every minion; answers after the announced time. */
-  async function adviseAll(request, url, { workers }) {
-    await pause(advice['decide-ms'] + advice['each-ms'] * workers.length);
-    const good = workers.map((id) => [id, `ticket-${id}`]);
-    return { status: 200, body: { good, 'valid-ms': advice['valid-ms'] } };
-  }
-  let adviceAddress = '';
-  if (advice) {
-    const server = await serve(adviseAll);
-    servers.push(server);
-    adviceAddress = `${HOST}:${server.address().port}`;
-  }
-
-  const minions = [];
-  for (let index = 0; index < minionCount; index += 1) {
-    const minion = createMinion({
-      id: `m-${index}`,
-      durationOf,
-      kindOf,
-      holdMaxMs: HOLD_MAX_MS,
-      onEvent,
-      loadOf,
+  const minionIds = Array.from({ length: minionCount }, (_, index) => `m-${index}`);
+  for (let first = 0; first < minionCount; first += MINIONS_PER_THREAD) {
+    const ids = minionIds.slice(first, first + MINIONS_PER_THREAD);
+    const worker = new Worker(new URL('./minionProcess.mjs', import.meta.url), {
+      workerData: { ids, holdMaxMs: HOLD_MAX_MS },
     });
-    const server = await serve(minion.answer);
-    const entry = (sequence) => ({
-      service: SERVICE,
-      address: `${HOST}:${server.address().port}`,
-      zone: 'tw-north-a',
-      version: '1',
-      slots: 8,
-      state: 'ready',
-      'cold-remaining-ms': 0,
-      capacity,
-      labels: ['a', `r-${Math.floor(index / 6)}`],
-      born: minion.born,
-      sequence,
+    workers.push(worker);
+    const started = await new Promise((resolve) => {
+      worker.once('message', resolve);
+    });
+    worker.on('message', ({ events }) => events.forEach(onEvent));
+    started.minions.forEach(({ id, born, port }) => {
+      const entry = (sequence) => ({
+        service: SERVICE,
+        address: `${HOST}:${port}`,
+        zone: 'tw-north-a',
+        version: '1',
+        slots: 8,
+        state: 'ready',
+        'cold-remaining-ms': 0,
+        capacity,
+        labels: ['a', `r-${Math.floor(minionIds.indexOf(id) / MINIONS_OF_RACK)}`],
+        born,
+        sequence,
+      });
+      let sequence = 1;
+      store.put(`servers/${id}`, entry(sequence));
+      timers.push(
+        setInterval(() => {
+          sequence += 1;
+          store.put(`servers/${id}`, entry(sequence));
+        }, HEARTBEAT_MS),
+      );
     });
-    let sequence = 1;
-    store.put(`servers/${minion.id}`, entry(sequence));
-    timers.push(
-      setInterval(() => {
-        sequence += 1;
-        store.put(`servers/${minion.id}`, entry(sequence));
-      }, HEARTBEAT_MS),
-    );
-    servers.push(server);
-    minions.push(minion);
   }
 
   store.put('op/config', {
@@ -303,7 +289,6 @@
         stretch: 2,
         'target-completion-ms': 1_000,
         public: false,
-        ...(advice ? { advice } : {}),
       },
     ],
     services: [{ name: SERVICE, 'enforces-capacity': false }],
@@ -314,7 +299,7 @@
   const { command, args } = readDeployFile();
   const nodeList = [];
   for (let index = 0; index < nodes; index += 1) {
-    nodeList.push(await writeSettings(temporary, `edge-${index + 1}`, storeAddress, adviceAddress));
+    nodeList.push(await writeSettings(temporary, `edge-${index + 1}`, storeAddress));
   }
 
   function startNode(index) {
@@ -344,7 +329,7 @@
       exits.push({ name, code, signal, at: performance.now() });
       record.add(`process ${name} ended by itself, code ${code}, signal ${signal}`);
       // The platform starts a process again after a short delay.
-      timers.push(setTimeout(() => startNode(index), 500));
+      timers.push(setTimeout(() => startNode(index), restartDelay));
     });
     children[index] = child;
   }
@@ -357,7 +342,6 @@
   const deployment = {
     record,
     store,
-    minions,
     runs,
     exits,
     children,
@@ -380,6 +364,16 @@
       }
       return answer;
     },
+    /** @returns number of runs now */
+    running: () => openRuns.size,
+    /** Ends all scheduler processes at once, and starts them again after a time, as at a loss of power. */
+    async powerOff(milliseconds) {
+      restartDelay = milliseconds;
+      record.add(`all processes are killed, and start again after ${milliseconds} ms`);
+      children.forEach((child) => child.kill('SIGKILL'));
+      await pause(1_000);
+      restartDelay = RESTART_DELAY_MS;
+    },
     runsOf: (id) => runs.filter(({ task }) => task.startsWith(`${id}.`)),
     /** Ends all that was started. */
     async stop() {
@@ -397,11 +391,7 @@
       );
       children.forEach((child) => child.kill('SIGKILL'));
       await Promise.all(ended);
-      minions.forEach((minion) => minion.crash());
-      servers.forEach((server) => {
-        server.close();
-        server.closeAllConnections();
-      });
+      await Promise.all(workers.map((worker) => worker.terminate()));
       await store.close();
       rmSync(temporary, { recursive: true, force: true });
       record.write();
--- a/review/lib-2/minion.mjs
+++ b/review/lib-2/minion.mjs
@@ -4,25 +4,18 @@
 
 const STOP_MS = 100;
 const LISTED_ENDS = 500;
+/** What each run reports as its load. */
+const LOAD = 1;
 
 /**
  * Creates a minion that has just started.
  *
  * @param id its id, which each call names
- * @param kindOf kind of the end of a run by its order; `done` by default
  * @param durationOf duration of a run in milliseconds by its order; Infinity for a task that lasts
  * @param holdMaxMs longest lease
  * @param onEvent called with `started` and `ended`, the task, the run and the kind of end
- * @param loadOf what a run reports as its load
  */
-export function createMinion({
-  id,
-  durationOf,
-  kindOf = () => 'done',
-  holdMaxMs,
-  onEvent,
-  loadOf = () => 1,
-}) {
+export function createMinion({ id, durationOf, holdMaxMs, onEvent }) {
   const born = Date.now();
   const startedAt = performance.now();
   const runs = new Map();
@@ -72,7 +65,7 @@
     if (run <= (closedRuns.get(task) ?? 0) || runs.has(task)) return refuse('old');
     const duration = durationOf(body);
     const timer = Number.isFinite(duration)
-      ? setTimeout(() => endRun(task, run, kindOf(body)), duration)
+      ? setTimeout(() => endRun(task, run, 'done'), duration)
       : null;
     runs.set(task, { run, timer, stopTimer: null, startedAt: performance.now(), duration });
     onEvent({ event: 'started', minion: id, task, run });
@@ -92,7 +85,7 @@
     const percent = Number.isFinite(duration)
       ? Math.min(99, Math.floor((100 * (performance.now() - at)) / duration))
       : 100;
-    return [task, run, '', percent, loadOf(task, [...runs.keys()])];
+    return [task, run, '', percent, LOAD];
   }
 
   function awaitEnd(milliseconds) {
