--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -72,6 +72,15 @@
     lastEnds.set(task, Math.max(lastEnds.get(task) ?? 0, endedAt ?? Infinity));
   });
   const lost = [...lastEnds.values()].filter((endedAt) => now - endedAt > RESTART_MS + IDLE_MS);
+  const openUntil = new Map();
+  let repeated = 0;
+  runs.forEach(({ task, startedAt, endedAt }) => {
+    if (startedAt < (openUntil.get(task) ?? 0)) {
+      repeated += 1;
+    }
+    openUntil.set(task, Math.max(openUntil.get(task) ?? 0, endedAt ?? Infinity));
+  });
+  record.add(`runs that began while another one of their task was going on: ${repeated}`);
   record.add(`without a run for over ${RESTART_MS + IDLE_MS} ms in the end: ${lost.length}`);
   if (lost.length === 0) {
     return null;
