--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,5 +1,6 @@
 // A timed job whose start lies in the past, so that many of its occurrences are due at once.
 import { dirname } from 'node:path';
+import process from 'node:process';
 import { fileURLToPath } from 'node:url';
 
 import { pause, runCase, waitFor } from '../lib-2/deployment.mjs';
@@ -19,6 +20,9 @@
 
 const step = (count, cpu, after = []) => ({ count, cpu, 'mem-mb': 16, 'estimated-ms': 200, after });
 
+/** Whether the case is played with its disruption. */
+const isTroubled = process.env.TROUBLE !== '0';
+
 const options = {
   folder: dirname(fileURLToPath(import.meta.url)),
   nodes: 3,
@@ -41,7 +45,7 @@
   isRunRecorded: (task) => !task.startsWith(TIMED),
 };
 
-await runCase(options, async (deployment, isTroubled) => {
+await runCase(options, async (deployment) => {
   const { submit, runsOf, send, record, exits } = deployment;
   const stateOf = async (id, key) => (await send(0, 'GET', id, undefined, key)).body.state;
   const chain = { 'task-spec': '3000', steps: [step(2, 1_000), step(2, 1_000, [0])] };
--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -1,5 +1,6 @@
 // A task as large as its tenant's limit, after two small jobs of that tenant have ended.
 import { dirname } from 'node:path';
+import process from 'node:process';
 import { fileURLToPath } from 'node:url';
 
 import { pause, runCase, waitFor } from '../lib-2/deployment.mjs';
@@ -12,6 +13,9 @@
 
 const step = (count, cpu) => ({ steps: [{ count, cpu, 'mem-mb': 256, 'estimated-ms': 500 }] });
 
+/** Whether the case is played with its disruption. */
+const isTroubled = process.env.TROUBLE !== '0';
+
 const options = {
   folder: dirname(fileURLToPath(import.meta.url)),
   nodes: 2,
@@ -27,7 +31,7 @@
   ],
 };
 
-await runCase(options, async (deployment, isTroubled) => {
+await runCase(options, async (deployment) => {
   const { submit, runsOf, send } = deployment;
   const isDone = async (id) =>
     (await send(0, 'GET', id, undefined, KEY)).body.state === 'completed';
--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -416,7 +416,6 @@
  * @param play plays the case; returns what breaks the rule, or null if it held
  */
 export async function runCase(options, play) {
-  const isTroubled = process.env.TROUBLE !== '0';
   let deployment = null;
   try {
     deployment = await startDeployment(options);
@@ -424,7 +423,7 @@
       process.exitCode = EXIT.cannotRun;
       return;
     }
-    const violation = await play(deployment, isTroubled);
+    const violation = await play(deployment);
     deployment.record.add(violation ? `BROKEN ${violation}` : 'HELD');
     process.exitCode = violation ? EXIT.broken : EXIT.held;
   } catch (error) {
