Open the due occurrences of a recurring job a bounded number at a time

Cause: the owner created the steps and tasks of all due occurrences in one loop, on acceptance and on recovery: 134,400 of them. Each owner ran out of heap, and the job was durable by then, so that it felled the next one.

Change: whether the next due occurrence is opened is a decision of its own (canOpenOccurrence): at most 64 may wait for their first start, and all open ones together have at most as many tasks as fit into the stored state of a job. Housekeeping opens the next ones as earlier ones are started and completed. The log says when a job falls behind and catches up.

Why this works: an occurrence that is not open is only a number, so that neither memory nor the state grows with the delay, whatever start, interval and repetitions say.

--- a/packages/common/src/utils/errors.ts
+++ b/packages/common/src/utils/errors.ts
@@ -17,6 +17,11 @@
     run: 'not-run',
     text: 'The body is larger than the limit of {limit} bytes.',
   },
+  'job-too-large': {
+    status: 413,
+    run: 'not-run',
+    text: 'The job has {tasks} tasks to be kept at once, and the limit is {limit}.',
+  },
   'invalid-body': { status: 400, run: 'not-run', text: 'The body does not match the schema.' },
   'invalid-header': { status: 400, run: 'not-run', text: 'Header {header}: {reason}.' },
   'unsupported-media-type': {
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -48,6 +48,10 @@
 export { createAdmissionController } from './core/admissionController.js';
 export type { AdmissionControllerOptions } from './core/admissionController.js';
 
+/** Opening of the due occurrences of recurring jobs. */
+export { canOpenOccurrence } from './core/occurrenceWindow.js';
+export type { OccurrenceSize, OpenOccurrences } from './core/occurrenceWindow.js';
+
 /** Quarantine of workers and jobs that fail repeatedly. */
 export type { Quarantine, QuarantineVerdict } from './types/quarantine.js';
 export { createQuarantine } from './core/quarantine.js';
--- a/packages/proving/src/__tests__/formerOwner.test.ts
+++ b/packages/proving/src/__tests__/formerOwner.test.ts
@@ -50,6 +50,7 @@
           maximumStopMilliseconds: 200,
           heartbeatMilliseconds: 1_500,
         },
+        maximumValueBytes: 1_048_576,
         retentionMilliseconds: 60_000,
         advice: fleet.advice,
         leaseMilliseconds: 1_200,
--- a/packages/proving/src/core/schedulerCell.ts
+++ b/packages/proving/src/core/schedulerCell.ts
@@ -26,6 +26,8 @@
 
 const LEASE_MILLISECONDS = 1_200;
 const STEP_MILLISECONDS = 2;
+/** Maximum size of a value in the store, in bytes. */
+export const MAXIMUM_VALUE_BYTES = 1_048_576;
 
 /** One scheduler process of the cell: the owner or a standby. */
 export interface CellProcess {
@@ -215,6 +217,7 @@
               maximumStopMilliseconds: 200,
               heartbeatMilliseconds: 1_500,
             },
+            maximumValueBytes: MAXIMUM_VALUE_BYTES,
             retentionMilliseconds: 120_000,
             term: owned,
             isOwnerLeaseValid: () => !isKilled && election.isOwnerLeaseValid(),
--- a/packages/scheduler/src/core/callerService.ts
+++ b/packages/scheduler/src/core/callerService.ts
@@ -8,6 +8,7 @@
 import type { TermContext } from '../types/termContext.js';
 import { specificationKey } from '../utils/storeKeys.js';
 import { createJobRecord, encodeAccepted } from './jobRecords.js';
+import { countRequiredTasks } from './jobSize.js';
 import type { TaskTransitions } from './taskTransitions.js';
 
 /** API keys are accepted this long after the configuration was last read. */
@@ -149,7 +150,14 @@
     if (known && (known.queue !== queue.name || known.team !== teamName)) {
       return refuse('team-not-allowed', { team: teamName, queue: queue.name });
     }
-    if (!known) stageAcceptance(jobId, queue, team, request);
+    if (known) return awaitAcceptance(jobId);
+    const tasks = countRequiredTasks(request.specification!);
+    const limit = context.maximumOpenTasks;
+    if (tasks > limit) {
+      log.info('job refused', { job: jobId, reason: 'too large', tasks, limit });
+      return refuse('job-too-large', { tasks, limit });
+    }
+    stageAcceptance(jobId, queue, team, request);
     return awaitAcceptance(jobId);
   }
 
--- a/packages/scheduler/src/core/jobRecords.ts
+++ b/packages/scheduler/src/core/jobRecords.ts
@@ -125,6 +125,11 @@
   return schedule ? schedule.startAt + index * schedule.intervalMilliseconds : 0;
 }
 
+/** @returns whether any task of an occurrence has been placed */
+export function hasBegun({ steps }: OccurrenceRecord): boolean {
+  return steps.some(({ tasks }) => tasks.some(({ run }) => run > 0));
+}
+
 /** @returns whether all steps that a step depends on are complete */
 export function areDependenciesDone(occurrence: OccurrenceRecord, step: StepRecord): boolean {
   return step.specification.after.every((index) => {
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -44,6 +44,7 @@
   parseAccepted,
 } from './jobRecords.js';
 import { createJobSettings } from './jobSettings.js';
+import { maximumOpenTasks } from './jobSize.js';
 import { createStragglerWatch } from './stragglerWatch.js';
 import { createTaskTransitions } from './taskTransitions.js';
 import { createDurationEstimates } from './durationEstimates.js';
@@ -146,6 +147,7 @@
       workMeter,
       epoch: term.epoch,
       timeLimits,
+      maximumOpenTasks: maximumOpenTasks(options.maximumValueBytes),
       endpoints: options.endpoints,
       table,
       jobs,
--- a/packages/scheduler/src/core/taskTransitions.ts
+++ b/packages/scheduler/src/core/taskTransitions.ts
@@ -1,4 +1,4 @@
-import { createQuarantine, judgeCrashes } from '@chicorybend/decisions';
+import { canOpenOccurrence, createQuarantine, judgeCrashes } from '@chicorybend/decisions';
 
 import type { EndKind } from '../types/endpoint.js';
 import type {
@@ -11,6 +11,7 @@
 import type { TermContext } from '../types/termContext.js';
 import { stateKey } from '../utils/storeKeys.js';
 import type { CommitUrgency } from './commitQueue.js';
+import { countTasksPerOccurrence } from './jobSize.js';
 import { createEndpointLosses, describeLoss } from './endpointLosses.js';
 import type { EndpointLosses } from './endpointLosses.js';
 import { leaseExpiryOf } from './endpointTable.js';
@@ -24,6 +25,7 @@
   encodeState,
   forEachTask,
   hasActiveRun,
+  hasBegun,
 } from './jobRecords.js';
 
 /** An endpoint is quarantined when tasks of this many different jobs fail there without a success in between. */
@@ -76,6 +78,8 @@
     maximumBackoffMilliseconds: MAXIMUM_QUARANTINE_MILLISECONDS,
   });
   const endpointLosses = createEndpointLosses(context);
+  /** Ids of jobs with due occurrences that are not open yet. */
+  const behindSchedule = new Set<string>();
   let notifyJobClosed: (job: JobRecord) => void = () => {};
   let notifyGangBroken: (step: StepRecord) => void = () => {};
 
@@ -99,6 +103,7 @@
     if (phase === 'cancelled') metrics.count('jobs_cancelled');
     log.info('job closed', { job: job.jobId, phase });
     job.occurrences.forEach(({ steps }) => steps.forEach((step) => releasedSteps.delete(step)));
+    behindSchedule.delete(job.jobId);
     notifyJobClosed(job);
     const isDurable = await save(job);
     if (isDurable) job.durablePhase = phase;
@@ -113,15 +118,51 @@
     });
   }
 
-  function release(job: JobRecord): void {
-    if (job.phase !== 'open') return;
-    const total = countOccurrences(job);
+  function hasDueOccurrence(job: JobRecord): boolean {
+    const { occurrenceCount } = job;
+    if (occurrenceCount >= countOccurrences(job)) return false;
+    return dueTime(job, occurrenceCount) <= clock.wallMilliseconds();
+  }
+
+  /** Opens as many due occurrences as the job may have open at once; the others follow as those are completed. */
+  function openDueOccurrences(job: JobRecord): void {
+    if (!hasDueOccurrence(job)) return;
+    const { maximumOpenTasks } = context;
+    const tasksPerOccurrence = countTasksPerOccurrence(job.specification);
+    const open = {
+      tasks: job.occurrences.size * tasksPerOccurrence,
+      waiting: [...job.occurrences.values()].filter((occurrence) => !hasBegun(occurrence)).length,
+    };
     while (
-      job.occurrenceCount < total &&
-      dueTime(job, job.occurrenceCount) <= clock.wallMilliseconds()
+      hasDueOccurrence(job) &&
+      canOpenOccurrence(open, { tasksPerOccurrence, maximumOpenTasks })
     ) {
       addOccurrence(job, job.occurrenceCount);
+      open.tasks += tasksPerOccurrence;
+      open.waiting += 1;
     }
+    logSchedule(job);
+  }
+
+  /** Logs once that a job falls behind its schedule, and once that it has caught up. */
+  function logSchedule(job: JobRecord): void {
+    const isBehind = hasDueOccurrence(job);
+    if (isBehind === behindSchedule.has(job.jobId)) return;
+    if (isBehind) behindSchedule.add(job.jobId);
+    else behindSchedule.delete(job.jobId);
+    log.info(isBehind ? 'job behind its schedule' : 'job has caught up with its schedule', {
+      job: job.jobId,
+      open: job.occurrences.size,
+      nextOccurrence: job.occurrenceCount,
+      overdueMilliseconds: Math.round(
+        Math.max(0, clock.wallMilliseconds() - dueTime(job, job.occurrenceCount)),
+      ),
+    });
+  }
+
+  function release(job: JobRecord): void {
+    if (job.phase !== 'open') return;
+    openDueOccurrences(job);
     job.occurrences.forEach(releaseOccurrenceSteps);
     context.requestRound();
   }
--- a/packages/scheduler/src/types/schedulerDependencies.ts
+++ b/packages/scheduler/src/types/schedulerDependencies.ts
@@ -16,6 +16,8 @@
   readonly directory: EndpointDirectory;
   readonly configurationSource: ConfigurationSource;
   readonly timeLimits: EndpointTimeLimits;
+  /** Maximum size of a value in the store, in bytes. */
+  readonly maximumValueBytes: number;
   /** How long the record of an ended job is kept, in milliseconds. */
   readonly retentionMilliseconds: number;
 }
--- a/packages/scheduler/src/types/termContext.ts
+++ b/packages/scheduler/src/types/termContext.ts
@@ -28,6 +28,8 @@
   readonly workMeter: WorkMeter;
   readonly epoch: number;
   readonly timeLimits: EndpointTimeLimits;
+  /** Maximum number of tasks of a job that are open at once. */
+  readonly maximumOpenTasks: number;
   readonly endpoints: EndpointClient;
   readonly table: EndpointTable;
   readonly jobs: Map<string, JobRecord>;
