Forget the steps of an occurrence when it is complete

Cause: advice and run times of each step of a recurring job were kept until the job ended, and its end walked through all occurrences that it ever had, so that the memory and the stall at the end grew with the age of the job.

Change: the steps are forgotten with their occurrence, or with the job for those that are open when it ends. The list of all step ids is gone.

The memory itself was not measured, and no test observes it.

--- a/packages/scheduler/src/core/durationEstimates.ts
+++ b/packages/scheduler/src/core/durationEstimates.ts
@@ -32,7 +32,8 @@
   criticalPathOf(job: JobRecord, queue: JobQueueSettings): CriticalPathEstimate;
   /** @returns duration of runs on an endpoint relative to other endpoints; 1 for an average one */
   slowness(endpointId: string): number;
-  forgetJob(jobId: string, stepIds: readonly string[]): void;
+  forgetJob(jobId: string): void;
+  forgetSteps(stepIds: readonly string[]): void;
   forgetEndpoint(endpointId: string): void;
 }
 
@@ -102,8 +103,10 @@
       return estimate;
     },
     slowness: (endpointId) => speeds.slowness(endpointId, clock.monotonicMilliseconds()),
-    forgetJob(jobId, stepIds) {
+    forgetJob(jobId) {
       criticalPaths.delete(jobId);
+    },
+    forgetSteps(stepIds) {
       stepIds.forEach((stepId) => {
         completedRuns.delete(stepId);
       });
--- a/packages/scheduler/src/core/jobRecords.ts
+++ b/packages/scheduler/src/core/jobRecords.ts
@@ -70,13 +70,6 @@
   };
 }
 
-/** @returns ids of the steps of all occurrences that were created for a job */
-export function listStepIds(job: JobRecord): string[] {
-  return Array.from({ length: job.occurrenceCount }).flatMap((_, occurrence) =>
-    job.specification.steps.map((__, step) => stepIdOf(job.jobId, occurrence, step)),
-  );
-}
-
 /** @returns id of the job of a task */
 export function jobIdOf(taskId: string): string {
   return taskId.slice(0, taskId.indexOf('.'));
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -40,7 +40,6 @@
   createJobRecord,
   forEachTask,
   hasActiveRun,
-  listStepIds,
   parseAccepted,
 } from './jobRecords.js';
 import { createJobSettings } from './jobSettings.js';
@@ -176,9 +175,12 @@
     });
     transitions.onJobClosed((job) => {
       stopRuns(job);
-      const stepIds = listStepIds(job);
+      estimates.forgetJob(job.jobId);
+    });
+    transitions.onStepsClosed((steps) => {
+      const stepIds = steps.map(({ stepId }) => stepId);
       stepIds.forEach(adviceCache.forgetStep);
-      estimates.forgetJob(job.jobId, stepIds);
+      estimates.forgetSteps(stepIds);
     });
     transitions.onGangBroken((step) => step.tasks.filter(hasActiveRun).forEach(stopRun));
     const stragglerWatch = createStragglerWatch(context, (endpointId) => sessions.get(endpointId));
--- a/packages/scheduler/src/core/taskTransitions.ts
+++ b/packages/scheduler/src/core/taskTransitions.ts
@@ -61,6 +61,8 @@
   closeJob(job: JobRecord, phase: JobPhase): Promise<boolean>;
   /** Sets the listener that stops the runs of a job that has ended. */
   onJobClosed(listener: (job: JobRecord) => void): void;
+  /** Sets the listener that forgets the steps of an occurrence that is complete or whose job has ended. */
+  onStepsClosed(listener: (steps: readonly StepRecord[]) => void): void;
   /** Sets the listener that stops the other members of a gang after one member has ended early. */
   onGangBroken(listener: (step: StepRecord) => void): void;
   /** @returns whether an endpoint gets no new runs because of failures */
@@ -81,6 +83,7 @@
   /** Ids of jobs with due occurrences that are not open yet. */
   const behindSchedule = new Set<string>();
   let notifyJobClosed: (job: JobRecord) => void = () => {};
+  let notifyStepsClosed: (steps: readonly StepRecord[]) => void = () => {};
   let notifyGangBroken: (step: StepRecord) => void = () => {};
 
   function save(job: JobRecord, urgency?: CommitUrgency): Promise<boolean> {
@@ -105,6 +108,7 @@
     job.occurrences.forEach(({ steps }) => steps.forEach((step) => releasedSteps.delete(step)));
     behindSchedule.delete(job.jobId);
     notifyJobClosed(job);
+    job.occurrences.forEach(({ steps }) => notifyStepsClosed(steps));
     const isDurable = await save(job);
     if (isDurable) job.durablePhase = phase;
     return isDurable;
@@ -169,6 +173,7 @@
 
   function completeOccurrence(job: JobRecord, occurrence: OccurrenceRecord): void {
     job.occurrences.delete(occurrence.index);
+    notifyStepsClosed(occurrence.steps);
     const isComplete = job.occurrences.size === 0 && job.occurrenceCount === countOccurrences(job);
     if (isComplete) void closeJob(job, 'completed');
   }
@@ -347,6 +352,9 @@
     onJobClosed(listener) {
       notifyJobClosed = listener;
     },
+    onStepsClosed(listener) {
+      notifyStepsClosed = listener;
+    },
     onGangBroken(listener) {
       notifyGangBroken = listener;
     },
