Keep the usage of teams and endpoints in whole units

Cause: the usage of a team is kept by adding and subtracting fractions of cores, which leaves 6.7e-16 cores after the small jobs, and the limit was compared exactly. The room of endpoints drifted in the same way, and was compared with a tolerance.

Change: addResources and all comparisons of amounts calculate in thousandths of a processor, bytes and accelerators, as the worker pool does. The limit of a team is compared by isWithinLimit in decisions.

Why this works: sums of whole numbers below 2^53 are exact in any order, so that nothing stays charged once the runs have ended, and a limit that is reached exactly is not exceeded.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -33,7 +33,12 @@
 
 /** Amounts of resources. */
 export { computeDominantShare } from './utils/dominantShare.js';
-export { addResources, coversResources, NO_RESOURCES } from './utils/resourceAmounts.js';
+export {
+  addResources,
+  coversResources,
+  isWithinLimit,
+  NO_RESOURCES,
+} from './utils/resourceAmounts.js';
 
 /** Queueing and admission of interactive requests. */
 export type {
--- a/packages/decisions/src/utils/units.ts
+++ b/packages/decisions/src/utils/units.ts
@@ -1,4 +1,4 @@
-import type { Resources } from '@chicorybend/common';
+import type { ResourceDimension, Resources } from '@chicorybend/common';
 
 /** Processors are charged in thousandths, so that sums of fractions are exact. */
 const MILLIPROCESSORS_PER_PROCESSOR = 1_000;
@@ -12,34 +12,50 @@
   accelerators: number;
 }
 
-/** Converts the resources of a task to whole units, rounded up. */
-export function toChargedUnits(resources: Resources): ResourceUnits {
+function unitsPerAmount(name: ResourceDimension): number {
+  return name === 'processors' ? MILLIPROCESSORS_PER_PROCESSOR : 1;
+}
+
+/** @returns amount that is required or in use, in whole units, rounded up */
+export function toChargedAmount(name: ResourceDimension, amount: number): number {
+  const units = Math.ceil(amount * unitsPerAmount(name) - ROUNDING_TOLERANCE);
+  // The tolerance turns 0 into -0, which is not equal to 0 in every comparison.
+  return units === 0 ? 0 : units;
+}
+
+/** @returns amount that is available, in whole units, rounded down */
+export function toCapacityAmount(name: ResourceDimension, amount: number): number {
+  return Math.floor(amount * unitsPerAmount(name) + ROUNDING_TOLERANCE);
+}
+
+/** @returns the amount that consists of so many whole units */
+export function toDimensionAmount(name: ResourceDimension, units: number): number {
+  return units / unitsPerAmount(name);
+}
+
+function convertAll(
+  amounts: Resources | ResourceUnits,
+  convert: (name: ResourceDimension, amount: number) => number,
+): ResourceUnits {
   return {
-    processors: Math.ceil(
-      resources.processors * MILLIPROCESSORS_PER_PROCESSOR - ROUNDING_TOLERANCE,
-    ),
-    memoryBytes: Math.ceil(resources.memoryBytes),
-    accelerators: Math.ceil(resources.accelerators),
+    processors: convert('processors', amounts.processors),
+    memoryBytes: convert('memoryBytes', amounts.memoryBytes),
+    accelerators: convert('accelerators', amounts.accelerators),
   };
 }
 
+/** Converts the resources of a task to whole units, rounded up. */
+export function toChargedUnits(resources: Resources): ResourceUnits {
+  return convertAll(resources, toChargedAmount);
+}
+
 /** Converts the capacity of a worker to whole units, rounded down. */
 export function toCapacityUnits(resources: Resources): ResourceUnits {
-  return {
-    processors: Math.floor(
-      resources.processors * MILLIPROCESSORS_PER_PROCESSOR + ROUNDING_TOLERANCE,
-    ),
-    memoryBytes: Math.floor(resources.memoryBytes),
-    accelerators: Math.floor(resources.accelerators),
-  };
+  return convertAll(resources, toCapacityAmount);
 }
 
 export function toResources(units: ResourceUnits): Resources {
-  return {
-    processors: units.processors / MILLIPROCESSORS_PER_PROCESSOR,
-    memoryBytes: units.memoryBytes,
-    accelerators: units.accelerators,
-  };
+  return convertAll(units, toDimensionAmount);
 }
 
 /**
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -8,6 +8,7 @@
   createAdviceOrder,
   createEndpointChooser,
   createReservationWindows,
+  isWithinLimit,
   orderSteps,
 } from '@chicorybend/decisions';
 import type {
@@ -19,7 +20,6 @@
   ReservationScope,
   TrialRequirements,
 } from '@chicorybend/decisions';
-import { RESOURCE_DIMENSIONS } from '@chicorybend/common';
 import type { CancelTimer, Resources } from '@chicorybend/common';
 
 import type { JobQueueSettings } from '../types/configuration.js';
@@ -257,10 +257,7 @@
 
   function fitsTeamLimit(job: JobRecord, used: Resources): boolean {
     const limit = context.settings.teamLimitOf(job);
-    if (!limit) return true;
-    return RESOURCE_DIMENSIONS.every(
-      (dimension) => limit[dimension] === 0 || used[dimension] <= limit[dimension],
-    );
+    return limit === null || isWithinLimit(limit, used);
   }
 
   function avoidedEndpoint({ avoidedEndpointId, avoidedUntil }: TaskRecord): string | null {
