Match the label that a step requires with all labels of an endpoint

Cause: the first label of an endpoint was decoded as its hardware, and a requirement was compared with that alone. The interface lists any number of labels and says that a requirement is one that the endpoint must have.

Change: an entry has all labels, and a step requires one of them. The stored record keeps its field name, so that earlier builds read it during a rolling upgrade.

Why this works: the requirement is compared with exactly what the endpoint reports.

--- a/packages/proving/src/core/schedulerCell.ts
+++ b/packages/proving/src/core/schedulerCell.ts
@@ -112,7 +112,7 @@
   hasCheckpoints: false,
   isGang: false,
   prefersOneRack: false,
-  requiredHardware: '',
+  requiredLabel: '',
   preferredRack: '',
   maximumPerEndpoint: 0,
   isSpeculative: false,
--- a/packages/scheduler/src/__tests__/jobRecords.test.ts
+++ b/packages/scheduler/src/__tests__/jobRecords.test.ts
@@ -1,6 +1,12 @@
 import test from 'ava';
 
-import { applyState, createJobRecord, encodeState } from '../core/jobRecords.js';
+import {
+  applyState,
+  createJobRecord,
+  encodeAccepted,
+  encodeState,
+  parseAccepted,
+} from '../core/jobRecords.js';
 import type { JobRecord } from '../types/jobRecord.js';
 
 function createJob(): JobRecord {
@@ -22,7 +28,7 @@
           hasCheckpoints: false,
           isGang: false,
           prefersOneRack: false,
-          requiredHardware: '',
+          requiredLabel: '',
           preferredRack: '',
           maximumPerEndpoint: 0,
           isSpeculative: false,
@@ -86,3 +92,13 @@
   t.is(restoreRack(['endpoint-0', 500, '10.0.0.1:80', 'rack-0']), 'rack-0');
   t.is(restoreRack(['endpoint-0', 500, '10.0.0.1:80']), '');
 });
+
+test('the label that a step requires is stored under the name that earlier builds read', (t) => {
+  const job = createJob();
+  const { specification } = job;
+  const steps = specification.steps.map((step) => ({ ...step, requiredLabel: 'rack-1' }));
+  const text = encodeAccepted({ ...job, specification: { ...specification, steps } });
+  const stored = JSON.parse(text) as { specification: { steps: Record<string, unknown>[] } };
+  t.is(stored.specification.steps[0]!.requiredHardware, 'rack-1');
+  t.deepEqual(parseAccepted(text).specification.steps, steps);
+});
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -149,11 +149,11 @@
     queue: JobQueueSettings,
     candidate: Pick<RoundCandidate, 'state' | 'endpointId' | 'bornAt'>,
   ): boolean {
-    const { requiredHardware } = step.specification;
+    const { requiredLabel } = step.specification;
     const { entry } = candidate.state;
     return (
       entry.service === queue.service &&
-      (requiredHardware === '' || entry.hardware === requiredHardware) &&
+      (requiredLabel === '' || entry.labels.includes(requiredLabel)) &&
       (!queue.advice || adviceCache.isEligible(step.stepId, candidate) !== false)
     );
   }
--- a/packages/scheduler/src/core/jobRecords.ts
+++ b/packages/scheduler/src/core/jobRecords.ts
@@ -1,7 +1,7 @@
 import { judgeCrashes, trialMillisecondsFor } from '@chicorybend/decisions';
 import type { LossCertainty, LossRole } from '@chicorybend/decisions';
 
-import type { JobSpecification } from '../types/job.js';
+import type { JobSpecification, StepSpecification } from '../types/job.js';
 import type {
   AdmissionSettings,
   JobPhase,
@@ -26,8 +26,24 @@
   readonly specification: JobSpecification;
 }
 
+/** A stored step; earlier builds read the label that it requires under this name. */
+type StoredStep = Omit<StepSpecification, 'requiredLabel'> & { readonly requiredHardware: string };
+
 /** A stored job; those written by earlier builds have no admission settings. */
-type StoredJob = Omit<AcceptedJob, 'admission'> & Partial<Pick<AcceptedJob, 'admission'>>;
+type StoredJob = Omit<AcceptedJob, 'admission' | 'specification'> &
+  Partial<Pick<AcceptedJob, 'admission'>> & {
+    readonly specification: Omit<JobSpecification, 'steps'> & {
+      readonly steps: readonly StoredStep[];
+    };
+  };
+
+function encodeStep({ requiredLabel, ...step }: StepSpecification): StoredStep {
+  return { ...step, requiredHardware: requiredLabel };
+}
+
+function decodeStep({ requiredHardware, ...step }: StoredStep): StepSpecification {
+  return { ...step, requiredLabel: requiredHardware };
+}
 
 /** Creates the record of a job without occurrences. */
 export function createJobRecord(accepted: AcceptedJob): JobRecord {
@@ -254,8 +270,8 @@
     team,
     acceptedAt,
     admission,
-    specification,
-  } satisfies AcceptedJob);
+    specification: { ...specification, steps: specification.steps.map(encodeStep) },
+  } satisfies StoredJob);
 }
 
 /**
@@ -381,5 +397,11 @@
 
 /** Parses the value of a specification key. */
 export function parseAccepted(text: string): AcceptedJob {
-  return { admission: { queue: null, teamLimit: null }, ...(JSON.parse(text) as StoredJob) };
+  const stored = JSON.parse(text) as StoredJob;
+  const { specification } = stored;
+  return {
+    admission: { queue: null, teamLimit: null },
+    ...stored,
+    specification: { ...specification, steps: specification.steps.map(decodeStep) },
+  };
 }
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -90,7 +90,7 @@
     isDraining: true,
     drainRemainingMilliseconds: null,
     capacity: { processors: 0, memoryBytes: 0, accelerators: 0 },
-    hardware: '',
+    labels: [],
     rack: run.endpointRack,
     bornAt: run.endpointBornAt,
   };
--- a/packages/scheduler/src/types/endpoint.ts
+++ b/packages/scheduler/src/types/endpoint.ts
@@ -12,8 +12,8 @@
   /** Minimum time until a draining endpoint leaves, in milliseconds; null if unknown. */
   readonly drainRemainingMilliseconds: number | null;
   readonly capacity: Resources;
-  /** Hardware type, matched against the requirement of a step. */
-  readonly hardware: string;
+  /** Labels that a step may require, such as the kind of hardware and the rack. */
+  readonly labels: readonly string[];
   readonly rack: string;
   /** Start of this incarnation, in milliseconds since the Unix epoch. */
   readonly bornAt: number;
--- a/packages/scheduler/src/types/job.ts
+++ b/packages/scheduler/src/types/job.ts
@@ -15,8 +15,8 @@
   readonly isGang: boolean;
   /** Whether the tasks run longer when spread over racks. */
   readonly prefersOneRack: boolean;
-  /** Hardware type that the endpoint must have; empty for any. */
-  readonly requiredHardware: string;
+  /** Label that the endpoint must have; empty for none. */
+  readonly requiredLabel: string;
   /** Rack that holds the input data; empty if there is none. */
   readonly preferredRack: string;
   /** Maximum number of tasks of one occurrence on one endpoint; 0 for no limit. */
--- a/packages/standins/src/core/endpointFleetStandIn.ts
+++ b/packages/standins/src/core/endpointFleetStandIn.ts
@@ -95,6 +95,7 @@
 
   function addMachine(index: number): void {
     const name = `endpoint-${index}`;
+    const rack = `rack-${Math.floor(index / options.rackSize)}`;
     const base = {
       name,
       faults: {
@@ -114,8 +115,8 @@
       isDraining: false,
       drainRemainingMilliseconds: null,
       capacity: options.capacity,
-      hardware: 'a',
-      rack: `rack-${Math.floor(index / options.rackSize)}`,
+      labels: ['a', rack],
+      rack,
       bornAt: FIRST_BORN_AT,
     });
     const machine = { ...base, current };
