Request advice whose calls take no time

Cause: the number of endpoints that a call can afford is half of its fixed time divided by the time for each of them, 0 divided by 0, and no comparison with the result holds.

Change: endpoints that cost no time are not limited by it.

Evidence: the test in stepPlacement.test.ts fails before (no endpoint chosen) and passes.

--- a/packages/decisions/src/__tests__/stepPlacement.test.ts
+++ b/packages/decisions/src/__tests__/stepPlacement.test.ts
@@ -145,6 +145,14 @@
   t.is(chooseEndpointsForAdvice(oneWithRoom, REQUEST, COST, need).length, 12);
 });
 
+// The number of endpoints in a call was 0 divided by 0, and no call was ever made.
+test('advice whose calls take no time is requested for all endpoints in one call', (t) => {
+  const candidates = createAdviceCandidates(createCandidates(40));
+  const cost = { callMilliseconds: 0, endpointMilliseconds: 0 };
+  t.is(chooseEndpointsForAdvice(candidates, REQUEST, cost, NEED).length, 40);
+  t.is(countAdviceCalls(NEED, cost), 1);
+});
+
 test('no call is made while no endpoint has room', (t) => {
   const full = createAdviceCandidates([], createCandidates(20));
   t.deepEqual(chooseEndpointsForAdvice(full, REQUEST, COST, NEED), []);
--- a/packages/decisions/src/core/chooseEndpointsForAdvice.ts
+++ b/packages/decisions/src/core/chooseEndpointsForAdvice.ts
@@ -31,6 +31,7 @@
   callMilliseconds,
   endpointMilliseconds,
 }: AdviceCallCost): number {
+  if (endpointMilliseconds === 0) return Number.MAX_SAFE_INTEGER;
   const affordable = Math.floor((ENDPOINT_COST_FRACTION * callMilliseconds) / endpointMilliseconds);
   return Math.max(MINIMUM_ENDPOINTS, affordable);
 }
