Hand the bound on widened leases over to the next owner

Cause: an order that was meant for a former incarnation grants the longest lease, 10 s, in a later one, to all that runs there. A new owner began with 6.4 s for each run whose incarnation it took as known, forgot what the former one had widened, and took the directory, which lags, as proof of the incarnation.

Change: an endpoint has three bounds, for leases by orders for its incarnation, for those that former orders have widened, and for those in a later one. The second is stored with the runs and narrowed by the age of the incarnation, which its clock shows. Where nothing is known, a new owner assumes the longest lease. A stored run without a confirmation may be in a later incarnation until its writer must have noticed that. Runs that moved, and confirmations of long-running tasks, are stored. The bounds also outlive a gap in the directory, and an answer of another endpoint does not shorten them.

Why this works: each order that can reach a later incarnation is covered by the bound of the term that sent it, and that bound is stored before the run that depends on it starts.

--- /dev/null
+++ b/packages/decisions/src/core/leaseBounds.ts
@@ -0,0 +1,67 @@
+/**
+ * Time within which the last order for a former incarnation is sent to an endpoint that was replaced under its id, in
+ * milliseconds: until then the last call has ended or timed out, and the starts that had been recorded are sent.
+ */
+const REPLACEMENT_NOTICE_MILLISECONDS = 5_200;
+/** Maximum difference between the clocks of two VMs, in milliseconds. */
+const MAXIMUM_CLOCK_SKEW_MILLISECONDS = 2_500;
+
+/** Times after which leases that are granted now have certainly expired, in milliseconds. */
+export interface LeaseDurations {
+  /** For a lease as owners request it. */
+  readonly requested: number;
+  /** For the longest lease. A later incarnation grants it for any order that was meant for a former one. */
+  readonly longest: number;
+}
+
+/**
+ * Bounds the leases of an incarnation that orders for former incarnations have widened, by its age.
+ *
+ * @param now monotonic time in milliseconds
+ * @param ageMilliseconds time since the incarnation began, in milliseconds
+ * @returns when such leases have certainly expired, in monotonic milliseconds; in the past for most incarnations
+ */
+export function boundWidenedLeasesByAge(
+  now: number,
+  ageMilliseconds: number,
+  { longest }: LeaseDurations,
+): number {
+  return now + REPLACEMENT_NOTICE_MILLISECONDS + longest - ageMilliseconds;
+}
+
+/**
+ * Bounds the same leases for a new owner, by what a former one has stored.
+ *
+ * @param startedAt start of the term, in monotonic milliseconds; all orders of former owners were sent before
+ * @param widenedUntil when they expire by the clock of the former owner; null if it has not stored that
+ * @returns when they have certainly expired, in monotonic milliseconds
+ */
+export function boundFormerWidenedLeases(
+  startedAt: number,
+  widenedUntil: number | null,
+  { longest }: LeaseDurations,
+): number {
+  const latest = startedAt + longest;
+  if (widenedUntil === null) return latest;
+  return Math.min(latest, widenedUntil + MAXIMUM_CLOCK_SKEW_MILLISECONDS);
+}
+
+/**
+ * Decides whether a run that a former owner had not confirmed is in the recorded incarnation, if it exists. Otherwise
+ * that owner would have noticed the replacement and recorded it, or stopped to widen leases so long ago that they have
+ * expired with those that it requested.
+ *
+ * @param startedAt start of the term, in monotonic milliseconds
+ * @param recordedAt last time at which the run was recorded without a confirmation, in monotonic milliseconds; null if
+ *   that is not known
+ */
+export function isReplacementNoticed(
+  startedAt: number,
+  recordedAt: number | null,
+  { requested, longest }: LeaseDurations,
+): boolean {
+  if (recordedAt === null) return false;
+  const lastOrderAt =
+    recordedAt + MAXIMUM_CLOCK_SKEW_MILLISECONDS + REPLACEMENT_NOTICE_MILLISECONDS;
+  return lastOrderAt + longest <= startedAt + requested;
+}
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -53,6 +53,14 @@
 export { createAdmissionController } from './core/admissionController.js';
 export type { AdmissionControllerOptions } from './core/admissionController.js';
 
+/** Bounds on leases that orders for former incarnations have widened. */
+export {
+  boundFormerWidenedLeases,
+  boundWidenedLeasesByAge,
+  isReplacementNoticed,
+} from './core/leaseBounds.js';
+export type { LeaseDurations } from './core/leaseBounds.js';
+
 /** Opening of the due occurrences of recurring jobs. */
 export { canOpenOccurrence } from './core/occurrenceWindow.js';
 export type { OccurrenceSize, OpenOccurrences } from './core/occurrenceWindow.js';
--- a/packages/scheduler/src/__tests__/jobRecords.test.ts
+++ b/packages/scheduler/src/__tests__/jobRecords.test.ts
@@ -61,7 +61,7 @@
     occurrences: [[0, [0], [task], [0]]],
   });
   const first = restore(state);
-  const again = restore(encodeState(first, 0));
+  const again = restore(encodeState(first, 0, 0));
   for (const job of [first, again]) {
     const [loss] = job.occurrences.get(0)!.steps[0]!.tasks[0]!.losses;
     t.like(loss, {
@@ -86,7 +86,7 @@
       endpoints: [endpoint],
       occurrences: [[0, [0], [task], [0]]],
     });
-    const again = restore(encodeState(restore(state), 0));
+    const again = restore(encodeState(restore(state), 0, 0));
     return again.occurrences.get(0)!.steps[0]!.tasks[0]!.endpointRack;
   };
   t.is(restoreRack(['endpoint-0', 500, '10.0.0.1:80', 'rack-0']), 'rack-0');
@@ -102,3 +102,27 @@
   t.is(stored.specification.steps[0]!.requiredHardware, 'rack-1');
   t.deepEqual(parseAccepted(text).specification.steps, steps);
 });
+
+test('a later owner learns when the leases of an incarnation are over that former orders have widened', (t) => {
+  const restoreRun = (widenedUntil: number | null) => {
+    const job = restore(
+      JSON.stringify({
+        acceptedAt: 1_000,
+        phase: 'open',
+        endedAt: 0,
+        hasStarted: true,
+        occurrenceCount: 1,
+        endpoints: [['i-1', 5, '10.0.0.1:80', 'r']],
+        occurrences: [[0, [0], [[0, 0, 'running', 1, 0, 0, '', 10]], [0]]],
+      }),
+    );
+    const [task] = job.occurrences.get(0)!.steps[0]!.tasks;
+    t.is(task!.endpointLeasesWidenedUntil, null);
+    task!.endpointLeasesWidenedUntil = widenedUntil;
+    const [again] = restore(encodeState(job, 0, 4_000)).occurrences.get(0)!.steps[0]!.tasks;
+    return [again!.endpointLeasesWidenedUntil, again!.formerlyRecordedAt];
+  };
+  t.deepEqual(restoreRun(null), [null, 4_000]);
+  t.deepEqual(restoreRun(9_000), [9_000, 4_000]);
+  t.deepEqual(restoreRun(3_000), [1_000, 4_000]);
+});
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -322,6 +322,7 @@
     task.endpointBornAt = state.bornAt;
     task.endpointAddress = state.entry.address;
     task.endpointRack = state.entry.rack;
+    task.endpointLeasesWidenedUntil = state.widenedLeasesExpireAt;
     task.isIncarnationKnown = false;
     task.startSentAt = null;
     task.absenceConclusiveAfter = Infinity;
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -1,5 +1,5 @@
 import { sleep } from '@chicorybend/common';
-import { appendReport } from '@chicorybend/decisions';
+import { appendReport, boundWidenedLeasesByAge } from '@chicorybend/decisions';
 
 import type {
   EndReport,
@@ -12,10 +12,14 @@
 import type { TaskRecord } from '../types/jobRecord.js';
 import type { TermContext } from '../types/termContext.js';
 import { createLatencyEstimate } from '../utils/latencyEstimate.js';
-import { requestedLeaseMilliseconds, leaseExpiryMilliseconds } from '../utils/leaseTimes.js';
+import {
+  leaseDurations,
+  leaseExpiryMilliseconds,
+  requestedLeaseMilliseconds,
+} from '../utils/leaseTimes.js';
 import { callWithAdaptiveTimeout } from '../utils/adaptiveTimeout.js';
 import { remainingToleranceMilliseconds } from './capacityAge.js';
-import { isFormerIncarnation } from './endpointTable.js';
+import { isFormerIncarnation, lastLeaseExpiry } from './endpointTable.js';
 import type { EndpointState } from './endpointTable.js';
 import { hasActiveRun, jobIdOf, mayBeInLaterIncarnation } from './jobRecords.js';
 import type { TaskTransitions } from './taskTransitions.js';
@@ -159,6 +163,7 @@
   function moveToNewIncarnation(task: TaskRecord): void {
     if (task.startSentAt === null) return;
     task.endpointBornAt = state.bornAt;
+    task.endpointLeasesWidenedUntil = state.widenedLeasesExpireAt;
     const isSentByFormerOwner = task.absenceConclusiveAfter === -Infinity;
     if (task.phase === 'placed' && !isSentByFormerOwner) task.absenceConclusiveAfter = Infinity;
   }
@@ -178,8 +183,24 @@
     transitions.endpointLosses.recordLoss(state, runs, 'crashed');
     state.silentSince = null;
     state.clockOffset = null;
-    state.leasesExpireAt = Math.max(state.leasesExpireAt, state.laterLeasesExpireAt);
+    state.widenedLeasesExpireAt = Math.max(state.widenedLeasesExpireAt, state.laterLeasesExpireAt);
     runs.forEach(moveToNewIncarnation);
+    // A later owner has to know the incarnation, whose leases last longer.
+    new Set(runs.map(({ step }) => step.job)).forEach((job) => {
+      void transitions.save(job);
+    });
+  }
+
+  /**
+   * The clock of an incarnation begins with it, so that it shows the age. The bound of an incarnation that has begun in
+   * this term is known from the orders that were sent.
+   */
+  function boundWidenedLeases(endpointClock: number): void {
+    if (state.formerBornAt.size > 0) return;
+    state.widenedLeasesExpireAt = Math.min(
+      state.widenedLeasesExpireAt,
+      boundWidenedLeasesByAge(now(), endpointClock, leaseDurations(maximumLeaseMilliseconds)),
+    );
   }
 
   /** Another endpoint answers at the address, so that the incarnation known here is over. */
@@ -191,7 +212,6 @@
     });
     transitions.endpointLosses.recordLoss(state, [...state.runs.values()], 'crashed');
     [...state.runs.values()].forEach((task) => transitions.dropRun(task, 'lapsed'));
-    state.leasesExpireAt = now();
     context.requestRound();
   }
 
@@ -262,6 +282,7 @@
       transitions.endpointLosses.recordLoss(state, runsOfOtherIncarnations(), 'crashed');
     }
     recordAnswer();
+    boundWidenedLeases(outcome.endpointClockMilliseconds);
     state.clockOffset = outcome.endpointClockMilliseconds - now();
     const changedTasks = new Set<TaskRecord>();
     const ends = outcome.ends.filter(({ sequence }) => sequence > state.appliedSequence);
@@ -359,7 +380,7 @@
   }
 
   function isGone(): boolean {
-    return !state.isListed && state.runs.size === 0 && now() >= state.leasesExpireAt;
+    return !state.isListed && state.runs.size === 0 && now() >= lastLeaseExpiry(state);
   }
 
   function confirmRun(task: TaskRecord, isStartKnown: boolean): void {
@@ -375,6 +396,8 @@
     task.progressReports = [];
     task.absenceConclusiveAfter = now();
     if (task.phase === 'stopping') void stop(task);
+    // Users notice each second without a long-running task, and a confirmed run is known to have no longer lease.
+    else if (specification.isLongRunning) void transitions.save(job, 'deferred');
   }
 
   function isCurrentRun(task: TaskRecord, run: number): boolean {
--- a/packages/scheduler/src/core/endpointTable.ts
+++ b/packages/scheduler/src/core/endpointTable.ts
@@ -7,8 +7,18 @@
 import type { StepSpecification } from '../types/job.js';
 import { mayBeInLaterIncarnation } from './jobRecords.js';
 
+/** When leases at an endpoint have certainly expired, in monotonic milliseconds. */
+export interface LeaseExpiries {
+  /** Those that orders for the present incarnation have granted there. */
+  leasesExpireAt: number;
+  /** Those of the present incarnation that orders for former ones have widened. */
+  widenedLeasesExpireAt: number;
+  /** Those that orders for the present incarnation have granted in a later one. */
+  laterLeasesExpireAt: number;
+}
+
 /** State of an endpoint at the owner. */
-export interface EndpointState {
+export interface EndpointState extends LeaseExpiries {
   /** Latest entry of the directory. */
   entry: EndpointEntry;
   /** Position in an order that is unrelated to racks and data centres. */
@@ -42,13 +52,6 @@
   durableSequence: number;
   /** Lower bound of the endpoint's clock minus the monotonic clock, in milliseconds; null if unknown. */
   clockOffset: number | null;
-  /** When the leases of all runs of this incarnation have certainly expired, in monotonic milliseconds. */
-  leasesExpireAt: number;
-  /**
-   * When the leases of runs have certainly expired that orders for this incarnation have started in a later one, in
-   * monotonic milliseconds.
-   */
-  laterLeasesExpireAt: number;
   /** Number of unanswered holds in a row. */
   unansweredCalls: number;
   /** When the first of them failed, in monotonic milliseconds; null if the last hold was answered. */
@@ -76,8 +79,15 @@
 
 /** @returns when the lease of a run has certainly expired, in monotonic milliseconds */
 export function leaseExpiryOf(state: EndpointState, task: TaskRecord): number {
-  const { leasesExpireAt, laterLeasesExpireAt } = state;
-  return mayBeInLaterIncarnation(task) ? laterLeasesExpireAt : leasesExpireAt;
+  const { leasesExpireAt, widenedLeasesExpireAt, laterLeasesExpireAt } = state;
+  if (mayBeInLaterIncarnation(task)) return laterLeasesExpireAt;
+  return Math.max(leasesExpireAt, widenedLeasesExpireAt);
+}
+
+/** @returns when all leases that may be known at an endpoint have certainly expired, in monotonic milliseconds */
+export function lastLeaseExpiry(state: LeaseExpiries): number {
+  const { leasesExpireAt, widenedLeasesExpireAt, laterLeasesExpireAt } = state;
+  return Math.max(leasesExpireAt, widenedLeasesExpireAt, laterLeasesExpireAt);
 }
 
 /** Endpoints, the runs on them, and the resources in use by team. */
@@ -85,7 +95,7 @@
   get(endpointId: string): EndpointState | undefined;
   all(): IterableIterator<EndpointState>;
   /** Adds an endpoint that is in the directory or is named by a stored run. */
-  add(entry: EndpointEntry, now: number): EndpointState;
+  add(entry: EndpointEntry, leases: LeaseExpiries): EndpointState;
   remove(endpointId: string): void;
   /** Charges the resources of a run to its endpoint and its team. */
   charge(state: EndpointState, task: TaskRecord): void;
@@ -121,7 +131,7 @@
   return {
     get: (endpointId) => states.get(endpointId),
     all: () => states.values(),
-    add(entry, now) {
+    add(entry, leases) {
       const state: EndpointState = {
         entry,
         shuffleKey: hashText(entry.endpointId),
@@ -138,8 +148,7 @@
         appliedSequence: 0,
         durableSequence: 0,
         clockOffset: null,
-        leasesExpireAt: now,
-        laterLeasesExpireAt: now,
+        ...leases,
         unansweredCalls: 0,
         silentSince: null,
         isDisconnected: false,
--- a/packages/scheduler/src/core/jobRecords.ts
+++ b/packages/scheduler/src/core/jobRecords.ts
@@ -70,10 +70,12 @@
     endpointBornAt: 0,
     endpointAddress: '',
     endpointRack: '',
+    endpointLeasesWidenedUntil: null,
     isIncarnationKnown: false,
     startSentAt: null,
     checkpoint: '',
     placedAt: 0,
+    formerlyRecordedAt: null,
     startedAt: 0,
     isStartTimeKnown: false,
     progressReports: [],
@@ -212,7 +214,7 @@
 
 function decodeLoss(
   job: JobRecord,
-  endpoints: StoredState['endpoints'],
+  endpoints: readonly StoredEndpoint[],
   [run, role, age, certainty, after, endpoint = -1, epoch = 0, maximumAge]: StoredLoss,
 ): TaskLoss {
   const [endpointId, bornAt, address = ''] = endpoints[endpoint] ?? ['', 0];
@@ -242,18 +244,30 @@
   return Math.max(...members.map(({ losses }) => trialMillisecondsFor(losses)));
 }
 
+/**
+ * Stored incarnation of an endpoint: id, `bornAt`, address, rack, which is empty if no task has a run there, and when
+ * its widened leases have expired, since the acceptance of the job in milliseconds: 0 if they had when the state was
+ * written, null if that was not known. Earlier builds do not write the last three.
+ */
+type StoredEndpoint = [
+  id: string,
+  bornAt: number,
+  address?: string,
+  rack?: string,
+  leasesWidenedUntil?: number | null,
+];
+
 interface StoredState {
   /** Acceptance of the job that the state belongs to; earlier builds do not store it. */
   acceptedAt?: number;
+  /** Time since the acceptance of the job, in milliseconds; earlier builds do not store it. */
+  writtenAfter?: number;
   phase: JobPhase;
   endedAt: number;
   hasStarted: boolean;
   occurrenceCount: number;
-  /**
-   * Endpoints of the tasks and of their losses: id, `bornAt`, address and rack, which is empty if no task has a run
-   * there; earlier builds do not store the last two.
-   */
-  endpoints: [id: string, bornAt: number, address?: string, rack?: string][];
+  /** Endpoints of the tasks and of their losses. */
+  endpoints: StoredEndpoint[];
   /**
    * Incomplete occurrences: index, gang failures by step, tasks that have been placed at least once, last failed run
    * of the gang by step; earlier builds do not store the last.
@@ -278,23 +292,37 @@
  * Encodes the value of the state key.
  *
  * @param clockDifference wall-clock time minus monotonic time, in milliseconds
+ * @param now monotonic time in milliseconds
  */
-export function encodeState(job: JobRecord, clockDifference: number): string {
-  const endpoints: StoredState['endpoints'] = [];
+export function encodeState(job: JobRecord, clockDifference: number, now: number): string {
+  const endpoints: StoredEndpoint[] = [];
   const indexOf = new Map<string, number>();
 
-  function endpointIndex(endpointId: string, bornAt: number, address: string, rack = ''): number {
+  function endpointIndex(endpointId: string, bornAt: number, address: string): number {
     const name = `${endpointId}@${bornAt}`;
     const index = indexOf.get(name) ?? endpoints.length;
     indexOf.set(name, index);
-    endpoints[index] = [endpointId, bornAt, address, rack || (endpoints[index]?.[3] ?? '')];
+    endpoints[index] ??= [endpointId, bornAt, address, '', null];
     return index;
   }
 
+  /** @returns time since the acceptance of the job, rounded up, in milliseconds */
+  function sinceAcceptance(monotonicMilliseconds: number): number {
+    return Math.ceil(monotonicMilliseconds + clockDifference - job.acceptedAt);
+  }
+
+  function encodeWidenedUntil(expiresAt: number | null): number | null {
+    if (expiresAt === null) return null;
+    return expiresAt <= now ? 0 : sinceAcceptance(expiresAt);
+  }
+
   function currentEndpointIndex(task: TaskRecord): number {
     if (task.endpointId === null || !hasActiveRun(task)) return -1;
     const { endpointId, endpointBornAt, endpointAddress, endpointRack } = task;
-    return endpointIndex(endpointId, endpointBornAt, endpointAddress, endpointRack);
+    const index = endpointIndex(endpointId, endpointBornAt, endpointAddress);
+    const widenedUntil = encodeWidenedUntil(task.endpointLeasesWidenedUntil);
+    endpoints[index] = [endpointId, endpointBornAt, endpointAddress, endpointRack, widenedUntil];
+    return index;
   }
 
   const isOpen = job.phase === 'open' || [...job.occurrences.values()].some(hasActiveRuns);
@@ -325,6 +353,7 @@
   const { acceptedAt, phase, endedAt, hasStarted, occurrenceCount } = job;
   return JSON.stringify({
     acceptedAt,
+    writtenAfter: sinceAcceptance(now),
     phase,
     endedAt,
     hasStarted,
@@ -352,6 +381,13 @@
   now: number,
 ): void {
   const stored = JSON.parse(text) as StoredState;
+
+  function toMonotonic(sinceAcceptance: number | null | undefined): number | null {
+    return typeof sinceAcceptance === 'number'
+      ? job.acceptedAt + sinceAcceptance - clockDifference
+      : null;
+  }
+
   if (stored.acceptedAt !== undefined && stored.acceptedAt !== job.acceptedAt) return;
   job.phase = stored.phase;
   job.durablePhase = stored.phase;
@@ -374,10 +410,12 @@
       task.isIncarnationKnown = phase === 'running' || phase === 'stopping';
       task.startSentAt = task.placedAt;
       task.phase = task.isIncarnationKnown ? 'placed' : phase;
+      task.formerlyRecordedAt = toMonotonic(stored.writtenAfter);
       const storedEndpoint = stored.endpoints[endpoint];
       if (!storedEndpoint) return;
       const [endpointId, endpointBornAt, endpointAddress = '', endpointRack = ''] = storedEndpoint;
       Object.assign(task, { endpointId, endpointBornAt, endpointAddress, endpointRack });
+      task.endpointLeasesWidenedUntil = toMonotonic(storedEndpoint[4]);
     });
     occurrence.steps.forEach((step) => {
       const isGangSuspect = step.specification.isGang && step.tasks.some(isSuspect);
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -1,3 +1,4 @@
+import { boundFormerWidenedLeases, isReplacementNoticed } from '@chicorybend/decisions';
 import {
   createFailure,
   RESOURCE_DIMENSIONS,
@@ -15,7 +16,7 @@
 import type { SchedulerDependencies } from '../types/schedulerDependencies.js';
 import type { TermContext } from '../types/termContext.js';
 import { createLatencyEstimate } from '../utils/latencyEstimate.js';
-import { requestedLeaseMilliseconds, leaseExpiryMilliseconds } from '../utils/leaseTimes.js';
+import { leaseDurations } from '../utils/leaseTimes.js';
 import {
   COMMIT_KEY,
   JOB_PREFIX,
@@ -32,8 +33,8 @@
 import { drainEndOf } from './endpointLosses.js';
 import { createEndpointSession } from './endpointSession.js';
 import type { EndpointSession } from './endpointSession.js';
-import { createEndpointTable, isFormerIncarnation } from './endpointTable.js';
-import type { EndpointState } from './endpointTable.js';
+import { createEndpointTable, isFormerIncarnation, lastLeaseExpiry } from './endpointTable.js';
+import type { EndpointState, LeaseExpiries } from './endpointTable.js';
 import {
   applyState,
   countOccurrences,
@@ -61,6 +62,8 @@
 const RETRY_DELAY_MILLISECONDS = 100;
 /** Bounds of the timeout of a read; a read whose packet was lost is repeated after the minimum. */
 const READ_TIMEOUTS = { minimumMilliseconds: 250, maximumMilliseconds: 2_000 };
+/** Epoch of the first term of a cell, before which no owner has sent orders. */
+const FIRST_EPOCH = 1;
 /** Tasks with checkpoints are moved off a draining endpoint this long before it leaves. */
 const DRAIN_MARGIN_MILLISECONDS = 1_000;
 
@@ -108,10 +111,20 @@
   let hasEnded = false;
   let components: ReturnType<typeof createComponents> | null = null;
   const startedAt = clock.monotonicMilliseconds();
-  const { maximumLeaseMilliseconds } = timeLimits;
-  const formerLeasesExpireAt =
-    startedAt + leaseExpiryMilliseconds(requestedLeaseMilliseconds(maximumLeaseMilliseconds));
-  const formerLaterLeasesExpireAt = startedAt + leaseExpiryMilliseconds(maximumLeaseMilliseconds);
+  const durations = leaseDurations(timeLimits.maximumLeaseMilliseconds);
+  /** Bounds of the leases at an endpoint of which nothing is known; former owners sent all orders before this term. */
+  const formerLeases: LeaseExpiries =
+    term.epoch === FIRST_EPOCH
+      ? {
+          leasesExpireAt: startedAt,
+          widenedLeasesExpireAt: startedAt,
+          laterLeasesExpireAt: startedAt,
+        }
+      : {
+          leasesExpireAt: startedAt + durations.requested,
+          widenedLeasesExpireAt: startedAt + durations.longest,
+          laterLeasesExpireAt: startedAt + durations.longest,
+        };
 
   const readLatency = createLatencyEstimate(READ_TIMEOUTS);
   const estimates = createDurationEstimates(clock);
@@ -263,7 +276,7 @@
   async function awaitLeaseExpiry(state: EndpointState, onExpired: () => void): Promise<void> {
     const { transitions } = components!;
     while (state.runs.size > 0) {
-      const remaining = state.leasesExpireAt - clock.monotonicMilliseconds();
+      const remaining = lastLeaseExpiry(state) - clock.monotonicMilliseconds();
       await sleep(clock, Math.max(RETRY_DELAY_MILLISECONDS, remaining));
       if (hasEnded || state.entry.address !== '') return;
       transitions.expireRuns(state);
@@ -289,7 +302,7 @@
   }
 
   function addEndpoint(entry: EndpointEntry, readAt: number): EndpointState {
-    const state = table.add(entry, clock.monotonicMilliseconds());
+    const state = table.add(entry, formerLeases);
     state.entryReadAt = readAt;
     return state;
   }
@@ -430,19 +443,31 @@
         if (!hasActiveRun(task) || task.endpointId === null) return;
         let state = table.get(task.endpointId);
         if (!state) {
-          const now = clock.monotonicMilliseconds();
-          state = table.add(createUnlistedEntry(task.endpointId, task), now);
+          state = table.add(createUnlistedEntry(task.endpointId, task), formerLeases);
           state.isListed = false;
           state.unlistedAt = listedAt;
         }
-        state.leasesExpireAt = formerLeasesExpireAt;
-        state.laterLeasesExpireAt = formerLaterLeasesExpireAt;
-        // Only another incarnation that the directory lists can have taken a start from the former owner.
-        task.isIncarnationKnown ||= state.entry.bornAt === task.endpointBornAt;
+        // The directory does not tell, because it may list a former incarnation for some time.
+        task.isIncarnationKnown ||= isReplacementNoticed(
+          startedAt,
+          task.formerlyRecordedAt,
+          durations,
+        );
         task.absenceConclusiveAfter = -Infinity;
         table.charge(state, task);
       }),
     );
+    for (const state of table.all()) boundStoredLeases(state);
+  }
+
+  /** Former owners have stored how long the leases of an incarnation are widened with each run there. */
+  function boundStoredLeases(state: EndpointState): void {
+    const runs = [...state.runs.values()];
+    if (!runs.some(({ endpointBornAt }) => endpointBornAt === state.bornAt)) return;
+    const bounds = runs.map(({ endpointLeasesWidenedUntil }) =>
+      boundFormerWidenedLeases(startedAt, endpointLeasesWidenedUntil, durations),
+    );
+    state.widenedLeasesExpireAt = Math.max(...bounds);
   }
 
   /** Ends of runs and calls of callers are judged by the configuration, so a term begins with one in effect. */
--- a/packages/scheduler/src/core/schedulerMetrics.ts
+++ b/packages/scheduler/src/core/schedulerMetrics.ts
@@ -23,6 +23,8 @@
   runs_done: 'Runs that ended as done.',
   runs_failed: 'Runs that ended as failed.',
   runs_lost: 'Runs that ended otherwise and may be repeated.',
+  run_leases_prolonged:
+    'Runs repeated only after the longest lease, because their endpoint may have been replaced.',
   endpoints_lost: 'Endpoints lost with runs, other than by a planned stop.',
   runs_lost_with_endpoint: 'Runs lost with them.',
   losses_withdrawn:
--- a/packages/scheduler/src/core/taskTransitions.ts
+++ b/packages/scheduler/src/core/taskTransitions.ts
@@ -87,7 +87,10 @@
   let notifyGangBroken: (step: StepRecord) => void = () => {};
 
   function save(job: JobRecord, urgency?: CommitUrgency): Promise<boolean> {
-    const encode = () => encodeState(job, clock.wallMilliseconds() - clock.monotonicMilliseconds());
+    const encode = () => {
+      const now = clock.monotonicMilliseconds();
+      return encodeState(job, clock.wallMilliseconds() - now, now);
+    };
     return commits.stage(stateKey(job.jobId), encode, urgency);
   }
 
@@ -340,9 +343,14 @@
       const now = clock.monotonicMilliseconds();
       const expired = [...state.runs.values()].filter((task) => now >= leaseExpiryOf(state, task));
       if (expired.length === 0) return;
+      const prolonged = expired.filter(
+        (task) => leaseExpiryOf(state, task) > state.leasesExpireAt,
+      ).length;
+      metrics.count('run_leases_prolonged', prolonged);
       log.info('run leases on endpoint expired', {
         endpoint: state.entry.endpointId,
         runs: expired.length,
+        prolonged,
         remaining: state.runs.size - expired.length,
       });
       endpointLosses.recordLoss(state, expired, 'silent');
--- a/packages/scheduler/src/types/jobRecord.ts
+++ b/packages/scheduler/src/types/jobRecord.ts
@@ -48,6 +48,11 @@
   endpointAddress: string;
   /** Rack of that endpoint; empty if it is not known. */
   endpointRack: string;
+  /**
+   * When leases of that incarnation that orders for former ones have widened have certainly expired, in monotonic
+   * milliseconds; null if it is not known.
+   */
+  endpointLeasesWidenedUntil: number | null;
   /** Whether an answer of that incarnation has shown that the current run is there, and not in a later one. */
   isIncarnationKnown: boolean;
   /** When the start of the current run was sent, in monotonic milliseconds; null if it was not. */
@@ -56,6 +61,8 @@
   checkpoint: string;
   /** When the current run was recorded, in monotonic milliseconds. */
   placedAt: number;
+  /** When a former owner last recorded the state of the run, in monotonic milliseconds; null if it is not known. */
+  formerlyRecordedAt: number | null;
   /** When the current run was confirmed, in monotonic milliseconds. */
   startedAt: number;
   /** Whether this term ordered the start, so that `startedAt` is the true start of the run. */
--- a/packages/scheduler/src/utils/leaseTimes.ts
+++ b/packages/scheduler/src/utils/leaseTimes.ts
@@ -1,3 +1,5 @@
+import type { LeaseDurations } from '@chicorybend/decisions';
+
 /** Preferred lease of runs; outlasts a takeover, and expires soon after an endpoint is lost. */
 const LEASE_MILLISECONDS = 6_000;
 /** Clocks of endpoints may be slower than the clock of this process by this factor. */
@@ -14,3 +16,11 @@
 export function leaseExpiryMilliseconds(leaseMilliseconds: number): number {
   return leaseMilliseconds * CLOCK_RATE_FACTOR + EXPIRY_MARGIN_MILLISECONDS;
 }
+
+/** @returns times after which leases have certainly expired, where the platform allows at most `maximumMilliseconds` */
+export function leaseDurations(maximumMilliseconds: number): LeaseDurations {
+  return {
+    requested: leaseExpiryMilliseconds(requestedLeaseMilliseconds(maximumMilliseconds)),
+    longest: leaseExpiryMilliseconds(maximumMilliseconds),
+  };
+}
