--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -396,7 +396,7 @@
     task.progressReports = [];
     task.absenceConclusiveAfter = now();
     if (task.phase === 'stopping') void stop(task);
-    // Users notice each second without a long-running task, and a confirmed run is known to have no longer lease.
+    // After a change of the owner, a run with a stored confirmation is not taken for one with the longest lease.
     else if (specification.isLongRunning) void transitions.save(job, 'deferred');
   }
 
