Show that a later incarnation may carry out a late start

A start without an answer is ruled out by a stop, and its task runs elsewhere. If the endpoint starts again under its id before the start arrives, the new incarnation knows neither the stop nor the fencing token, and carries it out: two runs of a task at once.

It is what remains of the class of the widened leases; no bound of the owner covers it, since the order may be on its way for seconds.

--- a/packages/proving/src/__tests__/reincarnation.test.ts
+++ b/packages/proving/src/__tests__/reincarnation.test.ts
@@ -105,3 +105,20 @@
   t.is(cell.fleet.history.length, TASKS);
   await checkCompleted(t, cell, 1);
 });
+
+// A stop at the former incarnation rules out no late execution of the start by the next one.
+test('a start that is carried out late by a later incarnation does not run its task twice', async (t) => {
+  const cell = await createCell({ count: 2, durationOf: () => 1_500 });
+  const faults = cell.fleet.faultsOf('endpoint-0');
+  cell.fleet.faultsOf('endpoint-1').isCutOff = true;
+  await cell.advance(2_000);
+  faults.unansweredStartDelayMilliseconds = 3_000;
+  await submit(cell, 1);
+  await cell.advance(100);
+  faults.unansweredStartDelayMilliseconds = null;
+  cell.fleet.faultsOf('endpoint-1').isCutOff = false;
+  await advanceUntil(cell, () => cell.fleet.history.length === TASKS, 2_000);
+  restartBehindCut(cell);
+  await cell.advance(6_000);
+  t.deepEqual(cell.fleet.violations(), []);
+});
