--- a/packages/decisions/src/core/leaseBounds.ts
+++ b/packages/decisions/src/core/leaseBounds.ts
@@ -47,9 +47,9 @@
 }
 
 /**
- * Decides whether a run that a former owner had not confirmed is in the recorded incarnation, if it exists. Otherwise
- * that owner would have noticed the replacement and recorded it, or stopped to widen leases so long ago that they have
- * expired with those that it requested.
+ * Decides whether a run that a former owner had not confirmed is in the recorded incarnation, if it exists. In a later
+ * one, that owner would have noticed and recorded the replacement, or it stopped widening leases there so long ago that
+ * they expire before those that it requested.
  *
  * @param startedAt start of the term, in monotonic milliseconds
  * @param recordedAt last time at which the run was recorded without a confirmation, in monotonic milliseconds; null if
