Log how old orders and answers are when leases expire, and which runs are unknown

Cause: the log did not tell whether a lease outlived the bound of the owner, nor by which order it was granted.

Change: the line of expired leases names the incarnation and says how long ago the last order that grants leases was sent and the last answer came. The line about an unknown run names its endpoint and incarnation, and the run, phase and endpoint that are recorded for its task; unknown_runs_stopped counts them.

--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -21,7 +21,7 @@
 import { remainingToleranceMilliseconds } from './capacityAge.js';
 import { isFormerIncarnation, lastLeaseExpiry } from './endpointTable.js';
 import type { EndpointState } from './endpointTable.js';
-import { hasActiveRun, jobIdOf, mayBeInLaterIncarnation } from './jobRecords.js';
+import { findTask, hasActiveRun, jobIdOf, mayBeInLaterIncarnation } from './jobRecords.js';
 import type { TaskTransitions } from './taskTransitions.js';
 
 /** Long-poll wait of a hold at an endpoint without runs. */
@@ -120,6 +120,7 @@
    */
   function extendLeaseDeadline(milliseconds: number): number | null {
     if (state.clockOffset === null) return null;
+    state.lastLeaseOrderAt = now();
     state.leasesExpireAt = Math.max(
       state.leasesExpireAt,
       now() + leaseExpiryMilliseconds(milliseconds),
@@ -220,6 +221,7 @@
     const mayHaveBeenLost = state.silentSince !== null || state.clockOffset === null;
     if (mayHaveBeenLost) transitions.noteAnswer(state);
     state.silentSince = null;
+    state.lastAnswerAt = now();
     state.unansweredCalls = 0;
   }
 
@@ -231,10 +233,25 @@
     transitions.endRun(task, end.kind, end.checkpoint);
   }
 
+  /** A run of an open task may be beside a later one, because its lease outlived the bound or its start was late. */
+  function reportUnknownRun({ taskId, run }: RunReport): void {
+    const known = findTask(context.jobs, taskId);
+    metrics.count('unknown_runs_stopped');
+    log.warn('unknown run stopped', {
+      task: taskId,
+      run,
+      endpoint: state.entry.endpointId,
+      incarnation: state.bornAt,
+      knownRun: known?.run ?? null,
+      knownPhase: known?.phase ?? null,
+      knownEndpoint: known?.endpointId ?? null,
+    });
+  }
+
   function applyRunning(report: RunReport): void {
     const task = state.runs.get(report.taskId);
     if (!task || task.run !== report.run) {
-      log.warn('unknown run stopped', { task: report.taskId, run: report.run });
+      reportUnknownRun(report);
       void sendStop(report);
       return;
     }
--- a/packages/scheduler/src/core/endpointTable.ts
+++ b/packages/scheduler/src/core/endpointTable.ts
@@ -52,6 +52,10 @@
   durableSequence: number;
   /** Lower bound of the endpoint's clock minus the monotonic clock, in milliseconds; null if unknown. */
   clockOffset: number | null;
+  /** When the last order that grants leases was sent, in monotonic milliseconds; null if none was in this term. */
+  lastLeaseOrderAt: number | null;
+  /** When the last answer arrived, in monotonic milliseconds; null if there was none in this term. */
+  lastAnswerAt: number | null;
   /** Number of unanswered holds in a row. */
   unansweredCalls: number;
   /** When the first of them failed, in monotonic milliseconds; null if the last hold was answered. */
@@ -149,6 +153,8 @@
         durableSequence: 0,
         clockOffset: null,
         ...leases,
+        lastLeaseOrderAt: null,
+        lastAnswerAt: null,
         unansweredCalls: 0,
         silentSince: null,
         isDisconnected: false,
--- a/packages/scheduler/src/core/jobRecords.ts
+++ b/packages/scheduler/src/core/jobRecords.ts
@@ -93,6 +93,16 @@
   return taskId.slice(0, taskId.indexOf('.'));
 }
 
+/** @returns task of an incomplete occurrence by its id; undefined if there is none */
+export function findTask(
+  jobs: ReadonlyMap<string, JobRecord>,
+  taskId: string,
+): TaskRecord | undefined {
+  const [jobId = '', occurrence, step, index] = taskId.split('.');
+  const steps = jobs.get(jobId)?.occurrences.get(Number(occurrence))?.steps;
+  return steps?.[Number(step)]?.tasks[Number(index)];
+}
+
 function stepIdOf(jobId: string, occurrence: number, step: number): string {
   return `${jobId}.${occurrence}.${step}`;
 }
--- a/packages/scheduler/src/core/taskTransitions.ts
+++ b/packages/scheduler/src/core/taskTransitions.ts
@@ -347,11 +347,15 @@
         (task) => leaseExpiryOf(state, task) > state.leasesExpireAt,
       ).length;
       metrics.count('run_leases_prolonged', prolonged);
+      const age = (at: number | null) => (at === null ? null : Math.round(now - at));
       log.info('run leases on endpoint expired', {
         endpoint: state.entry.endpointId,
+        incarnation: state.bornAt,
         runs: expired.length,
         prolonged,
         remaining: state.runs.size - expired.length,
+        sinceLastOrderMilliseconds: age(state.lastLeaseOrderAt),
+        sinceLastAnswerMilliseconds: age(state.lastAnswerAt),
       });
       endpointLosses.recordLoss(state, expired, 'silent');
       expired.forEach((task) => dropRun(task, 'lapsed'));
