Show that late orders for a former incarnation let tasks run twice

Cause: a call without an answer may be carried out seconds later, also by the next incarnation under the same id. A hold then grants the longest lease from its execution on, while the owner counts from when it was sent; a start begins a run that the stop at the former incarnation does not rule out.

Change: the stand-in fleet carries out holds late as it does starts.

--- a/packages/proving/src/__tests__/calmAfterFaults.test.ts
+++ b/packages/proving/src/__tests__/calmAfterFaults.test.ts
@@ -255,6 +255,7 @@
       Object.assign(cell.fleet.faultsOf(`endpoint-${index}`), {
         isCutOff: false,
         unansweredStartDelayMilliseconds: null,
+        unansweredHoldDelayMilliseconds: null,
         failsEveryRun: false,
       });
     }
--- a/packages/proving/src/core/crashSoakFaults.ts
+++ b/packages/proving/src/core/crashSoakFaults.ts
@@ -227,6 +227,7 @@
         Object.assign(fleet.faultsOf(entry.endpointId), {
           isCutOff: false,
           unansweredStartDelayMilliseconds: null,
+          unansweredHoldDelayMilliseconds: null,
         });
         resize(position, 1);
       });
--- a/packages/standins/src/core/endpointFleetStandIn.ts
+++ b/packages/standins/src/core/endpointFleetStandIn.ts
@@ -101,6 +101,7 @@
       faults: {
         isCutOff: false,
         unansweredStartDelayMilliseconds: null,
+        unansweredHoldDelayMilliseconds: null,
         failsEveryRun: false,
         slowness: 1,
       },
--- a/packages/standins/src/core/fleetClient.ts
+++ b/packages/standins/src/core/fleetClient.ts
@@ -2,12 +2,14 @@
 import type { Clock } from '@chicorybend/common';
 import type {
   EndpointClient,
+  HoldOrder,
   HoldOutcome,
   OrderOutcome,
   OrderRefusal,
   OrderTarget,
 } from '@chicorybend/scheduler';
 
+import type { FleetEndpointFaults } from '../types/fleet.js';
 import type { FleetEndpoint } from './fleetEndpoint.js';
 
 export interface FleetClientOptions {
@@ -97,13 +99,24 @@
     return outcome;
   }
 
-  /** Leaves the order in flight, so that it is executed late, possibly by a later incarnation. */
-  async function startLate(
+  /** @returns the endpoint whose orders are delayed, and by how much; null if an order to it is delivered at once */
+  function findDelay(
+    target: OrderTarget,
+    delayOf: (faults: FleetEndpointFaults) => number | null,
+  ): { readonly endpoint: FleetEndpoint; readonly delay: number } | null {
+    const endpoint = options.endpointAt(target.endpointId);
+    if (!isReachable(endpoint) || endpoint.state !== 'up') return null;
+    const delay = delayOf(endpoint.faults);
+    return delay === null ? null : { endpoint, delay };
+  }
+
+  /** Leaves an order in flight, so that it is executed late, possibly by a later incarnation. */
+  async function executeLate(
     target: OrderTarget,
     delayMilliseconds: number,
     timeoutMilliseconds: number,
-    execute: (receiver: FleetEndpoint) => OrderOutcome,
-  ): Promise<OrderOutcome> {
+    execute: (receiver: FleetEndpoint) => void,
+  ): Promise<typeof NO_ANSWER> {
     clock.setTimer(() => {
       const receiver = options.endpointAt(target.endpointId);
       const isIntended = receiver?.entry.endpointId === target.endpointId;
@@ -113,17 +126,28 @@
     return NO_ANSWER;
   }
 
+  /** @returns whether the order was executed, because its fencing token is not stale */
+  function executeHold(
+    endpoint: FleetEndpoint,
+    target: OrderTarget,
+    holdOrder: HoldOrder,
+  ): boolean {
+    endpoint.expireLease();
+    if (endpoint.rejectsStaleToken(target)) return false;
+    const { deadlineOnEndpointMilliseconds: deadline } = holdOrder;
+    if (deadline !== null) endpoint.extendLease(deadline);
+    endpoint.acknowledge(holdOrder.acknowledgedSequence);
+    return true;
+  }
+
   return {
     async start(target, startOrder, timeoutMilliseconds) {
       const execute = (endpoint: FleetEndpoint) => endpoint.start(target, startOrder);
-      const endpoint = options.endpointAt(target.endpointId);
-      const delay = endpoint?.faults.unansweredStartDelayMilliseconds ?? null;
-      if (delay === null || !isReachable(endpoint) || endpoint.state !== 'up') {
-        return order(target, timeoutMilliseconds, execute);
-      }
+      const delayed = findDelay(target, (faults) => faults.unansweredStartDelayMilliseconds);
+      if (!delayed) return order(target, timeoutMilliseconds, execute);
       return closeOnDown(
-        endpoint,
-        startLate(target, delay, timeoutMilliseconds, execute),
+        delayed.endpoint,
+        executeLate(target, delayed.delay, timeoutMilliseconds, execute),
         NO_ANSWER,
       );
     },
@@ -134,7 +158,18 @@
           : endpoint.stop(run),
       ),
     async hold(target, holdOrder, timeoutMilliseconds) {
-      const { deadlineOnEndpointMilliseconds: deadline, waitMilliseconds } = holdOrder;
+      const { waitMilliseconds } = holdOrder;
+      const delayed = findDelay(target, (faults) => faults.unansweredHoldDelayMilliseconds);
+      if (delayed) {
+        const execute = (endpoint: FleetEndpoint) => executeHold(endpoint, target, holdOrder);
+        const timeout = waitMilliseconds + timeoutMilliseconds;
+        await closeOnDown(
+          delayed.endpoint,
+          executeLate(target, delayed.delay, timeout, execute),
+          NO_ANSWER,
+        );
+        return { kind: 'failed', reason: 'lost', isDisconnected: false };
+      }
       const delivery = await deliver(target, waitMilliseconds + timeoutMilliseconds);
       if ('failure' in delivery) {
         const { failure } = delivery;
@@ -144,10 +179,7 @@
           : { kind: 'refused', reason: failure };
       }
       const { endpoint } = delivery;
-      endpoint.expireLease();
-      if (endpoint.rejectsStaleToken(target)) return { kind: 'refused', reason: 'fenced' };
-      if (deadline !== null) endpoint.extendLease(deadline);
-      endpoint.acknowledge(holdOrder.acknowledgedSequence);
+      if (!executeHold(endpoint, target, holdOrder)) return { kind: 'refused', reason: 'fenced' };
       return closeOnDown(endpoint, answerHold(endpoint, waitMilliseconds, timeoutMilliseconds), {
         kind: 'failed',
         reason: 'connection closed',
--- a/packages/standins/src/types/fleet.ts
+++ b/packages/standins/src/types/fleet.ts
@@ -15,6 +15,8 @@
   isCutOff: boolean;
   /** Start orders get no answer and are executed this much later, in milliseconds; null for no delay. */
   unansweredStartDelayMilliseconds: number | null;
+  /** Holds get no answer and are executed this much later, in milliseconds; null for no delay. */
+  unansweredHoldDelayMilliseconds: number | null;
   /** Every run ends as failed. */
   failsEveryRun: boolean;
   /** Factor on the duration of runs that start from now on; Infinity for runs that never end by themselves. */
