Fence off former incarnations of an endpoint with a higher fencing token

Callers saw tasks run twice: endpoints that were back under their ids carried out holds and starts for their former incarnations seconds late, which granted the longest lease from then on, or began runs that were taken as ruled out.

Cause: both incarnations have the same id, and orders for both carried the token of the term, so that nothing but their names told them apart.

The owner uses a higher one at an endpoint as soon as its lists show another incarnation, sends starts only once a hold with it is answered, and knows from that answer on that no order for a former incarnation can widen the leases there: they end within the longest lease from then on. A refusal of an own former token does not end the term.

No further write: tokens cost the store nothing.

--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -92,7 +92,7 @@
   state: EndpointState,
   events: SessionEvents,
 ): EndpointSession {
-  const { clock, log, metrics, workMeter, endpoints, table, epoch } = context;
+  const { clock, log, metrics, workMeter, endpoints, table } = context;
   /** Whether all ends applied so far are durable. */
   let appliedEndsDurable: Promise<boolean> = Promise.resolve(true);
   let isPolling = false;
@@ -109,7 +109,7 @@
   }
 
   function target() {
-    return table.target(state, epoch);
+    return table.target(state);
   }
 
   /**
@@ -140,7 +140,9 @@
     return endpointClock >= sentAt + state.clockOffset - CLOCK_TOLERANCE_MILLISECONDS;
   }
 
-  function abandonFenced(): void {
+  /** Refusals of lower tokens than the current one are due to this term itself. */
+  function abandonFenced(fencingToken: number): void {
+    if (fencingToken < state.fencingToken) return;
     context.abandonTerm(`endpoint ${state.entry.endpointId} has seen a higher fencing token`);
   }
 
@@ -159,14 +161,16 @@
 
   /**
    * The lists of the new incarnation show which of the runs are there. A start without an answer may have been executed
-   * by either incarnation, or may still be; a start that was not sent is withdrawn by its sender.
+   * by either incarnation, and may still be until the new one is fenced off; a start that was not sent is withdrawn by
+   * its sender.
    */
   function moveToNewIncarnation(task: TaskRecord): void {
     if (task.startSentAt === null) return;
     task.endpointBornAt = state.bornAt;
     task.endpointLeasesWidenedUntil = state.widenedLeasesExpireAt;
     const isSentByFormerOwner = task.absenceConclusiveAfter === -Infinity;
-    if (task.phase === 'placed' && !isSentByFormerOwner) task.absenceConclusiveAfter = Infinity;
+    // Lists that are requested from now on follow the higher fencing token.
+    if (task.phase === 'placed' && !isSentByFormerOwner) task.absenceConclusiveAfter = now();
   }
 
   function changeIncarnation(bornAt: number): void {
@@ -174,10 +178,14 @@
       endpoint: state.entry.endpointId,
       from: state.bornAt,
       to: bornAt,
+      sinceLastOrderMilliseconds:
+        state.lastLeaseOrderAt === null ? null : Math.round(now() - state.lastLeaseOrderAt),
     });
     state.formerBornAt.add(state.bornAt);
     state.formerBornAt.delete(bornAt);
     state.bornAt = bornAt;
+    state.fencingToken = context.takeFencingToken();
+    state.isFenced = false;
     state.appliedSequence = 0;
     state.durableSequence = 0;
     const runs = runsOfOtherIncarnations();
@@ -204,6 +212,14 @@
     );
   }
 
+  /** All orders for former incarnations that this one has executed came before its answer. */
+  function completeFencing(): void {
+    if (state.isFenced) return;
+    state.isFenced = true;
+    const { longest } = leaseDurations(maximumLeaseMilliseconds);
+    state.widenedLeasesExpireAt = Math.min(state.widenedLeasesExpireAt, now() + longest);
+  }
+
   /** Another endpoint answers at the address, so that the incarnation known here is over. */
   function endReplacedIncarnation(): void {
     if (state.runs.size === 0) return;
@@ -293,7 +309,7 @@
     // The call was sent when the known incarnation had begun, so that any other one is later.
     if (outcome.bornAt !== null && outcome.bornAt !== state.bornAt) {
       changeIncarnation(outcome.bornAt);
-    }
+    } else completeFencing();
     if (!state.isReconciled) {
       // Runs that a former term recorded for an earlier incarnation.
       transitions.endpointLosses.recordLoss(state, runsOfOtherIncarnations(), 'crashed');
@@ -368,7 +384,7 @@
 
   async function hold(waitMilliseconds: number): Promise<void> {
     const sentAt = now();
-    const { bornAt } = state;
+    const { fencingToken } = state;
     metrics.count('holds_sent');
     // The leases of an endpoint that may be lost are not renewed, so that its runs expire at a known time.
     const needsLease = state.unansweredCalls === 0 && (state.isListed || state.runs.size > 0);
@@ -382,12 +398,12 @@
       },
       latency.timeoutMilliseconds(),
     );
-    if (context.hasEnded() || bornAt !== state.bornAt) return;
+    if (context.hasEnded() || fencingToken !== state.fencingToken) return;
     if (outcome.kind === 'answered') {
       const durable = workMeter.measure('lists', () => applyLists(outcome, sentAt));
       await Promise.race([durable, sleep(clock, DURABILITY_TIMEOUT_MILLISECONDS)]);
     } else if (outcome.kind === 'refused' && outcome.reason === 'fenced') {
-      abandonFenced();
+      abandonFenced(fencingToken);
     } else {
       handleUnansweredHold(outcome, mayHaveWaited(sentAt, waitMilliseconds));
       const isReplaced = outcome.kind === 'refused' && outcome.reason === 'other-incarnation';
@@ -457,6 +473,7 @@
     return (
       context.isOwnerLeaseValid() &&
       state.clockOffset !== null &&
+      state.isFenced &&
       task.endpointBornAt === state.bornAt &&
       (state.entry.bornAt === state.bornAt || isFormerIncarnation(state, state.entry.bornAt))
     );
@@ -465,7 +482,7 @@
   async function attemptStop(task: TaskRecord, run: number): Promise<void> {
     metrics.count('stops_sent');
     const order: RunId = { taskId: task.taskId, run };
-    const { bornAt } = state;
+    const { bornAt, fencingToken } = state;
     const outcome = context.isOwnerLeaseValid()
       ? await sendStop(order)
       : ({ kind: 'unknown', reason: 'no authority' } as const);
@@ -475,7 +492,7 @@
     } else if (state.backoffUntil === unansweredStopBackoff) state.backoffUntil = now();
     if (!isCurrentRun(task, run)) return;
     if (outcome.kind === 'refused' && outcome.reason === 'fenced') {
-      abandonFenced();
+      abandonFenced(fencingToken);
       return;
     }
     if (outcome.kind === 'done' && bornAt === state.bornAt) {
@@ -504,7 +521,8 @@
           const isUpToDate = state.isReconciled && state.durableSequence === state.appliedSequence;
           const pollMilliseconds =
             state.runs.size > 0 ? BUSY_POLL_MILLISECONDS : IDLE_POLL_MILLISECONDS;
-          await hold(isUpToDate && state.clockOffset !== null ? pollMilliseconds : 0);
+          const mayWait = isUpToDate && state.isFenced && state.clockOffset !== null;
+          await hold(mayWait ? pollMilliseconds : 0);
           const isWithheld = acknowledgedSequence() < state.durableSequence;
           if (isWithheld) await sleep(clock, UNACKNOWLEDGED_POLL_DELAY_MILLISECONDS);
         }
@@ -524,6 +542,7 @@
       }
       metrics.count('starts_sent');
       const sentAt = now();
+      const { fencingToken } = state;
       task.startSentAt = sentAt;
       const order: StartOrder = {
         taskId: task.taskId,
@@ -540,7 +559,7 @@
       if (!isCurrentRun(task, run) || task.phase === 'running') return;
       if (outcome.kind === 'refused') {
         handleRefusedStart(task, outcome.reason);
-        if (outcome.reason === 'fenced') abandonFenced();
+        if (outcome.reason === 'fenced') abandonFenced(fencingToken);
       } else if (
         outcome.kind === 'done' &&
         isFromKnownIncarnation(outcome.endpointClockMilliseconds, sentAt)
--- a/packages/scheduler/src/core/endpointTable.ts
+++ b/packages/scheduler/src/core/endpointTable.ts
@@ -38,6 +38,10 @@
   isReconciled: boolean;
   /** Start of the incarnation that the lists came from, in milliseconds since the Unix epoch. */
   bornAt: number;
+  /** Fencing token of orders for this incarnation; higher than that of orders for former ones. */
+  fencingToken: number;
+  /** Whether the incarnation has answered a hold with this token, so that it refuses orders for former ones. */
+  isFenced: boolean;
   /** Starts of incarnations that were followed by another; a clock that was set back does not order them. */
   readonly formerBornAt: Set<number>;
   /** Resources charged for the runs that may exist there. */
@@ -99,7 +103,7 @@
   get(endpointId: string): EndpointState | undefined;
   all(): IterableIterator<EndpointState>;
   /** Adds an endpoint that is in the directory or is named by a stored run. */
-  add(entry: EndpointEntry, leases: LeaseExpiries): EndpointState;
+  add(entry: EndpointEntry, leases: LeaseExpiries, fencingToken: number): EndpointState;
   remove(endpointId: string): void;
   /** Charges the resources of a run to its endpoint and its team. */
   charge(state: EndpointState, task: TaskRecord): void;
@@ -109,7 +113,7 @@
   usedByTeam(team: string): Resources;
   /** @returns resources of those that are long-running */
   usedForLongRunningByTeam(team: string): Resources;
-  target(state: EndpointState, fencingToken: number): OrderTarget;
+  target(state: EndpointState): OrderTarget;
 }
 
 export function createEndpointTable(): EndpointTable {
@@ -135,7 +139,7 @@
   return {
     get: (endpointId) => states.get(endpointId),
     all: () => states.values(),
-    add(entry, leases) {
+    add(entry, leases, fencingToken) {
       const state: EndpointState = {
         entry,
         shuffleKey: hashText(entry.endpointId),
@@ -145,6 +149,8 @@
         isListed: true,
         isReconciled: false,
         bornAt: entry.bornAt,
+        fencingToken,
+        isFenced: false,
         formerBornAt: new Set(),
         used: NO_RESOURCES,
         usedForLongRunning: NO_RESOURCES,
@@ -183,9 +189,9 @@
     },
     usedByTeam: (team) => teams.get(team) ?? NO_RESOURCES,
     usedForLongRunningByTeam: (team) => longRunningByTeam.get(team) ?? NO_RESOURCES,
-    target: (state, fencingToken) => ({
-      endpointId: state.entry.endpointId,
-      address: state.entry.address,
+    target: ({ entry, fencingToken }) => ({
+      endpointId: entry.endpointId,
+      address: entry.address,
       fencingToken,
     }),
   };
--- a/packages/scheduler/src/core/ownerElection.ts
+++ b/packages/scheduler/src/core/ownerElection.ts
@@ -22,11 +22,17 @@
 /** Bounds of the timeout of a call to the store. */
 const CALL_TIMEOUTS = { minimumMilliseconds: 250, maximumMilliseconds: 1_000 };
 
+/**
+ * Number of fencing tokens of a term, from its epoch on. Reserved with the claim, so that the term can use a higher one
+ * at an endpoint without a write. Rarely used up, because a token is taken only for an incarnation of an endpoint.
+ */
+export const FENCING_TOKENS_PER_TERM = 1_000_000;
+
 /** The current owner of all jobs of the cell, as stored under the owner key. */
 export interface OwnerRecord {
   /** Peer address of the owner. */
   readonly address: string;
-  /** Fencing token of the term; each term has a higher one. */
+  /** First fencing token of the term; higher than all tokens of earlier terms. */
   readonly epoch: number;
 }
 
@@ -266,7 +272,7 @@
             ],
             puts: [
               { key: OWNER_KEY, value: JSON.stringify({ address, epoch }), leaseId: lease.leaseId },
-              { key: EPOCH_KEY, value: String(epoch) },
+              { key: EPOCH_KEY, value: String(epoch + FENCING_TOKENS_PER_TERM - 1) },
             ],
             removals: [],
           },
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -26,6 +26,7 @@
 } from '../utils/storeKeys.js';
 import { callWithAdaptiveTimeout } from '../utils/adaptiveTimeout.js';
 import { createAdviceCache } from './adviceCache.js';
+import { FENCING_TOKENS_PER_TERM } from './ownerElection.js';
 import type { TermIdentity } from './ownerElection.js';
 import { createCallerService } from './callerService.js';
 import { createCommitQueue } from './commitQueue.js';
@@ -109,6 +110,7 @@
   const settings = createJobSettings();
   let configurationReadAt = -Infinity;
   let hasEnded = false;
+  let lastFencingToken = term.epoch;
   let components: ReturnType<typeof createComponents> | null = null;
   const startedAt = clock.monotonicMilliseconds();
   const durations = leaseDurations(timeLimits.maximumLeaseMilliseconds);
@@ -158,6 +160,7 @@
       metrics,
       workMeter,
       epoch: term.epoch,
+      takeFencingToken,
       timeLimits,
       maximumOpenTasks: maximumOpenTasks(options.maximumValueBytes),
       endpoints: options.endpoints,
@@ -200,6 +203,13 @@
     return { context, commits, transitions, dispatcher, callerService, stragglerWatch };
   }
 
+  function takeFencingToken(): number {
+    lastFencingToken += 1;
+    const isReserved = lastFencingToken < term.epoch + FENCING_TOKENS_PER_TERM;
+    if (!isReserved) options.onOwnershipLost('all fencing tokens of the term are used');
+    return lastFencingToken;
+  }
+
   function stopRuns(job: JobRecord): void {
     forEachTask(job, (task) => {
       if (hasActiveRun(task)) stopRun(task);
@@ -302,7 +312,9 @@
   }
 
   function addEndpoint(entry: EndpointEntry, readAt: number): EndpointState {
-    const state = table.add(entry, formerLeases);
+    // An endpoint that was known before may have seen a higher token than the first one of the term.
+    const fencingToken = components ? takeFencingToken() : term.epoch;
+    const state = table.add(entry, formerLeases, fencingToken);
     state.entryReadAt = readAt;
     return state;
   }
@@ -443,7 +455,8 @@
         if (!hasActiveRun(task) || task.endpointId === null) return;
         let state = table.get(task.endpointId);
         if (!state) {
-          state = table.add(createUnlistedEntry(task.endpointId, task), formerLeases);
+          const entry = createUnlistedEntry(task.endpointId, task);
+          state = table.add(entry, formerLeases, term.epoch);
           state.isListed = false;
           state.unlistedAt = listedAt;
         }
--- a/packages/scheduler/src/core/roundCandidates.ts
+++ b/packages/scheduler/src/core/roundCandidates.ts
@@ -37,6 +37,7 @@
     state.isListed &&
     isCapacityRecent(state, now) &&
     state.isReconciled &&
+    state.isFenced &&
     !entry.isDraining &&
     entry.bornAt === state.bornAt &&
     state.clockOffset !== null &&
--- a/packages/scheduler/src/types/termContext.ts
+++ b/packages/scheduler/src/types/termContext.ts
@@ -27,6 +27,8 @@
   readonly metrics: SchedulerMetrics;
   readonly workMeter: WorkMeter;
   readonly epoch: number;
+  /** @returns a fencing token of this term that is higher than all those that it has used */
+  takeFencingToken(): number;
   readonly timeLimits: EndpointTimeLimits;
   /** Maximum number of tasks of a job that are open at once. */
   readonly maximumOpenTasks: number;
--- a/packages/scheduler/src/utils/storeKeys.ts
+++ b/packages/scheduler/src/utils/storeKeys.ts
@@ -1,6 +1,6 @@
 /** Names the current owner; bound to the owner's lease. */
 export const OWNER_KEY = 'chicorybend/owner';
-/** Epoch of the last term; grows by one with each term and outlives the owner's lease. */
+/** Last fencing token that is reserved for a term; outlives the owner's lease. */
 export const EPOCH_KEY = 'chicorybend/epoch';
 /** Rewritten by each commit, which is conditional on its revision, so that commits form a chain. */
 export const COMMIT_KEY = 'chicorybend/commit';
