Bound leases by the latest execution of the orders that may grant them

Callers saw a task start elsewhere while its run was at work: the endpoint was replaced under its id behind a cut, and the start came late there.

Cause: an unanswered order may be executed seconds after it was sent, and grants a later incarnation the longest lease from then on. The owner counted that lease from when it sent the order; so did the next owner, from the start of its term.

Change: until an incarnation has answered under its own fencing token, leases there are bounded by the latest execution of an order, 12 s after it was sent by the platform's list of disruptions, and the longest lease. The confirmation of a run that lasts for seconds is stored, as that of long-running tasks is, so that a next owner need not assume this bound.

That runs never overlap is checked as before.

--- a/packages/decisions/src/core/leaseBounds.ts
+++ b/packages/decisions/src/core/leaseBounds.ts
@@ -12,6 +12,8 @@
   readonly requested: number;
   /** For the longest lease. A later incarnation grants it for any order that was meant for a former one. */
   readonly longest: number;
+  /** For the longest lease, if the order that grants it is executed as late as possible. */
+  readonly late: number;
 }
 
 /**
@@ -24,9 +26,9 @@
 export function boundWidenedLeasesByAge(
   now: number,
   ageMilliseconds: number,
-  { longest }: LeaseDurations,
+  { late }: LeaseDurations,
 ): number {
-  return now + REPLACEMENT_NOTICE_MILLISECONDS + longest - ageMilliseconds;
+  return now + REPLACEMENT_NOTICE_MILLISECONDS + late - ageMilliseconds;
 }
 
 /**
@@ -39,9 +41,9 @@
 export function boundFormerWidenedLeases(
   startedAt: number,
   widenedUntil: number | null,
-  { longest }: LeaseDurations,
+  { late }: LeaseDurations,
 ): number {
-  const latest = startedAt + longest;
+  const latest = startedAt + late;
   if (widenedUntil === null) return latest;
   return Math.min(latest, widenedUntil + MAXIMUM_CLOCK_SKEW_MILLISECONDS);
 }
@@ -58,10 +60,10 @@
 export function isReplacementNoticed(
   startedAt: number,
   recordedAt: number | null,
-  { requested, longest }: LeaseDurations,
+  { requested, late }: LeaseDurations,
 ): boolean {
   if (recordedAt === null) return false;
   const lastOrderAt =
     recordedAt + MAXIMUM_CLOCK_SKEW_MILLISECONDS + REPLACEMENT_NOTICE_MILLISECONDS;
-  return lastOrderAt + longest <= startedAt + requested;
+  return lastOrderAt + late <= startedAt + requested;
 }
--- a/packages/proving/src/__tests__/formerLeases.test.ts
+++ b/packages/proving/src/__tests__/formerLeases.test.ts
@@ -15,6 +15,8 @@
 const AGE_MILLISECONDS = 12_000;
 /** Duration of a run; longer than the longest lease. */
 const RUN_MILLISECONDS = 30_000;
+/** Longest time until a run is repeated: the takeover, the latest execution of its start, and the longest lease. */
+const REPETITION_MILLISECONDS = 3_000 + 12_000 + 10_500;
 
 /** Starts a cell with two endpoints, of which the second is cut off, so that all tasks run on the first. */
 async function startCell(options: Partial<EndpointFleetOptions> = {}): Promise<SchedulerCell> {
@@ -75,7 +77,7 @@
   await startJob(cell, 2);
   await cell.advance(100);
   loseOwnerAndEndpoint(cell);
-  await cell.advance(20_000);
+  await cell.advance(REPETITION_MILLISECONDS);
   t.is(cell.fleet.history.length, 4);
   t.deepEqual(cell.fleet.violations(), []);
 });
@@ -88,7 +90,7 @@
   cell.fleet.list(former);
   await startJob(cell, 1);
   loseOwnerAndEndpoint(cell);
-  await cell.advance(20_000);
+  await cell.advance(REPETITION_MILLISECONDS);
   t.is(cell.fleet.history.length, 2);
   t.deepEqual(cell.fleet.violations(), []);
 });
--- a/packages/proving/src/__tests__/formerOwner.test.ts
+++ b/packages/proving/src/__tests__/formerOwner.test.ts
@@ -47,6 +47,7 @@
         },
         timeLimits: {
           maximumLeaseMilliseconds: 10_000,
+          maximumOrderDelayMilliseconds: 12_000,
           maximumStopMilliseconds: 200,
           heartbeatMilliseconds: 1_500,
         },
--- a/packages/proving/src/core/schedulerCell.ts
+++ b/packages/proving/src/core/schedulerCell.ts
@@ -214,6 +214,7 @@
             },
             timeLimits: {
               maximumLeaseMilliseconds: 10_000,
+              maximumOrderDelayMilliseconds: 12_000,
               maximumStopMilliseconds: 200,
               heartbeatMilliseconds: 1_500,
             },
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -53,6 +53,8 @@
 const CLOCK_TOLERANCE_MILLISECONDS = 100;
 /** Delay of a hold whose answer comes at once because it lists ends that cannot be acknowledged yet. */
 const UNACKNOWLEDGED_POLL_DELAY_MILLISECONDS = 20;
+/** Expected duration from which the confirmation of a run is stored; shorter ones have mostly ended by a takeover. */
+const STORED_RUN_MILLISECONDS = 3_000;
 /** A list reflects an order if it was requested at least this long after the answer to the order. */
 const LIST_DELAY_MILLISECONDS = 1;
 /** Delay before a task whose start was refused is placed again. */
@@ -101,8 +103,8 @@
   let unansweredStarts = 0;
   /** End of the backoff after the last unanswered stop, in monotonic milliseconds. */
   let unansweredStopBackoff = -Infinity;
-  const { maximumLeaseMilliseconds } = context.timeLimits;
-  const leaseMilliseconds = requestedLeaseMilliseconds(maximumLeaseMilliseconds);
+  const leaseMilliseconds = requestedLeaseMilliseconds(context.timeLimits.maximumLeaseMilliseconds);
+  const durations = leaseDurations(context.timeLimits);
 
   function now(): number {
     return clock.monotonicMilliseconds();
@@ -114,7 +116,7 @@
 
   /**
    * Records, before a call is sent, the latest time at which leases that it may grant expire. The clock of a later
-   * incarnation begins anew, so that the same expiry may grant the longest lease there.
+   * incarnation begins anew, so that the same expiry may grant the longest lease there, from a late execution on.
    *
    * @returns lease expiry on the endpoint's clock, in milliseconds; null if that clock is unknown
    */
@@ -125,7 +127,7 @@
       state.leasesExpireAt,
       now() + leaseExpiryMilliseconds(milliseconds),
     );
-    state.laterLeasesExpireAt = now() + leaseExpiryMilliseconds(maximumLeaseMilliseconds);
+    state.laterLeasesExpireAt = now() + durations.late;
     return Math.floor(now() + state.clockOffset + milliseconds);
   }
 
@@ -208,7 +210,7 @@
     if (state.formerBornAt.size > 0) return;
     state.widenedLeasesExpireAt = Math.min(
       state.widenedLeasesExpireAt,
-      boundWidenedLeasesByAge(now(), endpointClock, leaseDurations(maximumLeaseMilliseconds)),
+      boundWidenedLeasesByAge(now(), endpointClock, durations),
     );
   }
 
@@ -216,8 +218,7 @@
   function completeFencing(): void {
     if (state.isFenced) return;
     state.isFenced = true;
-    const { longest } = leaseDurations(maximumLeaseMilliseconds);
-    state.widenedLeasesExpireAt = Math.min(state.widenedLeasesExpireAt, now() + longest);
+    state.widenedLeasesExpireAt = Math.min(state.widenedLeasesExpireAt, now() + durations.longest);
   }
 
   /** Another endpoint answers at the address, so that the incarnation known here is over. */
@@ -416,6 +417,14 @@
     return !state.isListed && state.runs.size === 0 && now() >= lastLeaseExpiry(state);
   }
 
+  /** After a change of the owner, a run with a stored confirmation is not taken for one with the longest lease. */
+  function isWorthStoring({ step }: TaskRecord): boolean {
+    return (
+      step.specification.isLongRunning ||
+      context.estimates.expectedMilliseconds(step) >= STORED_RUN_MILLISECONDS
+    );
+  }
+
   function confirmRun(task: TaskRecord, isStartKnown: boolean): void {
     const { job, specification, brokenRun } = task.step;
     if (task.phase !== 'placed') return;
@@ -429,8 +438,7 @@
     task.progressReports = [];
     task.absenceConclusiveAfter = now();
     if (task.phase === 'stopping') void stop(task);
-    // After a change of the owner, a run with a stored confirmation is not taken for one with the longest lease.
-    else if (specification.isLongRunning) void transitions.save(job, 'deferred');
+    else if (isWorthStoring(task)) void transitions.save(job, 'deferred');
   }
 
   function isCurrentRun(task: TaskRecord, run: number): boolean {
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -34,7 +34,7 @@
 import { drainEndOf } from './endpointLosses.js';
 import { createEndpointSession } from './endpointSession.js';
 import type { EndpointSession } from './endpointSession.js';
-import { createEndpointTable, isFormerIncarnation, lastLeaseExpiry } from './endpointTable.js';
+import { createEndpointTable, isFormerIncarnation, leaseExpiryOf } from './endpointTable.js';
 import type { EndpointState, LeaseExpiries } from './endpointTable.js';
 import {
   applyState,
@@ -113,7 +113,7 @@
   let lastFencingToken = term.epoch;
   let components: ReturnType<typeof createComponents> | null = null;
   const startedAt = clock.monotonicMilliseconds();
-  const durations = leaseDurations(timeLimits.maximumLeaseMilliseconds);
+  const durations = leaseDurations(timeLimits);
   /** Bounds of the leases at an endpoint of which nothing is known; former owners sent all orders before this term. */
   const formerLeases: LeaseExpiries =
     term.epoch === FIRST_EPOCH
@@ -124,8 +124,8 @@
         }
       : {
           leasesExpireAt: startedAt + durations.requested,
-          widenedLeasesExpireAt: startedAt + durations.longest,
-          laterLeasesExpireAt: startedAt + durations.longest,
+          widenedLeasesExpireAt: startedAt + durations.late,
+          laterLeasesExpireAt: startedAt + durations.late,
         };
 
   const readLatency = createLatencyEstimate(READ_TIMEOUTS);
@@ -286,7 +286,8 @@
   async function awaitLeaseExpiry(state: EndpointState, onExpired: () => void): Promise<void> {
     const { transitions } = components!;
     while (state.runs.size > 0) {
-      const remaining = lastLeaseExpiry(state) - clock.monotonicMilliseconds();
+      const expiries = [...state.runs.values()].map((task) => leaseExpiryOf(state, task));
+      const remaining = Math.min(...expiries) - clock.monotonicMilliseconds();
       await sleep(clock, Math.max(RETRY_DELAY_MILLISECONDS, remaining));
       if (hasEnded || state.entry.address !== '') return;
       transitions.expireRuns(state);
--- a/packages/scheduler/src/types/termContext.ts
+++ b/packages/scheduler/src/types/termContext.ts
@@ -14,6 +14,8 @@
 export interface EndpointTimeLimits {
   /** Maximum lease of the runs on an endpoint. */
   readonly maximumLeaseMilliseconds: number;
+  /** An order without an answer may be executed until this long after it was sent, also by a later incarnation. */
+  readonly maximumOrderDelayMilliseconds: number;
   /** Maximum time that an endpoint takes to stop a run. */
   readonly maximumStopMilliseconds: number;
   /** Interval at which an endpoint renews its entry in the directory. */
--- a/packages/scheduler/src/utils/leaseTimes.ts
+++ b/packages/scheduler/src/utils/leaseTimes.ts
@@ -1,5 +1,7 @@
 import type { LeaseDurations } from '@chicorybend/decisions';
 
+import type { EndpointTimeLimits } from '../types/termContext.js';
+
 /** Preferred lease of runs; outlasts a takeover, and expires soon after an endpoint is lost. */
 const LEASE_MILLISECONDS = 6_000;
 /** Clocks of endpoints may be slower than the clock of this process by this factor. */
@@ -17,10 +19,15 @@
   return leaseMilliseconds * CLOCK_RATE_FACTOR + EXPIRY_MARGIN_MILLISECONDS;
 }
 
-/** @returns times after which leases have certainly expired, where the platform allows at most `maximumMilliseconds` */
-export function leaseDurations(maximumMilliseconds: number): LeaseDurations {
+/** @returns times after which leases have certainly expired */
+export function leaseDurations({
+  maximumLeaseMilliseconds,
+  maximumOrderDelayMilliseconds,
+}: EndpointTimeLimits): LeaseDurations {
+  const longest = leaseExpiryMilliseconds(maximumLeaseMilliseconds);
   return {
-    requested: leaseExpiryMilliseconds(requestedLeaseMilliseconds(maximumMilliseconds)),
-    longest: leaseExpiryMilliseconds(maximumMilliseconds),
+    requested: leaseExpiryMilliseconds(requestedLeaseMilliseconds(maximumLeaseMilliseconds)),
+    longest,
+    late: maximumOrderDelayMilliseconds + longest,
   };
 }
