--- a/packages/scheduler/src/core/endpointTable.ts
+++ b/packages/scheduler/src/core/endpointTable.ts
@@ -89,22 +89,17 @@
   return bornAt !== current && (bornAt < current || formerBornAt.has(bornAt));
 }
 
-/** @returns when leases in the present incarnation have certainly expired, in monotonic milliseconds */
-export function presentLeaseExpiry({
-  leasesExpireAt,
-  widenedLeasesExpireAt,
-}: LeaseExpiries): number {
-  return Math.max(leasesExpireAt, widenedLeasesExpireAt);
-}
-
 /** @returns when the lease of a run has certainly expired, in monotonic milliseconds */
 export function leaseExpiryOf(state: EndpointState, task: TaskRecord): number {
-  return mayBeInLaterIncarnation(task) ? state.laterLeasesExpireAt : presentLeaseExpiry(state);
+  const { leasesExpireAt, widenedLeasesExpireAt, laterLeasesExpireAt } = state;
+  if (mayBeInLaterIncarnation(task)) return laterLeasesExpireAt;
+  return Math.max(leasesExpireAt, widenedLeasesExpireAt);
 }
 
 /** @returns when all leases that may be known at an endpoint have certainly expired, in monotonic milliseconds */
 export function lastLeaseExpiry(state: LeaseExpiries): number {
-  return Math.max(presentLeaseExpiry(state), state.laterLeasesExpireAt);
+  const { leasesExpireAt, widenedLeasesExpireAt, laterLeasesExpireAt } = state;
+  return Math.max(leasesExpireAt, widenedLeasesExpireAt, laterLeasesExpireAt);
 }
 
 /** Endpoints, the runs on them, and the resources in use by team. */
--- a/packages/scheduler/src/core/outstandingStarts.ts
+++ b/packages/scheduler/src/core/outstandingStarts.ts
@@ -3,7 +3,7 @@
 import type { JobRecord, OutstandingStart, TaskRecord } from '../types/jobRecord.js';
 import type { EndpointTimeLimits } from '../types/termContext.js';
 import { leaseDurations } from '../utils/leaseTimes.js';
-import { presentLeaseExpiry } from './endpointTable.js';
+import { lastLeaseExpiry } from './endpointTable.js';
 import type { EndpointState, EndpointTable } from './endpointTable.js';
 import { forEachTask } from './jobRecords.js';
 import type { SchedulerMetrics } from './schedulerMetrics.js';
@@ -73,8 +73,8 @@
   function hasExpired({ outstandingStart: start }: TaskRecord): boolean {
     if (!start) return true;
     const state = start.isExecuting ? table.get(start.endpointId) : undefined;
-    const listedRunExpiresAt = state ? presentLeaseExpiry(state) : -Infinity;
-    return clock.monotonicMilliseconds() >= Math.max(start.until + longest, listedRunExpiresAt);
+    const expiresAt = Math.max(start.until + longest, state ? lastLeaseExpiry(state) : -Infinity);
+    return clock.monotonicMilliseconds() >= expiresAt;
   }
 
   function current(task: TaskRecord) {
