Judge outstanding starts by what is known when their task may start

Callers could see a task run twice where its endpoint fell silent only after its start was given up, where later orders were executed after a late start, or where a start was sent long after its state was written.

Cause: whether a start binds its task was decided once, when it was given up; its expiry counted from the start alone; and a new owner counted from when the state was encoded, although its write may be repeated for seconds before the start is sent. A margin for clocks of different VMs left out that they may be stepped.

Change: binding is judged in each round; the last order that an endpoint got bounds it while it is silent; a new owner counts from the start of its term. Bound tasks are placed first. A full list, which may omit ends, rules nothing out. Starts of endpoints that are gone are forgotten.

--- a/packages/decisions/src/core/leaseBounds.ts
+++ b/packages/decisions/src/core/leaseBounds.ts
@@ -5,6 +5,8 @@
 const REPLACEMENT_NOTICE_MILLISECONDS = 5_200;
 /** Maximum difference between the clocks of two VMs, in milliseconds. */
 const MAXIMUM_CLOCK_SKEW_MILLISECONDS = 2_500;
+/** Maximum difference if the clock of one of them was stepped, in milliseconds. */
+const MAXIMUM_CLOCK_STEP_MILLISECONDS = 7_500;
 
 /** Times after which leases that are granted now have certainly expired, in milliseconds. */
 export interface LeaseDurations {
@@ -48,19 +50,6 @@
   return Math.min(latest, widenedUntil + MAXIMUM_CLOCK_SKEW_MILLISECONDS);
 }
 
-/**
- * @param startedAt start of the term, in monotonic milliseconds
- * @param recordedAt last time at which the run was recorded without a confirmation, in monotonic milliseconds; null if
- *   that is not known
- * @returns by when a former owner has sent the start of a run, if at all, in monotonic milliseconds
- */
-export function boundFormerStart(startedAt: number, recordedAt: number | null): number {
-  if (recordedAt === null) return startedAt;
-  const lastOrderAt =
-    recordedAt + MAXIMUM_CLOCK_SKEW_MILLISECONDS + REPLACEMENT_NOTICE_MILLISECONDS;
-  return Math.min(startedAt, lastOrderAt);
-}
-
 /**
  * Bounds, for a new owner, until when a start that a former one has given up may be executed.
  *
@@ -73,7 +62,7 @@
   until: number,
   orderDelay: number,
 ): number {
-  return Math.min(startedAt + orderDelay, until + MAXIMUM_CLOCK_SKEW_MILLISECONDS);
+  return Math.min(startedAt + orderDelay, until + MAXIMUM_CLOCK_STEP_MILLISECONDS);
 }
 
 /**
@@ -91,5 +80,7 @@
   { requested, late }: LeaseDurations,
 ): boolean {
   if (recordedAt === null) return false;
-  return boundFormerStart(startedAt, recordedAt) + late <= startedAt + requested;
+  const lastOrderAt =
+    recordedAt + MAXIMUM_CLOCK_SKEW_MILLISECONDS + REPLACEMENT_NOTICE_MILLISECONDS;
+  return lastOrderAt + late <= startedAt + requested;
 }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -59,7 +59,6 @@
   boundWidenedLeasesByAge,
   isReplacementNoticed,
   boundFormerOutstandingStart,
-  boundFormerStart,
 } from './core/leaseBounds.js';
 export type { LeaseDurations } from './core/leaseBounds.js';
 
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -283,7 +283,9 @@
     const chooser = createEndpointChooser(open, requirements);
     const placements: Placement[] = [];
     let used = table.usedByTeam(step.job.team);
-    for (const task of tasks) {
+    // Only one endpoint may have room for a bound task, so that it goes first.
+    const isBound = (task: TaskRecord) => outstandingStarts.requiredEndpoint(task) !== null;
+    for (const task of [...tasks.filter(isBound), ...tasks.filter((other) => !isBound(other))]) {
       used = addResources(used, step.specification.resources);
       if (!fitsTeamLimit(step.job, used)) return { placements, blockedBy: 'limit' };
       const requiredEndpointId = outstandingStarts.requiredEndpoint(task);
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -360,8 +360,9 @@
     state.appliedSequence = appliedSequence;
     const unknown = new Set<TaskRecord>();
     outcome.running.forEach((report) => applyRunning(report, unknown));
-    outstandingStarts.applyList(state, unknown, sentAt);
-    if (outcome.ends.length < MAXIMUM_LISTED_ENDS) {
+    const isComplete = outcome.ends.length < MAXIMUM_LISTED_ENDS;
+    outstandingStarts.applyList(state, unknown, isComplete ? sentAt : -Infinity);
+    if (isComplete) {
       const listed = new Set(outcome.running.map(({ taskId, run }) => `${taskId}/${run}`));
       endAbsentRuns(listed, sentAt, changedTasks);
     }
--- a/packages/scheduler/src/core/jobRecords.ts
+++ b/packages/scheduler/src/core/jobRecords.ts
@@ -75,6 +75,7 @@
     isIncarnationKnown: false,
     startSentAt: null,
     startOutstandingUntil: null,
+    isStartByFormerOwner: false,
     outstandingStart: null,
     checkpoint: '',
     placedAt: 0,
@@ -194,6 +195,7 @@
   task.isIncarnationKnown = false;
   task.startSentAt = null;
   task.startOutstandingUntil = null;
+  task.isStartByFormerOwner = false;
   task.absenceConclusiveAfter = Infinity;
 }
 
@@ -357,7 +359,7 @@
   }
 
   function encodeOutstandingStart({ outstandingStart }: TaskRecord): [StoredStart] | [] {
-    if (!outstandingStart?.isBinding) return [];
+    if (!outstandingStart) return [];
     const { endpointId, until } = outstandingStart;
     return [[endpointIndex(endpointId, 0, ''), sinceAcceptance(until)]];
   }
@@ -457,12 +459,13 @@
       // A run that was being stopped is `placed` too: once its endpoint confirms it, it is stopped again if needed.
       task.isIncarnationKnown = phase === 'running' || phase === 'stopping';
       task.startSentAt = task.placedAt;
+      task.isStartByFormerOwner = true;
       task.phase = task.isIncarnationKnown ? 'placed' : phase;
       task.formerlyRecordedAt = toMonotonic(stored.writtenAfter);
       const [startEndpointId] = stored.endpoints[startEndpoint] ?? [];
       const until = toMonotonic(startUntil);
       if (startEndpointId !== undefined && until !== null) {
-        const flags = { isBinding: true, isExecuting: false };
+        const flags = { isByFormerOwner: true, isExecuting: false };
         task.outstandingStart = { endpointId: startEndpointId, until, ...flags };
       }
       const storedEndpoint = stored.endpoints[endpoint];
--- a/packages/scheduler/src/core/outstandingStarts.ts
+++ b/packages/scheduler/src/core/outstandingStarts.ts
@@ -29,9 +29,9 @@
    * Applies a list of an endpoint.
    *
    * @param executing tasks of which the endpoint executes a run that is not their current one
-   * @param sentAt when the list was requested, in monotonic milliseconds
+   * @param requestedAt when the list was requested, in monotonic milliseconds; -Infinity if it may omit ends
    */
-  applyList(state: EndpointState, executing: ReadonlySet<TaskRecord>, sentAt: number): void;
+  applyList(state: EndpointState, executing: ReadonlySet<TaskRecord>, requestedAt: number): void;
   /** @returns whether no run of the task may start, because an earlier one is executing */
   isHeld(task: TaskRecord): boolean;
   /** @returns the only endpoint on which the task may start; null if there is no such restriction */
@@ -51,13 +51,12 @@
 export function createOutstandingStarts(options: OutstandingStartsOptions): OutstandingStarts {
   const { clock, log, metrics, table } = options;
   const { longest } = leaseDurations(options.timeLimits);
+  const { maximumOrderDelayMilliseconds } = options.timeLimits;
   /** By endpoint id. */
   const tasksByEndpoint = new Map<string, Set<TaskRecord>>();
 
-  function index(task: TaskRecord, endpointId: string): void {
-    const tasks = tasksByEndpoint.get(endpointId);
-    if (tasks) tasks.add(task);
-    else tasksByEndpoint.set(endpointId, new Set([task]));
+  function isSettled({ phase, step }: TaskRecord): boolean {
+    return phase === 'done' || phase === 'failed' || step.job.phase !== 'open';
   }
 
   function release(task: TaskRecord): void {
@@ -69,36 +68,52 @@
     if (tasks?.size === 0) tasksByEndpoint.delete(start.endpointId);
   }
 
-  /** An endpoint that is not heard from may have executed the start at the last moment, with the longest lease. */
-  function hasExpired({ outstandingStart: start }: TaskRecord): boolean {
-    if (!start) return true;
-    const state = start.isExecuting ? table.get(start.endpointId) : undefined;
-    const expiresAt = Math.max(start.until + longest, state ? lastLeaseExpiry(state) : -Infinity);
+  /**
+   * An endpoint that is not heard from may have executed the start at the last moment, with the longest lease, and later
+   * orders after it.
+   */
+  function hasExpired({ endpointId, until }: OutstandingStart): boolean {
+    const state = table.get(endpointId);
+    const expiresAt = Math.max(until + longest, state ? lastLeaseExpiry(state) : -Infinity);
     return clock.monotonicMilliseconds() >= expiresAt;
   }
 
-  function current(task: TaskRecord) {
-    if (task.outstandingStart && hasExpired(task)) release(task);
+  function current(task: TaskRecord): OutstandingStart | null {
+    if (task.outstandingStart && hasExpired(task.outstandingStart)) release(task);
     return task.outstandingStart;
   }
 
+  /** Tasks that end elsewhere, or whose endpoint is gone, are not in a list of the endpoint any more. */
+  function forgetIfOver(task: TaskRecord): void {
+    const start = task.outstandingStart;
+    if (start && (isSettled(task) || hasExpired(start))) release(task);
+  }
+
+  function index(task: TaskRecord, endpointId: string): void {
+    tasksByEndpoint.forEach((others) => others.forEach(forgetIfOver));
+    const tasks = tasksByEndpoint.get(endpointId);
+    if (tasks) tasks.add(task);
+    else tasksByEndpoint.set(endpointId, new Set([task]));
+  }
+
   function assign(task: TaskRecord, start: OutstandingStart): void {
     release(task);
     task.outstandingStart = start;
     index(task, start.endpointId);
   }
 
-  /** An endpoint that was replaced under its id, or did not answer, or was taken over, may be replaced again. */
-  function mayBeReplaced({ replacedAt, lastSilentAt }: EndpointState, task: TaskRecord): boolean {
-    const { startSentAt, formerlyRecordedAt, placedAt } = task;
-    const isSentByFormerOwner = formerlyRecordedAt !== null && placedAt <= formerlyRecordedAt;
-    const isReplacedLately =
-      clock.monotonicMilliseconds() - replacedAt < REPLACEMENT_MEMORY_MILLISECONDS;
-    return isSentByFormerOwner || isReplacedLately || lastSilentAt >= (startSentAt ?? placedAt);
-  }
-
-  function isSettled({ phase, step }: TaskRecord): boolean {
-    return phase === 'done' || phase === 'failed' || step.job.phase !== 'open';
+  /** An endpoint that was replaced under its id lately, or did not answer since the start, may be replaced again. */
+  function isBinding({
+    endpointId,
+    until,
+    isByFormerOwner,
+    isExecuting,
+  }: OutstandingStart): boolean {
+    const state = table.get(endpointId);
+    if (!state || isByFormerOwner || isExecuting) return true;
+    const now = clock.monotonicMilliseconds();
+    const isReplacedLately = now - state.replacedAt < REPLACEMENT_MEMORY_MILLISECONDS;
+    return isReplacedLately || state.lastSilentAt >= until - maximumOrderDelayMilliseconds;
   }
 
   options.jobs.forEach((job) =>
@@ -109,37 +124,42 @@
 
   return {
     record(state, task, ruledOutAt) {
-      const { run, startOutstandingUntil: until } = task;
+      const { run, startOutstandingUntil: until, isStartByFormerOwner } = task;
       const { endpointId } = state.entry;
-      if (until === null || until <= ruledOutAt) return;
+      if (until === null || until <= ruledOutAt || isSettled(task)) return;
       const former = current(task);
-      const isBinding = former?.isBinding === true || mayBeReplaced(state, task);
-      assign(task, {
+      const start = {
         endpointId,
         until: Math.max(until, former?.until ?? -Infinity),
-        isBinding,
+        isByFormerOwner: isStartByFormerOwner || former?.isByFormerOwner === true,
         isExecuting: false,
-      });
+      };
+      assign(task, start);
       metrics.count('starts_outstanding');
       log.info('start may still be executed', {
         task: task.taskId,
         run,
         endpoint: endpointId,
-        isBinding,
+        isBinding: isBinding(start),
         milliseconds: Math.round(until - clock.monotonicMilliseconds()),
       });
     },
-    applyList({ entry: { endpointId } }, executing, sentAt) {
+    applyList({ entry: { endpointId } }, executing, requestedAt) {
       executing.forEach((task) => {
         if (isSettled(task)) return;
-        const until = current(task)?.until ?? clock.monotonicMilliseconds();
-        assign(task, { endpointId, until, isBinding: true, isExecuting: true });
+        const former = current(task);
+        assign(task, {
+          endpointId,
+          until: former?.until ?? clock.monotonicMilliseconds(),
+          isByFormerOwner: former?.isByFormerOwner === true,
+          isExecuting: true,
+        });
       });
       [...(tasksByEndpoint.get(endpointId) ?? [])].forEach((task) => {
         const start = task.outstandingStart!;
         if (isSettled(task)) release(task);
         else if (!executing.has(task)) {
-          if (sentAt > start.until) release(task);
+          if (requestedAt > start.until) release(task);
           else task.outstandingStart = { ...start, isExecuting: false };
         }
       });
@@ -147,7 +167,7 @@
     isHeld: (task) => current(task)?.isExecuting === true,
     requiredEndpoint(task) {
       const start = current(task);
-      return start?.isBinding ? start.endpointId : null;
+      return start && isBinding(start) ? start.endpointId : null;
     },
   };
 }
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -1,6 +1,5 @@
 import {
   boundFormerOutstandingStart,
-  boundFormerStart,
   boundFormerWidenedLeases,
   isReplacementNoticed,
 } from '@chicorybend/decisions';
@@ -459,13 +458,13 @@
   /** Starts that a former owner has sent, or has given up, may still be executed. */
   function boundStoredStarts(task: TaskRecord): void {
     const { maximumOrderDelayMilliseconds: orderDelay } = timeLimits;
-    const { outstandingStart, isIncarnationKnown, formerlyRecordedAt } = task;
+    const { outstandingStart, isIncarnationKnown } = task;
     if (outstandingStart) {
       const until = boundFormerOutstandingStart(startedAt, outstandingStart.until, orderDelay);
       task.outstandingStart = { ...outstandingStart, until };
     }
     if (!hasActiveRun(task) || isIncarnationKnown) return;
-    task.startOutstandingUntil = boundFormerStart(startedAt, formerlyRecordedAt) + orderDelay;
+    task.startOutstandingUntil = startedAt + orderDelay;
   }
 
   /** Charges stored runs to the endpoints where they may exist; the lists of the endpoints then show which do. */
--- a/packages/scheduler/src/types/jobRecord.ts
+++ b/packages/scheduler/src/types/jobRecord.ts
@@ -34,8 +34,8 @@
   readonly endpointId: string;
   /** Until when the endpoint, or a later incarnation of it, may execute the start, in monotonic milliseconds. */
   readonly until: number;
-  /** Whether the task may start only there until then. */
-  readonly isBinding: boolean;
+  /** Whether a former owner may have sent it. */
+  readonly isByFormerOwner: boolean;
   /** Whether its last list has shown the run. */
   readonly isExecuting: boolean;
 }
@@ -73,6 +73,8 @@
    * sent.
    */
   startOutstandingUntil: number | null;
+  /** Whether a former owner has recorded the current run. */
+  isStartByFormerOwner: boolean;
   /** An earlier start that may still be executed; null if there is none. */
   outstandingStart: OutstandingStart | null;
   /** Where the next run resumes; empty for the beginning. */
