Count and store the result of a run that was executed late

Callers saw a task run again after a late run of it had succeeded, or beside a late run that the former owner had taken up.

Cause: the end of an earlier run than the current one was ignored and then acknowledged; a run that was taken up was not stored, unlike all others.

Change: the success of an earlier run, and its failure while the task waits, end the task or count as an attempt. A run that is taken up is stored at once, and a late run that keeps its task waiting with the next write.

--- a/packages/proving/src/__tests__/lateRuns.test.ts
+++ b/packages/proving/src/__tests__/lateRuns.test.ts
@@ -14,6 +14,7 @@
 /** Age of an incarnation; the deadlines of its orders are far ahead of the clocks of later ones. */
 const AGE_MILLISECONDS = 12_000;
 const RUN_MILLISECONDS = 60_000;
+const SHORT_RUN_MILLISECONDS = 100;
 const ORDER_DELAY_MILLISECONDS = 3_000;
 
 function restartCutOff(cell: SchedulerCell): void {
@@ -71,6 +72,33 @@
   cell.fleet.faultsOf('endpoint-1').isCutOff = false;
 }
 
+test('a late run that is done ends its task although a later run was lost with its incarnation', async (t) => {
+  const cell = await startCell({
+    durationOf: ({ run }) => (run === 1 ? SHORT_RUN_MILLISECONDS : RUN_MILLISECONDS),
+  });
+  await submitWithLateStart(cell, 1);
+  await cell.advance(ORDER_DELAY_MILLISECONDS - 150);
+  restartBehindCut(cell);
+  await cell.advance(10_000);
+  t.deepEqual(cell.fleet.violations(), []);
+});
+
+test('a new owner does not repeat a late run that the former owner has taken up', async (t) => {
+  const cell = await startCell({ durationOf: () => RUN_MILLISECONDS });
+  // Stragglers among filling tasks are not moved.
+  await submitWithLateStart(cell, 1, ORDER_DELAY_MILLISECONDS, { isFilling: true });
+  removeRoom(cell);
+  await cell.advance(ORDER_DELAY_MILLISECONDS - 150);
+  restartBehindCut(cell);
+  await cell.advance(23_000);
+  t.is(cell.fleet.history.length, 1);
+  cell.killOwner();
+  cell.fleet.faultsOf('endpoint-0').isCutOff = true;
+  cell.startProcess('second');
+  await cell.advance(20_000);
+  t.deepEqual(cell.fleet.violations(), []);
+});
+
 test('a late hold that follows a late start does not prolong its run beyond the repetition', async (t) => {
   const cell = await startCell({ durationOf: () => RUN_MILLISECONDS });
   const faults = cell.fleet.faultsOf('endpoint-0');
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -258,10 +258,30 @@
     const isWaiting = task?.phase === 'pending' && task.run === run && task.step.isReleased;
     if (!isWaiting || task.step.job.phase !== 'open' || task.step.specification.isGang) return null;
     if (task.outstandingStart?.endpointId !== state.entry.endpointId) return null;
+    chargeLateRun(task);
+    return task;
+  }
+
+  function chargeLateRun(task: TaskRecord): void {
+    const { taskId, run } = task;
     assignRun(task, run, state, now());
     table.charge(state, task);
     log.info('late run taken up', { task: taskId, run, endpoint: state.entry.endpointId });
-    return task;
+    void transitions.save(task.step.job);
+  }
+
+  /** The end of an earlier run than the current one counts as well, if its start was executed late. */
+  function applyLateEnd(end: EndReport, changedTasks: Set<TaskRecord>): void {
+    const task = findTask(context.jobs, end.taskId);
+    if (!task || end.run >= task.run || task.step.job.phase !== 'open') return;
+    const { isGang, isLongRunning } = task.step.specification;
+    const isLate = task.outstandingStart?.endpointId === state.entry.endpointId;
+    if (!isLate || isGang || isLongRunning) return;
+    const isResult = end.kind === 'done' || (end.kind === 'failed' && task.phase === 'pending');
+    if (!isResult) return;
+    if (task.phase === 'pending') chargeLateRun(task);
+    changedTasks.add(task);
+    transitions.endRun(task, end.kind, end.checkpoint);
   }
 
   /** @returns task of which a listed run is the current one; null if it is not */
@@ -273,7 +293,10 @@
 
   function applyEnd(end: EndReport, changedTasks: Set<TaskRecord>): void {
     const task = findCurrentTask(end);
-    if (!task) return;
+    if (!task) {
+      applyLateEnd(end, changedTasks);
+      return;
+    }
     changedTasks.add(task);
     transitions.noteRun(task);
     transitions.endRun(task, end.kind, end.checkpoint);
@@ -362,6 +385,7 @@
     outcome.running.forEach((report) => applyRunning(report, unknown));
     const isComplete = outcome.ends.length < MAXIMUM_LISTED_ENDS;
     outstandingStarts.applyList(state, unknown, isComplete ? sentAt : -Infinity);
+    unknown.forEach((task) => changedTasks.add(task));
     if (isComplete) {
       const listed = new Set(outcome.running.map(({ taskId, run }) => `${taskId}/${run}`));
       endAbsentRuns(listed, sentAt, changedTasks);
