Acknowledge no ends while a late run may end unread

Callers saw a task run again after a late run of it had succeeded: the first hold at a later incarnation carried the acknowledgements of the former one, and discarded the end before the owner had read it.

Cause: acknowledgements were withheld for runs that may be in a later incarnation, but a start that was given up is no run any more.

Change: they are withheld as well while a start that binds its task is outstanding at the endpoint. The polls of such an endpoint pause for 100 ms instead of 20, as this may last for seconds.

--- a/packages/proving/src/__tests__/lateRuns.test.ts
+++ b/packages/proving/src/__tests__/lateRuns.test.ts
@@ -72,6 +72,19 @@
   cell.fleet.faultsOf('endpoint-1').isCutOff = false;
 }
 
+test('the first hold at a later incarnation does not discard the end of a late run', async (t) => {
+  const cell = await startCell({ durationOf: () => SHORT_RUN_MILLISECONDS });
+  await submit(cell, 2);
+  await submit(cell, 3);
+  await cell.advance(1_000);
+  await submitWithLateStart(cell, 1);
+  removeRoom(cell);
+  await cell.advance(ORDER_DELAY_MILLISECONDS - 150);
+  restartBehindCut(cell);
+  await cell.advance(20_000);
+  t.deepEqual(cell.fleet.violations(), []);
+});
+
 test('a late run that is done ends its task although a later run was lost with its incarnation', async (t) => {
   const cell = await startCell({
     durationOf: ({ run }) => (run === 1 ? SHORT_RUN_MILLISECONDS : RUN_MILLISECONDS),
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -58,7 +58,7 @@
 /** Deviation of the endpoint's clock since its last list, in milliseconds. */
 const CLOCK_TOLERANCE_MILLISECONDS = 100;
 /** Delay of a hold whose answer comes at once because it lists ends that cannot be acknowledged yet. */
-const UNACKNOWLEDGED_POLL_DELAY_MILLISECONDS = 20;
+const UNACKNOWLEDGED_POLL_DELAY_MILLISECONDS = 100;
 /** Expected duration from which the confirmation of a run is stored; shorter ones have mostly ended by a takeover. */
 const STORED_RUN_MILLISECONDS = 3_000;
 /** A list reflects an order if it was requested at least this long after the answer to the order. */
@@ -440,7 +440,10 @@
 
   /** The former incarnation's acknowledgements would discard ends of a later one that were not read. */
   function acknowledgedSequence(): number {
-    return [...state.runs.values()].some(mayBeInLaterIncarnation) ? 0 : state.durableSequence;
+    const mayBeDiscarded =
+      [...state.runs.values()].some(mayBeInLaterIncarnation) ||
+      outstandingStarts.mayExecute(state.entry.endpointId);
+    return mayBeDiscarded ? 0 : state.durableSequence;
   }
 
   async function hold(waitMilliseconds: number): Promise<void> {
--- a/packages/scheduler/src/core/outstandingStarts.ts
+++ b/packages/scheduler/src/core/outstandingStarts.ts
@@ -34,6 +34,8 @@
   applyList(state: EndpointState, executing: ReadonlySet<TaskRecord>, requestedAt: number): void;
   /** @returns whether no run of the task may start, because an earlier one is executing */
   isHeld(task: TaskRecord): boolean;
+  /** @returns whether an endpoint may execute a start that binds its task, and has ends that must not be discarded */
+  mayExecute(endpointId: string): boolean;
   /** @returns the only endpoint on which the task may start; null if there is no such restriction */
   requiredEndpoint(task: TaskRecord): string | null;
 }
@@ -169,5 +171,10 @@
       const start = current(task);
       return start && isBinding(start) ? start.endpointId : null;
     },
+    mayExecute: (endpointId) =>
+      [...(tasksByEndpoint.get(endpointId) ?? [])].some((task) => {
+        const start = current(task);
+        return start !== null && isBinding(start);
+      }),
   };
 }
