--- a/packages/scheduler/src/core/outstandingStarts.ts
+++ b/packages/scheduler/src/core/outstandingStarts.ts
@@ -13,8 +13,8 @@
 
 /**
  * Starts that were given up without an answer, and that their endpoint may still execute. A stop or a list rules a
- * start out for one incarnation only. If the endpoint may be replaced under its id, all runs of the task therefore stay there
- * until the start can no longer arrive: the present incarnation refuses the start, and the run of a former incarnation
+ * start out for one incarnation only. If the endpoint may be replaced under its id, all runs of the task therefore stay
+ * there until the start can no longer arrive: the present incarnation refuses the start, and the run of a former one
  * has ended with it. Otherwise the task may start elsewhere, because the endpoint may leave its starts unanswered.
  */
 export interface OutstandingStarts {
@@ -71,8 +71,8 @@
   }
 
   /**
-   * An endpoint that is not heard from may have executed the start at the last moment, with the longest lease, and later
-   * orders after it.
+   * An endpoint that is not heard from may have executed the start at the last moment, with the longest lease, and
+   * later orders after it.
    */
   function hasExpired({ endpointId, until }: OutstandingStart): boolean {
     const state = table.get(endpointId);
