Keep a task held for a late run when its current run turns out to be absent

Callers saw two runs of a task for 40 ms: a list showed a late run, which was being stopped, and the absence of the current one, after which the task started again.

Cause: noting the start of the absent run overwrote that the late run executes.

Change: the note keeps it.

--- a/packages/scheduler/src/core/outstandingStarts.ts
+++ b/packages/scheduler/src/core/outstandingStarts.ts
@@ -134,7 +134,7 @@
         endpointId,
         until: Math.max(until, former?.until ?? -Infinity),
         isByFormerOwner: isStartByFormerOwner || former?.isByFormerOwner === true,
-        isExecuting: false,
+        isExecuting: former?.isExecuting === true,
       };
       assign(task, start);
       metrics.count('starts_outstanding');
