Place nothing on an endpoint while a run that is not recorded there is stopped

An endpoint got more runs than its capacity: five starts filled it while a late run that it had listed was still being stopped.

Cause: a run that is not recorded is charged to nobody.

Change: its endpoint gets no placements until the stop has had its time.

--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -323,6 +323,11 @@
       const known = findTask(context.jobs, report.taskId);
       if (known) unknown.add(known);
       reportUnknownRun(report, known);
+      // The run uses room that is charged to nobody until its stop has ended.
+      state.backoffUntil = Math.max(
+        state.backoffUntil,
+        now() + context.timeLimits.maximumStopMilliseconds + RETRY_DELAY_MILLISECONDS,
+      );
       void sendStop(report);
       return;
     }
