Take a young incarnation for a replacement after a change of the owner

Callers could see a task run twice at endpoints that are replaced again and again while the owner changes as well.

Cause: that an endpoint was replaced under its id is known in one term only, so that the next owner did not bind starts that it gave up there.

Change: the clock of an incarnation shows its age.

--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -215,6 +215,8 @@
    */
   function boundWidenedLeases(endpointClock: number): void {
     if (state.formerBornAt.size > 0) return;
+    // A former owner may have seen that the incarnation replaced another.
+    if (context.hasFormerOwner) state.replacedAt = now() - endpointClock;
     state.widenedLeasesExpireAt = Math.min(
       state.widenedLeasesExpireAt,
       boundWidenedLeasesByAge(now(), endpointClock, durations),
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -119,19 +119,19 @@
   let components: ReturnType<typeof createComponents> | null = null;
   const startedAt = clock.monotonicMilliseconds();
   const durations = leaseDurations(timeLimits);
+  const hasFormerOwner = term.epoch !== FIRST_EPOCH;
   /** Bounds of the leases at an endpoint of which nothing is known; former owners sent all orders before this term. */
-  const formerLeases: LeaseExpiries =
-    term.epoch === FIRST_EPOCH
-      ? {
-          leasesExpireAt: startedAt,
-          widenedLeasesExpireAt: startedAt,
-          laterLeasesExpireAt: startedAt,
-        }
-      : {
-          leasesExpireAt: startedAt + durations.requested,
-          widenedLeasesExpireAt: startedAt + durations.late,
-          laterLeasesExpireAt: startedAt + durations.late,
-        };
+  const formerLeases: LeaseExpiries = hasFormerOwner
+    ? {
+        leasesExpireAt: startedAt + durations.requested,
+        widenedLeasesExpireAt: startedAt + durations.late,
+        laterLeasesExpireAt: startedAt + durations.late,
+      }
+    : {
+        leasesExpireAt: startedAt,
+        widenedLeasesExpireAt: startedAt,
+        laterLeasesExpireAt: startedAt,
+      };
 
   const readLatency = createLatencyEstimate(READ_TIMEOUTS);
   const estimates = createDurationEstimates(clock);
@@ -165,6 +165,7 @@
       metrics,
       workMeter,
       epoch: term.epoch,
+      hasFormerOwner,
       takeFencingToken,
       timeLimits,
       maximumOpenTasks: maximumOpenTasks(options.maximumValueBytes),
--- a/packages/scheduler/src/types/termContext.ts
+++ b/packages/scheduler/src/types/termContext.ts
@@ -30,6 +30,8 @@
   readonly metrics: SchedulerMetrics;
   readonly workMeter: WorkMeter;
   readonly epoch: number;
+  /** Whether another term may have sent orders before this one. */
+  readonly hasFormerOwner: boolean;
   /** @returns a fencing token of this term that is higher than all those that it has used */
   takeFencingToken(): number;
   readonly timeLimits: EndpointTimeLimits;
