Play restarts under the same id with late orders in the crash soak

Cause: endpoints that start again under their ids and carry out orders for their former incarnation seconds late let tasks run twice, and no soak found it: the crash soak never restarts an endpoint behind a cut, its tasks are shorter than the leases, and only starts are late there, by 3 s at most.

The stand-in fleet can delay stops as well, or a fraction of the orders, and reports late orders for the trace.

--- a/packages/proving/src/core/crashSoak.ts
+++ b/packages/proving/src/core/crashSoak.ts
@@ -6,6 +6,7 @@
   CrashSoakJob,
   CrashSoakJobState,
   CrashSoakOutcome,
+  CrashSoakProfile,
 } from '../types/crashSoak.js';
 import { createRandom } from '../utils/random.js';
 import { checkCrashSoak } from './crashSoakChecks.js';
@@ -18,9 +19,11 @@
 /** Options of a crash soak. */
 export interface CrashSoakOptions {
   readonly seed: number;
+  /** Kinds of faults; `random` by default. */
+  readonly profile?: CrashSoakProfile;
   /** How long jobs and faults begin, in milliseconds of simulated time. */
   readonly faultMilliseconds?: number;
-  /** Fraction of jobs with tasks that crash their endpoint, in [0, 1]. */
+  /** Fraction of jobs with tasks that crash their endpoint, in [0, 1]; 0 by default with the profile `restarts`. */
   readonly deadlyFraction?: number;
   /** Longest time for which endpoints are cut off, in milliseconds. */
   readonly longestCutMilliseconds?: number;
@@ -30,7 +33,13 @@
 const DEFAULT_DEADLY_FRACTION = 0.1;
 export const DEFAULT_LONGEST_CUT_MILLISECONDS = 9_000;
 /** Log messages that belong to every trace. */
-const TRACED_MESSAGES = ['state recovered', 'endpoint silent', 'endpoint lost'];
+const TRACED_MESSAGES = [
+  'state recovered',
+  'endpoint silent',
+  'endpoint lost',
+  'endpoint incarnation changed',
+  'run leases on endpoint expired',
+];
 const START_MILLISECONDS = 500;
 /** Time for the jobs to end after all faults have ended. */
 const SETTLE_MILLISECONDS = 120_000;
@@ -47,6 +56,7 @@
 const FAULT_SEED_OFFSET = 1_000_003;
 const RUN_SEED_OFFSET = 2_000_003;
 const STORE_SEED_OFFSET = 3_000_017;
+const ORDER_SEED_OFFSET = 4_000_037;
 
 function isFinal({ status }: CrashSoakJobState): boolean {
   return status === 'completed' || status === 'failed' || status === 'cancelled';
@@ -75,7 +85,7 @@
   const runs = cell.fleet.history
     .filter(({ taskId }) => jobIds.has(parseTaskId(taskId).jobId))
     .flatMap((run) => {
-      const name = `${run.taskId} run ${run.run} on ${run.endpointId}`;
+      const name = `${run.taskId} run ${run.run} on ${run.endpointId}/${run.bornAt} by owner ${run.fencingToken}`;
       const start = { at: run.startedAt, text: `start of ${name}` };
       const end = { at: run.endedAt ?? Infinity, text: `end of ${name}: ${run.kind}` };
       return run.endedAt === null ? [start] : [start, end];
@@ -99,12 +109,19 @@
  * jobs whose tasks crash their endpoints are given up, and others complete.
  */
 export async function runCrashSoak(options: CrashSoakOptions): Promise<CrashSoakOutcome> {
-  const { seed, faultMilliseconds = DEFAULT_FAULT_MILLISECONDS } = options;
+  const { seed, profile = 'random', faultMilliseconds = DEFAULT_FAULT_MILLISECONDS } = options;
   const endMilliseconds = START_MILLISECONDS + faultMilliseconds;
   const jobRandom = createRandom(seed);
   const runRandom = createRandom(seed + RUN_SEED_OFFSET);
-  const deadlyFraction = options.deadlyFraction ?? DEFAULT_DEADLY_FRACTION;
-  const jobs = planCrashSoakJobs(jobRandom, START_MILLISECONDS, endMilliseconds, deadlyFraction);
+  const deadlyFraction =
+    options.deadlyFraction ?? (profile === 'restarts' ? 0 : DEFAULT_DEADLY_FRACTION);
+  const jobs = planCrashSoakJobs(
+    jobRandom,
+    START_MILLISECONDS,
+    endMilliseconds,
+    deadlyFraction,
+    profile,
+  );
   const states: CrashSoakJobState[] = jobs.map((job) => ({ job, isAccepted: false, status: null }));
   const jobsById = new Map(jobs.map((job) => [job.jobId, job]));
   const events: CrashSoakEvent[] = [];
@@ -144,20 +161,31 @@
         faults.onRunCrash(delayMilliseconds);
         return delayMilliseconds;
       },
+      random: createRandom(seed + ORDER_SEED_OFFSET).fraction,
+      onLateOrder({ text, target, sentAt, sentToBornAt, receivedByBornAt }) {
+        report(
+          `late ${text} of owner ${target.fencingToken}, sent at ${formatTime(sentAt)} to ` +
+            `${target.endpointId}/${sentToBornAt}, reaches ${receivedByBornAt}`,
+        );
+      },
     },
     createRandom(seed + STORE_SEED_OFFSET).fraction,
     log,
   );
   const { clock } = cell;
+  function report(text: string): void {
+    events.push({ at: clock.monotonicMilliseconds(), text });
+  }
   const [queue] = CONFIGURATION.queues;
   const advice = jobRandom.chance(0.5) ? ADVICE : null;
   cell.configuration = { ...CONFIGURATION, queues: [{ ...queue!, advice }] };
   const faults = createCrashSoakFaults({
     cell,
     random: createRandom(seed + FAULT_SEED_OFFSET),
+    profile,
     endMilliseconds,
     longestCutMilliseconds: options.longestCutMilliseconds ?? DEFAULT_LONGEST_CUT_MILLISECONDS,
-    report: (text) => events.push({ at: clock.monotonicMilliseconds(), text }),
+    report,
   });
 
   async function call(
--- a/packages/proving/src/core/crashSoakFaults.ts
+++ b/packages/proving/src/core/crashSoakFaults.ts
@@ -1,11 +1,12 @@
 import type { EndpointEntry } from '@chicorybend/scheduler';
 
+import type { CrashSoakProfile } from '../types/crashSoak.js';
 import type { Random } from '../utils/random.js';
+import { createRestartEpisodes, NO_LATE_ORDERS, SERIES_GAP } from './crashSoakRestarts.js';
 import type { SchedulerCell } from './schedulerCell.js';
 
 const DOWN_MILLISECONDS = 3_000;
-const MINIMUM_GAP_MILLISECONDS = 200;
-const MAXIMUM_GAP_MILLISECONDS = 2_800;
+const GAP = { shortestMilliseconds: 200, longestMilliseconds: 2_800 };
 /** Processes of the cell besides those that were killed. */
 const PROCESSES = 3;
 
@@ -15,6 +16,7 @@
 export interface CrashSoakFaultOptions {
   readonly cell: SchedulerCell;
   readonly random: Random;
+  readonly profile: CrashSoakProfile;
   /** When the last fault ends, in monotonic milliseconds. */
   readonly endMilliseconds: number;
   /** Longest time for which endpoints are cut off, in milliseconds. */
@@ -192,7 +194,20 @@
     );
   }
 
-  const kinds: readonly (() => void)[] = [
+  const restartEpisodes = createRestartEpisodes({
+    fleet,
+    random,
+    later,
+    killOwner,
+    restart(endpointId) {
+      const { bornAt } = fleet.entries().find((entry) => entry.endpointId === endpointId)!;
+      causes.set(`${endpointId}/${bornAt}`, 'single');
+      fleet.restart(endpointId);
+    },
+    report,
+  });
+
+  const allKinds: readonly (() => void)[] = [
     () => crash(entryAt(pickPosition()), 'single', DOWN_MILLISECONDS),
     () => flap(pickPosition(), random.integer(2, 4)),
     () => loseRack(random.integer(1, 2)),
@@ -208,8 +223,14 @@
     () => delayStarts(pickPositions(5)),
   ];
 
+  const isRandom = options.profile === 'random';
+  const kinds = isRandom
+    ? allKinds
+    : [() => restartEpisodes.start(pickPositions(4).map((position) => entryAt(position)))];
+  const { shortestMilliseconds, longestMilliseconds } = isRandom ? GAP : SERIES_GAP;
+
   function scheduleNext(): void {
-    later(random.integer(MINIMUM_GAP_MILLISECONDS, MAXIMUM_GAP_MILLISECONDS), () => {
+    later(random.integer(shortestMilliseconds, longestMilliseconds), () => {
       random.pick(kinds)();
       scheduleNext();
     });
@@ -226,8 +247,7 @@
       fleet.entries().forEach((entry, position) => {
         Object.assign(fleet.faultsOf(entry.endpointId), {
           isCutOff: false,
-          unansweredStartDelayMilliseconds: null,
-          unansweredHoldDelayMilliseconds: null,
+          ...NO_LATE_ORDERS,
         });
         resize(position, 1);
       });
--- a/packages/proving/src/core/crashSoakJobs.ts
+++ b/packages/proving/src/core/crashSoakJobs.ts
@@ -1,6 +1,6 @@
 import type { StepSpecification } from '@chicorybend/scheduler';
 
-import type { CrashSoakJob, DeadlyTasks } from '../types/crashSoak.js';
+import type { CrashSoakJob, CrashSoakProfile, DeadlyTasks } from '../types/crashSoak.js';
 import type { Random } from '../utils/random.js';
 import { createJobId } from './schedulerCell.js';
 
@@ -28,6 +28,31 @@
   (random) => [createStep(random, 1, 200, 4_000)],
 ];
 
+/** Shapes of jobs whose runs may outlast the leases of endpoints that are cut off. */
+const LONG_SHAPES: readonly ((random: Random) => Step[])[] = [
+  (random) => [createLongStep(random, random.integer(1, 8))],
+  (random) =>
+    Array.from({ length: random.integer(2, 4) }, (_, index) => ({
+      ...createLongStep(random, random.integer(1, 3)),
+      after: index === 0 ? [] : [index - 1],
+    })),
+  (random) => [{ ...createLongStep(random, random.integer(2, 5)), isGang: true }],
+  (random) => [
+    { ...createLongStep(random, random.integer(1, 4)), hasCheckpoints: true },
+    { ...createStep(random, 1, 450, 1_000), after: [0] },
+  ],
+  (random) => [{ ...createStep(random, random.integer(1, 4), 1, 1), isLongRunning: true }],
+];
+
+function createLongStep(random: Random, count: number): Step {
+  const [shortest, longest] = random.pick([
+    [450, 2_000],
+    [2_000, 8_000],
+    [8_000, 15_000],
+  ] as const);
+  return createStep(random, count, shortest, longest);
+}
+
 function createStep(
   random: Random,
   count: number,
@@ -65,17 +90,19 @@
  * @param startMilliseconds time of the first submission, in monotonic milliseconds
  * @param endMilliseconds time after which none is submitted
  * @param deadlyFraction fraction of jobs with tasks that crash their endpoint, in [0, 1]
+ * @param profile faults that the jobs are for
  */
 export function planCrashSoakJobs(
   random: Random,
   startMilliseconds: number,
   endMilliseconds: number,
   deadlyFraction: number,
+  profile: CrashSoakProfile = 'random',
 ): CrashSoakJob[] {
   const jobs: CrashSoakJob[] = [];
   let submittedAt = startMilliseconds;
   while (submittedAt < endMilliseconds) {
-    const steps = random.pick(SHAPES)(random);
+    const steps = random.pick(profile === 'restarts' ? LONG_SHAPES : SHAPES)(random);
     jobs.push({
       jobId: createJobId(jobs.length + 1),
       submittedAt,
--- a/packages/proving/src/soak.ts
+++ b/packages/proving/src/soak.ts
@@ -10,6 +10,7 @@
 } from './core/crashSoak.js';
 import { LONG_FAULT_NAMES, planLongFault } from './core/longFaults.js';
 import type { LongFaultName } from './core/longFaults.js';
+import type { CrashSoakProfile } from './types/crashSoak.js';
 import { runSoak } from './core/soakRun.js';
 import { formatChecks, formatSummary } from './core/summary.js';
 import { EXAMPLE_NAMES, readExample } from './utils/readExample.js';
@@ -18,6 +19,7 @@
 const PROCESS_SOAK = fileURLToPath(new URL('../../../platform/dist/soak/main.js', import.meta.url));
 const RANDOM_FAULTS = 'random';
 const ADVICE_FAULTS = 'advice';
+const RESTART_FAULTS = 'restarts';
 const MILLISECONDS_PER_MINUTE = 60_000;
 const LARGEST_SEED = 1_000_000_000;
 // By then the partitions have been distributed to the daemons, even on a busy machine.
@@ -63,10 +65,11 @@
   firstSeed: number,
   runs: number,
   longestCutMilliseconds: number,
+  profile: CrashSoakProfile,
 ): Promise<boolean> {
   const failedSeeds: number[] = [];
   for (let seed = firstSeed; seed < firstSeed + runs; seed += 1) {
-    const outcome = await runCrashSoak({ seed, longestCutMilliseconds });
+    const outcome = await runCrashSoak({ seed, profile, longestCutMilliseconds });
     console.log(formatCrashSoak(outcome));
     outcome.violations.forEach((violation) => console.log(`violation: ${violation}`));
     if (runs === 1) outcome.trace.forEach((line) => console.log(line));
@@ -92,10 +95,10 @@
     },
     faults: {
       type: 'enum',
-      options: [RANDOM_FAULTS, ADVICE_FAULTS, ...LONG_FAULT_NAMES],
+      options: [RANDOM_FAULTS, ADVICE_FAULTS, RESTART_FAULTS, ...LONG_FAULT_NAMES],
       default: RANDOM_FAULTS,
       description:
-        'Random faults, or one fault that lasts for the whole duration; with --processes, random faults or those of the ways to advice',
+        'Random faults, or one fault that lasts for the whole duration; with --processes, random faults or those of the ways to advice; with --crashes, random faults or restarts under the same id with late orders',
     },
     example: {
       type: 'enum',
@@ -130,10 +133,15 @@
     const randomSeed = String(Math.floor(Math.random() * LARGEST_SEED));
     const seed = Math.floor(readNumber('seed', args.seed ?? randomSeed));
     if (args.crashes) {
+      if (args.faults !== RANDOM_FAULTS && args.faults !== RESTART_FAULTS) {
+        console.error(`--crashes takes --faults ${RANDOM_FAULTS} or ${RESTART_FAULTS}`);
+        process.exit(2);
+      }
       const passed = await runCrashSoaks(
         seed,
         readNumber('runs', args.runs),
         readNumber('longest-cut', args['longest-cut']),
+        args.faults,
       );
       process.exit(passed ? 0 : 1);
     }
@@ -143,6 +151,10 @@
       console.error(`--faults ${ADVICE_FAULTS} needs --processes`);
       process.exit(2);
     }
+    if (args.faults === RESTART_FAULTS) {
+      console.error(`--faults ${RESTART_FAULTS} needs --crashes`);
+      process.exit(2);
+    }
     console.log(`seed: ${seed}`);
     const { faults, rows, checks, failures, window } = await runSoak({
       example: readExample(args.example),
--- a/packages/proving/src/types/crashSoak.ts
+++ b/packages/proving/src/types/crashSoak.ts
@@ -1,5 +1,11 @@
 import type { JobStatus, StepSpecification } from '@chicorybend/scheduler';
 
+/**
+ * Faults of a crash soak: all kinds, or only endpoints that start again under their ids, with orders that are executed
+ * late.
+ */
+export type CrashSoakProfile = 'random' | 'restarts';
+
 /** Tasks of a step that crash their endpoint. */
 export interface DeadlyTasks {
   readonly step: number;
--- a/packages/standins/src/__tests__/endpointFleet.test.ts
+++ b/packages/standins/src/__tests__/endpointFleet.test.ts
@@ -212,6 +212,26 @@
   t.is(fleet.history[0]!.endedAt, fleet.history[1]!.endedAt);
 });
 
+test('a late stop reaches the next incarnation, and only the chosen fraction of orders is late', async (t) => {
+  const late: string[] = [];
+  const { fleet, advance, resolve, start } = createFleet({
+    random: () => 0.5,
+    onLateOrder: ({ text, sentToBornAt, receivedByBornAt }) =>
+      late.push(`${text} from ${sentToBornAt} to ${receivedByBornAt}`),
+  });
+  const faults = fleet.faultsOf('endpoint-0');
+  const stop = () => fleet.client.stop(TARGET, { taskId: 'task-1', run: 1 }, TIMEOUT_MILLISECONDS);
+  Object.assign(faults, { unansweredStopDelayMilliseconds: 1_000, lateOrderFraction: 0.5 });
+  t.is((await resolve(stop())).kind, 'done');
+  faults.lateOrderFraction = 0.6;
+  t.is((await resolve(stop())).kind, 'unknown');
+  fleet.restart('endpoint-0');
+  t.is((await resolve(start('task-1'))).kind, 'done');
+  await advance(1_000);
+  t.deepEqual(late, ['stop of task-1 run 1 from 1000 to 1001']);
+  t.is(fleet.history[0]!.kind, 'stopped');
+});
+
 test('a lease lapses although its timer fires early', async (t) => {
   const clock = createManualClock();
   const early: Clock = {
--- a/packages/standins/src/core/endpointFleetStandIn.ts
+++ b/packages/standins/src/core/endpointFleetStandIn.ts
@@ -102,6 +102,8 @@
         isCutOff: false,
         unansweredStartDelayMilliseconds: null,
         unansweredHoldDelayMilliseconds: null,
+        unansweredStopDelayMilliseconds: null,
+        lateOrderFraction: 1,
         failsEveryRun: false,
         slowness: 1,
       },
@@ -176,6 +178,8 @@
     client: createFleetClient({
       clock,
       latencyMilliseconds,
+      random: options.random ?? (() => 0.5),
+      onLateOrder: options.onLateOrder ?? (() => {}),
       endpointAt: (endpointId) => machinesById.get(endpointId)?.current,
     }),
     history,
--- a/packages/standins/src/core/fleetClient.ts
+++ b/packages/standins/src/core/fleetClient.ts
@@ -7,15 +7,19 @@
   OrderOutcome,
   OrderRefusal,
   OrderTarget,
+  RunId,
 } from '@chicorybend/scheduler';
 
-import type { FleetEndpointFaults } from '../types/fleet.js';
+import type { FleetEndpointFaults, FleetLateOrder } from '../types/fleet.js';
 import type { FleetEndpoint } from './fleetEndpoint.js';
 
 export interface FleetClientOptions {
   readonly clock: Clock;
   /** Delay of a call and its answer, in milliseconds. */
   readonly latencyMilliseconds: number;
+  /** @returns number in [0, 1) */
+  readonly random: () => number;
+  readonly onLateOrder: (order: FleetLateOrder) => void;
   /** @returns the latest endpoint at the address of the given one */
   readonly endpointAt: (endpointId: string) => FleetEndpoint | undefined;
 }
@@ -25,6 +29,12 @@
 
 type Delivery = { readonly endpoint: FleetEndpoint } | { readonly failure: Undelivered };
 
+interface DelayedOrder {
+  readonly endpoint: FleetEndpoint;
+  /** Time until it is executed, in milliseconds. */
+  readonly delay: number;
+}
+
 const NO_ANSWER = { kind: 'unknown', reason: 'lost' } as const;
 
 /** Creates a client whose calls are subject to the faults of the endpoints. */
@@ -103,27 +113,54 @@
   function findDelay(
     target: OrderTarget,
     delayOf: (faults: FleetEndpointFaults) => number | null,
-  ): { readonly endpoint: FleetEndpoint; readonly delay: number } | null {
+  ): DelayedOrder | null {
     const endpoint = options.endpointAt(target.endpointId);
     if (!isReachable(endpoint) || endpoint.state !== 'up') return null;
     const delay = delayOf(endpoint.faults);
-    return delay === null ? null : { endpoint, delay };
+    if (delay === null) return null;
+    const { lateOrderFraction } = endpoint.faults;
+    const isLate = lateOrderFraction >= 1 || options.random() < lateOrderFraction;
+    return isLate ? { endpoint, delay } : null;
   }
 
   /** Leaves an order in flight, so that it is executed late, possibly by a later incarnation. */
-  async function executeLate(
+  function executeLate(
+    { endpoint, delay }: DelayedOrder,
+    text: string,
     target: OrderTarget,
-    delayMilliseconds: number,
     timeoutMilliseconds: number,
     execute: (receiver: FleetEndpoint) => void,
   ): Promise<typeof NO_ANSWER> {
+    const sentAt = clock.monotonicMilliseconds();
+    const sentToBornAt = endpoint.entry.bornAt;
     clock.setTimer(() => {
       const receiver = options.endpointAt(target.endpointId);
       const isIntended = receiver?.entry.endpointId === target.endpointId;
-      if (isIntended && receiver.state === 'up') execute(receiver);
-    }, delayMilliseconds);
-    await sleep(clock, timeoutMilliseconds);
-    return NO_ANSWER;
+      if (!isIntended || receiver.state !== 'up') return;
+      const receivedByBornAt = receiver.entry.bornAt;
+      options.onLateOrder({ text, target, sentAt, sentToBornAt, receivedByBornAt });
+      execute(receiver);
+    }, delay);
+    const timeout = sleep(clock, timeoutMilliseconds).then(() => NO_ANSWER);
+    return closeOnDown(endpoint, timeout, NO_ANSWER);
+  }
+
+  /** Executes the order of a run, late and without an answer if it is delayed. */
+  function orderRun(
+    name: 'start' | 'stop',
+    target: OrderTarget,
+    { taskId, run }: RunId,
+    timeoutMilliseconds: number,
+    execute: (endpoint: FleetEndpoint) => OrderOutcome,
+  ): Promise<OrderOutcome> {
+    const delayed = findDelay(target, (faults) =>
+      name === 'start'
+        ? faults.unansweredStartDelayMilliseconds
+        : faults.unansweredStopDelayMilliseconds,
+    );
+    if (!delayed) return order(target, timeoutMilliseconds, execute);
+    const text = `${name} of ${taskId} run ${run}`;
+    return executeLate(delayed, text, target, timeoutMilliseconds, execute);
   }
 
   /** @returns whether the order was executed, because its fencing token is not stale */
@@ -141,18 +178,12 @@
   }
 
   return {
-    async start(target, startOrder, timeoutMilliseconds) {
-      const execute = (endpoint: FleetEndpoint) => endpoint.start(target, startOrder);
-      const delayed = findDelay(target, (faults) => faults.unansweredStartDelayMilliseconds);
-      if (!delayed) return order(target, timeoutMilliseconds, execute);
-      return closeOnDown(
-        delayed.endpoint,
-        executeLate(target, delayed.delay, timeoutMilliseconds, execute),
-        NO_ANSWER,
-      );
-    },
+    start: (target, startOrder, timeoutMilliseconds) =>
+      orderRun('start', target, startOrder, timeoutMilliseconds, (endpoint) =>
+        endpoint.start(target, startOrder),
+      ),
     stop: (target, run, timeoutMilliseconds) =>
-      order(target, timeoutMilliseconds, (endpoint) =>
+      orderRun('stop', target, run, timeoutMilliseconds, (endpoint) =>
         endpoint.rejectsStaleToken(target)
           ? { kind: 'refused', reason: 'fenced' }
           : endpoint.stop(run),
@@ -163,11 +194,7 @@
       if (delayed) {
         const execute = (endpoint: FleetEndpoint) => executeHold(endpoint, target, holdOrder);
         const timeout = waitMilliseconds + timeoutMilliseconds;
-        await closeOnDown(
-          delayed.endpoint,
-          executeLate(target, delayed.delay, timeout, execute),
-          NO_ANSWER,
-        );
+        await executeLate(delayed, 'hold', target, timeout, execute);
         return { kind: 'failed', reason: 'lost', isDisconnected: false };
       }
       const delivery = await deliver(target, waitMilliseconds + timeoutMilliseconds);
--- a/packages/standins/src/types/fleet.ts
+++ b/packages/standins/src/types/fleet.ts
@@ -5,6 +5,7 @@
   EndpointClient,
   EndpointDirectory,
   EndpointEntry,
+  OrderTarget,
   RunId,
   StartOrder,
 } from '@chicorybend/scheduler';
@@ -17,6 +18,10 @@
   unansweredStartDelayMilliseconds: number | null;
   /** Holds get no answer and are executed this much later, in milliseconds; null for no delay. */
   unansweredHoldDelayMilliseconds: number | null;
+  /** Stop orders get no answer and are executed this much later, in milliseconds; null for no delay. */
+  unansweredStopDelayMilliseconds: number | null;
+  /** Fraction of the orders that these delays apply to, in (0, 1]; the others are delivered at once. */
+  lateOrderFraction: number;
   /** Every run ends as failed. */
   failsEveryRun: boolean;
   /** Factor on the duration of runs that start from now on; Infinity for runs that never end by themselves. */
@@ -57,6 +62,18 @@
   readonly capacity: Resources;
 }
 
+/** An order that was left in flight and reaches its endpoint. */
+export interface FleetLateOrder {
+  /** The order, for a trace. */
+  readonly text: string;
+  readonly target: OrderTarget;
+  /** When it was sent, in monotonic milliseconds. */
+  readonly sentAt: number;
+  /** Starts of the incarnations that it was sent to and that receives it, in milliseconds since the Unix epoch. */
+  readonly sentToBornAt: number;
+  readonly receivedByBornAt: number;
+}
+
 /** How the machine of an endpoint that went down comes back. */
 export interface FleetRestart {
   /** Time until the machine is up again, in milliseconds. Connections are refused until then. */
@@ -122,6 +139,10 @@
   /** How endpoints that a run has crashed come back; under a new id after 3 s by default. */
   readonly restartAfterRunCrash?: FleetRestart;
   readonly latencyMilliseconds?: number;
+  /** Numbers in [0, 1) that decide which orders are late if only a fraction is; always 0.5 by default. */
+  readonly random?: () => number;
+  /** Called before a late order is executed. */
+  readonly onLateOrder?: (order: FleetLateOrder) => void;
   /** Called when an incarnation goes down, and when the next one on its machine has started. */
   readonly onStateChange?: (entry: EndpointEntry, isUp: boolean) => void;
 }
