Execute lower runs beside higher ones in the stand-in fleet

Cause: a late start of a lower run replaced a higher one that was executed there, whose end then never came, and the end of one run ended the other. A start that was refused as superseded left the lease as it was, where the platform's endpoints take its deadline.

Change: runs are kept by task and run, and a superseded start extends the lease.

--- a/packages/standins/src/__tests__/endpointFleet.test.ts
+++ b/packages/standins/src/__tests__/endpointFleet.test.ts
@@ -232,6 +232,27 @@
   t.is(fleet.history[0]!.kind, 'stopped');
 });
 
+test('a late start of a lower run is executed beside a higher one, and both end by themselves', async (t) => {
+  const { fleet, advance, resolve, start, hold } = createFleet({
+    durationOf: ({ run }) => run * 1_000,
+  });
+  t.is((await resolve(start('task-1', 2))).kind, 'done');
+  t.is((await resolve(start('task-1', 1))).kind, 'done');
+  await advance(2_100);
+  t.deepEqual(
+    fleet.history.map(({ run, kind }) => ({ run, kind })),
+    [
+      { run: 2, kind: 'done' },
+      { run: 1, kind: 'done' },
+    ],
+  );
+  t.deepEqual(fleet.violations(), ['overlapping runs of task task-1']);
+  const refused = await resolve(start('task-1', 1));
+  t.is(refused.kind === 'refused' && refused.reason, 'superseded');
+  const listed = await resolve(hold(0, null));
+  t.deepEqual(listed.kind === 'answered' && listed.ends.map(({ run }) => run), [1, 2]);
+});
+
 test('a lease lapses although its timer fires early', async (t) => {
   const clock = createManualClock();
   const early: Clock = {
--- a/packages/standins/src/core/fleetEndpoint.ts
+++ b/packages/standins/src/core/fleetEndpoint.ts
@@ -72,6 +72,7 @@
 export function createFleetEndpoint(options: FleetEndpointOptions): FleetEndpoint {
   const { clock, faults } = options;
   const clockOrigin = clock.monotonicMilliseconds();
+  /** By task id and run; a late start of a lower run may be executed beside a higher one. */
   const executing = new Map<string, ExecutingRun>();
   /** Highest run number that was stopped or has ended, by task. */
   const highestEndedRuns = new Map<string, number>();
@@ -101,37 +102,41 @@
     [...listeners].forEach((listener) => listener());
   }
 
+  function keyOf({ taskId, run }: RunId): string {
+    return `${taskId}/${run}`;
+  }
+
   function close({ record, gang }: ExecutingRun, kind: FleetEndKind): void {
-    executing.delete(record.taskId);
+    executing.delete(keyOf(record));
     Object.assign(record, { endedAt: now(), kind });
     if (gang) options.gangs.leave(gang, record);
   }
 
-  function endRun(taskId: string, kind: EndKind): void {
-    const run = executing.get(taskId);
+  function noteEnded({ taskId, run }: RunId): void {
+    highestEndedRuns.set(taskId, Math.max(highestEndedRuns.get(taskId) ?? 0, run));
+  }
+
+  function endRecord(record: FleetRun, kind: EndKind): void {
+    const run = executing.get(keyOf(record));
     if (!run) return;
     close(run, kind);
-    ended.push(run.record);
-    highestEndedRuns.set(taskId, run.record.run);
+    ended.push(record);
+    noteEnded(record);
     lastSequence += 1;
     unacknowledgedEnds.push({
       sequence: lastSequence,
-      taskId,
-      run: run.record.run,
+      taskId: record.taskId,
+      run: record.run,
       kind,
       checkpoint: run.checkpoint,
     });
     notify(endListeners);
   }
 
-  function endRecord(record: FleetRun, kind: EndKind): void {
-    if (record.endedAt === null) endRun(record.taskId, kind);
-  }
-
   function expireLease(): void {
     if (readEndpointClock() < leaseDeadline) return;
     lapsedAt = clockOrigin + leaseDeadline;
-    [...executing.keys()].forEach((taskId) => endRun(taskId, 'lapsed'));
+    [...executing.values()].forEach(({ record }) => endRecord(record, 'lapsed'));
   }
 
   function extendLease(deadline: number): void {
@@ -180,7 +185,7 @@
     };
     const duration = options.durationOf(order) * faults.slowness;
     const gang = options.gangOf(order);
-    executing.set(taskId, { record, checkpoint: order.checkpoint, duration, gang });
+    executing.set(keyOf(order), { record, checkpoint: order.checkpoint, duration, gang });
     const kind = faults.failsEveryRun ? 'failed' : 'done';
     const endsAlone = gang === null || kind === 'failed';
     if (endsAlone && Number.isFinite(duration)) {
@@ -200,8 +205,9 @@
       expireLease();
       if (rejectsStaleToken(target)) return { kind: 'refused', reason: 'fenced' };
       const { taskId, run } = order;
-      if (executing.get(taskId)?.record.run === run) return done();
+      if (executing.has(keyOf(order))) return done();
       if (run <= (highestEndedRuns.get(taskId) ?? 0)) {
+        extendLease(order.deadlineOnEndpointMilliseconds);
         return { kind: 'refused', reason: 'superseded' };
       }
       if (order.deadlineOnEndpointMilliseconds <= readEndpointClock()) {
@@ -211,11 +217,10 @@
       execute(target, order);
       return done();
     },
-    stop({ taskId, run }) {
-      const record = executing.get(taskId)?.record;
-      if (record?.run === run) {
-        clock.setTimer(() => endRecord(record, 'stopped'), STOP_DELAY_MILLISECONDS);
-      } else highestEndedRuns.set(taskId, Math.max(highestEndedRuns.get(taskId) ?? 0, run));
+    stop(run) {
+      const record = executing.get(keyOf(run))?.record;
+      if (record) clock.setTimer(() => endRecord(record, 'stopped'), STOP_DELAY_MILLISECONDS);
+      else noteEnded(run);
       return done();
     },
     extendLease,
@@ -247,7 +252,11 @@
       running: [...executing.values()].map(describeRun),
       ends: [...unacknowledgedEnds],
     }),
-    endRun,
+    endRun(taskId, kind) {
+      [...executing.values()]
+        .filter(({ record }) => record.taskId === taskId)
+        .forEach(({ record }) => endRecord(record, kind));
+    },
     takeDown(state, kind) {
       endpoint.state = state;
       [...executing.values()].forEach((run) => close(run, kind));
