Play restarts behind cuts and late orders in the process soak

Endpoints that start again under their ids carry out orders for their former incarnation, seconds late, and tasks run twice. The process soak did not find it: its endpoints never came back under their ids behind a cut, and no order to them was carried out late.

Change: two kinds of faults. A restart crashes one endpoint, three or a rack behind a silent cut; they come back under their ids, and are cut off again up to 2 s after that cut. Late orders get no answer and are carried out 0.5 to 6 s later, also during a cut or by the next incarnation. The profile `restarts` plays series of both, with kills of the owner, under long and lasting tasks; the profile `all` draws one series at a time.

--- a/packages/proving/src/__tests__/processSoakChecks.test.ts
+++ b/packages/proving/src/__tests__/processSoakChecks.test.ts
@@ -133,6 +133,9 @@
   const done = createRun(1, 0, { acknowledgedAt: 20 });
   t.is(checkRepeatedRuns(createRecord([done, createRun(2, 100)]))[0]?.rule, 'TWICE');
   t.deepEqual(checkRepeatedRuns(createRecord([createRun(1, 0), createRun(2, 100)])), []);
+  const repeated = createRun(2, 0, { acknowledgedAt: 20 });
+  const [lateStart] = checkRepeatedRuns(createRecord([createRun(1, 100), repeated]));
+  t.is(lateStart?.at, 100);
 });
 
 test('a third start after three crashes under a deadly task is a violation', (t) => {
@@ -185,8 +188,11 @@
   t.notDeepEqual(planProcessSoak(3, 60_000), planProcessSoak(4, 60_000));
   const kinds = new Set(planProcessSoak(3, 600_000).faults.map(({ kind }) => kind));
   const adviceKinds = ['advice', 'advice-link', 'peer-link', 'vm-pause'];
-  const otherKinds = ['crash', 'cut', 'delay', 'pause', 'process', 'store'];
+  const otherKinds = ['crash', 'cut', 'delay', 'late', 'pause', 'process', 'restart', 'store'];
   t.deepEqual([...kinds].sort(), [...adviceKinds, ...otherKinds].sort());
   const adviceFaults = planProcessSoak(3, 600_000, 'advice').faults;
   t.deepEqual([...new Set(adviceFaults.map(({ kind }) => kind))].sort(), adviceKinds);
+  const restartFaults = planProcessSoak(3, 600_000, 'restarts').faults;
+  const restartKinds = new Set(restartFaults.map(({ kind }) => kind));
+  t.deepEqual([...restartKinds].sort(), ['late', 'process', 'restart']);
 });
--- a/packages/proving/src/core/processSoakPlan.ts
+++ b/packages/proving/src/core/processSoakPlan.ts
@@ -10,6 +10,7 @@
 import { createRandom } from '../utils/random.js';
 import type { Random } from '../utils/random.js';
 import { planCrashSoakJobs } from './crashSoakJobs.js';
+import { planLongJobs, planRestarts } from './processSoakRestarts.js';
 import { createJobId } from './schedulerCell.js';
 
 const DEADLY_FRACTION = 0.06;
@@ -28,6 +29,8 @@
   slow: [1_500, 2_500],
 };
 const OUTAGE_FRACTION = 0.1;
+/** Number of series of restarts at a time. */
+const RESTART_SERIES: Record<ProcessSoakProfile, number> = { all: 1, advice: 0, restarts: 3 };
 
 type FaultTimes = Pick<ProcessSoakFault, 'at' | 'pick'>;
 
@@ -175,6 +178,24 @@
   }));
 }
 
+function planRestartJobs(random: Random, durationMilliseconds: number): ProcessSoakJob[] {
+  return planLongJobs(random, durationMilliseconds).map((job) => ({
+    ...job,
+    queue: 'quick',
+    deadly: null,
+    cancelAfterMilliseconds: planCancellation(random, job),
+  }));
+}
+
+const JOB_PLANNERS = { all: planMixedJobs, advice: planShortJobs, restarts: planRestartJobs };
+
+/** Kinds of faults of each profile, beside the restarts. */
+const FAULT_PLANNERS: Record<ProcessSoakProfile, readonly FaultPlanner[]> = {
+  all: [...PLANNERS, ...ADVICE_PLANNERS],
+  advice: ADVICE_PLANNERS,
+  restarts: [],
+};
+
 /**
  * Plans load and faults.
  *
@@ -187,14 +208,15 @@
   profile: ProcessSoakProfile = 'all',
 ): ProcessSoakPlan {
   const random = createRandom(seed);
-  const planJobs = profile === 'advice' ? planShortJobs : planMixedJobs;
-  const jobs = planJobs(random, durationMilliseconds);
-  const planners = profile === 'advice' ? ADVICE_PLANNERS : [...PLANNERS, ...ADVICE_PLANNERS];
+  const jobs = JOB_PLANNERS[profile](random, durationMilliseconds);
+  const planners = FAULT_PLANNERS[profile];
   const faults: ProcessSoakFault[] = [];
   let at = random.integer(1_000, 3_000);
-  while (at < durationMilliseconds) {
+  while (at < durationMilliseconds && planners.length > 0) {
     faults.push(random.pick(planners)(random, { at, pick: random.fraction() }));
     at += random.integer(500, 5_000);
   }
-  return { jobs, faults, keepsIds: random.chance(0.5) };
+  const keepsIds = random.chance(0.5);
+  const restarts = planRestarts(seed, durationMilliseconds, RESTART_SERIES[profile]);
+  return { jobs, faults: [...faults, ...restarts], keepsIds };
 }
--- a/packages/proving/src/soak.ts
+++ b/packages/proving/src/soak.ts
@@ -18,8 +18,9 @@
 /** Soak of the program that is deployed on the platform; it alone knows the platform's protocol. */
 const PROCESS_SOAK = fileURLToPath(new URL('../../../platform/dist/soak/main.js', import.meta.url));
 const RANDOM_FAULTS = 'random';
-const ADVICE_FAULTS = 'advice';
 const RESTART_FAULTS = 'restarts';
+/** Profiles of the process soak; random faults are those of its profile `all`. */
+const PROCESS_PROFILES = ['advice', RESTART_FAULTS] as const;
 const MILLISECONDS_PER_MINUTE = 60_000;
 const LARGEST_SEED = 1_000_000_000;
 // By then the partitions have been distributed to the daemons, even on a busy machine.
@@ -45,11 +46,14 @@
 
 /** Runs the deployed program as processes. @returns exit code */
 function runProcessSoak(seed: number, minutes: number, faults: string): number {
-  if (faults !== RANDOM_FAULTS && faults !== ADVICE_FAULTS) {
-    console.error(`--processes takes --faults ${RANDOM_FAULTS} or ${ADVICE_FAULTS}`);
+  const profile =
+    faults === RANDOM_FAULTS ? 'all' : PROCESS_PROFILES.find((name) => name === faults);
+  if (!profile) {
+    console.error(
+      `--processes takes --faults ${[RANDOM_FAULTS, ...PROCESS_PROFILES].join(' or ')}`,
+    );
     return 2;
   }
-  const profile = faults === ADVICE_FAULTS ? 'advice' : 'all';
   const soakArguments = [
     ...['--seed', String(seed), '--minutes', String(minutes)],
     ...['--faults', profile],
@@ -95,10 +99,10 @@
     },
     faults: {
       type: 'enum',
-      options: [RANDOM_FAULTS, ADVICE_FAULTS, RESTART_FAULTS, ...LONG_FAULT_NAMES],
+      options: [RANDOM_FAULTS, ...PROCESS_PROFILES, ...LONG_FAULT_NAMES],
       default: RANDOM_FAULTS,
       description:
-        'Random faults, or one fault that lasts for the whole duration; with --processes, random faults or those of the ways to advice; with --crashes, random faults or restarts under the same id with late orders',
+        'Random faults, or one fault that lasts for the whole duration; with --processes, random faults, those of the ways to advice or restarts of endpoints; with --crashes, random faults or restarts of endpoints',
     },
     example: {
       type: 'enum',
@@ -147,12 +151,8 @@
     }
     const minutes = readNumber('minutes', args.minutes);
     if (args.processes) process.exit(runProcessSoak(seed, minutes, args.faults));
-    if (args.faults === ADVICE_FAULTS) {
-      console.error(`--faults ${ADVICE_FAULTS} needs --processes`);
-      process.exit(2);
-    }
-    if (args.faults === RESTART_FAULTS) {
-      console.error(`--faults ${RESTART_FAULTS} needs --crashes`);
+    if (args.faults === 'advice' || args.faults === RESTART_FAULTS) {
+      console.error(`--faults ${args.faults} needs --processes`);
       process.exit(2);
     }
     console.log(`seed: ${seed}`);
--- a/packages/proving/src/types/processSoak.ts
+++ b/packages/proving/src/types/processSoak.ts
@@ -49,6 +49,40 @@
       readonly count: number;
     };
 
+/** Endpoints that a restart hits together: one, some next to each other, or all of a rack. */
+export type RestartTarget = 'one' | 'several' | 'rack';
+
+/** Selects endpoints that are next to each other. */
+export interface RestartGroup {
+  /** Selects the first one, in [0, 1). */
+  readonly pick: number;
+  readonly target: RestartTarget;
+}
+
+/** A planned fault of endpoints that start again under their ids. */
+export type RestartFault =
+  | {
+      /** Crashes endpoints behind a cut, which come back under their ids, and cuts them off again soon after. */
+      readonly kind: 'restart';
+      readonly target: RestartTarget;
+      /** Whether the endpoints do not reach the store during the cuts either. */
+      readonly isUnlisted: boolean;
+      /** Time until the endpoints are back, in milliseconds; less than that of the first cut. */
+      readonly downMilliseconds: number;
+      readonly firstCutMilliseconds: number;
+      /** Time between the two cuts, in milliseconds; the duration of the fault is that of the second one. */
+      readonly gapMilliseconds: number;
+    }
+  | {
+      /** Orders to the endpoints get no answer and are carried out late, also during a cut or after a restart. */
+      readonly kind: 'late';
+      readonly target: RestartTarget;
+      /** Fraction of the orders, in [0, 1]. */
+      readonly fraction: number;
+      /** Decides which orders are late, and by how much. */
+      readonly seed: number;
+    };
+
 /** A planned fault. The run decides which endpoint, run or process it hits. */
 export type ProcessSoakFault = {
   /** Time since the start of the load, in milliseconds. */
@@ -78,10 +112,14 @@
     }
   | { readonly kind: 'store'; readonly fault: 'silent' | 'slow' | 'answers-lost' }
   | AdviceFault
+  | RestartFault
 );
 
-/** `all`: faults of every kind. `advice`: those of the ways to advice, under a load of many short jobs. */
-export type ProcessSoakProfile = 'all' | 'advice';
+/**
+ * `all`: faults of every kind. `advice`: those of the ways to advice, under a load of many short jobs. `restarts`:
+ * restarts under the same id and late orders, under a load of long and lasting tasks.
+ */
+export type ProcessSoakProfile = 'all' | 'advice' | 'restarts';
 
 /** Load and faults of a process soak. */
 export interface ProcessSoakPlan {
