Acknowledge nothing to an endpoint that has fallen silent

Callers could see a task run again after its run in a new incarnation had succeeded: the first hold there carried the acknowledgements of the former one.

Cause: a hold to an endpoint that does not answer may reach its next incarnation.

Change: such a hold acknowledges nothing. The line about a late run names that run.

--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -260,15 +260,14 @@
     const isWaiting = task?.phase === 'pending' && task.run === run && task.step.isReleased;
     if (!isWaiting || task.step.job.phase !== 'open' || task.step.specification.isGang) return null;
     if (task.outstandingStart?.endpointId !== state.entry.endpointId) return null;
-    chargeLateRun(task);
+    chargeLateRun(task, run);
     return task;
   }
 
-  function chargeLateRun(task: TaskRecord): void {
-    const { taskId, run } = task;
-    assignRun(task, run, state, now());
+  function chargeLateRun(task: TaskRecord, run: number): void {
+    assignRun(task, task.run, state, now());
     table.charge(state, task);
-    log.info('late run taken up', { task: taskId, run, endpoint: state.entry.endpointId });
+    log.info('late run taken up', { task: task.taskId, run, endpoint: state.entry.endpointId });
     void transitions.save(task.step.job);
   }
 
@@ -281,7 +280,7 @@
     if (!isLate || isGang || isLongRunning) return;
     const isResult = end.kind === 'done' || (end.kind === 'failed' && task.phase === 'pending');
     if (!isResult) return;
-    if (task.phase === 'pending') chargeLateRun(task);
+    if (task.phase === 'pending') chargeLateRun(task, end.run);
     changedTasks.add(task);
     transitions.endRun(task, end.kind, end.checkpoint);
   }
@@ -464,7 +463,8 @@
       target(),
       {
         deadlineOnEndpointMilliseconds: deadline,
-        acknowledgedSequence: acknowledgedSequence(),
+        // An endpoint that fell silent may have been replaced.
+        acknowledgedSequence: state.unansweredCalls === 0 ? acknowledgedSequence() : 0,
         waitMilliseconds,
       },
       latency.timeoutMilliseconds(),
