Take an endpoint that is missing in the directory for gone

Callers saw two lasting tasks without a run 25 s after their endpoint had crashed and come back under another id.

Cause: their outstanding starts bound them to the id that was gone, and each new owner counted the time anew; runs that may be in a later incarnation of it waited 22.5 s.

Change: by the platform's contract an entry that stays missing counts as gone.

--- a/packages/scheduler/src/core/endpointTable.ts
+++ b/packages/scheduler/src/core/endpointTable.ts
@@ -89,10 +89,17 @@
   return bornAt !== current && (bornAt < current || formerBornAt.has(bornAt));
 }
 
-/** @returns when the lease of a run has certainly expired, in monotonic milliseconds */
-export function leaseExpiryOf(state: EndpointState, task: TaskRecord): number {
-  const { leasesExpireAt, widenedLeasesExpireAt, laterLeasesExpireAt } = state;
-  if (mayBeInLaterIncarnation(task)) return laterLeasesExpireAt;
+/**
+ * An endpoint that is missing in the directory counts as gone, so that no later incarnation executes orders for it late.
+ *
+ * @param orderDelay latest execution of an order after it was sent, in milliseconds
+ * @returns when the lease of a run has certainly expired, in monotonic milliseconds
+ */
+export function leaseExpiryOf(state: EndpointState, task: TaskRecord, orderDelay: number): number {
+  const { leasesExpireAt, widenedLeasesExpireAt, laterLeasesExpireAt, isListed } = state;
+  if (mayBeInLaterIncarnation(task)) {
+    return isListed ? laterLeasesExpireAt : laterLeasesExpireAt - orderDelay;
+  }
   return Math.max(leasesExpireAt, widenedLeasesExpireAt);
 }
 
--- a/packages/scheduler/src/core/outstandingStarts.ts
+++ b/packages/scheduler/src/core/outstandingStarts.ts
@@ -104,7 +104,10 @@
     index(task, start.endpointId);
   }
 
-  /** An endpoint that was replaced under its id lately, or did not answer since the start, may be replaced again. */
+  /**
+   * An endpoint that was replaced under its id lately, or did not answer since the start, may be replaced again. One
+   * that is missing in the directory counts as gone.
+   */
   function isBinding({
     endpointId,
     until,
@@ -112,7 +115,9 @@
     isExecuting,
   }: OutstandingStart): boolean {
     const state = table.get(endpointId);
-    if (!state || isByFormerOwner || isExecuting) return true;
+    if (isExecuting) return true;
+    if (!state?.isListed) return false;
+    if (isByFormerOwner) return true;
     const now = clock.monotonicMilliseconds();
     const isReplacedLately = now - state.replacedAt < REPLACEMENT_MEMORY_MILLISECONDS;
     return isReplacedLately || state.lastSilentAt >= until - maximumOrderDelayMilliseconds;
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -293,7 +293,9 @@
   async function awaitLeaseExpiry(state: EndpointState, onExpired: () => void): Promise<void> {
     const { transitions } = components!;
     while (state.runs.size > 0) {
-      const expiries = [...state.runs.values()].map((task) => leaseExpiryOf(state, task));
+      const expiries = [...state.runs.values()].map((task) =>
+        leaseExpiryOf(state, task, timeLimits.maximumOrderDelayMilliseconds),
+      );
       const remaining = Math.min(...expiries) - clock.monotonicMilliseconds();
       await sleep(clock, Math.max(RETRY_DELAY_MILLISECONDS, remaining));
       if (hasEnded || state.entry.address !== '') return;
--- a/packages/scheduler/src/core/taskTransitions.ts
+++ b/packages/scheduler/src/core/taskTransitions.ts
@@ -341,11 +341,11 @@
     dropRun,
     expireRuns(state) {
       const now = clock.monotonicMilliseconds();
-      const expired = [...state.runs.values()].filter((task) => now >= leaseExpiryOf(state, task));
+      const expiryOf = (task: TaskRecord) =>
+        leaseExpiryOf(state, task, context.timeLimits.maximumOrderDelayMilliseconds);
+      const expired = [...state.runs.values()].filter((task) => now >= expiryOf(task));
       if (expired.length === 0) return;
-      const prolonged = expired.filter(
-        (task) => leaseExpiryOf(state, task) > state.leasesExpireAt,
-      ).length;
+      const prolonged = expired.filter((task) => expiryOf(task) > state.leasesExpireAt).length;
       metrics.count('run_leases_prolonged', prolonged);
       const age = (at: number | null) => (at === null ? null : Math.round(now - at));
       log.info('run leases on endpoint expired', {
