Do not move a straggler that could only start on the same endpoint

Callers saw a run stopped and started again on the endpoint that it was moved off.

Cause: a task that is bound to an endpoint by an outstanding start ignored that it was to avoid it.

Change: the required endpoint is subject to the avoided one, and a bound task is not moved.

--- a/packages/decisions/src/core/chooseEndpoint.ts
+++ b/packages/decisions/src/core/chooseEndpoint.ts
@@ -203,9 +203,8 @@
     for (let position = 0; position < hosts.length; position += 1) {
       const { endpointId } = hosts[position]!;
       const isAllowed =
-        requiredEndpointId === null
-          ? endpointId !== excludedEndpointId
-          : endpointId === requiredEndpointId;
+        endpointId !== excludedEndpointId &&
+        (requiredEndpointId === null || endpointId === requiredEndpointId);
       if (isAllowed && scores[position]! > bestScore) {
         best = position;
         bestScore = scores[position]!;
--- a/packages/scheduler/src/core/stragglerWatch.ts
+++ b/packages/scheduler/src/core/stragglerWatch.ts
@@ -87,6 +87,8 @@
     tasks.forEach((task, position) => {
       const session = task.endpointId === null ? undefined : sessionOf(task.endpointId);
       if (!session || session.state.unansweredCalls > 0) return;
+      // It could only start again on the same endpoint.
+      if (context.outstandingStarts.requiredEndpoint(task) !== null) return;
       const run = runs[position]!;
       const verdict = judgeStraggler({
         ...run,
