Pause polls for longer only while a start is outstanding

Cause: the pause of 100 ms for endpoints with outstanding starts applied to all holds with acknowledgements that are withheld, which they are while any start is unconfirmed.

Change: 20 ms as before but for endpoints with outstanding starts.

--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -58,7 +58,9 @@
 /** Deviation of the endpoint's clock since its last list, in milliseconds. */
 const CLOCK_TOLERANCE_MILLISECONDS = 100;
 /** Delay of a hold whose answer comes at once because it lists ends that cannot be acknowledged yet. */
-const UNACKNOWLEDGED_POLL_DELAY_MILLISECONDS = 100;
+const UNACKNOWLEDGED_POLL_DELAY_MILLISECONDS = 20;
+/** The same while a start may still be executed, which lasts for seconds. */
+const OUTSTANDING_POLL_DELAY_MILLISECONDS = 100;
 /** Expected duration from which the confirmation of a run is stored; shorter ones have mostly ended by a takeover. */
 const STORED_RUN_MILLISECONDS = 3_000;
 /** A list reflects an order if it was requested at least this long after the answer to the order. */
@@ -452,6 +454,13 @@
     return mayBeDiscarded ? 0 : state.durableSequence;
   }
 
+  /** @returns delay of a hold whose answer comes at once because it lists ends that are not acknowledged yet */
+  function withheldPause(): number {
+    return outstandingStarts.mayExecute(state.entry.endpointId)
+      ? OUTSTANDING_POLL_DELAY_MILLISECONDS
+      : UNACKNOWLEDGED_POLL_DELAY_MILLISECONDS;
+  }
+
   async function hold(waitMilliseconds: number): Promise<void> {
     const sentAt = now();
     const { fencingToken } = state;
@@ -602,8 +611,7 @@
             state.runs.size > 0 ? BUSY_POLL_MILLISECONDS : IDLE_POLL_MILLISECONDS;
           const mayWait = isUpToDate && state.isFenced && state.clockOffset !== null;
           await hold(mayWait ? pollMilliseconds : 0);
-          const isWithheld = acknowledgedSequence() < state.durableSequence;
-          if (isWithheld) await sleep(clock, UNACKNOWLEDGED_POLL_DELAY_MILLISECONDS);
+          if (acknowledgedSequence() < state.durableSequence) await sleep(clock, withheldPause());
         }
       }
       if (!context.hasEnded()) events.onGone(state);
