Look for outstanding starts that are over once a second

Cause: each new one looked at all others, which grows with their square while many endpoints leave starts unanswered.

Change: at most once a second.

--- a/packages/scheduler/src/core/outstandingStarts.ts
+++ b/packages/scheduler/src/core/outstandingStarts.ts
@@ -10,6 +10,8 @@
 
 /** How long an endpoint that was replaced under its id is expected to be replaced again, in milliseconds. */
 const REPLACEMENT_MEMORY_MILLISECONDS = 60_000;
+/** Interval of looking for starts that are over; hundreds may be outstanding while many endpoints are in trouble. */
+const FORGETTING_INTERVAL_MILLISECONDS = 1_000;
 
 /**
  * Starts that were given up without an answer, and that their endpoint may still execute. A stop or a list rules a
@@ -56,6 +58,7 @@
   const { maximumOrderDelayMilliseconds } = options.timeLimits;
   /** By endpoint id. */
   const tasksByEndpoint = new Map<string, Set<TaskRecord>>();
+  let forgottenAt = -Infinity;
 
   function isSettled({ phase, step }: TaskRecord): boolean {
     return phase === 'done' || phase === 'failed' || step.job.phase !== 'open';
@@ -91,8 +94,15 @@
     if (start && (isSettled(task) || hasExpired(start))) release(task);
   }
 
+  function forgetOldStarts(): void {
+    const now = clock.monotonicMilliseconds();
+    if (now - forgottenAt < FORGETTING_INTERVAL_MILLISECONDS) return;
+    forgottenAt = now;
+    tasksByEndpoint.forEach((tasks) => tasks.forEach(forgetIfOver));
+  }
+
   function index(task: TaskRecord, endpointId: string): void {
-    tasksByEndpoint.forEach((others) => others.forEach(forgetIfOver));
+    forgetOldStarts();
     const tasks = tasksByEndpoint.get(endpointId);
     if (tasks) tasks.add(task);
     else tasksByEndpoint.set(endpointId, new Set([task]));
