--- a/packages/scheduler/src/core/endpointTable.ts
+++ b/packages/scheduler/src/core/endpointTable.ts
@@ -90,7 +90,7 @@
 }
 
 /**
- * An endpoint that is missing in the directory counts as gone, so that no later incarnation executes orders for it late.
+ * An endpoint that is missing in the directory counts as gone, so that no later incarnation executes its orders late.
  *
  * @param orderDelay latest execution of an order after it was sent, in milliseconds
  * @returns when the lease of a run has certainly expired, in monotonic milliseconds
