--- a/packages/decisions/src/core/chooseEndpoint.ts
+++ b/packages/decisions/src/core/chooseEndpoint.ts
@@ -158,9 +158,10 @@
    * Chooses the endpoint of the next task and adds the task to its load.
    *
    * @param excludedEndpointId endpoint that is not chosen; null for none
+   * @param requiredEndpointId only endpoint that may be chosen; null for any
    * @returns the chosen candidate, or null if none can run the task
    */
-  place(excludedEndpointId: string | null): Candidate | null;
+  place(excludedEndpointId: string | null, requiredEndpointId?: string | null): Candidate | null;
 }
 
 /**
@@ -196,12 +197,16 @@
 
   let scores = hosts.map(rate);
 
-  function findBest(excludedEndpointId: string | null): number {
+  function findBest(excludedEndpointId: string | null, requiredEndpointId: string | null): number {
     let best = -1;
     let bestScore = -Infinity;
     for (let position = 0; position < hosts.length; position += 1) {
-      const isBetter = scores[position]! > bestScore;
-      if (isBetter && hosts[position]!.endpointId !== excludedEndpointId) {
+      const { endpointId } = hosts[position]!;
+      const isAllowed =
+        requiredEndpointId === null
+          ? endpointId !== excludedEndpointId
+          : endpointId === requiredEndpointId;
+      if (isAllowed && scores[position]! > bestScore) {
         best = position;
         bestScore = scores[position]!;
       }
@@ -210,8 +215,8 @@
   }
 
   return {
-    place(excludedEndpointId) {
-      const position = findBest(excludedEndpointId);
+    place(excludedEndpointId, requiredEndpointId = null) {
+      const position = findBest(excludedEndpointId, requiredEndpointId);
       const chosen = hosts[position];
       if (!chosen) return null;
       chosen.used = addResources(chosen.used, requirements.resources);
--- a/packages/decisions/src/core/leaseBounds.ts
+++ b/packages/decisions/src/core/leaseBounds.ts
@@ -48,6 +48,34 @@
   return Math.min(latest, widenedUntil + MAXIMUM_CLOCK_SKEW_MILLISECONDS);
 }
 
+/**
+ * @param startedAt start of the term, in monotonic milliseconds
+ * @param recordedAt last time at which the run was recorded without a confirmation, in monotonic milliseconds; null if
+ *   that is not known
+ * @returns by when a former owner has sent the start of a run, if at all, in monotonic milliseconds
+ */
+export function boundFormerStart(startedAt: number, recordedAt: number | null): number {
+  if (recordedAt === null) return startedAt;
+  const lastOrderAt =
+    recordedAt + MAXIMUM_CLOCK_SKEW_MILLISECONDS + REPLACEMENT_NOTICE_MILLISECONDS;
+  return Math.min(startedAt, lastOrderAt);
+}
+
+/**
+ * Bounds, for a new owner, until when a start that a former one has given up may be executed.
+ *
+ * @param startedAt start of the term, in monotonic milliseconds; all orders of former owners were sent before
+ * @param until the bound by the clock of the former owner, in monotonic milliseconds
+ * @param orderDelay latest execution of an order after it was sent, in milliseconds
+ */
+export function boundFormerOutstandingStart(
+  startedAt: number,
+  until: number,
+  orderDelay: number,
+): number {
+  return Math.min(startedAt + orderDelay, until + MAXIMUM_CLOCK_SKEW_MILLISECONDS);
+}
+
 /**
  * Decides whether a run that a former owner had not confirmed is in the recorded incarnation, if it exists. In a later
  * one, that owner would have noticed and recorded the replacement, or it stopped widening leases there so long ago that
@@ -63,7 +91,5 @@
   { requested, late }: LeaseDurations,
 ): boolean {
   if (recordedAt === null) return false;
-  const lastOrderAt =
-    recordedAt + MAXIMUM_CLOCK_SKEW_MILLISECONDS + REPLACEMENT_NOTICE_MILLISECONDS;
-  return lastOrderAt + late <= startedAt + requested;
+  return boundFormerStart(startedAt, recordedAt) + late <= startedAt + requested;
 }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -58,6 +58,8 @@
   boundFormerWidenedLeases,
   boundWidenedLeasesByAge,
   isReplacementNoticed,
+  boundFormerOutstandingStart,
+  boundFormerStart,
 } from './core/leaseBounds.js';
 export type { LeaseDurations } from './core/leaseBounds.js';
 
--- a/packages/proving/src/__tests__/lateOrders.test.ts
+++ b/packages/proving/src/__tests__/lateOrders.test.ts
@@ -16,6 +16,8 @@
 /** Duration of a run; longer than the longest lease. */
 const RUN_MILLISECONDS = 30_000;
 const ORDER_DELAY_MILLISECONDS = 3_000;
+/** Time within which the owner notices that an incarnation was replaced behind a cut. */
+const NOTICE_MILLISECONDS = 3_000;
 
 /** Starts a cell with two endpoints, of which the second is cut off, so that all tasks run on the first. */
 async function startCell(options: Partial<EndpointFleetOptions> = {}): Promise<SchedulerCell> {
@@ -58,6 +60,12 @@
   cell.fleet.faultsOf('endpoint-1').isCutOff = false;
 }
 
+/** Leaves room on the second endpoint only. */
+function removeRoom(cell: SchedulerCell): void {
+  cell.fleet.resize('endpoint-0', { processors: 0, memoryBytes: 0, accelerators: 0 });
+  cell.fleet.faultsOf('endpoint-1').isCutOff = false;
+}
+
 async function awaitStarts(
   t: ExecutionContext,
   cell: SchedulerCell,
@@ -117,3 +125,62 @@
   await cell.advance(20_000);
   t.deepEqual(cell.fleet.violations(), []);
 });
+
+test('a late start in an incarnation that was not heard from before does not overlap with a repetition', async (t) => {
+  const cell = await startCell();
+  restartBehindCut(cell);
+  await cell.advance(NOTICE_MILLISECONDS);
+  await submitWithLateStart(cell, 1);
+  removeRoom(cell);
+  await cell.advance(ORDER_DELAY_MILLISECONDS - 150);
+  restartBehindCut(cell);
+  await cell.advance(20_000);
+  t.deepEqual(cell.fleet.violations(), []);
+});
+
+test('a task whose start was given up runs at once at the endpoint to which it is bound', async (t) => {
+  const cell = await startCell({ durationOf: () => 400 });
+  restartBehindCut(cell);
+  await cell.advance(NOTICE_MILLISECONDS);
+  await submitWithLateStart(cell, 1);
+  await cell.advance(2_000);
+  const answer = await cell.call({ action: 'status', path: `/work/${createJobId(1)}` });
+  t.deepEqual(answer, { kind: 'status', status: 'completed' });
+  t.deepEqual(cell.fleet.violations(), []);
+});
+
+test('a late start of a task that is still waiting is taken up', async (t) => {
+  const cell = await startCell();
+  restartBehindCut(cell);
+  await cell.advance(NOTICE_MILLISECONDS);
+  await submitWithLateStart(cell, 1);
+  removeRoom(cell);
+  await cell.advance(ORDER_DELAY_MILLISECONDS - 150);
+  restartBehindCut(cell);
+  await cell.advance(20_000);
+  t.is(cell.fleet.history.length, 1);
+  t.is(cell.fleet.history[0]!.kind, null);
+});
+
+// The endpoint has answered all along, so that the task is started elsewhere at once.
+test('a late start in the first incarnation that follows another does not overlap with a repetition', async (t) => {
+  const cell = await startCell();
+  await submitWithLateStart(cell, 1);
+  removeRoom(cell);
+  await cell.advance(ORDER_DELAY_MILLISECONDS - 150);
+  restartBehindCut(cell);
+  await cell.advance(20_000);
+  t.deepEqual(cell.fleet.violations(), []);
+});
+
+// Nothing but time rules out a start in an incarnation that has not answered yet.
+test('a late start does not repeat a task that was repeated and is done', async (t) => {
+  const cell = await startCell({ durationOf: () => 400 });
+  restartBehindCut(cell);
+  await cell.advance(NOTICE_MILLISECONDS);
+  await submitWithLateStart(cell, 1);
+  await cell.advance(ORDER_DELAY_MILLISECONDS - 150);
+  restartBehindCut(cell);
+  await cell.advance(2_000);
+  t.deepEqual(cell.fleet.violations(), []);
+});
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -29,7 +29,7 @@
 import type { EndpointSession } from './endpointSession.js';
 import { chargedResources } from './endpointTable.js';
 import type { EndpointState } from './endpointTable.js';
-import { hasActiveRun, trialMillisecondsOf } from './jobRecords.js';
+import { assignRun, hasActiveRun, trialMillisecondsOf } from './jobRecords.js';
 import { createIdleSteps } from './idleSteps.js';
 import { createKeptEndpoints } from './keptEndpoints.js';
 import { findUpcomingSteps } from './upcomingSteps.js';
@@ -112,7 +112,7 @@
 
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const { context, transitions, adviceCache } = options;
-  const { clock, log, metrics, table, workMeter } = context;
+  const { clock, log, metrics, outstandingStarts, table, workMeter } = context;
   const keptEndpoints = createKeptEndpoints(context, transitions);
   const trialSchedule = createTrialSchedule(context);
   const unsentStarts = createUnsentStarts(context);
@@ -286,9 +286,11 @@
     for (const task of tasks) {
       used = addResources(used, step.specification.resources);
       if (!fitsTeamLimit(step.job, used)) return { placements, blockedBy: 'limit' };
-      const candidate = chooser.place(avoidedEndpoint(task));
-      if (!candidate) break;
-      placements.push({ task, candidate });
+      const requiredEndpointId = outstandingStarts.requiredEndpoint(task);
+      const candidate = chooser.place(avoidedEndpoint(task), requiredEndpointId);
+      if (candidate) placements.push({ task, candidate });
+      else if (requiredEndpointId === null) break;
+      else used = addResources(used, step.specification.resources, -1);
     }
     return { placements, blockedBy: 'room' };
   }
@@ -314,18 +316,8 @@
     run: number,
     isTrial: boolean,
   ): void {
-    task.run = run;
-    task.placedAt = clock.monotonicMilliseconds();
+    assignRun(task, run, state, clock.monotonicMilliseconds());
     task.trialMilliseconds = isTrial ? trialMillisecondsOf(task) : 0;
-    task.phase = 'placed';
-    task.endpointId = state.entry.endpointId;
-    task.endpointBornAt = state.bornAt;
-    task.endpointAddress = state.entry.address;
-    task.endpointRack = state.entry.rack;
-    task.endpointLeasesWidenedUntil = state.widenedLeasesExpireAt;
-    task.isIncarnationKnown = false;
-    task.startSentAt = null;
-    task.absenceConclusiveAfter = Infinity;
     table.charge(state, task);
     unsentStarts.add(task);
     transitions.recordStart(state.entry.endpointId);
@@ -369,7 +361,8 @@
   function startableTasks(step: StepRecord): TaskRecord[] {
     const now = clock.monotonicMilliseconds();
     const pending = step.tasks.filter(
-      ({ phase, notBefore }) => phase === 'pending' && notBefore <= now,
+      (task) =>
+        task.phase === 'pending' && task.notBefore <= now && !outstandingStarts.isHeld(task),
     );
     const isGangPending =
       pending.length === step.specification.count && !step.tasks.some(hasActiveRun);
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -21,7 +21,13 @@
 import { remainingToleranceMilliseconds } from './capacityAge.js';
 import { isFormerIncarnation, lastLeaseExpiry } from './endpointTable.js';
 import type { EndpointState } from './endpointTable.js';
-import { findTask, hasActiveRun, jobIdOf, mayBeInLaterIncarnation } from './jobRecords.js';
+import {
+  assignRun,
+  findTask,
+  hasActiveRun,
+  jobIdOf,
+  mayBeInLaterIncarnation,
+} from './jobRecords.js';
 import type { TaskTransitions } from './taskTransitions.js';
 
 /** Long-poll wait of a hold at an endpoint without runs. */
@@ -94,7 +100,7 @@
   state: EndpointState,
   events: SessionEvents,
 ): EndpointSession {
-  const { clock, log, metrics, workMeter, endpoints, table } = context;
+  const { clock, log, metrics, workMeter, endpoints, outstandingStarts, table } = context;
   /** Whether all ends applied so far are durable. */
   let appliedEndsDurable: Promise<boolean> = Promise.resolve(true);
   let isPolling = false;
@@ -188,6 +194,7 @@
     state.bornAt = bornAt;
     state.fencingToken = context.takeFencingToken();
     state.isFenced = false;
+    state.replacedAt = now();
     state.appliedSequence = 0;
     state.durableSequence = 0;
     const runs = runsOfOtherIncarnations();
@@ -242,17 +249,38 @@
     state.unansweredCalls = 0;
   }
 
+  /**
+   * Takes up a run that was given up, if its start was executed late and the task has not been started again. A member
+   * of a gang is not taken up, because the others have been stopped.
+   */
+  function takeUpLateRun({ taskId, run }: RunId): TaskRecord | null {
+    const task = findTask(context.jobs, taskId);
+    const isWaiting = task?.phase === 'pending' && task.run === run && task.step.isReleased;
+    if (!isWaiting || task.step.job.phase !== 'open' || task.step.specification.isGang) return null;
+    if (task.outstandingStart?.endpointId !== state.entry.endpointId) return null;
+    assignRun(task, run, state, now());
+    table.charge(state, task);
+    log.info('late run taken up', { task: taskId, run, endpoint: state.entry.endpointId });
+    return task;
+  }
+
+  /** @returns task of which a listed run is the current one; null if it is not */
+  function findCurrentTask(run: RunId): TaskRecord | null {
+    const task = state.runs.get(run.taskId);
+    if (!task) return takeUpLateRun(run);
+    return task.run === run.run ? task : null;
+  }
+
   function applyEnd(end: EndReport, changedTasks: Set<TaskRecord>): void {
-    const task = state.runs.get(end.taskId);
-    if (!task || task.run !== end.run) return;
+    const task = findCurrentTask(end);
+    if (!task) return;
     changedTasks.add(task);
     transitions.noteRun(task);
     transitions.endRun(task, end.kind, end.checkpoint);
   }
 
   /** A run of an open task may be beside a later one, because its lease outlived the bound or its start was late. */
-  function reportUnknownRun({ taskId, run }: RunReport): void {
-    const known = findTask(context.jobs, taskId);
+  function reportUnknownRun({ taskId, run }: RunReport, known: TaskRecord | undefined): void {
     metrics.count('unknown_runs_stopped');
     log.warn('unknown run stopped', {
       task: taskId,
@@ -265,10 +293,13 @@
     });
   }
 
-  function applyRunning(report: RunReport): void {
-    const task = state.runs.get(report.taskId);
-    if (!task || task.run !== report.run) {
-      reportUnknownRun(report);
+  /** @param unknown gets the open tasks of which a run is listed that is not their current one */
+  function applyRunning(report: RunReport, unknown: Set<TaskRecord>): void {
+    const task = findCurrentTask(report);
+    if (!task) {
+      const known = findTask(context.jobs, report.taskId);
+      if (known) unknown.add(known);
+      reportUnknownRun(report, known);
       void sendStop(report);
       return;
     }
@@ -292,6 +323,7 @@
       if (listed.has(`${task.taskId}/${task.run}`) || task.absenceConclusiveAfter >= sentAt) return;
       changedTasks.add(task);
       log.info('run is absent', { task: task.taskId, run: task.run, phase: task.phase });
+      outstandingStarts.record(state, task, sentAt);
       transitions.endRun(task, 'lapsed', task.checkpoint);
     });
   }
@@ -326,7 +358,9 @@
       state.appliedSequence,
     );
     state.appliedSequence = appliedSequence;
-    outcome.running.forEach(applyRunning);
+    const unknown = new Set<TaskRecord>();
+    outcome.running.forEach((report) => applyRunning(report, unknown));
+    outstandingStarts.applyList(state, unknown, sentAt);
     if (outcome.ends.length < MAXIMUM_LISTED_ENDS) {
       const listed = new Set(outcome.running.map(({ taskId, run }) => `${taskId}/${run}`));
       endAbsentRuns(listed, sentAt, changedTasks);
@@ -357,6 +391,7 @@
 
   function handleUnansweredHold(outcome: UnansweredHold, wasWaiting: boolean): void {
     state.unansweredCalls += 1;
+    state.lastSilentAt = now();
     metrics.count('holds_failed');
     if (state.unansweredCalls === 1) {
       state.silentSince = now();
@@ -432,6 +467,7 @@
     task.phase = isWanted ? 'running' : 'stopping';
     task.endpointBornAt = state.bornAt;
     task.isIncarnationKnown = true;
+    task.startOutstandingUntil = null;
     transitions.noteRun(task);
     task.startedAt = now();
     task.isStartTimeKnown = isStartKnown;
@@ -552,6 +588,7 @@
       const sentAt = now();
       const { fencingToken } = state;
       task.startSentAt = sentAt;
+      task.startOutstandingUntil = sentAt + context.timeLimits.maximumOrderDelayMilliseconds;
       const order: StartOrder = {
         taskId: task.taskId,
         run,
@@ -565,6 +602,7 @@
       );
       if (outcome.kind === 'done') unansweredStarts = 0;
       if (!isCurrentRun(task, run) || task.phase === 'running') return;
+      if (outcome.kind !== 'unknown') task.startOutstandingUntil = null;
       if (outcome.kind === 'refused') {
         handleRefusedStart(task, outcome.reason);
         if (outcome.reason === 'fenced') abandonFenced(fencingToken);
--- a/packages/scheduler/src/core/endpointTable.ts
+++ b/packages/scheduler/src/core/endpointTable.ts
@@ -56,6 +56,10 @@
   durableSequence: number;
   /** Lower bound of the endpoint's clock minus the monotonic clock, in milliseconds; null if unknown. */
   clockOffset: number | null;
+  /** When a later incarnation was first heard from, in monotonic milliseconds; -Infinity if none was in this term. */
+  replacedAt: number;
+  /** When a hold last went unanswered, in monotonic milliseconds; -Infinity if none did in this term. */
+  lastSilentAt: number;
   /** When the last order that grants leases was sent, in monotonic milliseconds; null if none was in this term. */
   lastLeaseOrderAt: number | null;
   /** When the last answer arrived, in monotonic milliseconds; null if there was none in this term. */
@@ -159,6 +163,8 @@
         durableSequence: 0,
         clockOffset: null,
         ...leases,
+        replacedAt: -Infinity,
+        lastSilentAt: -Infinity,
         lastLeaseOrderAt: null,
         lastAnswerAt: null,
         unansweredCalls: 0,
--- a/packages/scheduler/src/core/jobRecords.ts
+++ b/packages/scheduler/src/core/jobRecords.ts
@@ -2,6 +2,7 @@
 import type { LossCertainty, LossRole } from '@chicorybend/decisions';
 
 import type { JobSpecification, StepSpecification } from '../types/job.js';
+import type { EndpointState } from './endpointTable.js';
 import type {
   AdmissionSettings,
   JobPhase,
@@ -73,6 +74,8 @@
     endpointLeasesWidenedUntil: null,
     isIncarnationKnown: false,
     startSentAt: null,
+    startOutstandingUntil: null,
+    outstandingStart: null,
     checkpoint: '',
     placedAt: 0,
     formerlyRecordedAt: null,
@@ -175,6 +178,25 @@
   return hasActiveRun(task) && task.startSentAt !== null && !task.isIncarnationKnown;
 }
 
+/** Records a run of a task on an endpoint, right before it is charged there. */
+export function assignRun(
+  task: TaskRecord,
+  run: number,
+  { entry, bornAt, widenedLeasesExpireAt }: EndpointState,
+  now: number,
+): void {
+  const { endpointId, address: endpointAddress, rack: endpointRack } = entry;
+  Object.assign(task, { run, endpointId, endpointAddress, endpointRack });
+  task.phase = 'placed';
+  task.placedAt = now;
+  task.endpointBornAt = bornAt;
+  task.endpointLeasesWidenedUntil = widenedLeasesExpireAt;
+  task.isIncarnationKnown = false;
+  task.startSentAt = null;
+  task.startOutstandingUntil = null;
+  task.absenceConclusiveAfter = Infinity;
+}
+
 /** Calls a function for each task of the incomplete occurrences of a job. */
 export function forEachTask(job: JobRecord, apply: (task: TaskRecord) => void): void {
   job.occurrences.forEach(({ steps }) => steps.forEach(({ tasks }) => tasks.forEach(apply)));
@@ -196,9 +218,16 @@
   maximumAge?: number | null,
 ];
 
+/**
+ * Stored start that may still be executed: index into `endpoints`, until when since the acceptance of the job, in
+ * milliseconds.
+ */
+type StoredStart = [endpoint: number, until: number];
+
 /**
  * Stored task: step index, task index, phase, run, failures, index into `endpoints` (-1 for none), checkpoint, time of
- * the placement since the acceptance of the job in milliseconds, losses. Earlier builds do not write the last two.
+ * the placement since the acceptance of the job in milliseconds, losses, outstanding start. Earlier builds do not write
+ * the last three.
  */
 type StoredTask = [
   step: number,
@@ -210,6 +239,7 @@
   checkpoint: string,
   placedAt?: number,
   losses?: StoredLoss[],
+  outstandingStart?: StoredStart,
 ];
 
 function encodeLoss(job: JobRecord, loss: TaskLoss, endpoint: number): StoredLoss {
@@ -326,6 +356,12 @@
     return expiresAt <= now ? 0 : sinceAcceptance(expiresAt);
   }
 
+  function encodeOutstandingStart({ outstandingStart }: TaskRecord): [StoredStart] | [] {
+    if (!outstandingStart?.isBinding) return [];
+    const { endpointId, until } = outstandingStart;
+    return [[endpointIndex(endpointId, 0, ''), sinceAcceptance(until)]];
+  }
+
   function currentEndpointIndex(task: TaskRecord): number {
     if (task.endpointId === null || !hasActiveRun(task)) return -1;
     const { endpointId, endpointBornAt, endpointAddress, endpointRack } = task;
@@ -356,6 +392,7 @@
               task.losses.map((loss) =>
                 encodeLoss(job, loss, endpointIndex(loss.endpointId, loss.bornAt, loss.address)),
               ),
+              ...encodeOutstandingStart(task),
             ]),
         ),
         steps.map(({ lastFailedGangRun }) => lastFailedGangRun),
@@ -409,6 +446,7 @@
     tasks.forEach((storedTask) => {
       const [stepIndex, taskIndex, phase, run, failures, endpoint, checkpoint, after, losses] =
         storedTask;
+      const [startEndpoint = -1, startUntil] = storedTask[9] ?? [];
       const task = occurrence.steps[stepIndex]?.tasks[taskIndex];
       if (!task) return;
       Object.assign(task, { run, failures, checkpoint });
@@ -421,6 +459,12 @@
       task.startSentAt = task.placedAt;
       task.phase = task.isIncarnationKnown ? 'placed' : phase;
       task.formerlyRecordedAt = toMonotonic(stored.writtenAfter);
+      const [startEndpointId] = stored.endpoints[startEndpoint] ?? [];
+      const until = toMonotonic(startUntil);
+      if (startEndpointId !== undefined && until !== null) {
+        const flags = { isBinding: true, isExecuting: false };
+        task.outstandingStart = { endpointId: startEndpointId, until, ...flags };
+      }
       const storedEndpoint = stored.endpoints[endpoint];
       if (!storedEndpoint) return;
       const [endpointId, endpointBornAt, endpointAddress = '', endpointRack = ''] = storedEndpoint;
--- /dev/null
+++ b/packages/scheduler/src/core/outstandingStarts.ts
@@ -0,0 +1,153 @@
+import type { Clock, Log } from '@chicorybend/common';
+
+import type { JobRecord, OutstandingStart, TaskRecord } from '../types/jobRecord.js';
+import type { EndpointTimeLimits } from '../types/termContext.js';
+import { leaseDurations } from '../utils/leaseTimes.js';
+import { lastLeaseExpiry } from './endpointTable.js';
+import type { EndpointState, EndpointTable } from './endpointTable.js';
+import { forEachTask } from './jobRecords.js';
+import type { SchedulerMetrics } from './schedulerMetrics.js';
+
+/** How long an endpoint that was replaced under its id is expected to be replaced again, in milliseconds. */
+const REPLACEMENT_MEMORY_MILLISECONDS = 60_000;
+
+/**
+ * Starts that were given up without an answer, and that their endpoint may still execute. A stop or a list rules a
+ * start out for one incarnation only. If the endpoint may be replaced under its id, all runs of the task therefore stay there
+ * until the start can no longer arrive: the present incarnation refuses the start, and the run of a former incarnation
+ * has ended with it. Otherwise the task may start elsewhere, because the endpoint may leave its starts unanswered.
+ */
+export interface OutstandingStarts {
+  /**
+   * Notes the start of the current run of a task, right before the run is dropped.
+   *
+   * @param state endpoint of the run
+   * @param ruledOutAt until when the start has certainly not been executed, in monotonic milliseconds
+   */
+  record(state: EndpointState, task: TaskRecord, ruledOutAt: number): void;
+  /**
+   * Applies a list of an endpoint.
+   *
+   * @param executing tasks of which the endpoint executes a run that is not their current one
+   * @param sentAt when the list was requested, in monotonic milliseconds
+   */
+  applyList(state: EndpointState, executing: ReadonlySet<TaskRecord>, sentAt: number): void;
+  /** @returns whether no run of the task may start, because an earlier one is executing */
+  isHeld(task: TaskRecord): boolean;
+  /** @returns the only endpoint on which the task may start; null if there is no such restriction */
+  requiredEndpoint(task: TaskRecord): string | null;
+}
+
+export interface OutstandingStartsOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: SchedulerMetrics;
+  readonly timeLimits: EndpointTimeLimits;
+  readonly table: EndpointTable;
+  readonly jobs: ReadonlyMap<string, JobRecord>;
+}
+
+/** Creates the starts of one term, with those that are stored with the jobs. */
+export function createOutstandingStarts(options: OutstandingStartsOptions): OutstandingStarts {
+  const { clock, log, metrics, table } = options;
+  const { longest } = leaseDurations(options.timeLimits);
+  /** By endpoint id. */
+  const tasksByEndpoint = new Map<string, Set<TaskRecord>>();
+
+  function index(task: TaskRecord, endpointId: string): void {
+    const tasks = tasksByEndpoint.get(endpointId);
+    if (tasks) tasks.add(task);
+    else tasksByEndpoint.set(endpointId, new Set([task]));
+  }
+
+  function release(task: TaskRecord): void {
+    const start = task.outstandingStart;
+    if (!start) return;
+    task.outstandingStart = null;
+    const tasks = tasksByEndpoint.get(start.endpointId);
+    tasks?.delete(task);
+    if (tasks?.size === 0) tasksByEndpoint.delete(start.endpointId);
+  }
+
+  /** An endpoint that is not heard from may have executed the start at the last moment, with the longest lease. */
+  function hasExpired({ outstandingStart: start }: TaskRecord): boolean {
+    if (!start) return true;
+    const state = start.isExecuting ? table.get(start.endpointId) : undefined;
+    const expiresAt = Math.max(start.until + longest, state ? lastLeaseExpiry(state) : -Infinity);
+    return clock.monotonicMilliseconds() >= expiresAt;
+  }
+
+  function current(task: TaskRecord) {
+    if (task.outstandingStart && hasExpired(task)) release(task);
+    return task.outstandingStart;
+  }
+
+  function assign(task: TaskRecord, start: OutstandingStart): void {
+    release(task);
+    task.outstandingStart = start;
+    index(task, start.endpointId);
+  }
+
+  /** An endpoint that was replaced under its id, or did not answer, or was taken over, may be replaced again. */
+  function mayBeReplaced({ replacedAt, lastSilentAt }: EndpointState, task: TaskRecord): boolean {
+    const { startSentAt, formerlyRecordedAt, placedAt } = task;
+    const isSentByFormerOwner = formerlyRecordedAt !== null && placedAt <= formerlyRecordedAt;
+    const isReplacedLately =
+      clock.monotonicMilliseconds() - replacedAt < REPLACEMENT_MEMORY_MILLISECONDS;
+    return isSentByFormerOwner || isReplacedLately || lastSilentAt >= (startSentAt ?? placedAt);
+  }
+
+  function isSettled({ phase, step }: TaskRecord): boolean {
+    return phase === 'done' || phase === 'failed' || step.job.phase !== 'open';
+  }
+
+  options.jobs.forEach((job) =>
+    forEachTask(job, (task) => {
+      if (task.outstandingStart) index(task, task.outstandingStart.endpointId);
+    }),
+  );
+
+  return {
+    record(state, task, ruledOutAt) {
+      const { run, startOutstandingUntil: until } = task;
+      const { endpointId } = state.entry;
+      if (until === null || until <= ruledOutAt) return;
+      const former = current(task);
+      const isBinding = former?.isBinding === true || mayBeReplaced(state, task);
+      assign(task, {
+        endpointId,
+        until: Math.max(until, former?.until ?? -Infinity),
+        isBinding,
+        isExecuting: false,
+      });
+      metrics.count('starts_outstanding');
+      log.info('start may still be executed', {
+        task: task.taskId,
+        run,
+        endpoint: endpointId,
+        isBinding,
+        milliseconds: Math.round(until - clock.monotonicMilliseconds()),
+      });
+    },
+    applyList({ entry: { endpointId } }, executing, sentAt) {
+      executing.forEach((task) => {
+        if (isSettled(task)) return;
+        const until = current(task)?.until ?? clock.monotonicMilliseconds();
+        assign(task, { endpointId, until, isBinding: true, isExecuting: true });
+      });
+      [...(tasksByEndpoint.get(endpointId) ?? [])].forEach((task) => {
+        const start = task.outstandingStart!;
+        if (isSettled(task)) release(task);
+        else if (!executing.has(task)) {
+          if (sentAt > start.until) release(task);
+          else task.outstandingStart = { ...start, isExecuting: false };
+        }
+      });
+    },
+    isHeld: (task) => current(task)?.isExecuting === true,
+    requiredEndpoint(task) {
+      const start = current(task);
+      return start?.isBinding ? start.endpointId : null;
+    },
+  };
+}
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -1,4 +1,9 @@
-import { boundFormerWidenedLeases, isReplacementNoticed } from '@chicorybend/decisions';
+import {
+  boundFormerOutstandingStart,
+  boundFormerStart,
+  boundFormerWidenedLeases,
+  isReplacementNoticed,
+} from '@chicorybend/decisions';
 import {
   createFailure,
   RESOURCE_DIMENSIONS,
@@ -46,6 +51,7 @@
 } from './jobRecords.js';
 import { createJobSettings } from './jobSettings.js';
 import { maximumOpenTasks } from './jobSize.js';
+import { createOutstandingStarts } from './outstandingStarts.js';
 import { createStragglerWatch } from './stragglerWatch.js';
 import { createTaskTransitions } from './taskTransitions.js';
 import { createDurationEstimates } from './durationEstimates.js';
@@ -170,6 +176,7 @@
       estimates,
       configuration: () => configuration!,
       settings,
+      outstandingStarts: createOutstandingStarts({ clock, log, metrics, timeLimits, table, jobs }),
       isOwnerLeaseValid: () => !hasEnded && options.isOwnerLeaseValid(),
       hasEnded: () => hasEnded,
       abandonTerm: options.onOwnershipLost,
@@ -449,10 +456,23 @@
     return [...states.keys()].filter((jobId) => !specified.has(jobId));
   }
 
+  /** Starts that a former owner has sent, or has given up, may still be executed. */
+  function boundStoredStarts(task: TaskRecord): void {
+    const { maximumOrderDelayMilliseconds: orderDelay } = timeLimits;
+    const { outstandingStart, isIncarnationKnown, formerlyRecordedAt } = task;
+    if (outstandingStart) {
+      const until = boundFormerOutstandingStart(startedAt, outstandingStart.until, orderDelay);
+      task.outstandingStart = { ...outstandingStart, until };
+    }
+    if (!hasActiveRun(task) || isIncarnationKnown) return;
+    task.startOutstandingUntil = boundFormerStart(startedAt, formerlyRecordedAt) + orderDelay;
+  }
+
   /** Charges stored runs to the endpoints where they may exist; the lists of the endpoints then show which do. */
   function restoreRuns(listedAt: number): void {
     jobs.forEach((job) =>
       forEachTask(job, (task) => {
+        boundStoredStarts(task);
         if (!hasActiveRun(task) || task.endpointId === null) return;
         let state = table.get(task.endpointId);
         if (!state) {
--- a/packages/scheduler/src/core/schedulerMetrics.ts
+++ b/packages/scheduler/src/core/schedulerMetrics.ts
@@ -14,6 +14,7 @@
   starts_sent: 'Orders to start a run.',
   starts_refused: 'Orders to start that an endpoint refused.',
   starts_unanswered: 'Orders to start without an answer.',
+  starts_outstanding: 'Starts that were given up and may still be executed.',
   unknown_runs_stopped: 'Runs that an endpoint lists and that are not recorded there.',
   starts_withdrawn:
     'Starts not sent because they no longer fitted, or the capacity was not known any more.',
--- a/packages/scheduler/src/types/jobRecord.ts
+++ b/packages/scheduler/src/types/jobRecord.ts
@@ -29,6 +29,17 @@
   readonly epoch: number;
 }
 
+/** A start without an answer of a run that was given up. */
+export interface OutstandingStart {
+  readonly endpointId: string;
+  /** Until when the endpoint, or a later incarnation of it, may execute the start, in monotonic milliseconds. */
+  readonly until: number;
+  /** Whether the task may start only there until then. */
+  readonly isBinding: boolean;
+  /** Whether its last list has shown the run. */
+  readonly isExecuting: boolean;
+}
+
 /** A task of one occurrence of a step. */
 export interface TaskRecord {
   /** `<job>.<occurrence>.<step>.<index>` */
@@ -57,6 +68,13 @@
   isIncarnationKnown: boolean;
   /** When the start of the current run was sent, in monotonic milliseconds; null if it was not. */
   startSentAt: number | null;
+  /**
+   * Until when the start of the current run may be executed, in monotonic milliseconds; null if it was answered or not
+   * sent.
+   */
+  startOutstandingUntil: number | null;
+  /** An earlier start that may still be executed; null if there is none. */
+  outstandingStart: OutstandingStart | null;
   /** Where the next run resumes; empty for the beginning. */
   checkpoint: string;
   /** When the current run was recorded, in monotonic milliseconds. */
--- a/packages/scheduler/src/types/termContext.ts
+++ b/packages/scheduler/src/types/termContext.ts
@@ -3,6 +3,7 @@
 import type { CommitQueue } from '../core/commitQueue.js';
 import type { EndpointTable } from '../core/endpointTable.js';
 import type { JobSettings } from '../core/jobSettings.js';
+import type { OutstandingStarts } from '../core/outstandingStarts.js';
 import type { SchedulerMetrics } from '../core/schedulerMetrics.js';
 import type { WorkMeter } from '../core/workMeter.js';
 import type { DurationEstimates } from '../core/durationEstimates.js';
@@ -42,6 +43,7 @@
   /** @returns the current configuration */
   configuration(): ClusterConfiguration;
   readonly settings: JobSettings;
+  readonly outstandingStarts: OutstandingStarts;
   /** @returns whether the owner's lease is valid, so that the term may send orders */
   isOwnerLeaseValid(): boolean;
   hasEnded(): boolean;
