--- a/packages/scheduler/src/core/schedulerMetrics.ts
+++ b/packages/scheduler/src/core/schedulerMetrics.ts
@@ -10,6 +10,7 @@
   jobs_completed: 'Jobs that ended as completed.',
   jobs_failed: 'Jobs that ended as failed.',
   jobs_cancelled: 'Jobs cancelled.',
+  jobs_refused_by_late_owner: 'Jobs refused because the owner itself was late.',
   calls_refused: 'Calls of callers answered with a failure.',
   starts_sent: 'Orders to start a run.',
   starts_refused: 'Orders to start that an endpoint refused.',
@@ -22,6 +23,8 @@
   capacity_changes: 'Changes of the capacity that an endpoint reports during one incarnation.',
   holds_sent: 'Calls that extend leases on an endpoint.',
   holds_failed: 'Such calls without an answer.',
+  calls_discounted:
+    'Calls to endpoints whose time-out passed while the owner was late, so that they show no silence.',
   runs_done: 'Runs that ended as done.',
   runs_failed: 'Runs that ended as failed.',
   runs_lost: 'Runs that ended otherwise and may be repeated.',
