Read jobs and directory in slices, with timeouts that follow the progress

Cause: a takeover read all jobs with the timeout of small reads, which begins at 250 ms, so that slow links transferred the same bytes again and again. Restoring the jobs blocked the event loop, on small VMs for longer than the owner's lease, and renewals shared their connections with these reads.

--- a/packages/proving/src/__tests__/formerOwner.test.ts
+++ b/packages/proving/src/__tests__/formerOwner.test.ts
@@ -37,6 +37,7 @@
       await reservation.release();
       const scheduler = createScheduler({
         store: store.client(name),
+        electionStore: store.client(name),
         clock,
         log: createSilentLog(),
         metrics: createSchedulerMetrics(),
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -29,6 +29,8 @@
   stateKey,
 } from '../utils/storeKeys.js';
 import { callWithAdaptiveTimeout } from '../utils/adaptiveTimeout.js';
+import { createWorkSlices } from '../utils/workSlices.js';
+import type { WorkSlices } from '../utils/workSlices.js';
 import { createAdviceCache } from './adviceCache.js';
 import { FENCING_TOKENS_PER_TERM } from './ownerElection.js';
 import type { TermIdentity } from './ownerElection.js';
@@ -68,6 +70,8 @@
 const RETRY_DELAY_MILLISECONDS = 100;
 /** Bounds of the timeout of a read; a read whose packet was lost is repeated after the minimum. */
 const READ_TIMEOUTS = { minimumMilliseconds: 250, maximumMilliseconds: 2_000 };
+/** Bounds of the time without progress of a read of many items, whose first bytes may wait behind other answers. */
+const BULK_READ_TIMEOUTS = { minimumMilliseconds: 250, maximumMilliseconds: 5_000 };
 /** Epoch of the first term of a cell, before which no owner has sent orders. */
 const FIRST_EPOCH = 1;
 /** Tasks with checkpoints are moved off a draining endpoint this long before it leaves. */
@@ -134,6 +138,7 @@
       };
 
   const readLatency = createLatencyEstimate(READ_TIMEOUTS);
+  const bulkReadLatency = createLatencyEstimate(BULK_READ_TIMEOUTS);
   const estimates = createDurationEstimates(clock);
   const workMeter = createWorkMeter(clock);
   const adviceCache = createAdviceCache({
@@ -238,15 +243,17 @@
 
   function timedRead<Outcome extends { kind: string }>(
     call: (timeoutMilliseconds: number) => Promise<Outcome>,
+    latency = readLatency,
   ): Promise<Outcome> {
-    return callWithAdaptiveTimeout(clock, readLatency, call, ({ kind }) => kind === 'failed');
+    return callWithAdaptiveTimeout(clock, latency, call, ({ kind }) => kind === 'failed');
   }
 
   async function retryUntilAnswered<Outcome extends { kind: string }>(
     call: (timeoutMilliseconds: number) => Promise<Outcome>,
+    latency = readLatency,
   ): Promise<Exclude<Outcome, { kind: 'failed' }> | null> {
     while (!hasEnded) {
-      const outcome = await timedRead(call);
+      const outcome = await timedRead(call, latency);
       if (outcome.kind !== 'failed') return outcome as Exclude<Outcome, { kind: 'failed' }>;
       await sleep(clock, RETRY_DELAY_MILLISECONDS);
     }
@@ -389,7 +396,7 @@
   }
 
   async function readDirectory(): Promise<boolean> {
-    const outcome = await timedRead(listEndpoints);
+    const outcome = await timedRead(listEndpoints, bulkReadLatency);
     if (outcome.kind === 'failed' || hasEnded) return false;
     const listed = new Set(outcome.entries.map(({ endpointId }) => endpointId));
     workMeter.measure('directory', () => {
@@ -441,20 +448,37 @@
     }
   }
 
+  /** A page that was lost is read again, and not those before it. @returns null if the term has ended */
+  async function readJobItems(): Promise<StoredItem[] | null> {
+    const items: StoredItem[] = [];
+    for (;;) {
+      const after = items.at(-1)?.key ?? '';
+      const page = await retryUntilAnswered(
+        (timeout) => store.readPage(JOB_PREFIX, after, timeout),
+        bulkReadLatency,
+      );
+      if (!page) return null;
+      items.push(...page.value.items);
+      if (page.value.isLast) return items;
+    }
+  }
+
   /** @returns ids of jobs that a former owner has removed, and of which only the states are left */
-  function restoreJobs(items: readonly StoredItem[]): string[] {
+  async function restoreJobs(items: readonly StoredItem[], slices: WorkSlices): Promise<string[]> {
     const states = new Map<string, string>();
     const specified = new Set<string>();
     items.forEach(({ key, value }) => {
       const parsed = parseJobKey(key);
       if (parsed?.part === 'state') states.set(parsed.jobId, value);
     });
-    items.forEach(({ key, value }) => {
+    for (const { key, value } of items) {
       const parsed = parseJobKey(key);
-      if (parsed?.part !== 'specification') return;
-      specified.add(parsed.jobId);
-      restoreJob(parsed.jobId, value, states.get(parsed.jobId));
-    });
+      if (parsed?.part === 'specification') {
+        specified.add(parsed.jobId);
+        restoreJob(parsed.jobId, value, states.get(parsed.jobId));
+        await slices.giveWay();
+      }
+    }
     return [...states.keys()].filter((jobId) => !specified.has(jobId));
   }
 
@@ -518,20 +542,32 @@
   async function recover(): Promise<boolean> {
     const [chain, items, listed] = await Promise.all([
       retryUntilAnswered((timeout) => store.read(COMMIT_KEY, timeout)),
-      retryUntilAnswered((timeout) => store.list(JOB_PREFIX, timeout)),
-      retryUntilAnswered(listEndpoints),
+      readJobItems(),
+      retryUntilAnswered(listEndpoints, bulkReadLatency),
       awaitConfiguration(),
     ]);
     if (!chain || !items || !listed || hasEnded) return false;
+    const slices = createWorkSlices(clock);
     listed.entries.forEach((entry) => addEndpoint(entry, listed.readAt));
-    const removedJobIds = restoreJobs(items.value);
+    const removedJobIds = await restoreJobs(items, slices);
+    await slices.giveWay();
+    if (hasEnded) return false;
     restoreRuns(listed.readAt);
     components = createComponents(chain.value?.revision ?? 0);
     removedJobIds.forEach((jobId) => {
       void components!.commits.stage(stateKey(jobId), () => null);
     });
-    for (const state of table.all()) startSession(state);
-    jobs.forEach((job) => components!.transitions.releaseDueSteps(job));
+    // Endpoints with runs go first, because the leases there run out.
+    const states = [...table.all()].sort((left, right) => right.runs.size - left.runs.size);
+    for (const state of states) {
+      startSession(state);
+      await slices.giveWay();
+    }
+    for (const job of [...jobs.values()]) {
+      components.transitions.releaseDueSteps(job);
+      await slices.giveWay();
+    }
+    if (hasEnded) return false;
     log.info('state recovered', {
       epoch: term.epoch,
       jobs: jobs.size,
--- a/packages/scheduler/src/core/scheduler.ts
+++ b/packages/scheduler/src/core/scheduler.ts
@@ -2,6 +2,7 @@
 
 import type { AdviceClient, AdviceOutcome, AdviceTicket } from '../types/advice.js';
 import type { CallerAnswer, CallerRequest } from '../types/caller.js';
+import type { ClusterStore } from '../types/clusterStore.js';
 import type { SchedulerDependencies } from '../types/schedulerDependencies.js';
 import { createOwnerElection } from './ownerElection.js';
 import type { OwnerRecord } from './ownerElection.js';
@@ -28,6 +29,8 @@
 const RETRY_AFTER_MILLISECONDS = 1_000;
 
 export interface SchedulerOptions extends SchedulerDependencies {
+  /** The store over connections of its own, so that renewals of the lease wait for no other call. */
+  readonly electionStore: ClusterStore;
   /** Null where the platform has no advice service. */
   readonly advice: AdviceClient | null;
   /** Time to live of the owner's lease, in milliseconds. */
@@ -115,7 +118,7 @@
   const ownerChangeListeners = new Set<() => void>();
 
   const election = createOwnerElection({
-    store: options.store,
+    store: options.electionStore,
     clock,
     log,
     address: peerAddress,
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -32,6 +32,7 @@
   RenewOutcome,
   StoredItem,
   StoredValue,
+  StorePage,
   StoreWrite,
   WriteCondition,
   WriteOutcome,
--- a/packages/scheduler/src/types/clusterStore.ts
+++ b/packages/scheduler/src/types/clusterStore.ts
@@ -51,6 +51,12 @@
   | { readonly kind: 'answered'; readonly value: Value; readonly revision: number }
   | { readonly kind: 'failed'; readonly reason: string };
 
+/** Part of the items under a prefix, in the order of their keys. */
+export interface StorePage {
+  readonly items: readonly StoredItem[];
+  readonly isLast: boolean;
+}
+
 /**
  * Outcome of a watch: `changed` if a key under the prefix changed, `unchanged` if the wait ended without a
  * change.
@@ -66,12 +72,23 @@
 
 /**
  * Key-value store with conditional writes and leases, shared by all VMs. Reads are linearizable. Each call
- * resolves within its timeout, in milliseconds.
+ * resolves within its timeout, in milliseconds, unless noted otherwise.
  */
 export interface ClusterStore {
   read(key: string, timeoutMilliseconds: number): Promise<ReadOutcome<StoredItem | null>>;
-  /** Reads all items under a prefix. Large results are not a snapshot. */
+  /** Reads all items under a prefix as {@link ClusterStore.readPage} does. Large results are not a snapshot. */
   list(prefix: string, timeoutMilliseconds: number): Promise<ReadOutcome<readonly StoredItem[]>>;
+  /**
+   * Reads a page of the items under a prefix.
+   *
+   * @param after last key of the page before; empty for the first page
+   * @param timeoutMilliseconds maximum time without progress, because a page may be large, in milliseconds
+   */
+  readPage(
+    prefix: string,
+    after: string,
+    timeoutMilliseconds: number,
+  ): Promise<ReadOutcome<StorePage>>;
   /** Waits until a key under the prefix changes after `afterRevision`, at most `waitMilliseconds`. */
   awaitChange(
     prefix: string,
--- a/packages/standins/src/core/clusterStoreStandIn.ts
+++ b/packages/standins/src/core/clusterStoreStandIn.ts
@@ -34,6 +34,8 @@
 }
 
 const DEFAULT_LATENCY_MILLISECONDS = 4;
+/** Maximum number of items of a page. */
+const PAGE_ITEMS = 500;
 
 /**
  * Creates an empty store.
@@ -146,14 +148,20 @@
       return { kind: 'unknown', reason: 'lost' };
     }
 
+    function itemsUnder(prefix: string): StoredItem[] {
+      return [...items.values()]
+        .filter(({ key }) => key.startsWith(prefix))
+        .sort((left, right) => (left.key < right.key ? -1 : 1));
+    }
+
     return {
       read: (key, timeoutMilliseconds) => read(timeoutMilliseconds, () => items.get(key) ?? null),
-      list: (prefix, timeoutMilliseconds) =>
-        read(timeoutMilliseconds, () =>
-          [...items.values()]
-            .filter(({ key }) => key.startsWith(prefix))
-            .sort((left, right) => (left.key < right.key ? -1 : 1)),
-        ),
+      list: (prefix, timeoutMilliseconds) => read(timeoutMilliseconds, () => itemsUnder(prefix)),
+      readPage: (prefix, after, timeoutMilliseconds) =>
+        read(timeoutMilliseconds, () => {
+          const remaining = itemsUnder(prefix).filter(({ key }) => key > after);
+          return { items: remaining.slice(0, PAGE_ITEMS), isLast: remaining.length <= PAGE_ITEMS };
+        }),
       async awaitChange(prefix, afterRevision, waitMilliseconds) {
         const deadline = now() + waitMilliseconds;
         let previousKeys = new Set([...items.keys()].filter((key) => key.startsWith(prefix)));
