Adapt the owner's lease to the lateness of the process

Cause: a lease of 1,200 ms renewed every 300 ms can't be kept by a VM whose event loop runs late, or whose recovery takes longer; 20 of 25 terms on small VMs ended before their state was recovered. Validity counted the requested duration, also where the store had granted less. The interval of renewals and the validity follow the duration that the store has granted; election timeouts grow by the same delay.

--- a/packages/proving/src/core/schedulerCell.ts
+++ b/packages/proving/src/core/schedulerCell.ts
@@ -223,6 +223,7 @@
             term: owned,
             isOwnerLeaseValid: () => !isKilled && election.isOwnerLeaseValid(),
             onOwnershipLost: (reason) => election.abandonTerm(reason),
+            onRecovered: () => election.recordRecovery(),
           });
           term.addAdviceChannel(fleet.advice, 'vm');
           void term.run();
--- a/packages/scheduler/src/core/ownerElection.ts
+++ b/packages/scheduler/src/core/ownerElection.ts
@@ -5,12 +5,11 @@
 import { createLatencyEstimate } from '../utils/latencyEstimate.js';
 import { EPOCH_KEY, OWNER_KEY } from '../utils/storeKeys.js';
 import { callWithAdaptiveTimeout } from '../utils/adaptiveTimeout.js';
+import { createLeaseDuration, RENEWALS_PER_LEASE } from './leaseDuration.js';
 
 /** Maximum duration of one watch of the owner key; bounds how long a silent connection is trusted. */
 const WATCH_TIMEOUT_MILLISECONDS = 5_000;
 const RETRY_DELAY_MILLISECONDS = 100;
-/** Number of renewals within the time to live of the lease. */
-const RENEWALS_PER_LEASE = 4;
 /** The owner stops acting this long before its lease can expire; covers the time until an order is on the network. */
 const EXPIRY_MARGIN_MILLISECONDS = 50;
 /** A larger jump of the wall clock against the monotonic clock means that the VM may have been suspended. */
@@ -19,7 +18,9 @@
 const YIELD_PAUSE_MILLISECONDS = 3_000;
 /** Delay of its claim within that time, in case that nobody else claims. */
 const YIELDED_CLAIM_DELAY_MILLISECONDS = 1_000;
-/** Bounds of the timeout of a call to the store. */
+/** Interval at which a process that is not the owner measures how late it runs. */
+const LATENESS_INTERVAL_MILLISECONDS = 100;
+/** Bounds of the timeout of a call to the store; the recent delay of renewals is added. */
 const CALL_TIMEOUTS = { minimumMilliseconds: 250, maximumMilliseconds: 1_000 };
 
 /**
@@ -47,6 +48,8 @@
 interface Claim {
   readonly epoch: number;
   readonly leaseId: number;
+  /** Time to live of the lease as granted, in milliseconds. */
+  readonly leaseMilliseconds: number;
   /** When the lease was requested, in monotonic milliseconds. */
   readonly sentAt: number;
   /** Wall-clock time minus monotonic time at that moment; a later difference shows a suspension. */
@@ -59,7 +62,7 @@
   readonly log: Log;
   /** Peer address of this process. */
   readonly address: string;
-  /** Time to live of the owner's lease, in milliseconds. */
+  /** Time to live of the owner's lease, in milliseconds; a slow process requests a longer one. */
   readonly leaseMilliseconds: number;
   /** Minimum delay before claiming, in milliseconds, so that VMs with more capacity claim first; 0 for none. */
   readonly claimDelayMilliseconds: number;
@@ -84,6 +87,8 @@
   isOwnerLeaseValid(): boolean;
   /** @returns whether this process may turn out to own a term, because its claim has not been answered */
   hasPendingClaim(epoch: number): boolean;
+  /** Records that the term has recovered its state; a term that is lost before makes the next lease longer. */
+  recordRecovery(): void;
   /** Ends the term after a write or an endpoint has shown that there is another owner. */
   abandonTerm(reason: string): void;
   /** Stops claiming and ends the lease, so that another process takes over at once. Still watches the owner key. */
@@ -105,12 +110,14 @@
 
 /** Creates the election of a process; {@link OwnerElection.run} starts it. */
 export function createOwnerElection(options: OwnerElectionOptions): OwnerElection {
-  const { store, clock, log, address, leaseMilliseconds } = options;
+  const { store, clock, log, address } = options;
   const latency = createLatencyEstimate(CALL_TIMEOUTS);
+  const leaseDuration = createLeaseDuration(clock, options.leaseMilliseconds);
   let isStopped = false;
   let mayClaim = true;
   let owner: OwnerRecord | null = null;
-  let term: (TermIdentity & { leaseId: number }) | null = null;
+  let term: (TermIdentity & Pick<Claim, 'leaseId' | 'leaseMilliseconds'>) | null = null;
+  let isRecovered = false;
   let leaseValidUntil = -Infinity;
   let yieldedUntil = -Infinity;
   /** Claim whose write has not been answered; it may be in effect. */
@@ -146,18 +153,26 @@
     call: (timeoutMilliseconds: number) => Promise<Outcome>,
     hasFailed: (outcome: Outcome) => boolean,
   ): Promise<Outcome> {
-    return callWithAdaptiveTimeout(clock, latency, call, hasFailed);
+    const callLate = (timeout: number) => call(timeout + leaseDuration.delayMilliseconds());
+    return callWithAdaptiveTimeout(clock, latency, callLate, hasFailed);
   }
 
   function endTerm(reason: string): void {
     if (!term) return;
-    log.warn('term ended', { epoch: term.epoch, reason });
+    log.warn('term ended', { epoch: term.epoch, reason, isRecovered });
     term = null;
     leaseValidUntil = -Infinity;
     options.onTermEnd(reason);
   }
 
-  async function renewLease(): Promise<void> {
+  /** Ends the term after another process or the store has ended it. */
+  function loseTerm(reason: string): void {
+    if (term && !isRecovered) leaseDuration.recordUnrecoveredLoss();
+    endTerm(reason);
+  }
+
+  /** @param lateMilliseconds how late the renewal is */
+  async function renewLease(lateMilliseconds: number): Promise<void> {
     const renewedTerm = term;
     if (!renewedTerm) return;
     checkSuspension();
@@ -168,21 +183,39 @@
       (result) => result === 'failed',
     );
     checkSuspension();
+    if (outcome !== 'failed') {
+      leaseDuration.recordDelay(lateMilliseconds + clock.monotonicMilliseconds() - sentAt);
+    }
     if (term !== renewedTerm) return;
-    if (outcome === 'ended') endTerm('owner lease ended');
+    if (outcome === 'ended') loseTerm('owner lease ended');
     else if (outcome === 'renewed' && clockOffset === offsetBefore) {
-      leaseValidUntil = sentAt + leaseMilliseconds - EXPIRY_MARGIN_MILLISECONDS;
+      leaseValidUntil = sentAt + renewedTerm.leaseMilliseconds - EXPIRY_MARGIN_MILLISECONDS;
+    }
+  }
+
+  /** @returns how late the process was when the time had passed, in milliseconds */
+  async function sleepAndMeasure(milliseconds: number): Promise<number> {
+    const dueAt = clock.monotonicMilliseconds() + milliseconds;
+    await sleep(clock, milliseconds);
+    return Math.max(0, clock.monotonicMilliseconds() - dueAt);
+  }
+
+  async function measureLateness(): Promise<void> {
+    while (!isStopped) {
+      const late = await sleepAndMeasure(LATENESS_INTERVAL_MILLISECONDS);
+      if (!term) leaseDuration.recordDelay(late);
     }
   }
 
   async function keepLeaseRenewed(): Promise<void> {
     const heldTerm = term;
-    while (term === heldTerm && !isStopped) {
-      await renewLease();
+    let late = 0;
+    while (heldTerm && term === heldTerm && !isStopped) {
+      await renewLease(late);
       const pause = isOwnerLeaseValid()
-        ? leaseMilliseconds / RENEWALS_PER_LEASE
+        ? heldTerm.leaseMilliseconds / RENEWALS_PER_LEASE
         : RETRY_DELAY_MILLISECONDS;
-      await sleep(clock, pause);
+      late = await sleepAndMeasure(pause);
     }
   }
 
@@ -229,7 +262,7 @@
 
   /** Begins the term of a claim that is in effect, unless the process has resigned meanwhile. */
   async function takeUpClaim(
-    { epoch, leaseId, sentAt, offset }: Claim,
+    { epoch, leaseId, leaseMilliseconds, sentAt, offset }: Claim,
     ownerRevision: number,
   ): Promise<void> {
     pendingClaim = null;
@@ -238,10 +271,11 @@
       return;
     }
     checkSuspension();
-    term = { epoch, ownerRevision, leaseId };
+    term = { epoch, ownerRevision, leaseId, leaseMilliseconds };
+    isRecovered = false;
     leaseValidUntil =
       clockOffset === offset ? sentAt + leaseMilliseconds - EXPIRY_MARGIN_MILLISECONDS : -Infinity;
-    log.info('term started', { epoch });
+    log.info('term started', { epoch, leaseMilliseconds });
     setOwner({ address, epoch });
     options.onTermStart(term);
     void keepLeaseRenewed();
@@ -254,13 +288,14 @@
     const [storedEpoch, lease] = await Promise.all([
       readEpoch(),
       callStore(
-        (timeout) => store.grantLease(leaseMilliseconds, timeout),
+        (timeout) => store.grantLease(leaseDuration.next(), timeout),
         (result) => result.kind === 'failed',
       ),
     ]);
     if (!storedEpoch || lease.kind === 'failed' || !mayClaim) return;
     const epoch = storedEpoch.epoch + 1;
-    const claim: Claim = { epoch, leaseId: lease.leaseId, sentAt, offset };
+    const { leaseId, ttlMilliseconds: leaseMilliseconds } = lease;
+    const claim: Claim = { epoch, leaseId, leaseMilliseconds, sentAt, offset };
     pendingClaim = claim;
     const outcome = await callStore(
       (timeout) =>
@@ -271,7 +306,7 @@
               { key: EPOCH_KEY, revision: storedEpoch.revision },
             ],
             puts: [
-              { key: OWNER_KEY, value: JSON.stringify({ address, epoch }), leaseId: lease.leaseId },
+              { key: OWNER_KEY, value: JSON.stringify({ address, epoch }), leaseId },
               { key: EPOCH_KEY, value: String(epoch + FENCING_TOKENS_PER_TERM - 1) },
             ],
             removals: [],
@@ -305,13 +340,13 @@
     }
     if (!outcome.value) {
       setOwner(null);
-      endTerm('owner key is absent');
+      loseTerm('owner key is absent');
       if (mayClaim && (await awaitTurnToClaim())) await claimOwnership();
       if (!term) await sleep(clock, RETRY_DELAY_MILLISECONDS);
       return;
     }
     if (term && term.ownerRevision !== outcome.value.revision) {
-      endTerm('another process is the owner');
+      loseTerm('another process is the owner');
     }
     const record = parseOwner(outcome.value);
     if (record) await resolveUnansweredClaim(record, outcome.value.revision);
@@ -333,6 +368,7 @@
 
   return {
     async run() {
+      void measureLateness();
       while (!isStopped) await followOwnerKey();
     },
     owner: () => owner,
@@ -342,7 +378,10 @@
     },
     isOwnerLeaseValid,
     hasPendingClaim: (epoch) => pendingClaim?.epoch === epoch,
-    abandonTerm: endTerm,
+    recordRecovery() {
+      isRecovered = true;
+    },
+    abandonTerm: loseTerm,
     async resign() {
       mayClaim = false;
       await release('released');
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -81,6 +81,7 @@
   readonly term: TermIdentity;
   readonly isOwnerLeaseValid: () => boolean;
   readonly onOwnershipLost: (reason: string) => void;
+  readonly onRecovered: () => void;
 }
 
 /** Runs the scheduler from the claim of ownership until its loss. */
@@ -568,6 +569,7 @@
       await slices.giveWay();
     }
     if (hasEnded) return false;
+    options.onRecovered();
     log.info('state recovered', {
       epoch: term.epoch,
       jobs: jobs.size,
--- a/packages/scheduler/src/core/scheduler.ts
+++ b/packages/scheduler/src/core/scheduler.ts
@@ -133,6 +133,7 @@
         term: identity,
         isOwnerLeaseValid: () => election.isOwnerLeaseValid(),
         onOwnershipLost: (reason) => election.abandonTerm(reason),
+        onRecovered: () => election.recordRecovery(),
       });
       if (options.advice) term.addAdviceChannel(options.advice, peerAddress);
       [...adviceChannelRemovers.keys()].forEach(addPeerAdviceChannel);
