Let VMs as strong as a lost owner claim before weaker ones

Cause: all VMs of half a core or more claimed at once, so that the owner of a recovery of 3.2 s had 0.81 core and a link of 10 Mbit/s beside VMs with 1.35 cores and 200 Mbit/s. Result: the new test of formerOwner fails without the change and passes with it; silentWatch, decoders, operationsPage, rollingUpgrade, ownerPreference, ownerLease, formerOwner, ownerTakeover and recovery ran.

--- a/packages/proving/src/__tests__/formerOwner.test.ts
+++ b/packages/proving/src/__tests__/formerOwner.test.ts
@@ -12,12 +12,15 @@
 
 const HOST = '127.0.0.1';
 const START_LIMIT_MILLISECONDS = 10_000;
+const CAPACITY = { processors: 1, linkMegabitsPerSecond: 100 };
 const clock = createSystemClock();
 
 /** Schedulers of a cell, each with its own faults of the store. */
 interface Cell {
   readonly store: ClusterStoreStandIn;
-  start(name: string): Promise<Scheduler>;
+  start(name: string, capacity?: typeof CAPACITY): Promise<Scheduler>;
+  /** @returns name of the process that is the owner; null if there is none */
+  ownerName(): string | null;
 }
 
 function createCell(t: ExecutionContext): Cell {
@@ -30,11 +33,18 @@
     rackSize: 1,
     durationOf: () => 100,
   });
+  const names = new Map<string, string>();
   return {
     store,
-    async start(name) {
+    ownerName() {
+      const item = store.get('chicorybend/owner');
+      if (!item) return null;
+      return names.get((JSON.parse(item.value) as { address: string }).address) ?? null;
+    },
+    async start(name, capacity = CAPACITY) {
       const reservation = await reservePort(HOST);
       await reservation.release();
+      names.set(`${HOST}:${reservation.port}`, name);
       const scheduler = createScheduler({
         store: store.client(name),
         electionStore: store.client(name),
@@ -57,7 +67,7 @@
         advice: fleet.advice,
         leaseMilliseconds: 1_200,
         claimDelayMilliseconds: 0,
-        processors: 1,
+        ...capacity,
         peerAddress: `${HOST}:${reservation.port}`,
       });
       await scheduler.start();
@@ -113,3 +123,27 @@
   t.true(owner.isReady());
   t.true(standby.isReady());
 });
+
+test('a lost owner is followed by a VM as strong as it, and by a weaker one if there is none', async (t) => {
+  t.timeout(30_000);
+  const { store, start, ownerName } = createCell(t);
+  const owner = await start('owner');
+  t.true(await waitUntil(owner.isReady, START_LIMIT_MILLISECONDS));
+  const others = await Promise.all([
+    start('slow-link', { processors: 1, linkMegabitsPerSecond: 10 }),
+    start('few-processors', { processors: 0.6, linkMegabitsPerSecond: 100 }),
+    start('equal'),
+  ]);
+  t.true(await waitUntil(() => others.every(({ isReady }) => isReady()), START_LIMIT_MILLISECONDS));
+  await sleep(clock, 200);
+  // Without an order of claims, the others are faster.
+  store.faultsOf('equal').latencyMilliseconds = 30;
+  owner.stop();
+  t.true(await waitUntil(() => ownerName() === null, START_LIMIT_MILLISECONDS));
+  t.true(await waitUntil(() => ownerName() !== null, START_LIMIT_MILLISECONDS));
+  t.is(ownerName(), 'equal');
+  others[2].stop();
+  t.true(await waitUntil(() => ownerName() === null, START_LIMIT_MILLISECONDS));
+  t.true(await waitUntil(() => ownerName() !== null, 1_000));
+  t.is(ownerName(), 'few-processors');
+});
--- a/packages/proving/src/__tests__/ownerLease.test.ts
+++ b/packages/proving/src/__tests__/ownerLease.test.ts
@@ -29,6 +29,7 @@
     address: 'a',
     leaseMilliseconds: USUAL_MILLISECONDS,
     claimDelayMilliseconds: 0,
+    claimTurns: () => 0,
     onOwnerChange: () => {},
     onTermStart: () => {},
     onTermEnd() {
--- a/packages/proving/src/core/schedulerCell.ts
+++ b/packages/proving/src/core/schedulerCell.ts
@@ -183,6 +183,7 @@
         address: name,
         leaseMilliseconds: LEASE_MILLISECONDS,
         claimDelayMilliseconds,
+        claimTurns: () => 0,
         onOwnerChange: () => {},
         onTermStart(owned) {
           if (isKilled) return;
--- a/packages/scheduler/src/core/ownerElection.ts
+++ b/packages/scheduler/src/core/ownerElection.ts
@@ -14,6 +14,8 @@
 const EXPIRY_MARGIN_MILLISECONDS = 50;
 /** A larger jump of the wall clock against the monotonic clock means that the VM may have been suspended. */
 const SUSPENSION_THRESHOLD_MILLISECONDS = 250;
+/** Delay of a claim by one turn; longer than another VM takes to claim the ownership. */
+const CLAIM_TURN_MILLISECONDS = 150;
 /** For this long, a process that has yielded the ownership leaves it to others. */
 const YIELD_PAUSE_MILLISECONDS = 3_000;
 /** Delay of its claim within that time, in case that nobody else claims. */
@@ -66,6 +68,8 @@
   readonly leaseMilliseconds: number;
   /** Minimum delay before claiming, in milliseconds, so that VMs with more capacity claim first; 0 for none. */
   readonly claimDelayMilliseconds: number;
+  /** @returns number of turns that this process leaves to stronger ones before it claims */
+  readonly claimTurns: () => number;
   readonly onOwnerChange: (owner: OwnerRecord | null) => void;
   readonly onTermStart: (term: TermIdentity) => void;
   readonly onTermEnd: (reason: string) => void;
@@ -240,8 +244,11 @@
   /** A claim takes a few calls to the store, so the delay grows with the latency of the store. */
   function claimDelay(): number {
     if (clock.monotonicMilliseconds() < yieldedUntil) return YIELDED_CLAIM_DELAY_MILLISECONDS;
-    if (options.claimDelayMilliseconds === 0) return 0;
-    return Math.max(options.claimDelayMilliseconds, latency.timeoutMilliseconds());
+    const minimum = options.claimDelayMilliseconds;
+    const turns = Math.max(options.claimTurns(), minimum > 0 ? 1 : 0);
+    if (turns === 0) return 0;
+    const firstTurn = Math.max(minimum, CLAIM_TURN_MILLISECONDS, latency.timeoutMilliseconds());
+    return firstTurn + (turns - 1) * CLAIM_TURN_MILLISECONDS;
   }
 
   function readOwnerKey(): Promise<ReadOutcome<StoredItem | null>> {
--- a/packages/scheduler/src/core/ownerPreference.ts
+++ b/packages/scheduler/src/core/ownerPreference.ts
@@ -9,6 +9,32 @@
 /** Minimum duration of a term before it is yielded; the state has been recovered by then. */
 const MINIMUM_TERM_MILLISECONDS = 1_000;
 
+/** What makes a VM a good owner. */
+export interface VmCapacity {
+  /** Number of cores that the process may use. */
+  readonly processors: number;
+  /** Rate of the VM's link, in megabits per second; null if it is not known. */
+  readonly linkMegabitsPerSecond: number | null;
+}
+
+/**
+ * Orders the claims after the loss of an owner.
+ *
+ * @param former capacity of the former owner; null if it is not known
+ * @returns number of turns that a VM leaves to others, which may be as strong as the former owner: one if it is weaker,
+ *   two if it has less than half of its processors or of its link
+ */
+export function countTurnsBeforeClaim(own: VmCapacity, former: VmCapacity | null): number {
+  if (!former) return 0;
+  const linkRatio =
+    own.linkMegabitsPerSecond !== null && former.linkMegabitsPerSecond !== null
+      ? own.linkMegabitsPerSecond / former.linkMegabitsPerSecond
+      : 1;
+  const ratio = Math.min(own.processors / former.processors, linkRatio);
+  if (ratio >= 1) return 0;
+  return ratio >= 1 / MINIMUM_PROCESSOR_RATIO ? 1 : 2;
+}
+
 /** A peer that is connected to the owner. */
 export interface OwnerCandidate {
   readonly address: string;
--- a/packages/scheduler/src/core/scheduler.ts
+++ b/packages/scheduler/src/core/scheduler.ts
@@ -6,8 +6,8 @@
 import type { SchedulerDependencies } from '../types/schedulerDependencies.js';
 import { createOwnerElection } from './ownerElection.js';
 import type { OwnerRecord } from './ownerElection.js';
-import { createOwnerPreference } from './ownerPreference.js';
-import type { OwnerCandidate } from './ownerPreference.js';
+import { countTurnsBeforeClaim, createOwnerPreference } from './ownerPreference.js';
+import type { OwnerCandidate, VmCapacity } from './ownerPreference.js';
 import { createOwnerTerm } from './ownerTerm.js';
 import type { OwnerTerm } from './ownerTerm.js';
 import { listenForPeers, openPeerChannel } from './peerChannel.js';
@@ -39,6 +39,8 @@
   readonly claimDelayMilliseconds: number;
   /** Number of cores that this process may use. */
   readonly processors: number;
+  /** Rate of this VM's link, in megabits per second; null if it is not known. */
+  readonly linkMegabitsPerSecond: number | null;
   /** `<address>:<port>` on which this VM accepts connections of its peers. */
   readonly peerAddress: string;
 }
@@ -95,6 +97,13 @@
   return { kind, tickets, validMilliseconds };
 }
 
+/** @returns capacity that an owner reports with a ping; earlier builds do not send the link */
+function readCapacity(result: unknown): VmCapacity | null {
+  const { processors, linkMegabitsPerSecond: link } = (result ?? {}) as Partial<VmCapacity>;
+  if (typeof processors !== 'number') return null;
+  return { processors, linkMegabitsPerSecond: typeof link === 'number' ? link : null };
+}
+
 /** Request of a caller, and the term that the sender takes the receiver to own; earlier builds do not send it. */
 type ForwardedRequest = CallerRequest & { readonly ownerEpoch?: number };
 
@@ -106,6 +115,12 @@
 /** Creates the scheduler of a VM; {@link Scheduler.start} starts it. */
 export function createScheduler(options: SchedulerOptions): Scheduler {
   const { clock, log, metrics, peerAddress } = options;
+  const ownCapacity: VmCapacity = {
+    processors: options.processors,
+    linkMegabitsPerSecond: options.linkMegabitsPerSecond,
+  };
+  /** Of the owner that was last known; null until one has answered. */
+  let ownerCapacity: VmCapacity | null = null;
   const preference = createOwnerPreference(options.processors);
   let term: OwnerTerm | null = null;
   let termStartedAt = -Infinity;
@@ -124,10 +139,12 @@
     address: peerAddress,
     leaseMilliseconds: options.leaseMilliseconds,
     claimDelayMilliseconds: options.claimDelayMilliseconds,
+    claimTurns: () => countTurnsBeforeClaim(ownCapacity, ownerCapacity),
     onOwnerChange: () => notifyOwnerChange(),
     onTermStart(identity) {
       metrics.count('terms');
       termStartedAt = clock.monotonicMilliseconds();
+      ownerCapacity = ownCapacity;
       term = createOwnerTerm({
         ...options,
         term: identity,
@@ -183,7 +200,7 @@
   const handlers: PeerHandlers = {
     ping(parameters) {
       recordPing(parameters);
-      return Promise.resolve({ processors: options.processors });
+      return Promise.resolve(ownCapacity);
     },
     handle: (parameters) => handleAsOwner(parameters as ForwardedRequest),
     advise(parameters) {
@@ -233,8 +250,11 @@
       const outcome = await channel.call('ping', candidate, PING_TIMEOUT_MILLISECONDS);
       if (outcome.kind === 'lost') channel.close();
       else {
-        const { processors } = (outcome.result ?? {}) as Partial<OwnerCandidate>;
-        if (typeof processors === 'number') ownerProcessors = processors;
+        const owner = readCapacity(outcome.result);
+        if (owner) {
+          ownerProcessors = owner.processors;
+          ownerCapacity = owner;
+        }
         await sleep(clock, PING_INTERVAL_MILLISECONDS);
       }
     }
