--- a/packages/proving/src/core/schedulerCell.ts
+++ b/packages/proving/src/core/schedulerCell.ts
@@ -193,6 +193,7 @@
         address: name,
         leaseMilliseconds: LEASE_MILLISECONDS,
         claimDelayMilliseconds,
+        claimTurns: () => 0,
         onOwnerChange: () => {},
         onTermStart(owned) {
           if (isKilled) return;
