Show what outstanding starts hold back

Change: gauges, and a log line once a second while one is not 0, of tasks bound by outstanding starts, endpoints that are not fenced, endpoints whose ends are not acknowledged by cause, endpoints in backoff by cause, and ends listed again. Counters of holds that withhold acknowledgements, of ends listed again and of confirmations that are stored.

--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -20,7 +20,7 @@
 import { callWithAdaptiveTimeout } from '../utils/adaptiveTimeout.js';
 import { remainingToleranceMilliseconds } from './capacityAge.js';
 import { isFormerIncarnation, lastLeaseExpiry } from './endpointTable.js';
-import type { EndpointState } from './endpointTable.js';
+import type { BackoffCause, EndpointState, WithholdingCause } from './endpointTable.js';
 import {
   assignRun,
   findTask,
@@ -156,6 +156,11 @@
     context.abandonTerm(`endpoint ${state.entry.endpointId} has seen a higher fencing token`);
   }
 
+  function backOff(cause: BackoffCause, until: number): void {
+    state.backoffUntil = until;
+    state.backoffCause = cause;
+  }
+
   function runsOfOtherIncarnations(): TaskRecord[] {
     return [...state.runs.values()].filter(({ endpointBornAt }) => endpointBornAt !== state.bornAt);
   }
@@ -196,6 +201,7 @@
     state.bornAt = bornAt;
     state.fencingToken = context.takeFencingToken();
     state.isFenced = false;
+    state.tokenTakenAt = now();
     state.replacedAt = now();
     state.appliedSequence = 0;
     state.durableSequence = 0;
@@ -327,10 +333,9 @@
       if (known) unknown.add(known);
       reportUnknownRun(report, known);
       // The run uses room that is charged to nobody until its stop has ended.
-      state.backoffUntil = Math.max(
-        state.backoffUntil,
-        now() + context.timeLimits.maximumStopMilliseconds + RETRY_DELAY_MILLISECONDS,
-      );
+      const stoppedAt =
+        now() + context.timeLimits.maximumStopMilliseconds + RETRY_DELAY_MILLISECONDS;
+      if (stoppedAt > state.backoffUntil) backOff('unknown-run', stoppedAt);
       void sendStop(report);
       return;
     }
@@ -383,6 +388,8 @@
     state.clockOffset = outcome.endpointClockMilliseconds - now();
     const changedTasks = new Set<TaskRecord>();
     const ends = outcome.ends.filter(({ sequence }) => sequence > state.appliedSequence);
+    state.relistedEnds = outcome.ends.length - ends.length;
+    metrics.count('ends_relisted', state.relistedEnds);
     ends.forEach((end) => applyEnd(end, changedTasks));
     const appliedSequence = ends.reduce(
       (highest, { sequence }) => Math.max(highest, sequence),
@@ -447,11 +454,23 @@
   }
 
   /** The former incarnation's acknowledgements would discard ends of a later one that were not read. */
+  function withholdingCause(): WithholdingCause | null {
+    if (outstandingStarts.mayExecute(state.entry.endpointId)) return 'outstanding-start';
+    return [...state.runs.values()].some(mayBeInLaterIncarnation) ? 'unconfirmed-run' : null;
+  }
+
   function acknowledgedSequence(): number {
-    const mayBeDiscarded =
-      [...state.runs.values()].some(mayBeInLaterIncarnation) ||
-      outstandingStarts.mayExecute(state.entry.endpointId);
-    return mayBeDiscarded ? 0 : state.durableSequence;
+    return withholdingCause() === null ? state.durableSequence : 0;
+  }
+
+  function noteAcknowledgement(sequence: number): void {
+    if (sequence >= state.durableSequence) {
+      state.withheldSince = null;
+      return;
+    }
+    metrics.count('holds_withheld');
+    state.withheldSince ??= now();
+    state.withholdingCause = withholdingCause() ?? 'unconfirmed-run';
   }
 
   /** @returns delay of a hold whose answer comes at once because it lists ends that are not acknowledged yet */
@@ -468,12 +487,14 @@
     // The leases of an endpoint that may be lost are not renewed, so that its runs expire at a known time.
     const needsLease = state.unansweredCalls === 0 && (state.isListed || state.runs.size > 0);
     const deadline = needsLease ? extendLeaseDeadline(leaseMilliseconds) : null;
+    // An endpoint that fell silent may have been replaced.
+    const sequence = state.unansweredCalls === 0 ? acknowledgedSequence() : 0;
+    noteAcknowledgement(sequence);
     const outcome = await endpoints.hold(
       target(),
       {
         deadlineOnEndpointMilliseconds: deadline,
-        // An endpoint that fell silent may have been replaced.
-        acknowledgedSequence: state.unansweredCalls === 0 ? acknowledgedSequence() : 0,
+        acknowledgedSequence: sequence,
         waitMilliseconds,
       },
       latency.timeoutMilliseconds(),
@@ -518,7 +539,10 @@
     task.progressReports = [];
     task.absenceConclusiveAfter = now();
     if (task.phase === 'stopping') void stop(task);
-    else if (isWorthStoring(task)) void transitions.save(job, 'deferred');
+    else if (isWorthStoring(task)) {
+      metrics.count('confirmations_stored');
+      void transitions.save(job, 'deferred');
+    }
   }
 
   function isCurrentRun(task: TaskRecord, run: number): boolean {
@@ -543,7 +567,7 @@
       REFUSED_START_BACKOFF_MILLISECONDS,
       unansweredStarts * UNANSWERED_START_BACKOFF_MILLISECONDS,
     );
-    state.backoffUntil = now() + backoffMilliseconds;
+    backOff('unanswered-start', now() + backoffMilliseconds);
     log.info('start unanswered', { task: task.taskId, run, endpoint: state.entry.endpointId });
   }
 
@@ -551,7 +575,7 @@
     metrics.count('starts_refused');
     log.info('start refused', { task: task.taskId, endpoint: state.entry.endpointId, reason });
     if (reason === 'invalid-ticket') events.onTicketRefused(task);
-    else state.backoffUntil = now() + REFUSED_START_BACKOFF_MILLISECONDS;
+    else backOff('refused-start', now() + REFUSED_START_BACKOFF_MILLISECONDS);
     if (reason === 'late') state.clockOffset = null;
     task.notBefore = now() + PLACEMENT_RETRY_DELAY_MILLISECONDS;
     transitions.dropRun(task, 'lapsed');
@@ -576,7 +600,7 @@
       : ({ kind: 'unknown', reason: 'no authority' } as const);
     if (outcome.kind === 'unknown') {
       unansweredStopBackoff = now() + UNANSWERED_STOP_BACKOFF_MILLISECONDS;
-      state.backoffUntil = unansweredStopBackoff;
+      backOff('unanswered-stop', unansweredStopBackoff);
     } else if (state.backoffUntil === unansweredStopBackoff) state.backoffUntil = now();
     if (!isCurrentRun(task, run)) return;
     if (outcome.kind === 'refused' && outcome.reason === 'fenced') {
--- a/packages/scheduler/src/core/endpointTable.ts
+++ b/packages/scheduler/src/core/endpointTable.ts
@@ -17,6 +17,12 @@
   laterLeasesExpireAt: number;
 }
 
+/** Why no new runs are placed on an endpoint for a while. */
+export type BackoffCause = 'refused-start' | 'unanswered-start' | 'unanswered-stop' | 'unknown-run';
+
+/** Why durable ends of an endpoint are not acknowledged. */
+export type WithholdingCause = 'unconfirmed-run' | 'outstanding-start';
+
 /** State of an endpoint at the owner. */
 export interface EndpointState extends LeaseExpiries {
   /** Latest entry of the directory. */
@@ -42,6 +48,8 @@
   fencingToken: number;
   /** Whether the incarnation has answered a hold with this token, so that it refuses orders for former ones. */
   isFenced: boolean;
+  /** When this token was chosen, in monotonic milliseconds. */
+  tokenTakenAt: number;
   /** Starts of incarnations that were followed by another; a clock that was set back does not order them. */
   readonly formerBornAt: Set<number>;
   /** Resources charged for the runs that may exist there. */
@@ -54,6 +62,12 @@
   appliedSequence: number;
   /** Sequence number of the last durable end; acknowledged by the next hold. */
   durableSequence: number;
+  /** Since when that has not been acknowledged, in monotonic milliseconds; null if the last hold has. */
+  withheldSince: number | null;
+  /** Why the last hold that acknowledged less than that did so. */
+  withholdingCause: WithholdingCause;
+  /** Number of ends in the last list that had been applied before. */
+  relistedEnds: number;
   /** Lower bound of the endpoint's clock minus the monotonic clock, in milliseconds; null if unknown. */
   clockOffset: number | null;
   /** When a later incarnation was first heard from, in monotonic milliseconds; -Infinity if none was in this term. */
@@ -74,6 +88,8 @@
   hasCrashedDuringHold: boolean;
   /** No new runs are placed there before this time, in monotonic milliseconds. */
   backoffUntil: number;
+  /** Why not. */
+  backoffCause: BackoffCause;
 }
 
 /** @returns resources that a task is charged; filling tasks use only idle processors and are charged none */
@@ -114,7 +130,12 @@
   get(endpointId: string): EndpointState | undefined;
   all(): IterableIterator<EndpointState>;
   /** Adds an endpoint that is in the directory or is named by a stored run. */
-  add(entry: EndpointEntry, leases: LeaseExpiries, fencingToken: number): EndpointState;
+  add(
+    entry: EndpointEntry,
+    leases: LeaseExpiries,
+    fencingToken: number,
+    now: number,
+  ): EndpointState;
   remove(endpointId: string): void;
   /** Charges the resources of a run to its endpoint and its team. */
   charge(state: EndpointState, task: TaskRecord): void;
@@ -150,7 +171,7 @@
   return {
     get: (endpointId) => states.get(endpointId),
     all: () => states.values(),
-    add(entry, leases, fencingToken) {
+    add(entry, leases, fencingToken, now) {
       const state: EndpointState = {
         entry,
         shuffleKey: hashText(entry.endpointId),
@@ -162,12 +183,16 @@
         bornAt: entry.bornAt,
         fencingToken,
         isFenced: false,
+        tokenTakenAt: now,
         formerBornAt: new Set(),
         used: NO_RESOURCES,
         usedForLongRunning: NO_RESOURCES,
         runs: new Map(),
         appliedSequence: 0,
         durableSequence: 0,
+        withheldSince: null,
+        withholdingCause: 'unconfirmed-run',
+        relistedEnds: 0,
         clockOffset: null,
         ...leases,
         replacedAt: -Infinity,
@@ -179,6 +204,7 @@
         isDisconnected: false,
         hasCrashedDuringHold: false,
         backoffUntil: 0,
+        backoffCause: 'refused-start',
       };
       states.set(entry.endpointId, state);
       return state;
--- /dev/null
+++ b/packages/scheduler/src/core/heldBackWork.ts
@@ -0,0 +1,46 @@
+import type { BackoffCause, EndpointState, WithholdingCause } from './endpointTable.js';
+import type { GaugeName } from './schedulerMetrics.js';
+
+/** What is held back at one time because orders may still be executed late; times in milliseconds. */
+export type HeldBackWork = Readonly<Record<GaugeName, number>>;
+
+/** Tasks that may start on one endpoint only, or not at all, because of outstanding starts. */
+export interface BoundTasks {
+  readonly count: number;
+  /** How long the first of them has been held back, in milliseconds. */
+  readonly longestMilliseconds: number;
+}
+
+/** Describes what is held back on the endpoints of the directory, at `now` in monotonic milliseconds. */
+export function describeHeldBackWork(
+  states: Iterable<EndpointState>,
+  bound: BoundTasks,
+  now: number,
+): HeldBackWork {
+  const listed = [...states].filter(({ isListed }) => isListed);
+  const unfenced = listed.filter(({ isFenced }) => !isFenced);
+  const withheld = listed.filter(({ withheldSince }) => withheldSince !== null);
+  const withheldFor = (cause: WithholdingCause) =>
+    withheld.filter(({ withholdingCause }) => withholdingCause === cause).length;
+  const inBackoff = (cause: BackoffCause) =>
+    listed.filter((state) => state.backoffUntil > now && state.backoffCause === cause).length;
+  const longestSince = (times: readonly number[]) => Math.round(now - Math.min(now, ...times));
+  return {
+    tasks_bound: bound.count,
+    tasks_bound_longest_milliseconds: Math.round(bound.longestMilliseconds),
+    endpoints_unfenced: unfenced.length,
+    endpoints_unfenced_longest_milliseconds: longestSince(
+      unfenced.map(({ tokenTakenAt }) => tokenTakenAt),
+    ),
+    endpoints_withheld_unconfirmed_run: withheldFor('unconfirmed-run'),
+    endpoints_withheld_outstanding_start: withheldFor('outstanding-start'),
+    endpoints_withheld_longest_milliseconds: longestSince(
+      withheld.map(({ withheldSince }) => withheldSince!),
+    ),
+    endpoints_backoff_refused_start: inBackoff('refused-start'),
+    endpoints_backoff_unanswered_start: inBackoff('unanswered-start'),
+    endpoints_backoff_unanswered_stop: inBackoff('unanswered-stop'),
+    endpoints_backoff_unknown_run: inBackoff('unknown-run'),
+    ends_unacknowledged: listed.reduce((sum, { relistedEnds }) => sum + relistedEnds, 0),
+  };
+}
--- a/packages/scheduler/src/core/jobRecords.ts
+++ b/packages/scheduler/src/core/jobRecords.ts
@@ -466,7 +466,8 @@
       const until = toMonotonic(startUntil);
       if (startEndpointId !== undefined && until !== null) {
         const flags = { isByFormerOwner: true, isExecuting: false };
-        task.outstandingStart = { endpointId: startEndpointId, until, ...flags };
+        const outstanding = { endpointId: startEndpointId, recordedAt: now, until };
+        task.outstandingStart = { ...outstanding, ...flags };
       }
       const storedEndpoint = stored.endpoints[endpoint];
       if (!storedEndpoint) return;
--- a/packages/scheduler/src/core/outstandingStarts.ts
+++ b/packages/scheduler/src/core/outstandingStarts.ts
@@ -6,6 +6,7 @@
 import { lastLeaseExpiry } from './endpointTable.js';
 import type { EndpointState, EndpointTable } from './endpointTable.js';
 import { forEachTask } from './jobRecords.js';
+import type { BoundTasks } from './heldBackWork.js';
 import type { SchedulerMetrics } from './schedulerMetrics.js';
 
 /** How long an endpoint that was replaced under its id is expected to be replaced again, in milliseconds. */
@@ -38,6 +39,8 @@
   isHeld(task: TaskRecord): boolean;
   /** @returns whether an endpoint may execute a start that binds its task, and has ends that must not be discarded */
   mayExecute(endpointId: string): boolean;
+  /** @returns tasks that may start on one endpoint only, or not at all */
+  boundTasks(): BoundTasks;
   /** @returns the only endpoint on which the task may start; null if there is no such restriction */
   requiredEndpoint(task: TaskRecord): string | null;
 }
@@ -147,6 +150,7 @@
       const former = current(task);
       const start = {
         endpointId,
+        recordedAt: former?.recordedAt ?? clock.monotonicMilliseconds(),
         until: Math.max(until, former?.until ?? -Infinity),
         isByFormerOwner: isStartByFormerOwner || former?.isByFormerOwner === true,
         isExecuting: former?.isExecuting === true,
@@ -167,6 +171,7 @@
         const former = current(task);
         assign(task, {
           endpointId,
+          recordedAt: former?.recordedAt ?? clock.monotonicMilliseconds(),
           until: former?.until ?? clock.monotonicMilliseconds(),
           isByFormerOwner: former?.isByFormerOwner === true,
           isExecuting: true,
@@ -186,6 +191,15 @@
       const start = current(task);
       return start && isBinding(start) ? start.endpointId : null;
     },
+    boundTasks() {
+      const now = clock.monotonicMilliseconds();
+      const starts = [...tasksByEndpoint.values()].flatMap((tasks) =>
+        [...tasks].flatMap((task) => current(task) ?? []),
+      );
+      const binding = starts.filter(isBinding);
+      const since = binding.map(({ recordedAt }) => recordedAt);
+      return { count: binding.length, longestMilliseconds: now - Math.min(now, ...since) };
+    },
     mayExecute: (endpointId) =>
       [...(tasksByEndpoint.get(endpointId) ?? [])].some((task) => {
         const start = current(task);
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -38,6 +38,7 @@
 import { drainEndOf } from './endpointLosses.js';
 import { createEndpointSession } from './endpointSession.js';
 import type { EndpointSession } from './endpointSession.js';
+import { describeHeldBackWork } from './heldBackWork.js';
 import { createEndpointTable, isFormerIncarnation, leaseExpiryOf } from './endpointTable.js';
 import type { EndpointState, LeaseExpiries } from './endpointTable.js';
 import {
@@ -51,6 +52,8 @@
 import { createJobSettings } from './jobSettings.js';
 import { maximumOpenTasks } from './jobSize.js';
 import { createOutstandingStarts } from './outstandingStarts.js';
+import { GAUGES } from './schedulerMetrics.js';
+import type { GaugeName } from './schedulerMetrics.js';
 import { createStragglerWatch } from './stragglerWatch.js';
 import { createTaskTransitions } from './taskTransitions.js';
 import { createDurationEstimates } from './durationEstimates.js';
@@ -324,7 +327,7 @@
   function addEndpoint(entry: EndpointEntry, readAt: number): EndpointState {
     // An endpoint that was known before may have seen a higher token than the first one of the term.
     const fencingToken = components ? takeFencingToken() : term.epoch;
-    const state = table.add(entry, formerLeases, fencingToken);
+    const state = table.add(entry, formerLeases, fencingToken, clock.monotonicMilliseconds());
     state.entryReadAt = readAt;
     return state;
   }
@@ -479,7 +482,7 @@
         let state = table.get(task.endpointId);
         if (!state) {
           const entry = createUnlistedEntry(task.endpointId, task);
-          state = table.add(entry, formerLeases, term.epoch);
+          state = table.add(entry, formerLeases, term.epoch, startedAt);
           state.isListed = false;
           state.unlistedAt = listedAt;
         }
@@ -590,10 +593,21 @@
     });
   }
 
+  function reportHeldBackWork(): void {
+    const { context } = components!;
+    const bound = context.outstandingStarts.boundTasks();
+    const heldBack = describeHeldBackWork(table.all(), bound, clock.monotonicMilliseconds());
+    const entries = Object.entries(heldBack) as [GaugeName, number][];
+    entries.forEach(([name, value]) => metrics.set(name, value));
+    const nonzero = entries.filter(([, value]) => value > 0);
+    if (nonzero.length > 0) log.info('work held back', Object.fromEntries(nonzero));
+  }
+
   function logLoad(): Promise<boolean> {
     components!.dispatcher.logBacklog();
     components!.dispatcher.logIdleSteps();
     logWork();
+    reportHeldBackWork();
     return Promise.resolve(true);
   }
 
@@ -618,6 +632,7 @@
     },
     end() {
       hasEnded = true;
+      (Object.keys(GAUGES) as GaugeName[]).forEach((name) => metrics.set(name, 0));
       components?.commits.close();
       components?.dispatcher.close();
     },
--- a/packages/scheduler/src/core/schedulerMetrics.ts
+++ b/packages/scheduler/src/core/schedulerMetrics.ts
@@ -22,6 +22,9 @@
   capacity_changes: 'Changes of the capacity that an endpoint reports during one incarnation.',
   holds_sent: 'Calls that extend leases on an endpoint.',
   holds_failed: 'Such calls without an answer.',
+  holds_withheld: 'Such calls that do not acknowledge all durable ends.',
+  ends_relisted: 'Ends listed again because they were not acknowledged.',
+  confirmations_stored: 'Writes of jobs because a start was confirmed.',
   runs_done: 'Runs that ended as done.',
   runs_failed: 'Runs that ended as failed.',
   runs_lost: 'Runs that ended otherwise and may be repeated.',
@@ -50,6 +53,27 @@
 
 export type CounterName = keyof typeof COUNTERS;
 
+/** Gauges of the owner, with their help texts; 0 where the process is not the owner. */
+export const GAUGES = {
+  tasks_bound: 'Tasks that earlier starts without an answer bind to one endpoint, or hold.',
+  tasks_bound_longest_milliseconds: 'Time since the oldest of these starts was given up.',
+  endpoints_unfenced: 'Endpoints that have not answered a hold with their fencing token.',
+  endpoints_unfenced_longest_milliseconds: 'Time since the oldest of these tokens was chosen.',
+  endpoints_withheld_unconfirmed_run:
+    'Endpoints whose ends are not acknowledged because a start has no answer yet.',
+  endpoints_withheld_outstanding_start:
+    'Endpoints whose ends are not acknowledged because a start that was given up may be executed.',
+  endpoints_withheld_longest_milliseconds: 'Time since the last acknowledgement of one of them.',
+  endpoints_backoff_refused_start: 'Endpoints without placements after a refused start.',
+  endpoints_backoff_unanswered_start: 'Endpoints without placements after an unanswered start.',
+  endpoints_backoff_unanswered_stop: 'Endpoints without placements after an unanswered stop.',
+  endpoints_backoff_unknown_run:
+    'Endpoints without placements while a run that is not recorded there is stopped.',
+  ends_unacknowledged: 'Ends that were listed although they had been applied before.',
+} as const;
+
+export type GaugeName = keyof typeof GAUGES;
+
 /** Histograms of the scheduler in milliseconds, with their help texts. */
 export const HISTOGRAMS = {
   commit_milliseconds: 'Time from sending a group of changes until it is durable.',
@@ -68,6 +92,7 @@
 export interface SchedulerMetrics {
   count(name: CounterName, amount?: number): void;
   record(name: HistogramName, milliseconds: number): void;
+  set(name: GaugeName, value: number): void;
   /** Adds the time that an owner has worked. */
   addWork(reading: WorkReading): void;
   /** @returns all values in the text format of Prometheus */
@@ -111,6 +136,7 @@
 
 export function createSchedulerMetrics(): SchedulerMetrics {
   const counters = new Map<CounterName, number>();
+  const gauges = new Map<GaugeName, number>();
   const histograms = new Map<HistogramName, Histogram>();
   const workMilliseconds = new Map<WorkPart, number>();
   let activeMilliseconds = 0;
@@ -119,6 +145,9 @@
     count(name, amount = 1) {
       counters.set(name, (counters.get(name) ?? 0) + amount);
     },
+    set(name, value) {
+      gauges.set(name, value);
+    },
     record(name, milliseconds) {
       let histogram = histograms.get(name);
       if (!histogram) {
@@ -144,11 +173,16 @@
         `# TYPE chicorybend_${name}_total counter`,
         `chicorybend_${name}_total ${counters.get(name) ?? 0}`,
       ]);
+      const gaugeLines = (Object.keys(GAUGES) as GaugeName[]).flatMap((name) => [
+        `# HELP chicorybend_${name} ${GAUGES[name]}`,
+        `# TYPE chicorybend_${name} gauge`,
+        `chicorybend_${name} ${gauges.get(name) ?? 0}`,
+      ]);
       const histogramLines = [...histograms].flatMap(([name, histogram]) =>
         describeHistogram(name, histogram),
       );
       const workLines = describeWork(workMilliseconds, activeMilliseconds);
-      return `${[...counterLines, ...histogramLines, ...workLines].join('\n')}\n`;
+      return `${[...counterLines, ...gaugeLines, ...histogramLines, ...workLines].join('\n')}\n`;
     },
   };
 }
--- a/packages/scheduler/src/types/jobRecord.ts
+++ b/packages/scheduler/src/types/jobRecord.ts
@@ -32,6 +32,8 @@
 /** A start without an answer of a run that was given up. */
 export interface OutstandingStart {
   readonly endpointId: string;
+  /** When it was given up, or taken over from a former owner, in monotonic milliseconds. */
+  readonly recordedAt: number;
   /** Until when the endpoint, or a later incarnation of it, may execute the start, in monotonic milliseconds. */
   readonly until: number;
   /** Whether a former owner may have sent it. */
