Bound what unacknowledged ends cost the owner, and end their withholding in time

Cause: while a start that was given up binds its task, the ends of its endpoint are not acknowledged, for up to 12 s. Each poll is answered at once and lists all of them again. An owner near its limit is late for it, takes more endpoints for silent, which makes more starts binding and withholds more acknowledgements: it doesn't recover when the late orders have ended. Besides, a list that is full (500 ends) shows no ends after these and proves no absence, so that the start stays outstanding for good.

Change: polls of endpoints whose ends are not acknowledged come at an interval at which all of them together take 5% of the owner's time, at most 750 ms. Ends are acknowledged once an incarnation has answered a hold that was sent after the latest execution of the start, which rules out that a later one has executed it. An endpoint whose list could overflow until then gets no further runs. The stand-in endpoints cap their lists as the platform does.

--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -19,7 +19,7 @@
 } from '../utils/leaseTimes.js';
 import { callWithAdaptiveTimeout } from '../utils/adaptiveTimeout.js';
 import { remainingToleranceMilliseconds } from './capacityAge.js';
-import { isFormerIncarnation, lastLeaseExpiry } from './endpointTable.js';
+import { isFormerIncarnation, lastLeaseExpiry, MAXIMUM_LISTED_ENDS } from './endpointTable.js';
 import type { BackoffCause, EndpointState, WithholdingCause } from './endpointTable.js';
 import {
   assignRun,
@@ -28,6 +28,7 @@
   jobIdOf,
   mayBeInLaterIncarnation,
 } from './jobRecords.js';
+import { affordablePollInterval } from './heldBackWork.js';
 import type { TaskTransitions } from './taskTransitions.js';
 
 /** Long-poll wait of a hold at an endpoint without runs. */
@@ -44,8 +45,6 @@
 const RETRY_DELAY_MILLISECONDS = 200;
 /** Maximum wait for ends to become durable before the leases are renewed again. */
 const DURABILITY_TIMEOUT_MILLISECONDS = 1_000;
-/** Maximum number of ends in one list; a full list may omit ends, so it does not prove that a run is absent. */
-const MAXIMUM_LISTED_ENDS = 500;
 /** Backoff for new starts after an endpoint refused one. */
 const REFUSED_START_BACKOFF_MILLISECONDS = 1_000;
 /** Backoff for new starts after an unanswered one, multiplied by the number of unanswered starts in a row. */
@@ -388,7 +387,9 @@
     state.clockOffset = outcome.endpointClockMilliseconds - now();
     const changedTasks = new Set<TaskRecord>();
     const ends = outcome.ends.filter(({ sequence }) => sequence > state.appliedSequence);
-    state.relistedEnds = outcome.ends.length - ends.length;
+    state.listedEnds = outcome.ends.length;
+    state.relistedEnds = state.listedEnds - ends.length;
+    state.answeredHoldSentAt = Math.max(state.answeredHoldSentAt, sentAt);
     metrics.count('ends_relisted', state.relistedEnds);
     ends.forEach((end) => applyEnd(end, changedTasks));
     const appliedSequence = ends.reduce(
@@ -475,9 +476,12 @@
 
   /** @returns delay of a hold whose answer comes at once because it lists ends that are not acknowledged yet */
   function withheldPause(): number {
-    return outstandingStarts.mayExecute(state.entry.endpointId)
-      ? OUTSTANDING_POLL_DELAY_MILLISECONDS
-      : UNACKNOWLEDGED_POLL_DELAY_MILLISECONDS;
+    const delay =
+      withholdingCause() === 'outstanding-start'
+        ? OUTSTANDING_POLL_DELAY_MILLISECONDS
+        : UNACKNOWLEDGED_POLL_DELAY_MILLISECONDS;
+    const affordable = affordablePollInterval(table.all());
+    return Math.min(BUSY_POLL_MILLISECONDS, Math.max(delay, affordable));
   }
 
   async function hold(waitMilliseconds: number): Promise<void> {
--- a/packages/scheduler/src/core/endpointTable.ts
+++ b/packages/scheduler/src/core/endpointTable.ts
@@ -7,6 +7,9 @@
 import type { StepSpecification } from '../types/job.js';
 import { mayBeInLaterIncarnation } from './jobRecords.js';
 
+/** Maximum number of ends in one list; a full list may omit ends, so it does not prove that a run is absent. */
+export const MAXIMUM_LISTED_ENDS = 500;
+
 /** When leases at an endpoint have certainly expired, in monotonic milliseconds. */
 export interface LeaseExpiries {
   /** Those that orders for the present incarnation have granted there. */
@@ -66,8 +69,11 @@
   withheldSince: number | null;
   /** Why the last hold that acknowledged less than that did so. */
   withholdingCause: WithholdingCause;
-  /** Number of ends in the last list that had been applied before. */
+  /** Number of ends in the last list, and of those among them that had been applied before. */
+  listedEnds: number;
   relistedEnds: number;
+  /** When the last hold that was answered was sent, in monotonic milliseconds; -Infinity if none was. */
+  answeredHoldSentAt: number;
   /** Lower bound of the endpoint's clock minus the monotonic clock, in milliseconds; null if unknown. */
   clockOffset: number | null;
   /** When a later incarnation was first heard from, in monotonic milliseconds; -Infinity if none was in this term. */
@@ -97,6 +103,15 @@
   return step.isFilling ? { ...step.resources, processors: 0 } : step.resources;
 }
 
+/**
+ * @returns whether a list could omit ends by the time that all present runs have ended, because the ends are not
+ * acknowledged while an outstanding start may be executed
+ */
+export function mayOverflowList({ listedEnds, runs, ...state }: EndpointState): boolean {
+  const isWithheld = state.withheldSince !== null && state.withholdingCause === 'outstanding-start';
+  return isWithheld && listedEnds + runs.size >= MAXIMUM_LISTED_ENDS;
+}
+
 /** @returns whether an incarnation precedes the one that the lists came from */
 export function isFormerIncarnation(
   { bornAt: current, formerBornAt }: EndpointState,
@@ -192,7 +207,9 @@
         durableSequence: 0,
         withheldSince: null,
         withholdingCause: 'unconfirmed-run',
+        listedEnds: 0,
         relistedEnds: 0,
+        answeredHoldSentAt: -Infinity,
         clockOffset: null,
         ...leases,
         replacedAt: -Infinity,
--- a/packages/scheduler/src/core/heldBackWork.ts
+++ b/packages/scheduler/src/core/heldBackWork.ts
@@ -1,6 +1,13 @@
 import type { BackoffCause, EndpointState, WithholdingCause } from './endpointTable.js';
 import type { GaugeName } from './schedulerMetrics.js';
 
+/** Part of its time that an owner spends on lists that come at once because their ends are not acknowledged. */
+const MAXIMUM_RELISTING_SHARE = 0.05;
+/** Time that a call takes an owner, in milliseconds; see docs/platform.md. */
+const CALL_MILLISECONDS = 0.4;
+/** Time that it takes to decode an end of a list, in milliseconds. */
+const END_MILLISECONDS = 0.01;
+
 /** What is held back at one time because orders may still be executed late; times in milliseconds. */
 export type HeldBackWork = Readonly<Record<GaugeName, number>>;
 
@@ -11,6 +18,18 @@
   readonly longestMilliseconds: number;
 }
 
+/**
+ * @returns interval at which the owner can poll all endpoints whose ends are not acknowledged, in milliseconds. Without
+ * it, an owner near its limit is late, takes more of them for silent, and has to acknowledge even less.
+ */
+export function affordablePollInterval(states: Iterable<EndpointState>): number {
+  let milliseconds = 0;
+  for (const { withheldSince, relistedEnds } of states) {
+    if (withheldSince !== null) milliseconds += CALL_MILLISECONDS + relistedEnds * END_MILLISECONDS;
+  }
+  return milliseconds / MAXIMUM_RELISTING_SHARE;
+}
+
 /** Describes what is held back on the endpoints of the directory, at `now` in monotonic milliseconds. */
 export function describeHeldBackWork(
   states: Iterable<EndpointState>,
--- a/packages/scheduler/src/core/outstandingStarts.ts
+++ b/packages/scheduler/src/core/outstandingStarts.ts
@@ -136,6 +136,14 @@
     return isReplacedLately || state.lastSilentAt >= until - maximumOrderDelayMilliseconds;
   }
 
+  /**
+   * An incarnation that has answered a hold sent after the latest execution of a start was not followed by another one
+   * that executed it, so that its ends can be acknowledged, also if its lists are too full to show all of them.
+   */
+  function mayEndUnread({ endpointId, until, isExecuting }: OutstandingStart): boolean {
+    return isExecuting || (table.get(endpointId)?.answeredHoldSentAt ?? -Infinity) <= until;
+  }
+
   options.jobs.forEach((job) =>
     forEachTask(job, (task) => {
       if (task.outstandingStart) index(task, task.outstandingStart.endpointId);
@@ -203,7 +211,7 @@
     mayExecute: (endpointId) =>
       [...(tasksByEndpoint.get(endpointId) ?? [])].some((task) => {
         const start = current(task);
-        return start !== null && isBinding(start);
+        return start !== null && isBinding(start) && mayEndUnread(start);
       }),
   };
 }
--- a/packages/scheduler/src/core/roundCandidates.ts
+++ b/packages/scheduler/src/core/roundCandidates.ts
@@ -4,6 +4,7 @@
 import type { TermContext } from '../types/termContext.js';
 import { isOnTrial } from './endpointLosses.js';
 import { isCapacityRecent } from './capacityAge.js';
+import { mayOverflowList } from './endpointTable.js';
 import type { EndpointState } from './endpointTable.js';
 import type { TaskTransitions } from './taskTransitions.js';
 
@@ -42,6 +43,7 @@
     entry.bornAt === state.bornAt &&
     state.clockOffset !== null &&
     state.unansweredCalls === 0 &&
+    !mayOverflowList(state) &&
     state.backoffUntil <= now &&
     !transitions.isQuarantined(entry.endpointId)
   );
--- a/packages/standins/src/core/fleetEndpoint.ts
+++ b/packages/standins/src/core/fleetEndpoint.ts
@@ -21,6 +21,8 @@
 
 const MAXIMUM_LEASE_MILLISECONDS = 10_000;
 const STOP_DELAY_MILLISECONDS = 50;
+/** Maximum number of ends in one list, as on the platform. */
+const MAXIMUM_LISTED_ENDS = 500;
 /** Timers of the system clock can fire early by about a millisecond. */
 const EARLY_TIMER_MILLISECONDS = 2;
 
@@ -250,7 +252,7 @@
       endpointClockMilliseconds: readEndpointClock(),
       bornAt: endpoint.entry.bornAt,
       running: [...executing.values()].map(describeRun),
-      ends: [...unacknowledgedEnds],
+      ends: unacknowledgedEnds.slice(0, MAXIMUM_LISTED_ENDS),
     }),
     endRun(taskId, kind) {
       [...executing.values()]
