--- a/packages/scheduler/src/core/outstandingStarts.ts
+++ b/packages/scheduler/src/core/outstandingStarts.ts
@@ -6,6 +6,7 @@
 import { lastLeaseExpiry } from './endpointTable.js';
 import type { EndpointState, EndpointTable } from './endpointTable.js';
 import { forEachTask } from './jobRecords.js';
+import type { BoundTasks } from './heldBackWork.js';
 import type { SchedulerMetrics } from './schedulerMetrics.js';
 
 /** How long an endpoint that was replaced under its id is expected to be replaced again, in milliseconds. */
@@ -38,6 +39,8 @@
   isHeld(task: TaskRecord): boolean;
   /** @returns whether an endpoint may execute a start that binds its task, and has ends that must not be discarded */
   mayExecute(endpointId: string): boolean;
+  /** @returns tasks that may start on one endpoint only, or not at all */
+  boundTasks(): BoundTasks;
   /** @returns the only endpoint on which the task may start; null if there is no such restriction */
   requiredEndpoint(task: TaskRecord): string | null;
 }
@@ -133,6 +136,14 @@
     return isReplacedLately || state.lastSilentAt >= until - maximumOrderDelayMilliseconds;
   }
 
+  /**
+   * An incarnation that has answered a hold sent after the latest execution of a start was not followed by another one
+   * that executed it, so that its ends can be acknowledged, also if its lists are too full to show all of them.
+   */
+  function mayEndUnread({ endpointId, until, isExecuting }: OutstandingStart): boolean {
+    return isExecuting || (table.get(endpointId)?.answeredHoldSentAt ?? -Infinity) <= until;
+  }
+
   options.jobs.forEach((job) =>
     forEachTask(job, (task) => {
       if (task.outstandingStart) index(task, task.outstandingStart.endpointId);
@@ -147,6 +158,7 @@
       const former = current(task);
       const start = {
         endpointId,
+        recordedAt: former?.recordedAt ?? clock.monotonicMilliseconds(),
         until: Math.max(until, former?.until ?? -Infinity),
         isByFormerOwner: isStartByFormerOwner || former?.isByFormerOwner === true,
         isExecuting: former?.isExecuting === true,
@@ -167,6 +179,7 @@
         const former = current(task);
         assign(task, {
           endpointId,
+          recordedAt: former?.recordedAt ?? clock.monotonicMilliseconds(),
           until: former?.until ?? clock.monotonicMilliseconds(),
           isByFormerOwner: former?.isByFormerOwner === true,
           isExecuting: true,
@@ -186,10 +199,19 @@
       const start = current(task);
       return start && isBinding(start) ? start.endpointId : null;
     },
+    boundTasks() {
+      const now = clock.monotonicMilliseconds();
+      const starts = [...tasksByEndpoint.values()].flatMap((tasks) =>
+        [...tasks].flatMap((task) => current(task) ?? []),
+      );
+      const binding = starts.filter(isBinding);
+      const since = binding.map(({ recordedAt }) => recordedAt);
+      return { count: binding.length, longestMilliseconds: now - Math.min(now, ...since) };
+    },
     mayExecute: (endpointId) =>
       [...(tasksByEndpoint.get(endpointId) ?? [])].some((task) => {
         const start = current(task);
-        return start !== null && isBinding(start);
+        return start !== null && isBinding(start) && mayEndUnread(start);
       }),
   };
 }
