Move lasting work out of a data centre that is out of service

Cause: long-running tasks and tasks with checkpoints stayed in an evacuated data centre, and stragglers there were stopped although no other room was free. Other tasks end where they run. Stragglers there move only to room that exists.

--- a/packages/proving/src/__tests__/evacuation.test.ts
+++ b/packages/proving/src/__tests__/evacuation.test.ts
@@ -1,4 +1,5 @@
 import { createSilentLog } from '@chicorybend/common';
+import type { EndpointEntry } from '@chicorybend/scheduler';
 import { EVACUATION_PREFIX } from '@chicorybend/standins';
 import type { EndpointFleetOptions } from '@chicorybend/standins';
 import test from 'ava';
@@ -153,3 +154,116 @@
   t.true(countStarts(cell, 'z0', confirmedAt + BOUND_MILLISECONDS) > 0);
   t.regex(cell.metrics.expose(), /^chicorybend_evacuation_reads_failed_total 0$/m);
 });
+
+const LASTING = { isLongRunning: true, estimatedMilliseconds: 20_000 };
+const WITH_CHECKPOINTS = { hasCheckpoints: true, estimatedMilliseconds: 20_000 };
+
+/** @returns number of runs of a job that an endpoint of a data centre executes now */
+function countRuns(cell: SchedulerCell, dataCentre: string, jobId = createJobId(1)): number {
+  const ids = cell.fleet.entries().filter((entry) => entry.dataCentre === dataCentre);
+  return cell.fleet.history.filter(
+    ({ endedAt, endpointId, taskId }) =>
+      endedAt === null &&
+      taskId.startsWith(jobId) &&
+      ids.some((entry) => entry.endpointId === endpointId),
+  ).length;
+}
+
+/** @returns lowest number of runs of the fleet at the same time during the time given */
+async function lowestRuns(cell: SchedulerCell, milliseconds: number): Promise<number> {
+  let lowest = Infinity;
+  for (let elapsed = 0; elapsed < milliseconds; elapsed += 10) {
+    await cell.advance(10);
+    lowest = Math.min(lowest, countRuns(cell, 'z0') + countRuns(cell, 'z1'));
+  }
+  return lowest;
+}
+
+// Guards against a service that is interrupted by its own move, by more tasks than its caller has allowed.
+for (const { budget, lowest, moved } of [
+  { budget: 2, lowest: 10, moved: true },
+  { budget: null, lowest: 11, moved: true },
+  { budget: 0, lowest: 12, moved: false },
+]) {
+  test(`long-running tasks leave an evacuated data centre within a budget of ${budget}`, async (t) => {
+    const cell = await createZonedCell({ durationOf: () => Infinity });
+    const specification = createJobSpecification({
+      ...LASTING,
+      count: 12,
+      disruptionBudget: budget,
+    });
+    await cell.call({ specification });
+    await cell.advance(1_000);
+    t.true(countRuns(cell, 'z0') > 0);
+    evacuate(cell, 'z0');
+    t.is(await lowestRuns(cell, 15_000), lowest);
+    t.is(countRuns(cell, 'z0') === 0, moved);
+    t.is(countRuns(cell, 'z0') + countRuns(cell, 'z1'), 12);
+    t.deepEqual(cell.fleet.violations(), []);
+  });
+}
+
+test('a budget that the loss of an endpoint uses up is not exceeded by moves', async (t) => {
+  const cell = await createZonedCell({ durationOf: () => Infinity, count: 8 });
+  const step = { ...LASTING, count: 8, maximumPerEndpoint: 2, disruptionBudget: 2 };
+  await cell.call({ specification: createJobSpecification(step) });
+  await cell.advance(1_000);
+  const before = countRuns(cell, 'z0');
+  const hosts = new Set(cell.fleet.history.map(({ endpointId }) => endpointId));
+  const isLost = (entry: EndpointEntry) => entry.dataCentre === 'z1' && hosts.has(entry.endpointId);
+  cell.fleet.faultsOf(cell.fleet.entries().find(isLost)!.endpointId).isCutOff = true;
+  await cell.advance(1_500);
+  evacuate(cell, 'z0');
+  await cell.advance(3_000);
+  t.is(countRuns(cell, 'z0'), before);
+  t.regex(cell.metrics.expose(), /^chicorybend_runs_evacuated_total 0$/m);
+});
+
+test('tasks with checkpoints move where there is room, and others end where they run', async (t) => {
+  const cell = await createZonedCell({ durationOf: () => 20_000 });
+  const others = { ...WITH_CHECKPOINTS, hasCheckpoints: false };
+  const steps = [WITH_CHECKPOINTS, { ...others, isGang: true }, others];
+  const specification = createJobSpecification(...steps.map((step) => ({ ...step, count: 6 })));
+  await cell.call({ specification });
+  await cell.advance(1_000);
+  const before = countRuns(cell, 'z0');
+  evacuate(cell, 'z0');
+  await cell.advance(6_000);
+  const stopped = cell.fleet.history.filter(({ kind }) => kind === 'stopped');
+  t.true(stopped.length > 0 && countRuns(cell, 'z0') === before - stopped.length);
+  t.true(stopped.every(({ taskId }) => taskId.startsWith(`${createJobId(1)}.0.0.`)));
+  t.is(countRuns(cell, 'z0') + countRuns(cell, 'z1'), 18);
+});
+
+test('nothing moves while the other data centre is full', async (t) => {
+  const cell = await createZonedCell({ durationOf: () => Infinity });
+  const steps = [
+    { ...LASTING, count: 24 },
+    { ...WITH_CHECKPOINTS, count: 8 },
+  ];
+  await cell.call({ specification: createJobSpecification(...steps) });
+  await cell.advance(1_000);
+  evacuate(cell, 'z0');
+  t.is(await lowestRuns(cell, 8_000), 32);
+});
+
+test('a task that an outstanding start binds to an evacuated data centre waits, and runs elsewhere in the end', async (t) => {
+  const cell = await createZonedCell({ count: 2 });
+  evacuate(cell, 'z1');
+  await cell.advance(1_000);
+  const faults = cell.fleet.faultsOf('endpoint-0');
+  faults.unansweredStartDelayMilliseconds = 3_000;
+  await cell.call({ specification: createJobSpecification({}) });
+  await cell.advance(100);
+  faults.isCutOff = true;
+  await cell.advance(700);
+  const confirmedAt = evacuate(cell, 'z0');
+  cell.store.remove(`${EVACUATION_PREFIX}z1`);
+  await cell.advance(800);
+  Object.assign(faults, { isCutOff: false, unansweredStartDelayMilliseconds: null });
+  await cell.advance(5_000);
+  t.is(cell.fleet.history.length, 0);
+  await cell.advance(25_000);
+  t.is(countStarts(cell, 'z0', confirmedAt), 0);
+  t.deepEqual(await cell.call({ action: 'status' }), { kind: 'status', status: 'completed' });
+});
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -70,12 +70,20 @@
   readonly stopFillingTasks: (state: EndpointState) => void;
 }
 
+/** Room on the endpoints at one time, for tasks that would start there beside their present runs. */
+export interface MoveRoom {
+  /** Takes the room for a task. @returns whether there was any, also within the limit of its team */
+  take(task: TaskRecord): boolean;
+}
+
 /** Places pending tasks on endpoints in rounds, and starts them. */
 export interface Dispatcher {
   /** Schedules a round unless one is scheduled already. */
   requestRound(): void;
   /** Selects the steps that are released soon; the next round requests advice for them. */
   prefetchAdvice(): void;
+  /** @returns room on the endpoints that accept runs now */
+  findMoveRoom(): MoveRoom;
   /** Logs the number of waiting tasks by reason, and the capacity in use, if any task waits. */
   logBacklog(): void;
   /** Logs steps that have waited for seconds while nothing of their job runs. */
@@ -698,7 +706,25 @@
     return request ? [request] : [];
   }
 
+  function findMoveRoom(): MoveRoom {
+    const reserved = trialSchedule.reservedSteps();
+    const all = collectCandidates(context, transitions, keptEndpoints.current(), reserved);
+    return {
+      take(task) {
+        const { step } = task;
+        const queue = context.settings.queueOf(step.job);
+        const used = addResources(table.usedByTeam(step.job.team), step.specification.resources);
+        if (!queue || !fitsTeamLimit(step.job, used)) return false;
+        countStepTasks(step, all);
+        const requirements = createEndpointRequirements(step);
+        const open = all.filter((candidate) => isMatching(step, queue, candidate));
+        return createEndpointChooser(open, requirements).place(avoidedEndpoint(task)) !== null;
+      },
+    };
+  }
+
   return {
+    findMoveRoom,
     requestRound() {
       if (cancelRound) return;
       roundRequestedAt = clock.monotonicMilliseconds();
@@ -717,6 +743,7 @@
         processors: Math.round(sumCapacity(context).processors),
         keptForUrgent: keptEndpoints.current().size,
         adviceLinesBusy: adviceCache.busyChannels(),
+        outOfService: context.evacuations.outOfService(),
       });
     },
     logIdleSteps: idleSteps.logLongest,
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -40,6 +40,7 @@
 import type { EndpointSession } from './endpointSession.js';
 import { createEndpointTable, isFormerIncarnation, leaseExpiryOf } from './endpointTable.js';
 import type { EndpointState, LeaseExpiries } from './endpointTable.js';
+import { createEvacuationMoves } from './evacuationMoves.js';
 import { createEvacuationWatch } from './evacuationWatch.js';
 import {
   applyState,
@@ -217,8 +218,22 @@
       estimates.forgetSteps(stepIds);
     });
     transitions.onGangBroken((step) => step.tasks.filter(hasActiveRun).forEach(stopRun));
-    const stragglerWatch = createStragglerWatch(context, (endpointId) => sessions.get(endpointId));
-    return { context, commits, transitions, dispatcher, callerService, stragglerWatch };
+    const { findMoveRoom } = dispatcher;
+    const stragglerWatch = createStragglerWatch(
+      context,
+      (endpointId) => sessions.get(endpointId),
+      findMoveRoom,
+    );
+    const evacuationMoves = createEvacuationMoves({ context, findMoveRoom, stopRun });
+    return {
+      context,
+      commits,
+      transitions,
+      dispatcher,
+      callerService,
+      stragglerWatch,
+      evacuationMoves,
+    };
   }
 
   function takeFencingToken(): number {
@@ -577,6 +592,7 @@
       if (state.isListed && state.entry.isDraining) applyDrain(state);
     }
     components!.stragglerWatch.check();
+    components!.evacuationMoves.check();
     components!.dispatcher.prefetchAdvice();
     components!.dispatcher.requestRound();
   }
--- a/packages/scheduler/src/core/schedulerMetrics.ts
+++ b/packages/scheduler/src/core/schedulerMetrics.ts
@@ -38,6 +38,7 @@
     'Runs started on trial, apart from others, because an endpoint was lost under their task.',
   tasks_given_up: 'Tasks given up because they crash the endpoints that start them.',
   runs_moved: 'Runs stopped because they would end sooner elsewhere.',
+  runs_evacuated: 'Runs stopped to be moved out of a data centre that is out of service.',
   commits: 'Groups of changes made durable.',
   commit_keys: 'Keys written by them.',
   advice_calls: 'Calls for eligibility advice.',
--- a/packages/scheduler/src/core/stragglerWatch.ts
+++ b/packages/scheduler/src/core/stragglerWatch.ts
@@ -7,6 +7,7 @@
 
 import type { StepRecord, TaskRecord } from '../types/jobRecord.js';
 import type { TermContext } from '../types/termContext.js';
+import type { MoveRoom } from './dispatcher.js';
 import type { EndpointSession } from './endpointSession.js';
 import { avoidEndpoint } from './jobRecords.js';
 
@@ -24,9 +25,12 @@
 export function createStragglerWatch(
   context: TermContext,
   sessionOf: (endpointId: string) => EndpointSession | undefined,
+  findMoveRoom: () => MoveRoom,
 ): StragglerWatch {
-  const { clock, log, metrics, estimates, table } = context;
+  const { clock, log, metrics, estimates, evacuations, table } = context;
   const moves = new Map<TaskRecord, number>();
+  /** Room at the present check, for tasks whose data centre is out of service; null until one needs it. */
+  let room: MoveRoom | null = null;
 
   function isWatched({ phase, step }: TaskRecord): boolean {
     const { isGang, isLongRunning, isFilling } = step.specification;
@@ -84,6 +88,7 @@
     const expectedMilliseconds = estimates.expectedMilliseconds(step);
     const runs = tasks.map((task) => describeRun(task, expectedMilliseconds));
     const reference = referenceTimeOf(step, runs, expectedMilliseconds);
+    let hasRoom = true;
     tasks.forEach((task, position) => {
       const session = task.endpointId === null ? undefined : sessionOf(task.endpointId);
       if (!session || session.state.unansweredCalls > 0) return;
@@ -95,7 +100,14 @@
         expectedMilliseconds: reference ?? expectedMilliseconds,
       });
       if (verdict === 'look') session.pollNow();
-      if (verdict === 'move' && reference !== null) moveRun(task, run, session);
+      if (verdict !== 'move' || reference === null) return;
+      // Its own endpoint gets no start, so that it would wait for room instead of ending where it runs.
+      if (!evacuations.isInService(session.state.entry.dataCentre)) {
+        room ??= findMoveRoom();
+        hasRoom &&= room.take(task);
+        if (!hasRoom) return;
+      }
+      moveRun(task, run, session);
     });
   }
 
@@ -114,6 +126,7 @@
 
   return {
     check() {
+      room = null;
       collectSteps().forEach((tasks, step) => checkStep(step, tasks));
       moves.forEach((_, task) => {
         if (task.phase === 'done' || task.step.job.phase !== 'open') moves.delete(task);
