--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -2,7 +2,9 @@
   boundFormerOutstandingStart,
   boundFormerWidenedLeases,
   isReplacementNoticed,
+  SHEDDING_LEVELS,
 } from '@chicorybend/decisions';
+import type { SheddingLevel } from '@chicorybend/decisions';
 import {
   createFailure,
   RESOURCE_DIMENSIONS,
@@ -126,6 +128,7 @@
   const settings = createJobSettings();
   let configurationReadAt = -Infinity;
   let hasEnded = false;
+  let sheddingLevel: SheddingLevel = 'nothing';
   let lastFencingToken = term.epoch;
   let components: ReturnType<typeof createComponents> | null = null;
   const startedAt = clock.monotonicMilliseconds();
@@ -619,6 +622,14 @@
     if (isRemoved) void commits.stage(stateKey(jobId), () => null);
   }
 
+  function noteShedding(): void {
+    const level = lateness.shedding();
+    if (level === sheddingLevel) return;
+    sheddingLevel = level;
+    metrics.setGauge('shedding_level', SHEDDING_LEVELS.indexOf(level));
+    log.info('load shed', { level, latePercent: Math.round(100 * lateness.lateShare()) });
+  }
+
   function checkJobsAndEndpoints(): void {
     const wallNow = clock.wallMilliseconds();
     jobs.forEach((job) => {
@@ -642,6 +653,7 @@
   }
 
   function runHousekeeping(): Promise<boolean> {
+    noteShedding();
     workMeter.measure('housekeeping', checkJobsAndEndpoints);
     return Promise.resolve(true);
   }
@@ -667,7 +679,7 @@
     const bound = context.outstandingStarts.boundTasks();
     const heldBack = describeHeldBackWork(table.all(), bound, clock.monotonicMilliseconds());
     const entries = Object.entries(heldBack) as [GaugeName, number][];
-    entries.forEach(([name, value]) => metrics.set(name, value));
+    entries.forEach(([name, value]) => metrics.setGauge(name, value));
     const nonzero = entries.filter(([, value]) => value > 0);
     if (nonzero.length > 0) log.info('work held back', Object.fromEntries(nonzero));
   }
@@ -684,6 +696,7 @@
     async run() {
       void evacuations.run();
       if (!(await recover())) return;
+      metrics.setGauge('shedding_level', 0);
       void lateness.measureUntil(() => hasEnded);
       void keepConfigurationCurrent();
       void runPeriodically(DIRECTORY_INTERVAL_MILLISECONDS, readDirectory);
@@ -703,7 +716,7 @@
     },
     end() {
       hasEnded = true;
-      (Object.keys(GAUGES) as GaugeName[]).forEach((name) => metrics.set(name, 0));
+      (Object.keys(GAUGES) as GaugeName[]).forEach((name) => metrics.setGauge(name, 0));
       components?.commits.close();
       components?.dispatcher.close();
     },
--- a/packages/scheduler/src/core/schedulerMetrics.ts
+++ b/packages/scheduler/src/core/schedulerMetrics.ts
@@ -75,6 +75,8 @@
   endpoints_backoff_unknown_run:
     'Endpoints without placements while a run that is not recorded there is stopped.',
   ends_unacknowledged: 'Ends that were listed although they had been applied before.',
+  shedding_level:
+    'What the owner leaves out because it is late: 0 nothing, 1 optional work, 2 new jobs.',
 } as const;
 
 export type GaugeName = keyof typeof GAUGES;
@@ -96,8 +98,8 @@
 /** Counters and histograms of a process. */
 export interface SchedulerMetrics {
   count(name: CounterName, amount?: number): void;
+  setGauge(name: GaugeName, value: number): void;
   record(name: HistogramName, milliseconds: number): void;
-  set(name: GaugeName, value: number): void;
   /** Adds the time that an owner has worked. */
   addWork(reading: WorkReading): void;
   /** @returns all values in the text format of Prometheus */
@@ -150,7 +152,7 @@
     count(name, amount = 1) {
       counters.set(name, (counters.get(name) ?? 0) + amount);
     },
-    set(name, value) {
+    setGauge(name, value) {
       gauges.set(name, value);
     },
     record(name, milliseconds) {
