Show how old the list of evacuated data centres is when a start is sent

Cause: an operator could not see how near the reads of the evacuations come to their bound before starts stop.

--- a/packages/proving/src/__tests__/evacuation.test.ts
+++ b/packages/proving/src/__tests__/evacuation.test.ts
@@ -1,7 +1,6 @@
 import { createSilentLog } from '@chicorybend/common';
-import type { EndpointEntry } from '@chicorybend/scheduler';
 import { EVACUATION_PREFIX } from '@chicorybend/standins';
-import type { EndpointFleetOptions } from '@chicorybend/standins';
+import type { EndpointFleetOptions, FleetRun } from '@chicorybend/standins';
 import test from 'ava';
 
 import { createJobId, createJobSpecification, createSchedulerCell } from '../core/schedulerCell.js';
@@ -38,13 +37,21 @@
   return cell.clock.monotonicMilliseconds();
 }
 
+/** @returns runs in a data centre, also those that have ended */
+function runsIn(cell: SchedulerCell, dataCentre: string): FleetRun[] {
+  const entries = cell.fleet.entries().filter((entry) => entry.dataCentre === dataCentre);
+  const ids = new Set(entries.map(({ endpointId }) => endpointId));
+  return cell.fleet.history.filter(({ endpointId }) => ids.has(endpointId));
+}
+
 /** @returns number of starts in a data centre that were executed in a span of time */
 function countStarts(cell: SchedulerCell, dataCentre: string, from: number, to = Infinity): number {
-  const ids = cell.fleet.entries().filter((entry) => entry.dataCentre === dataCentre);
-  return cell.fleet.history.filter(
-    ({ endpointId, startedAt }) =>
-      startedAt >= from && startedAt < to && ids.some((entry) => entry.endpointId === endpointId),
-  ).length;
+  return runsIn(cell, dataCentre).filter(({ startedAt: at }) => at >= from && at < to).length;
+}
+
+/** @returns number of runs that a data centre executes now */
+function countRuns(cell: SchedulerCell, dataCentre: string): number {
+  return runsIn(cell, dataCentre).filter(({ endedAt }) => endedAt === null).length;
 }
 
 test('an evacuated data centre gets no start after the bound, and gets starts again after the removal', async (t) => {
@@ -94,6 +101,7 @@
   const readableAt = cell.clock.monotonicMilliseconds();
   await cell.advance(1_500);
   t.true(countStarts(cell, 'z0', readableAt) > 0);
+  t.regex(cell.metrics.expose(), /^chicorybend_evacuation_age_milliseconds_count [1-9]/m);
 });
 
 test('a new owner starts nothing before it has read the data centres out of service', async (t) => {
@@ -158,17 +166,6 @@
 const LASTING = { isLongRunning: true, estimatedMilliseconds: 20_000 };
 const WITH_CHECKPOINTS = { hasCheckpoints: true, estimatedMilliseconds: 20_000 };
 
-/** @returns number of runs of a job that an endpoint of a data centre executes now */
-function countRuns(cell: SchedulerCell, dataCentre: string, jobId = createJobId(1)): number {
-  const ids = cell.fleet.entries().filter((entry) => entry.dataCentre === dataCentre);
-  return cell.fleet.history.filter(
-    ({ endedAt, endpointId, taskId }) =>
-      endedAt === null &&
-      taskId.startsWith(jobId) &&
-      ids.some((entry) => entry.endpointId === endpointId),
-  ).length;
-}
-
 /** @returns lowest number of runs of the fleet at the same time during the time given */
 async function lowestRuns(cell: SchedulerCell, milliseconds: number): Promise<number> {
   let lowest = Infinity;
@@ -209,9 +206,7 @@
   await cell.call({ specification: createJobSpecification(step) });
   await cell.advance(1_000);
   const before = countRuns(cell, 'z0');
-  const hosts = new Set(cell.fleet.history.map(({ endpointId }) => endpointId));
-  const isLost = (entry: EndpointEntry) => entry.dataCentre === 'z1' && hosts.has(entry.endpointId);
-  cell.fleet.faultsOf(cell.fleet.entries().find(isLost)!.endpointId).isCutOff = true;
+  cell.fleet.faultsOf(runsIn(cell, 'z1')[0]!.endpointId).isCutOff = true;
   await cell.advance(1_500);
   evacuate(cell, 'z0');
   await cell.advance(3_000);
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -633,6 +633,7 @@
         return;
       }
       metrics.count('starts_sent');
+      evacuations.noteStart();
       const sentAt = now();
       const { fencingToken } = state;
       task.startSentAt = sentAt;
--- a/packages/scheduler/src/core/evacuationWatch.ts
+++ b/packages/scheduler/src/core/evacuationWatch.ts
@@ -29,6 +29,8 @@
    *   Infinity if the deployment has no bound
    */
   remainingMilliseconds(): number;
+  /** Records the age of the last answered read on the metrics page, right before a start is sent. */
+  noteStart(): void;
   /** @returns names of the data centres out of service */
   outOfService(): readonly string[];
   /** Reads the entries until the term ends. */
@@ -138,6 +140,9 @@
     isInService,
     mayStart: (dataCentre) => isInService(dataCentre) && isRecent(),
     remainingMilliseconds,
+    noteStart() {
+      if (settings) metrics.record('evacuation_age_milliseconds', now() - readAt);
+    },
     outOfService: () => [...outSince.keys()],
     async run() {
       if (!settings) return;
--- a/packages/scheduler/src/core/schedulerMetrics.ts
+++ b/packages/scheduler/src/core/schedulerMetrics.ts
@@ -59,6 +59,8 @@
   first_start_milliseconds: 'Time from the acceptance of a job until its first run is placed.',
   verdict_milliseconds:
     'Time from the first loss of an endpoint until the task that crashed it is given up.',
+  evacuation_age_milliseconds:
+    'Age of what is known about data centres out of service when a start is sent.',
   advice_milliseconds: 'Time of a call for eligibility advice.',
   round_milliseconds: 'Duration of a round of placement.',
   round_gap_milliseconds: 'Time from the request of a round until it begins.',
