--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -26,6 +26,7 @@
 export { MAXIMUM_WRITE_ENTRIES } from './types/clusterStore.js';
 export type {
   ChangeOutcome,
+  ChangesOutcome,
   ClusterStore,
   LeaseOutcome,
   ReadOutcome,
@@ -33,6 +34,7 @@
   StoredItem,
   StoredValue,
   StorePage,
+  StoreChange,
   StoreWrite,
   WriteCondition,
   WriteOutcome,
--- a/packages/scheduler/src/types/clusterStore.ts
+++ b/packages/scheduler/src/types/clusterStore.ts
@@ -63,6 +63,25 @@
  */
 export type ChangeOutcome = 'changed' | 'unchanged' | 'failed';
 
+/** Last write of a key, or its removal. */
+export interface StoreChange {
+  readonly key: string;
+  /** Text as it was written; null if the key was removed. */
+  readonly value: string | null;
+  readonly revision: number;
+}
+
+/** Outcome of reading changes; `gone` means that the store does not keep them any more. */
+export type ChangesOutcome =
+  | {
+      readonly kind: 'answered';
+      readonly changes: readonly StoreChange[];
+      /** Revision after which the next changes are read. */
+      readonly revision: number;
+    }
+  | { readonly kind: 'gone' }
+  | { readonly kind: 'failed'; readonly reason: string };
+
 export type LeaseOutcome =
   | { readonly kind: 'granted'; readonly leaseId: number; readonly ttlMilliseconds: number }
   | { readonly kind: 'failed'; readonly reason: string };
@@ -76,7 +95,10 @@
  */
 export interface ClusterStore {
   read(key: string, timeoutMilliseconds: number): Promise<ReadOutcome<StoredItem | null>>;
-  /** Reads all items under a prefix as {@link ClusterStore.readPage} does. Large results are not a snapshot. */
+  /**
+   * Reads all items under a prefix as {@link ClusterStore.readPage} does. Large results are not a snapshot, and their
+   * revision is that of the beginning, so that the changes after it complete them.
+   */
   list(prefix: string, timeoutMilliseconds: number): Promise<ReadOutcome<readonly StoredItem[]>>;
   /**
    * Reads a page of the items under a prefix.
@@ -89,6 +111,12 @@
     after: string,
     timeoutMilliseconds: number,
   ): Promise<ReadOutcome<StorePage>>;
+  /** Reads the changes under a prefix after a revision, in their order. Expirations of leases count as removals. */
+  readChanges(
+    prefix: string,
+    afterRevision: number,
+    timeoutMilliseconds: number,
+  ): Promise<ChangesOutcome>;
   /** Waits until a key under the prefix changes after `afterRevision`, at most `waitMilliseconds`. */
   awaitChange(
     prefix: string,
--- a/packages/standins/src/core/clusterStoreStandIn.ts
+++ b/packages/standins/src/core/clusterStoreStandIn.ts
@@ -1,8 +1,10 @@
 import { sleep } from '@chicorybend/common';
 import type { Clock } from '@chicorybend/common';
 import type {
+  ChangesOutcome,
   ClusterStore,
   ReadOutcome,
+  StoreChange,
   StoredItem,
   StoreWrite,
   WriteOutcome,
@@ -29,6 +31,8 @@
   put(key: string, value: string): void;
   remove(key: string): void;
   get(key: string): StoredItem | null;
+  /** Drops the changes so far, as a store does that keeps them for a limited time. */
+  forgetChanges(): void;
   /** @returns number of clients' writes that were applied */
   writeCount(): number;
 }
@@ -36,6 +40,8 @@
 const DEFAULT_LATENCY_MILLISECONDS = 4;
 /** Maximum number of items of a page. */
 const PAGE_ITEMS = 500;
+/** Number of changes that are kept for watches. */
+const KEPT_CHANGES = 5_000;
 
 /**
  * Creates an empty store.
@@ -50,6 +56,9 @@
   const leases = new Map<number, { ttlMilliseconds: number; expiresAt: number }>();
   const faultsByClient = new Map<string, ClusterStoreFaults>();
   const listeners = new Set<() => void>();
+  let changes: StoreChange[] = [];
+  /** Revision of the last change that was dropped. */
+  let forgottenRevision = 0;
   let revision = 1;
   let nextLeaseId = 1;
   let writeCount = 0;
@@ -62,6 +71,13 @@
     [...listeners].forEach((listen) => listen());
   }
 
+  function recordChange(key: string, value: string | null): void {
+    changes.push({ key, value, revision });
+    if (changes.length <= 2 * KEPT_CHANGES) return;
+    forgottenRevision = changes.at(-KEPT_CHANGES - 1)!.revision;
+    changes = changes.slice(-KEPT_CHANGES);
+  }
+
   function expireLeases(): void {
     leases.forEach(({ expiresAt }, leaseId) => {
       if (expiresAt > now()) return;
@@ -70,6 +86,7 @@
         if (item.leaseId !== leaseId) return;
         items.delete(key);
         revision += 1;
+        recordChange(key, null);
       });
     });
     notify();
@@ -92,10 +109,13 @@
     }
     revision += 1;
     writeCount += 1;
-    write.puts.forEach(({ key, value, leaseId }) =>
-      items.set(key, { key, value, revision, leaseId: leaseId ?? 0 }),
-    );
-    write.removals.forEach((key) => items.delete(key));
+    write.puts.forEach(({ key, value, leaseId }) => {
+      items.set(key, { key, value, revision, leaseId: leaseId ?? 0 });
+      recordChange(key, value);
+    });
+    write.removals.forEach((key) => {
+      if (items.delete(key)) recordChange(key, null);
+    });
     notify();
     return { kind: 'written', revision };
   }
@@ -162,6 +182,16 @@
           const remaining = itemsUnder(prefix).filter(({ key }) => key > after);
           return { items: remaining.slice(0, PAGE_ITEMS), isLast: remaining.length <= PAGE_ITEMS };
         }),
+      async readChanges(prefix, afterRevision, timeoutMilliseconds): Promise<ChangesOutcome> {
+        const outcome = await read(timeoutMilliseconds, () =>
+          changes.filter(
+            (change) => change.key.startsWith(prefix) && change.revision > afterRevision,
+          ),
+        );
+        if (outcome.kind === 'failed') return outcome;
+        if (afterRevision < forgottenRevision) return { kind: 'gone' };
+        return { kind: 'answered', changes: outcome.value, revision: outcome.revision };
+      },
       async awaitChange(prefix, afterRevision, waitMilliseconds) {
         const deadline = now() + waitMilliseconds;
         let previousKeys = new Set([...items.keys()].filter((key) => key.startsWith(prefix)));
@@ -219,14 +249,20 @@
     put(key, value) {
       revision += 1;
       items.set(key, { key, value, revision, leaseId: 0 });
+      recordChange(key, value);
       notify();
     },
     remove(key) {
       revision += 1;
       items.delete(key);
+      recordChange(key, null);
       notify();
     },
     get: (key) => items.get(key) ?? null,
+    forgetChanges() {
+      changes = [];
+      forgottenRevision = revision;
+    },
     writeCount: () => writeCount,
   };
 }
