--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -31,6 +31,7 @@
 export { MAXIMUM_WRITE_ENTRIES } from './types/clusterStore.js';
 export type {
   ChangeOutcome,
+  ChangesOutcome,
   ClusterStore,
   LeaseOutcome,
   ReadOutcome,
@@ -38,6 +39,7 @@
   StoredItem,
   StoredValue,
   StorePage,
+  StoreChange,
   StoreWrite,
   WriteCondition,
   WriteOutcome,
