Decide the effect of past use on the order of work

Cause: the order of waiting work knows only what teams run now, so that a team that fills the cell for hours is treated like one that has hardly used it.

Measured: pastUse and stepOrder tests of packages/decisions pass (15). Without the bound on the put-back, and without the cap, the property test of single decisions fails, and one example test each.

--- a/packages/decisions/src/core/stepOrder.ts
+++ b/packages/decisions/src/core/stepOrder.ts
@@ -120,3 +120,22 @@
   reorderGroups(ordered, overloadedGroupIds);
   return ordered;
 }
+
+/**
+ * Applies the factors of past use to the weighted shares of steps. Priority and punctuality come before the share, so
+ * that a factor changes the order only within them; a team without running tasks has a share of 0 with any factor.
+ *
+ * @param factorOf factor of the step's group; at least 1
+ * @returns the same steps if all factors are 1
+ */
+export function applyPastUse<Step extends { readonly order: OrderingKey }>(
+  steps: readonly Step[],
+  factorOf: (step: Step) => number,
+): readonly Step[] {
+  const factors = steps.map(factorOf);
+  if (factors.every((factor) => factor === 1)) return steps;
+  return steps.map((step, index) => {
+    const { order } = step;
+    return { ...step, order: { ...order, weightedShare: order.weightedShare * factors[index]! } };
+  });
+}
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -140,9 +140,21 @@
 export type { ReservationScope, ReservationWindows } from './core/reservationWindows.js';
 export { selectFittingStarts } from './core/selectFittingStarts.js';
 export type { ChargedRun } from './core/selectFittingStarts.js';
-export { judgePunctuality, orderSteps } from './core/stepOrder.js';
+export { applyPastUse, judgePunctuality, orderSteps } from './core/stepOrder.js';
 export type { ObjectiveTimes, OrderingKey, Punctuality } from './core/stepOrder.js';
 
+/** Past use of teams in the order of waiting work. */
+export {
+  computePastUseFactor,
+  createPastUse,
+  encodePastUse,
+  MAXIMUM_COUNTED_GAP_MILLISECONDS,
+  parsePastUse,
+} from './core/pastUse.js';
+export type { PastUse, PastUseRecord, PastUseSettings, TeamShareSample } from './core/pastUse.js';
+export { createPutBackBounds } from './core/putBackBounds.js';
+export type { PutBackBounds } from './core/putBackBounds.js';
+
 /** Run times and endpoint speeds estimated from runs, and detection of stragglers. */
 export { createEndpointSpeedEstimator } from './core/endpointSpeedEstimator.js';
 export type { EndpointSpeedEstimator, TimedRun } from './core/endpointSpeedEstimator.js';
