Order waiting work by past use where the deployment sets it

Cause: shares are enforced over seconds only; nothing remembers who has filled the cell for hours while others waited.

Change: the owner charges what teams run while others wait for room, keeps the result in the store under chicorybend/past-use, and applies the factor to the order of each round. A new owner takes over the record and counts the time since from the start times of the runs.

--- a/packages/proving/src/core/schedulerCell.ts
+++ b/packages/proving/src/core/schedulerCell.ts
@@ -14,6 +14,7 @@
   ClusterConfiguration,
   JobSpecification,
   OwnerTerm,
+  PastUseSettings,
   SchedulerMetrics,
   StepSpecification,
 } from '@chicorybend/scheduler';
@@ -47,6 +48,12 @@
   /** Metrics of all processes. */
   readonly metrics: SchedulerMetrics;
   configuration: ClusterConfiguration;
+  /** Effect of past use in the terms that start from now on; null for none. */
+  pastUse: PastUseSettings | null;
+  /** Steps of the wall clock of the terms, in milliseconds. */
+  wallStepMilliseconds: number;
+  /** Key whose reads get no answer; null for none. */
+  silentKey: string | null;
   /** Whether reads of the configuration are answered. */
   isConfigurationReadable: boolean;
   /** Whether reads of the endpoint directory are answered. */
@@ -169,6 +176,9 @@
     fleet,
     metrics,
     configuration: CONFIGURATION,
+    pastUse: null,
+    wallStepMilliseconds: 0,
+    silentKey: null,
     isConfigurationReadable: true,
     isDirectoryReadable: true,
     isConfigurationSilent: false,
@@ -188,10 +198,21 @@
           if (isKilled) return;
           onTermStart();
           term = createOwnerTerm({
-            store: client,
-            clock,
+            store: {
+              ...client,
+              async read(key, timeoutMilliseconds) {
+                if (key !== cell.silentKey) return client.read(key, timeoutMilliseconds);
+                await sleep(clock, timeoutMilliseconds);
+                return { kind: 'failed', reason: 'lost' };
+              },
+            },
+            clock: {
+              ...clock,
+              wallMilliseconds: () => clock.wallMilliseconds() + cell.wallStepMilliseconds,
+            },
             log,
             metrics,
+            ...(cell.pastUse ? { pastUse: cell.pastUse } : {}),
             endpoints: fleet.client,
             directory: {
               async list(timeoutMilliseconds) {
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -9,7 +9,6 @@
   createEndpointChooser,
   createReservationWindows,
   isWithinLimit,
-  orderSteps,
 } from '@chicorybend/decisions';
 import type {
   AdviceNeed,
@@ -35,6 +34,7 @@
 import { findUpcomingSteps } from './upcomingSteps.js';
 import { collectCandidates } from './roundCandidates.js';
 import type { RoundCandidate } from './roundCandidates.js';
+import type { PastUseOrder } from './pastUseOrder.js';
 import { createRoundStatistics } from './roundStatistics.js';
 import type { RoundSummary } from './roundStatistics.js';
 import type { TaskTransitions } from './taskTransitions.js';
@@ -65,6 +65,7 @@
   readonly context: TermContext;
   readonly transitions: TaskTransitions;
   readonly adviceCache: AdviceCache;
+  readonly pastUse: PastUseOrder;
   readonly sessionOf: (endpointId: string) => EndpointSession | undefined;
   /** Stops the filling tasks on an endpoint. */
   readonly stopFillingTasks: (state: EndpointState) => void;
@@ -111,7 +112,7 @@
 }
 
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
-  const { context, transitions, adviceCache } = options;
+  const { context, transitions, adviceCache, pastUse } = options;
   const { clock, log, metrics, outstandingStarts, table, workMeter } = context;
   const keptEndpoints = createKeptEndpoints(context, transitions);
   const trialSchedule = createTrialSchedule(context);
@@ -298,11 +299,12 @@
   }
 
   function countBlockedTasks(
-    { queue, order }: ReadyStep,
+    { step, queue, order }: ReadyStep,
     blockedBy: BlockingReason,
     tasks: number,
   ): void {
     waiting.add(queue.name, blockedBy, order.punctuality, tasks);
+    pastUse.recordBlocked(step, blockedBy);
   }
 
   function releasePlannedRoom(step: StepRecord, placements: readonly Placement[]): void {
@@ -372,13 +374,14 @@
   }
 
   function startPlacements(
-    { step, queue }: ReadyStep,
+    { step, queue, order }: ReadyStep,
     pending: readonly TaskRecord[],
     placements: readonly Placement[],
     isTrial: boolean,
   ): void {
     const { isGang } = step.specification;
     reservationWindows.forget(step.stepId);
+    pastUse.recordPlacement(order);
     const gangRun = Math.max(...pending.map(({ run }) => run)) + 1;
     const checkpoint = pending.find((task) => task.checkpoint !== '')?.checkpoint ?? '';
     if (step.specification.targetMilliseconds > 0) {
@@ -619,14 +622,14 @@
     return hasRoom ? 'advice' : 'room';
   }
 
-  function collectReadySteps(): ReadyStep[] {
+  function collectReadySteps(): readonly ReadyStep[] {
     const total = sumCapacity(context);
     const readySteps = [...transitions.releasedSteps].flatMap((step) => {
       const queue = context.settings.queueOf(step.job);
       if (!queue || step.job.phase !== 'open') return [];
       return [{ step, queue, order: computeStepOrder(context, step, queue, total) }];
     });
-    return orderSteps(readySteps);
+    return pastUse.order(readySteps);
   }
 
   function runRound(): void {
--- a/packages/scheduler/src/core/endpointTable.ts
+++ b/packages/scheduler/src/core/endpointTable.ts
@@ -124,6 +124,8 @@
   usedByTeam(team: string): Resources;
   /** @returns resources of those that are long-running */
   usedForLongRunningByTeam(team: string): Resources;
+  /** @returns teams that have run anything in this term */
+  teams(): IterableIterator<string>;
   target(state: EndpointState): OrderTarget;
 }
 
@@ -202,6 +204,7 @@
     },
     usedByTeam: (team) => teams.get(team) ?? NO_RESOURCES,
     usedForLongRunningByTeam: (team) => longRunningByTeam.get(team) ?? NO_RESOURCES,
+    teams: () => teams.keys(),
     target: ({ entry, fencingToken }) => ({
       endpointId: entry.endpointId,
       address: entry.address,
--- a/packages/scheduler/src/core/jobSettings.ts
+++ b/packages/scheduler/src/core/jobSettings.ts
@@ -20,7 +20,7 @@
   /** @returns maximum resources of the job's team; null if there is no limit */
   teamLimitOf(job: JobRecord): Resources | null;
   /** @returns weight of the job's team for fair sharing */
-  weightOf(job: JobRecord): number;
+  weightOf(job: Pick<JobRecord, 'team'>): number;
   /** Puts a newer configuration into effect. */
   apply(configuration: ClusterConfiguration): void;
 }
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -25,6 +25,7 @@
   COMMIT_KEY,
   JOB_PREFIX,
   parseJobKey,
+  PAST_USE_KEY,
   specificationKey,
   stateKey,
 } from '../utils/storeKeys.js';
@@ -51,6 +52,7 @@
 import { createJobSettings } from './jobSettings.js';
 import { maximumOpenTasks } from './jobSize.js';
 import { createOutstandingStarts } from './outstandingStarts.js';
+import { createPastUseOrder, createPlainOrder } from './pastUseOrder.js';
 import { createStragglerWatch } from './stragglerWatch.js';
 import { createTaskTransitions } from './taskTransitions.js';
 import { createDurationEstimates } from './durationEstimates.js';
@@ -183,8 +185,16 @@
       requestRound: () => dispatcher.requestRound(),
     };
     const transitions = createTaskTransitions(context);
+    const pastUse = options.pastUse
+      ? createPastUseOrder({
+          context,
+          settings: options.pastUse,
+          readRecord: () => retryUntilAnswered((timeout) => store.read(PAST_USE_KEY, timeout)),
+        })
+      : createPlainOrder();
     const dispatcher = createDispatcher({
       context,
+      pastUse,
       transitions,
       adviceCache,
       sessionOf: (endpointId) => sessions.get(endpointId),
@@ -207,7 +217,7 @@
     });
     transitions.onGangBroken((step) => step.tasks.filter(hasActiveRun).forEach(stopRun));
     const stragglerWatch = createStragglerWatch(context, (endpointId) => sessions.get(endpointId));
-    return { context, commits, transitions, dispatcher, callerService, stragglerWatch };
+    return { context, commits, transitions, dispatcher, pastUse, callerService, stragglerWatch };
   }
 
   function takeFencingToken(): number {
@@ -600,6 +610,7 @@
   return {
     async run() {
       if (!(await recover())) return;
+      void components!.pastUse.run();
       void keepConfigurationCurrent();
       void runPeriodically(DIRECTORY_INTERVAL_MILLISECONDS, readDirectory);
       void runPeriodically(LOAD_LOG_INTERVAL_MILLISECONDS, logLoad);
@@ -620,6 +631,7 @@
       hasEnded = true;
       components?.commits.close();
       components?.dispatcher.close();
+      components?.pastUse.close();
     },
   };
 }
--- a/packages/scheduler/src/core/schedulerMetrics.ts
+++ b/packages/scheduler/src/core/schedulerMetrics.ts
@@ -44,6 +44,7 @@
   advice_overdue: 'Such calls that took so long that another VM was asked.',
   advice_lost_at_peer: 'Such calls through another VM that did not answer.',
   rounds: 'Rounds of placement.',
+  past_use_rounds: 'Rounds whose order past use has changed.',
   terms: 'Terms of ownership of this process.',
   terms_yielded: 'Terms ended in favour of a VM with more processors.',
 } as const;
@@ -64,16 +65,40 @@
 
 export type HistogramName = keyof typeof HISTOGRAMS;
 
+/** Gauges of past use, with their help texts; only an owner that takes past use into account shows them. */
+export const PAST_USE_GAUGES = {
+  past_use: 'Mean charged share of a team over the past, in which older shares weigh less.',
+  past_use_factor: 'Factor on the share of a team in the order of waiting work.',
+  past_use_record_age_seconds: 'Age of the stored record of past use.',
+} as const;
+
+/** Past use as the owner knows it. */
+export interface PastUseView {
+  /** Null if there is no durable record. */
+  readonly recordAgeMilliseconds: number | null;
+  /** The largest use first. */
+  readonly teams: readonly {
+    readonly team: string;
+    readonly use: number;
+    readonly factor: number;
+  }[];
+}
+
 /** Counters and histograms of a process. */
 export interface SchedulerMetrics {
   count(name: CounterName, amount?: number): void;
   record(name: HistogramName, milliseconds: number): void;
   /** Adds the time that an owner has worked. */
   addWork(reading: WorkReading): void;
+  /** Shows past use as `read` returns it; null shows none. */
+  showPastUse(read: (() => PastUseView) | null): void;
   /** @returns all values in the text format of Prometheus */
   expose(): string;
 }
 
+/** Maximum number of teams with gauges of their own. */
+const MAXIMUM_TEAM_GAUGES = 50;
+const MILLISECONDS_PER_SECOND = 1_000;
 const QUANTILES = [50, 95, 99];
 /** Highest value that histograms resolve, in milliseconds. */
 const HIGHEST_MILLISECONDS = 600_000;
@@ -109,11 +134,41 @@
   ];
 }
 
+function escapeLabel(text: string): string {
+  return text.replace(/[\\"]/g, '\\$&').replace(/\n/g, '\\n');
+}
+
+function describePastUse({ recordAgeMilliseconds, teams }: PastUseView): string[] {
+  const shown = teams.slice(0, MAXIMUM_TEAM_GAUGES);
+  function describeGauge(name: keyof typeof PAST_USE_GAUGES, rows: readonly string[]): string[] {
+    return [
+      `# HELP chicorybend_${name} ${PAST_USE_GAUGES[name]}`,
+      `# TYPE chicorybend_${name} gauge`,
+      ...rows.map((row) => `chicorybend_${name}${row}`),
+    ];
+  }
+  const age = (recordAgeMilliseconds ?? 0) / MILLISECONDS_PER_SECOND;
+  return [
+    ...describeGauge(
+      'past_use',
+      shown.map(({ team, use }) => `{team="${escapeLabel(team)}"} ${use}`),
+    ),
+    ...describeGauge(
+      'past_use_factor',
+      shown.map(({ team, factor }) => `{team="${escapeLabel(team)}"} ${factor}`),
+    ),
+    ...(recordAgeMilliseconds === null
+      ? []
+      : describeGauge('past_use_record_age_seconds', [` ${age}`])),
+  ];
+}
+
 export function createSchedulerMetrics(): SchedulerMetrics {
   const counters = new Map<CounterName, number>();
   const histograms = new Map<HistogramName, Histogram>();
   const workMilliseconds = new Map<WorkPart, number>();
   let activeMilliseconds = 0;
+  let readPastUse: (() => PastUseView) | null = null;
 
   return {
     count(name, amount = 1) {
@@ -138,6 +193,9 @@
         workMilliseconds.set(part, (workMilliseconds.get(part) ?? 0) + milliseconds);
       });
     },
+    showPastUse(read) {
+      readPastUse = read;
+    },
     expose() {
       const counterLines = (Object.keys(COUNTERS) as CounterName[]).flatMap((name) => [
         `# HELP chicorybend_${name}_total ${COUNTERS[name]}`,
@@ -148,7 +206,8 @@
         describeHistogram(name, histogram),
       );
       const workLines = describeWork(workMilliseconds, activeMilliseconds);
-      return `${[...counterLines, ...histogramLines, ...workLines].join('\n')}\n`;
+      const useLines = readPastUse ? describePastUse(readPastUse()) : [];
+      return `${[...counterLines, ...histogramLines, ...workLines, ...useLines].join('\n')}\n`;
     },
   };
 }
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -62,6 +62,8 @@
 } from './types/configuration.js';
 export type { EndpointTimeLimits } from './types/termContext.js';
 
+export type { PastUseSettings } from '@chicorybend/decisions';
+
 /** Requests of API callers and their answers. */
 export type { CallerAnswer, CallerRequest } from './types/caller.js';
 export type { JobSpecification, JobStatus, Schedule, StepSpecification } from './types/job.js';
--- a/packages/scheduler/src/types/schedulerDependencies.ts
+++ b/packages/scheduler/src/types/schedulerDependencies.ts
@@ -1,4 +1,5 @@
 import type { Clock, Log } from '@chicorybend/common';
+import type { PastUseSettings } from '@chicorybend/decisions';
 
 import type { SchedulerMetrics } from '../core/schedulerMetrics.js';
 import type { ClusterStore } from './clusterStore.js';
@@ -20,4 +21,6 @@
   readonly maximumValueBytes: number;
   /** How long the record of an ended job is kept, in milliseconds. */
   readonly retentionMilliseconds: number;
+  /** Absent if past use has no effect on the order of waiting work. */
+  readonly pastUse?: PastUseSettings;
 }
--- a/packages/scheduler/src/utils/storeKeys.ts
+++ b/packages/scheduler/src/utils/storeKeys.ts
@@ -4,6 +4,8 @@
 export const EPOCH_KEY = 'chicorybend/epoch';
 /** Rewritten by each commit, which is conditional on its revision, so that commits form a chain. */
 export const COMMIT_KEY = 'chicorybend/commit';
+/** Past use of all teams. */
+export const PAST_USE_KEY = 'chicorybend/past-use';
 /** Prefix of the keys of jobs. */
 export const JOB_PREFIX = 'chicorybend/job/';
 
