--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -27,6 +27,7 @@
   COMMIT_KEY,
   JOB_PREFIX,
   parseJobKey,
+  PAST_USE_KEY,
   specificationKey,
   stateKey,
 } from '../utils/storeKeys.js';
@@ -60,6 +61,7 @@
 import { maximumOpenTasks } from './jobSize.js';
 import { createOwnerLateness } from './ownerLateness.js';
 import { createOutstandingStarts } from './outstandingStarts.js';
+import { createPastUseOrder, createPlainOrder } from './pastUseOrder.js';
 import { GAUGES } from './schedulerMetrics.js';
 import type { GaugeName } from './schedulerMetrics.js';
 import { createStragglerWatch } from './stragglerWatch.js';
@@ -215,8 +217,16 @@
       requestRound: () => dispatcher.requestRound(),
     };
     const transitions = createTaskTransitions(context);
+    const pastUse = options.pastUse
+      ? createPastUseOrder({
+          context,
+          settings: options.pastUse,
+          readRecord: () => retryUntilAnswered((timeout) => store.read(PAST_USE_KEY, timeout)),
+        })
+      : createPlainOrder();
     const dispatcher = createDispatcher({
       context,
+      pastUse,
       transitions,
       adviceCache,
       sessionOf: (endpointId) => sessions.get(endpointId),
@@ -251,6 +261,7 @@
       commits,
       transitions,
       dispatcher,
+      pastUse,
       callerService,
       stragglerWatch,
       evacuationMoves,
@@ -730,6 +741,7 @@
       metrics.setGauge('shedding_level', 0);
       void lateness.measureUntil(() => hasEnded);
       void restoreStoredJobs();
+      void components!.pastUse.run();
       void keepConfigurationCurrent();
       void runPeriodically(DIRECTORY_INTERVAL_MILLISECONDS, readDirectory);
       void runPeriodically(LOAD_LOG_INTERVAL_MILLISECONDS, logLoad);
@@ -751,6 +763,7 @@
       (Object.keys(GAUGES) as GaugeName[]).forEach((name) => metrics.setGauge(name, 0));
       components?.commits.close();
       components?.dispatcher.close();
+      components?.pastUse.close();
     },
   };
 }
