Repeat an excused hold after a pause

Change: the repetition waits 200 ms, like any hold without an answer. Result: heldBackByLateOrders and ownerLateness pass, 6 tests.

--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -529,6 +529,8 @@
       context.isOwnerLeaseValid() &&
       isExcused(sentAt, timeout, waitMilliseconds)
     ) {
+      // A repetition at once would add to the work that makes the owner late.
+      await sleep(clock, RETRY_DELAY_MILLISECONDS);
       await hold(0, excusedBefore + 1);
     } else {
       handleUnansweredHold(outcome, mayHaveWaited(sentAt, waitMilliseconds));
