Bound the addition to timeouts of election calls

Cause: after a long stall, the recent delay of renewals was added to the timeouts of election calls without a bound, so that a silent connection was noticed late. Change: at most 1,000 ms are added. Result: recovery, ownerLease, ownerTakeover and formerOwner pass (27 tests).

--- a/packages/scheduler/src/core/ownerElection.ts
+++ b/packages/scheduler/src/core/ownerElection.ts
@@ -22,7 +22,7 @@
 const YIELDED_CLAIM_DELAY_MILLISECONDS = 1_000;
 /** Interval at which a process that is not the owner measures how late it runs. */
 const LATENESS_INTERVAL_MILLISECONDS = 100;
-/** Bounds of the timeout of a call to the store; the recent delay of renewals is added. */
+/** Bounds of the timeout of a call to the store; the recent delay of renewals is added, up to the maximum. */
 const CALL_TIMEOUTS = { minimumMilliseconds: 250, maximumMilliseconds: 1_000 };
 
 /**
@@ -157,7 +157,8 @@
     call: (timeoutMilliseconds: number) => Promise<Outcome>,
     hasFailed: (outcome: Outcome) => boolean,
   ): Promise<Outcome> {
-    const callLate = (timeout: number) => call(timeout + leaseDuration.delayMilliseconds());
+    const delay = Math.min(leaseDuration.delayMilliseconds(), CALL_TIMEOUTS.maximumMilliseconds);
+    const callLate = (timeout: number) => call(timeout + delay);
     return callWithAdaptiveTimeout(clock, latency, callLate, hasFailed);
   }
 
