--- a/packages/decisions/src/core/loopLateness.ts
+++ b/packages/decisions/src/core/loopLateness.ts
@@ -2,8 +2,9 @@
 const TOLERANCE_MILLISECONDS = 20;
 /** How long lateness is remembered, in milliseconds; longer than any call takes. */
 const MEMORY_MILLISECONDS = 5_000;
-/** Window of the share of time in which the process was late, in milliseconds. */
+/** Windows of the share of time in which the process was late, in milliseconds. */
 const SHARE_WINDOW_MILLISECONDS = 1_000;
+const SUSTAINED_WINDOW_MILLISECONDS = 2_000;
 /** Part of the time for an answer that the process may be late before a missing answer tells nothing. */
 const TOLERATED_PART = 0.5;
 
@@ -25,6 +26,8 @@
   lateMilliseconds(from: number, to: number): number;
   /** @returns part of the last second in which the process was late, from 0 to 1 */
   lateShare(now: number): number;
+  /** @returns the same, or that of the last two seconds if it is lower, so that a single stall does not count */
+  sustainedShare(now: number): number;
   /**
    * @returns whether a missing answer shows that the receiver was silent; it does not if the time-out passed while
    * the process was late, or if it was late for so long that the answer may wait unread or the call was sent late
@@ -44,6 +47,10 @@
     );
   }
 
+  function shareOf(window: number, now: number): number {
+    return lateMilliseconds(now - window, now) / window;
+  }
+
   return {
     recordWakeUp(dueAt, now) {
       if (now - dueAt <= TOLERANCE_MILLISECONDS) return;
@@ -52,8 +59,12 @@
       if (from < now) periods.push({ from, to: now });
     },
     lateMilliseconds,
-    lateShare: (now) =>
-      lateMilliseconds(now - SHARE_WINDOW_MILLISECONDS, now) / SHARE_WINDOW_MILLISECONDS,
+    lateShare: (now) => shareOf(SHARE_WINDOW_MILLISECONDS, now),
+    sustainedShare: (now) =>
+      Math.min(
+        shareOf(SHARE_WINDOW_MILLISECONDS, now),
+        shareOf(SUSTAINED_WINDOW_MILLISECONDS, now),
+      ),
     isSilenceShown({ sentAt, endedAt, waitMilliseconds, timeoutMilliseconds }) {
       const excess = endedAt - (sentAt + waitMilliseconds + timeoutMilliseconds);
       // A call that ended before its time-out was refused, or its connection ended.
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -146,7 +146,7 @@
 /** Lateness of a process, and what it means for its conclusions about others. */
 export { createLoopLateness } from './core/loopLateness.js';
 export { decideShedding, SHEDDING_LEVELS } from './core/loadShedding.js';
-export type { SheddingLevel } from './core/loadShedding.js';
+export type { MeasuredLateness, SheddingLevel } from './core/loadShedding.js';
 export type { LoopLateness, UnansweredCall } from './core/loopLateness.js';
 
 /** Run times and endpoint speeds estimated from runs, and detection of stragglers. */
--- a/packages/scheduler/src/core/ownerLateness.ts
+++ b/packages/scheduler/src/core/ownerLateness.ts
@@ -5,6 +5,8 @@
 
 /** Interval of the wake-ups that measure lateness. */
 const WAKE_UP_INTERVAL_MILLISECONDS = 25;
+/** Weight of a new commit in the usual duration of commits. */
+const COMMIT_SAMPLE_WEIGHT = 0.2;
 
 /** Lateness of the owner's process. */
 export interface OwnerLateness extends Pick<LoopLateness, 'lateMilliseconds' | 'isSilenceShown'> {
@@ -12,6 +14,8 @@
   lateShare(): number;
   /** @returns what the owner leaves out at present to do the rest of its work in time */
   shedding(): SheddingLevel;
+  /** Records the duration of a commit. */
+  recordCommit(milliseconds: number): void;
   /** Measures until the condition holds. */
   measureUntil(hasEnded: () => boolean): Promise<void>;
 }
@@ -20,6 +24,7 @@
 export function createOwnerLateness(clock: Clock): OwnerLateness {
   const loop = createLoopLateness();
   let dueAt = Infinity;
+  let commitMilliseconds = 0;
 
   /** Includes the lateness of the next wake-up so far. */
   function lateShare(): number {
@@ -35,7 +40,15 @@
       return loop.isSilenceShown(call);
     },
     lateShare,
-    shedding: () => decideShedding(lateShare()),
+    recordCommit(milliseconds) {
+      commitMilliseconds += COMMIT_SAMPLE_WEIGHT * (milliseconds - commitMilliseconds);
+    },
+    shedding: () =>
+      decideShedding({
+        lateShare: lateShare(),
+        sustainedShare: loop.sustainedShare(clock.monotonicMilliseconds()),
+        commitMilliseconds,
+      }),
     async measureUntil(hasEnded) {
       while (!hasEnded()) {
         dueAt = clock.monotonicMilliseconds() + WAKE_UP_INTERVAL_MILLISECONDS;
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -162,6 +162,7 @@
         metrics.count('commits');
         metrics.count('commit_keys', keys);
         metrics.record('commit_milliseconds', milliseconds);
+        lateness.recordCommit(milliseconds);
       },
     });
     const context: TermContext = {
