Keep the record of past use below the store's limit

Cause: the record was bounded by 32 KiB alone. A store that allows less would refuse the write, and every commit behind it would wait.

Change: the smaller of both limits bounds it.

--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -189,6 +189,7 @@
       ? createPastUseOrder({
           context,
           settings: options.pastUse,
+          maximumValueBytes: options.maximumValueBytes,
           readRecord: () => retryUntilAnswered((timeout) => store.read(PAST_USE_KEY, timeout)),
         })
       : createPlainOrder();
--- a/packages/scheduler/src/core/pastUseOrder.ts
+++ b/packages/scheduler/src/core/pastUseOrder.ts
@@ -59,6 +59,8 @@
 export interface PastUseOrderOptions {
   readonly context: TermContext;
   readonly settings: PastUseSettings;
+  /** Maximum size of a value in the store, in bytes. */
+  readonly maximumValueBytes: number;
   /** Reads the record until the store answers. @returns null if the term ended first */
   readonly readRecord: () => Promise<{ readonly value: StoredItem | null } | null>;
 }
@@ -172,7 +174,8 @@
       () => {
         encodedUntil = accountedAt;
         const until = clock.wallMilliseconds() - (clock.monotonicMilliseconds() - accountedAt);
-        return encodePastUse(pastUse.record(until), MAXIMUM_RECORD_BYTES);
+        const limit = Math.min(MAXIMUM_RECORD_BYTES, options.maximumValueBytes);
+        return encodePastUse(pastUse.record(until), limit);
       },
       'deferred',
     );
