Keep the sum of the durations of a step instead of adding them up

Cause: each report of a running task and each check for stragglers asks for the expected duration, which listed and added up all completed runs of the step; each completion copied the list of the step.

Change: the list is extended in place, and the sum is kept with it. It is added up in the same order, so that it is the same number.

--- a/packages/scheduler/src/core/durationEstimates.ts
+++ b/packages/scheduler/src/core/durationEstimates.ts
@@ -37,12 +37,22 @@
   forgetEndpoint(endpointId: string): void;
 }
 
+/** Successful runs of a step, and their durations in the same order. */
+interface CompletedRuns {
+  readonly runs: TimedRun[];
+  readonly durations: number[];
+  /** Sum of the durations, in milliseconds. */
+  total: number;
+}
+
+const NO_DURATIONS: readonly number[] = [];
+
 /** Creates estimates without observations. */
 export function createDurationEstimates(clock: Clock): DurationEstimates {
   const model = createRunTimeRegression();
   const speeds = createEndpointSpeedEstimator();
-  /** By step id: the successful runs. */
-  const completedRuns = new Map<string, TimedRun[]>();
+  /** By step id. Extended in place, because each report of a running task asks for the expected duration. */
+  const completedRuns = new Map<string, CompletedRuns>();
   const criticalPaths = new Map<string, { estimate: CriticalPathEstimate; computedAt: number }>();
 
   function isComparable({ step, run, isStartTimeKnown }: TaskRecord): boolean {
@@ -51,8 +61,13 @@
     return isStartTimeKnown && ranFromStart && !isGang && !isLongRunning && !isFilling;
   }
 
-  function completedDurationsOf(step: StepRecord): number[] {
-    return (completedRuns.get(step.stepId) ?? []).map(({ milliseconds }) => milliseconds);
+  function addCompletedRun({ stepId }: StepRecord, run: TimedRun): readonly TimedRun[] {
+    const completed = completedRuns.get(stepId) ?? { runs: [], durations: [], total: 0 };
+    completed.runs.push(run);
+    completed.durations.push(run.milliseconds);
+    completed.total += run.milliseconds;
+    completedRuns.set(stepId, completed);
+    return completed.runs;
   }
 
   function computeCriticalPath(job: JobRecord, queue: JobQueueSettings): CriticalPathEstimate {
@@ -80,8 +95,7 @@
       const now = clock.monotonicMilliseconds();
       const milliseconds = now - task.startedAt;
       model.record(step.job.queue, step.specification.estimatedMilliseconds, milliseconds);
-      const runs = [...(completedRuns.get(step.stepId) ?? []), { endpointId, milliseconds }];
-      completedRuns.set(step.stepId, runs);
+      const runs = addCompletedRun(step, { endpointId, milliseconds });
       if (runs.length === step.specification.count) speeds.recordGroup(runs, now);
     },
     recordStraggler({ endpointId }, factor) {
@@ -89,11 +103,11 @@
       speeds.recordSlowRun(endpointId, factor, clock.monotonicMilliseconds());
     },
     expectedMilliseconds(step) {
-      const times = completedDurationsOf(step);
-      if (times.length > 1) return times.reduce((sum, time) => sum + time, 0) / times.length;
+      const completed = completedRuns.get(step.stepId);
+      if (completed && completed.runs.length > 1) return completed.total / completed.runs.length;
       return model.predict(step.job.queue, step.specification.estimatedMilliseconds);
     },
-    completedDurations: completedDurationsOf,
+    completedDurations: ({ stepId }) => completedRuns.get(stepId)?.durations ?? NO_DURATIONS,
     criticalPathOf(job, queue) {
       const now = clock.monotonicMilliseconds();
       const known = criticalPaths.get(job.jobId);
