Poll again as soon as ends can be acknowledged, and leave out silent endpoints

Cause: the interval between polls of endpoints whose ends are not acknowledged also applied once a start had been answered meanwhile, and endpoints that are silent counted towards the owner's budget although they list nothing.

Change: the pause ends when the next hold can acknowledge; silent endpoints don't count.

--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -465,13 +465,14 @@
   }
 
   function noteAcknowledgement(sequence: number): void {
-    if (sequence >= state.durableSequence) {
+    const cause = withholdingCause();
+    if (cause === null || sequence >= state.durableSequence) {
       state.withheldSince = null;
       return;
     }
     metrics.count('holds_withheld');
     state.withheldSince ??= now();
-    state.withholdingCause = withholdingCause() ?? 'unconfirmed-run';
+    state.withholdingCause = cause;
   }
 
   /** @returns delay of a hold whose answer comes at once because it lists ends that are not acknowledged yet */
@@ -484,6 +485,16 @@
     return Math.min(BUSY_POLL_MILLISECONDS, Math.max(delay, affordable));
   }
 
+  /** A start that is answered, or ruled out, ends the pause, since the next hold can acknowledge the ends then. */
+  async function pauseWhileWithheld(): Promise<void> {
+    const isWithheld = () => !context.hasEnded() && acknowledgedSequence() < state.durableSequence;
+    if (!isWithheld()) return;
+    const endsAt = now() + withheldPause();
+    while (isWithheld() && now() < endsAt) {
+      await sleep(clock, UNACKNOWLEDGED_POLL_DELAY_MILLISECONDS);
+    }
+  }
+
   async function hold(waitMilliseconds: number): Promise<void> {
     const sentAt = now();
     const { fencingToken } = state;
@@ -635,7 +646,7 @@
             state.runs.size > 0 ? BUSY_POLL_MILLISECONDS : IDLE_POLL_MILLISECONDS;
           const mayWait = isUpToDate && state.isFenced && state.clockOffset !== null;
           await hold(mayWait ? pollMilliseconds : 0);
-          if (acknowledgedSequence() < state.durableSequence) await sleep(clock, withheldPause());
+          await pauseWhileWithheld();
         }
       }
       if (!context.hasEnded()) events.onGone(state);
--- a/packages/scheduler/src/core/heldBackWork.ts
+++ b/packages/scheduler/src/core/heldBackWork.ts
@@ -24,8 +24,9 @@
  */
 export function affordablePollInterval(states: Iterable<EndpointState>): number {
   let milliseconds = 0;
-  for (const { withheldSince, relistedEnds } of states) {
-    if (withheldSince !== null) milliseconds += CALL_MILLISECONDS + relistedEnds * END_MILLISECONDS;
+  for (const { withheldSince, unansweredCalls, relistedEnds } of states) {
+    const isRelisting = withheldSince !== null && unansweredCalls === 0;
+    if (isRelisting) milliseconds += CALL_MILLISECONDS + relistedEnds * END_MILLISECONDS;
   }
   return milliseconds / MAXIMUM_RELISTING_SHARE;
 }
