--- a/packages/scheduler/src/core/heldBackWork.ts
+++ b/packages/scheduler/src/core/heldBackWork.ts
@@ -9,7 +9,7 @@
 const END_MILLISECONDS = 0.002;
 
 /** What is held back at one time because orders may still be executed late; times in milliseconds. */
-export type HeldBackWork = Readonly<Record<GaugeName, number>>;
+export type HeldBackWork = Readonly<Partial<Record<GaugeName, number>>>;
 
 /** Tasks that may start on one endpoint only, or not at all, because of outstanding starts. */
 export interface BoundTasks {
