Answer jobs that reach a closing term as not run

Cause: a job that was staged after the commit queue had closed was answered with 502, as only keys that were staged at its end counted as unsent. Change: after the end of a term every key counts as unsent that was not in the group in flight.

--- a/packages/scheduler/src/core/commitQueue.ts
+++ b/packages/scheduler/src/core/commitQueue.ts
@@ -68,7 +68,7 @@
    * before it and the duration of recent ones; writes that the store has not confirmed at once do not count
    */
   expectedWaitMilliseconds(): number;
-  /** @returns whether the last change of a key was certainly not sent when the queue was closed */
+  /** @returns whether the queue is closed, and the last change of a key that is not durable was certainly not sent */
   wasUnsent(key: string): boolean;
   /** @returns number of keys that wait for a write */
   stagedKeys(): number;
@@ -99,8 +99,8 @@
   /** Start of the group whose write was the first that the store has not confirmed; null while commits go on. */
   let delayedSince: number | null = null;
   let groupMilliseconds = GROUP_DELAY_MILLISECONDS;
-  /** Keys that were staged when the queue was closed. */
-  let unsentKeys: ReadonlySet<string> = new Set();
+  /** Keys of the group in flight when the queue was closed, which may have been written. */
+  let sentKeys: ReadonlySet<string> = new Set();
 
   function resolveAll(keys: Iterable<StagedKey>, isDurable: boolean): void {
     for (const { resolvers } of keys) resolvers.forEach((resolve) => resolve(isDurable));
@@ -109,7 +109,7 @@
   function close(): void {
     if (isClosed) return;
     isClosed = true;
-    unsentKeys = new Set(staged.keys());
+    sentKeys = new Set(inFlight.map(([key]) => key));
     resolveAll(staged.values(), false);
     resolveAll(
       inFlight.map(([, entry]) => entry),
@@ -312,7 +312,7 @@
       const groups = Math.floor(due / MAXIMUM_KEYS_PER_GROUP) + (inFlight.length > 0 ? 1 : 0);
       return groups * groupMilliseconds;
     },
-    wasUnsent: (key) => unsentKeys.has(key),
+    wasUnsent: (key) => isClosed && !sentKeys.has(key),
     stagedKeys: () => staged.size,
     close,
   };
