Refuse jobs on arrival that would end too late to be of use

Cause: in overload nearly all jobs were accepted, and waited past three times their objective, after which a completion earns their callers nothing. Change: a digest of the waiting work by service, priority and team, taken after a round at most every 250 ms; decideAdmission judges each new job by it before the job is staged. Only work that comes first in the order counts, at two thirds of its estimate; 429 if work of the team itself uses up its limit, 503 otherwise, with Retry-After spread by the job id and the part of the team. Exempt: long-running and timed jobs, known ids, queues without an objective or with fewer than ten runs, the first 5 s of a term, digests older than 2 s. Log line, two counters and the gauge predicted_wait_milliseconds. The Retry-After of an overloaded owner is spread as well. Result: admission test 1 (accepted before) and 2 (refused without its exemption), decideAdmission.

--- a/packages/decisions/src/core/runTimeRegression.ts
+++ b/packages/decisions/src/core/runTimeRegression.ts
@@ -9,6 +9,8 @@
 export interface RunTimeRegression {
   /** Adds a successful run; times are in milliseconds. */
   record(kind: string, estimatedMilliseconds: number, milliseconds: number): void;
+  /** @returns whether enough runs of a kind are recorded, so that the estimate of a caller is not taken as it is */
+  hasEnoughRuns(kind: string): boolean;
   /** @returns expected time of a run in milliseconds; the estimate itself until enough runs of the kind are recorded */
   predict(kind: string, estimatedMilliseconds: number): number;
 }
@@ -59,6 +61,7 @@
         productSum: DECAY_FACTOR * (past?.productSum ?? 0) + estimate * time,
       });
     },
+    hasEnoughRuns: (kind) => (kinds.get(kind)?.weightSum ?? 0) >= MINIMUM_RUNS,
     predict(kind, estimatedMilliseconds) {
       const moments = kinds.get(kind);
       if (!moments || moments.weightSum < MINIMUM_RUNS) return estimatedMilliseconds;
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -140,6 +140,8 @@
 export type { ReservationScope, ReservationWindows } from './core/reservationWindows.js';
 export { selectFittingStarts } from './core/selectFittingStarts.js';
 export type { ChargedRun } from './core/selectFittingStarts.js';
+export { decideAdmission } from './core/decideAdmission.js';
+export type { ArrivingJob, JobVerdict, WaitingWork, WorkDigest } from './core/decideAdmission.js';
 export { judgePunctuality, orderSteps } from './core/stepOrder.js';
 export type { ObjectiveTimes, OrderingKey, Punctuality } from './core/stepOrder.js';
 
--- a/packages/scheduler/src/core/callerService.ts
+++ b/packages/scheduler/src/core/callerService.ts
@@ -1,4 +1,4 @@
-import { createFailure, TIMED_OUT, withTimeout } from '@chicorybend/common';
+import { createFailure, hashText, TIMED_OUT, withTimeout } from '@chicorybend/common';
 import type { Failure, FailureOptions } from '@chicorybend/common';
 
 import type { CallerAnswer, CallerRequest } from '../types/caller.js';
@@ -8,6 +8,7 @@
 import type { TermContext } from '../types/termContext.js';
 import { specificationKey } from '../utils/storeKeys.js';
 import { createJobRecord, encodeAccepted } from './jobRecords.js';
+import type { JobAdmission } from './jobAdmission.js';
 import { countRequiredTasks } from './jobSize.js';
 import type { TaskTransitions } from './taskTransitions.js';
 
@@ -20,8 +21,14 @@
 /** Time in which answers that have arrived are read, also by a busy process. */
 const UNREAD_ANSWER_MILLISECONDS = 20;
 const RETRY_AFTER_MILLISECONDS = 1_000;
+const HASH_RANGE = 2 ** 32;
 const JOB_ID = /^[0-9a-f]{16}$/;
 
+/** Spreads the times at which callers come back over twice the wait, so that they form no wave. */
+function spread(jobId: string, milliseconds: number): number {
+  return Math.round(milliseconds * (1 + (2 * hashText(jobId)) / HASH_RANGE));
+}
+
 /** Handles requests of API callers, at the owner. */
 export interface CallerService {
   handle(request: CallerRequest): Promise<CallerAnswer>;
@@ -30,6 +37,7 @@
 export interface CallerServiceOptions {
   readonly context: TermContext;
   readonly transitions: TaskTransitions;
+  readonly admission: JobAdmission;
   /** When the last successful read of the configuration began, in monotonic milliseconds. */
   readonly configurationReadAt: () => number;
   /** Called once the acceptance of a job is durable. */
@@ -110,10 +118,11 @@
       latePercent: Math.round(100 * context.lateness.lateShare()),
       expectedWait: waitMilliseconds,
     });
+    const retry = Math.max(RETRY_AFTER_MILLISECONDS, waitMilliseconds);
     return refuse(
       code,
       {},
-      { retryAfterMilliseconds: Math.max(RETRY_AFTER_MILLISECONDS, waitMilliseconds) },
+      { retryAfterMilliseconds: code === 'owner-overloaded' ? spread(jobId, retry) : retry },
     );
   }
 
@@ -140,20 +149,8 @@
     return refuse(isUnsent ? 'not-ready' : 'acceptance-unknown');
   }
 
-  function stageAcceptance(
-    jobId: string,
-    queue: JobQueueSettings,
-    team: TeamQuota | null,
-    request: CallerRequest,
-  ): void {
-    const job = createJobRecord({
-      jobId,
-      queue: queue.name,
-      team: team?.name ?? '',
-      acceptedAt: clock.wallMilliseconds(),
-      admission: { queue, teamLimit: team?.limit ?? null },
-      specification: request.specification!,
-    });
+  function stageAcceptance(job: JobRecord): void {
+    const { jobId, queue } = job;
     const startedAt = clock.monotonicMilliseconds();
     const durable = commits.stage(specificationKey(jobId), () => encodeAccepted(job));
     pendingAcceptances.set(jobId, { job, durable });
@@ -165,7 +162,7 @@
       metrics.record('accept_milliseconds', clock.monotonicMilliseconds() - startedAt);
       log.info('job accepted', {
         job: jobId,
-        queue: queue.name,
+        queue,
         team: job.team,
         steps: job.specification.steps.map(({ count }) => count),
       });
@@ -193,7 +190,20 @@
     }
     const bottleneck = findBottleneck();
     if (bottleneck) return refuseUnstaged(jobId, bottleneck);
-    stageAcceptance(jobId, queue, team, request);
+    const job = createJobRecord({
+      jobId,
+      queue: queue.name,
+      team: teamName,
+      acceptedAt: clock.wallMilliseconds(),
+      admission: { queue, teamLimit: team?.limit ?? null },
+      specification: request.specification!,
+    });
+    const refusal = options.admission.refusalOf(job, queue);
+    if (refusal) {
+      metrics.count('calls_refused');
+      return { kind: 'failed', failure: refusal };
+    }
+    stageAcceptance(job);
     return awaitAcceptance(jobId);
   }
 
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -19,6 +19,7 @@
   OrderingKey,
   ReservationScope,
   TrialRequirements,
+  WorkDigest,
 } from '@chicorybend/decisions';
 import type { CancelTimer, Resources } from '@chicorybend/common';
 
@@ -43,6 +44,7 @@
 import { createUnsentStarts } from './unsentStarts.js';
 import { createWaitingTasks } from './waitingTasks.js';
 import type { BlockingReason } from './waitingTasks.js';
+import { createWorkDigest } from './workDigest.js';
 
 /** Minimum delay of a round after its request, so that one round handles several changes. */
 const ROUND_DELAY_MILLISECONDS = 5;
@@ -61,6 +63,9 @@
 /** Each step beyond that is considered once in this many rounds; it may fit where those before it do not. */
 const BACKLOG_ROUNDS = 8;
 
+/** Minimum age of a digest of the backlog before a round takes another one. */
+const DIGEST_INTERVAL_MILLISECONDS = 250;
+
 /** Maximum number of calls for advice about one step at the same time. */
 const MAXIMUM_CALLS_PER_STEP = 3;
 /** The same while the owner is late. */
@@ -85,6 +90,8 @@
   logBacklog(): void;
   /** Logs steps that have waited for seconds while nothing of their job runs. */
   logIdleSteps(): void;
+  /** @returns work that waited after a recent round; null before the first one */
+  workDigest(): WorkDigest | null;
   /** @returns rounds since the last call of this function */
   takeRoundSummary(): RoundSummary;
   close(): void;
@@ -127,6 +134,7 @@
   const waiting = createWaitingTasks();
   const idleSteps = createIdleSteps(context, adviceCache);
   let rounds = 0;
+  let digest: WorkDigest | null = null;
   /** Number of endpoints that may still get a trial in the current round. */
   let trialEndpointsLeft = 0;
   let cancelRound: CancelTimer | null = null;
@@ -663,7 +671,8 @@
     const requests: AdviceRequest[] = [];
     const blockedSteps = new Map<string, number>();
     waiting.clear();
-    collectReadySteps().forEach((readyStep, position) => {
+    const readySteps = collectReadySteps();
+    readySteps.forEach((readyStep, position) => {
       const { step, queue } = readyStep;
       const blocked = blockedSteps.get(queue.name) ?? 0;
       const hasTurn = blocked < MAXIMUM_BLOCKED_STEPS || (position + rounds) % BACKLOG_ROUNDS === 0;
@@ -680,6 +689,10 @@
         transitions.releasedSteps.delete(step);
       }
     });
+    const isDigestDue =
+      clock.monotonicMilliseconds() - (digest?.takenAt ?? -Infinity) >=
+      DIGEST_INTERVAL_MILLISECONDS;
+    if (isDigestDue) digest = createWorkDigest(context, readySteps);
     adviceCache.setRequests([
       ...requests,
       ...upcomingSteps.flatMap((step) => createPrefetchRequest(step, endpoints)),
@@ -733,6 +746,7 @@
       });
     },
     logIdleSteps: idleSteps.logLongest,
+    workDigest: () => digest,
     takeRoundSummary: roundStatistics.takeSummary,
     close() {
       cancelRound?.();
--- a/packages/scheduler/src/core/durationEstimates.ts
+++ b/packages/scheduler/src/core/durationEstimates.ts
@@ -5,6 +5,7 @@
 import type { JobQueueSettings } from '../types/configuration.js';
 import type { JobRecord, StepRecord, TaskRecord } from '../types/jobRecord.js';
 import type { StepSpecification } from '../types/job.js';
+import { chargedResources } from './endpointTable.js';
 
 /** Number of endpoints per advice call that the estimate of a critical path assumes. */
 const ASSUMED_ADVISED_ENDPOINTS = 30;
@@ -27,6 +28,10 @@
   recordStraggler(task: TaskRecord, factor: number): void;
   /** @returns expected duration of a run of a step on an average endpoint, in milliseconds */
   expectedMilliseconds(step: StepRecord): number;
+  /** @returns whether enough runs of a queue have ended to predict others */
+  isLearnt(queue: string): boolean;
+  /** @returns expected work of all tasks of one occurrence, in processor milliseconds */
+  workOf(job: JobRecord): number;
   /** @returns durations of the successful runs of a step, in milliseconds */
   completedDurations(step: StepRecord): readonly number[];
   criticalPathOf(job: JobRecord, queue: JobQueueSettings): CriticalPathEstimate;
@@ -93,6 +98,16 @@
       if (times.length > 1) return times.reduce((sum, time) => sum + time, 0) / times.length;
       return model.predict(step.job.queue, step.specification.estimatedMilliseconds);
     },
+    isLearnt: model.hasEnoughRuns,
+    workOf: ({ queue, specification }) =>
+      specification.steps.reduce(
+        (sum, step) =>
+          sum +
+          step.count *
+            chargedResources(step).processors *
+            model.predict(queue, step.estimatedMilliseconds),
+        0,
+      ),
     completedDurations: completedDurationsOf,
     criticalPathOf(job, queue) {
       const now = clock.monotonicMilliseconds();
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -50,6 +50,7 @@
   hasActiveRun,
   parseAccepted,
 } from './jobRecords.js';
+import { createJobAdmission } from './jobAdmission.js';
 import { createJobSettings } from './jobSettings.js';
 import { maximumOpenTasks } from './jobSize.js';
 import { createOwnerLateness } from './ownerLateness.js';
@@ -200,6 +201,7 @@
     const callerService = createCallerService({
       context,
       transitions,
+      admission: createJobAdmission(context, dispatcher.workDigest),
       configurationReadAt: () => configurationReadAt,
       onAccepted: transitions.releaseDueSteps,
     });
--- a/packages/scheduler/src/core/scheduler.ts
+++ b/packages/scheduler/src/core/scheduler.ts
@@ -27,7 +27,12 @@
 const MINIMUM_CALL_MILLISECONDS = 150;
 const RETRY_AFTER_MILLISECONDS = 1_000;
 /** Refusals that depend on the load at the moment. */
-const LOAD_REFUSALS: ReadonlySet<string> = new Set(['owner-overloaded', 'store-unavailable']);
+const LOAD_REFUSALS: ReadonlySet<string> = new Set([
+  'owner-overloaded',
+  'store-unavailable',
+  'overloaded',
+  'over-limit',
+]);
 
 export interface SchedulerOptions extends SchedulerDependencies {
   /** Null where the platform has no advice service. */
--- a/packages/scheduler/src/core/schedulerMetrics.ts
+++ b/packages/scheduler/src/core/schedulerMetrics.ts
@@ -11,6 +11,9 @@
   jobs_failed: 'Jobs that ended as failed.',
   jobs_cancelled: 'Jobs cancelled.',
   jobs_refused_by_late_owner: 'Jobs refused because the owner itself was late.',
+  jobs_refused_for_capacity:
+    'Jobs refused because work that comes first uses the endpoints for too long.',
+  jobs_refused_for_limit: 'Jobs refused because work of their team uses up its limit for too long.',
   calls_refused: 'Calls of callers answered with a failure.',
   starts_sent: 'Orders to start a run.',
   starts_refused: 'Orders to start that an endpoint refused.',
@@ -57,6 +60,7 @@
 export const GAUGES = {
   shedding_level:
     'What the owner leaves out because it is late: 0 nothing, 1 optional work, 2 new jobs.',
+  predicted_wait_milliseconds: 'Predicted wait of the last job that was judged on its arrival.',
 } as const;
 
 export type GaugeName = keyof typeof GAUGES;
