--- a/packages/proving/src/__tests__/ownerLateness.test.ts
+++ b/packages/proving/src/__tests__/ownerLateness.test.ts
@@ -1,7 +1,7 @@
-import { sleep } from '@chicorybend/common';
 import type { CallerAnswer } from '@chicorybend/scheduler';
 import test from 'ava';
 
+import { limitCalls } from '../core/limitedCalls.js';
 import { createJobId, createJobSpecification, createSchedulerCell } from '../core/schedulerCell.js';
 import type { SchedulerCell } from '../core/schedulerCell.js';
 
@@ -13,27 +13,6 @@
   return Number(new RegExp(`^chicorybend_${name}_total (\\d+)$`, 'm').exec(metrics.expose())![1]);
 }
 
-/** Makes calls end with their time-out if the process has not read the answer by then, as those over a network do. */
-function limitCalls({ clock, fleet }: SchedulerCell): void {
-  const { hold, start } = fleet.client;
-  Object.assign(fleet.client, {
-    hold: (...[target, order, timeout]: Parameters<typeof hold>) =>
-      Promise.race([
-        hold(target, order, timeout),
-        sleep(clock, order.waitMilliseconds + timeout).then(() => ({
-          kind: 'failed',
-          reason: 'timed out',
-          isDisconnected: false,
-        })),
-      ]),
-    start: (...[target, order, timeout]: Parameters<typeof start>) =>
-      Promise.race([
-        start(target, order, timeout),
-        sleep(clock, timeout).then(() => ({ kind: 'unknown', reason: 'timed out' })),
-      ]),
-  });
-}
-
 /** The process handles nothing for the given part of the time. */
 async function stallFor(
   cell: SchedulerCell,
--- a/packages/proving/src/__tests__/ownerOverload.test.ts
+++ b/packages/proving/src/__tests__/ownerOverload.test.ts
@@ -1,6 +1,6 @@
-import { sleep } from '@chicorybend/common';
 import test from 'ava';
 
+import { limitCalls } from '../core/limitedCalls.js';
 import {
   CONFIGURATION,
   createJobId,
@@ -49,22 +49,12 @@
   });
   const { start, hold } = fleet.client;
   Object.assign(fleet.client, {
-    start(...[target, order, timeout]: Parameters<typeof start>) {
+    start(...parameters: Parameters<typeof start>) {
       charge(COSTS.start);
-      return Promise.race([
-        start(target, order, timeout),
-        sleep(clock, timeout).then(() => ({ kind: 'unknown', reason: 'timed out' })),
-      ]);
+      return start(...parameters);
     },
-    async hold(...[target, order, timeout]: Parameters<typeof hold>) {
-      const outcome = await Promise.race([
-        hold(target, order, timeout),
-        sleep(clock, order.waitMilliseconds + timeout).then(() => ({
-          kind: 'failed',
-          reason: 'timed out',
-          isDisconnected: false,
-        })),
-      ]);
+    async hold(...parameters: Parameters<typeof hold>) {
+      const outcome = await hold(...parameters);
       charge(COSTS.hold);
       return outcome;
     },
@@ -90,6 +80,7 @@
   const advice = { callMilliseconds: 10, endpointMilliseconds: 0, ticketMilliseconds: 2_500 };
   cell.configuration = { ...CONFIGURATION, queues: [{ ...queue!, advice }] };
   const charge = chargeCalls(cell);
+  limitCalls(cell);
   let terms = 0;
   cell.startProcess('owner', () => {
     terms += 1;
@@ -118,20 +109,16 @@
   for (let at = begin; at < loadEnd; at += 1_000 / rate) arrive(at);
   for (let at = loadEnd; at < end; at += 2_000 / CARRIED_RATE) arrive(at);
   await cell.advance(LOAD_MILLISECONDS + RECOVERY_MILLISECONDS + LOAD_MILLISECONDS);
-  const ends = new Map(
-    cell.fleet.history.map(({ taskId, kind, endedAt }) => [
-      taskId.split('.')[0]!,
-      kind === 'done' ? endedAt! : Infinity,
-    ]),
-  );
+  const done = cell.fleet.history.filter(({ kind }) => kind === 'done');
+  const ends = new Map(done.map(({ taskId, endedAt }) => [taskId.split('.')[0]!, endedAt!]));
   const inTime = [...arrivals].filter(
     ([jobId, at]) => (ends.get(jobId) ?? Infinity) - at <= OBJECTIVE_MILLISECONDS,
   );
+  const afterwards = (jobs: Iterable<[string, number]>) =>
+    [...jobs].filter(([, at]) => at >= recovered);
   return {
     duringLoad: inTime.filter(([, at]) => at < loadEnd).length,
-    lateAfterwards:
-      [...arrivals].filter(([, at]) => at >= recovered).length -
-      inTime.filter(([, at]) => at >= recovered).length,
+    lateAfterwards: afterwards(arrivals).length - afterwards(inTime).length,
     violations: cell.fleet.violations(),
     terms,
   };
