--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -57,6 +57,7 @@
   hasOccurrences,
   parseAccepted,
 } from './jobRecords.js';
+import { createJobAdmission } from './jobAdmission.js';
 import { createJobSettings } from './jobSettings.js';
 import { maximumOpenTasks } from './jobSize.js';
 import { createOwnerLateness } from './ownerLateness.js';
@@ -237,6 +238,7 @@
     const callerService = createCallerService({
       context,
       transitions,
+      admission: createJobAdmission(context, dispatcher.workDigest),
       configurationReadAt: () => configurationReadAt,
       restoreStoredJob,
       onAccepted: transitions.releaseDueSteps,
