Describe the endpoints of a round with less work per run

Cause: each round counted the filling and the serving tasks of each endpoint by looking at the step of each run, and sorted the endpoints anew for calls for advice, although their order changes only with the set of endpoints.

Change: the endpoint table counts these tasks as it charges and releases runs, and keeps the sorted list until an endpoint is added or removed.

--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -662,11 +662,12 @@
     );
     const busy = candidates.filter(({ trialStepId }) => trialStepId !== null).length;
     trialEndpointsLeft = remainingTrialEndpoints(candidates.length, busy);
+    const byId = new Map(candidates.map((candidate) => [candidate.endpointId, candidate]));
     const endpoints: RoundEndpoints = {
       all: candidates,
-      byId: new Map(candidates.map((candidate) => [candidate.endpointId, candidate])),
+      byId,
       adviceOrder: createAdviceOrder(
-        [...candidates].sort((left, right) => left.state.shuffleKey - right.state.shuffleKey),
+        table.shuffled().flatMap(({ entry }) => byId.get(entry.endpointId) ?? []),
       ),
     };
     const requests: AdviceRequest[] = [];
--- a/packages/scheduler/src/core/endpointTable.ts
+++ b/packages/scheduler/src/core/endpointTable.ts
@@ -59,6 +59,10 @@
   used: Resources;
   /** Part of these that is charged for long-running tasks, which do not end by themselves. */
   usedForLongRunning: Resources;
+  /** Number of filling tasks that are charged there. */
+  fillingTasks: number;
+  /** Number of other tasks that are charged there and have a target for their response times. */
+  servingTasks: number;
   /** Tasks with a run that may exist there, by task id. */
   readonly runs: Map<string, TaskRecord>;
   /** Sequence number of the last applied end. */
@@ -149,6 +153,8 @@
 export interface EndpointTable {
   get(endpointId: string): EndpointState | undefined;
   all(): IterableIterator<EndpointState>;
+  /** @returns all endpoints in the order of their shuffle keys */
+  shuffled(): readonly EndpointState[];
   /** Adds an endpoint that is in the directory or is named by a stored run. */
   add(
     entry: EndpointEntry,
@@ -172,16 +178,20 @@
   const states = new Map<string, EndpointState>();
   const teams = new Map<string, Resources>();
   const longRunningByTeam = new Map<string, Resources>();
+  /** Null after a change of the endpoints. */
+  let shuffled: readonly EndpointState[] | null = null;
 
   /** Adds the resources of a run to its endpoint and its team, or subtracts them. */
   function account(state: EndpointState, { step }: TaskRecord, factor: 1 | -1): void {
     const charged = chargedResources(step.specification);
-    const { resources, isLongRunning } = step.specification;
+    const { resources, isLongRunning, isFilling, targetMilliseconds } = step.specification;
     function addToTeam(byTeam: Map<string, Resources>): void {
       const { team } = step.job;
       byTeam.set(team, addResources(byTeam.get(team) ?? NO_RESOURCES, resources, factor));
     }
     state.used = addResources(state.used, charged, factor);
+    if (isFilling) state.fillingTasks += factor;
+    else if (targetMilliseconds > 0) state.servingTasks += factor;
     addToTeam(teams);
     if (!isLongRunning) return;
     state.usedForLongRunning = addResources(state.usedForLongRunning, charged, factor);
@@ -191,6 +201,10 @@
   return {
     get: (endpointId) => states.get(endpointId),
     all: () => states.values(),
+    shuffled() {
+      shuffled ??= [...states.values()].sort((left, right) => left.shuffleKey - right.shuffleKey);
+      return shuffled;
+    },
     add(entry, leases, fencingToken, now) {
       const state: EndpointState = {
         entry,
@@ -207,6 +221,8 @@
         formerBornAt: new Set(),
         used: NO_RESOURCES,
         usedForLongRunning: NO_RESOURCES,
+        fillingTasks: 0,
+        servingTasks: 0,
         runs: new Map(),
         appliedSequence: 0,
         durableSequence: 0,
@@ -229,10 +245,12 @@
         backoffCause: 'refused-start',
       };
       states.set(entry.endpointId, state);
+      shuffled = null;
       return state;
     },
     remove(endpointId) {
       states.delete(endpointId);
+      shuffled = null;
     },
     charge(state, task) {
       const present = state.runs.get(task.taskId);
--- a/packages/scheduler/src/core/roundCandidates.ts
+++ b/packages/scheduler/src/core/roundCandidates.ts
@@ -65,18 +65,14 @@
   state: EndpointState,
 ): RoundCandidate {
   const now = clock.monotonicMilliseconds();
-  let fillingTasks = 0;
-  let servingTasks = 0;
   let trialStepId: string | null = null;
   let lastPlacedAt = -Infinity;
   let atStake = 0;
-  state.runs.forEach((task) => {
+  for (const task of state.runs.values()) {
     if (isOnTrial(task, now)) trialStepId = task.step.stepId;
-    lastPlacedAt = Math.max(lastPlacedAt, task.placedAt);
+    if (task.placedAt > lastPlacedAt) lastPlacedAt = task.placedAt;
     atStake += workAtStake(task, now);
-    if (task.step.specification.isFilling) fillingTasks += 1;
-    else if (task.step.specification.targetMilliseconds > 0) servingTasks += 1;
-  });
+  }
   return {
     state,
     endpointId: state.entry.endpointId,
@@ -85,8 +81,8 @@
     capacity: state.entry.capacity,
     used: state.used,
     stepTaskCount: 0,
-    fillingTaskCount: fillingTasks,
-    servingTaskCount: servingTasks,
+    fillingTaskCount: state.fillingTasks,
+    servingTaskCount: state.servingTasks,
     slowness: estimates.slowness(state.entry.endpointId),
     isReservedForGang: false,
     isKeptForUrgent: kept.has(state.entry.endpointId),
