Shed parts of rounds instead of rounds while the owner is late

Change: rounds stay as frequent as before, at least 25 ms apart, and consider 10 instead of 40 blocked steps of a queue.

--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -51,8 +51,7 @@
 
 /** Maximum share of the time of the process that rounds take. */
 const MAXIMUM_ROUND_TIME_SHARE = 0.25;
-/** The same, and the minimum delay of a round, while the owner is late. */
-const SHED_ROUND_TIME_SHARE = 0.1;
+/** Minimum delay of a round while the owner is late. */
 const SHED_ROUND_DELAY_MILLISECONDS = 25;
 
 /**
@@ -60,6 +59,8 @@
  * hardly grows with the backlog.
  */
 const MAXIMUM_BLOCKED_STEPS = 40;
+/** The same while the owner is late. Rounds get smaller and not rarer, because urgent work waits for the next one. */
+const SHED_BLOCKED_STEPS = 10;
 /** Each step beyond that is considered once in this many rounds; it may fit where those before it do not. */
 const BACKLOG_ROUNDS = 8;
 
@@ -685,10 +686,11 @@
     const blockedSteps = new Map<string, number>();
     waiting.clear();
     const readySteps = collectReadySteps();
+    const maximumBlockedSteps = isShedding() ? SHED_BLOCKED_STEPS : MAXIMUM_BLOCKED_STEPS;
     readySteps.forEach((readyStep, position) => {
       const { step, queue } = readyStep;
       const blocked = blockedSteps.get(queue.name) ?? 0;
-      const hasTurn = blocked < MAXIMUM_BLOCKED_STEPS || (position + rounds) % BACKLOG_ROUNDS === 0;
+      const hasTurn = blocked < maximumBlockedSteps || (position + rounds) % BACKLOG_ROUNDS === 0;
       if (!hasTurn) {
         countBlockedTasks(readyStep, 'turn', startableTasks(step).length);
         idleSteps.record(step, 'turn');
@@ -718,9 +720,8 @@
     workMeter.measure('rounds', runRound);
     const took = clock.monotonicMilliseconds() - startedAt;
     roundStatistics.record(took, startedAt - roundRequestedAt);
-    roundDelayMilliseconds = isShedding()
-      ? Math.max(SHED_ROUND_DELAY_MILLISECONDS, took / SHED_ROUND_TIME_SHARE)
-      : Math.max(ROUND_DELAY_MILLISECONDS, took / MAXIMUM_ROUND_TIME_SHARE);
+    const minimumDelay = isShedding() ? SHED_ROUND_DELAY_MILLISECONDS : ROUND_DELAY_MILLISECONDS;
+    roundDelayMilliseconds = Math.max(minimumDelay, took / MAXIMUM_ROUND_TIME_SHARE);
   }
 
   function createPrefetchRequest(step: StepRecord, endpoints: RoundEndpoints): AdviceRequest[] {
