Compare a backlog with the endpoints once for equal requirements

Cause: each round checks the room of all endpoints for each step of a backlog, up to three times, although where no endpoint has room for a step none has it for the others that require as much.

Change: within a round, requirements that no endpoint meets are recorded, and steps that require at least as much are not compared with the endpoints again. The records are void when planned room is released.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -161,3 +161,4 @@
 export type { ProgressReport, RunProgress, StragglerVerdict } from './core/judgeStraggler.js';
 export { createRunTimeRegression } from './core/runTimeRegression.js';
 export type { RunTimeRegression } from './core/runTimeRegression.js';
+export { createUnmetRequirements } from './core/unmetRequirements.js';
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -8,6 +8,7 @@
   createAdviceOrder,
   createEndpointChooser,
   createReservationWindows,
+  createUnmetRequirements,
   isWithinLimit,
   orderSteps,
 } from '@chicorybend/decisions';
@@ -130,6 +131,8 @@
   const trialSchedule = createTrialSchedule(context);
   const unsentStarts = createUnsentStarts(context);
   const reservationWindows = createReservationWindows();
+  /** Requirements that no endpoint of the present round meets. */
+  const unmetRequirements = createUnmetRequirements();
   const roundStatistics = createRoundStatistics(metrics);
   /** Waiting tasks of the last round. */
   const waiting = createWaitingTasks();
@@ -292,6 +295,28 @@
     return isLongRunning || !isReservedForGang;
   }
 
+  /** @returns endpoints that can host a task and match the step; none at once if that follows for all endpoints */
+  function findHosts(
+    step: StepRecord,
+    queue: JobQueueSettings,
+    requirements: EndpointRequirements,
+    candidates: readonly RoundCandidate[],
+  ): RoundCandidate[] {
+    return unmetRequirements.isImplied(requirements)
+      ? []
+      : candidates.filter(
+          (candidate) => canHost(candidate, requirements) && isMatching(step, queue, candidate),
+        );
+  }
+
+  /** @returns whether any endpoint can host a task, as far as the step and its queue do not matter */
+  function hasHost(requirements: EndpointRequirements, { all }: RoundEndpoints): boolean {
+    if (unmetRequirements.isImplied(requirements)) return false;
+    if (all.some((candidate) => canHost(candidate, requirements))) return true;
+    unmetRequirements.record(requirements);
+    return false;
+  }
+
   /** Chooses endpoints for as many tasks as fit, and reserves their capacity for the rest of this round. */
   function planPlacements(
     step: StepRecord,
@@ -326,6 +351,7 @@
   }
 
   function releasePlannedRoom(step: StepRecord, placements: readonly Placement[]): void {
+    if (placements.length > 0) unmetRequirements.clear();
     placements.forEach(({ candidate }) => {
       candidate.used = addResources(candidate.used, chargedResources(step.specification), -1);
       candidate.stepTaskCount -= 1;
@@ -449,9 +475,9 @@
     const { placements, blockedBy } = planPlacements(
       step,
       pending,
-      findAdvisedCandidates(step, queue, endpoints).filter(
-        (candidate) => canHost(candidate, requirements) && isMatching(step, queue, candidate),
-      ),
+      queue.advice || hasHost(requirements, endpoints)
+        ? findHosts(step, queue, requirements, findAdvisedCandidates(step, queue, endpoints))
+        : [],
       requirements,
     );
     const isComplete = placements.length === pending.length;
@@ -576,9 +602,7 @@
     const { placements, blockedBy } = planPlacements(
       step,
       unplaced,
-      endpoints.all.filter(
-        (candidate) => canHost(candidate, requirements) && isMatching(step, queue, candidate),
-      ),
+      findHosts(step, queue, requirements, endpoints.all),
       requirements,
     );
     if (queue.advice && placements.length === unplaced.length) return 'advice';
@@ -631,12 +655,13 @@
       reserveAskedEndpoints(readyStep, unplaced, endpoints, requirements);
     const hasRoom =
       isRoomReserved ||
-      endpoints.all.some(
-        (candidate) =>
-          isOpenTo(requirements, candidate) &&
-          canHost(candidate, requirements) &&
-          isMatching(step, queue, candidate),
-      );
+      (hasHost(requirements, endpoints) &&
+        endpoints.all.some(
+          (candidate) =>
+            isOpenTo(requirements, candidate) &&
+            canHost(candidate, requirements) &&
+            isMatching(step, queue, candidate),
+        ));
     return hasRoom ? 'advice' : 'room';
   }
 
@@ -673,6 +698,7 @@
     const requests: AdviceRequest[] = [];
     const blockedSteps = new Map<string, number>();
     waiting.clear();
+    unmetRequirements.clear();
     collectReadySteps().forEach((readyStep, position) => {
       const { step, queue } = readyStep;
       const blocked = blockedSteps.get(queue.name) ?? 0;
