--- a/packages/scheduler/src/core/workDigest.ts
+++ b/packages/scheduler/src/core/workDigest.ts
@@ -16,11 +16,13 @@
   return settings.teamLimitOf(job)?.processors || Infinity;
 }
 
-function sumProcessors({ table }: TermContext): Map<string, number> {
+function sumProcessors({ evacuations, table }: TermContext): Map<string, number> {
   const processors = new Map<string, number>();
   for (const { entry, isListed, usedForLongRunning } of table.all()) {
     const free = Math.max(0, entry.capacity.processors - usedForLongRunning.processors);
-    if (isListed) processors.set(entry.service, (processors.get(entry.service) ?? 0) + free);
+    if (isListed && evacuations.isInService(entry.dataCentre)) {
+      processors.set(entry.service, (processors.get(entry.service) ?? 0) + free);
+    }
   }
   return processors;
 }
