--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -14,7 +14,9 @@
   platform: 'node',
   target: 'node20',
   format: 'esm',
+  // Each VM keeps the text of the file in memory; names stay, so that stack traces can be read.
   minifySyntax: true,
+  minifyWhitespace: true,
   legalComments: 'none',
   alias: Object.fromEntries(
     SOURCES.map((name) => [`@chicorybend/${name}`, `./packages/${name}/src/index.ts`]),
