Look for stragglers and upcoming steps less often while the owner is late

Cause: housekeeping took 50 to 80 ms of each second of a full owner, most of it for these checks, which run ten times a second. Change: every 500 ms while optional work is shed.

--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -76,6 +76,8 @@
 const DIRECTORY_INTERVAL_MILLISECONDS = 600;
 /** Interval of checks for due occurrences, expired job records, drains and stragglers. */
 const HOUSEKEEPING_INTERVAL_MILLISECONDS = 100;
+/** Interval of the checks for stragglers and upcoming steps while the owner is late. */
+const SHED_OPTIONAL_INTERVAL_MILLISECONDS = 500;
 /** Interval of the log lines about waiting tasks and about the owner's own work. */
 const LOAD_LOG_INTERVAL_MILLISECONDS = 1_000;
 /** Delay before a failed read is repeated. */
@@ -137,6 +139,7 @@
   let configurationReadAt = -Infinity;
   let hasEnded = false;
   let sheddingLevel: SheddingLevel = 'nothing';
+  let optionalWorkAt = -Infinity;
   let lastFencingToken = term.epoch;
   let components: ReturnType<typeof createComponents> | null = null;
   const startedAt = clock.monotonicMilliseconds();
@@ -676,6 +679,15 @@
     log.info('load shed', { level, latePercent: Math.round(100 * lateness.lateShare()) });
   }
 
+  /** @returns whether to look for stragglers and upcoming steps now, which a late owner does less often */
+  function isOptionalWorkDue(): boolean {
+    const now = clock.monotonicMilliseconds();
+    const isShed = sheddingLevel !== 'nothing';
+    if (isShed && now - optionalWorkAt < SHED_OPTIONAL_INTERVAL_MILLISECONDS) return false;
+    optionalWorkAt = now;
+    return true;
+  }
+
   function checkJobsAndEndpoints(): void {
     const wallNow = clock.wallMilliseconds();
     jobs.forEach((job) => {
@@ -692,9 +704,11 @@
     for (const state of table.all()) {
       if (state.isListed && state.entry.isDraining) applyDrain(state);
     }
-    components!.stragglerWatch.check();
+    if (isOptionalWorkDue()) {
+      components!.stragglerWatch.check();
+      components!.dispatcher.prefetchAdvice();
+    }
     components!.evacuationMoves.check();
-    components!.dispatcher.prefetchAdvice();
     components!.dispatcher.requestRound();
   }
 
