Refuse no job for lateness while the owner has no other work

Change: a late owner refuses new jobs only while other jobs are open or being accepted. Result: malformedMessages, ownerLateness (now also checks that the first job is accepted) and ownerOverload pass, 7 tests.

--- a/packages/scheduler/src/core/callerService.ts
+++ b/packages/scheduler/src/core/callerService.ts
@@ -103,9 +103,16 @@
     return count;
   }
 
+  /** An owner that is late without any work is slowed down by others, which refusing a job does not change. */
+  function hasOtherWork(): boolean {
+    if (pendingAcceptances.size > 0) return true;
+    for (const { phase } of jobs.values()) if (phase === 'open') return true;
+    return false;
+  }
+
   /** @returns why a job cannot be made durable in time, as far as that is known before it is staged; null if it can */
   function findBottleneck(): 'owner-overloaded' | 'store-unavailable' | null {
-    if (context.lateness.shedding() === 'new-jobs') return 'owner-overloaded';
+    if (context.lateness.shedding() === 'new-jobs' && hasOtherWork()) return 'owner-overloaded';
     return commits.expectedWaitMilliseconds() > ACCEPT_TIMEOUT_MILLISECONDS
       ? 'store-unavailable'
       : null;
