Ask for less advice and consider fewer steps only while new jobs are refused

Cause: both place less work. From 25% of lateness on they began long before the owner refused anything. Change: they come with the refusals; checks for stragglers and upcoming steps remain the optional work that is left out from 25% on.

--- a/packages/decisions/src/core/loadShedding.ts
+++ b/packages/decisions/src/core/loadShedding.ts
@@ -1,7 +1,7 @@
 /**
- * What a process leaves out to keep up, each level in addition to the one before: `optional-work`: further calls for
- * advice and frequent rounds; `new-jobs`: jobs that are not accepted yet. What accepted work depends on (leases, stops,
- * acknowledgements) is never left out.
+ * What a process leaves out to keep up, each level in addition to the one before: `optional-work`: frequent checks for
+ * stragglers and upcoming steps; `new-jobs`: jobs that are not accepted yet, and parts of rounds and of the calls for
+ * advice. What accepted work depends on (leases, stops, acknowledgements) is never left out.
  */
 export type SheddingLevel = 'nothing' | 'optional-work' | 'new-jobs';
 
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -52,7 +52,7 @@
 
 /** Maximum share of the time of the process that rounds take. */
 const MAXIMUM_ROUND_TIME_SHARE = 0.25;
-/** Minimum delay of a round while the owner is late. */
+/** Minimum delay of a round while the owner refuses new jobs. */
 const SHED_ROUND_DELAY_MILLISECONDS = 25;
 
 /**
@@ -60,7 +60,7 @@
  * hardly grows with the backlog.
  */
 const MAXIMUM_BLOCKED_STEPS = 40;
-/** The same while the owner is late. Rounds get smaller and not rarer, because urgent work waits for the next one. */
+/** The same while the owner refuses new jobs. Rounds do not get rarer, because urgent work waits for the next one. */
 const SHED_BLOCKED_STEPS = 10;
 /** Each step beyond that is considered once in this many rounds; it may fit where those before it do not. */
 const BACKLOG_ROUNDS = 8;
@@ -70,7 +70,7 @@
 
 /** Maximum number of calls for advice about one step at the same time. */
 const MAXIMUM_CALLS_PER_STEP = 3;
-/** The same while the owner is late. */
+/** The same while the owner refuses new jobs. */
 const SHED_CALLS_PER_STEP = 1;
 
 export interface DispatcherOptions {
@@ -156,8 +156,9 @@
   let upcomingSteps: StepRecord[] = [];
   let roundRequestedAt = 0;
 
+  /** Fewer calls for advice and smaller rounds place less work, so that they come last. */
   function isShedding(): boolean {
-    return context.lateness.shedding() !== 'nothing';
+    return context.lateness.shedding() === 'new-jobs';
   }
 
   /** Sets the number of tasks of a step on each endpoint, where that number is limited. */
