--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -143,6 +143,10 @@
 export { judgePunctuality, orderSteps } from './core/stepOrder.js';
 export type { ObjectiveTimes, OrderingKey, Punctuality } from './core/stepOrder.js';
 
+/** Lateness of a process, and what it means for its conclusions about others. */
+export { createLoopLateness } from './core/loopLateness.js';
+export type { LoopLateness, UnansweredCall } from './core/loopLateness.js';
+
 /** Run times and endpoint speeds estimated from runs, and detection of stragglers. */
 export { createEndpointSpeedEstimator } from './core/endpointSpeedEstimator.js';
 export type { EndpointSpeedEstimator, TimedRun } from './core/endpointSpeedEstimator.js';
--- /dev/null
+++ b/packages/proving/src/__tests__/ownerLateness.test.ts
@@ -0,0 +1,70 @@
+import { sleep } from '@chicorybend/common';
+import test from 'ava';
+
+import { createJobId, createJobSpecification, createSchedulerCell } from '../core/schedulerCell.js';
+import type { SchedulerCell } from '../core/schedulerCell.js';
+
+const STALL_MILLISECONDS = 700;
+/** An endpoint that is silent is noticed after its holds have been excused a few times. */
+const NOTICED_MILLISECONDS = 8_000;
+
+function readCounter({ metrics }: SchedulerCell, name: string): number {
+  return Number(new RegExp(`^chicorybend_${name}_total (\\d+)$`, 'm').exec(metrics.expose())![1]);
+}
+
+/** Makes calls end with their time-out if the process has not read the answer by then, as those over a network do. */
+function limitCalls({ clock, fleet }: SchedulerCell): void {
+  const { hold, start } = fleet.client;
+  Object.assign(fleet.client, {
+    hold: (...[target, order, timeout]: Parameters<typeof hold>) =>
+      Promise.race([
+        hold(target, order, timeout),
+        sleep(clock, order.waitMilliseconds + timeout).then(() => ({
+          kind: 'failed',
+          reason: 'timed out',
+          isDisconnected: false,
+        })),
+      ]),
+    start: (...[target, order, timeout]: Parameters<typeof start>) =>
+      Promise.race([
+        start(target, order, timeout),
+        sleep(clock, timeout).then(() => ({ kind: 'unknown', reason: 'timed out' })),
+      ]),
+  });
+}
+
+/** The process handles nothing for the given part of the time. */
+async function stallFor(
+  cell: SchedulerCell,
+  milliseconds: number,
+  stall: number,
+  between: number,
+): Promise<void> {
+  const endsAt = cell.clock.monotonicMilliseconds() + milliseconds;
+  while (cell.clock.monotonicMilliseconds() < endsAt) {
+    cell.clock.advance(stall);
+    await cell.advance(between);
+  }
+}
+
+test('an owner that is late takes no endpoint for silent, and notices one that is', async (t) => {
+  const cell = createSchedulerCell({ count: 6, durationOf: () => 2_000 });
+  limitCalls(cell);
+  cell.startProcess('owner');
+  await cell.advance(1_000);
+  const specification = createJobSpecification({ count: 12, estimatedMilliseconds: 2_000 });
+  for (let index = 1; index <= 5; index += 1) {
+    await cell.call({ path: `/work/${createJobId(index)}`, specification });
+    await stallFor(cell, 2_000, STALL_MILLISECONDS, 200);
+  }
+  await stallFor(cell, 4_000, STALL_MILLISECONDS, 200);
+  t.is(readCounter(cell, 'holds_failed'), 0);
+  t.is(readCounter(cell, 'starts_unanswered'), 0);
+  t.true(readCounter(cell, 'calls_discounted') > 0);
+  t.is(cell.fleet.history.filter(({ endedAt }) => endedAt === null).length, 0);
+  t.is(cell.fleet.history.length, 5 * 12, 'no task runs twice');
+  cell.fleet.faultsOf('endpoint-0').isCutOff = true;
+  await stallFor(cell, NOTICED_MILLISECONDS, STALL_MILLISECONDS, 200);
+  t.true(readCounter(cell, 'holds_failed') > 0);
+  t.deepEqual(cell.fleet.violations(), []);
+});
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -40,6 +40,8 @@
 const START_DEADLINE_MILLISECONDS = 1_900;
 /** Time after which a hold certainly waits at its endpoint. */
 const MINIMUM_WAIT_MILLISECONDS = 50;
+/** Unanswered holds in a row that the lateness of the owner excuses; bounds the delay until a silence is noticed. */
+const MAXIMUM_EXCUSED_HOLDS = 3;
 /** Delay after an unanswered call. */
 const RETRY_DELAY_MILLISECONDS = 200;
 /** Maximum wait for ends to become durable before the leases are renewed again. */
@@ -102,7 +104,7 @@
   state: EndpointState,
   events: SessionEvents,
 ): EndpointSession {
-  const { clock, log, metrics, workMeter, endpoints, outstandingStarts, table } = context;
+  const { clock, log, metrics, workMeter, endpoints, lateness, outstandingStarts, table } = context;
   /** Whether all ends applied so far are durable. */
   let appliedEndsDurable: Promise<boolean> = Promise.resolve(true);
   let isPolling = false;
@@ -160,6 +162,14 @@
     return [...state.runs.values()].filter(({ endpointBornAt }) => endpointBornAt !== state.bornAt);
   }
 
+  /** The owner's own lateness excuses an unanswered call. @param waitMilliseconds wait asked of the endpoint */
+  function isExcused(sentAt: number, timeoutMilliseconds: number, waitMilliseconds = 0): boolean {
+    const call = { sentAt, endedAt: now(), timeoutMilliseconds, waitMilliseconds };
+    if (lateness.isSilenceShown(call)) return false;
+    metrics.count('calls_discounted');
+    return true;
+  }
+
   /** Sends an order with the adaptive timeout. */
   function sendOrder(call: (timeout: number) => Promise<OrderOutcome>): Promise<OrderOutcome> {
     return callWithAdaptiveTimeout(clock, latency, call, ({ kind }) => kind === 'unknown');
@@ -461,8 +471,9 @@
       : UNACKNOWLEDGED_POLL_DELAY_MILLISECONDS;
   }
 
-  async function hold(waitMilliseconds: number): Promise<void> {
+  async function hold(waitMilliseconds: number, excusedBefore = 0): Promise<void> {
     const sentAt = now();
+    const timeout = latency.timeoutMilliseconds();
     const { fencingToken } = state;
     metrics.count('holds_sent');
     // The leases of an endpoint that may be lost are not renewed, so that its runs expire at a known time.
@@ -476,7 +487,7 @@
         acknowledgedSequence: state.unansweredCalls === 0 ? acknowledgedSequence() : 0,
         waitMilliseconds,
       },
-      latency.timeoutMilliseconds(),
+      timeout,
     );
     if (context.hasEnded() || fencingToken !== state.fencingToken) return;
     if (outcome.kind === 'answered') {
@@ -484,6 +495,15 @@
       await Promise.race([durable, sleep(clock, DURABILITY_TIMEOUT_MILLISECONDS)]);
     } else if (outcome.kind === 'refused' && outcome.reason === 'fenced') {
       abandonFenced(fencingToken);
+    } else if (
+      outcome.kind === 'failed' &&
+      !outcome.isDisconnected &&
+      state.unansweredCalls === 0 &&
+      excusedBefore < MAXIMUM_EXCUSED_HOLDS &&
+      context.isOwnerLeaseValid() &&
+      isExcused(sentAt, timeout, waitMilliseconds)
+    ) {
+      await hold(0, excusedBefore + 1);
     } else {
       handleUnansweredHold(outcome, mayHaveWaited(sentAt, waitMilliseconds));
       const isReplaced = outcome.kind === 'refused' && outcome.reason === 'other-incarnation';
@@ -547,11 +567,11 @@
     log.info('start unanswered', { task: task.taskId, run, endpoint: state.entry.endpointId });
   }
 
-  function handleRefusedStart(task: TaskRecord, reason: string): void {
+  function handleRefusedStart(task: TaskRecord, reason: string, mayBackOff = true): void {
     metrics.count('starts_refused');
     log.info('start refused', { task: task.taskId, endpoint: state.entry.endpointId, reason });
     if (reason === 'invalid-ticket') events.onTicketRefused(task);
-    else state.backoffUntil = now() + REFUSED_START_BACKOFF_MILLISECONDS;
+    else if (mayBackOff) state.backoffUntil = now() + REFUSED_START_BACKOFF_MILLISECONDS;
     if (reason === 'late') state.clockOffset = null;
     task.notBefore = now() + PLACEMENT_RETRY_DELAY_MILLISECONDS;
     transitions.dropRun(task, 'lapsed');
@@ -571,12 +591,16 @@
     metrics.count('stops_sent');
     const order: RunId = { taskId: task.taskId, run };
     const { bornAt, fencingToken } = state;
+    const sentAt = now();
+    const timeout = latency.timeoutMilliseconds();
     const outcome = context.isOwnerLeaseValid()
       ? await sendStop(order)
       : ({ kind: 'unknown', reason: 'no authority' } as const);
     if (outcome.kind === 'unknown') {
-      unansweredStopBackoff = now() + UNANSWERED_STOP_BACKOFF_MILLISECONDS;
-      state.backoffUntil = unansweredStopBackoff;
+      if (!isExcused(sentAt, timeout)) {
+        unansweredStopBackoff = now() + UNANSWERED_STOP_BACKOFF_MILLISECONDS;
+        state.backoffUntil = unansweredStopBackoff;
+      }
     } else if (state.backoffUntil === unansweredStopBackoff) state.backoffUntil = now();
     if (!isCurrentRun(task, run)) return;
     if (outcome.kind === 'refused' && outcome.reason === 'fenced') {
@@ -629,6 +653,7 @@
       }
       metrics.count('starts_sent');
       const sentAt = now();
+      const timeout = latency.timeoutMilliseconds();
       const { fencingToken } = state;
       task.startSentAt = sentAt;
       task.startOutstandingUntil = sentAt + context.timeLimits.maximumOrderDelayMilliseconds;
@@ -641,13 +666,14 @@
         ticket,
       };
       const outcome = await workMeter.measure('starts', () =>
-        sendOrder((timeout) => endpoints.start(target(), order, timeout)),
+        sendOrder((milliseconds) => endpoints.start(target(), order, milliseconds)),
       );
       if (outcome.kind === 'done') unansweredStarts = 0;
       if (!isCurrentRun(task, run) || task.phase === 'running') return;
       if (outcome.kind !== 'unknown') task.startOutstandingUntil = null;
       if (outcome.kind === 'refused') {
-        handleRefusedStart(task, outcome.reason);
+        const mayBackOff = outcome.reason !== 'unhealthy' || !isExcused(sentAt, timeout);
+        handleRefusedStart(task, outcome.reason, mayBackOff);
         if (outcome.reason === 'fenced') abandonFenced(fencingToken);
       } else if (
         outcome.kind === 'done' &&
@@ -655,7 +681,8 @@
       ) {
         confirmRun(task, true);
       } else {
-        if (outcome.kind === 'unknown') noteUnansweredStart(task, run);
+        const isSilent = outcome.kind === 'unknown' && !isExcused(sentAt, timeout);
+        if (isSilent) noteUnansweredStart(task, run);
         await resolveStart(task, run);
       }
     },
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -50,6 +50,7 @@
 } from './jobRecords.js';
 import { createJobSettings } from './jobSettings.js';
 import { maximumOpenTasks } from './jobSize.js';
+import { createOwnerLateness } from './ownerLateness.js';
 import { createOutstandingStarts } from './outstandingStarts.js';
 import { createStragglerWatch } from './stragglerWatch.js';
 import { createTaskTransitions } from './taskTransitions.js';
@@ -136,6 +137,7 @@
   const readLatency = createLatencyEstimate(READ_TIMEOUTS);
   const estimates = createDurationEstimates(clock);
   const workMeter = createWorkMeter(clock);
+  const lateness = createOwnerLateness(clock);
   const adviceCache = createAdviceCache({
     clock,
     log,
@@ -164,6 +166,7 @@
       log,
       metrics,
       workMeter,
+      lateness,
       epoch: term.epoch,
       hasFormerOwner,
       takeFencingToken,
@@ -585,6 +588,7 @@
       active: Math.round(reading.active),
       ...Object.fromEntries(milliseconds),
       ...dispatcher.takeRoundSummary(),
+      latePercent: Math.round(100 * lateness.lateShare()),
       stagedKeys: commits.stagedKeys(),
       commitDelay: Math.round(commits.delayMilliseconds()),
     });
@@ -600,6 +604,7 @@
   return {
     async run() {
       if (!(await recover())) return;
+      void lateness.measureUntil(() => hasEnded);
       void keepConfigurationCurrent();
       void runPeriodically(DIRECTORY_INTERVAL_MILLISECONDS, readDirectory);
       void runPeriodically(LOAD_LOG_INTERVAL_MILLISECONDS, logLoad);
--- a/packages/scheduler/src/core/schedulerMetrics.ts
+++ b/packages/scheduler/src/core/schedulerMetrics.ts
@@ -22,6 +22,8 @@
   capacity_changes: 'Changes of the capacity that an endpoint reports during one incarnation.',
   holds_sent: 'Calls that extend leases on an endpoint.',
   holds_failed: 'Such calls without an answer.',
+  calls_discounted:
+    'Calls to endpoints whose time-out passed while the owner was late, so that they show no silence.',
   runs_done: 'Runs that ended as done.',
   runs_failed: 'Runs that ended as failed.',
   runs_lost: 'Runs that ended otherwise and may be repeated.',
--- a/packages/scheduler/src/types/termContext.ts
+++ b/packages/scheduler/src/types/termContext.ts
@@ -3,6 +3,7 @@
 import type { CommitQueue } from '../core/commitQueue.js';
 import type { EndpointTable } from '../core/endpointTable.js';
 import type { JobSettings } from '../core/jobSettings.js';
+import type { OwnerLateness } from '../core/ownerLateness.js';
 import type { OutstandingStarts } from '../core/outstandingStarts.js';
 import type { SchedulerMetrics } from '../core/schedulerMetrics.js';
 import type { WorkMeter } from '../core/workMeter.js';
@@ -29,6 +30,7 @@
   readonly log: Log;
   readonly metrics: SchedulerMetrics;
   readonly workMeter: WorkMeter;
+  readonly lateness: OwnerLateness;
   readonly epoch: number;
   /** Whether another term may have sent orders before this one. */
   readonly hasFormerOwner: boolean;
