--- a/packages/common/src/utils/errors.ts
+++ b/packages/common/src/utils/errors.ts
@@ -139,6 +139,11 @@
     run: 'not-run',
     text: 'The platform store is unavailable; durable work cannot be accepted now.',
   },
+  'owner-overloaded': {
+    status: 503,
+    run: 'not-run',
+    text: 'The owner of all jobs is overloaded and cannot accept work in time.',
+  },
   'acceptance-unknown': {
     status: 502,
     run: 'unknown',
--- a/packages/proving/src/__tests__/ownerLateness.test.ts
+++ b/packages/proving/src/__tests__/ownerLateness.test.ts
@@ -1,4 +1,5 @@
 import { sleep } from '@chicorybend/common';
+import type { CallerAnswer } from '@chicorybend/scheduler';
 import test from 'ava';
 
 import { createJobId, createJobSpecification, createSchedulerCell } from '../core/schedulerCell.js';
@@ -68,3 +69,53 @@
   t.true(readCounter(cell, 'holds_failed') > 0);
   t.deepEqual(cell.fleet.violations(), []);
 });
+
+function submit(cell: SchedulerCell, index: number): Promise<CallerAnswer> {
+  return cell.currentTerm()!.handle({
+    action: 'submit',
+    host: 'cell.example',
+    path: `/work/${createJobId(index)}`,
+    key: 'key-1',
+    specification: createJobSpecification({}),
+    bodyBytes: 100,
+  });
+}
+
+function codeOf(answer: CallerAnswer): string {
+  return answer.kind === 'failed' ? `${answer.failure.code} ${answer.failure.run}` : answer.kind;
+}
+
+test('an owner that is late most of the time says so at once, and does not blame the store', async (t) => {
+  const cell = createSchedulerCell();
+  cell.startProcess('owner');
+  await cell.advance(1_000);
+  await stallFor(cell, 1_500, 180, 4);
+  const pending = submit(cell, 1);
+  await cell.advance(2_000);
+  const answer = await pending;
+  t.is(codeOf(answer), 'owner-overloaded not-run');
+  t.true(answer.kind === 'failed' && answer.failure.retryAfterMilliseconds! >= 1_000);
+  const path = `/work/${createJobId(1)}`;
+  t.is((await cell.call({ action: 'status', path })).kind, 'no-job');
+  t.is((await cell.call({ path, specification: createJobSpecification({}) })).kind, 'accepted');
+});
+
+test('a job whose write was not sent when the term ended is not answered as unknown', async (t) => {
+  const cell = createSchedulerCell();
+  cell.startProcess('first');
+  await cell.advance(1_000);
+  cell.store.faultsOf('first').latencyMilliseconds = 140;
+  const answers = [submit(cell, 1)];
+  await cell.advance(50);
+  answers.push(submit(cell, 2));
+  await cell.advance(20);
+  cell.killOwner();
+  cell.startProcess('second');
+  await cell.advance(4_000);
+  t.deepEqual((await Promise.all(answers)).map(codeOf), [
+    'acceptance-unknown unknown',
+    'not-ready not-run',
+  ]);
+  const path = `/work/${createJobId(2)}`;
+  t.is((await cell.call({ action: 'status', path })).kind, 'no-job');
+});
--- a/packages/scheduler/src/core/callerService.ts
+++ b/packages/scheduler/src/core/callerService.ts
@@ -17,6 +17,8 @@
 const ACCEPT_TIMEOUT_MILLISECONDS = 1_000;
 /** Time until the caller is told that it is unknown whether the change is durable. */
 const DURABILITY_TIMEOUT_MILLISECONDS = 2_500;
+/** Time in which answers that have arrived are read, also by a busy process. */
+const UNREAD_ANSWER_MILLISECONDS = 20;
 const RETRY_AFTER_MILLISECONDS = 1_000;
 const JOB_ID = /^[0-9a-f]{16}$/;
 
@@ -91,19 +93,51 @@
     return count;
   }
 
+  /** @returns why a job cannot be made durable in time, as far as that is known before it is staged; null if it can */
+  function findBottleneck(): 'owner-overloaded' | 'store-unavailable' | null {
+    if (context.lateness.isOverloaded()) return 'owner-overloaded';
+    return commits.expectedWaitMilliseconds() > ACCEPT_TIMEOUT_MILLISECONDS
+      ? 'store-unavailable'
+      : null;
+  }
+
+  function refuseUnstaged(jobId: string, code: 'owner-overloaded' | 'store-unavailable') {
+    const waitMilliseconds = Math.round(commits.expectedWaitMilliseconds());
+    if (code === 'owner-overloaded') metrics.count('jobs_refused_by_late_owner');
+    log.info('job refused', {
+      job: jobId,
+      reason: code === 'owner-overloaded' ? 'owner is late' : 'store is not answering',
+      latePercent: Math.round(100 * context.lateness.lateShare()),
+      expectedWait: waitMilliseconds,
+    });
+    return refuse(
+      code,
+      {},
+      { retryAfterMilliseconds: Math.max(RETRY_AFTER_MILLISECONDS, waitMilliseconds) },
+    );
+  }
+
+  /** @returns whether the acceptance is durable; an answer that has arrived by the limit is read before it counts */
+  async function awaitDurable(durable: Promise<boolean>, milliseconds: number) {
+    const outcome = await withTimeout(clock, durable, milliseconds);
+    return outcome === TIMED_OUT
+      ? withTimeout(clock, durable, UNREAD_ANSWER_MILLISECONDS)
+      : outcome;
+  }
+
   async function awaitAcceptance(jobId: string): Promise<CallerAnswer> {
     const entry = pendingAcceptances.get(jobId);
     if (!entry) return { kind: 'accepted' };
-    const first = await withTimeout(clock, entry.durable, ACCEPT_TIMEOUT_MILLISECONDS);
+    const first = await awaitDurable(entry.durable, ACCEPT_TIMEOUT_MILLISECONDS);
     const isRefused = first === TIMED_OUT && commits.withdraw(specificationKey(jobId));
-    if (isRefused) {
-      log.info('job refused', { job: jobId, reason: 'store is not answering' });
-      return refuse('store-unavailable', {}, { retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS });
-    }
+    if (isRefused) return refuseUnstaged(jobId, findBottleneck() ?? 'store-unavailable');
     const remainingMilliseconds = DURABILITY_TIMEOUT_MILLISECONDS - ACCEPT_TIMEOUT_MILLISECONDS;
     const second =
-      first === TIMED_OUT ? await withTimeout(clock, entry.durable, remainingMilliseconds) : first;
-    return second === true ? { kind: 'accepted' } : refuse('acceptance-unknown');
+      first === TIMED_OUT ? await awaitDurable(entry.durable, remainingMilliseconds) : first;
+    if (second === true) return { kind: 'accepted' };
+    // The term ended before the write was sent; the next owner may accept the job.
+    const isUnsent = second === false && commits.wasUnsent(specificationKey(jobId));
+    return refuse(isUnsent ? 'not-ready' : 'acceptance-unknown');
   }
 
   function stageAcceptance(
@@ -157,6 +191,8 @@
       log.info('job refused', { job: jobId, reason: 'too large', tasks, limit });
       return refuse('job-too-large', { tasks, limit });
     }
+    const bottleneck = findBottleneck();
+    if (bottleneck) return refuseUnstaged(jobId, bottleneck);
     stageAcceptance(jobId, queue, team, request);
     return awaitAcceptance(jobId);
   }
--- a/packages/scheduler/src/core/commitQueue.ts
+++ b/packages/scheduler/src/core/commitQueue.ts
@@ -19,6 +19,9 @@
 /** Bounds of the timeout of a write. */
 const WRITE_TIMEOUTS = { minimumMilliseconds: 150, maximumMilliseconds: 1_500 };
 
+/** Weight of a new group in the smoothed duration of groups. */
+const GROUP_SAMPLE_WEIGHT = 0.2;
+
 /** Time after which a key that nothing waits for is written like the others, in milliseconds. */
 const MAXIMUM_DEFERRAL_MILLISECONDS = 400;
 
@@ -60,6 +63,13 @@
   withdraw(key: string): boolean;
   /** @returns age of the oldest key that is not durable, in milliseconds; 0 if there is none */
   delayMilliseconds(): number;
+  /**
+   * @returns expected time until the write of a key that is staged now is sent, in milliseconds, from the groups
+   * before it and the duration of recent ones; writes that the store has not confirmed at once do not count
+   */
+  expectedWaitMilliseconds(): number;
+  /** @returns whether the last change of a key was certainly not sent when the queue was closed */
+  wasUnsent(key: string): boolean;
   /** @returns number of keys that wait for a write */
   stagedKeys(): number;
   /** Ends the queue; keys that are not durable resolve to false. */
@@ -88,6 +98,9 @@
   let isRunning = false;
   /** Start of the group whose write was the first that the store has not confirmed; null while commits go on. */
   let delayedSince: number | null = null;
+  let groupMilliseconds = GROUP_DELAY_MILLISECONDS;
+  /** Keys that were staged when the queue was closed. */
+  let unsentKeys: ReadonlySet<string> = new Set();
 
   function resolveAll(keys: Iterable<StagedKey>, isDurable: boolean): void {
     for (const { resolvers } of keys) resolvers.forEach((resolve) => resolve(isDurable));
@@ -96,6 +109,7 @@
   function close(): void {
     if (isClosed) return;
     isClosed = true;
+    unsentKeys = new Set(staged.keys());
     resolveAll(staged.values(), false);
     resolveAll(
       inFlight.map(([, entry]) => entry),
@@ -110,13 +124,15 @@
     options.onOwnershipLost(reason);
   }
 
+  function isDue([, { urgency, stagedAt }]: [string, StagedKey]): boolean {
+    const deferrableSince = clock.monotonicMilliseconds() - MAXIMUM_DEFERRAL_MILLISECONDS;
+    return urgency === 'now' || stagedAt <= deferrableSince;
+  }
+
   /** @returns staged keys in the order in which they are written */
   function orderStagedKeys(): [string, StagedKey][] {
     const keys = [...staged];
     if (keys.length <= MAXIMUM_KEYS_PER_GROUP) return keys;
-    const deferrableSince = clock.monotonicMilliseconds() - MAXIMUM_DEFERRAL_MILLISECONDS;
-    const isDue = ([, { urgency, stagedAt }]: [string, StagedKey]) =>
-      urgency === 'now' || stagedAt <= deferrableSince;
     return [...keys.filter(isDue), ...keys.filter((entry) => !isDue(entry))];
   }
 
@@ -218,6 +234,10 @@
       const outcome = await send(write);
       if (isClosed) return;
       if (outcome.kind === 'written') {
+        if (!mayBeExecuted) {
+          const took = clock.monotonicMilliseconds() - startedAt + GROUP_DELAY_MILLISECONDS;
+          groupMilliseconds += GROUP_SAMPLE_WEIGHT * (took - groupMilliseconds);
+        }
         finishGroup(outcome.revision, startedAt);
         return;
       }
@@ -287,6 +307,12 @@
       const now = clock.monotonicMilliseconds();
       return now - Math.min(now, ...times);
     },
+    expectedWaitMilliseconds() {
+      const due = [...staged].filter(isDue).length;
+      const groups = Math.floor(due / MAXIMUM_KEYS_PER_GROUP) + (inFlight.length > 0 ? 1 : 0);
+      return groups * groupMilliseconds;
+    },
+    wasUnsent: (key) => unsentKeys.has(key),
     stagedKeys: () => staged.size,
     close,
   };
--- a/packages/scheduler/src/core/scheduler.ts
+++ b/packages/scheduler/src/core/scheduler.ts
@@ -26,6 +26,8 @@
 /** A call is not sent to the owner with less time left, because its answer would come too late to be known. */
 const MINIMUM_CALL_MILLISECONDS = 150;
 const RETRY_AFTER_MILLISECONDS = 1_000;
+/** Refusals that depend on the load at the moment. */
+const LOAD_REFUSALS: ReadonlySet<string> = new Set(['owner-overloaded', 'store-unavailable']);
 
 export interface SchedulerOptions extends SchedulerDependencies {
   /** Null where the platform has no advice service. */
@@ -290,6 +292,11 @@
     );
   }
 
+  /** An earlier attempt without an answer may still wait at the same owner, and be accepted after the refusal. */
+  function isLoadRefusal(answer: CallerAnswer): boolean {
+    return answer.kind === 'failed' && LOAD_REFUSALS.has(answer.failure.code);
+  }
+
   /** @returns answer of the owner; `not-sent` if there is no owner to send to, `lost` if it did not answer */
   async function callOwner(
     request: CallerRequest,
@@ -356,14 +363,20 @@
       const startedAt = clock.monotonicMilliseconds();
       const limit = Math.min(limitMilliseconds, OWNER_TIMEOUT_MILLISECONDS);
       let wasSent = false;
+      let unansweredEpoch: number | null = null;
       for (;;) {
         const remaining = limit - (clock.monotonicMilliseconds() - startedAt);
         if (remaining <= (wasSent ? 0 : MINIMUM_CALL_MILLISECONDS)) {
           return createTimeoutAnswer(wasSent);
         }
+        const epoch = ownerChannel?.owner.epoch ?? null;
         const answer = await callOwner(request, remaining);
+        if (answer === 'lost') unansweredEpoch = epoch;
         if (answer === 'lost' || isAcceptanceUnknown(answer)) wasSent = true;
-        else if (answer !== 'not-sent' && !isRetriable(answer)) return answer;
+        else if (answer !== 'not-sent' && !isRetriable(answer)) {
+          const isSameOwner = unansweredEpoch !== null && unansweredEpoch === epoch;
+          if (!isSameOwner || !isLoadRefusal(answer)) return answer;
+        }
         await awaitOwnerChange(Math.min(remaining, RECONNECT_DELAY_MILLISECONDS));
       }
     },
--- a/packages/scheduler/src/core/schedulerMetrics.ts
+++ b/packages/scheduler/src/core/schedulerMetrics.ts
@@ -10,6 +10,7 @@
   jobs_completed: 'Jobs that ended as completed.',
   jobs_failed: 'Jobs that ended as failed.',
   jobs_cancelled: 'Jobs cancelled.',
+  jobs_refused_by_late_owner: 'Jobs refused because the owner itself was late.',
   calls_refused: 'Calls of callers answered with a failure.',
   starts_sent: 'Orders to start a run.',
   starts_refused: 'Orders to start that an endpoint refused.',
