--- /dev/null
+++ b/packages/proving/src/__tests__/evacuation.test.ts
@@ -0,0 +1,155 @@
+import { createSilentLog } from '@chicorybend/common';
+import { EVACUATION_PREFIX } from '@chicorybend/standins';
+import type { EndpointFleetOptions } from '@chicorybend/standins';
+import test from 'ava';
+
+import { createJobId, createJobSpecification, createSchedulerCell } from '../core/schedulerCell.js';
+import type { SchedulerCell } from '../core/schedulerCell.js';
+
+const BOUND_MILLISECONDS = 5_000;
+
+/** @returns cell with two endpoints in each of two data centres, z0 and z1, and an owner */
+async function createZonedCell(
+  options: Partial<EndpointFleetOptions> = {},
+  evacuateMilliseconds: number | null = BOUND_MILLISECONDS,
+): Promise<SchedulerCell> {
+  const cell = createSchedulerCell({ dataCentreOf: (index) => `z${index % 2}`, ...options });
+  cell.evacuateMilliseconds = evacuateMilliseconds;
+  cell.startProcess('first');
+  await cell.advance(500);
+  return cell;
+}
+
+/** Submits 32 short tasks a second, as many as one data centre can run, for the time given. */
+async function loadFor(cell: SchedulerCell, seconds: number, isInTime = () => true): Promise<void> {
+  const first = Math.round(cell.clock.monotonicMilliseconds());
+  for (let index = 0; index < seconds && isInTime(); index += 1) {
+    if (cell.currentTerm()) {
+      const specification = createJobSpecification({ count: 32 });
+      await cell.call({ path: `/work/${createJobId(first + index)}`, specification });
+    }
+    await cell.advance(1_000 - (cell.clock.monotonicMilliseconds() % 1_000));
+  }
+}
+
+function evacuate(cell: SchedulerCell, dataCentre: string, value = '{}'): number {
+  cell.store.put(`${EVACUATION_PREFIX}${dataCentre}`, value);
+  return cell.clock.monotonicMilliseconds();
+}
+
+/** @returns number of starts in a data centre that were executed in a span of time */
+function countStarts(cell: SchedulerCell, dataCentre: string, from: number, to = Infinity): number {
+  const ids = cell.fleet.entries().filter((entry) => entry.dataCentre === dataCentre);
+  return cell.fleet.history.filter(
+    ({ endpointId, startedAt }) =>
+      startedAt >= from && startedAt < to && ids.some((entry) => entry.endpointId === endpointId),
+  ).length;
+}
+
+test('an evacuated data centre gets no start after the bound, and gets starts again after the removal', async (t) => {
+  const cell = await createZonedCell();
+  await loadFor(cell, 2);
+  const confirmedAt = evacuate(cell, 'z0');
+  await loadFor(cell, 9);
+  t.is(countStarts(cell, 'z0', confirmedAt + BOUND_MILLISECONDS), 0);
+  t.true(countStarts(cell, 'z1', confirmedAt + BOUND_MILLISECONDS) > 60);
+  cell.store.remove(`${EVACUATION_PREFIX}z0`);
+  const removedAt = cell.clock.monotonicMilliseconds();
+  await loadFor(cell, 2);
+  t.true(countStarts(cell, 'z0', removedAt) > 0);
+  t.deepEqual(cell.fleet.violations(), []);
+});
+
+test('two data centres evacuated in turn get no start, with the owner killed and the store slow between', async (t) => {
+  const cell = await createZonedCell();
+  cell.startProcess('second');
+  cell.store.faultsOf('first').latencyMilliseconds = 100;
+  cell.store.faultsOf('second').latencyMilliseconds = 100;
+  await loadFor(cell, 2);
+  const firstAt = evacuate(cell, 'z0');
+  await loadFor(cell, 1);
+  cell.killOwner();
+  await loadFor(cell, 7);
+  const removedAt = cell.clock.monotonicMilliseconds();
+  cell.store.remove(`${EVACUATION_PREFIX}z0`);
+  const secondAt = evacuate(cell, 'z1', 'not { JSON');
+  await loadFor(cell, 8);
+  t.is(countStarts(cell, 'z0', firstAt + BOUND_MILLISECONDS, removedAt), 0);
+  t.true(countStarts(cell, 'z1', firstAt + BOUND_MILLISECONDS, removedAt) > 0);
+  t.is(countStarts(cell, 'z1', secondAt + BOUND_MILLISECONDS), 0);
+  t.true(countStarts(cell, 'z0', secondAt + BOUND_MILLISECONDS) > 0);
+  t.deepEqual(cell.fleet.violations(), []);
+});
+
+test('no start begins later than the bound after the last answered read, and starts resume with the next one', async (t) => {
+  const cell = await createZonedCell({ durationOf: () => 100 });
+  cell.isEvacuationReadable = false;
+  const lastReadBy = cell.clock.monotonicMilliseconds();
+  await loadFor(cell, 8);
+  t.true(countStarts(cell, 'z0', lastReadBy + 2_000) > 0);
+  t.is(countStarts(cell, 'z0', lastReadBy + BOUND_MILLISECONDS), 0);
+  t.is(countStarts(cell, 'z1', lastReadBy + BOUND_MILLISECONDS), 0);
+  cell.isEvacuationReadable = true;
+  const readableAt = cell.clock.monotonicMilliseconds();
+  await cell.advance(1_500);
+  t.true(countStarts(cell, 'z0', readableAt) > 0);
+});
+
+test('a new owner starts nothing before it has read the data centres out of service', async (t) => {
+  const cell = await createZonedCell();
+  evacuate(cell, 'z0');
+  cell.killOwner();
+  cell.isEvacuationReadable = false;
+  cell.startProcess('second');
+  await cell.advance(3_000);
+  await cell.call({ specification: createJobSpecification({ count: 4 }) });
+  await cell.advance(1_000);
+  t.is(cell.fleet.history.length, 0);
+  cell.isEvacuationReadable = true;
+  await cell.advance(1_000);
+  t.is(countStarts(cell, 'z0', 0), 0);
+  t.is(countStarts(cell, 'z1', 0), 4);
+});
+
+test('starts that wait for the store are withdrawn when their data centre is evacuated meanwhile', async (t) => {
+  const cell = await createZonedCell();
+  await cell.call({ specification: createJobSpecification({ count: 24 }) });
+  Object.assign(cell.store.faultsOf('first'), {
+    lostAnswerFraction: 1,
+    unansweredWriteDelayMilliseconds: 1_000,
+  });
+  await cell.advance(50);
+  evacuate(cell, 'z0');
+  await cell.advance(850);
+  cell.store.faultsOf('first').lostAnswerFraction = 0;
+  await cell.advance(4_000);
+  t.is(countStarts(cell, 'z0', 0), 0);
+  t.is(countStarts(cell, 'z1', 0), 24);
+  t.regex(cell.metrics.expose(), /^chicorybend_starts_withdrawn_total 16$/m);
+  t.deepEqual(await cell.call({ action: 'status' }), { kind: 'status', status: 'completed' });
+});
+
+test('names of unknown data centres have no effect, and each change has one log line', async (t) => {
+  const lines: unknown[] = [];
+  const log = createSilentLog();
+  log.attachTransport((line) => lines.push(line[0]));
+  const cell = createSchedulerCell({ dataCentreOf: () => 'z0' }, () => 0.5, log);
+  cell.evacuateMilliseconds = BOUND_MILLISECONDS;
+  cell.startProcess('first');
+  await cell.advance(500);
+  ['nowhere', 'z0/', '\u0000', '__proto__'].forEach((name) => evacuate(cell, name, '\u0000['));
+  await cell.advance(1_000);
+  evacuate(cell, 'nowhere');
+  await loadFor(cell, 8);
+  t.true(countStarts(cell, 'z0', 6_500) > 0);
+  t.is(lines.filter((line) => line === 'data centre out of service').length, 4);
+});
+
+test('without the setting nothing is read, and starts go on without answers', async (t) => {
+  const cell = await createZonedCell({}, null);
+  cell.isEvacuationReadable = false;
+  const confirmedAt = evacuate(cell, 'z0');
+  await loadFor(cell, 7);
+  t.true(countStarts(cell, 'z0', confirmedAt + BOUND_MILLISECONDS) > 0);
+  t.regex(cell.metrics.expose(), /^chicorybend_evacuation_reads_failed_total 0$/m);
+});
--- a/packages/proving/src/__tests__/formerOwner.test.ts
+++ b/packages/proving/src/__tests__/formerOwner.test.ts
@@ -45,6 +45,7 @@
         configurationSource: {
           read: () => Promise.resolve({ kind: 'answered', configuration: CONFIGURATION }),
         },
+        evacuation: null,
         timeLimits: {
           maximumLeaseMilliseconds: 10_000,
           maximumOrderDelayMilliseconds: 12_000,
--- a/packages/proving/src/core/schedulerCell.ts
+++ b/packages/proving/src/core/schedulerCell.ts
@@ -17,7 +17,11 @@
   SchedulerMetrics,
   StepSpecification,
 } from '@chicorybend/scheduler';
-import { createClusterStoreStandIn, createEndpointFleetStandIn } from '@chicorybend/standins';
+import {
+  createClusterStoreStandIn,
+  createEndpointFleetStandIn,
+  createEvacuationSourceStandIn,
+} from '@chicorybend/standins';
 import type {
   ClusterStoreStandIn,
   EndpointFleetOptions,
@@ -53,6 +57,10 @@
   isDirectoryReadable: boolean;
   /** Whether reads of the configuration get no answer, so that they end with their timeout. */
   isConfigurationSilent: boolean;
+  /** Bound of evacuations for terms that begin from now on, in milliseconds; null, the default, for none. */
+  evacuateMilliseconds: number | null;
+  /** Whether reads of the data centres out of service are answered. */
+  isEvacuationReadable: boolean;
   /** @param onTermStart called right before each term of the process starts */
   startProcess(
     name: string,
@@ -172,6 +180,8 @@
     isConfigurationReadable: true,
     isDirectoryReadable: true,
     isConfigurationSilent: false,
+    evacuateMilliseconds: null,
+    isEvacuationReadable: true,
     startProcess(name, onTermStart = () => {}, claimDelayMilliseconds = 0) {
       let term: OwnerTerm | null = null;
       let isKilled = false;
@@ -212,6 +222,13 @@
                 return { kind: 'answered', configuration: cell.configuration };
               },
             },
+            evacuation:
+              cell.evacuateMilliseconds === null
+                ? null
+                : {
+                    source: createEvacuationSourceStandIn(client, () => cell.isEvacuationReadable),
+                    boundMilliseconds: cell.evacuateMilliseconds,
+                  },
             timeLimits: {
               maximumLeaseMilliseconds: 10_000,
               maximumOrderDelayMilliseconds: 12_000,
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -510,6 +510,7 @@
     return (
       isListed &&
       !entry.isDraining &&
+      context.evacuations.isInService(entry.dataCentre) &&
       unansweredCalls === 0 &&
       !transitions.isQuarantined(entry.endpointId)
     );
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -102,7 +102,8 @@
   state: EndpointState,
   events: SessionEvents,
 ): EndpointSession {
-  const { clock, log, metrics, workMeter, endpoints, outstandingStarts, table } = context;
+  const { clock, log, metrics, workMeter, endpoints, outstandingStarts, table, evacuations } =
+    context;
   /** Whether all ends applied so far are durable. */
   let appliedEndsDurable: Promise<boolean> = Promise.resolve(true);
   let isPolling = false;
@@ -562,6 +563,7 @@
       context.isOwnerLeaseValid() &&
       state.clockOffset !== null &&
       state.isFenced &&
+      evacuations.mayStart(state.entry.dataCentre) &&
       task.endpointBornAt === state.bornAt &&
       (state.entry.bornAt === state.bornAt || isFormerIncarnation(state, state.entry.bornAt))
     );
@@ -619,7 +621,10 @@
     canStart,
     async start(task, ticket) {
       const { run } = task;
-      const tolerance = remainingToleranceMilliseconds(state, now());
+      const tolerance = Math.min(
+        remainingToleranceMilliseconds(state, now()),
+        evacuations.remainingMilliseconds(),
+      );
       const deadline = canStart(task)
         ? extendLeaseDeadline(Math.min(START_DEADLINE_MILLISECONDS, tolerance))
         : null;
--- a/packages/scheduler/src/core/keptEndpoints.ts
+++ b/packages/scheduler/src/core/keptEndpoints.ts
@@ -25,7 +25,7 @@
   context: TermContext,
   transitions: TaskTransitions,
 ): KeptEndpoints {
-  const { clock, settings, table } = context;
+  const { clock, evacuations, settings, table } = context;
   const headrooms = new Map<string, UrgentHeadroom>();
   let kept: ReadonlySet<string> = new Set();
   let chosenAt = -Infinity;
@@ -40,7 +40,7 @@
   function measureLoads(): Map<string, MutableServiceLoad> {
     const loads = new Map<string, MutableServiceLoad>();
     for (const { entry, isListed, used } of table.all()) {
-      if (isListed && !entry.isDraining) {
+      if (isListed && !entry.isDraining && evacuations.isInService(entry.dataCentre)) {
         const { endpointId, capacity, service } = entry;
         const load = loads.get(service) ?? { urgentDemand: 0, inUse: 0, endpoints: [] };
         load.endpoints.push({ endpointId, processors: capacity.processors });
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -40,6 +40,7 @@
 import type { EndpointSession } from './endpointSession.js';
 import { createEndpointTable, isFormerIncarnation, leaseExpiryOf } from './endpointTable.js';
 import type { EndpointState, LeaseExpiries } from './endpointTable.js';
+import { createEvacuationWatch } from './evacuationWatch.js';
 import {
   applyState,
   countOccurrences,
@@ -136,6 +137,15 @@
   const readLatency = createLatencyEstimate(READ_TIMEOUTS);
   const estimates = createDurationEstimates(clock);
   const workMeter = createWorkMeter(clock);
+  const evacuations = createEvacuationWatch({
+    settings: options.evacuation,
+    clock,
+    log,
+    metrics,
+    table,
+    hasEnded: () => hasEnded,
+    onChange: () => components?.dispatcher.requestRound(),
+  });
   const adviceCache = createAdviceCache({
     clock,
     log,
@@ -177,6 +187,7 @@
       configuration: () => configuration!,
       settings,
       outstandingStarts: createOutstandingStarts({ clock, log, metrics, timeLimits, table, jobs }),
+      evacuations,
       isOwnerLeaseValid: () => !hasEnded && options.isOwnerLeaseValid(),
       hasEnded: () => hasEnded,
       abandonTerm: options.onOwnershipLost,
@@ -599,6 +610,7 @@
 
   return {
     async run() {
+      void evacuations.run();
       if (!(await recover())) return;
       void keepConfigurationCurrent();
       void runPeriodically(DIRECTORY_INTERVAL_MILLISECONDS, readDirectory);
--- a/packages/scheduler/src/core/roundCandidates.ts
+++ b/packages/scheduler/src/core/roundCandidates.ts
@@ -27,7 +27,7 @@
 }
 
 function isUsable(
-  { clock }: TermContext,
+  { clock, evacuations }: TermContext,
   transitions: TaskTransitions,
   state: EndpointState,
 ): boolean {
@@ -39,6 +39,7 @@
     state.isReconciled &&
     state.isFenced &&
     !entry.isDraining &&
+    evacuations.mayStart(entry.dataCentre) &&
     entry.bornAt === state.bornAt &&
     state.clockOffset !== null &&
     state.unansweredCalls === 0 &&
--- a/packages/scheduler/src/core/schedulerMetrics.ts
+++ b/packages/scheduler/src/core/schedulerMetrics.ts
@@ -17,8 +17,9 @@
   starts_outstanding: 'Starts that were given up and may still be executed.',
   unknown_runs_stopped: 'Runs that an endpoint lists and that are not recorded there.',
   starts_withdrawn:
-    'Starts not sent because they no longer fitted, or the capacity was not known any more.',
+    'Starts not sent because they no longer fitted, or the capacity or the service of the data centre was not known.',
   stops_sent: 'Orders to stop a run.',
+  evacuation_reads_failed: 'Reads of the data centres out of service without an answer.',
   capacity_changes: 'Changes of the capacity that an endpoint reports during one incarnation.',
   holds_sent: 'Calls that extend leases on an endpoint.',
   holds_failed: 'Such calls without an answer.',
--- a/packages/scheduler/src/core/stepOrder.ts
+++ b/packages/scheduler/src/core/stepOrder.ts
@@ -15,11 +15,13 @@
 /** Keeps the weighted share finite for a team of weight 0. */
 const MINIMUM_WEIGHT = 1e-9;
 
-/** @returns total capacity of the listed endpoints */
-export function sumCapacity({ table }: TermContext): Resources {
+/** @returns total capacity of the listed endpoints in service */
+export function sumCapacity({ table, evacuations }: TermContext): Resources {
   let total = NO_RESOURCES;
   for (const { entry, isListed } of table.all()) {
-    if (isListed) total = addResources(total, entry.capacity);
+    if (isListed && evacuations.isInService(entry.dataCentre)) {
+      total = addResources(total, entry.capacity);
+    }
   }
   return total;
 }
--- a/packages/scheduler/src/core/unsentStarts.ts
+++ b/packages/scheduler/src/core/unsentStarts.ts
@@ -12,7 +12,7 @@
   add(task: TaskRecord): void;
   /**
    * Takes out starts that are about to be sent or withdrawn. The capacity of an endpoint may have changed since the
-   * placement, because a write to the store can take seconds.
+   * placement, or its data centre may be out of service, because a write to the store can take seconds.
    *
    * @returns tasks whose start still fits on its endpoint
    */
@@ -20,12 +20,19 @@
 }
 
 /** Creates the set for one term. */
-export function createUnsentStarts({ clock, log, metrics, table }: TermContext): UnsentStarts {
+export function createUnsentStarts({
+  clock,
+  log,
+  metrics,
+  table,
+  evacuations,
+}: TermContext): UnsentStarts {
   const unsent = new WeakSet<TaskRecord>();
 
   function selectFitting(state: EndpointState): TaskRecord[] {
     if (!isCapacityRecent(state, clock.monotonicMilliseconds())) return [];
     const { entry, runs } = state;
+    if (!evacuations.mayStart(entry.dataCentre)) return [];
     const charged = [...runs.values()].map((task) => ({
       task,
       resources: chargedResources(task.step.specification),
@@ -44,6 +51,7 @@
       capacity: entry.capacity,
       age: Math.round(clock.monotonicMilliseconds() - entryReadAt),
       used,
+      isInService: evacuations.isInService(entry.dataCentre),
     });
   }
 
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -60,6 +60,11 @@
   ServiceSettings,
   TeamQuota,
 } from './types/configuration.js';
+export type {
+  EvacuationOutcome,
+  EvacuationSettings,
+  EvacuationSource,
+} from './types/evacuation.js';
 export type { EndpointTimeLimits } from './types/termContext.js';
 
 /** Requests of API callers and their answers. */
--- a/packages/scheduler/src/types/schedulerDependencies.ts
+++ b/packages/scheduler/src/types/schedulerDependencies.ts
@@ -4,6 +4,7 @@
 import type { ClusterStore } from './clusterStore.js';
 import type { ConfigurationSource } from './configuration.js';
 import type { EndpointClient, EndpointDirectory } from './endpoint.js';
+import type { EvacuationSettings } from './evacuation.js';
 import type { EndpointTimeLimits } from './termContext.js';
 
 /** Services that the process and the platform provide to the scheduler. */
@@ -15,6 +16,8 @@
   readonly endpoints: EndpointClient;
   readonly directory: EndpointDirectory;
   readonly configurationSource: ConfigurationSource;
+  /** Null if the deployment does not take data centres out of service. */
+  readonly evacuation: EvacuationSettings | null;
   readonly timeLimits: EndpointTimeLimits;
   /** Maximum size of a value in the store, in bytes. */
   readonly maximumValueBytes: number;
--- a/packages/scheduler/src/types/termContext.ts
+++ b/packages/scheduler/src/types/termContext.ts
@@ -2,6 +2,7 @@
 
 import type { CommitQueue } from '../core/commitQueue.js';
 import type { EndpointTable } from '../core/endpointTable.js';
+import type { EvacuationWatch } from '../core/evacuationWatch.js';
 import type { JobSettings } from '../core/jobSettings.js';
 import type { OutstandingStarts } from '../core/outstandingStarts.js';
 import type { SchedulerMetrics } from '../core/schedulerMetrics.js';
@@ -46,6 +47,7 @@
   configuration(): ClusterConfiguration;
   readonly settings: JobSettings;
   readonly outstandingStarts: OutstandingStarts;
+  readonly evacuations: EvacuationWatch;
   /** @returns whether the owner's lease is valid, so that the term may send orders */
   isOwnerLeaseValid(): boolean;
   hasEnded(): boolean;
--- a/packages/standins/src/core/endpointFleetStandIn.ts
+++ b/packages/standins/src/core/endpointFleetStandIn.ts
@@ -114,7 +114,7 @@
       endpointId: name,
       service: options.service,
       address: `10.0.0.${index + 1}:80`,
-      dataCentre: 'one',
+      dataCentre: options.dataCentreOf?.(index) ?? 'one',
       isDraining: false,
       drainRemainingMilliseconds: null,
       capacity: options.capacity,
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -32,6 +32,7 @@
 /** In-memory store and endpoints for the scheduler, on a clock that the caller controls. */
 export { createClusterStoreStandIn } from './core/clusterStoreStandIn.js';
 export type { ClusterStoreFaults, ClusterStoreStandIn } from './core/clusterStoreStandIn.js';
+export { createEvacuationSourceStandIn, EVACUATION_PREFIX } from './core/evacuationStandIn.js';
 export { createEndpointFleetStandIn } from './core/endpointFleetStandIn.js';
 export { crashTimesUnder } from './core/fleetRecords.js';
 export type {
--- a/packages/standins/src/types/fleet.ts
+++ b/packages/standins/src/types/fleet.ts
@@ -128,6 +128,8 @@
   readonly capacity: Resources;
   /** Number of endpoints per rack. */
   readonly rackSize: number;
+  /** Data centre of an endpoint by its index; `one` by default. */
+  readonly dataCentreOf?: (index: number) => string;
   /** Duration of a run in milliseconds; Infinity runs until stopped. */
   readonly durationOf: (order: StartOrder) => number;
   /** Resources of a run; one processor by default. */
