--- a/packages/decisions/src/__tests__/loopLateness.test.ts
+++ b/packages/decisions/src/__tests__/loopLateness.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 
-import { createLoopLateness } from '../index.js';
+import { createLoopLateness, decideShedding } from '../index.js';
 
 const CALL = { sentAt: 1_000, waitMilliseconds: 0, timeoutMilliseconds: 250 };
 
@@ -24,3 +24,9 @@
   t.is(lateness.lateShare(1_000), 0.4);
   t.is(lateness.lateShare(1_600), 0);
 });
+
+test('optional work is left out before new jobs, and nothing while wake-ups are in time', (t) => {
+  const levels = [0, 0.2, 0.3, 0.4, 0.5, 1].map(decideShedding);
+  t.deepEqual(levels.slice(0, 4), ['nothing', 'nothing', 'optional-work', 'optional-work']);
+  t.deepEqual(levels.slice(4), ['new-jobs', 'new-jobs']);
+});
--- a/packages/scheduler/src/core/callerService.ts
+++ b/packages/scheduler/src/core/callerService.ts
@@ -95,7 +95,7 @@
 
   /** @returns why a job cannot be made durable in time, as far as that is known before it is staged; null if it can */
   function findBottleneck(): 'owner-overloaded' | 'store-unavailable' | null {
-    if (context.lateness.isOverloaded()) return 'owner-overloaded';
+    if (context.lateness.shedding() === 'new-jobs') return 'owner-overloaded';
     return commits.expectedWaitMilliseconds() > ACCEPT_TIMEOUT_MILLISECONDS
       ? 'store-unavailable'
       : null;
--- a/packages/scheduler/src/core/dispatcher.ts
+++ b/packages/scheduler/src/core/dispatcher.ts
@@ -49,6 +49,9 @@
 
 /** Maximum share of the time of the process that rounds take. */
 const MAXIMUM_ROUND_TIME_SHARE = 0.25;
+/** The same, and the minimum delay of a round, while the owner is late. */
+const SHED_ROUND_TIME_SHARE = 0.1;
+const SHED_ROUND_DELAY_MILLISECONDS = 25;
 
 /**
  * Number of blocked steps of one queue after which a round considers only some of the others, so that its duration
@@ -60,6 +63,8 @@
 
 /** Maximum number of calls for advice about one step at the same time. */
 const MAXIMUM_CALLS_PER_STEP = 3;
+/** The same while the owner is late. */
+const SHED_CALLS_PER_STEP = 1;
 
 export interface DispatcherOptions {
   readonly context: TermContext;
@@ -130,6 +135,10 @@
   let upcomingSteps: StepRecord[] = [];
   let roundRequestedAt = 0;
 
+  function isShedding(): boolean {
+    return context.lateness.shedding() !== 'nothing';
+  }
+
   /** Sets the number of tasks of a step on each endpoint, where that number is limited. */
   function countStepTasks(step: StepRecord, candidates: readonly RoundCandidate[]): void {
     if (step.specification.maximumPerEndpoint === 0) return;
@@ -205,7 +214,10 @@
       stepId: step.stepId,
       queue: queue.name,
       settings: advice,
-      maximumCalls: Math.min(MAXIMUM_CALLS_PER_STEP, countAdviceCalls(need, advice)),
+      maximumCalls: Math.min(
+        isShedding() ? SHED_CALLS_PER_STEP : MAXIMUM_CALLS_PER_STEP,
+        countAdviceCalls(need, advice),
+      ),
       chooseEndpoints() {
         countStepTasks(step, endpoints.all);
         const asked = adviceCache.askedEndpoints(step.stepId);
@@ -680,7 +692,9 @@
     workMeter.measure('rounds', runRound);
     const took = clock.monotonicMilliseconds() - startedAt;
     roundStatistics.record(took, startedAt - roundRequestedAt);
-    roundDelayMilliseconds = Math.max(ROUND_DELAY_MILLISECONDS, took / MAXIMUM_ROUND_TIME_SHARE);
+    roundDelayMilliseconds = isShedding()
+      ? Math.max(SHED_ROUND_DELAY_MILLISECONDS, took / SHED_ROUND_TIME_SHARE)
+      : Math.max(ROUND_DELAY_MILLISECONDS, took / MAXIMUM_ROUND_TIME_SHARE);
   }
 
   function createPrefetchRequest(step: StepRecord, endpoints: RoundEndpoints): AdviceRequest[] {
--- a/packages/scheduler/src/core/ownerLateness.ts
+++ b/packages/scheduler/src/core/ownerLateness.ts
@@ -1,19 +1,17 @@
-import { createLoopLateness } from '@chicorybend/decisions';
-import type { LoopLateness } from '@chicorybend/decisions';
+import { createLoopLateness, decideShedding } from '@chicorybend/decisions';
+import type { LoopLateness, SheddingLevel } from '@chicorybend/decisions';
 import { sleep } from '@chicorybend/common';
 import type { Clock } from '@chicorybend/common';
 
 /** Interval of the wake-ups that measure lateness. */
 const WAKE_UP_INTERVAL_MILLISECONDS = 25;
-/** From this part of the last second on, the owner is overloaded: hardly any wake-up is in time. */
-const OVERLOAD_SHARE = 0.7;
 
 /** Lateness of the owner's process. */
 export interface OwnerLateness extends Pick<LoopLateness, 'lateMilliseconds' | 'isSilenceShown'> {
   /** @returns part of the last second in which the process was late, from 0 to 1 */
   lateShare(): number;
-  /** @returns whether the process itself is too busy to do its work in time */
-  isOverloaded(): boolean;
+  /** @returns what the owner leaves out at present to do the rest of its work in time */
+  shedding(): SheddingLevel;
   /** Measures until the condition holds. */
   measureUntil(hasEnded: () => boolean): Promise<void>;
 }
@@ -37,7 +35,7 @@
       return loop.isSilenceShown(call);
     },
     lateShare,
-    isOverloaded: () => lateShare() >= OVERLOAD_SHARE,
+    shedding: () => decideShedding(lateShare()),
     async measureUntil(hasEnded) {
       while (!hasEnded()) {
         dueAt = clock.monotonicMilliseconds() + WAKE_UP_INTERVAL_MILLISECONDS;
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -2,7 +2,9 @@
   boundFormerOutstandingStart,
   boundFormerWidenedLeases,
   isReplacementNoticed,
+  SHEDDING_LEVELS,
 } from '@chicorybend/decisions';
+import type { SheddingLevel } from '@chicorybend/decisions';
 import {
   createFailure,
   RESOURCE_DIMENSIONS,
@@ -116,6 +118,7 @@
   const settings = createJobSettings();
   let configurationReadAt = -Infinity;
   let hasEnded = false;
+  let sheddingLevel: SheddingLevel = 'nothing';
   let lastFencingToken = term.epoch;
   let components: ReturnType<typeof createComponents> | null = null;
   const startedAt = clock.monotonicMilliseconds();
@@ -552,6 +555,14 @@
     if (isRemoved) void commits.stage(stateKey(jobId), () => null);
   }
 
+  function noteShedding(): void {
+    const level = lateness.shedding();
+    if (level === sheddingLevel) return;
+    sheddingLevel = level;
+    metrics.setGauge('shedding_level', SHEDDING_LEVELS.indexOf(level));
+    log.info('load shed', { level, latePercent: Math.round(100 * lateness.lateShare()) });
+  }
+
   function checkJobsAndEndpoints(): void {
     const wallNow = clock.wallMilliseconds();
     jobs.forEach((job) => {
@@ -574,6 +585,7 @@
   }
 
   function runHousekeeping(): Promise<boolean> {
+    noteShedding();
     workMeter.measure('housekeeping', checkJobsAndEndpoints);
     return Promise.resolve(true);
   }
@@ -604,6 +616,7 @@
   return {
     async run() {
       if (!(await recover())) return;
+      metrics.setGauge('shedding_level', 0);
       void lateness.measureUntil(() => hasEnded);
       void keepConfigurationCurrent();
       void runPeriodically(DIRECTORY_INTERVAL_MILLISECONDS, readDirectory);
--- a/packages/scheduler/src/core/schedulerMetrics.ts
+++ b/packages/scheduler/src/core/schedulerMetrics.ts
@@ -53,6 +53,14 @@
 
 export type CounterName = keyof typeof COUNTERS;
 
+/** Gauges of the scheduler, with their help texts. */
+export const GAUGES = {
+  shedding_level:
+    'What the owner leaves out because it is late: 0 nothing, 1 optional work, 2 new jobs.',
+} as const;
+
+export type GaugeName = keyof typeof GAUGES;
+
 /** Histograms of the scheduler in milliseconds, with their help texts. */
 export const HISTOGRAMS = {
   commit_milliseconds: 'Time from sending a group of changes until it is durable.',
@@ -70,6 +78,7 @@
 /** Counters and histograms of a process. */
 export interface SchedulerMetrics {
   count(name: CounterName, amount?: number): void;
+  setGauge(name: GaugeName, value: number): void;
   record(name: HistogramName, milliseconds: number): void;
   /** Adds the time that an owner has worked. */
   addWork(reading: WorkReading): void;
@@ -114,6 +123,7 @@
 
 export function createSchedulerMetrics(): SchedulerMetrics {
   const counters = new Map<CounterName, number>();
+  const gauges = new Map<GaugeName, number>();
   const histograms = new Map<HistogramName, Histogram>();
   const workMilliseconds = new Map<WorkPart, number>();
   let activeMilliseconds = 0;
@@ -122,6 +132,9 @@
     count(name, amount = 1) {
       counters.set(name, (counters.get(name) ?? 0) + amount);
     },
+    setGauge(name, value) {
+      gauges.set(name, value);
+    },
     record(name, milliseconds) {
       let histogram = histograms.get(name);
       if (!histogram) {
@@ -147,11 +160,16 @@
         `# TYPE chicorybend_${name}_total counter`,
         `chicorybend_${name}_total ${counters.get(name) ?? 0}`,
       ]);
+      const gaugeLines = [...gauges].flatMap(([name, value]) => [
+        `# HELP chicorybend_${name} ${GAUGES[name]}`,
+        `# TYPE chicorybend_${name} gauge`,
+        `chicorybend_${name} ${value}`,
+      ]);
       const histogramLines = [...histograms].flatMap(([name, histogram]) =>
         describeHistogram(name, histogram),
       );
       const workLines = describeWork(workMilliseconds, activeMilliseconds);
-      return `${[...counterLines, ...histogramLines, ...workLines].join('\n')}\n`;
+      return `${[...counterLines, ...gaugeLines, ...histogramLines, ...workLines].join('\n')}\n`;
     },
   };
 }
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -19,8 +19,13 @@
 export type { OwnerTerm, OwnerTermOptions } from './core/ownerTerm.js';
 export { splitAddress } from './core/peerChannel.js';
 
-export { COUNTERS, createSchedulerMetrics, HISTOGRAMS } from './core/schedulerMetrics.js';
-export type { CounterName, HistogramName, SchedulerMetrics } from './core/schedulerMetrics.js';
+export { COUNTERS, createSchedulerMetrics, GAUGES, HISTOGRAMS } from './core/schedulerMetrics.js';
+export type {
+  CounterName,
+  GaugeName,
+  HistogramName,
+  SchedulerMetrics,
+} from './core/schedulerMetrics.js';
 
 /** Interfaces that the platform implements for the scheduler. */
 export { MAXIMUM_WRITE_ENTRIES } from './types/clusterStore.js';
