--- a/packages/proving/src/__tests__/heldBackByLateOrders.test.ts
+++ b/packages/proving/src/__tests__/heldBackByLateOrders.test.ts
@@ -145,3 +145,20 @@
   t.is(readMetric(cell, 'endpoints_withheld_outstanding_start'), 0);
   t.deepEqual(cell.fleet.violations(), []);
 });
+
+// A write for each confirmed start raised the commits of an owner near its limit by half.
+test('confirmations of starts share their writes', async (t) => {
+  const cell = createSchedulerCell({ durationOf: () => 4_000 });
+  cell.startProcess('owner');
+  await cell.advance(1_000);
+  const before = readMetric(cell, 'commit_keys_total');
+  for (let job = 1; job <= 20; job += 1) {
+    const specification = createJobSpecification({ estimatedMilliseconds: 4_000 });
+    await cell.call({ path: `/work/${createJobId(job)}`, specification });
+    await cell.advance(SUBMIT_INTERVAL_MILLISECONDS);
+  }
+  await cell.advance(700);
+  t.is(readMetric(cell, 'starts_sent_total'), 20);
+  t.is(readMetric(cell, 'commit_keys_total') - before, 60);
+  t.true(readMetric(cell, 'commits_total') <= 45);
+});
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -523,10 +523,7 @@
 
   /** After a change of the owner, a run with a stored confirmation is not taken for one with the longest lease. */
   function isWorthStoring({ step }: TaskRecord): boolean {
-    return (
-      step.specification.isLongRunning ||
-      context.estimates.expectedMilliseconds(step) >= STORED_RUN_MILLISECONDS
-    );
+    return context.estimates.expectedMilliseconds(step) >= STORED_RUN_MILLISECONDS;
   }
 
   function confirmRun(task: TaskRecord, isStartKnown: boolean): void {
@@ -543,10 +540,9 @@
     task.progressReports = [];
     task.absenceConclusiveAfter = now();
     if (task.phase === 'stopping') void stop(task);
-    else if (isWorthStoring(task)) {
-      metrics.count('confirmations_stored');
-      void transitions.save(job, 'deferred');
-    }
+    // The users of a long-running task notice each second without it.
+    else if (specification.isLongRunning) void transitions.save(job, 'deferred');
+    else if (isWorthStoring(task)) transitions.saveConfirmation(job);
   }
 
   function isCurrentRun(task: TaskRecord, run: number): boolean {
--- a/packages/scheduler/src/core/taskTransitions.ts
+++ b/packages/scheduler/src/core/taskTransitions.ts
@@ -34,6 +34,9 @@
 const QUARANTINE_MILLISECONDS = 5_000;
 const MAXIMUM_QUARANTINE_MILLISECONDS = 30_000;
 
+/** Maximum delay of storing that a run was confirmed, in which the confirmations of other runs share the write. */
+const CONFIRMATION_DELAY_MILLISECONDS = 500;
+
 /** State transitions of tasks and jobs. */
 export interface TaskTransitions {
   /** Released steps that have pending tasks. */
@@ -41,6 +44,8 @@
   readonly endpointLosses: EndpointLosses;
   /** Commits the state of a job. @returns resolves to whether it is durable; false if the term ended first */
   save(job: JobRecord, urgency?: CommitUrgency): Promise<boolean>;
+  /** Commits the confirmation of a run with the next change of its job, or soon together with those of other jobs. */
+  saveConfirmation(job: JobRecord): void;
   /** Creates the occurrences of a job that are due, and releases the steps whose dependencies are complete. */
   releaseDueSteps(job: JobRecord): void;
   /** An endpoint has shown that the current run of a task exists, or has existed. */
@@ -86,7 +91,12 @@
   let notifyStepsClosed: (steps: readonly StepRecord[]) => void = () => {};
   let notifyGangBroken: (step: StepRecord) => void = () => {};
 
+  /** Jobs with confirmed runs whose confirmation is neither durable nor staged. */
+  const confirmedJobs = new Set<JobRecord>();
+  let isConfirmationDue = false;
+
   function save(job: JobRecord, urgency?: CommitUrgency): Promise<boolean> {
+    confirmedJobs.delete(job);
     const encode = () => {
       const now = clock.monotonicMilliseconds();
       return encodeState(job, clock.wallMilliseconds() - now, now);
@@ -94,6 +104,15 @@
     return commits.stage(stateKey(job.jobId), encode, urgency);
   }
 
+  function saveConfirmations(): void {
+    isConfirmationDue = false;
+    if (context.hasEnded()) return;
+    metrics.count('confirmations_stored', confirmedJobs.size);
+    [...confirmedJobs].forEach((job) => {
+      void save(job, 'deferred');
+    });
+  }
+
   /** A job whose limit is not known is not given up. */
   function maximumAttempts(job: JobRecord): number {
     return context.settings.queueOf(job)?.maximumAttempts ?? Infinity;
@@ -328,6 +347,12 @@
     releasedSteps,
     endpointLosses,
     save,
+    saveConfirmation(job) {
+      confirmedJobs.add(job);
+      if (isConfirmationDue) return;
+      isConfirmationDue = true;
+      clock.setTimer(saveConfirmations, CONFIRMATION_DELAY_MILLISECONDS);
+    },
     releaseDueSteps: release,
     noteRun,
     noteAnswer(state) {
