--- a/packages/scheduler/src/core/callerService.ts
+++ b/packages/scheduler/src/core/callerService.ts
@@ -31,6 +31,8 @@
   /** When the last successful read of the configuration began, in monotonic milliseconds. */
   readonly configurationReadAt: () => number;
   /** Called once the acceptance of a job is durable. */
+  /** Restores a job that is stored but not among the jobs of the term yet; no effect on others. */
+  readonly restoreStoredJob: (jobId: string) => void;
   readonly onAccepted: (job: JobRecord) => void;
 }
 
@@ -184,6 +186,7 @@
     if (!JOB_ID.test(jobId)) {
       return request.action === 'submit' ? refuse('invalid-body') : { kind: 'no-job' };
     }
+    options.restoreStoredJob(jobId);
     if (request.action === 'submit') return submit(jobId, queue, team, request);
     const unresolved = pendingAcceptances.get(jobId);
     if (unresolved) await withTimeout(clock, unresolved.durable, DURABILITY_TIMEOUT_MILLISECONDS);
--- a/packages/scheduler/src/core/jobRecords.ts
+++ b/packages/scheduler/src/core/jobRecords.ts
@@ -490,6 +490,12 @@
   job.occurrenceCount = Math.max(job.occurrenceCount, stored.occurrenceCount);
 }
 
+/** @returns whether a stored state has incomplete occurrences; without any, nothing of the job runs or waits */
+export function hasOccurrences(text: string): boolean {
+  // The text can't be a part of another value, because quotation marks within strings are escaped.
+  return !text.includes('"occurrences":[]');
+}
+
 /** Parses the value of a specification key. */
 export function parseAccepted(text: string): AcceptedJob {
   const stored = JSON.parse(text) as StoredJob;
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -48,6 +48,7 @@
   createJobRecord,
   forEachTask,
   hasActiveRun,
+  hasOccurrences,
   parseAccepted,
 } from './jobRecords.js';
 import { createJobSettings } from './jobSettings.js';
@@ -72,6 +73,8 @@
 const READ_TIMEOUTS = { minimumMilliseconds: 250, maximumMilliseconds: 2_000 };
 /** Bounds of the time without progress of a read of many items, whose first bytes may wait behind other answers. */
 const BULK_READ_TIMEOUTS = { minimumMilliseconds: 250, maximumMilliseconds: 5_000 };
+/** Pause after each slice of restoring jobs without work in progress, in which the owner serves. */
+const STORED_JOBS_PAUSE_MILLISECONDS = 10;
 /** Epoch of the first term of a cell, before which no owner has sent orders. */
 const FIRST_EPOCH = 1;
 /** Tasks with checkpoints are moved off a draining endpoint this long before it leaves. */
@@ -115,6 +118,8 @@
   const { store, clock, log, metrics, directory, configurationSource, term, timeLimits } = options;
   const table = createEndpointTable();
   const jobs = new Map<string, JobRecord>();
+  /** Stored jobs without work in progress, by id, that are restored while the owner serves. */
+  const storedJobs = new Map<string, { readonly specification: string; readonly state: string }>();
   const sessions = new Map<string, EndpointSession>();
   let configuration: ClusterConfiguration | null = null;
   const settings = createJobSettings();
@@ -200,6 +205,7 @@
       context,
       transitions,
       configurationReadAt: () => configurationReadAt,
+      restoreStoredJob,
       onAccepted: transitions.releaseDueSteps,
     });
     transitions.onJobClosed((job) => {
@@ -476,13 +482,37 @@
       const parsed = parseJobKey(key);
       if (parsed?.part === 'specification') {
         specified.add(parsed.jobId);
-        restoreJob(parsed.jobId, value, states.get(parsed.jobId));
+        const state = states.get(parsed.jobId);
+        if (state !== undefined && !hasOccurrences(state)) {
+          storedJobs.set(parsed.jobId, { specification: value, state });
+        } else restoreJob(parsed.jobId, value, state);
         await slices.giveWay();
       }
     }
     return [...states.keys()].filter((jobId) => !specified.has(jobId));
   }
 
+  function restoreStoredJob(jobId: string): void {
+    const stored = storedJobs.get(jobId);
+    if (!stored) return;
+    storedJobs.delete(jobId);
+    restoreJob(jobId, stored.specification, stored.state);
+    const job = jobs.get(jobId);
+    if (job) components!.transitions.releaseDueSteps(job);
+  }
+
+  async function restoreStoredJobs(): Promise<void> {
+    const count = storedJobs.size;
+    const slices = createWorkSlices(clock, STORED_JOBS_PAUSE_MILLISECONDS);
+    for (const jobId of [...storedJobs.keys()]) {
+      if (hasEnded) return;
+      restoreStoredJob(jobId);
+      await slices.giveWay();
+    }
+    const milliseconds = Math.round(clock.monotonicMilliseconds() - startedAt);
+    log.info('stored jobs restored', { jobs: count, milliseconds });
+  }
+
   /** Starts that a former owner has sent, or has given up, may still be executed. */
   function boundStoredStarts(task: TaskRecord): void {
     const { maximumOrderDelayMilliseconds: orderDelay } = timeLimits;
@@ -573,6 +603,7 @@
     log.info('state recovered', {
       epoch: term.epoch,
       jobs: jobs.size,
+      storedJobs: storedJobs.size,
       endpoints: sessions.size,
       milliseconds: Math.round(clock.monotonicMilliseconds() - startedAt),
     });
@@ -638,6 +669,7 @@
   return {
     async run() {
       if (!(await recover())) return;
+      void restoreStoredJobs();
       void keepConfigurationCurrent();
       void runPeriodically(DIRECTORY_INTERVAL_MILLISECONDS, readDirectory);
       void runPeriodically(LOAD_LOG_INTERVAL_MILLISECONDS, logLoad);
--- a/packages/scheduler/src/utils/workSlices.ts
+++ b/packages/scheduler/src/utils/workSlices.ts
@@ -10,13 +10,17 @@
   giveWay(): Promise<void>;
 }
 
-/** Creates slices, the first of which begins now. */
-export function createWorkSlices(clock: Clock): WorkSlices {
+/**
+ * Creates slices, the first of which begins now.
+ *
+ * @param pauseMilliseconds pause between two slices, in milliseconds
+ */
+export function createWorkSlices(clock: Clock, pauseMilliseconds = 0): WorkSlices {
   let startedAt = clock.monotonicMilliseconds();
   return {
     async giveWay() {
       if (clock.monotonicMilliseconds() - startedAt < SLICE_MILLISECONDS) return;
-      await sleep(clock, 0);
+      await sleep(clock, pauseMilliseconds);
       startedAt = clock.monotonicMilliseconds();
     },
   };
