Review case: late starts run in the next life of a minion

Starts that a minion left unanswered are ruled out for its present life and repeated elsewhere; the minion crashes behind a cut, and its next life under the same id carries them out. Tasks run on two minions at once, and tasks that are done and acknowledged run again. Cause: isBinding() in outstandingStarts.ts does not hold a task at an endpoint that may be replaced for the first time.

The server stand-in can be cut off, and knows which ends were noted.

--- a/review/lib-3/server.mjs
+++ b/review/lib-3/server.mjs
@@ -2,6 +2,7 @@
 import { clearInterval, clearTimeout, setInterval, setTimeout } from 'node:timers';
 
 import { startServer } from './http.mjs';
+import { startProxy } from './proxy.mjs';
 
 const HEARTBEAT_MS = 1_500;
 const HOLD_MAX_MS = 10_000;
@@ -18,6 +19,9 @@
  *
  * @param options.store stand-in of the store, where the server registers
  * @param options.onRun called with each run when it starts and when it ends
+ * @param options.isProxied whether the server can be cut off
+ * @param options.onOrder called with the path and the body of each order; resolves to an answer that takes the place of
+ *   the server's own, to null for none, or to undefined to carry the order out
  * @param options.tailOf returns the tail of a serving task in ms; by default that of its `task-spec`
  */
 export async function startMinion(options) {
@@ -30,6 +34,9 @@
   let port = 0;
   let sequence = 0;
   let removal = null;
+  /** Carries the system's connections to this server; cut where the server is cut off. */
+  let proxy = null;
+  let isCut = false;
 
   function createLife() {
     return {
@@ -40,6 +47,7 @@
       running: new Map(),
       highestEnded: new Map(),
       finished: [],
+      endedRuns: new Map(),
       lastEnd: 0,
       waiting: new Set(),
       leaseTimer: null,
@@ -51,11 +59,12 @@
   }
 
   function register(state = 'ready', drainRemainingMs = undefined) {
+    if (isCut) return;
     sequence += 1;
     clearTimeout(removal);
     store.put(`servers/${id}`, {
       service,
-      address: `127.0.0.1:${port}`,
+      address: proxy?.address ?? `127.0.0.1:${port}`,
       zone,
       version: '1',
       slots: 8,
@@ -76,6 +85,7 @@
     current.highestEnded.set(run.task, Math.max(current.highestEnded.get(run.task) ?? 0, run.run));
     current.lastEnd += 1;
     current.finished.push([current.lastEnd, run.task, run.run, how, '']);
+    current.endedRuns.set(current.lastEnd, run);
     run.endedAt = Date.now();
     run.how = how;
     onRun(run, minion);
@@ -145,6 +155,9 @@
   async function hold(current, body) {
     extendLease(current, body['deadline-ms']);
     const cursor = body['ack-cursor'] ?? 0;
+    current.finished
+      .filter(([number]) => number <= cursor)
+      .forEach(([number]) => Object.assign(current.endedRuns.get(number), { isNoted: true }));
     current.finished = current.finished.filter(([number]) => number > cursor);
     const waitMs = Math.min(2_000, body['wait-ms'] ?? 0);
     if (current.finished.length === 0 && waitMs > 0) {
@@ -208,6 +221,17 @@
     },
     /** Executes an order now, as if it had arrived only now. */
     executeLate: (path, body) => (life ? answerOrder(life, path, body) : null),
+    /** Cuts the server off from the system and from the store, until it is healed. */
+    cut() {
+      isCut = true;
+      proxy.cut();
+      removal = setTimeout(() => store.remove(`servers/${id}`), SILENCE_MS);
+    },
+    heal() {
+      isCut = false;
+      proxy.heal();
+      if (life) register();
+    },
     /** Ends the process without a word: connections break, and what ran is lost. */
     crash() {
       if (!life) return;
@@ -221,7 +245,7 @@
         run.how = 'lost';
         onRun(run, minion);
       });
-      removal = setTimeout(() => store.remove(`servers/${id}`), SILENCE_MS);
+      if (!isCut) removal = setTimeout(() => store.remove(`servers/${id}`), SILENCE_MS);
     },
     /** Starts the process again, under its id or another one, at the same address. */
     async restart(nextId = id) {
@@ -230,6 +254,7 @@
       life = createLife();
       server = await startServer(answer, '127.0.0.1', port);
       port = server.port;
+      if (options.isProxied) proxy ??= await startProxy(`127.0.0.1:${port}`);
       register();
     },
     close() {
@@ -237,6 +262,7 @@
       clearTimeout(removal);
       minion.crash();
       clearTimeout(removal);
+      proxy?.close();
     },
   };
   const heartbeat = setInterval(() => {
