--- a/review/lib-3/cell.mjs
+++ b/review/lib-3/cell.mjs
@@ -12,6 +12,8 @@
 import { startStore } from './store.mjs';
 
 const ROOT = fileURLToPath(new URL('../..', import.meta.url));
+/** Loopback addresses of this script's own, so that scripts beside each other don't take each other's ports. */
+const NETWORK = `127.${1 + (process.pid % 250)}.${Math.floor(process.pid / 250) % 250}`;
 const READY_TIMEOUT_MS = 20_000;
 const REQUEST_TIMEOUT_MS = 3_000;
 const ATTEMPTS = 8;
@@ -95,7 +97,7 @@
   let next = 0;
 
   async function createVm(index) {
-    const ip = `127.0.0.${20 + index}`;
+    const ip = `${NETWORK}.${20 + index}`;
     const [peer, second, front, ready, control, metrics] = [
       await findFreePort(ip),
       await findFreePort(ip),
