Count a failed run once, however many owners learn of its end

Cause: an endpoint reports an end to each owner until it is acknowledged, which an outstanding start delays. The stored state had the number of failures, not which runs they were, so that the next owner took the same end for that of a late run and counted it again. The late end of an earlier run was counted anew by each owner as well. Change: a task keeps the runs that failed. An end whose run is among them is neither counted nor taken up. The number stays in its place of the stored state, with the runs after it, so that builds read each other's records. Why it works: the run names the event, so that counting it is idempotent whoever reports it, and however often.

--- a/packages/scheduler/src/__tests__/jobRecords.test.ts
+++ b/packages/scheduler/src/__tests__/jobRecords.test.ts
@@ -126,3 +126,18 @@
   t.deepEqual(restoreRun(9_000), [9_000, 4_000]);
   t.deepEqual(restoreRun(3_000), [1_000, 4_000]);
 });
+
+// Forgetting them would allow a task more attempts after each release.
+test('failed runs that an earlier build has counted count beside those of this build', (t) => {
+  const stored = { acceptedAt: 1_000, phase: 'open', endedAt: 0, hasStarted: true };
+  const occurrences = [[0, [0], [[0, 0, 'pending', 3, 2, -1, '', 10, []]], [0]]];
+  const job = restore(
+    JSON.stringify({ ...stored, occurrenceCount: 1, endpoints: [], occurrences }),
+  );
+  const taskOf = (record: JobRecord) => record.occurrences.get(0)!.steps[0]!.tasks[0]!;
+  taskOf(job).failedRuns.push(3);
+  const next = restore(encodeState(job, 0, 0));
+  t.is(taskOf(next).failedRuns.length, 3);
+  t.true(taskOf(next).failedRuns.includes(3));
+  t.is(taskOf(next).outstandingStart, null);
+});
--- a/packages/scheduler/src/core/endpointSession.ts
+++ b/packages/scheduler/src/core/endpointSession.ts
@@ -271,13 +271,14 @@
 
   /**
    * Takes up a run that was given up, if its start was executed late and the task has not been started again. A member
-   * of a gang is not taken up, because the others have been stopped.
+   * of a gang is not taken up, because the others have been stopped, nor is a run whose end has been counted.
    */
   function takeUpLateRun({ taskId, run }: RunId): TaskRecord | null {
     const task = findTask(context.jobs, taskId);
     const isWaiting = task?.phase === 'pending' && task.run === run && task.step.isReleased;
     if (!isWaiting || task.step.job.phase !== 'open' || task.step.specification.isGang) return null;
     if (task.outstandingStart?.endpointId !== state.entry.endpointId) return null;
+    if (task.failedRuns.includes(run)) return null;
     chargeLateRun(task, run);
     return task;
   }
@@ -296,11 +297,15 @@
     const { isGang, isLongRunning } = task.step.specification;
     const isLate = task.outstandingStart?.endpointId === state.entry.endpointId;
     if (!isLate || isGang || isLongRunning) return;
-    const isResult = end.kind === 'done' || (end.kind === 'failed' && task.phase === 'pending');
-    if (!isResult) return;
-    if (task.phase === 'pending') chargeLateRun(task, end.run);
-    changedTasks.add(task);
-    transitions.endRun(task, end.kind, end.checkpoint);
+    if (end.kind === 'failed') {
+      if (task.phase !== 'pending' || task.failedRuns.includes(end.run)) return;
+      changedTasks.add(task);
+      transitions.recordLateFailure(task, end.run, state.entry.endpointId);
+    } else if (end.kind === 'done') {
+      if (task.phase === 'pending') chargeLateRun(task, end.run);
+      changedTasks.add(task);
+      transitions.endRun(task, 'done', end.checkpoint);
+    }
   }
 
   /** @returns task of which a listed run is the current one; null if it is not */
--- a/packages/scheduler/src/core/jobRecords.ts
+++ b/packages/scheduler/src/core/jobRecords.ts
@@ -16,6 +16,8 @@
 
 /** How long a task waits for room on other endpoints than the one that it failed on. */
 const AVOIDANCE_MILLISECONDS = 2_000;
+/** Stands for a failed run that an earlier build has counted; runs are numbered from 1. */
+const UNKNOWN_RUN = 0;
 
 /** Value of a specification key. */
 export interface AcceptedJob {
@@ -66,7 +68,7 @@
     index,
     phase: 'pending',
     run: 0,
-    failures: 0,
+    failedRuns: [],
     endpointId: null,
     endpointBornAt: 0,
     endpointAddress: '',
@@ -227,9 +229,9 @@
 type StoredStart = [endpoint: number, until: number];
 
 /**
- * Stored task: step index, task index, phase, run, failures, index into `endpoints` (-1 for none), checkpoint, time of
- * the placement since the acceptance of the job in milliseconds, losses, outstanding start. Earlier builds do not write
- * the last three.
+ * Stored task: step index, task index, phase, run, number of failed runs, index into `endpoints` (-1 for none),
+ * checkpoint, time of the placement since the acceptance of the job in milliseconds, losses, outstanding start (null if
+ * there is none and failed runs follow), failed runs. Earlier builds do not write the last four.
  */
 type StoredTask = [
   step: number,
@@ -241,7 +243,8 @@
   checkpoint: string,
   placedAt?: number,
   losses?: StoredLoss[],
-  outstandingStart?: StoredStart,
+  outstandingStart?: StoredStart | null,
+  failedRuns?: number[],
 ];
 
 function encodeLoss(job: JobRecord, loss: TaskLoss, endpoint: number): StoredLoss {
@@ -358,10 +361,17 @@
     return expiresAt <= now ? 0 : sinceAcceptance(expiresAt);
   }
 
-  function encodeOutstandingStart({ outstandingStart }: TaskRecord): [StoredStart] | [] {
-    if (!outstandingStart) return [];
+  function encodeOutstandingStart({ outstandingStart }: TaskRecord): StoredStart | null {
+    if (!outstandingStart) return null;
     const { endpointId, until } = outstandingStart;
-    return [[endpointIndex(endpointId, 0, ''), sinceAcceptance(until)]];
+    return [endpointIndex(endpointId, 0, ''), sinceAcceptance(until)];
+  }
+
+  /** Most tasks have neither part, so that both are left out where they are empty. */
+  function encodeOptionalParts(task: TaskRecord): [(StoredStart | null)?, number[]?] {
+    const start = encodeOutstandingStart(task);
+    if (task.failedRuns.length > 0) return [start, task.failedRuns];
+    return start ? [start] : [];
   }
 
   function currentEndpointIndex(task: TaskRecord): number {
@@ -387,14 +397,14 @@
               task.index,
               task.phase,
               task.run,
-              task.failures,
+              task.failedRuns.length,
               currentEndpointIndex(task),
               task.phase === 'done' ? '' : task.checkpoint,
               Math.round(task.placedAt + clockDifference - job.acceptedAt),
               task.losses.map((loss) =>
                 encodeLoss(job, loss, endpointIndex(loss.endpointId, loss.bornAt, loss.address)),
               ),
-              ...encodeOutstandingStart(task),
+              ...encodeOptionalParts(task),
             ]),
         ),
         steps.map(({ lastFailedGangRun }) => lastFailedGangRun),
@@ -449,9 +459,10 @@
       const [stepIndex, taskIndex, phase, run, failures, endpoint, checkpoint, after, losses] =
         storedTask;
       const [startEndpoint = -1, startUntil] = storedTask[9] ?? [];
+      const failedRuns = storedTask[10] ?? Array.from({ length: failures }, () => UNKNOWN_RUN);
       const task = occurrence.steps[stepIndex]?.tasks[taskIndex];
       if (!task) return;
-      Object.assign(task, { run, failures, checkpoint });
+      Object.assign(task, { run, failedRuns, checkpoint });
       // The clock of the former owner may have been ahead.
       task.placedAt = Math.min(now, job.acceptedAt + (after ?? 0) - clockDifference);
       task.losses = (losses ?? []).map((loss) => decodeLoss(job, stored.endpoints, loss));
--- a/packages/scheduler/src/core/taskTransitions.ts
+++ b/packages/scheduler/src/core/taskTransitions.ts
@@ -54,6 +54,8 @@
   noteAnswer(state: EndpointState): void;
   /** Applies the end of the current run of a task. */
   endRun(task: TaskRecord, kind: EndKind, checkpoint: string): void;
+  /** Counts an earlier run than the current one of a waiting task, whose end as failed an endpoint reports. */
+  recordLateFailure(task: TaskRecord, run: number, endpointId: string): void;
   /** Ends the current run of a task without a result and commits the job; the task resumes from its checkpoint. */
   dropRun(task: TaskRecord, kind: 'lapsed' | 'stopped'): void;
   /** Drops the runs of an endpoint whose leases have certainly expired. */
@@ -238,16 +240,16 @@
     step.gangFailures += 1;
   }
 
-  function countFailure(task: TaskRecord): void {
+  function countFailure(task: TaskRecord, run: number): void {
     const { step } = task;
     const { isGang, isLongRunning } = step.specification;
-    task.failures += 1;
-    if (isGang) countGangFailure(step, task.run);
-    const failures = isGang ? step.gangFailures : task.failures;
+    task.failedRuns = isLongRunning ? [run] : [...task.failedRuns, run];
+    if (isGang) countGangFailure(step, run);
+    const failures = isGang ? step.gangFailures : task.failedRuns.length;
     const limit = maximumAttempts(step.job);
     if (isLongRunning || failures < limit) return;
     task.phase = 'failed';
-    log.info('attempts used up', { task: task.taskId, run: task.run, isGang, failures, limit });
+    log.info('attempts used up', { task: task.taskId, run, isGang, failures, limit });
     void closeJob(step.job, 'failed');
   }
 
@@ -307,7 +309,7 @@
       detachFromEndpoint(task);
       if (checkpoint !== '') task.checkpoint = checkpoint;
       if (kind === 'done' && !specification.isLongRunning) finishTask(task);
-      else if (kind === 'failed') countFailure(task);
+      else if (kind === 'failed') countFailure(task, run);
       else giveUpIfGuilty(task);
       if (specification.isGang) breakGang(step, run);
     }
@@ -363,6 +365,13 @@
       });
     },
     endRun: endRunAndCleanUp,
+    recordLateFailure(task, run, endpointId) {
+      log.info('late failure counted', { task: task.taskId, run, endpoint: endpointId });
+      metrics.count('runs_failed');
+      const { jobId } = task.step.job;
+      quarantine.recordEnd(endpointId, jobId, false, clock.monotonicMilliseconds());
+      countFailure(task, run);
+    },
     dropRun,
     expireRuns(state) {
       const now = clock.monotonicMilliseconds();
--- a/packages/scheduler/src/types/jobRecord.ts
+++ b/packages/scheduler/src/types/jobRecord.ts
@@ -51,8 +51,11 @@
   phase: TaskPhase;
   /** Number of the last run; 0 if there was none. */
   run: number;
-  /** Number of runs that ended as failed. */
-  failures: number;
+  /**
+   * Runs that ended as failed, each once, however many owners its endpoint reports the end to. An entry is 0 if the run
+   * is not known because an earlier build has counted it. Of a long-running task, only the last one is kept.
+   */
+  failedRuns: number[];
   /** Endpoint of the current run; null if there is none. */
   endpointId: string | null;
   /** Incarnation of that endpoint. */
