Report a call as refused only if no earlier attempt can have taken effect

Cause: only refusals for load by the same owner were held back after an unanswered attempt. Any other one was taken for the answer to all attempts; an owner judges route, key and size before it looks for the job. Change: an owner tells with a refusal whether its state rules out that the request has taken effect. After an unanswered attempt, a refusal is final only with that mark and from a later term; otherwise the outcome is reported as unknown at once. Cancellations likewise. The judgement is a module of its own, without a network. Why it works: a later owner has recovered all that former ones stored, and their writes are refused, so that its state covers every earlier attempt.

--- a/packages/scheduler/src/core/callerService.ts
+++ b/packages/scheduler/src/core/callerService.ts
@@ -23,6 +23,7 @@
 const RETRY_AFTER_MILLISECONDS = 1_000;
 const HASH_RANGE = 2 ** 32;
 const JOB_ID = /^[0-9a-f]{16}$/;
+const JOB_ID_LENGTH = 16;
 
 /** Spreads the times at which callers come back over twice the wait, so that they form no wave. */
 function spread(jobId: string, milliseconds: number): number {
@@ -254,30 +255,44 @@
     return { kind: 'status', status: describeStatus(job) };
   }
 
+  async function handleRequest(request: CallerRequest): Promise<CallerAnswer> {
+    const configuration = context.configuration();
+    const queue = matchQueue(configuration, request.host, request.path);
+    if (!isFresh() && !queue?.isPublic) {
+      return refuse(
+        'configuration-not-fresh',
+        {},
+        { retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS },
+      );
+    }
+    if (!queue) return refuse('unknown-queue', { queue: request.path });
+    const team = findTeam(configuration, request.key);
+    if (!team && !queue.isPublic) {
+      return refuse(request.key ? 'wrong-key' : 'missing-key', { queue: queue.name });
+    }
+    if (request.bodyBytes > configuration.maximumBodyBytes) {
+      return refuse('body-too-large', { limit: configuration.maximumBodyBytes });
+    }
+    const rest = request.path.slice(queue.pathPrefix.length);
+    if (rest === '' && request.action === 'status') {
+      return { kind: 'waiting', count: countWaiting(queue.name) };
+    }
+    return handleJob(rest, queue, team ?? null, request);
+  }
+
+  /** @returns whether the request, or an earlier attempt at a former owner, has taken effect or may still */
+  function mayHaveTakenEffect({ action, path }: CallerRequest): boolean {
+    const jobId = path.slice(-JOB_ID_LENGTH);
+    options.restoreStoredJob(jobId);
+    const job = jobs.get(jobId) ?? pendingAcceptances.get(jobId)?.job;
+    return action === 'cancel' ? job?.phase === 'cancelled' : job !== undefined;
+  }
+
   return {
     async handle(request) {
-      const configuration = context.configuration();
-      const queue = matchQueue(configuration, request.host, request.path);
-      if (!isFresh() && !queue?.isPublic) {
-        return refuse(
-          'configuration-not-fresh',
-          {},
-          { retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS },
-        );
-      }
-      if (!queue) return refuse('unknown-queue', { queue: request.path });
-      const team = findTeam(configuration, request.key);
-      if (!team && !queue.isPublic) {
-        return refuse(request.key ? 'wrong-key' : 'missing-key', { queue: queue.name });
-      }
-      if (request.bodyBytes > configuration.maximumBodyBytes) {
-        return refuse('body-too-large', { limit: configuration.maximumBodyBytes });
-      }
-      const rest = request.path.slice(queue.pathPrefix.length);
-      if (rest === '' && request.action === 'status') {
-        return { kind: 'waiting', count: countWaiting(queue.name) };
-      }
-      return handleJob(rest, queue, team ?? null, request);
+      const answer = await handleRequest(request);
+      if (answer.kind !== 'failed') return answer;
+      return { ...answer, isWithoutEffect: !mayHaveTakenEffect(request) };
     },
   };
 }
--- a/packages/scheduler/src/core/scheduler.ts
+++ b/packages/scheduler/src/core/scheduler.ts
@@ -4,6 +4,8 @@
 import type { CallerAnswer, CallerRequest } from '../types/caller.js';
 import type { ClusterStore } from '../types/clusterStore.js';
 import type { SchedulerDependencies } from '../types/schedulerDependencies.js';
+import { createCallAttempts } from './callAttempts.js';
+import type { AttemptOutcome, WithheldRefusal } from './callAttempts.js';
 import { createOwnerElection } from './ownerElection.js';
 import type { OwnerRecord } from './ownerElection.js';
 import { countTurnsBeforeClaim, createOwnerPreference } from './ownerPreference.js';
@@ -26,14 +28,6 @@
 const OWNER_TIMEOUT_MILLISECONDS = 2_500;
 /** A call is not sent to the owner with less time left, because its answer would come too late to be known. */
 const MINIMUM_CALL_MILLISECONDS = 150;
-const RETRY_AFTER_MILLISECONDS = 1_000;
-/** Refusals that depend on the load at the moment. */
-const LOAD_REFUSALS: ReadonlySet<string> = new Set([
-  'owner-overloaded',
-  'store-unavailable',
-  'overloaded',
-  'over-limit',
-]);
 
 export interface SchedulerOptions extends SchedulerDependencies {
   /** The store over connections of its own, so that renewals of the lease wait for no other call. */
@@ -130,6 +124,7 @@
   /** Of the owner that was last known; null until one has answered. */
   let ownerCapacity: VmCapacity | null = null;
   let term: OwnerTerm | null = null;
+  let termEpoch = -Infinity;
   let termStartedAt = -Infinity;
   let ownerChannel: OwnerConnection | null = null;
   /** Epoch of the last term that its owner itself has reported as ended. */
@@ -150,6 +145,7 @@
     onOwnerChange: () => notifyOwnerChange(),
     onTermStart(identity) {
       metrics.count('terms');
+      termEpoch = identity.epoch;
       termStartedAt = clock.monotonicMilliseconds();
       ownerCapacity = ownCapacity;
       term = createOwnerTerm({
@@ -305,30 +301,10 @@
     ownerChangeListeners.delete(listen);
   }
 
-  function isRetriable(answer: CallerAnswer): boolean {
-    if (answer.kind !== 'failed') return false;
-    return answer.failure.code === 'not-owner' || answer.failure.code === 'not-ready';
-  }
-
-  /** Such a request is repeated, at the next owner if need be; job ids make requests idempotent. */
-  function isAcceptanceUnknown(answer: CallerAnswer | 'not-sent'): boolean {
-    return (
-      answer !== 'not-sent' &&
-      answer.kind === 'failed' &&
-      answer.failure.code === 'acceptance-unknown'
-    );
-  }
-
-  /** An earlier attempt without an answer may still wait at the same owner, and be accepted after the refusal. */
-  function isLoadRefusal(answer: CallerAnswer): boolean {
-    return answer.kind === 'failed' && LOAD_REFUSALS.has(answer.failure.code);
-  }
-
-  /** @returns answer of the owner; `not-sent` if there is no owner to send to, `lost` if it did not answer */
   async function callOwner(
     request: CallerRequest,
     timeoutMilliseconds: number,
-  ): Promise<CallerAnswer | 'not-sent' | 'lost'> {
+  ): Promise<AttemptOutcome> {
     if (term) {
       const outcome = await withTimeout(clock, term.handle(request), timeoutMilliseconds);
       return outcome === TIMED_OUT ? 'lost' : outcome;
@@ -354,15 +330,14 @@
     channel.close();
   }
 
-  function createTimeoutAnswer(wasSent: boolean): CallerAnswer {
-    const failure = wasSent
-      ? createFailure('acceptance-unknown')
-      : createFailure(
-          'no-owner',
-          { partition: 0 },
-          { retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS },
-        );
-    return { kind: 'failed', failure };
+  /** @returns epoch of the term that {@link callOwner} sends to now; -Infinity if there is none */
+  function calledEpoch(): number {
+    return term ? termEpoch : (ownerChannel?.owner.epoch ?? -Infinity);
+  }
+
+  function reportWithheldRefusal({ path }: CallerRequest, refusal: WithheldRefusal): void {
+    metrics.count('refusals_withheld');
+    log.info('refusal withheld after an unanswered attempt', { path, ...refusal });
   }
 
   return {
@@ -389,21 +364,17 @@
     async handle(request, limitMilliseconds) {
       const startedAt = clock.monotonicMilliseconds();
       const limit = Math.min(limitMilliseconds, OWNER_TIMEOUT_MILLISECONDS);
-      let wasSent = false;
-      let unansweredEpoch: number | null = null;
+      const attempts = createCallAttempts(request, (refusal) =>
+        reportWithheldRefusal(request, refusal),
+      );
       for (;;) {
         const remaining = limit - (clock.monotonicMilliseconds() - startedAt);
-        if (remaining <= (wasSent ? 0 : MINIMUM_CALL_MILLISECONDS)) {
-          return createTimeoutAnswer(wasSent);
-        }
-        const epoch = ownerChannel?.owner.epoch ?? null;
-        const answer = await callOwner(request, remaining);
-        if (answer === 'lost') unansweredEpoch = epoch;
-        if (answer === 'lost' || isAcceptanceUnknown(answer)) wasSent = true;
-        else if (answer !== 'not-sent' && !isRetriable(answer)) {
-          const isSameOwner = unansweredEpoch !== null && unansweredEpoch === epoch;
-          if (!isSameOwner || !isLoadRefusal(answer)) return answer;
+        if (remaining <= (attempts.mayHaveTakenEffect() ? 0 : MINIMUM_CALL_MILLISECONDS)) {
+          return attempts.timeoutAnswer();
         }
+        const epoch = calledEpoch();
+        const answer = attempts.record(await callOwner(request, remaining), epoch);
+        if (answer) return answer;
         await awaitOwnerChange(Math.min(remaining, RECONNECT_DELAY_MILLISECONDS));
       }
     },
--- a/packages/scheduler/src/core/schedulerMetrics.ts
+++ b/packages/scheduler/src/core/schedulerMetrics.ts
@@ -15,6 +15,8 @@
     'Jobs refused because work that comes first uses the endpoints for too long.',
   jobs_refused_for_limit: 'Jobs refused because work of their team uses up its limit for too long.',
   calls_refused: 'Calls of callers answered with a failure.',
+  refusals_withheld:
+    'Refusals that were not passed on because an earlier attempt of the call may have taken effect.',
   starts_sent: 'Orders to start a run.',
   starts_refused: 'Orders to start that an endpoint refused.',
   starts_unanswered: 'Orders to start without an answer.',
--- a/packages/scheduler/src/types/caller.ts
+++ b/packages/scheduler/src/types/caller.ts
@@ -23,4 +23,12 @@
   | { readonly kind: 'waiting'; readonly count: number }
   | { readonly kind: 'cancelled' }
   | { readonly kind: 'no-job' }
-  | { readonly kind: 'failed'; readonly failure: Failure };
+  | {
+      readonly kind: 'failed';
+      readonly failure: Failure;
+      /**
+       * Whether the state of the owner shows that neither this attempt nor an earlier one at a former owner has taken
+       * effect. Earlier builds do not tell.
+       */
+      readonly isWithoutEffect?: boolean;
+    };
