Answer no call by a configuration that is older than the bound on its changes

Cause: the owner was cut off from the store under a lease of 5 s and judged calls by its last reading. The bound on the age of that, 3.5 s, was derived from the bound for removed keys alone, and did not hold for public queues. Change: the maximum age is 95% of the shorter bound of the deployment, for every call. It counts the time of a suspension. With a valid lease, a call waits up to 500 ms for a reading that is late. Two log lines tell when calls are refused for the age. Why it works: a linearizable read that began within the bound before the answer shows each change that was confirmed earlier than the bound before the call.

--- a/packages/proving/src/__tests__/peerCell.ts
+++ b/packages/proving/src/__tests__/peerCell.ts
@@ -31,7 +31,7 @@
 }
 
 /** Creates a cell without schedulers, which the end of the test stops. */
-export function createPeerCell(t: ExecutionContext): PeerCell {
+export function createPeerCell(t: ExecutionContext, { leaseMilliseconds = 1_200 } = {}): PeerCell {
   const store = createClusterStoreStandIn(clock, () => 0.5);
   const fleet = createEndpointFleetStandIn({
     clock,
@@ -78,10 +78,11 @@
           maximumStopMilliseconds: 200,
           heartbeatMilliseconds: 1_500,
         },
+        maximumConfigurationAgeMilliseconds: 1_900,
         maximumValueBytes: 1_048_576,
         retentionMilliseconds: 60_000,
         advice: fleet.advice,
-        leaseMilliseconds: 1_200,
+        leaseMilliseconds,
         claimDelayMilliseconds: 0,
         ...capacity,
         peerAddress: `${HOST}:${reservation.port}`,
--- a/packages/proving/src/core/schedulerCell.ts
+++ b/packages/proving/src/core/schedulerCell.ts
@@ -257,6 +257,7 @@
               maximumStopMilliseconds: 200,
               heartbeatMilliseconds: 1_500,
             },
+            maximumConfigurationAgeMilliseconds: 1_900,
             maximumValueBytes: MAXIMUM_VALUE_BYTES,
             retentionMilliseconds: 120_000,
             term: owned,
--- a/packages/scheduler/src/core/callerService.ts
+++ b/packages/scheduler/src/core/callerService.ts
@@ -12,8 +12,8 @@
 import { countRequiredTasks } from './jobSize.js';
 import type { TaskTransitions } from './taskTransitions.js';
 
-/** API keys are accepted this long after the configuration was last read. */
-const MAXIMUM_CONFIGURATION_AGE_MILLISECONDS = 3_500;
+/** Maximum wait for a reading of the configuration that is late, while the store may still answer. */
+const CONFIGURATION_WAIT_MILLISECONDS = 500;
 /** A job is refused if it has not been sent to the store within this time. */
 const ACCEPT_TIMEOUT_MILLISECONDS = 1_000;
 /** Time until the caller is told that it is unknown whether the change is durable. */
@@ -39,8 +39,12 @@
   readonly context: TermContext;
   readonly transitions: TaskTransitions;
   readonly admission: JobAdmission;
-  /** When the last successful read of the configuration began, in monotonic milliseconds. */
-  readonly configurationReadAt: () => number;
+  /** @returns time since the last successful read of the configuration began, in milliseconds */
+  readonly configurationAge: () => number;
+  /** @returns resolves with the next successful read of the configuration */
+  readonly nextConfigurationRead: () => Promise<void>;
+  /** A call is judged by a configuration whose read began at most this long ago, in milliseconds. */
+  readonly maximumConfigurationAgeMilliseconds: number;
   /** Called once the acceptance of a job is durable. */
   /** Restores a job that is stored but not among the jobs of the term yet; no effect on others. */
   readonly restoreStoredJob: (jobId: string) => void;
@@ -73,6 +77,7 @@
   const { clock, log, metrics, jobs, commits } = context;
   /** By job id: jobs whose acceptance is not durable yet. */
   const pendingAcceptances = new Map<string, { job: JobRecord; durable: Promise<boolean> }>();
+  let isRefusingForAge = false;
 
   function refuse(
     code: Parameters<typeof createFailure>[0],
@@ -88,11 +93,30 @@
     return configuration.teams.find(({ keys }) => keys.includes(key));
   }
 
-  function isFresh(): boolean {
-    return (
-      clock.monotonicMilliseconds() - options.configurationReadAt() <=
-      MAXIMUM_CONFIGURATION_AGE_MILLISECONDS
-    );
+  function isConfigurationFresh(): boolean {
+    return options.configurationAge() <= options.maximumConfigurationAgeMilliseconds;
+  }
+
+  /** Logs once that calls are refused for the age of the configuration, and once that they no longer are. */
+  function noteFreshness(isFresh: boolean): void {
+    if (isFresh === !isRefusingForAge) return;
+    isRefusingForAge = !isFresh;
+    log.info(isFresh ? 'configuration is current again' : 'configuration is too old for calls', {
+      version: context.configuration().version,
+      ageMilliseconds: Math.round(options.configurationAge()),
+      isOwnerLeaseValid: context.isOwnerLeaseValid(),
+    });
+  }
+
+  /** Without a valid lease, the store has not answered for long, and nothing is gained by waiting. */
+  async function awaitFreshConfiguration(): Promise<boolean> {
+    if (!isConfigurationFresh() && context.isOwnerLeaseValid()) {
+      const read = options.nextConfigurationRead();
+      await withTimeout(clock, read, CONFIGURATION_WAIT_MILLISECONDS);
+    }
+    const isFresh = isConfigurationFresh();
+    noteFreshness(isFresh);
+    return isFresh;
   }
 
   function countWaiting(queue: string): number {
@@ -256,15 +280,16 @@
   }
 
   async function handleRequest(request: CallerRequest): Promise<CallerAnswer> {
-    const configuration = context.configuration();
-    const queue = matchQueue(configuration, request.host, request.path);
-    if (!isFresh() && !queue?.isPublic) {
+    if (!(await awaitFreshConfiguration())) {
+      if (context.hasEnded()) return refuse('not-ready');
       return refuse(
         'configuration-not-fresh',
         {},
         { retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS },
       );
     }
+    const configuration = context.configuration();
+    const queue = matchQueue(configuration, request.host, request.path);
     if (!queue) return refuse('unknown-queue', { queue: request.path });
     const team = findTeam(configuration, request.key);
     if (!team && !queue.isPublic) {
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -72,6 +72,8 @@
 
 /** Interval of reading the configuration; bounds the delay until a change is in effect. */
 const CONFIGURATION_INTERVAL_MILLISECONDS = 600;
+/** Number of reads within the maximum age of the configuration, so that it survives lost answers. */
+const READS_PER_CONFIGURATION_AGE = 3;
 /** Interval of reading the directory; bounds how long a leaving endpoint still gets new runs. */
 const DIRECTORY_INTERVAL_MILLISECONDS = 600;
 /** Interval of checks for due occurrences, expired job records, drains and stragglers. */
@@ -126,6 +128,15 @@
   };
 }
 
+/** @returns a promise, and the function that resolves it */
+function createSignal(): { readonly given: Promise<void>; readonly give: () => void } {
+  let give = () => {};
+  const given = new Promise<void>((resolve) => {
+    give = resolve;
+  });
+  return { given, give };
+}
+
 /** Creates a term; {@link OwnerTerm.run} starts it. */
 export function createOwnerTerm(options: OwnerTermOptions): OwnerTerm {
   const { store, clock, log, metrics, directory, configurationSource, term, timeLimits } = options;
@@ -136,7 +147,14 @@
   const sessions = new Map<string, EndpointSession>();
   let configuration: ClusterConfiguration | null = null;
   const settings = createJobSettings();
-  let configurationReadAt = -Infinity;
+  /** When the last successful read of the configuration began, in monotonic and in wall-clock milliseconds. */
+  let configurationReadAt = { monotonic: -Infinity, wall: -Infinity };
+  /** Resolves with the next successful read of the configuration. */
+  let nextConfigurationRead = createSignal();
+  const configurationInterval = Math.min(
+    CONFIGURATION_INTERVAL_MILLISECONDS,
+    options.maximumConfigurationAgeMilliseconds / READS_PER_CONFIGURATION_AGE,
+  );
   let hasEnded = false;
   let sheddingLevel: SheddingLevel = 'nothing';
   let optionalWorkAt = -Infinity;
@@ -242,7 +260,9 @@
       context,
       transitions,
       admission: createJobAdmission(context, dispatcher.workDigest),
-      configurationReadAt: () => configurationReadAt,
+      configurationAge,
+      nextConfigurationRead: () => nextConfigurationRead.given,
+      maximumConfigurationAgeMilliseconds: options.maximumConfigurationAgeMilliseconds,
       restoreStoredJob,
       onAccepted: transitions.releaseDueSteps,
     });
@@ -320,17 +340,31 @@
     return null;
   }
 
+  /** The monotonic clock may stop while the VM is suspended, and the wall clock may be set. */
+  function configurationAge(): number {
+    return Math.max(
+      clock.monotonicMilliseconds() - configurationReadAt.monotonic,
+      clock.wallMilliseconds() - configurationReadAt.wall,
+    );
+  }
+
   async function readConfiguration(): Promise<boolean> {
-    const readAt = clock.monotonicMilliseconds();
+    const readAt = {
+      monotonic: clock.monotonicMilliseconds(),
+      wall: clock.wallMilliseconds(),
+    };
     const outcome = await timedRead((timeout) => configurationSource.read(timeout));
     if (outcome.kind === 'failed' || hasEnded) return false;
     const next = outcome.configuration;
-    configurationReadAt = Math.max(configurationReadAt, readAt);
-    if (!next || (configuration && next.version <= configuration.version)) return true;
-    log.info('configuration in effect', { version: next.version, queues: next.queues.length });
-    configuration = next;
-    settings.apply(next);
-    components?.dispatcher.requestRound();
+    if (readAt.monotonic > configurationReadAt.monotonic) configurationReadAt = readAt;
+    if (next && (!configuration || next.version > configuration.version)) {
+      log.info('configuration in effect', { version: next.version, queues: next.queues.length });
+      configuration = next;
+      settings.apply(next);
+      components?.dispatcher.requestRound();
+    }
+    nextConfigurationRead.give();
+    nextConfigurationRead = createSignal();
     return true;
   }
 
@@ -482,16 +516,9 @@
   /** A read that gets no answer does not delay the next one, so that calls are accepted soon after an outage. */
   async function keepConfigurationCurrent(): Promise<void> {
     while (!hasEnded) {
-      const outcome = await withTimeout(
-        clock,
-        readConfiguration(),
-        CONFIGURATION_INTERVAL_MILLISECONDS,
-      );
+      const outcome = await withTimeout(clock, readConfiguration(), configurationInterval);
       if (outcome !== TIMED_OUT) {
-        await sleep(
-          clock,
-          outcome ? CONFIGURATION_INTERVAL_MILLISECONDS : RETRY_DELAY_MILLISECONDS,
-        );
+        await sleep(clock, outcome ? configurationInterval : RETRY_DELAY_MILLISECONDS);
       }
     }
   }
--- a/packages/scheduler/src/types/schedulerDependencies.ts
+++ b/packages/scheduler/src/types/schedulerDependencies.ts
@@ -20,6 +20,11 @@
   /** Null if the deployment does not take data centres out of service. */
   readonly evacuation: EvacuationSettings | null;
   readonly timeLimits: EndpointTimeLimits;
+  /**
+   * Maximum age of the configuration that a call is judged by, in milliseconds; at most the time after which a change
+   * has to be in effect.
+   */
+  readonly maximumConfigurationAgeMilliseconds: number;
   /** Maximum size of a value in the store, in bytes. */
   readonly maximumValueBytes: number;
   /** How long the record of an ended job is kept, in milliseconds. */
