Read the configuration again for a call before it is refused for its age

Cause: since the age counts suspensions, a wall clock that is set forward made the owner refuse calls until the next periodic read, up to 600 ms (crashReview, "a suspect runs on trial also after an owner whose wall clock was ahead": failed instead of accepted). Change: a call whose configuration is too old reads it at once, shared with other calls, for up to 500 ms while the store may still answer; after one such wait in vain others are refused at once. A call with a current configuration is judged without a wait.

--- a/packages/scheduler/src/core/callerService.ts
+++ b/packages/scheduler/src/core/callerService.ts
@@ -1,4 +1,4 @@
-import { createFailure, hashText, TIMED_OUT, withTimeout } from '@chicorybend/common';
+import { createFailure, hashText, sleep, TIMED_OUT, withTimeout } from '@chicorybend/common';
 import type { Failure, FailureOptions } from '@chicorybend/common';
 
 import type { CallerAnswer, CallerRequest } from '../types/caller.js';
@@ -12,8 +12,10 @@
 import { countRequiredTasks } from './jobSize.js';
 import type { TaskTransitions } from './taskTransitions.js';
 
-/** Maximum wait for a reading of the configuration that is late, while the store may still answer. */
+/** Maximum time in which a configuration that is too old is read again for a call. */
 const CONFIGURATION_WAIT_MILLISECONDS = 500;
+/** Delay before such a read is repeated. */
+const CONFIGURATION_RETRY_MILLISECONDS = 50;
 /** A job is refused if it has not been sent to the store within this time. */
 const ACCEPT_TIMEOUT_MILLISECONDS = 1_000;
 /** Time until the caller is told that it is unknown whether the change is durable. */
@@ -41,8 +43,10 @@
   readonly admission: JobAdmission;
   /** @returns time since the last successful read of the configuration began, in milliseconds */
   readonly configurationAge: () => number;
-  /** @returns resolves with the next successful read of the configuration */
-  readonly nextConfigurationRead: () => Promise<void>;
+  /** Reads the configuration now. @returns resolves to whether that succeeded */
+  readonly readConfiguration: () => Promise<boolean>;
+  /** @returns whether the store has answered this process lately, as far as its clocks tell */
+  readonly mayStoreAnswer: () => boolean;
   /** A call is judged by a configuration whose read began at most this long ago, in milliseconds. */
   readonly maximumConfigurationAgeMilliseconds: number;
   /** Called once the acceptance of a job is durable. */
@@ -78,6 +82,8 @@
   /** By job id: jobs whose acceptance is not durable yet. */
   const pendingAcceptances = new Map<string, { job: JobRecord; durable: Promise<boolean> }>();
   let isRefusingForAge = false;
+  /** Read of the configuration that calls wait for; null if there is none. */
+  let sharedRead: Promise<boolean> | null = null;
 
   function refuse(
     code: Parameters<typeof createFailure>[0],
@@ -108,15 +114,23 @@
     });
   }
 
-  /** Without a valid lease, the store has not answered for long, and nothing is gained by waiting. */
-  async function awaitFreshConfiguration(): Promise<boolean> {
-    if (!isConfigurationFresh() && context.isOwnerLeaseValid()) {
-      const read = options.nextConfigurationRead();
-      await withTimeout(clock, read, CONFIGURATION_WAIT_MILLISECONDS);
+  /** All calls that wait share a read. */
+  function readConfiguration(): Promise<boolean> {
+    sharedRead ??= options.readConfiguration().finally(() => {
+      sharedRead = null;
+    });
+    return sharedRead;
+  }
+
+  /** Once a call has waited in vain, others are refused at once until a periodic read has succeeded. */
+  async function refreshConfiguration(): Promise<void> {
+    const endsAt = clock.monotonicMilliseconds() + CONFIGURATION_WAIT_MILLISECONDS;
+    while (!isConfigurationFresh() && !isRefusingForAge && options.mayStoreAnswer()) {
+      const remaining = endsAt - clock.monotonicMilliseconds();
+      if (remaining <= 0) return;
+      const outcome = await withTimeout(clock, readConfiguration(), remaining);
+      if (outcome === false) await sleep(clock, CONFIGURATION_RETRY_MILLISECONDS);
     }
-    const isFresh = isConfigurationFresh();
-    noteFreshness(isFresh);
-    return isFresh;
   }
 
   function countWaiting(queue: string): number {
@@ -280,7 +294,10 @@
   }
 
   async function handleRequest(request: CallerRequest): Promise<CallerAnswer> {
-    if (!(await awaitFreshConfiguration())) {
+    if (!isConfigurationFresh()) await refreshConfiguration();
+    const isFresh = isConfigurationFresh();
+    noteFreshness(isFresh);
+    if (!isFresh) {
       if (context.hasEnded()) return refuse('not-ready');
       return refuse(
         'configuration-not-fresh',
--- a/packages/scheduler/src/core/ownerTerm.ts
+++ b/packages/scheduler/src/core/ownerTerm.ts
@@ -128,15 +128,6 @@
   };
 }
 
-/** @returns a promise, and the function that resolves it */
-function createSignal(): { readonly given: Promise<void>; readonly give: () => void } {
-  let give = () => {};
-  const given = new Promise<void>((resolve) => {
-    give = resolve;
-  });
-  return { given, give };
-}
-
 /** Creates a term; {@link OwnerTerm.run} starts it. */
 export function createOwnerTerm(options: OwnerTermOptions): OwnerTerm {
   const { store, clock, log, metrics, directory, configurationSource, term, timeLimits } = options;
@@ -149,8 +140,6 @@
   const settings = createJobSettings();
   /** When the last successful read of the configuration began, in monotonic and in wall-clock milliseconds. */
   let configurationReadAt = { monotonic: -Infinity, wall: -Infinity };
-  /** Resolves with the next successful read of the configuration. */
-  let nextConfigurationRead = createSignal();
   const configurationInterval = Math.min(
     CONFIGURATION_INTERVAL_MILLISECONDS,
     options.maximumConfigurationAgeMilliseconds / READS_PER_CONFIGURATION_AGE,
@@ -261,7 +250,8 @@
       transitions,
       admission: createJobAdmission(context, dispatcher.workDigest),
       configurationAge,
-      nextConfigurationRead: () => nextConfigurationRead.given,
+      readConfiguration,
+      mayStoreAnswer,
       maximumConfigurationAgeMilliseconds: options.maximumConfigurationAgeMilliseconds,
       restoreStoredJob,
       onAccepted: transitions.releaseDueSteps,
@@ -348,6 +338,13 @@
     );
   }
 
+  /** A step of the wall clock makes the lease invalid until it is renewed, and the configuration seem old. */
+  function mayStoreAnswer(): boolean {
+    if (hasEnded) return false;
+    const age = clock.monotonicMilliseconds() - configurationReadAt.monotonic;
+    return options.isOwnerLeaseValid() || age <= options.maximumConfigurationAgeMilliseconds;
+  }
+
   async function readConfiguration(): Promise<boolean> {
     const readAt = {
       monotonic: clock.monotonicMilliseconds(),
@@ -363,8 +360,6 @@
       settings.apply(next);
       components?.dispatcher.requestRound();
     }
-    nextConfigurationRead.give();
-    nextConfigurationRead = createSignal();
     return true;
   }
 
