Play changes of keys and queues in the process soak

Cause: no soak changed the configuration while processes were lost, paused or cut off the store, so that answers by an outdated version, and refusals of jobs that run, were found by review only. Change: `--faults configuration` replaces keys and adds and removes a queue under many short jobs and faults of processes and their links to the store. Each process is asked several times a second; answers are judged by the versions that may be in force, and rejected jobs must not run.

--- a/packages/proving/src/__tests__/processSoakChecks.test.ts
+++ b/packages/proving/src/__tests__/processSoakChecks.test.ts
@@ -56,6 +56,7 @@
     ...change.job,
   };
   const record: ProcessSoakJobRecord = {
+    submissionStatuses: [200],
     acceptedAt: 0,
     cancelSentAt: null,
     cancelAcknowledgedAt: null,
--- a/packages/proving/src/__tests__/processSoakStandstill.test.ts
+++ b/packages/proving/src/__tests__/processSoakStandstill.test.ts
@@ -36,6 +36,7 @@
   const job = { jobId: JOB_ID, submittedAt: 0, queue: 'quick', deadly: null, steps } as const;
   const jobRecord: ProcessSoakJobRecord = {
     job: { ...job, cancelAfterMilliseconds: null },
+    submissionStatuses: [200],
     acceptedAt: 1_000,
     cancelSentAt: null,
     cancelAcknowledgedAt: null,
--- a/packages/proving/src/core/processSoakPlan.ts
+++ b/packages/proving/src/core/processSoakPlan.ts
@@ -30,7 +30,12 @@
 };
 const OUTAGE_FRACTION = 0.1;
 /** Number of series of restarts at a time. */
-const RESTART_SERIES: Record<ProcessSoakProfile, number> = { all: 0, advice: 0, restarts: 3 };
+const RESTART_SERIES: Record<ProcessSoakProfile, number> = {
+  all: 0,
+  advice: 0,
+  restarts: 3,
+  configuration: 0,
+};
 
 type FaultTimes = Pick<ProcessSoakFault, 'at' | 'pick'>;
 
@@ -187,13 +192,44 @@
   }));
 }
 
-const JOB_PLANNERS = { all: planMixedJobs, advice: planShortJobs, restarts: planRestartJobs };
+const JOB_PLANNERS = {
+  all: planMixedJobs,
+  advice: planShortJobs,
+  restarts: planRestartJobs,
+  configuration: planShortJobs,
+};
+
+function planConfigurationChange(random: Random, times: FaultTimes): ProcessSoakFault {
+  return {
+    ...times,
+    kind: 'configuration',
+    change: random.pick(['key', 'queue']),
+    milliseconds: 0,
+  };
+}
+
+/** Kinds of faults beside changes of the configuration, which are drawn more often. */
+const CONFIGURATION_PLANNERS: readonly FaultPlanner[] = [
+  planConfigurationChange,
+  planConfigurationChange,
+  planConfigurationChange,
+  planProcessFault,
+  planProcessFault,
+  (random, times) => ({
+    ...times,
+    kind: 'store-link',
+    link: random.pick(LINK_CUTS),
+    target: random.pick(['owner', 'owner', 'any']),
+    milliseconds: random.integer(500, 9_000),
+  }),
+];
 
 /** Kinds of faults of each profile, beside the restarts. */
 const FAULT_PLANNERS: Record<ProcessSoakProfile, readonly FaultPlanner[]> = {
   all: [...PLANNERS, ...ADVICE_PLANNERS],
   advice: ADVICE_PLANNERS,
   restarts: [],
+  configuration: CONFIGURATION_PLANNERS,
 };
 
 /**
--- a/packages/proving/src/index.ts
+++ b/packages/proving/src/index.ts
@@ -70,6 +70,7 @@
 export type { CrashSoakOutcome } from './types/crashSoak.js';
 export { planProcessSoak } from './core/processSoakPlan.js';
 export { checkFinalStates, checkProcessSoak } from './core/processSoakChecks.js';
+export { checkProbes, checkRefusedJobs } from './core/configurationSoakChecks.js';
 export { measureCalm } from './core/processSoakStandstill.js';
 export type { ProcessSoakLimits } from './core/processSoakChecks.js';
 export { isDeadlyTask, parseTaskId } from './core/crashSoakJobs.js';
@@ -78,6 +79,9 @@
   AdviceServiceFault,
   LinkCut,
   ProcessExitRecord,
+  ConfigurationProbe,
+  ConfigurationRecord,
+  ConfigurationVersion,
   ProcessSoakFault,
   ProcessSoakJob,
   ProcessSoakJobRecord,
--- a/packages/proving/src/soak.ts
+++ b/packages/proving/src/soak.ts
@@ -20,7 +20,7 @@
 const RANDOM_FAULTS = 'random';
 const RESTART_FAULTS = 'restarts';
 /** Profiles of the process soak; random faults are those of its profile `all`. */
-const PROCESS_PROFILES = ['advice', RESTART_FAULTS] as const;
+const PROCESS_PROFILES = ['advice', 'configuration', RESTART_FAULTS] as const;
 const MILLISECONDS_PER_MINUTE = 60_000;
 const LARGEST_SEED = 1_000_000_000;
 // By then the partitions have been distributed to the daemons, even on a busy machine.
@@ -64,6 +64,10 @@
   return status ?? 1;
 }
 
+function isProcessProfile(faults: string): faults is (typeof PROCESS_PROFILES)[number] {
+  return PROCESS_PROFILES.some((name) => name === faults);
+}
+
 /** Runs crash soaks with consecutive seeds. @returns whether all checks hold */
 async function runCrashSoaks(
   firstSeed: number,
@@ -102,7 +106,7 @@
       options: [RANDOM_FAULTS, ...PROCESS_PROFILES, ...LONG_FAULT_NAMES],
       default: RANDOM_FAULTS,
       description:
-        'Random faults, or one fault that lasts for the whole duration; with --processes, random faults, those of the ways to advice or restarts of endpoints; with --crashes, random faults or restarts of endpoints',
+        'Random faults, or one fault that lasts for the whole duration; with --processes, random faults, those of the ways to advice, changes of the configuration or restarts of endpoints; with --crashes, random faults or restarts of endpoints',
     },
     example: {
       type: 'enum',
@@ -151,7 +155,7 @@
     }
     const minutes = readNumber('minutes', args.minutes);
     if (args.processes) process.exit(runProcessSoak(seed, minutes, args.faults));
-    if (args.faults === 'advice' || args.faults === RESTART_FAULTS) {
+    if (isProcessProfile(args.faults)) {
       console.error(`--faults ${args.faults} needs --processes`);
       process.exit(2);
     }
--- a/packages/proving/src/types/processSoak.ts
+++ b/packages/proving/src/types/processSoak.ts
@@ -111,15 +111,27 @@
       readonly target: 'owner' | 'any';
     }
   | { readonly kind: 'store'; readonly fault: 'silent' | 'slow' | 'answers-lost' }
+  | {
+      /** Cuts a VM off the store. */
+      readonly kind: 'store-link';
+      readonly link: LinkCut;
+      readonly target: 'owner' | 'any';
+    }
+  | {
+      /** Replaces a key, or adds or removes a queue; this is no fault, and lasts. */
+      readonly kind: 'configuration';
+      readonly change: 'key' | 'queue';
+    }
   | AdviceFault
   | RestartFault
 );
 
 /**
  * `all`: faults of every kind. `advice`: those of the ways to advice, under a load of many short jobs. `restarts`:
- * restarts under the same id and late orders, under a load of long and lasting tasks.
+ * restarts under the same id and late orders, under a load of long and lasting tasks. `configuration`: changes of keys
+ * and queues while VMs, first the owner, are lost, paused or cut off the store.
  */
-export type ProcessSoakProfile = 'all' | 'advice' | 'restarts';
+export type ProcessSoakProfile = 'all' | 'advice' | 'restarts' | 'configuration';
 
 /** Load and faults of a process soak. */
 export interface ProcessSoakPlan {
@@ -135,6 +147,8 @@
 /** What the caller of a job saw. Times are monotonic, in milliseconds. */
 export interface ProcessSoakJobRecord {
   readonly job: ProcessSoakJob;
+  /** Statuses of the answers to its submission; 0 for none in time. */
+  readonly submissionStatuses: number[];
   acceptedAt: number | null;
   cancelSentAt: number | null;
   cancelAcknowledgedAt: number | null;
@@ -174,9 +188,36 @@
   readonly endedAt: number;
 }
 
+/** A version of the configuration that was confirmed. */
+export interface ConfigurationVersion {
+  /** Monotonic time in milliseconds. */
+  readonly at: number;
+  readonly queues: readonly string[];
+  readonly keys: readonly string[];
+}
+
+/** Answer of a VM to a call that only tells which configuration is in force. Times are monotonic, in milliseconds. */
+export interface ConfigurationProbe {
+  readonly vm: string;
+  readonly queue: string;
+  readonly key: string;
+  readonly sentAt: number;
+  readonly answeredAt: number;
+  readonly status: number;
+}
+
+/** What is needed to judge by which configuration calls were answered. */
+export interface ConfigurationRecord {
+  /** In the order of time. */
+  readonly versions: readonly ConfigurationVersion[];
+  readonly probes: readonly ConfigurationProbe[];
+  /** Times in which a VM, its link to the store, or the store was disturbed, by the name of the VM. */
+  readonly vmDisturbances: ReadonlyMap<string, readonly SoakDisturbance[]>;
+}
+
 /** A broken rule. */
 export interface ProcessSoakViolation {
-  readonly rule: 'LOST' | 'TWICE' | 'BUDGET' | 'UNASKED' | 'FAULT';
+  readonly rule: 'LOST' | 'TWICE' | 'BUDGET' | 'UNASKED' | 'REFUSED' | 'CONFIG' | 'FAULT';
   /** Monotonic time in milliseconds. */
   readonly at: number;
   /** Null for a violation of a process. */
