--- a/packages/proving/src/core/processSoakPlan.ts
+++ b/packages/proving/src/core/processSoakPlan.ts
@@ -199,37 +199,56 @@
   configuration: planShortJobs,
 };
 
-function planConfigurationChange(random: Random, times: FaultTimes): ProcessSoakFault {
-  return {
-    ...times,
-    kind: 'configuration',
-    change: random.pick(['key', 'queue']),
-    milliseconds: 0,
-  };
+function planOwnerLoss(random: Random, times: FaultTimes): ProcessSoakFault {
+  const milliseconds = random.integer(500, 6_000);
+  return random.chance(0.3)
+    ? { ...times, kind: 'store-link', link: random.pick(LINK_CUTS), target: 'owner', milliseconds }
+    : {
+        ...times,
+        kind: 'process',
+        signal: random.pick(['SIGKILL', 'SIGKILL', 'SIGSTOP']),
+        target: 'owner',
+        milliseconds,
+      };
 }
 
-/** Kinds of faults beside changes of the configuration, which are drawn more often. */
-const CONFIGURATION_PLANNERS: readonly FaultPlanner[] = [
-  planConfigurationChange,
-  planConfigurationChange,
-  planConfigurationChange,
-  planProcessFault,
-  planProcessFault,
-  (random, times) => ({
-    ...times,
-    kind: 'store-link',
-    link: random.pick(LINK_CUTS),
-    target: random.pick(['owner', 'owner', 'any']),
-    milliseconds: random.integer(500, 9_000),
-  }),
-];
+/**
+ * Plans a series of faults and changes that overlap: the store is slow, so that owners are lost between a write and its
+ * answer, owners are lost one after another, and the configuration changes meanwhile.
+ */
+function planConfigurationSeries(random: Random, at: number): ProcessSoakFault[] {
+  const timesAt = (offset: number): FaultTimes => ({ at: at + offset, pick: random.fraction() });
+  const lostAt = random.integer(1_000, 2_000);
+  const faults = [planOwnerLoss(random, timesAt(lostAt))];
+  if (random.chance(0.6)) {
+    faults.push({ ...timesAt(0), kind: 'store', fault: 'slow', milliseconds: 3_000 });
+  }
+  if (random.chance(0.5)) {
+    faults.push(planOwnerLoss(random, timesAt(lostAt + random.integer(1_500, 4_000))));
+  }
+  for (let count = random.integer(3, 6); count > 0; count -= 1) {
+    const change = random.pick(['key', 'key', 'queue'] as const);
+    const offset = lostAt + random.integer(-200, 1_500);
+    faults.push({ ...timesAt(offset), kind: 'configuration', change, milliseconds: 0 });
+  }
+  return faults;
+}
+
+function planConfigurationFaults(seed: number, durationMilliseconds: number): ProcessSoakFault[] {
+  const random = createRandom(seed);
+  const faults: ProcessSoakFault[] = [];
+  for (let at = 1_000; at < durationMilliseconds; at += random.integer(4_000, 8_000)) {
+    faults.push(...planConfigurationSeries(random, at));
+  }
+  return faults.sort((left, right) => left.at - right.at);
+}
 
-/** Kinds of faults of each profile, beside the restarts. */
+/** Kinds of faults of each profile, beside restarts and changes of the configuration, which come in series. */
 const FAULT_PLANNERS: Record<ProcessSoakProfile, readonly FaultPlanner[]> = {
   all: [...PLANNERS, ...ADVICE_PLANNERS],
   advice: ADVICE_PLANNERS,
   restarts: [],
-  configuration: CONFIGURATION_PLANNERS,
+  configuration: [],
 };
 
 /**
@@ -254,5 +273,7 @@
   }
   const keepsIds = random.chance(0.5);
   const restarts = planRestarts(seed, durationMilliseconds, RESTART_SERIES[profile]);
-  return { jobs, faults: [...faults, ...restarts], keepsIds };
+  const changes =
+    profile === 'configuration' ? planConfigurationFaults(seed, durationMilliseconds) : [];
+  return { jobs, faults: [...faults, ...restarts, ...changes], keepsIds };
 }
